--- /dev/null
+++ b/src/swiftjunction/backends/__init__.py
@@ -0,0 +1,33 @@
+"""Backend servers: what is known of each, and the clients that call them."""
+
+from swiftjunction.backends._directory import Directory
+from swiftjunction.backends._directory import SERVER_PREFIX
+from swiftjunction.backends._engine import Chunk
+from swiftjunction.backends._engine import EngineCall
+from swiftjunction.backends._engine import EngineClient
+from swiftjunction.backends._engine import ORDER_TIMEOUT_SECONDS
+from swiftjunction.backends._orders import EngineStatus
+from swiftjunction.backends._orders import Order
+from swiftjunction.backends._orders import STATUS_INTERVAL_SECONDS
+from swiftjunction.backends._server import BackendServer
+from swiftjunction.backends._server import ServerReport
+from swiftjunction.backends._service import ServiceAnswer
+from swiftjunction.backends._service import ServiceCall
+from swiftjunction.backends._service import ServiceClient
+
+__all__ = [
+    'BackendServer',
+    'Chunk',
+    'Directory',
+    'EngineCall',
+    'EngineClient',
+    'EngineStatus',
+    'ORDER_TIMEOUT_SECONDS',
+    'Order',
+    'SERVER_PREFIX',
+    'STATUS_INTERVAL_SECONDS',
+    'ServerReport',
+    'ServiceAnswer',
+    'ServiceCall',
+    'ServiceClient',
+]
--- /dev/null
+++ b/src/swiftjunction/backends/_calls.py
@@ -0,0 +1,49 @@
+"""Turns the failures of an HTTP call into this project's errors."""
+
+import collections.abc
+import contextlib
+
+import httpx
+
+from swiftjunction import errors
+
+OUTCOME_HEADER = 'x-request-outcome'
+NOT_RUN = 'not-run'
+
+# Failures at which no byte of the request can have left.
+_UNSENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+@contextlib.contextmanager
+def translate_errors(step: str, peer: str) -> collections.abc.Iterator[None]:
+    """Raise ``BackendUnreachable`` or ``AnswerBroken`` for httpx's errors."""
+    try:
+        yield
+    except _UNSENT as error:
+        raise errors.BackendUnreachable(
+            f'cannot connect: {error or type(error).__name__}',
+            step=step,
+            peer=peer,
+        ) from error
+    except (httpx.HTTPError, httpx.StreamError) as error:
+        raise errors.AnswerBroken(
+            f'no whole answer: {error or type(error).__name__}',
+            step=step,
+            peer=peer,
+        ) from error
+
+
+def check_refusal(response: httpx.Response, step: str, peer: str) -> None:
+    """Raise ``BackendRefused`` if the server says it did not run it."""
+    if response.headers.get(OUTCOME_HEADER) == NOT_RUN:
+        raise errors.BackendRefused(
+            f'refused with {response.status_code}', step=step, peer=peer
+        )
+
+
+def read_load(headers: httpx.Headers) -> float | None:
+    """Return the load that an answer's headers report, if they do."""
+    try:
+        return float(headers['x-load'])
+    except (KeyError, ValueError):
+        return None
--- /dev/null
+++ b/src/swiftjunction/backends/_engine.py
@@ -0,0 +1,267 @@
+"""The client of a model engine."""
+
+import collections.abc
+import typing
+
+import httpx
+import httpx_sse
+import msgspec
+
+from swiftjunction.backends import _calls
+from swiftjunction.backends import _orders
+from swiftjunction.backends import _server
+from swiftjunction import errors
+from swiftjunction import web
+
+CANCEL_TIMEOUT_SECONDS = 2.0
+ORDER_TIMEOUT_SECONDS = 5.0
+
+
+class EngineCall(msgspec.Struct, frozen=True):
+    """One generation as sent to an engine.
+
+    Attributes
+    ----------
+    generated : str
+        What was generated so far, to be continued.
+    priority : int
+        Higher runs first.
+    timeout_seconds : float
+        What remains until the deadline.
+    """
+
+    request_id: str
+    model: str
+    prompt: str
+    max_tokens: int
+    seed: int = 0
+    generated: str = ''
+    generated_tokens: int = 0
+    priority: int = 0
+    timeout_seconds: float = 30.0
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """Some tokens of an answer.
+
+    Attributes
+    ----------
+    offset : int
+        Index of the first token in the whole answer.
+    weight_version : int
+        The version that made them; 0 where the engine did not say.
+    finish_reason : str
+        Not empty in the last chunk.
+    """
+
+    text: str
+    offset: int
+    tokens: int
+    weight_version: int
+    finish_reason: str = ''
+
+
+class _WireChoice(msgspec.Struct):
+    text: str = ''
+    finish_reason: str | None = None
+
+
+class _WireChunk(msgspec.Struct):
+    choices: list[_WireChoice]
+    offset: int
+    tokens: int
+    weight_version: int = 0
+    id: str = ''
+
+
+_chunk_decoder = msgspec.json.Decoder(_WireChunk)
+
+
+class EngineClient:
+    """Calls model engines.
+
+    Parameters
+    ----------
+    peers : PeerClients
+        The HTTP clients of all engines.
+    """
+
+    __slots__ = ('_peers',)
+
+    def __init__(self, peers: web.PeerClients) -> None:
+        self._peers = peers
+
+    async def stream(
+        self, server: _server.BackendServer, call: EngineCall
+    ) -> collections.abc.AsyncGenerator[Chunk, None]:
+        """Start a generation and yield its chunks to the last.
+
+        Raises
+        ------
+        BackendUnreachable, BackendRefused
+            If it did not run.
+        AnswerBroken
+            If the stream ended before the last chunk.
+        """
+        body = {
+            'model': call.model,
+            'prompt': call.prompt,
+            'max_tokens': call.max_tokens,
+            'seed': call.seed,
+            'stream': True,
+            'priority': call.priority,
+            'generated': call.generated,
+            'generated_tokens': call.generated_tokens,
+        }
+        request = self._peers.get(server.address).build_request(
+            'POST',
+            '/v1/completions',
+            content=msgspec.json.encode(body),
+            headers={
+                'content-type': 'application/json',
+                'x-request-id': call.request_id,
+                'x-timeout-seconds': f'{call.timeout_seconds:.3f}',
+            },
+            timeout=call.timeout_seconds,
+        )
+        async for chunk in self._read_chunks(server, call.request_id, request):
+            yield chunk
+
+    async def resume(
+        self,
+        server: _server.BackendServer,
+        call: EngineCall,
+        offset: int,
+    ) -> collections.abc.AsyncGenerator[Chunk, None]:
+        """Take up a running generation of this engine at `offset` tokens."""
+        request = self._peers.get(server.address).build_request(
+            'GET',
+            f'/v1/completions/{call.request_id}',
+            params={'offset': offset},
+            timeout=call.timeout_seconds,
+        )
+        async for chunk in self._read_chunks(server, call.request_id, request):
+            yield chunk
+
+    async def _read_chunks(
+        self,
+        server: _server.BackendServer,
+        request_id: str,
+        request: httpx.Request,
+    ) -> collections.abc.AsyncGenerator[Chunk, None]:
+        step, peer = 'generate', server.name
+        with _calls.translate_errors(step, peer):
+            client = self._peers.get(server.address)
+            response = await client.send(request, stream=True)
+        try:
+            _check_start(response, server, step)
+            source = httpx_sse.EventSource(response)
+            with _calls.translate_errors(step, peer):
+                async for event in source.aiter_sse():
+                    if event.data == '[DONE]':
+                        break
+                    chunk = _decode_chunk(event.data, request_id, peer)
+                    yield chunk
+                    if chunk.finish_reason:
+                        return
+        finally:
+            await response.aclose()
+        raise errors.AnswerBroken(
+            'the stream ended early', step=step, peer=peer
+        )
+
+    async def cancel(
+        self, server: _server.BackendServer, request_id: str
+    ) -> None:
+        """Stop a generation whose answer nobody waits for."""
+        url = f'/v1/completions/{request_id}'
+        client = self._peers.get(server.address)
+        with _calls.translate_errors('cancel', server.name):
+            await client.delete(url, timeout=CANCEL_TIMEOUT_SECONDS)
+
+    async def give_order(self, address: str, order: _orders.Order) -> None:
+        """Send an order.
+
+        Raises
+        ------
+        BackendRefused
+            If the engine refused it, for example for an old fencing token.
+        BackendError
+            If it is not known whether the engine took it.
+        """
+        with _calls.translate_errors('order', address):
+            response = await self._peers.get(address).post(
+                '/orders',
+                content=msgspec.json.encode(order),
+                timeout=ORDER_TIMEOUT_SECONDS,
+            )
+        if response.status_code == 409:
+            raise errors.BackendRefused(
+                f'order refused: {response.text[:200]}',
+                step='order',
+                peer=address,
+            )
+        if not response.is_success:
+            raise errors.AnswerBroken(
+                f'order answered {response.status_code}',
+                step='order',
+                peer=address,
+            )
+
+    async def watch(
+        self, address: str
+    ) -> collections.abc.AsyncIterator[_orders.EngineStatus]:
+        """Yield the engine's status now and at each change."""
+        with _calls.translate_errors('watch', address):
+            async with httpx_sse.aconnect_sse(
+                self._peers.get(address),
+                'GET',
+                '/events',
+                timeout=_orders.STATUS_TIMEOUT_SECONDS,
+            ) as source:
+                async for event in source.aiter_sse():
+                    if event.event == 'status':
+                        yield _orders.decode_status(event.data, address)
+
+
+def _check_start(
+    response: httpx.Response, server: _server.BackendServer, step: str
+) -> None:
+    _calls.check_refusal(response, step, server.name)
+    if response.headers.get('x-leaving'):
+        server.note_leaving()
+    load = _calls.read_load(response.headers)
+    if load is not None:
+        server.load = load
+    if not response.is_success:
+        raise errors.AnswerBroken(
+            f'answered {response.status_code}', step=step, peer=server.name
+        )
+    kind = response.headers.get('content-type', '')
+    if not kind.startswith('text/event-stream'):
+        raise errors.AnswerBroken(
+            f'answered with {kind!r}', step=step, peer=server.name
+        )
+
+
+def _decode_chunk(data: str, request_id: str, peer: str) -> Chunk:
+    try:
+        wire = _chunk_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise errors.AnswerBroken(
+            f'chunk not understood: {error}', step='generate', peer=peer
+        ) from error
+    if not wire.choices or wire.id != request_id:
+        raise errors.AnswerBroken(
+            f'chunk of another request: {wire.id!r}',
+            step='generate',
+            peer=peer,
+        )
+    choice: typing.Any = wire.choices[0]
+    return Chunk(
+        choice.text,
+        wire.offset,
+        wire.tokens,
+        wire.weight_version,
+        choice.finish_reason or '',
+    )
--- /dev/null
+++ b/src/swiftjunction/backends/_service.py
@@ -0,0 +1,115 @@
+"""The client of a plain service."""
+
+import httpx
+import msgspec
+
+from swiftjunction.backends import _calls
+from swiftjunction.backends import _server
+from swiftjunction import errors
+from swiftjunction import web
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class ServiceCall(msgspec.Struct, frozen=True):
+    """One request to a plain service."""
+
+    request_id: str
+    method: str
+    path: str
+    query: str
+    body: bytes
+    headers: list[tuple[str, str]]
+    timeout_seconds: float
+
+
+class ServiceAnswer(msgspec.Struct, frozen=True):
+    """The whole answer of a plain service."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class ServiceClient:
+    """Calls plain services.
+
+    Parameters
+    ----------
+    peers : PeerClients
+        The HTTP clients of all servers.
+    """
+
+    __slots__ = ('_peers',)
+
+    def __init__(self, peers: web.PeerClients) -> None:
+        self._peers = peers
+
+    async def call(
+        self, server: _server.BackendServer, call: ServiceCall
+    ) -> ServiceAnswer:
+        """Send one request and return its whole answer.
+
+        Raises
+        ------
+        BackendUnreachable, BackendRefused
+            If it did not run.
+        AnswerBroken
+            If whether it ran is unknown.
+        """
+        query = f'?{call.query}' if call.query else ''
+        client = self._peers.get(server.address)
+        request = client.build_request(
+            call.method,
+            f'/{call.path}{query}',
+            content=call.body,
+            headers=[
+                *call.headers,
+                ('x-request-id', call.request_id),
+                ('x-timeout-seconds', f'{call.timeout_seconds:.3f}'),
+            ],
+            timeout=call.timeout_seconds,
+        )
+        step, peer = 'call', server.name
+        with _calls.translate_errors(step, peer):
+            response = await client.send(request, stream=True)
+            try:
+                body = await _read_body(response, peer)
+            finally:
+                await response.aclose()
+        _calls.check_refusal(response, step, peer)
+        self._check_match(response, call, peer)
+        load = _calls.read_load(response.headers)
+        if load is not None:
+            server.load = load
+        if response.headers.get('x-leaving'):
+            server.note_leaving()
+        return ServiceAnswer(
+            response.status_code, response.headers.multi_items(), body
+        )
+
+    def _check_match(
+        self, response: httpx.Response, call: ServiceCall, peer: str
+    ) -> None:
+        answered = response.headers.get('x-request-id', call.request_id)
+        if answered != call.request_id:
+            raise errors.AnswerBroken(
+                f'answer of another request: {answered!r}',
+                step='call',
+                peer=peer,
+            )
+
+
+async def _read_body(response: httpx.Response, peer: str) -> bytes:
+    parts = []
+    size = 0
+    async for part in response.aiter_raw():
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise errors.AnswerBroken(
+                f'answer over {MAX_ANSWER_BYTES} bytes',
+                step='call',
+                peer=peer,
+            )
+        parts.append(part)
+    return b''.join(parts)
--- /dev/null
+++ b/src/swiftjunction/client/_trainer.py
@@ -0,0 +1,160 @@
+"""The client of trainers: draws each sample of a step once."""
+
+import collections.abc
+import types
+
+import anyio
+import httpx
+import msgspec
+
+from swiftjunction import errors
+from swiftjunction import web
+
+DRAW_WAIT_SECONDS = 5.0
+RETRY_SECONDS = 0.2
+REQUEST_TIMEOUT_SECONDS = 20.0
+
+
+class DrawnSample(msgspec.Struct, frozen=True):
+    """One sample as drawn.
+
+    Attributes
+    ----------
+    index : int
+        Its place in the step's groups, counted through.
+    sequence : int
+        Its place in the order of delivery.
+    segments : list of list of int
+        Version, first token and number of tokens of each segment.
+    """
+
+    index: int
+    group_index: int
+    text: str
+    segments: list[list[int]]
+    sequence: int
+    score: float | None = None
+
+
+class _WireDraw(msgspec.Struct):
+    samples: list[DrawnSample]
+    cursor: int
+    total: int
+    done: bool
+
+
+class TrainerClient:
+    """Submits steps and draws their samples.
+
+    Parameters
+    ----------
+    trainer : str
+        The trainer's name.
+    seeds : list of str
+        ``ip:port`` of rollout processes.
+    """
+
+    __slots__ = ('_addresses', '_owner', '_peers', '_trainer')
+
+    def __init__(self, trainer: str, seeds: list[str]) -> None:
+        if not seeds:
+            raise ValueError('seeds is empty; give at least one "ip:port"')
+        self._trainer = trainer
+        self._addresses = list(seeds)
+        self._owner = seeds[0]
+        self._peers = web.PeerClients()
+
+    async def __aenter__(self) -> 'TrainerClient':
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        await self._peers.close()
+
+    async def run_step(
+        self,
+        step: str,
+        path: str,
+        groups: list[dict],
+        *,
+        scorer: str = '',
+        deadline_seconds: float = 780.0,
+    ) -> collections.abc.AsyncIterator[DrawnSample]:
+        """Submit a step and yield each of its samples once.
+
+        Submitting the same step again, for example after a restart of the
+        trainer, goes on with the step that is open.
+        """
+        spec = {
+            'trainer': self._trainer,
+            'step': step,
+            'path': path,
+            'groups': groups,
+            'scorer': scorer,
+            'deadline_seconds': deadline_seconds,
+        }
+        await self._call('POST', '/v1/steps', json=spec)
+        step_id = f'{self._trainer}.{step}'
+        cursor = 0
+        while True:
+            response = await self._call(
+                'GET',
+                f'/v1/steps/{step_id}/samples',
+                params={'cursor': cursor, 'wait_seconds': DRAW_WAIT_SECONDS},
+            )
+            if response.status_code == httpx.codes.GONE:
+                return
+            draw = msgspec.json.decode(response.content, type=_WireDraw)
+            for sample in draw.samples:
+                # A draw that was repeated may begin with what is here.
+                if sample.sequence == cursor + 1:
+                    cursor = sample.sequence
+                    yield sample
+            if draw.done:
+                return
+
+    async def _call(
+        self, method: str, url: str, **options: object
+    ) -> httpx.Response:
+        """Call the step's owner, looking for it where it moved."""
+        tries = 0
+        while True:
+            response = await self._try(method, url, options)
+            if response is None:
+                tries += 1
+                self._owner = self._addresses[tries % len(self._addresses)]
+                await anyio.sleep(RETRY_SECONDS)
+            elif response.status_code == httpx.codes.TEMPORARY_REDIRECT:
+                self._owner = response.headers['x-step-owner']
+                method = 'GET' if method == 'POST' else method
+                url = self._follow(url, options)
+            elif response.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+                await anyio.sleep(float(response.headers['retry-after']))
+            elif response.is_success or (
+                response.status_code == httpx.codes.GONE
+            ):
+                return response
+            else:
+                raise errors.RequestInvalid(
+                    response.text[:500], step='call', peer=self._owner
+                )
+
+    def _follow(self, url: str, options: dict[str, object]) -> str:
+        spec = options.pop('json', None)
+        if not isinstance(spec, dict):
+            return url
+        return f'/v1/steps/{spec["trainer"]}.{spec["step"]}'
+
+    async def _try(
+        self, method: str, url: str, options: dict
+    ) -> httpx.Response | None:
+        try:
+            return await self._peers.get(self._owner).request(
+                method, url, timeout=REQUEST_TIMEOUT_SECONDS, **options
+            )
+        except httpx.HTTPError:
+            return None
--- /dev/null
+++ b/src/swiftjunction/daemons/_conductor.py
@@ -0,0 +1,142 @@
+"""``swiftjunction-conductor``: shared state, and orders to engines."""
+
+import collections.abc
+
+import anyio
+import anyio.abc
+import starlette.applications
+
+from swiftjunction import backends
+from swiftjunction import configuration
+from swiftjunction.daemons import _control
+from swiftjunction.daemons import _daemon
+from swiftjunction.daemons import _servers
+from swiftjunction.daemons import _spool
+from swiftjunction.daemons import _watches
+from swiftjunction import leases
+from swiftjunction import membership
+from swiftjunction import platform
+from swiftjunction import settings
+from swiftjunction import web
+from swiftjunction import weights
+
+PEER_INTERVAL_SECONDS = 0.5
+WAVE_INTERVAL_SECONDS = 0.5
+
+
+class ConductorDaemon(_daemon.Daemon):
+    """Keeps one shared view for its VM and orders weights onto engines."""
+
+    def __init__(self, config: settings.Settings, seed: int = 0) -> None:
+        own = config.conductor
+        super().__init__(config, 'conductor', own.port, own.link_port, seed)
+        self._locals = {
+            config.link_address(config.entry.link_port),
+            config.link_address(config.rollout.link_port),
+        }
+        self.exchange.set_peers(self._locals | set(own.seeds))
+        self._vm_client = web.connect_client(config.platform.vms)
+        self._engines = backends.EngineClient(self.peers)
+        self._watches = [
+            _watches.PrefixWatch(self.store, prefix, self.table, self.rng)
+            for prefix in (
+                configuration.CONFIGURATION_PREFIX,
+                weights.WEIGHTS_PREFIX,
+            )
+        ]
+        self._servers = _servers.ServerWatches(
+            config.vm.name,
+            platform.VmList(self._vm_client),
+            self.table,
+            self.processes,
+            self.tree,
+            self.peers,
+        )
+        self._control = _control.ControlApp(
+            configuration.Editor(self.store),
+            weights.Publisher(self.store),
+            self.tree,
+        )
+        self._waves: dict[str, tuple[weights.Wave, anyio.CancelScope]] = {}
+        self._announce_spool()
+        self.dump.add('watched', self._servers.owned)
+        self.dump.add('platform', lambda: [w.reachable for w in self._watches])
+        self.dump.add(
+            'waves', lambda: [w.summarize() for w, _ in self._waves.values()]
+        )
+
+    def _announce_spool(self) -> None:
+        described = _spool.describe_spool(self.config)
+        if described is not None:
+            membership.Announcement(self.table, described)
+
+    def build_app(self) -> collections.abc.Callable:
+        """Return the HTTP application."""
+        return starlette.applications.Starlette(
+            routes=[*self._control.list_routes(), *self.common_routes()]
+        )
+
+    def list_tasks(
+        self,
+    ) -> list[_daemon.Task]:
+        """Return the watches and the control loops."""
+        return [
+            *(watch.run for watch in self._watches),
+            self._servers.run,
+            self._follow_peers,
+            self._run_waves,
+        ]
+
+    async def close(self) -> None:
+        """Free the sockets."""
+        with anyio.CancelScope(shield=True):
+            await self._vm_client.aclose()
+        await super().close()
+
+    async def _follow_peers(self) -> None:
+        while True:
+            known = {p.link for p in self.processes.select('conductor')}
+            self.exchange.set_peers(
+                self._locals
+                | set(self.config.conductor.seeds)
+                | self._servers.listed_links()
+                | known
+            )
+            await anyio.sleep(PEER_INTERVAL_SECONDS)
+
+    async def _run_waves(self) -> None:
+        """Roll out the models that this conductor owns."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                vms = [p.vm for p in self.processes.select('conductor')]
+                owned = {
+                    model
+                    for model in self.board.models()
+                    if membership.choose_owner(f'wave/{model}', vms)
+                    == self.config.vm.name
+                }
+                for model in set(self._waves) - owned:
+                    self._waves.pop(model)[1].cancel()
+                for model in owned - set(self._waves):
+                    self._start_wave(tasks, model)
+                await anyio.sleep(WAVE_INTERVAL_SECONDS)
+
+    def _start_wave(self, tasks: anyio.abc.TaskGroup, model: str) -> None:
+        keeper = leases.LeaseKeeper(self.store, f'wave/{model}', self.name)
+        wave = weights.Wave(
+            model, self.directory, self.board, keeper, self._engines
+        )
+        scope = anyio.CancelScope()
+        self._waves[model] = (wave, scope)
+        tasks.start_soon(self._run_wave, wave, keeper, scope)
+
+    async def _run_wave(
+        self,
+        wave: weights.Wave,
+        keeper: leases.LeaseKeeper,
+        scope: anyio.CancelScope,
+    ) -> None:
+        with scope:
+            await wave.run()
+        with anyio.move_on_after(1, shield=True):
+            await keeper.release()
--- /dev/null
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -0,0 +1,165 @@
+"""What every daemon has: shared records, a listener, a dump, a way to end."""
+
+import abc
+import collections.abc
+import logging
+import random
+import typing
+
+import anyio
+import anyio.abc
+import starlette.requests
+import starlette.responses
+import starlette.routing
+
+from swiftjunction import backends
+from swiftjunction import configuration
+from swiftjunction import links
+from swiftjunction import membership
+from swiftjunction import platform
+from swiftjunction import settings
+from swiftjunction import telemetry
+from swiftjunction import web
+from swiftjunction import weights
+
+LOG = logging.getLogger(__name__)
+
+Task = collections.abc.Callable[
+    [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+class Daemon(abc.ABC):
+    """One process of the system.
+
+    Parameters
+    ----------
+    config : Settings
+        The VM's settings.
+    kind : str
+        ``entry``, ``rollout`` or ``conductor``.
+    port, link_port : int
+        Where it serves and where it takes messages.
+    seed : int
+        Of its random choices.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        kind: str,
+        port: int,
+        link_port: int,
+        seed: int = 0,
+    ) -> None:
+        self.config = config
+        self.kind = kind
+        self.rng = random.Random(f'{seed} {config.vm.name} {kind}')
+        self.listener = web.open_listener(config.vm.ip, port)
+        self.inbox = links.Inbox(config.link_address(link_port))
+        self.table = membership.RecordTable()
+        self.processes = membership.ProcessList(self.table)
+        self.tree = configuration.Tree(self.table)
+        self.directory = backends.Directory(self.table)
+        self.board = weights.Board(self.table)
+        self.metrics = telemetry.Metrics()
+        self.peers = web.PeerClients()
+        self.platform_client = web.connect_client(config.platform.objects)
+        self.store = platform.HttpObjectStore(self.platform_client)
+        self.announcement = membership.Announcement(
+            self.table,
+            membership.Process(
+                config.vm.name,
+                kind,
+                self.listener.address,
+                self.inbox.address,
+                config.vm.data_center,
+                config.vm.region,
+            ),
+        )
+        self.exchange = membership.Exchange(
+            self.name, self.inbox, self.table, self.rng
+        )
+        self.dump = telemetry.StateDump()
+        self.dump.add('process', lambda: self.announcement.process)
+        self.dump.add('configuration', self.tree.versions)
+        self.dump.add('servers', self.directory.summarize)
+        self.dump.add('latencies', self.metrics.summarize)
+        self.dump.add('links', self.exchange.peers)
+        self._stopping = anyio.Event()
+
+    @property
+    def name(self) -> str:
+        """Return the process's name among all processes."""
+        return f'{self.config.vm.name}/{self.kind}'
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Serve until stopped, then finish what is in flight."""
+        LOG.info('%s serves on %s', self.name, self.listener.address)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.exchange.run)
+                for task in self.list_tasks():
+                    tasks.start_soon(task)
+                async with anyio.create_task_group() as serving:
+                    serving.start_soon(self.listener.serve, self.build_app())
+                    await self._stopping.wait()
+                    self.announcement.set_state('draining')
+                    await self.drain()
+                    self.listener.close()
+                tasks.cancel_scope.cancel()
+        finally:
+            await self.close()
+        LOG.info('%s has stopped', self.name)
+
+    async def close(self) -> None:
+        """Free the sockets."""
+        with anyio.CancelScope(shield=True):
+            await self.peers.close()
+            await self.platform_client.aclose()
+        self.inbox.close()
+
+    async def drain(self) -> None:
+        """Serve on until no caller may hold this process's address."""
+
+    @abc.abstractmethod
+    def build_app(self) -> collections.abc.Callable:
+        """Return the HTTP application."""
+
+    def list_tasks(
+        self,
+    ) -> list[Task]:
+        """Return what runs beside the HTTP application."""
+        return []
+
+    def common_routes(self) -> list[starlette.routing.Route]:
+        """Return the routes that every daemon has."""
+        route = starlette.routing.Route
+        return [
+            route('/health', self._show_health),
+            route('/metrics', self._show_metrics),
+            route('/dump', self._show_dump),
+        ]
+
+    async def _show_health(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response:
+        return web.respond_json({'state': self.announcement.process.state})
+
+    async def _show_metrics(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response:
+        return starlette.responses.Response(
+            self.metrics.render(), media_type='text/plain; version=0.0.4'
+        )
+
+    async def _show_dump(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response:
+        return starlette.responses.Response(
+            self.dump.render(), media_type='application/json'
+        )
--- /dev/null
+++ b/src/swiftjunction/daemons/_entry.py
@@ -0,0 +1,61 @@
+"""``swiftjunction-entry``: serves live callers."""
+
+import collections.abc
+
+import anyio
+
+from swiftjunction import backends
+from swiftjunction.daemons import _daemon
+from swiftjunction import requests
+from swiftjunction import routing
+from swiftjunction import settings
+
+# After callers were told, the last of them may still connect this late.
+DRAIN_MARGIN_SECONDS = 1.0
+
+
+class EntryDaemon(_daemon.Daemon):
+    """Serves live callers and says which entries to use."""
+
+    def __init__(self, config: settings.Settings, seed: int = 0) -> None:
+        own = config.entry
+        super().__init__(config, 'entry', own.port, own.link_port, seed)
+        self.exchange.set_peers(
+            {config.link_address(config.conductor.link_port)}
+        )
+        router = routing.Router(
+            self.directory, config.vm.data_center, self.rng
+        )
+        budget = requests.RetryBudget()
+        self._admission = requests.Admission(own.max_in_flight)
+        self._live = requests.LiveApp(
+            self.tree,
+            self._admission,
+            requests.Generator(
+                router,
+                backends.EngineClient(self.peers),
+                self.board,
+                budget,
+            ),
+            requests.Forwarder(
+                router,
+                backends.ServiceClient(self.peers),
+                requests.Claims(self.store, self.name),
+                budget,
+            ),
+            requests.AddressBook(
+                self.processes, own.address_lifetime_seconds, self.rng
+            ),
+            self.metrics,
+        )
+        self.dump.add('in_flight', lambda: self._admission.in_flight)
+
+    def build_app(self) -> collections.abc.Callable:
+        """Return the HTTP application."""
+        return requests.build_app(self._live, self.common_routes())
+
+    async def drain(self) -> None:
+        """Serve on until callers' addresses have run out."""
+        await anyio.sleep(
+            self.config.entry.address_lifetime_seconds + DRAIN_MARGIN_SECONDS
+        )
--- /dev/null
+++ b/src/swiftjunction/daemons/_rollout.py
@@ -0,0 +1,61 @@
+"""``swiftjunction-rollout``: serves trainers."""
+
+import collections.abc
+
+from swiftjunction import backends
+from swiftjunction.daemons import _daemon
+from swiftjunction import requests
+from swiftjunction import routing
+from swiftjunction import settings
+from swiftjunction import steps
+
+
+class RolloutDaemon(_daemon.Daemon):
+    """Makes the samples of trainers' steps and hands them over."""
+
+    def __init__(self, config: settings.Settings, seed: int = 0) -> None:
+        own = config.rollout
+        super().__init__(config, 'rollout', own.port, own.link_port, seed)
+        self.exchange.set_peers(
+            {config.link_address(config.conductor.link_port)}
+        )
+        router = routing.Router(
+            self.directory, config.vm.data_center, self.rng
+        )
+        budget = requests.RetryBudget()
+        producer = steps.Producer(
+            self.tree,
+            requests.Generator(
+                router,
+                backends.EngineClient(self.peers),
+                self.board,
+                budget,
+            ),
+            requests.Forwarder(
+                router,
+                backends.ServiceClient(self.peers),
+                requests.Claims(self.store, self.name),
+                budget,
+            ),
+            self.board,
+            own.max_in_flight,
+            self.rng,
+        )
+        self._registry = steps.StepRegistry(
+            self.store,
+            self.name,
+            producer,
+            steps.SpooledPayloads(self.processes),
+        )
+        self._steps = steps.StepApp(self._registry, self.processes, self.peers)
+        self.dump.add('steps', self._registry.summarize)
+
+    def build_app(self) -> collections.abc.Callable:
+        """Return the HTTP application."""
+        return steps.build_app(self._steps, self.common_routes())
+
+    def list_tasks(
+        self,
+    ) -> list[_daemon.Task]:
+        """Return the work on steps."""
+        return [self._registry.run]
--- /dev/null
+++ b/src/swiftjunction/daemons/_servers.py
@@ -0,0 +1,195 @@
+"""Watches the backend servers that this conductor owns."""
+
+import logging
+
+import anyio
+import anyio.abc
+import httpx
+import msgspec
+
+from swiftjunction import backends
+from swiftjunction import configuration
+from swiftjunction import errors
+from swiftjunction import membership
+from swiftjunction import platform
+from swiftjunction import web
+
+LOG = logging.getLogger(__name__)
+
+LIST_INTERVAL_SECONDS = 1.0
+RETRY_SECONDS = 0.3
+HEALTH_INTERVAL_SECONDS = 1.0
+HEALTH_TIMEOUT_SECONDS = 2.0
+
+
+class ServerWatches:
+    """Keeps a report of each backend server of the VM list.
+
+    Each server is watched by one conductor, its owner by rendezvous hashing,
+    which writes its record; every process reads the records.
+
+    Parameters
+    ----------
+    vm : str
+        This VM.
+    vms : VmList
+        The platform's list.
+    table : RecordTable
+        Where the reports go.
+    processes : ProcessList
+        Knows the other conductors.
+    tree : Tree
+        Knows which services are models.
+    peers : PeerClients
+        The HTTP clients of the servers.
+    """
+
+    __slots__ = (
+        '_engines',
+        '_listed',
+        '_peers',
+        '_processes',
+        '_scopes',
+        '_table',
+        '_tasks',
+        '_tree',
+        '_vm',
+        '_vms',
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        vms: platform.VmList,
+        table: membership.RecordTable,
+        processes: membership.ProcessList,
+        tree: configuration.Tree,
+        peers: web.PeerClients,
+    ) -> None:
+        self._vm = vm
+        self._vms = vms
+        self._table = table
+        self._processes = processes
+        self._tree = tree
+        self._peers = peers
+        self._engines = backends.EngineClient(peers)
+        self._listed: dict[str, platform.Vm] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                try:
+                    listed = await self._vms.read()
+                    self._listed = {vm.name: vm for vm in listed}
+                except errors.PlatformUnavailable as error:
+                    LOG.debug('%s', error)
+                self._assign()
+                await anyio.sleep(LIST_INTERVAL_SECONDS)
+
+    def listed_links(self) -> set[str]:
+        """Return the link addresses of this system's own VMs, as listed."""
+        return {
+            vm.address
+            for vm in self._listed.values()
+            if vm.service == 'swiftjunction'
+        }
+
+    def owned(self) -> list[str]:
+        """Return the servers that are watched here."""
+        return sorted(self._scopes)
+
+    def _assign(self) -> None:
+        conductors = [p.vm for p in self._processes.select('conductor')]
+        owned = {
+            vm.name
+            for vm in self._listed.values()
+            if vm.service != 'swiftjunction'
+            and membership.choose_owner(vm.name, conductors) == self._vm
+        }
+        for name in set(self._scopes) - owned:
+            self._scopes.pop(name).cancel()
+            if name not in self._listed:
+                self._report_gone(name)
+        for name in owned - set(self._scopes):
+            assert self._tasks is not None, 'run() assigns'
+            self._scopes[name] = anyio.CancelScope()
+            self._tasks.start_soon(self._watch, name, self._scopes[name])
+
+    async def _watch(self, name: str, scope: anyio.CancelScope) -> None:
+        with scope:
+            while True:
+                vm = self._listed[name]
+                try:
+                    if self._tree.has_model(vm.service):
+                        await self._watch_engine(vm)
+                    elif self._tree.has_service(vm.service):
+                        await self._watch_service(vm)
+                except errors.BackendError as error:
+                    LOG.info('%s does not answer: %s', name, error)
+                    self._report(vm, 'down')
+                await anyio.sleep(RETRY_SECONDS)
+
+    async def _watch_engine(self, vm: platform.Vm) -> None:
+        async for status in self._engines.watch(vm.address):
+            self._report(
+                vm,
+                'leaving' if status.leaving else 'live',
+                status.weight_version,
+                status.staged_version,
+            )
+        raise errors.AnswerBroken(
+            'the status stream ended', step='watch', peer=vm.name
+        )
+
+    async def _watch_service(self, vm: platform.Vm) -> None:
+        while self._tree.has_service(vm.service):
+            try:
+                response = await self._peers.get(vm.address).get(
+                    '/health',
+                    timeout=HEALTH_TIMEOUT_SECONDS,
+                )
+                leaving = bool(response.json().get('leaving'))
+            except (httpx.HTTPError, ValueError, AttributeError) as error:
+                raise errors.AnswerBroken(
+                    f'no health: {error}', step='watch', peer=vm.name
+                ) from error
+            self._report(vm, 'leaving' if leaving else 'live')
+            await anyio.sleep(HEALTH_INTERVAL_SECONDS)
+
+    def _report(
+        self,
+        vm: platform.Vm,
+        state: str,
+        weight_version: int = 0,
+        staged_version: int = 0,
+    ) -> None:
+        listed = self._listed.get(vm.name, vm)
+        if listed.state != 'live' and state == 'live':
+            state = listed.state
+        report = backends.ServerReport(
+            vm.name,
+            vm.address,
+            vm.service,
+            vm.data_center,
+            vm.region,
+            state,
+            weight_version,
+            staged_version,
+        )
+        self._table.put(
+            f'{backends.SERVER_PREFIX}{vm.name}',
+            msgspec.msgpack.encode(report),
+        )
+
+    def _report_gone(self, name: str) -> None:
+        key = f'{backends.SERVER_PREFIX}{name}'
+        held = self._table.get(key)
+        if held is None:
+            return
+        report = msgspec.msgpack.decode(held.value, type=backends.ServerReport)
+        gone = msgspec.structs.replace(report, state='gone')
+        self._table.put(key, msgspec.msgpack.encode(gone))
--- /dev/null
+++ b/src/swiftjunction/daemons/_spool.py
@@ -0,0 +1,57 @@
+"""``swiftjunction-spool``: keeps finished samples on disk."""
+
+import pathlib
+
+import anyio
+
+from swiftjunction import errors
+from swiftjunction import links
+from swiftjunction import membership
+from swiftjunction import settings
+from swiftjunction import spool
+from swiftjunction import telemetry
+
+
+class SpoolDaemon:
+    """Serves one spool; its VM's conductor announces it."""
+
+    def __init__(self, config: settings.Settings) -> None:
+        if config.spool is None:
+            raise errors.SettingsError(
+                ['spool: missing; this VM is not set to have a spool']
+            )
+        self._replier = links.Replier(config.link_address(config.spool.port))
+        store = spool.SpoolStore(
+            pathlib.Path(config.spool.folder), config.spool.max_bytes
+        )
+        self._server = spool.SpoolServer(self._replier, store)
+        self.dump = telemetry.StateDump()
+        self.dump.add('spool', store.summarize)
+        self._stopping = anyio.Event()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._server.run)
+            await self._stopping.wait()
+            tasks.cancel_scope.cancel()
+        self._replier.close()
+
+
+def describe_spool(config: settings.Settings) -> membership.Process | None:
+    """Return the announcement of a VM's spool, if it has one."""
+    if config.spool is None:
+        return None
+    address = config.link_address(config.spool.port)
+    return membership.Process(
+        config.vm.name,
+        'spool',
+        address,
+        '',
+        config.vm.data_center,
+        config.vm.region,
+    )
--- /dev/null
+++ b/src/swiftjunction/demo/_fleet.py
@@ -0,0 +1,285 @@
+"""Stand-ins and daemons of a small deployment, as tasks of one process."""
+
+import collections.abc
+import contextlib
+import random
+import socket
+import typing
+
+import anyio
+import anyio.abc
+import msgspec
+
+from swiftjunction import configuration
+from swiftjunction import daemons
+from swiftjunction import platform
+from swiftjunction import settings
+from swiftjunction import standins
+from swiftjunction import web
+
+LOOPBACK = '127.0.0.1'
+READY_TIMEOUT_SECONDS = 20.0
+
+
+class FleetPlan(msgspec.Struct, frozen=True):
+    """What a fleet consists of."""
+
+    vms: int = 2
+    engines: int = 5
+    services: int = 4
+    scorers: int = 1
+    data_centers: int = 2
+    model: str = 'fit'
+    service: str = 'ledger'
+    address_lifetime_seconds: float = 2.0
+    spool_folder: str = ''
+    checks_fencing: bool = True
+
+
+class Fleet:
+    """A deployment in one process, over real loopback sockets.
+
+    Attributes
+    ----------
+    engines, services, scorers : dict
+        The stand-ins by name.
+    entries, rollouts, conductors : dict
+        The daemons by VM.
+    """
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self.plan = plan
+        self.objects = standins.ObjectStoreStandin()
+        self.vms = standins.VmListStandin()
+        self.weights = standins.WeightStoreStandin()
+        self.engines: dict[str, standins.EngineStandin] = {}
+        self.services: dict[str, standins.ServiceStandin] = {}
+        self.scorers: dict[str, standins.ServiceStandin] = {}
+        self.entries: dict[str, daemons.EntryDaemon] = {}
+        self.rollouts: dict[str, daemons.RolloutDaemon] = {}
+        self.conductors: dict[str, daemons.ConductorDaemon] = {}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._addresses: dict[str, str] = {}
+
+    @contextlib.asynccontextmanager
+    async def run(self) -> collections.abc.AsyncIterator['Fleet']:
+        """Run the whole fleet during the body."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self._start_platform()
+            self._start_backends()
+            async with anyio.create_task_group() as daemon_tasks:
+                self._tasks = daemon_tasks
+                for number in range(self.plan.vms):
+                    self.start_vm(number)
+                yield self
+                daemon_tasks.cancel_scope.cancel()
+            # Only when the daemons have closed their connections do the
+            # stand-ins find theirs idle.
+            tasks.cancel_scope.cancel()
+
+    def entry_addresses(self) -> list[str]:
+        """Return where callers may begin."""
+        return [e.listener.address for e in self.entries.values()]
+
+    def rollout_addresses(self) -> list[str]:
+        """Return where trainers may begin."""
+        return [r.listener.address for r in self.rollouts.values()]
+
+    def connect_store(self) -> platform.HttpObjectStore:
+        """Return a client of the object API stand-in."""
+        return platform.HttpObjectStore(
+            web.connect_client(f'http://{self._addresses["objects"]}')
+        )
+
+    def default_paths(self) -> dict[str, configuration.PathSettings]:
+        """Return the settings of the team ``demo``."""
+        return {
+            'demo': configuration.PathSettings(
+                freshness_versions=1, timeout_seconds=20.0
+            ),
+            'demo/advice': configuration.PathSettings(model=self.plan.model),
+            'demo/ledger': configuration.PathSettings(
+                service=self.plan.service
+            ),
+            'demo/scorer': configuration.PathSettings(
+                service='scorer', request_class='internal'
+            ),
+        }
+
+    async def configure(
+        self, paths: dict[str, configuration.PathSettings] | None = None
+    ) -> int:
+        """Set the paths of the team ``demo``."""
+        editor = configuration.Editor(self.connect_store())
+        _, version = await editor.read('demo')
+        return await editor.apply(
+            'demo',
+            paths or self.default_paths(),
+            author='operator',
+            version=version,
+        )
+
+    async def wait_ready(self, version: int = 1) -> None:
+        """Wait until every entry knows enough engines at `version`."""
+        with anyio.fail_after(READY_TIMEOUT_SECONDS):
+            for daemon in [*self.entries.values(), *self.rollouts.values()]:
+                while not self._is_ready(daemon, version):
+                    await anyio.sleep(0.05)
+
+    def _is_ready(self, daemon: daemons.Daemon, version: int) -> bool:
+        fresh = [
+            server
+            for server in daemon.directory.select(self.plan.model)
+            if server.weight_version >= version
+        ]
+        services = list(daemon.directory.select(self.plan.service))
+        entries = list(daemon.processes.select('entry'))
+        return (
+            len(fresh) == len(self.engines)
+            and len(services) == len(self.services)
+            and len(entries) == len(self.entries)
+        )
+
+    def spawn(
+        self,
+        name: str,
+        task: collections.abc.Callable[
+            ..., collections.abc.Coroutine[typing.Any, typing.Any, None]
+        ],
+        *args: object,
+    ) -> None:
+        """Run `task` under a scope that tests may cancel by its name."""
+        scope = anyio.CancelScope()
+        self.scopes[name] = scope
+
+        async def run() -> None:
+            with scope:
+                await task(*args)
+
+        assert self._tasks is not None, 'the fleet runs'
+        self._tasks.start_soon(run)
+
+    def crash_engine(self, name: str) -> None:
+        """End an engine at once; its connections break."""
+        self.engines[name].faults.set('crashed', 1)
+        self.scopes[f'{name} batch'].cancel()
+        self.scopes[name].cancel()
+
+    def _serve(self, name: str, app: object) -> str:
+        listener = web.open_listener(LOOPBACK, 0)
+        self._addresses[name] = listener.address
+        self.spawn(name, listener.serve, app)
+        return listener.address
+
+    def _start_platform(self) -> None:
+        self._serve('objects', self.objects.build_app())
+        self._serve('vms', self.vms.build_app())
+        self._serve('weights', self.weights.build_app())
+
+    def _start_backends(self) -> None:
+        weights = web.connect_client(f'http://{self._addresses["weights"]}')
+        for number in range(self.plan.engines):
+            name = f'engine-{number}'
+            engine = standins.EngineStandin(
+                name,
+                self.plan.model,
+                weights,
+                checks_fencing=self.plan.checks_fencing,
+            )
+            self.engines[name] = engine
+            self.spawn(f'{name} batch', engine.run)
+            self._list(name, engine.build_app(), self.plan.model, number)
+        for number in range(self.plan.services):
+            self._start_service(
+                self.services, f'server-{number}', self.plan.service, number
+            )
+        for number in range(self.plan.scorers):
+            self._start_service(
+                self.scorers, f'scorer-{number}', 'scorer', number
+            )
+
+    def _start_service(
+        self,
+        group: dict[str, standins.ServiceStandin],
+        name: str,
+        service: str,
+        number: int,
+    ) -> None:
+        server = standins.ServiceStandin(name)
+        group[name] = server
+        self._list(name, server.build_app(), service, number)
+
+    def _list(self, name: str, app: object, service: str, number: int) -> None:
+        address = self._serve(name, app)
+        data_center = f'dc-{number % self.plan.data_centers + 1}'
+        self.vms.put(platform.Vm(name, address, service, data_center))
+
+    def start_vm(self, number: int) -> None:
+        """Start the daemons of one VM."""
+        config = self._build_settings(number)
+        name = config.vm.name
+        self.conductors[name] = daemons.ConductorDaemon(config, number)
+        self.entries[name] = daemons.EntryDaemon(config, number)
+        self.rollouts[name] = daemons.RolloutDaemon(config, number)
+        self.vms.put(
+            platform.Vm(
+                name,
+                config.link_address(config.conductor.link_port),
+                'swiftjunction',
+                config.vm.data_center,
+            )
+        )
+        if config.spool is not None:
+            self.spawn(f'{name}/spool', daemons.SpoolDaemon(config).run)
+        self.spawn(f'{name}/conductor', self.conductors[name].run)
+        self.spawn(f'{name}/entry', self.entries[name].run)
+        self.spawn(f'{name}/rollout', self.rollouts[name].run)
+
+    def _build_settings(self, number: int) -> settings.Settings:
+        ports = choose_ports(7)
+        spool = None
+        if self.plan.spool_folder:
+            spool = settings.SpoolSettings(
+                f'{self.plan.spool_folder}/{number}', ports[6]
+            )
+        return settings.Settings(
+            vm=settings.VmSettings(
+                f'entry-{number}',
+                LOOPBACK,
+                f'dc-{number % self.plan.data_centers + 1}',
+                'loopback',
+            ),
+            platform=settings.PlatformSettings(
+                **{
+                    name: f'http://{self._addresses[name]}'
+                    for name in ('objects', 'vms', 'weights')
+                }
+            ),
+            entry=settings.EntrySettings(
+                ports[0], ports[1], self.plan.address_lifetime_seconds
+            ),
+            rollout=settings.RolloutSettings(ports[2], ports[3]),
+            conductor=settings.ConductorSettings(ports[4], ports[5]),
+            spool=spool,
+        )
+
+
+def choose_ports(count: int) -> list[int]:
+    """Return ports that the kernel says are free now."""
+    sockets = []
+    for _ in range(count):
+        probe = socket.socket()
+        probe.bind((LOOPBACK, 0))
+        sockets.append(probe)
+    ports = [probe.getsockname()[1] for probe in sockets]
+    for probe in sockets:
+        probe.close()
+    return ports
+
+
+def choose_prompt(rng: random.Random, kind: str) -> str:
+    """Return a prompt like those of the users."""
+    size = rng.choice(['s', 'm', 'l', 'xl'])
+    return f'{kind}: which size fits, {size}, order {rng.randrange(10**9)}?'
--- /dev/null
+++ b/src/swiftjunction/requests/__init__.py
@@ -0,0 +1,29 @@
+"""One caller's request: its admission, its attempts, its answer."""
+
+from swiftjunction.requests._addresses import AddressBook
+from swiftjunction.requests._admission import Admission
+from swiftjunction.requests._app import build_app
+from swiftjunction.requests._app import LiveApp
+from swiftjunction.requests._budget import RetryBudget
+from swiftjunction.requests._claims import Claims
+from swiftjunction.requests._forwarding import ForwardedCall
+from swiftjunction.requests._forwarding import Forwarder
+from swiftjunction.requests._generation import GenerationCall
+from swiftjunction.requests._generation import Generator
+from swiftjunction.requests._segments import join_segments
+from swiftjunction.requests._segments import Segment
+
+__all__ = [
+    'AddressBook',
+    'Admission',
+    'Claims',
+    'ForwardedCall',
+    'Forwarder',
+    'GenerationCall',
+    'Generator',
+    'LiveApp',
+    'RetryBudget',
+    'Segment',
+    'build_app',
+    'join_segments',
+]
--- /dev/null
+++ b/src/swiftjunction/requests/_app.py
@@ -0,0 +1,407 @@
+"""The HTTP interface of an entry."""
+
+import collections.abc
+import contextlib
+import logging
+import math
+import uuid
+
+import anyio
+import msgspec
+import starlette.applications
+import starlette.requests
+import starlette.responses
+import starlette.routing
+
+from swiftjunction import backends
+from swiftjunction import configuration
+from swiftjunction import errors
+from swiftjunction.requests import _addresses
+from swiftjunction.requests import _admission
+from swiftjunction.requests import _forwarding
+from swiftjunction.requests import _generation
+from swiftjunction.requests import _segments
+from swiftjunction import telemetry
+from swiftjunction import web
+
+LOG = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_TOKENS = 1_000_000
+SERVICE_METHODS = ['GET', 'HEAD', 'PUT', 'DELETE', 'POST', 'PATCH']
+IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'PUT', 'DELETE'})
+# Headers that concern one connection, not the message.
+HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+
+class CompletionRequest(msgspec.Struct):
+    """The body of a completion, in the shape of OpenAI's API."""
+
+    model: str
+    prompt: str
+    max_tokens: int = 16
+    stream: bool = False
+    seed: int = 0
+
+
+class LiveApp:
+    """Serves live callers.
+
+    Parameters
+    ----------
+    tree : Tree
+        The settings of each path.
+    admission : Admission
+        Which requests may start.
+    generator : Generator
+        Makes completions.
+    forwarder : Forwarder
+        Calls plain services.
+    addresses : AddressBook
+        Which entries callers should use.
+    metrics : Metrics
+        Counts and times.
+    """
+
+    __slots__ = (
+        '_addresses',
+        '_admission',
+        '_forwarder',
+        '_generator',
+        '_metrics',
+        '_tree',
+    )
+
+    def __init__(
+        self,
+        tree: configuration.Tree,
+        admission: _admission.Admission,
+        generator: _generation.Generator,
+        forwarder: _forwarding.Forwarder,
+        addresses: _addresses.AddressBook,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._tree = tree
+        self._admission = admission
+        self._generator = generator
+        self._forwarder = forwarder
+        self._addresses = addresses
+        self._metrics = metrics
+
+    async def list_addresses(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response:
+        """Answer which entries to use."""
+        data_center = request.query_params.get('data_center', '')
+        answer = self._addresses.answer(data_center)
+        return web.respond_json(answer)
+
+    async def complete(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response:
+        """Serve a completion, streamed or whole."""
+        request_id = _read_request_id(request)
+        try:
+            body = _decode_completion(await _read_body(request))
+            call = self._build_call(request, body, request_id)
+            if body.stream:
+                return await self._stream(call, self._run(call))
+            return await self._collect(call)
+        except errors.RequestError as error:
+            return self._refuse(request_id, error)
+
+    def _build_call(
+        self,
+        request: starlette.requests.Request,
+        body: CompletionRequest,
+        request_id: str,
+    ) -> _generation.GenerationCall:
+        settings = self._tree.resolve(body.model)
+        if not settings.model:
+            raise errors.RequestInvalid(
+                f'no model is set for path {body.model!r}', step='resolve'
+            )
+        return _generation.GenerationCall(
+            request_id=request_id,
+            path=body.model,
+            settings=settings,
+            prompt=body.prompt,
+            max_tokens=body.max_tokens,
+            deadline=_read_deadline(request, settings),
+            seed=body.seed,
+            idempotent=request.headers.get('x-idempotent') != 'false',
+        )
+
+    async def _run(
+        self, call: _generation.GenerationCall
+    ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
+        with (
+            self._admission.admit(call.path, call.settings),
+            self._metrics.measure(call.path, 'answer'),
+        ):
+            async with contextlib.aclosing(
+                self._generator.generate(call)
+            ) as chunks:
+                async for chunk in chunks:
+                    yield chunk
+
+    async def _collect(
+        self,
+        call: _generation.GenerationCall,
+    ) -> starlette.responses.Response:
+        collected = await self._collect_fresh(call)
+        self._metrics.count('answers', path=call.path, outcome='complete')
+        answer = _shape_chunk(
+            call,
+            ''.join(chunk.text for chunk in collected),
+            collected[-1].finish_reason,
+        )
+        answer['weight_versions'] = _segments.join_segments(collected)
+        return web.respond_json(
+            answer,
+            headers={
+                'x-request-id': call.request_id,
+                'x-request-outcome': 'complete',
+            },
+        )
+
+    async def _collect_fresh(
+        self, call: _generation.GenerationCall
+    ) -> list[backends.Chunk]:
+        """Return the chunks of an answer that is fresh as a whole.
+
+        Each chunk was fresh when it came, but the first may have become too
+        old by the time the last one is there.
+        """
+        while True:
+            collected = [chunk async for chunk in self._run(call)]
+            try:
+                self._generator.check_fresh(call, collected)
+                return collected
+            except errors.StaleWeights:
+                if not call.idempotent or anyio.current_time() > call.deadline:
+                    raise
+
+    async def _stream(
+        self,
+        call: _generation.GenerationCall,
+        chunks: collections.abc.AsyncGenerator[backends.Chunk, None],
+    ) -> starlette.responses.Response:
+        # The first chunk is awaited before the status line is sent, so that
+        # a refusal still has a status of its own.
+        first = await anext(aiter(chunks))
+        return starlette.responses.StreamingResponse(
+            self._frame(call, first, chunks),
+            media_type='text/event-stream',
+            headers={'x-request-id': call.request_id},
+        )
+
+    async def _frame(
+        self,
+        call: _generation.GenerationCall,
+        first: backends.Chunk,
+        rest: collections.abc.AsyncGenerator[backends.Chunk, None],
+    ) -> collections.abc.AsyncIterator[bytes]:
+        try:
+            yield _frame_chunk(call, first)
+            async for chunk in rest:
+                yield _frame_chunk(call, chunk)
+            self._metrics.count('answers', path=call.path, outcome='complete')
+            yield web.format_event(b'[DONE]')
+        except errors.RequestError as error:
+            self._metrics.count(
+                'answers', path=call.path, outcome=error.outcome
+            )
+            LOG.warning('stream %s ended early: %s', call.request_id, error)
+            body = msgspec.json.encode(
+                web.describe_error(error, call.request_id)
+            )
+            yield web.format_event(body, name='error')
+        finally:
+            await rest.aclose()
+
+    async def serve_service(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response:
+        """Forward a request to a plain service."""
+        request_id = _read_request_id(request)
+        path, rest = self._tree.find_service(request.path_params['path'])
+        settings = self._tree.resolve(path)
+        try:
+            if not settings.service:
+                raise errors.RequestInvalid(
+                    f'no service is set for {request.url.path}',
+                    step='resolve',
+                )
+            call = await self._build_forwarded(request, request_id, path, rest)
+            with (
+                self._admission.admit(path, settings),
+                self._metrics.measure(path, 'answer'),
+            ):
+                answer = await self._forwarder.forward(call)
+        except errors.RequestError as error:
+            return self._refuse(request_id, error)
+        self._metrics.count('answers', path=path, outcome='complete')
+        return _relay_answer(answer, request_id)
+
+    async def _build_forwarded(
+        self,
+        request: starlette.requests.Request,
+        request_id: str,
+        path: str,
+        rest: str,
+    ) -> _forwarding.ForwardedCall:
+        settings = self._tree.resolve(path)
+        body = await _read_body(request)
+        default = str(request.method in IDEMPOTENT_METHODS).lower()
+        return _forwarding.ForwardedCall(
+            path=path,
+            settings=settings,
+            service_call=backends.ServiceCall(
+                request_id=request_id,
+                method=request.method,
+                path=rest,
+                query=request.url.query,
+                body=body,
+                headers=[
+                    (name, value)
+                    for name, value in request.headers.items()
+                    if name not in HOP_HEADERS and name != 'x-request-id'
+                ],
+                timeout_seconds=0.0,
+            ),
+            deadline=_read_deadline(request, settings),
+            idempotent=request.headers.get('x-idempotent', default) == 'true',
+            idempotency_key=request.headers.get('idempotency-key', ''),
+        )
+
+    def _refuse(
+        self, request_id: str, error: errors.RequestError
+    ) -> starlette.responses.Response:
+        self._metrics.count('refusals', outcome=error.outcome)
+        return web.respond_error(error, request_id)
+
+
+def build_app(
+    live: LiveApp, routes: list[starlette.routing.Route]
+) -> starlette.applications.Starlette:
+    """Assemble the application of an entry, with `routes` of the process."""
+    return starlette.applications.Starlette(
+        routes=[
+            starlette.routing.Route('/v1/addresses', live.list_addresses),
+            starlette.routing.Route(
+                '/v1/completions', live.complete, methods=['POST']
+            ),
+            starlette.routing.Route(
+                '/services/{path:path}',
+                live.serve_service,
+                methods=SERVICE_METHODS,
+            ),
+            *routes,
+        ]
+    )
+
+
+def _shape_chunk(
+    call: _generation.GenerationCall, text: str, finish_reason: str
+) -> dict[str, object]:
+    return {
+        'id': call.request_id,
+        'object': 'text_completion',
+        'model': call.path,
+        'choices': [
+            {
+                'index': 0,
+                'text': text,
+                'finish_reason': finish_reason or None,
+            }
+        ],
+    }
+
+
+def _frame_chunk(
+    call: _generation.GenerationCall, chunk: backends.Chunk
+) -> bytes:
+    shaped = _shape_chunk(call, chunk.text, chunk.finish_reason)
+    shaped['offset'] = chunk.offset
+    shaped['tokens'] = chunk.tokens
+    shaped['weight_version'] = chunk.weight_version
+    return web.format_event(msgspec.json.encode(shaped))
+
+
+def _read_request_id(request: starlette.requests.Request) -> str:
+    return request.headers.get('x-request-id') or uuid.uuid4().hex
+
+
+def _read_deadline(
+    request: starlette.requests.Request,
+    settings: configuration.PathSettings,
+) -> float:
+    limit_seconds = settings.timeout_seconds or 30.0
+    try:
+        asked_seconds = float(
+            request.headers.get('x-timeout-seconds', limit_seconds)
+        )
+    except ValueError as error:
+        raise errors.RequestInvalid(
+            'x-timeout-seconds must be a number', step='deadline'
+        ) from error
+    if not 0 < asked_seconds < math.inf:
+        raise errors.RequestInvalid(
+            'x-timeout-seconds must be above 0', step='deadline'
+        )
+    return anyio.current_time() + min(asked_seconds, limit_seconds)
+
+
+async def _read_body(request: starlette.requests.Request) -> bytes:
+    parts = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            raise errors.RequestInvalid(
+                f'body over {MAX_BODY_BYTES} bytes', step='body'
+            )
+        parts.append(part)
+    return b''.join(parts)
+
+
+def _decode_completion(body: bytes) -> CompletionRequest:
+    try:
+        decoded = msgspec.json.decode(body, type=CompletionRequest)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.RequestInvalid(
+            f'body not understood: {error}', step='body'
+        ) from error
+    if not 0 < decoded.max_tokens <= MAX_TOKENS:
+        raise errors.RequestInvalid(
+            f'max_tokens = {decoded.max_tokens}: must be from 1 to '
+            f'{MAX_TOKENS}',
+            step='body',
+        )
+    return decoded
+
+
+def _relay_answer(
+    answer: backends.ServiceAnswer, request_id: str
+) -> starlette.responses.Response:
+    response = starlette.responses.Response(
+        answer.body, status_code=answer.status
+    )
+    for name, value in answer.headers:
+        if name not in HOP_HEADERS and name != 'x-request-id':
+            response.headers.append(name, value)
+    response.headers['x-request-id'] = request_id
+    response.headers['x-request-outcome'] = 'complete'
+    return response
--- /dev/null
+++ b/src/swiftjunction/requests/_budget.py
@@ -0,0 +1,25 @@
+"""Bounds how much load retries may add."""
+
+RETRY_RATIO = 0.1
+MAX_SAVED_RETRIES = 20.0
+FIRST_SAVED_RETRIES = 5.0
+
+
+class RetryBudget:
+    """A token bucket that each request fills by a fraction of a retry."""
+
+    __slots__ = ('_saved',)
+
+    def __init__(self) -> None:
+        self._saved = FIRST_SAVED_RETRIES
+
+    def note_request(self) -> None:
+        """Count one new request."""
+        self._saved = min(self._saved + RETRY_RATIO, MAX_SAVED_RETRIES)
+
+    def take_retry(self) -> bool:
+        """Take one retry out of the budget, if there is one."""
+        if self._saved < 1:
+            return False
+        self._saved -= 1
+        return True
--- /dev/null
+++ b/src/swiftjunction/requests/_generation.py
@@ -0,0 +1,302 @@
+"""Runs one generation to its last token, over as many attempts as it takes.
+
+Both live answers and trainers' samples are made here.
+"""
+
+import collections.abc
+import contextlib
+import logging
+
+import anyio
+import msgspec
+
+from swiftjunction import backends
+from swiftjunction import configuration
+from swiftjunction import errors
+from swiftjunction.requests import _budget
+from swiftjunction import routing
+from swiftjunction import weights
+
+LOG = logging.getLogger(__name__)
+
+MAX_ATTEMPTS = 6
+NO_SERVER_WAIT_SECONDS = 0.1
+
+
+class GenerationCall(msgspec.Struct, frozen=True):
+    """One generation that a caller or a trainer asked for.
+
+    Attributes
+    ----------
+    deadline : float
+        On the event loop's clock, in seconds.
+    idempotent : bool
+        Whether a second attempt may be made after the first one started.
+    """
+
+    request_id: str
+    path: str
+    settings: configuration.PathSettings
+    prompt: str
+    max_tokens: int
+    deadline: float
+    seed: int = 0
+    priority: int = 0
+    idempotent: bool = True
+
+    @property
+    def model(self) -> str:
+        """Return the model that serves the path."""
+        return self.settings.model or ''
+
+    @property
+    def bound(self) -> weights.Bound:
+        """Return the freshness bound of the path."""
+        return weights.Bound(
+            self.settings.freshness_versions, self.settings.freshness_seconds
+        )
+
+
+class _Progress:
+    """What the caller has been given so far."""
+
+    __slots__ = ('excluded', 'text', 'tokens', 'tries')
+
+    def __init__(self) -> None:
+        self.text = ''
+        self.tokens = 0
+        self.tries = 0
+        self.excluded: set[str] = set()
+
+    def add(self, chunk: backends.Chunk) -> backends.Chunk | None:
+        """Take in a chunk; None if the caller has it already."""
+        if chunk.offset + chunk.tokens <= self.tokens and chunk.tokens:
+            return None
+        if chunk.offset != self.tokens:
+            raise errors.AnswerBroken(
+                f'chunk at token {chunk.offset}, expected {self.tokens}',
+                step='generate',
+            )
+        self.text += chunk.text
+        self.tokens += chunk.tokens
+        return chunk
+
+
+class Generator:
+    """Makes whole answers out of attempts that may fail.
+
+    Parameters
+    ----------
+    router : Router
+        Chooses the engine of each attempt.
+    engines : EngineClient
+        Calls it.
+    board : Board
+        Knows which versions are fresh.
+    budget : RetryBudget
+        Bounds the retries of all requests together.
+    """
+
+    __slots__ = ('_board', '_budget', '_engines', '_router')
+
+    def __init__(
+        self,
+        router: routing.Router,
+        engines: backends.EngineClient,
+        board: weights.Board,
+        budget: _budget.RetryBudget,
+    ) -> None:
+        self._router = router
+        self._engines = engines
+        self._board = board
+        self._budget = budget
+
+    async def generate(
+        self, call: GenerationCall
+    ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
+        """Yield the chunks of one answer, each token once, to the last.
+
+        Raises
+        ------
+        RequestError
+            If there is no whole answer within the deadline; what was yielded
+            before is then not an answer.
+        """
+        self._budget.note_request()
+        progress = _Progress()
+        while True:
+            server = await self._find_server(call, progress)
+            progress.tries += 1
+            try:
+                with server.track():
+                    async with contextlib.aclosing(
+                        self._attempt(call, server, progress)
+                    ) as chunks:
+                        async for chunk in chunks:
+                            yield chunk
+                server.note_success()
+                return
+            except errors.BackendError as error:
+                self._note_failure(call, server, progress, error)
+            except errors.StaleWeights:
+                # The engine runs older weights than was reported, or newer
+                # ones were published meanwhile: go on where they are fresh.
+                progress.excluded.add(server.name)
+                if progress.tries >= MAX_ATTEMPTS:
+                    raise
+
+    def check_fresh(
+        self,
+        call: GenerationCall,
+        chunks: collections.abc.Iterable[backends.Chunk],
+    ) -> None:
+        """Raise ``StaleWeights`` if any chunk is too old by now."""
+        for version in {c.weight_version for c in chunks if c.tokens}:
+            self._board.check(call.model, version, call.bound)
+
+    async def _attempt(
+        self,
+        call: GenerationCall,
+        server: backends.BackendServer,
+        progress: _Progress,
+    ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
+        engine_call = backends.EngineCall(
+            request_id=f'{call.request_id}.{progress.tries}',
+            model=call.model,
+            prompt=call.prompt,
+            max_tokens=call.max_tokens,
+            seed=call.seed,
+            generated=progress.text,
+            generated_tokens=progress.tokens,
+            priority=call.priority,
+            timeout_seconds=self._remaining(call),
+        )
+        finished = False
+        stream = self._read_through_breaks(server, engine_call, progress)
+        try:
+            async with contextlib.aclosing(stream) as chunks:
+                async for chunk in chunks:
+                    server.note_version(chunk.weight_version)
+                    self._board.check(
+                        call.model, chunk.weight_version, call.bound
+                    )
+                    fresh = progress.add(chunk)
+                    finished = bool(chunk.finish_reason)
+                    if fresh is not None:
+                        yield fresh
+        finally:
+            if not finished:
+                await self._cancel(server, engine_call.request_id)
+
+    async def _read_through_breaks(
+        self,
+        server: backends.BackendServer,
+        engine_call: backends.EngineCall,
+        progress: _Progress,
+    ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
+        """Read the stream, taking it up again once where it breaks."""
+        try:
+            async with contextlib.aclosing(
+                self._engines.stream(server, engine_call)
+            ) as chunks:
+                async for chunk in chunks:
+                    yield chunk
+                return
+        except errors.AnswerBroken as error:
+            LOG.info('resuming after %s', error)
+        try:
+            async with contextlib.aclosing(
+                self._engines.resume(server, engine_call, progress.tokens)
+            ) as chunks:
+                async for chunk in chunks:
+                    yield chunk
+        except errors.BackendUnreachable as error:
+            # The resume was never sent, but the generation had started.
+            raise errors.AnswerBroken(
+                error.message, step='resume', peer=error.peer
+            ) from error
+        except errors.BackendRefused as error:
+            raise errors.AnswerBroken(
+                error.message, step='resume', peer=error.peer
+            ) from error
+
+    async def _find_server(
+        self, call: GenerationCall, progress: _Progress
+    ) -> backends.BackendServer:
+        """Return the next server, waiting for one while the deadline lets."""
+        while True:
+            remaining_seconds = self._remaining(call)
+            try:
+                request = routing.RoutingRequest(
+                    path=call.path,
+                    service=call.model,
+                    prompt=call.prompt,
+                    min_version=self._board.find_oldest(
+                        call.model, call.bound
+                    ),
+                    excluded=frozenset(progress.excluded),
+                )
+                return self._router.choose(request, call.settings.policy or '')
+            except (errors.NotRun, errors.StaleWeights) as error:
+                if remaining_seconds <= NO_SERVER_WAIT_SECONDS:
+                    raise self._give_up(progress, error) from error
+            progress.excluded.clear()
+            await anyio.sleep(NO_SERVER_WAIT_SECONDS)
+
+    def _remaining(self, call: GenerationCall) -> float:
+        return max(call.deadline - anyio.current_time(), 0.0)
+
+    def _note_failure(
+        self,
+        call: GenerationCall,
+        server: backends.BackendServer,
+        progress: _Progress,
+        error: errors.BackendError,
+    ) -> None:
+        progress.excluded.add(server.name)
+        refused = isinstance(
+            error, (errors.BackendRefused, errors.BackendUnreachable)
+        )
+        if not isinstance(error, errors.BackendRefused):
+            server.note_failure()
+        if not refused and not call.idempotent:
+            raise errors.OutcomeUnknown(
+                error.message, step=error.step, peer=error.peer
+            ) from error
+        if (
+            progress.tries >= MAX_ATTEMPTS
+            or self._remaining(call) <= 0
+            or not self._budget.take_retry()
+        ):
+            raise self._give_up(progress, error) from error
+        LOG.info('request %s is retried after %s', call.request_id, error)
+
+    def _give_up(
+        self, progress: _Progress, error: errors.SwiftjunctionError
+    ) -> errors.RequestError:
+        if isinstance(error, errors.StaleWeights):
+            return error
+        # A refusal of the last attempt does not undo an earlier attempt that
+        # ran: only when none did is "not run" true.
+        ran = progress.tokens > 0 or progress.tries > 1
+        never_sent = isinstance(
+            error,
+            (
+                errors.BackendRefused,
+                errors.BackendUnreachable,
+                errors.NotRun,
+            ),
+        )
+        kind = (
+            errors.NotRun if never_sent and not ran else errors.OutcomeUnknown
+        )
+        return kind(error.message, step=error.step, peer=error.peer)
+
+    async def _cancel(
+        self, server: backends.BackendServer, request_id: str
+    ) -> None:
+        with anyio.CancelScope(shield=True):
+            try:
+                await self._engines.cancel(server, request_id)
+            except errors.BackendError as error:
+                LOG.debug('generation not cancelled: %s', error)
--- /dev/null
+++ b/src/swiftjunction/requests/_segments.py
@@ -0,0 +1,33 @@
+"""Which weight version made which tokens of an answer."""
+
+import collections.abc
+
+import msgspec
+
+from swiftjunction import backends
+
+
+class Segment(msgspec.Struct, frozen=True, array_like=True):
+    """A run of tokens that one weight version made."""
+
+    version: int
+    first_token: int
+    tokens: int
+
+
+def join_segments(
+    chunks: collections.abc.Iterable[backends.Chunk],
+) -> list[Segment]:
+    """Merge the chunks of one answer into segments."""
+    segments: list[Segment] = []
+    for chunk in chunks:
+        if segments and segments[-1].version == chunk.weight_version:
+            last = segments[-1]
+            segments[-1] = msgspec.structs.replace(
+                last, tokens=last.tokens + chunk.tokens
+            )
+        elif chunk.tokens:
+            segments.append(
+                Segment(chunk.weight_version, chunk.offset, chunk.tokens)
+            )
+    return segments
--- /dev/null
+++ b/src/swiftjunction/routing/_policy.py
@@ -0,0 +1,32 @@
+"""What every routing policy does."""
+
+import abc
+import collections.abc
+
+import msgspec
+
+from swiftjunction import backends
+
+Candidates = collections.abc.Sequence[backends.BackendServer]
+
+
+class RoutingRequest(msgspec.Struct, frozen=True):
+    """What a policy may know of a request."""
+
+    path: str
+    service: str
+    prompt: str = ''
+    min_version: int = 0
+    excluded: frozenset[str] = frozenset()
+
+
+class Policy(abc.ABC):
+    """Chooses one backend server among those that may serve a request."""
+
+    name = ''
+
+    @abc.abstractmethod
+    def choose(
+        self, candidates: Candidates, request: RoutingRequest
+    ) -> backends.BackendServer:
+        """Return one of `candidates`, which is never empty."""
--- /dev/null
+++ b/src/swiftjunction/settings/__init__.py
@@ -0,0 +1,23 @@
+"""The settings of one VM's processes, read from a TOML file."""
+
+from swiftjunction.settings._checks import check_struct
+from swiftjunction.settings._files import read_settings
+from swiftjunction.settings._model import ConductorSettings
+from swiftjunction.settings._model import EntrySettings
+from swiftjunction.settings._model import PlatformSettings
+from swiftjunction.settings._model import RolloutSettings
+from swiftjunction.settings._model import Settings
+from swiftjunction.settings._model import SpoolSettings
+from swiftjunction.settings._model import VmSettings
+
+__all__ = [
+    'ConductorSettings',
+    'EntrySettings',
+    'PlatformSettings',
+    'RolloutSettings',
+    'Settings',
+    'SpoolSettings',
+    'VmSettings',
+    'check_struct',
+    'read_settings',
+]
--- /dev/null
+++ b/src/swiftjunction/settings/_model.py
@@ -0,0 +1,89 @@
+"""What a settings file may hold; docs/SETTINGS.md describes each key."""
+
+import typing
+
+import msgspec
+
+Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Name = typing.Annotated[
+    str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]*$', max_length=63)
+]
+Url = typing.Annotated[str, msgspec.Meta(pattern='^https?://[^/]+$')]
+Address = typing.Annotated[str, msgspec.Meta(pattern=r'^[0-9a-f.:\[\]]+:\d+$')]
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86400)]
+
+
+class VmSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """The VM that the processes run on."""
+
+    name: Name
+    ip: typing.Annotated[str, msgspec.Meta(pattern=r'^[0-9a-f.:]+$')]
+    data_center: Name
+    region: Name
+
+
+class PlatformSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Where the platform's services are."""
+
+    objects: Url
+    vms: Url
+    weights: Url
+
+
+class EntrySettings(msgspec.Struct, forbid_unknown_fields=True):
+    """``swiftjunction-entry``."""
+
+    port: Port = 8080
+    link_port: Port = 8081
+    address_lifetime_seconds: Seconds = 30.0
+    max_in_flight: typing.Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1024
+
+
+class RolloutSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """``swiftjunction-rollout``."""
+
+    port: Port = 8090
+    link_port: Port = 8091
+    max_in_flight: typing.Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 96
+
+
+class ConductorSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """``swiftjunction-conductor``."""
+
+    port: Port = 8070
+    link_port: Port = 8071
+    seeds: list[Address] = []
+
+
+class SpoolSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """``swiftjunction-spool``, on VMs with a disk."""
+
+    folder: str
+    port: Port = 8061
+    max_bytes: typing.Annotated[int, msgspec.Meta(ge=1_000_000)] = (
+        10_000_000_000
+    )
+
+
+class LogSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """Logs, as JSON lines on standard error."""
+
+    level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True):
+    """One VM's settings file."""
+
+    vm: VmSettings
+    platform: PlatformSettings
+    entry: EntrySettings = msgspec.field(default_factory=EntrySettings)
+    rollout: RolloutSettings = msgspec.field(default_factory=RolloutSettings)
+    conductor: ConductorSettings = msgspec.field(
+        default_factory=ConductorSettings
+    )
+    spool: SpoolSettings | None = None
+    logs: LogSettings = msgspec.field(default_factory=LogSettings)
+
+    def link_address(self, port: int) -> str:
+        """Return the address of a link of this VM."""
+        return f'{self.vm.ip}:{port}'
--- /dev/null
+++ b/src/swiftjunction/spool/_client.py
@@ -0,0 +1,50 @@
+"""The client of one spool."""
+
+from swiftjunction import errors
+from swiftjunction import links
+from swiftjunction.spool import _messages
+
+TIMEOUT_SECONDS = 5.0
+
+
+class SpoolClient:
+    """Keeps and fetches payloads on one spool.
+
+    Each method raises ``LinkError`` if the spool did not say that it did it.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the spool.
+    """
+
+    __slots__ = ('_requester',)
+
+    def __init__(self, address: str) -> None:
+        self._requester = links.Requester(address)
+
+    async def put(
+        self, step_id: str, payloads: list[_messages.Payload]
+    ) -> None:
+        """Keep `payloads` until the step is dropped."""
+        await self._ask(_messages.Put(step_id, payloads))
+
+    async def fetch(self, step_id: str) -> list[_messages.Payload]:
+        """Return the newest payload of each index."""
+        reply = await self._ask(_messages.Fetch(step_id))
+        return reply.payloads
+
+    async def drop(self, step_id: str) -> None:
+        """Forget a step."""
+        await self._ask(_messages.Drop(step_id))
+
+    async def _ask(self, request: _messages.Request) -> _messages.Reply:
+        data = await self._requester.ask(
+            _messages.encoder.encode(request), TIMEOUT_SECONDS
+        )
+        reply = _messages.reply_decoder.decode(data)
+        if reply.error:
+            raise errors.LinkError(
+                reply.error, step='spool', peer=self._requester.address
+            )
+        return reply
--- /dev/null
+++ b/src/swiftjunction/spool/_server.py
@@ -0,0 +1,41 @@
+"""Answers requests to a spool."""
+
+import msgspec
+
+from swiftjunction import errors
+from swiftjunction import links
+from swiftjunction.spool import _messages
+from swiftjunction.spool import _store
+
+
+class SpoolServer:
+    """Serves one :class:`SpoolStore` to rollout processes."""
+
+    __slots__ = ('_replier', '_store')
+
+    def __init__(
+        self, replier: links.Replier, store: _store.SpoolStore
+    ) -> None:
+        self._replier = replier
+        self._store = store
+
+    async def run(self) -> None:
+        """Answer requests until cancelled."""
+        await self._replier.run(self._answer)
+
+    async def _answer(self, data: bytes) -> bytes:
+        try:
+            request = _messages.request_decoder.decode(data)
+            reply = self._handle(request)
+        except (errors.LinkError, msgspec.MsgspecError, OSError) as error:
+            reply = _messages.Reply(error=str(error))
+        return _messages.encoder.encode(reply)
+
+    def _handle(self, request: _messages.Request) -> _messages.Reply:
+        if isinstance(request, _messages.Put):
+            self._store.put(request.step_id, request.payloads)
+            return _messages.Reply()
+        if isinstance(request, _messages.Fetch):
+            return _messages.Reply(payloads=self._store.fetch(request.step_id))
+        self._store.drop(request.step_id)
+        return _messages.Reply()
--- /dev/null
+++ b/src/swiftjunction/standins/__init__.py
@@ -0,0 +1,30 @@
+"""Stand-ins for the systems around this one, with switchable faults.
+
+They serve the tests, the demo and the bench, and nothing else.
+"""
+
+from swiftjunction.standins._engine import EngineStandin
+from swiftjunction.standins._faults import FaultSwitches
+from swiftjunction.standins._objects import ObjectStoreStandin
+from swiftjunction.standins._service import ServiceStandin
+from swiftjunction.standins._texts import count_tokens
+from swiftjunction.standins._texts import expected_text
+from swiftjunction.standins._trainer import TrainerStandin
+from swiftjunction.standins._trainer import TrainerTally
+from swiftjunction.standins._trainer import VERSION_KNOWN_SECONDS
+from swiftjunction.standins._vms import VmListStandin
+from swiftjunction.standins._weights import WeightStoreStandin
+
+__all__ = [
+    'EngineStandin',
+    'FaultSwitches',
+    'ObjectStoreStandin',
+    'ServiceStandin',
+    'TrainerStandin',
+    'TrainerTally',
+    'VERSION_KNOWN_SECONDS',
+    'VmListStandin',
+    'WeightStoreStandin',
+    'count_tokens',
+    'expected_text',
+]
--- /dev/null
+++ b/src/swiftjunction/steps/__init__.py
@@ -0,0 +1,29 @@
+"""A trainer's step: its groups, samples, ledger and delivery."""
+
+from swiftjunction.steps._app import build_app
+from swiftjunction.steps._app import StepApp
+from swiftjunction.steps._ledger import Ledger
+from swiftjunction.steps._payloads import MemoryPayloads
+from swiftjunction.steps._payloads import Payloads
+from swiftjunction.steps._payloads import SpooledPayloads
+from swiftjunction.steps._production import Producer
+from swiftjunction.steps._registry import StepRegistry
+from swiftjunction.steps._step import Group
+from swiftjunction.steps._step import Sample
+from swiftjunction.steps._step import Step
+from swiftjunction.steps._step import StepSpec
+
+__all__ = [
+    'Group',
+    'Ledger',
+    'MemoryPayloads',
+    'Payloads',
+    'Producer',
+    'Sample',
+    'SpooledPayloads',
+    'Step',
+    'StepApp',
+    'StepRegistry',
+    'StepSpec',
+    'build_app',
+]
--- /dev/null
+++ b/src/swiftjunction/steps/_production.py
@@ -0,0 +1,217 @@
+"""Makes the samples of a step."""
+
+import collections.abc
+import contextlib
+import logging
+import random
+import typing
+
+import anyio
+import anyio.abc
+import msgspec
+
+from swiftjunction import backends
+from swiftjunction import configuration
+from swiftjunction import errors
+from swiftjunction import requests
+from swiftjunction.steps import _step
+from swiftjunction import weights
+
+LOG = logging.getLogger(__name__)
+
+Subject = typing.TypeVar('Subject')
+Result = typing.TypeVar('Result')
+
+ATTEMPT_TIMEOUT_SECONDS = 120.0
+FIRST_RETRY_SECONDS = 0.2
+MAX_RETRY_SECONDS = 5.0
+MAX_SCORES_IN_FLIGHT = 16
+SAMPLE_PRIORITY = -1
+
+
+class _Score(msgspec.Struct):
+    index: int
+    score: float
+
+
+class Producer:
+    """Makes samples, each until it is whole, scored and fresh.
+
+    Parameters
+    ----------
+    tree : Tree
+        The settings of the steps' paths.
+    generator : Generator
+        Makes the text.
+    forwarder : Forwarder
+        Calls the scorers.
+    board : Board
+        Knows which versions are fresh.
+    max_in_flight : int
+        Samples made at once by this process.
+    rng : random.Random
+        For the delays between attempts.
+    """
+
+    __slots__ = (
+        '_board',
+        '_forwarder',
+        '_generator',
+        '_limiter',
+        '_rng',
+        '_score_limiter',
+        '_tree',
+    )
+
+    def __init__(
+        self,
+        tree: configuration.Tree,
+        generator: requests.Generator,
+        forwarder: requests.Forwarder,
+        board: weights.Board,
+        max_in_flight: int,
+        rng: random.Random,
+    ) -> None:
+        self._tree = tree
+        self._generator = generator
+        self._forwarder = forwarder
+        self._board = board
+        self._limiter = anyio.CapacityLimiter(max_in_flight)
+        self._score_limiter = anyio.CapacityLimiter(MAX_SCORES_IN_FLIGHT)
+        self._rng = rng
+
+    def resolve(self, spec: _step.StepSpec) -> configuration.PathSettings:
+        """Return the path's settings under the step's own bound.
+
+        Raises
+        ------
+        RequestInvalid
+            If the path has no model.
+        """
+        settings = self._tree.resolve(spec.path)
+        if not settings.model:
+            raise errors.RequestInvalid(
+                f'no model is set for path {spec.path!r}', step='resolve'
+            )
+        own = {
+            name: value
+            for name in ('freshness_versions', 'freshness_seconds')
+            if (value := getattr(spec, name)) is not None
+        }
+        return msgspec.structs.replace(settings, **own)
+
+    def is_fresh(self, spec: _step.StepSpec, sample: _step.Sample) -> bool:
+        """Tell whether a sample may be handed over now."""
+        settings = self.resolve(spec)
+        bound = weights.Bound(
+            settings.freshness_versions, settings.freshness_seconds
+        )
+        try:
+            self._board.check(
+                settings.model or '', sample.oldest_version, bound
+            )
+        except errors.StaleWeights:
+            return False
+        return True
+
+    async def make(
+        self, spec: _step.StepSpec, task: _step.SampleTask
+    ) -> _step.Sample:
+        """Make one sample, over as many attempts as it takes."""
+        while True:
+            async with self._limiter:
+                sample = await self._retry(self._generate, spec, task)
+            if spec.scorer:
+                async with self._score_limiter:
+                    score = await self._retry(self._score, spec, sample)
+                sample = msgspec.structs.replace(sample, score=score)
+            if self.is_fresh(spec, sample):
+                return sample
+            LOG.info(
+                'sample %s of %s is stale and made again',
+                task.index,
+                spec.step_id,
+            )
+
+    async def _retry(
+        self,
+        attempt: collections.abc.Callable[
+            [_step.StepSpec, Subject],
+            collections.abc.Coroutine[typing.Any, typing.Any, Result],
+        ],
+        spec: _step.StepSpec,
+        subject: Subject,
+    ) -> Result:
+        """Repeat `attempt` after an exponential delay until it succeeds."""
+        delay_seconds = FIRST_RETRY_SECONDS
+        while True:
+            try:
+                return await attempt(spec, subject)
+            except errors.RequestError as error:
+                LOG.info('step %s: %s', spec.step_id, error)
+            await anyio.sleep(delay_seconds * self._rng.uniform(0.5, 1))
+            delay_seconds = min(delay_seconds * 2, MAX_RETRY_SECONDS)
+
+    async def _generate(
+        self, spec: _step.StepSpec, task: _step.SampleTask
+    ) -> _step.Sample:
+        call = requests.GenerationCall(
+            request_id=(
+                f'{spec.step_id}.{task.index}.{self._rng.getrandbits(32):08x}'
+            ),
+            path=spec.path,
+            settings=self.resolve(spec),
+            prompt=task.group.prompt,
+            max_tokens=task.group.max_tokens,
+            deadline=anyio.current_time() + ATTEMPT_TIMEOUT_SECONDS,
+            seed=task.index,
+            priority=SAMPLE_PRIORITY,
+        )
+        chunks: list[backends.Chunk] = []
+        async with contextlib.aclosing(
+            self._generator.generate(call)
+        ) as stream:
+            async for chunk in stream:
+                chunks.append(chunk)
+        text = ''.join(chunk.text for chunk in chunks)
+        return _step.Sample(
+            task.index,
+            task.group_index,
+            text,
+            requests.join_segments(chunks),
+        )
+
+    async def _score(
+        self, spec: _step.StepSpec, sample: _step.Sample
+    ) -> float:
+        settings = self._tree.resolve(spec.scorer)
+        body = msgspec.json.encode(
+            {'index': sample.index, 'text': sample.text}
+        )
+        call = requests.ForwardedCall(
+            path=spec.scorer,
+            settings=settings,
+            service_call=backends.ServiceCall(
+                request_id=f'{spec.step_id}.{sample.index}.score',
+                method='POST',
+                path='score',
+                query='',
+                body=body,
+                headers=[('content-type', 'application/json')],
+                timeout_seconds=0.0,
+            ),
+            deadline=anyio.current_time() + (settings.timeout_seconds or 30),
+            idempotent=True,
+        )
+        answer = await self._forwarder.forward(call)
+        try:
+            score = msgspec.json.decode(answer.body, type=_Score)
+        except msgspec.MsgspecError as error:
+            raise errors.OutcomeUnknown(
+                f'score not understood: {error}', step='score'
+            ) from error
+        if answer.status != 200 or score.index != sample.index:
+            raise errors.OutcomeUnknown(
+                'the scorer answered for another sample', step='score'
+            )
+        return score.score
--- /dev/null
+++ b/src/swiftjunction/steps/_registry.py
@@ -0,0 +1,150 @@
+"""The steps that this process owns, and how it comes to own one."""
+
+import logging
+
+import anyio
+import anyio.abc
+
+from swiftjunction import errors
+from swiftjunction import platform
+from swiftjunction.steps import _delivery
+from swiftjunction.steps import _ledger
+from swiftjunction.steps import _payloads
+from swiftjunction.steps import _production
+from swiftjunction.steps import _step
+
+LOG = logging.getLogger(__name__)
+
+
+class StepRegistry:
+    """Opens, takes over and ends steps.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where the ledgers are.
+    owner : str
+        This process.
+    producer : Producer
+        Makes the samples.
+    payloads : Payloads
+        Keeps them until they are acknowledged.
+    """
+
+    __slots__ = (
+        '_locks',
+        '_owner',
+        '_payloads',
+        '_producer',
+        '_running',
+        '_store',
+        '_tasks',
+    )
+
+    def __init__(
+        self,
+        store: platform.ObjectStore,
+        owner: str,
+        producer: _production.Producer,
+        payloads: _payloads.Payloads,
+    ) -> None:
+        self._store = store
+        self._owner = owner
+        self._producer = producer
+        self._payloads = payloads
+        self._running: dict[str, _delivery.RunningStep] = {}
+        self._locks: dict[str, anyio.Lock] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Work on the steps until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await anyio.sleep_forever()
+
+    async def submit(self, spec: _step.StepSpec) -> _delivery.RunningStep:
+        """Open a step; a second submission finds the first.
+
+        Raises
+        ------
+        RequestInvalid
+            If the step cannot be made.
+        """
+        self._producer.resolve(spec)
+        async with self._lock(spec.step_id):
+            running = self._running.get(spec.step_id)
+            if running is not None:
+                return running
+            ledger = _ledger.Ledger(self._store, spec.step_id, self._owner)
+            try:
+                await ledger.open(spec)
+            except errors.RevisionConflict as error:
+                raise errors.StepElsewhere(
+                    f'step {spec.step_id} is open already', step='submit'
+                ) from error
+            return self._start(_step.Step(spec), ledger)
+
+    def find(self, step_id: str) -> _delivery.RunningStep | None:
+        """Return the step if this process owns it."""
+        return self._running.get(step_id)
+
+    async def read_owner(self, step_id: str) -> str:
+        """Return the process that owns a step by its ledger."""
+        return await _ledger.Ledger(
+            self._store, step_id, self._owner
+        ).read_owner()
+
+    async def take_over(self, step_id: str) -> _delivery.RunningStep:
+        """Become the owner of a step whose owner is gone."""
+        async with self._lock(step_id):
+            running = self._running.get(step_id)
+            if running is not None:
+                return running
+            ledger = _ledger.Ledger(self._store, step_id, self._owner)
+            step = await ledger.take_over()
+            kept = await self._payloads.fetch(step_id)
+            for index, sample in kept.items():
+                if index not in set(step.order[: step.acknowledged]):
+                    step.samples[index] = sample
+            LOG.info(
+                'took over step %s with %s of %s samples placed',
+                step_id,
+                len(step.order),
+                step.total,
+            )
+            return self._start(step, ledger)
+
+    def _lock(self, step_id: str) -> anyio.Lock:
+        return self._locks.setdefault(step_id, anyio.Lock())
+
+    def _start(
+        self, step: _step.Step, ledger: _ledger.Ledger
+    ) -> _delivery.RunningStep:
+        running = _delivery.RunningStep(
+            step, ledger, self._producer, self._payloads
+        )
+        self._running[step.spec.step_id] = running
+        assert self._tasks is not None, 'the registry runs before it serves'
+        self._tasks.start_soon(self._work, running)
+        return running
+
+    async def _work(self, running: _delivery.RunningStep) -> None:
+        step_id = running.step.spec.step_id
+        try:
+            await running.run()
+        except* errors.LeaseLost as group:
+            LOG.warning('step %s given up: %s', step_id, group.exceptions[0])
+        finally:
+            self._running.pop(step_id, None)
+
+    def summarize(self) -> dict[str, object]:
+        """Return the state of each step, for a dump."""
+        return {
+            step_id: {
+                'total': running.step.total,
+                'made': len(running.step.samples),
+                'placed': len(running.step.order),
+                'acknowledged': running.step.acknowledged,
+            }
+            for step_id, running in self._running.items()
+        }
--- /dev/null
+++ b/src/swiftjunction/telemetry/__init__.py
@@ -0,0 +1,7 @@
+"""Logs, metrics and state dumps."""
+
+from swiftjunction.telemetry._dump import StateDump
+from swiftjunction.telemetry._logs import set_up_logs
+from swiftjunction.telemetry._metrics import Metrics
+
+__all__ = ['Metrics', 'StateDump', 'set_up_logs']
--- /dev/null
+++ b/src/swiftjunction/telemetry/_metrics.py
@@ -0,0 +1,108 @@
+"""Counters by prometheus_client, latencies by HdrHistogram."""
+
+import collections.abc
+import contextlib
+import time
+
+import hdrh.histogram
+import prometheus_client
+import prometheus_client.core
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 3
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+US_PER_SECOND = 1_000_000
+
+
+class Metrics:
+    """The counters and latencies of one process.
+
+    A histogram takes 185 KB: there is one for each path and stage, never one
+    for each backend server or caller.
+    """
+
+    __slots__ = ('_counters', '_histograms', '_registry')
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._counters: dict[str, prometheus_client.Counter] = {}
+        self._histograms: dict[
+            tuple[str, str], hdrh.histogram.HdrHistogram
+        ] = {}
+        self._registry.register(_LatencyCollector(self._histograms))
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add `amount` to the counter `name`."""
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = prometheus_client.Counter(
+                f'swiftjunction_{name}',
+                name.replace('_', ' '),
+                sorted(labels),
+                registry=self._registry,
+            )
+            self._counters[name] = counter
+        (counter.labels(**labels) if labels else counter).inc(amount)
+
+    def record(self, path: str, stage: str, seconds: float) -> None:
+        """Record one latency."""
+        key = (path, stage)
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = hdrh.histogram.HdrHistogram(
+                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+            )
+            self._histograms[key] = histogram
+        histogram.record_value(
+            min(max(int(seconds * US_PER_SECOND), LOWEST_US), HIGHEST_US)
+        )
+
+    @contextlib.contextmanager
+    def measure(self, path: str, stage: str) -> collections.abc.Iterator[None]:
+        """Record how long the body takes."""
+        started = time.monotonic()
+        try:
+            yield
+        finally:
+            self.record(path, stage, time.monotonic() - started)
+
+    def render(self) -> bytes:
+        """Return everything in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def summarize(self) -> dict[str, dict[str, float]]:
+        """Return the percentiles in seconds, for a dump."""
+        return {
+            f'{path} {stage}': {
+                f'p{100 * q:g}': histogram.get_value_at_percentile(100 * q)
+                / US_PER_SECOND
+                for q in QUANTILES
+            }
+            | {'count': histogram.get_total_count()}
+            for (path, stage), histogram in self._histograms.items()
+        }
+
+
+class _LatencyCollector(prometheus_client.registry.Collector):
+    def __init__(
+        self,
+        histograms: dict[tuple[str, str], hdrh.histogram.HdrHistogram],
+    ) -> None:
+        self._histograms = histograms
+
+    def collect(
+        self,
+    ) -> collections.abc.Iterator[prometheus_client.core.Metric]:
+        family = prometheus_client.core.GaugeMetricFamily(
+            'swiftjunction_latency_seconds',
+            'latency by path and stage',
+            labels=['path', 'stage', 'quantile'],
+        )
+        for (path, stage), histogram in list(self._histograms.items()):
+            for quantile in QUANTILES:
+                value_us = histogram.get_value_at_percentile(100 * quantile)
+                family.add_metric(
+                    [path, stage, str(quantile)], value_us / US_PER_SECOND
+                )
+        yield family
--- /dev/null
+++ b/src/swiftjunction/web/__init__.py
@@ -0,0 +1,21 @@
+"""HTTP for every daemon: serving by hypercorn, calling by httpx."""
+
+from swiftjunction.web._answers import describe_error
+from swiftjunction.web._answers import respond_error
+from swiftjunction.web._answers import respond_json
+from swiftjunction.web._calling import connect_client
+from swiftjunction.web._calling import PeerClients
+from swiftjunction.web._serving import Listener
+from swiftjunction.web._serving import open_listener
+from swiftjunction.web._streams import format_event
+
+__all__ = [
+    'Listener',
+    'PeerClients',
+    'connect_client',
+    'describe_error',
+    'format_event',
+    'open_listener',
+    'respond_error',
+    'respond_json',
+]
--- /dev/null
+++ b/src/swiftjunction/weights/_board.py
@@ -0,0 +1,101 @@
+"""Which versions are within a freshness bound."""
+
+import collections.abc
+import time
+
+import msgspec
+
+from swiftjunction import errors
+from swiftjunction import links
+from swiftjunction import membership
+from swiftjunction.weights import _versions
+
+WEIGHTS_PREFIX = 'weights/'
+# How far the clocks of two VMs may be apart.
+CLOCK_ERROR_SECONDS = 0.5
+
+
+class Bound(msgspec.Struct, frozen=True):
+    """How old weights may be; None where there is no bound of that kind."""
+
+    versions: int | None = None
+    seconds: float | None = None
+
+
+class Board:
+    """The newest versions known here.
+
+    Parameters
+    ----------
+    table : RecordTable
+        The records of this daemon.
+    clock : callable
+        Returns Unix time in seconds.
+    """
+
+    __slots__ = ('_clock', '_histories')
+
+    def __init__(
+        self,
+        table: membership.RecordTable,
+        clock: collections.abc.Callable[[], float] = time.time,
+    ) -> None:
+        self._histories: dict[str, _versions.History] = {}
+        self._clock = clock
+        table.listen(WEIGHTS_PREFIX, self._learn)
+
+    def _learn(self, record: links.Record) -> None:
+        history = msgspec.json.decode(record.value, type=_versions.History)
+        self._histories[history.model] = history
+
+    def models(self) -> list[str]:
+        """Return the models that have versions."""
+        return list(self._histories)
+
+    def newest(self, model: str) -> int:
+        """Return the newest version of `model`, 0 where there is none."""
+        history = self._histories.get(model)
+        return history.newest if history is not None else 0
+
+    def find_oldest(self, model: str, bound: Bound) -> int:
+        """Return the oldest version of `model` within `bound`.
+
+        Raises
+        ------
+        StaleWeights
+            If even the newest version is too old.
+        """
+        history = self._histories.get(model)
+        if history is None:
+            return 0
+        oldest = 1
+        if bound.versions is not None:
+            oldest = max(oldest, history.newest - bound.versions)
+        if bound.seconds is not None:
+            oldest = max(oldest, self._find_since(history, bound.seconds))
+        return oldest
+
+    def check(self, model: str, version: int, bound: Bound) -> None:
+        """Raise ``StaleWeights`` if `version` is outside of `bound`."""
+        if version <= 0:
+            raise errors.StaleWeights(
+                'the engine did not name its weight version', step='freshness'
+            )
+        oldest = self.find_oldest(model, bound)
+        if version < oldest:
+            raise errors.StaleWeights(
+                f'version {version} of {model} is older than {oldest}, the '
+                f'oldest within the bound',
+                step='freshness',
+            )
+
+    def _find_since(self, history: _versions.History, seconds: float) -> int:
+        since = self._clock() - seconds + CLOCK_ERROR_SECONDS
+        for published in history.versions:
+            if published.published_at >= since:
+                return published.version
+        raise errors.StaleWeights(
+            f'version {history.newest} of {history.model}, the newest, was '
+            f'published more than {seconds:g} s ago',
+            step='freshness',
+        )
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,105 @@
+"""Fixtures and fakes that the tests share."""
+
+import hypothesis
+import pytest
+
+from swiftjunction import errors
+from swiftjunction import platform
+
+hypothesis.settings.register_profile(
+    'deterministic', derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile('deterministic')
+
+
+class MemoryStore(platform.ObjectStore):
+    """An object API in memory whose next calls fail as the test says.
+
+    Attributes
+    ----------
+    faults : list of str
+        Consumed one a call: ``ok``, ``refuse`` or ``lose`` (a write takes
+        effect and its answer is lost).
+    """
+
+    def __init__(self):
+        self.objects = {}
+        self.revision = 0
+        self.faults = []
+
+    def _enter(self):
+        fault = self.faults.pop(0) if self.faults else 'ok'
+        if fault == 'refuse':
+            raise errors.PlatformUnavailable('refused', step='test')
+        return fault
+
+    def _leave(self, fault, key):
+        if fault == 'lose':
+            raise errors.WriteUncertain('lost', step='test')
+        return self.objects[key].version
+
+    def _put(self, key, value):
+        self.revision += 1
+        self.objects[key] = platform.Object(key, self.revision, value)
+
+    async def read(self, key):
+        if self._enter() == 'lose':
+            raise errors.PlatformUnavailable('lost', step='test')
+        if key not in self.objects:
+            raise errors.ObjectMissing(key)
+        return self.objects[key]
+
+    async def list(self, prefix):
+        self._enter()
+        found = [o for k, o in self.objects.items() if k.startswith(prefix)]
+        return platform.Watch(self.revision, found, [])
+
+    async def create(self, key, value):
+        fault = self._enter()
+        if key in self.objects:
+            raise errors.RevisionConflict(key)
+        self._put(key, value)
+        return self._leave(fault, key)
+
+    async def update(self, key, value, version):
+        fault = self._enter()
+        if key not in self.objects:
+            raise errors.ObjectMissing(key)
+        if self.objects[key].version != version:
+            raise errors.RevisionConflict(key)
+        self._put(key, value)
+        return self._leave(fault, key)
+
+    async def delete(self, key, version):
+        self._enter()
+        if self.objects[key].version != version:
+            raise errors.RevisionConflict(key)
+        del self.objects[key]
+
+    async def watch(self, prefix, revision, wait_seconds):
+        return await self.list(prefix)
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def clock():
+    return Clock()
--- /dev/null
+++ b/tests/cover/test_spool.py
@@ -0,0 +1,37 @@
+import pytest
+
+from swiftjunction import errors
+from swiftjunction import spool
+
+
+def make_store(tmp_path, max_bytes=1_000_000):
+    return spool.SpoolStore(tmp_path / 'spool', max_bytes)
+
+
+def test_the_newest_payload_of_an_index_is_fetched(tmp_path):
+    store = make_store(tmp_path)
+    store.put('t.s', [spool.Payload(1, b'a'), spool.Payload(2, b'b')])
+    store.put('t.s', [spool.Payload(1, b'c')])
+    found = {p.index: p.data for p in make_store(tmp_path).fetch('t.s')}
+    assert found == {1: b'c', 2: b'b'}
+
+
+@pytest.mark.parametrize('torn_bytes', range(1, 16))
+def test_a_torn_frame_leaves_the_frames_before_it(tmp_path, torn_bytes):
+    store = make_store(tmp_path)
+    store.put('t.s', [spool.Payload(1, b'a')])
+    store.put('t.s', [spool.Payload(2, b'b')])
+    path = tmp_path / 'spool' / 't.s.spool'
+    path.write_bytes(path.read_bytes()[:-torn_bytes])
+    assert [p.index for p in store.fetch('t.s')] == [1]
+
+
+def test_a_full_spool_refuses(tmp_path):
+    store = make_store(tmp_path, max_bytes=1_000_000)
+    with pytest.raises(errors.LinkError, match='full'):
+        store.put('t.s', [spool.Payload(1, bytes(1_000_001))])
+
+
+def test_a_step_that_names_a_path_is_refused(tmp_path):
+    with pytest.raises(errors.LinkError, match='not a step'):
+        make_store(tmp_path).fetch('../../etc/passwd')
