--- /dev/null
+++ b/src/swiftjunction/commands/_standin.py
@@ -0,0 +1,53 @@
+"""``swiftjunction-standin``: the systems around this one, on loopback."""
+
+import cleo.commands.command
+import cleo.helpers
+
+from swiftjunction.commands import _programs
+from swiftjunction import standins
+from swiftjunction import telemetry
+
+
+async def _stay_idle(daemon: object) -> None:
+    return
+
+
+class _StandinCommand(cleo.commands.command.Command):
+    name = 'run'
+    description = 'Runs stand-ins of the platform and of backend servers.'
+    options = [
+        cleo.helpers.option('config', 'c', 'The stand-ins file.', flag=False),
+        cleo.helpers.option(
+            'only',
+            None,
+            'Run only this stand-in of the file; may be repeated.',
+            flag=False,
+            multiple=True,
+        ),
+        cleo.helpers.option(
+            'check', None, 'Only read the file and say what is wrong.'
+        ),
+    ]
+
+    def handle(self) -> int:
+        path = self.option('config')
+        if not path:
+            self.line_error('swiftjunction-standin: --config FILE is missing')
+            return _programs.EXIT_USAGE
+        plan = standins.read_plan(path)
+        if self.option('check'):
+            self.line(f'{path}: good')
+            return 0
+        telemetry.set_up_logs('swiftjunction-standin', '', 'WARNING')
+        only = set(self.option('only'))
+        _programs.run_until_signal(
+            lambda: standins.StandinDaemon(plan, only), _stay_idle
+        )
+        return 0
+
+
+def run_standin() -> int:
+    """Run ``swiftjunction-standin``."""
+    return _programs.run_application(
+        'swiftjunction-standin', [_StandinCommand()], default='run'
+    )
--- a/src/swiftjunction/settings/__init__.py
+++ b/src/swiftjunction/settings/__init__.py
@@ -2,9 +2,12 @@
 
 from swiftjunction.settings._checks import check_struct
 from swiftjunction.settings._files import read_settings
+from swiftjunction.settings._files import read_struct
 from swiftjunction.settings._model import ConductorSettings
 from swiftjunction.settings._model import EntrySettings
+from swiftjunction.settings._model import Name
 from swiftjunction.settings._model import PlatformSettings
+from swiftjunction.settings._model import Port
 from swiftjunction.settings._model import RolloutSettings
 from swiftjunction.settings._model import Settings
 from swiftjunction.settings._model import SpoolSettings
@@ -13,11 +16,14 @@
 __all__ = [
     'ConductorSettings',
     'EntrySettings',
+    'Name',
     'PlatformSettings',
+    'Port',
     'RolloutSettings',
     'Settings',
     'SpoolSettings',
     'VmSettings',
     'check_struct',
     'read_settings',
+    'read_struct',
 ]
--- a/src/swiftjunction/settings/_checks.py
+++ b/src/swiftjunction/settings/_checks.py
@@ -41,8 +41,12 @@
     try:
         msgspec.convert(value, kind)
     except msgspec.ValidationError as error:
-        reason = str(error).split(' - at ')[0]
-        return [f'{where} = {_show(value)}: {reason[0].lower()}{reason[1:]}']
+        reason, _, place = str(error).partition(' - at `$')
+        inside = place.strip('`')
+        return [
+            f'{where}{inside} = {_show(value)}: '
+            f'{reason[0].lower()}{reason[1:]}'
+        ]
     return []
 
 
--- a/src/swiftjunction/settings/_files.py
+++ b/src/swiftjunction/settings/_files.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import tomllib
+import typing
 
 import msgspec
 
@@ -10,6 +11,9 @@
 from swiftjunction.settings import _model
 
 
+StructT = typing.TypeVar('StructT', bound=msgspec.Struct)
+
+
 def read_settings(path: str) -> _model.Settings:
     """Read and check one VM's settings file.
 
@@ -19,6 +23,15 @@
         With a line for each mistake, naming the file, the key, the value and
         what is allowed.
     """
+    settings = read_struct(path, _model.Settings)
+    problems = _check_together(settings)
+    if problems:
+        raise errors.SettingsError([f'{path}: {line}' for line in problems])
+    return settings
+
+
+def read_struct(path: str, kind: type[StructT]) -> StructT:
+    """Read and check a TOML file as :func:`read_settings` does."""
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
@@ -30,13 +43,10 @@
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise errors.SettingsError([f'{path}: not TOML: {error}']) from error
-    problems = _checks.check_struct(raw, _model.Settings)
-    if not problems:
-        settings = msgspec.convert(raw, _model.Settings)
-        problems = _check_together(settings)
+    problems = _checks.check_struct(raw, kind)
     if problems:
         raise errors.SettingsError([f'{path}: {line}' for line in problems])
-    return settings
+    return msgspec.convert(raw, kind)
 
 
 def _check_together(settings: _model.Settings) -> list[str]:
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -3,9 +3,12 @@
 They serve the tests, the demo and the bench, and nothing else.
 """
 
+from swiftjunction.standins._daemon import StandinDaemon
 from swiftjunction.standins._engine import EngineStandin
 from swiftjunction.standins._faults import FaultSwitches
 from swiftjunction.standins._objects import ObjectStoreStandin
+from swiftjunction.standins._plan import read_plan
+from swiftjunction.standins._plan import StandinPlan
 from swiftjunction.standins._service import ServiceStandin
 from swiftjunction.standins._texts import count_tokens
 from swiftjunction.standins._texts import expected_text
@@ -20,6 +23,8 @@
     'FaultSwitches',
     'ObjectStoreStandin',
     'ServiceStandin',
+    'StandinDaemon',
+    'StandinPlan',
     'TrainerStandin',
     'TrainerTally',
     'VERSION_KNOWN_SECONDS',
@@ -27,4 +32,5 @@
     'WeightStoreStandin',
     'count_tokens',
     'expected_text',
+    'read_plan',
 ]
--- /dev/null
+++ b/src/swiftjunction/standins/_daemon.py
@@ -0,0 +1,110 @@
+"""Runs some or all stand-ins of a file in one process."""
+
+import collections.abc
+
+import anyio
+import anyio.abc
+
+from swiftjunction import platform
+from swiftjunction.standins import _engine
+from swiftjunction.standins import _objects
+from swiftjunction.standins import _plan
+from swiftjunction.standins import _service
+from swiftjunction.standins import _vms
+from swiftjunction.standins import _weights
+from swiftjunction import web
+
+
+class StandinDaemon:
+    """Stand-ins as one process.
+
+    Parameters
+    ----------
+    plan : StandinPlan
+        All stand-ins.
+    only : set of str
+        Names to run: ``objects``, ``vms``, ``weights``, or of an engine or a
+        server; all where it is empty.
+    """
+
+    def __init__(self, plan: _plan.StandinPlan, only: set[str]) -> None:
+        self._plan = plan
+        self._only = only
+        self._stopping = anyio.Event()
+        self._weights = web.connect_client(
+            f'http://{plan.ip}:{plan.weights_port}'
+        )
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        async with anyio.create_task_group() as tasks:
+            self._start_platform(tasks)
+            for engine in self._plan.engines:
+                self._start_engine(tasks, engine)
+            for server in self._plan.services:
+                if self._runs(server.name):
+                    app = _service.ServiceStandin(server.name).build_app()
+                    self._serve(tasks, server.port, app)
+            await self._stopping.wait()
+            tasks.cancel_scope.cancel()
+
+    def _runs(self, name: str) -> bool:
+        return not self._only or name in self._only
+
+    def _start_platform(self, tasks: anyio.abc.TaskGroup) -> None:
+        plan = self._plan
+        if self._runs('objects'):
+            objects = _objects.ObjectStoreStandin()
+            self._serve(tasks, plan.objects_port, objects.build_app())
+        if self._runs('weights'):
+            weights = _weights.WeightStoreStandin()
+            self._serve(tasks, plan.weights_port, weights.build_app())
+        if self._runs('vms'):
+            vms = _vms.VmListStandin()
+            for vm in self._list_vms():
+                vms.put(vm)
+            self._serve(tasks, plan.vms_port, vms.build_app())
+
+    def _start_engine(
+        self, tasks: anyio.abc.TaskGroup, plan: _plan.EnginePlan
+    ) -> None:
+        if not self._runs(plan.name):
+            return
+        engine = _engine.EngineStandin(
+            plan.name,
+            plan.model,
+            self._weights,
+            checks_fencing=plan.checks_fencing,
+        )
+        self._serve(tasks, plan.port, engine.build_app())
+        tasks.start_soon(engine.run)
+
+    def _serve(
+        self, tasks: anyio.abc.TaskGroup, port: int, app: object
+    ) -> None:
+        listener = web.open_listener(self._plan.ip, port)
+        tasks.start_soon(listener.serve, app)
+
+    def _list_vms(self) -> collections.abc.Iterator[platform.Vm]:
+        plan = self._plan
+        yield from plan.vms
+        for engine in plan.engines:
+            yield platform.Vm(
+                engine.name,
+                f'{plan.ip}:{engine.port}',
+                engine.model,
+                engine.data_center,
+                plan.region,
+            )
+        for server in plan.services:
+            yield platform.Vm(
+                server.name,
+                f'{plan.ip}:{server.port}',
+                server.service,
+                server.data_center,
+                plan.region,
+            )
