--- a/src/swiftjunction/backends/_orders.py
+++ b/src/swiftjunction/backends/_orders.py
@@ -37,6 +37,7 @@
     load: float = 0.0
     leaving: bool = False
     role: str = 'generate'
+    adapters: list[str] = []
 
 
 def decode_status(data: str, peer: str) -> EngineStatus:
--- a/src/swiftjunction/commands/_operator.py
+++ b/src/swiftjunction/commands/_operator.py
@@ -79,7 +79,9 @@
     arguments = [cleo.helpers.argument('team', 'The team.')]
 
     def handle(self) -> int:
-        answer = self.call_conductor('GET', f'/v1/configuration/{self.argument("team")}')
+        answer = self.call_conductor(
+            'GET', f'/v1/configuration/{self.argument("team")}'
+        )
         subtree = answer['subtree']
         lines = [
             f'version {answer["version"]}, in force here: '
--- a/src/swiftjunction/commands/_standin.py
+++ b/src/swiftjunction/commands/_standin.py
@@ -24,6 +24,9 @@
             flag=False,
             multiple=True,
         ),
+        cleo.helpers.option(
+            'schedule', None, 'Faults to switch at set times.', flag=False
+        ),
         cleo.helpers.option(
             'check', None, 'Only read the file and say what is wrong.'
         ),
@@ -38,10 +41,13 @@
         if self.option('check'):
             self.line(f'{path}: good')
             return 0
+        schedule = standins.FaultSchedule()
+        if self.option('schedule'):
+            schedule = standins.read_schedule(self.option('schedule'))
         telemetry.set_up_logs('swiftjunction-standin', '', 'WARNING')
         only = set(self.option('only'))
         _programs.run_until_signal(
-            lambda: standins.StandinDaemon(plan, only), _stay_idle
+            lambda: standins.StandinDaemon(plan, only, schedule), _stay_idle
         )
         return 0
 
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -9,6 +9,10 @@
 from swiftjunction.standins._objects import ObjectStoreStandin
 from swiftjunction.standins._plan import read_plan
 from swiftjunction.standins._plan import StandinPlan
+from swiftjunction.standins._schedule import FaultEvent
+from swiftjunction.standins._schedule import FaultSchedule
+from swiftjunction.standins._schedule import read_schedule
+from swiftjunction.standins._schedule import run_schedule
 from swiftjunction.standins._service import ServiceStandin
 from swiftjunction.standins._texts import count_tokens
 from swiftjunction.standins._texts import expected_text
@@ -20,6 +24,8 @@
 
 __all__ = [
     'EngineStandin',
+    'FaultEvent',
+    'FaultSchedule',
     'FaultSwitches',
     'ObjectStoreStandin',
     'ServiceStandin',
@@ -33,4 +39,6 @@
     'count_tokens',
     'expected_text',
     'read_plan',
+    'read_schedule',
+    'run_schedule',
 ]
--- a/src/swiftjunction/standins/_daemon.py
+++ b/src/swiftjunction/standins/_daemon.py
@@ -1,20 +1,32 @@
 """Runs some or all stand-ins of a file in one process."""
 
 import collections.abc
+import typing
 
 import anyio
 import anyio.abc
 
 from swiftjunction import platform
 from swiftjunction.standins import _engine
+from swiftjunction.standins import _faults
 from swiftjunction.standins import _objects
 from swiftjunction.standins import _plan
+from swiftjunction.standins import _schedule
 from swiftjunction.standins import _service
 from swiftjunction.standins import _vms
 from swiftjunction.standins import _weights
 from swiftjunction import web
 
 
+class Standin(typing.Protocol):
+    """What every stand-in has."""
+
+    faults: _faults.FaultSwitches
+
+    def build_app(self) -> typing.Any:
+        """Return the HTTP application."""
+
+
 class StandinDaemon:
     """Stand-ins as one process.
 
@@ -25,11 +37,20 @@
     only : set of str
         Names to run: ``objects``, ``vms``, ``weights``, or of an engine or a
         server; all where it is empty.
+    schedule : FaultSchedule
+        Faults to switch at set times.
     """
 
-    def __init__(self, plan: _plan.StandinPlan, only: set[str]) -> None:
+    def __init__(
+        self,
+        plan: _plan.StandinPlan,
+        only: set[str],
+        schedule: _schedule.FaultSchedule,
+    ) -> None:
         self._plan = plan
         self._only = only
+        self._schedule = schedule
+        self._faults: dict[str, _faults.FaultSwitches] = {}
         self._stopping = anyio.Event()
         self._weights = web.connect_client(
             f'http://{plan.ip}:{plan.weights_port}'
@@ -47,8 +68,15 @@
                 self._start_engine(tasks, engine)
             for server in self._plan.services:
                 if self._runs(server.name):
-                    app = _service.ServiceStandin(server.name).build_app()
-                    self._serve(tasks, server.port, app)
+                    self._serve(
+                        tasks,
+                        server.name,
+                        server.port,
+                        _service.ServiceStandin(server.name),
+                    )
+            tasks.start_soon(
+                _schedule.run_schedule, self._schedule, self._faults
+            )
             await self._stopping.wait()
             tasks.cancel_scope.cancel()
 
@@ -59,15 +87,15 @@
         plan = self._plan
         if self._runs('objects'):
             objects = _objects.ObjectStoreStandin()
-            self._serve(tasks, plan.objects_port, objects.build_app())
+            self._serve(tasks, 'objects', plan.objects_port, objects)
         if self._runs('weights'):
             weights = _weights.WeightStoreStandin()
-            self._serve(tasks, plan.weights_port, weights.build_app())
+            self._serve(tasks, 'weights', plan.weights_port, weights)
         if self._runs('vms'):
             vms = _vms.VmListStandin()
             for vm in self._list_vms():
                 vms.put(vm)
-            self._serve(tasks, plan.vms_port, vms.build_app())
+            self._serve(tasks, 'vms', plan.vms_port, vms)
 
     def _start_engine(
         self, tasks: anyio.abc.TaskGroup, plan: _plan.EnginePlan
@@ -80,14 +108,19 @@
             self._weights,
             checks_fencing=plan.checks_fencing,
         )
-        self._serve(tasks, plan.port, engine.build_app())
+        self._serve(tasks, plan.name, plan.port, engine)
         tasks.start_soon(engine.run)
 
     def _serve(
-        self, tasks: anyio.abc.TaskGroup, port: int, app: object
+        self,
+        tasks: anyio.abc.TaskGroup,
+        name: str,
+        port: int,
+        standin: Standin,
     ) -> None:
         listener = web.open_listener(self._plan.ip, port)
-        tasks.start_soon(listener.serve, app)
+        self._faults[name] = standin.faults
+        tasks.start_soon(listener.serve, standin.build_app())
 
     def _list_vms(self) -> collections.abc.Iterator[platform.Vm]:
         plan = self._plan
