Refuse poison requests and keep the answers of claimed keys

Cause: a request that crashes engines was retried until its attempts ran out, and a repeat under an idempotency key was only told that the key was used.

Change: crashes are recorded by fingerprint and spread; a suspect runs alone, never on the last server; the second crash refuses it everywhere. A claim keeps its answer, and a request that did not run frees its key. A stand-in's crash now closes its listener, as a process that ended does; before, it answered 500.

Causes: two crashes of one server within 5 s counted once (now: only overlapping runs do); a resume that broke again was no crash (now it is); a retry budget of 5 against a crash that breaks ten requests at once (now 20, and going on is not charged, as it runs only missing tokens).

Conclusion: one poison request costs two crashes, and callers beside it get their answers.

--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -233,6 +233,12 @@
     load = _calls.read_load(response.headers)
     if load is not None:
         server.load = load
+    if response.status_code == httpx.codes.NOT_FOUND:
+        raise errors.ServerCrashed(
+            'the engine does not know the generation',
+            step=step,
+            peer=server.name,
+        )
     if not response.is_success:
         raise errors.AnswerBroken(
             f'answered {response.status_code}', step=step, peer=server.name
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -43,6 +43,8 @@
         The newest report.
     in_flight : int
         Requests that this process has on it now.
+    reserved : bool
+        Whether a request that must run alone has it.
     load : float
         The load it last reported in an answer, from 0 to 1 and above.
     """
@@ -53,6 +55,7 @@
         'failures',
         'in_flight',
         'left',
+        'reserved',
         'load',
         'report',
         'weight_version',
@@ -69,6 +72,7 @@
         self.failures = 0
         self.weight_version = report.weight_version
         self.left = False
+        self.reserved = False
         self._clock = clock
         self._ejected_until = 0.0
 
@@ -87,6 +91,7 @@
         return (
             self.report.state == 'live'
             and not self.left
+            and not self.reserved
             and self._clock() >= self._ejected_until
         )
 
@@ -108,6 +113,15 @@
         """Learn from the server itself that it takes no new work."""
         self.left = True
 
+    @contextlib.contextmanager
+    def reserve(self) -> collections.abc.Iterator[None]:
+        """Give the server no other request of this process in the body."""
+        self.reserved = True
+        try:
+            yield
+        finally:
+            self.reserved = False
+
     @contextlib.contextmanager
     def track(self) -> collections.abc.Iterator[None]:
         """Count a request as in flight during the body."""
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -8,6 +8,7 @@
 from swiftjunction import errors
 from swiftjunction import web
 
+PROBE_TIMEOUT_SECONDS = 1.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
@@ -88,6 +89,17 @@
             response.status_code, response.headers.multi_items(), body
         )
 
+    async def is_crashed(self, server: _server.BackendServer) -> bool:
+        """Tell whether the server refuses connections after a failure."""
+        client = self._peers.get(server.address)
+        try:
+            await client.get('/health', timeout=PROBE_TIMEOUT_SECONDS)
+        except httpx.ConnectError:
+            return True
+        except httpx.HTTPError:
+            return False
+        return False
+
     def _check_match(
         self, response: httpx.Response, call: ServiceCall, peer: str
     ) -> None:
--- a/src/swiftjunction/client/_caller.py
+++ b/src/swiftjunction/client/_caller.py
@@ -177,11 +177,19 @@
             if outcome == 'complete':
                 return response
             last = _read_error(response, address)
-            if not isinstance(last, errors.NotRun):
+            if not self._may_repeat(last, idempotency_key):
                 raise last
         assert last is not None
         raise last
 
+    def _may_repeat(self, error: errors.RequestError, key: str) -> bool:
+        """Tell whether the same request may be sent once more."""
+        if isinstance(error, errors.NotRun):
+            return True
+        # Under its key it does not run again; the repeat asks for the
+        # answer of the run that may be going on.
+        return bool(key) and isinstance(error, errors.OutcomeUnknown)
+
     async def _refresh(self) -> None:
         """Ask for the addresses again where their lifetime is over."""
         now = anyio.current_time()
@@ -208,6 +216,7 @@
 _KINDS: dict[str, type[errors.RequestError]] = {
     'NotRun': errors.NotRun,
     'OutcomeUnknown': errors.OutcomeUnknown,
+    'PoisonRefused': errors.PoisonRefused,
     'RequestInvalid': errors.RequestInvalid,
     'StaleWeights': errors.StaleWeights,
 }
--- a/src/swiftjunction/daemons/_entry.py
+++ b/src/swiftjunction/daemons/_entry.py
@@ -27,6 +27,8 @@
             self.directory, config.vm.data_center, self.rng
         )
         budget = requests.RetryBudget()
+        suspects = requests.SuspectList(self.table, self.name)
+        self.dump.add('suspects', suspects.summarize)
         self._admission = requests.Admission(own.max_in_flight)
         self._live = requests.LiveApp(
             self.tree,
@@ -36,12 +38,14 @@
                 backends.EngineClient(self.peers),
                 self.board,
                 budget,
+                suspects,
             ),
             requests.Forwarder(
                 router,
                 backends.ServiceClient(self.peers),
                 requests.Claims(self.store, self.name),
                 budget,
+                suspects,
             ),
             requests.AddressBook(
                 self.processes, own.address_lifetime_seconds, self.rng
--- a/src/swiftjunction/daemons/_rollout.py
+++ b/src/swiftjunction/daemons/_rollout.py
@@ -23,6 +23,8 @@
             self.directory, config.vm.data_center, self.rng
         )
         budget = requests.RetryBudget()
+        suspects = requests.SuspectList(self.table, self.name)
+        self.dump.add('suspects', suspects.summarize)
         producer = steps.Producer(
             self.tree,
             requests.Generator(
@@ -30,12 +32,14 @@
                 backends.EngineClient(self.peers),
                 self.board,
                 budget,
+                suspects,
             ),
             requests.Forwarder(
                 router,
                 backends.ServiceClient(self.peers),
                 requests.Claims(self.store, self.name),
                 budget,
+                suspects,
             ),
             self.board,
             own.max_in_flight,
--- a/src/swiftjunction/demo/_fleet.py
+++ b/src/swiftjunction/demo/_fleet.py
@@ -19,6 +19,7 @@
 
 LOOPBACK = '127.0.0.1'
 READY_TIMEOUT_SECONDS = 20.0
+NEVER_SECONDS = 86400.0
 
 
 class FleetPlan(msgspec.Struct, frozen=True):
@@ -163,20 +164,18 @@
 
     def crash_engine(self, name: str) -> None:
         """End an engine at once; its connections break."""
-        self.engines[name].faults.set('crashed', 1)
-        self.scopes[f'{name} batch'].cancel()
-        self.scopes[name].cancel()
+        self.engines[name].faults.set('crashed', NEVER_SECONDS)
 
-    def _serve(self, name: str, app: object) -> str:
+    def _serve(self, name: str, standin: standins.Standin) -> str:
         listener = web.open_listener(LOOPBACK, 0)
         self._addresses[name] = listener.address
-        self.spawn(name, listener.serve, app)
+        self.spawn(name, standins.host, listener, standin)
         return listener.address
 
     def _start_platform(self) -> None:
-        self._serve('objects', self.objects.build_app())
-        self._serve('vms', self.vms.build_app())
-        self._serve('weights', self.weights.build_app())
+        self._serve('objects', self.objects)
+        self._serve('vms', self.vms)
+        self._serve('weights', self.weights)
 
     def _start_backends(self) -> None:
         weights = web.connect_client(f'http://{self._addresses["weights"]}')
@@ -190,7 +189,7 @@
             )
             self.engines[name] = engine
             self.spawn(f'{name} batch', engine.run)
-            self._list(name, engine.build_app(), self.plan.model, number)
+            self._list(name, engine, self.plan.model, number)
         for number in range(self.plan.services):
             self._start_service(
                 self.services, f'server-{number}', self.plan.service, number
@@ -209,10 +208,16 @@
     ) -> None:
         server = standins.ServiceStandin(name)
         group[name] = server
-        self._list(name, server.build_app(), service, number)
+        self._list(name, server, service, number)
 
-    def _list(self, name: str, app: object, service: str, number: int) -> None:
-        address = self._serve(name, app)
+    def _list(
+        self,
+        name: str,
+        standin: standins.Standin,
+        service: str,
+        number: int,
+    ) -> None:
+        address = self._serve(name, standin)
         data_center = f'dc-{number % self.plan.data_centers + 1}'
         self.vms.put(platform.Vm(name, address, service, data_center))
 
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -17,9 +17,11 @@
     'OutcomeUnknown',
     'PlatformError',
     'PlatformUnavailable',
+    'PoisonRefused',
     'RequestError',
     'RequestInvalid',
     'RevisionConflict',
+    'ServerCrashed',
     'SettingsError',
     'StepElsewhere',
     'StepEnded',
@@ -165,6 +167,17 @@
     outcome = 'not-run'
 
 
+class PoisonRefused(RequestError):
+    """The request crashed several backend servers and is not run again."""
+
+    status = 422
+    outcome = 'not-run'
+
+
+class ServerCrashed(AnswerBroken):
+    """The backend server ended, or lost its state, while it ran a request."""
+
+
 class OutcomeUnknown(RequestError):
     """The request may have run; a non-idempotent one is not repeated."""
 
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -12,6 +12,8 @@
 from swiftjunction.requests._generation import Generator
 from swiftjunction.requests._segments import join_segments
 from swiftjunction.requests._segments import Segment
+from swiftjunction.requests._suspects import make_fingerprint
+from swiftjunction.requests._suspects import SuspectList
 
 __all__ = [
     'AddressBook',
@@ -24,6 +26,8 @@
     'LiveApp',
     'RetryBudget',
     'Segment',
+    'SuspectList',
     'build_app',
     'join_segments',
+    'make_fingerprint',
 ]
--- a/src/swiftjunction/requests/_budget.py
+++ b/src/swiftjunction/requests/_budget.py
@@ -1,8 +1,9 @@
 """Bounds how much load retries may add."""
 
 RETRY_RATIO = 0.1
-MAX_SAVED_RETRIES = 20.0
-FIRST_SAVED_RETRIES = 5.0
+# A backend server that crashes breaks as many requests as it had at once.
+MAX_SAVED_RETRIES = 100.0
+FIRST_SAVED_RETRIES = 20.0
 
 
 class RetryBudget:
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -1,5 +1,6 @@
 """Sends requests on to plain services."""
 
+import contextlib
 import logging
 
 import anyio
@@ -10,6 +11,7 @@
 from swiftjunction import errors
 from swiftjunction.requests import _budget
 from swiftjunction.requests import _claims
+from swiftjunction.requests import _suspects
 from swiftjunction import routing
 
 LOG = logging.getLogger(__name__)
@@ -34,6 +36,17 @@
     idempotent: bool
     idempotency_key: str = ''
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what is the same when the request is sent again."""
+        return _suspects.make_fingerprint(
+            self.path,
+            self.service_call.method,
+            self.service_call.path,
+            self.service_call.query,
+            self.service_call.body,
+        )
+
 
 class Forwarder:
     """Runs a request on one server of a plain service.
@@ -48,9 +61,11 @@
         Claims the idempotency key of what may run only once.
     budget : RetryBudget
         Bounds the retries of all requests together.
+    suspects : SuspectList
+        Knows the requests that servers crashed under.
     """
 
-    __slots__ = ('_budget', '_claims', '_router', '_services')
+    __slots__ = ('_budget', '_claims', '_router', '_services', '_suspects')
 
     def __init__(
         self,
@@ -58,7 +73,9 @@
         services: backends.ServiceClient,
         claims: _claims.Claims,
         budget: _budget.RetryBudget,
+        suspects: _suspects.SuspectList,
     ) -> None:
+        self._suspects = suspects
         self._router = router
         self._services = services
         self._claims = claims
@@ -75,8 +92,22 @@
             If it may have run.
         """
         self._budget.note_request()
-        if not call.idempotent and call.idempotency_key:
-            await self._claims.claim(call.path, call.idempotency_key)
+        self._suspects.check(call.fingerprint)
+        if call.idempotent or not call.idempotency_key:
+            return await self._run(call)
+        claim = await self._claims.claim(call.path, call.idempotency_key)
+        if claim.answer is not None:
+            return claim.answer
+        try:
+            answer = await self._run(call)
+        except errors.NotRun:
+            await claim.release()
+            raise
+        await claim.keep_answer(answer)
+        return answer
+
+    async def _run(self, call: ForwardedCall) -> backends.ServiceAnswer:
+        alone = self._suspects.check(call.fingerprint)
         excluded: set[str] = set()
         may_have_run = False
         last: errors.BackendError | None = None
@@ -84,7 +115,10 @@
             if last is not None and not self._budget.take_retry():
                 break
             try:
-                return await self._attempt(call, excluded)
+                answer = await self._attempt(call, excluded, alone)
+                if alone:
+                    self._suspects.clear(call.fingerprint)
+                return answer
             except errors.NotRun:
                 if last is None:
                     raise
@@ -103,26 +137,36 @@
         raise kind(last.message, step=last.step, peer=last.peer) from last
 
     async def _attempt(
-        self, call: ForwardedCall, excluded: set[str]
+        self, call: ForwardedCall, excluded: set[str], alone: bool
     ) -> backends.ServiceAnswer:
         server = self._router.choose(
             routing.RoutingRequest(
                 path=call.path,
                 service=call.settings.service or '',
                 excluded=frozenset(excluded),
+                alone=alone,
             ),
             call.settings.policy or '',
         )
         excluded.add(server.name)
+        began = self._suspects.now()
         remaining_seconds = max(call.deadline - anyio.current_time(), 0.001)
         service_call = msgspec.structs.replace(
             call.service_call, timeout_seconds=remaining_seconds
         )
         try:
-            with server.track():
+            with (
+                server.track(),
+                server.reserve() if alone else contextlib.nullcontext(),
+            ):
                 answer = await self._services.call(server, service_call)
-        except (errors.BackendUnreachable, errors.AnswerBroken):
+        except errors.BackendUnreachable:
+            server.note_failure()
+            raise
+        except errors.AnswerBroken:
             server.note_failure()
+            if await self._services.is_crashed(server):
+                self._suspects.note_crash(call.fingerprint, server.name, began)
             raise
         server.note_success()
         return answer
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -14,6 +14,7 @@
 from swiftjunction import configuration
 from swiftjunction import errors
 from swiftjunction.requests import _budget
+from swiftjunction.requests import _suspects
 from swiftjunction import routing
 from swiftjunction import weights
 
@@ -49,6 +50,13 @@
         """Return the model that serves the path."""
         return self.settings.model or ''
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what is the same when the request is sent again."""
+        return _suspects.make_fingerprint(
+            self.path, self.prompt, str(self.max_tokens), str(self.seed)
+        )
+
     @property
     def bound(self) -> weights.Bound:
         """Return the freshness bound of the path."""
@@ -95,9 +103,11 @@
         Knows which versions are fresh.
     budget : RetryBudget
         Bounds the retries of all requests together.
+    suspects : SuspectList
+        Knows the requests that servers crashed under.
     """
 
-    __slots__ = ('_board', '_budget', '_engines', '_router')
+    __slots__ = ('_board', '_budget', '_engines', '_router', '_suspects')
 
     def __init__(
         self,
@@ -105,8 +115,10 @@
         engines: backends.EngineClient,
         board: weights.Board,
         budget: _budget.RetryBudget,
+        suspects: _suspects.SuspectList,
     ) -> None:
         self._router = router
+        self._suspects = suspects
         self._engines = engines
         self._board = board
         self._budget = budget
@@ -124,19 +136,29 @@
         """
         self._budget.note_request()
         progress = _Progress()
+        fingerprint = call.fingerprint
         while True:
-            server = await self._find_server(call, progress)
+            alone = self._suspects.check(fingerprint)
+            server = await self._find_server(call, progress, alone)
             progress.tries += 1
+            began = self._suspects.now()
             try:
-                with server.track():
+                with (
+                    server.track(),
+                    server.reserve() if alone else contextlib.nullcontext(),
+                ):
                     async with contextlib.aclosing(
                         self._attempt(call, server, progress)
                     ) as chunks:
                         async for chunk in chunks:
                             yield chunk
                 server.note_success()
+                if alone:
+                    self._suspects.clear(fingerprint)
                 return
             except errors.BackendError as error:
+                if isinstance(error, errors.ServerCrashed):
+                    self._suspects.note_crash(fingerprint, server.name, began)
                 self._note_failure(call, server, progress, error)
             except errors.StaleWeights:
                 # The engine runs older weights than was reported, or newer
@@ -204,24 +226,26 @@
                 return
         except errors.AnswerBroken as error:
             LOG.info('resuming after %s', error)
+        resumed = False
         try:
             async with contextlib.aclosing(
                 self._engines.resume(server, engine_call, progress.tokens)
             ) as chunks:
                 async for chunk in chunks:
+                    resumed = True
                     yield chunk
-        except errors.BackendUnreachable as error:
-            # The resume was never sent, but the generation had started.
-            raise errors.AnswerBroken(
-                error.message, step='resume', peer=error.peer
-            ) from error
-        except errors.BackendRefused as error:
-            raise errors.AnswerBroken(
+        except errors.BackendError as error:
+            # A server that gives no more of a generation it had started is
+            # taken to have crashed, also where it is dying just now and only
+            # breaks the connection once more.
+            if resumed:
+                raise
+            raise errors.ServerCrashed(
                 error.message, step='resume', peer=error.peer
             ) from error
 
     async def _find_server(
-        self, call: GenerationCall, progress: _Progress
+        self, call: GenerationCall, progress: _Progress, alone: bool
     ) -> backends.BackendServer:
         """Return the next server, waiting for one while the deadline lets."""
         while True:
@@ -235,6 +259,7 @@
                         call.model, call.bound
                     ),
                     excluded=frozenset(progress.excluded),
+                    alone=alone,
                 )
                 return self._router.choose(request, call.settings.policy or '')
             except (errors.NotRun, errors.StaleWeights) as error:
@@ -266,11 +291,16 @@
         if (
             progress.tries >= MAX_ATTEMPTS
             or self._remaining(call) <= 0
-            or not self._budget.take_retry()
+            or not self._may_go_on(progress)
         ):
             raise self._give_up(progress, error) from error
         LOG.info('request %s is retried after %s', call.request_id, error)
 
+    def _may_go_on(self, progress: _Progress) -> bool:
+        # Going on with a generation runs only the tokens that are missing,
+        # which adds no load; beginning again does.
+        return progress.tokens > 0 or self._budget.take_retry()
+
     def _give_up(
         self, progress: _Progress, error: errors.SwiftjunctionError
     ) -> errors.RequestError:
--- a/src/swiftjunction/routing/_pipeline.py
+++ b/src/swiftjunction/routing/_pipeline.py
@@ -55,6 +55,8 @@
         servers = self._directory.select(request.service)
         fresh = keep_fresh(keep_available(servers), request.min_version)
         untried = keep_untried(fresh, request.excluded)
+        if request.alone:
+            untried = keep_idle(untried)
         candidates = prefer_near(untried, self._data_center)
         if not candidates:
             raise errors.NotRun(
@@ -90,6 +92,19 @@
     return (s for s in servers if s.name not in excluded)
 
 
+def keep_idle(
+    servers: Servers,
+) -> collections.abc.Iterator[backends.BackendServer]:
+    """Yield servers for a request that must run alone.
+
+    That is none where only one healthy server is left: a request that may
+    crash it would take the service down.
+    """
+    found = list(servers)
+    if len(found) > 1:
+        yield from (server for server in found if not server.in_flight)
+
+
 def prefer_near(
     servers: Servers, data_center: str
 ) -> list[backends.BackendServer]:
--- a/src/swiftjunction/routing/_policy.py
+++ b/src/swiftjunction/routing/_policy.py
@@ -11,13 +11,24 @@
 
 
 class RoutingRequest(msgspec.Struct, frozen=True):
-    """What a policy may know of a request."""
+    """What a policy may know of a request.
+
+    Attributes
+    ----------
+    min_version : int
+        The oldest weight version that is fresh.
+    excluded : frozenset of str
+        Servers that failed this request.
+    alone : bool
+        Whether it must not share its server, nor have the last one.
+    """
 
     path: str
     service: str
     prompt: str = ''
     min_version: int = 0
     excluded: frozenset[str] = frozenset()
+    alone: bool = False
 
 
 class Policy(abc.ABC):
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -6,6 +6,8 @@
 from swiftjunction.standins._daemon import StandinDaemon
 from swiftjunction.standins._engine import EngineStandin
 from swiftjunction.standins._faults import FaultSwitches
+from swiftjunction.standins._hosting import host
+from swiftjunction.standins._hosting import Standin
 from swiftjunction.standins._objects import ObjectStoreStandin
 from swiftjunction.standins._plan import read_plan
 from swiftjunction.standins._plan import StandinPlan
@@ -29,6 +31,7 @@
     'FaultSwitches',
     'ObjectStoreStandin',
     'ServiceStandin',
+    'Standin',
     'StandinDaemon',
     'StandinPlan',
     'TrainerStandin',
@@ -38,6 +41,7 @@
     'WeightStoreStandin',
     'count_tokens',
     'expected_text',
+    'host',
     'read_plan',
     'read_schedule',
     'run_schedule',
--- a/src/swiftjunction/standins/_daemon.py
+++ b/src/swiftjunction/standins/_daemon.py
@@ -1,7 +1,6 @@
 """Runs some or all stand-ins of a file in one process."""
 
 import collections.abc
-import typing
 
 import anyio
 import anyio.abc
@@ -9,6 +8,7 @@
 from swiftjunction import platform
 from swiftjunction.standins import _engine
 from swiftjunction.standins import _faults
+from swiftjunction.standins import _hosting
 from swiftjunction.standins import _objects
 from swiftjunction.standins import _plan
 from swiftjunction.standins import _schedule
@@ -18,15 +18,6 @@
 from swiftjunction import web
 
 
-class Standin(typing.Protocol):
-    """What every stand-in has."""
-
-    faults: _faults.FaultSwitches
-
-    def build_app(self) -> typing.Any:
-        """Return the HTTP application."""
-
-
 class StandinDaemon:
     """Stand-ins as one process.
 
@@ -116,11 +107,11 @@
         tasks: anyio.abc.TaskGroup,
         name: str,
         port: int,
-        standin: Standin,
+        standin: _hosting.Standin,
     ) -> None:
         listener = web.open_listener(self._plan.ip, port)
         self._faults[name] = standin.faults
-        tasks.start_soon(listener.serve, standin.build_app())
+        tasks.start_soon(_hosting.host, listener, standin)
 
     def _list_vms(self) -> collections.abc.Iterator[platform.Vm]:
         plan = self._plan
--- a/src/swiftjunction/standins/_engine.py
+++ b/src/swiftjunction/standins/_engine.py
@@ -1,12 +1,12 @@
 """A stand-in for a model engine: its batch, cache, weights and orders."""
 
 import collections
-import collections.abc
 import logging
 
 import anyio
 import anyio.abc
 import httpx
+import starlette.applications
 
 from swiftjunction import backends
 from swiftjunction.standins import _engine_app
@@ -25,6 +25,7 @@
 CACHE_BLOCKS = 4096
 KEPT_FINISHED = 512
 LOAD_MODEL_SECONDS = 1.0
+POISON = 'POISON'
 
 
 class OrderFailed(Exception):
@@ -54,7 +55,8 @@
 
     Faults
     ------
-    crashed : connections break and nothing runs.
+    crashed : the process is gone for so many seconds.
+    poison_seconds : a prompt with POISON in it crashes the engine for so long.
     slow_factor : how many times slower each tick is.
     break_streams : so many streams break off in the middle.
     refuse : every request is refused and not run.
@@ -72,6 +74,8 @@
     ----------
     orders : list of Order
         What it was told, for tests.
+    crashes : int
+        How often a request crashed it.
     started : Counter
         How often each request id began to run.
     """
@@ -90,10 +94,12 @@
         self.staged_version = 0
         self.role = 'generate'
         self.adapters: set[str] = set()
+        self.crashes = 0
         self.orders: list[backends.Order] = []
         self.started: collections.Counter[str] = collections.Counter()
         self.faults = _faults.FaultSwitches(
             'crashed',
+            'poison_seconds',
             'slow_factor',
             'break_streams',
             'refuse',
@@ -122,7 +128,7 @@
         )
         self._tasks: anyio.abc.TaskGroup | None = None
 
-    def build_app(self) -> collections.abc.Callable:
+    def build_app(self) -> starlette.applications.Starlette:
         """Return the HTTP application."""
         return _engine_app.build_app(self)
 
@@ -283,6 +289,13 @@
             return
         self._past_loads.append((anyio.current_time(), self.load))
         self._fill_batch()
+        if self.faults.get('poison_seconds') and any(
+            POISON in generation.state.prompt
+            for generation in self._running.values()
+        ):
+            self.crashes += 1
+            self.faults.set('crashed', self.faults.get('poison_seconds'))
+            return
         version = (
             0 if self.faults.get('hide_versions') else self.weight_version
         )
--- a/src/swiftjunction/standins/_engine_app.py
+++ b/src/swiftjunction/standins/_engine_app.py
@@ -21,11 +21,13 @@
 STATUS_CHECK_SECONDS = 0.05
 
 
-def build_app(engine: '_engine.EngineStandin') -> collections.abc.Callable:
+def build_app(
+    engine: '_engine.EngineStandin',
+) -> starlette.applications.Starlette:
     """Return the application of `engine`."""
     app = _EngineApp(engine)
     route = starlette.routing.Route
-    routes = starlette.applications.Starlette(
+    return starlette.applications.Starlette(
         routes=[
             route('/v1/completions', app.complete, methods=['POST']),
             route('/v1/completions/{request_id}', app.resume),
@@ -44,15 +46,6 @@
         ]
     )
 
-    async def serve(
-        scope: dict, receive: typing.Any, send: typing.Any
-    ) -> None:
-        if engine.faults.get('crashed') and scope.get('path') != '/faults':
-            raise ConnectionResetError('the engine has crashed')
-        await routes(scope, receive, send)
-
-    return serve
-
 
 class _EngineApp:
     def __init__(self, engine: '_engine.EngineStandin') -> None:
--- a/src/swiftjunction/standins/_objects.py
+++ b/src/swiftjunction/standins/_objects.py
@@ -21,6 +21,7 @@
 
     Faults
     ------
+    crashed : the process is gone for so many seconds.
     outage : every call is refused with 503.
     slow_seconds : each call takes that much longer.
     lose_answers : so many writes take effect and lose their answer.
@@ -30,6 +31,7 @@
 
     def __init__(self) -> None:
         self.faults = _faults.FaultSwitches(
+            'crashed',
             'outage',
             'slow_seconds',
             'lose_answers',
--- a/src/swiftjunction/standins/_service.py
+++ b/src/swiftjunction/standins/_service.py
@@ -19,6 +19,7 @@
 
     Faults
     ------
+    crashed : the process is gone for so many seconds.
     slow_seconds : each request takes that much longer.
     refuse : every request is refused and not run.
     break_after_run : so many requests run and lose their answer.
@@ -35,7 +36,7 @@
     def __init__(self, name: str, work_seconds: float = 0.005) -> None:
         self.name = name
         self.faults = _faults.FaultSwitches(
-            'slow_seconds', 'refuse', 'break_after_run', 'leaving'
+            'crashed', 'slow_seconds', 'refuse', 'break_after_run', 'leaving'
         )
         self.runs: collections.Counter[str] = collections.Counter()
         self.key_runs: collections.Counter[str] = collections.Counter()
--- a/src/swiftjunction/standins/_vms.py
+++ b/src/swiftjunction/standins/_vms.py
@@ -19,12 +19,13 @@
 
     Faults
     ------
+    crashed : the process is gone for so many seconds.
     outage : every call is refused with 503.
     lag_seconds : how old the list that is answered is.
     """
 
     def __init__(self) -> None:
-        self.faults = _faults.FaultSwitches('outage', 'lag_seconds')
+        self.faults = _faults.FaultSwitches('crashed', 'outage', 'lag_seconds')
         self._vms: dict[str, platform.Vm] = {}
         self._past: collections.deque[tuple[float, list[platform.Vm]]] = (
             collections.deque(maxlen=1000)
--- a/src/swiftjunction/standins/_weights.py
+++ b/src/swiftjunction/standins/_weights.py
@@ -24,6 +24,7 @@
 
     Faults
     ------
+    crashed : the process is gone for so many seconds.
     outage : every fetch is refused with 503.
     slow_seconds : each fetch takes that much longer.
     """
@@ -31,7 +32,9 @@
     def __init__(
         self, fetch_seconds: float = 0.2, max_fetches: int = 2
     ) -> None:
-        self.faults = _faults.FaultSwitches('outage', 'slow_seconds')
+        self.faults = _faults.FaultSwitches(
+            'crashed', 'outage', 'slow_seconds'
+        )
         self._fetch_seconds = fetch_seconds
         self._limiter = anyio.CapacityLimiter(max_fetches)
 
--- a/src/swiftjunction/web/_serving.py
+++ b/src/swiftjunction/web/_serving.py
@@ -14,7 +14,7 @@
 # Longer than any request may last: hypercorn's default of 3 s would cut off
 # longer streams at a graceful shutdown.
 GRACEFUL_TIMEOUT_SECONDS = 900.0
-ABORT_TIMEOUT_SECONDS = 0.2
+ABORT_TIMEOUT_SECONDS = 0.05
 KEEP_ALIVE_SECONDS = 75.0
 BACKLOG_CONNECTIONS = 1024
 
--- /dev/null
+++ b/tests/cover/test_poison.py
@@ -0,0 +1,43 @@
+import anyio
+import pytest
+
+from swiftjunction import client
+from swiftjunction import demo
+from swiftjunction import errors
+from swiftjunction import standins
+from swiftjunction import weights
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_a_request_that_crashes_servers_is_refused_after_the_second():
+    async with demo.Fleet(demo.FleetPlan(services=1, scorers=0)).run() as f:
+        await f.configure()
+        await weights.Publisher(f.connect_store()).publish('fit')
+        await f.wait_ready()
+        for engine in f.engines.values():
+            engine.faults.set('poison_seconds', 0.5)
+        entries = f.entry_addresses()
+        answers = []
+
+        async def ask(number):
+            async with client.CallerClient(entries) as caller:
+                prompt = f'healthy {number}'
+                answer = await caller.complete('demo/advice', prompt)
+                assert answer.text == standins.expected_text(prompt, 0, 16)
+                answers.append(number)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(10):
+                tasks.start_soon(ask, number)
+            async with client.CallerClient(entries[:1]) as caller:
+                with pytest.raises(errors.PoisonRefused):
+                    await caller.complete('demo/advice', 'POISON')
+        crashes = sum(engine.crashes for engine in f.engines.values())
+        assert crashes == 2
+        await anyio.sleep(0.5)
+        async with client.CallerClient(entries[1:]) as caller:
+            with pytest.raises(errors.PoisonRefused):
+                await caller.complete('demo/advice', 'POISON')
+        assert sum(e.crashes for e in f.engines.values()) == crashes
+        assert sorted(answers) == list(range(10))
