Name overloaded and draining entries last, and spread the spare ones

Cause: the answer to which entries to use knew only live entries. With none live it was empty, although an overloaded or a draining entry still serves; spare entries could all be of one data centre and be lost together with it.

Change: live entries near the caller first, in random order; two spare ones of different data centres; overloaded, then draining ones only where there is no live one. Where the caller's data centre has no live entry the answer lives half as long, so that callers come back to near ones soon.

--- a/src/swiftjunction/requests/_addresses.py
+++ b/src/swiftjunction/requests/_addresses.py
@@ -1,5 +1,7 @@
 """Which entries a caller should use."""
 
+import collections
+import collections.abc
 import random
 
 import msgspec
@@ -7,6 +9,10 @@
 from swiftjunction import membership
 
 SPARE_ADDRESSES = 2
+# Where the answer is a makeshift, callers ask again earlier.
+MAKESHIFT_LIFETIME_FACTOR = 0.5
+
+Entries = list[membership.Process]
 
 
 class AddressAnswer(msgspec.Struct, frozen=True):
@@ -42,13 +48,55 @@
         self._rng = rng
 
     def answer(self, data_center: str) -> AddressAnswer:
-        """Return the live entries, those of `data_center` first."""
-        entries = list(self._processes.select('entry'))
-        self._rng.shuffle(entries)
-        entries.sort(key=lambda entry: entry.data_center != data_center)
-        near = sum(entry.data_center == data_center for entry in entries)
-        count = max(near, 1) + SPARE_ADDRESSES
+        """Return the entries that a caller in `data_center` should use.
+
+        Those near it come first, in a random order, which spreads the callers
+        evenly; then spare ones of as many other data centres as there are.
+        Overloaded and draining entries are named only where there are no
+        others, as refusing is better left to them than to the caller.
+        """
+        near, far = self._split('live', data_center)
+        chosen = near or far[:1]
+        spare = [entry for entry in far if entry not in chosen]
+        chosen = chosen + spare[:SPARE_ADDRESSES]
+        lifetime_seconds = self._lifetime_seconds
+        if data_center and not near:
+            lifetime_seconds *= MAKESHIFT_LIFETIME_FACTOR
+        if not chosen:
+            chosen = self._list_makeshift(data_center)
         return AddressAnswer(
-            [entry.address for entry in entries[:count]],
-            self._lifetime_seconds,
+            [entry.address for entry in chosen], lifetime_seconds
         )
+
+    def _list_makeshift(self, data_center: str) -> Entries:
+        for state in ('overloaded', 'draining'):
+            near, far = self._split(state, data_center)
+            if near or far:
+                return near + far[:SPARE_ADDRESSES]
+        return []
+
+    def _split(self, state: str, data_center: str) -> tuple[Entries, Entries]:
+        entries = list(self._processes.select('entry', state))
+        self._rng.shuffle(entries)
+        near = [e for e in entries if e.data_center == data_center]
+        far = [e for e in entries if e.data_center != data_center]
+        return near, list(_alternate(far, self._rng))
+
+
+def _alternate(
+    entries: Entries, rng: random.Random
+) -> collections.abc.Iterator[membership.Process]:
+    """Yield one entry of each data centre in turn.
+
+    Spare ones are so not lost together with one data centre.
+    """
+    groups: dict[str, Entries] = collections.defaultdict(list)
+    for entry in entries:
+        groups[entry.data_center].append(entry)
+    order = sorted(groups)
+    rng.shuffle(order)
+    while order:
+        for data_center in list(order):
+            yield groups[data_center].pop()
+            if not groups[data_center]:
+                order.remove(data_center)
