Route by cost, limit each server, and bound waits by time

Cause: two choices compared request counts only, so that a server ten times slower was seen late; any failure could eject every server; data centres spilled over only when no near server was left; a full service had no queue but polled until near the deadline, also for requests that no engine could serve; classes, teams and drain rates were not looked at.

Change: - Two choices weigh load by recent latency and by a slow start; old reports and old latencies lose weight by half-lives. - Ejections never take more than half of the servers, and the failures of requests that were there together count once. - Near servers get help from less loaded far ones above 80% load. - Prefix affinity under a load bound, learnt from own routing and from cache events with gaps; rendezvous hashing places unknown prefixes. - A limit for each server by additive increase and multiplicative decrease on latency; requests wait in one line a service, live first, bounded by the deadline and by 1 s in a burst or 0.2 s in a standing overload. - Admission by class, team and path. Retry-After comes from the drain rate. - A request that no fresh engine can serve is given up after 8 s, 1 s where no server is live, and later ones at once until an engine has the version. - An entry that is overloaded for a second says so and leaves the answers.

--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -1,6 +1,7 @@
 """All backend servers that are known, by service."""
 
 import collections.abc
+import time
 
 import msgspec
 
@@ -10,6 +11,8 @@
 
 SERVER_PREFIX = 'server/'
 
+Listener = collections.abc.Callable[[str], None]
+
 
 class Directory:
     """The backend servers, kept from the shared records.
@@ -18,11 +21,19 @@
     ----------
     table : RecordTable
         The records of this daemon.
+    clock : callable
+        Returns seconds.
     """
 
-    __slots__ = ('_by_service', '_servers')
+    __slots__ = ('_by_service', '_clock', '_listeners', '_servers')
 
-    def __init__(self, table: membership.RecordTable) -> None:
+    def __init__(
+        self,
+        table: membership.RecordTable,
+        clock: collections.abc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._clock = clock
+        self._listeners: list[Listener] = []
         self._servers: dict[str, _server.BackendServer] = {}
         self._by_service: dict[str, dict[str, _server.BackendServer]] = {}
         table.listen(SERVER_PREFIX, self._learn)
@@ -31,21 +42,43 @@
         report = msgspec.msgpack.decode(
             record.value, type=_server.ServerReport
         )
+        if report.state == 'gone':
+            self._remove(report.name)
+            return
         server = self._servers.get(report.name)
         if server is None or server.address != report.address:
-            server = _server.BackendServer(report)
-            self._servers[report.name] = server
+            server = self._add(report)
         elif server.report.service != report.service:
             self._by_service[server.report.service].pop(report.name, None)
-        server.report = report
-        # The report is what the engine says now; an engine that restarted
-        # with older weights must not keep the version of its earlier run.
-        server.weight_version = report.weight_version
-        group = self._by_service.setdefault(report.service, {})
-        if report.state == 'gone':
-            group.pop(report.name, None)
-        else:
-            group[report.name] = server
+        server.take_report(report)
+        self._by_service.setdefault(report.service, {})[report.name] = server
+        self._notify(report.service)
+
+    def _remove(self, name: str) -> None:
+        server = self._servers.pop(name, None)
+        if server is not None:
+            server.note_leaving()
+            self._by_service[server.report.service].pop(name, None)
+
+    def _add(self, report: _server.ServerReport) -> _server.BackendServer:
+        server = _server.BackendServer(
+            report,
+            self._clock,
+            lambda: self._notify(server.report.service),
+        )
+        self._servers[report.name] = server
+        return server
+
+    def _notify(self, service: str) -> None:
+        for listener in self._listeners:
+            listener(service)
+
+    def listen(self, listener: Listener) -> None:
+        """Call `listener` with the service whose servers changed.
+
+        That is a new report, or the end of a request.
+        """
+        self._listeners.append(listener)
 
     def get(self, name: str) -> _server.BackendServer | None:
         """Return the server called `name`, if known."""
@@ -67,6 +100,10 @@
                 'weight_version': server.weight_version,
                 'in_flight': server.in_flight,
                 'load': server.load,
+                'latency_seconds': round(server.latency_seconds, 4),
+                'limit': server.limit.requests,
+                'failures': server.health.failures,
+                'ejected_seconds': round(server.health.ejected_seconds, 1),
                 'available': server.is_available(),
             }
             for name, server in self._servers.items()
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -6,7 +6,14 @@
 
 import msgspec
 
-EJECTION_SECONDS = 3.0
+from swiftjunction.backends import _health
+from swiftjunction.backends import _limit
+
+LATENCY_WEIGHT = 0.2
+# How fast a latency that is not renewed loses its meaning. A server that was
+# slow is so tried again in time.
+LATENCY_HALF_LIFE_SECONDS = 5.0
+LOAD_HALF_LIFE_SECONDS = 2.0
 
 
 class ServerReport(msgspec.Struct, frozen=True):
@@ -37,27 +44,42 @@
 class BackendServer:
     """A backend server: the shared report and what was seen here.
 
+    Parameters
+    ----------
+    report : ServerReport
+        The first report.
+    clock : callable
+        Returns seconds.
+    on_release : callable, optional
+        Called when a request has left the server.
+
     Attributes
     ----------
     report : ServerReport
         The newest report.
+    health : Health
+        Its failures and how it comes back from them.
+    limit : ConcurrencyLimit
+        How many requests of this process it may have.
     in_flight : int
         Requests that this process has on it now.
     reserved : bool
         Whether a request that must run alone has it.
-    load : float
-        The load it last reported in an answer, from 0 to 1 and above.
     """
 
     __slots__ = (
         '_clock',
-        '_ejected_until',
-        'failures',
+        '_latency_at',
+        '_latency_seconds',
+        '_load',
+        '_load_at',
+        '_on_release',
+        'health',
         'in_flight',
         'left',
-        'reserved',
-        'load',
+        'limit',
         'report',
+        'reserved',
         'weight_version',
     )
 
@@ -65,16 +87,21 @@
         self,
         report: ServerReport,
         clock: collections.abc.Callable[[], float] = time.monotonic,
+        on_release: collections.abc.Callable[[], None] | None = None,
     ) -> None:
         self.report = report
+        self.health = _health.Health(clock)
+        self.limit = _limit.ConcurrencyLimit()
         self.in_flight = 0
-        self.load = 0.0
-        self.failures = 0
         self.weight_version = report.weight_version
         self.left = False
         self.reserved = False
         self._clock = clock
-        self._ejected_until = 0.0
+        self._on_release = on_release
+        self._load = 0.0
+        self._load_at = clock()
+        self._latency_seconds = 0.0
+        self._latency_at = clock()
 
     @property
     def name(self) -> str:
@@ -86,28 +113,75 @@
         """Return its ``ip:port``."""
         return self.report.address
 
-    def is_available(self) -> bool:
-        """Tell whether it may get new work now."""
+    @property
+    def load(self) -> float:
+        """Return the load it last reported, from 0 to 1 and above."""
+        return self._load
+
+    @load.setter
+    def load(self, load: float) -> None:
+        self._load = load
+        self._load_at = self._clock()
+
+    @property
+    def recent_load(self) -> float:
+        """Return the reported load, less the older the report is."""
+        age_seconds = self._clock() - self._load_at
+        return self._load * 0.5 ** (age_seconds / LOAD_HALF_LIFE_SECONDS)
+
+    @property
+    def latency_seconds(self) -> float:
+        """Return the mean latency of late, less the older it is."""
+        age_seconds = self._clock() - self._latency_at
+        return self._latency_seconds * 0.5 ** (
+            age_seconds / LATENCY_HALF_LIFE_SECONDS
+        )
+
+    def is_live(self) -> bool:
+        """Tell whether it takes new work, as far as is known."""
         return (
-            self.report.state == 'live'
-            and not self.left
-            and not self.reserved
-            and self._clock() >= self._ejected_until
+            self.report.state == 'live' and not self.left and not self.reserved
         )
 
+    def is_available(self) -> bool:
+        """Tell whether it may get new work now."""
+        return self.is_live() and not self.health.ejected_seconds
+
+    def has_place(self) -> bool:
+        """Tell whether its concurrency limit lets one more request in."""
+        return self.in_flight < self.limit.requests
+
+    def take_report(self, report: ServerReport) -> None:
+        """Replace the report; a server that is live again starts slowly."""
+        if report.state == 'live' and self.report.state != 'live':
+            self.left = False
+            self.health.note_start()
+        self.report = report
+        # The report is what the engine says now; an engine that restarted
+        # with older weights must not keep the version of its earlier run.
+        self.weight_version = report.weight_version
+
     def note_version(self, version: int) -> None:
         """Learn the version from an answer, which is newer than a report."""
         self.weight_version = max(self.weight_version, version)
 
+    def note_latency(self, seconds: float) -> None:
+        """Learn how long an answer, or its first chunk, took."""
+        self.limit.note_latency(seconds, self.in_flight)
+        held = self._latency_seconds
+        self._latency_seconds = (
+            held + LATENCY_WEIGHT * (seconds - held) if held else seconds
+        )
+        self._latency_at = self._clock()
+
     def note_success(self) -> None:
         """Learn that an answer was whole."""
-        self.failures = 0
+        self.health.note_success()
 
     def note_failure(self) -> None:
         """Learn of a failure: no new work for a while, longer each time."""
-        self.failures += 1
-        factor = min(2 ** (self.failures - 1), 8)
-        self._ejected_until = self._clock() + EJECTION_SECONDS * factor
+        self.health.note_failure()
+        self.limit.note_failure()
 
     def note_leaving(self) -> None:
         """Learn from the server itself that it takes no new work."""
@@ -130,3 +204,5 @@
             yield
         finally:
             self.in_flight -= 1
+            if self._on_release is not None:
+                self._on_release()
--- a/src/swiftjunction/configuration/_settings.py
+++ b/src/swiftjunction/configuration/_settings.py
@@ -40,6 +40,8 @@
         ``live``, ``internal`` or ``samples`` [live].
     max_in_flight : int
         Requests of this path at once on each entry [256].
+    team_max_in_flight : int
+        Requests of the whole team at once on each entry [none].
     policy : str
         The routing policy [two-choices].
     checks_fencing : bool
@@ -55,6 +57,7 @@
     timeout_seconds: Seconds | None = None
     request_class: typing.Literal['live', 'internal', 'samples'] | None = None
     max_in_flight: Count | None = None
+    team_max_in_flight: Count | None = None
     policy: (
         typing.Literal[
             'round-robin', 'least-outstanding', 'two-choices', 'prefix'
--- a/src/swiftjunction/daemons/_entry.py
+++ b/src/swiftjunction/daemons/_entry.py
@@ -52,12 +52,29 @@
             ),
             self.metrics,
         )
-        self.dump.add('in_flight', lambda: self._admission.in_flight)
+        self.dump.add('admission', self._admission.summarize)
+        self.dump.add('waiting', router.count_waiting)
 
     def build_app(self) -> collections.abc.Callable:
         """Return the HTTP application."""
         return requests.build_app(self._live, self.common_routes())
 
+    def list_tasks(self) -> list[_daemon.Task]:
+        """Return the watch over this entry's own load."""
+        return [self._watch_overload]
+
+    async def _watch_overload(self) -> None:
+        detector = requests.OverloadDetector()
+        while True:
+            due = anyio.current_time() + requests.CHECK_INTERVAL_SECONDS
+            await anyio.sleep(requests.CHECK_INTERVAL_SECONDS)
+            overloaded = detector.note(
+                anyio.current_time() - due, self._admission.is_overloaded()
+            )
+            state = 'overloaded' if overloaded else 'live'
+            if self.announcement.process.state not in ('draining', state):
+                self.announcement.set_state(state)
+
     async def drain(self) -> None:
         """Serve on until callers' addresses have run out."""
         await anyio.sleep(
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -22,6 +22,7 @@
     'RequestInvalid',
     'RevisionConflict',
     'ServerCrashed',
+    'ServersBusy',
     'SettingsError',
     'StepElsewhere',
     'StepEnded',
@@ -167,6 +168,10 @@
     outcome = 'not-run'
 
 
+class ServersBusy(NotRun):
+    """Every backend server that could run the request is at its limit."""
+
+
 class PoisonRefused(RequestError):
     """The request crashed several backend servers and is not run again."""
 
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -10,6 +10,8 @@
 from swiftjunction.requests._forwarding import Forwarder
 from swiftjunction.requests._generation import GenerationCall
 from swiftjunction.requests._generation import Generator
+from swiftjunction.requests._overload import CHECK_INTERVAL_SECONDS
+from swiftjunction.requests._overload import OverloadDetector
 from swiftjunction.requests._segments import join_segments
 from swiftjunction.requests._segments import Segment
 from swiftjunction.requests._suspects import make_fingerprint
@@ -18,12 +20,14 @@
 __all__ = [
     'AddressBook',
     'Admission',
+    'CHECK_INTERVAL_SECONDS',
     'Claims',
     'ForwardedCall',
     'Forwarder',
     'GenerationCall',
     'Generator',
     'LiveApp',
+    'OverloadDetector',
     'RetryBudget',
     'Segment',
     'SuspectList',
--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -140,6 +140,7 @@
             max_tokens=body.max_tokens,
             deadline=_read_deadline(request, settings),
             seed=body.seed,
+            priority=_admission.find_priority(settings),
             idempotent=request.headers.get('x-idempotent') != 'false',
         )
 
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -139,17 +139,20 @@
     async def _attempt(
         self, call: ForwardedCall, excluded: set[str], alone: bool
     ) -> backends.ServiceAnswer:
-        server = self._router.choose(
+        server = await self._router.acquire(
             routing.RoutingRequest(
                 path=call.path,
                 service=call.settings.service or '',
                 excluded=frozenset(excluded),
                 alone=alone,
+                request_class=call.settings.request_class or 'live',
+                deadline=call.deadline,
             ),
             call.settings.policy or '',
         )
         excluded.add(server.name)
         began = self._suspects.now()
+        started_at = anyio.current_time()
         remaining_seconds = max(call.deadline - anyio.current_time(), 0.001)
         service_call = msgspec.structs.replace(
             call.service_call, timeout_seconds=remaining_seconds
@@ -169,4 +172,5 @@
                 self._suspects.note_crash(call.fingerprint, server.name, began)
             raise
         server.note_success()
+        server.note_latency(anyio.current_time() - started_at)
         return answer
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -22,6 +22,10 @@
 
 MAX_ATTEMPTS = 6
 NO_SERVER_WAIT_SECONDS = 0.1
+# Within this time new weights are on all engines, or something is wrong.
+FRESH_WAIT_SECONDS = 8.0
+# How long a service without one live server may be a mere blip.
+BLIP_SECONDS = 1.0
 
 
 class GenerationCall(msgspec.Struct, frozen=True):
@@ -50,6 +54,13 @@
         """Return the model that serves the path."""
         return self.settings.model or ''
 
+    @property
+    def request_class(self) -> str:
+        """Return the class; a sample is one whatever its path's class."""
+        if self.priority < 0:
+            return 'samples'
+        return self.settings.request_class or 'live'
+
     @property
     def fingerprint(self) -> str:
         """Return what is the same when the request is sent again."""
@@ -107,7 +118,14 @@
         Knows the requests that servers crashed under.
     """
 
-    __slots__ = ('_board', '_budget', '_engines', '_router', '_suspects')
+    __slots__ = (
+        '_board',
+        '_budget',
+        '_engines',
+        '_missing',
+        '_router',
+        '_suspects',
+    )
 
     def __init__(
         self,
@@ -120,6 +138,7 @@
         self._router = router
         self._suspects = suspects
         self._engines = engines
+        self._missing: set[tuple[str, int]] = set()
         self._board = board
         self._budget = budget
 
@@ -194,10 +213,14 @@
             timeout_seconds=self._remaining(call),
         )
         finished = False
+        started_at: float | None = anyio.current_time()
         stream = self._read_through_breaks(server, engine_call, progress)
         try:
             async with contextlib.aclosing(stream) as chunks:
                 async for chunk in chunks:
+                    if started_at is not None:
+                        server.note_latency(anyio.current_time() - started_at)
+                        started_at = None
                     server.note_version(chunk.weight_version)
                     self._board.check(
                         call.model, chunk.weight_version, call.bound
@@ -247,27 +270,65 @@
     async def _find_server(
         self, call: GenerationCall, progress: _Progress, alone: bool
     ) -> backends.BackendServer:
-        """Return the next server, waiting for one while the deadline lets."""
+        """Return the next server, waiting while one may come.
+
+        A request that nobody will serve in time is given up at once.
+        """
+        started_at = anyio.current_time()
         while True:
-            remaining_seconds = self._remaining(call)
             try:
-                request = routing.RoutingRequest(
-                    path=call.path,
-                    service=call.model,
-                    prompt=call.prompt,
-                    min_version=self._board.find_oldest(
-                        call.model, call.bound
-                    ),
-                    excluded=frozenset(progress.excluded),
-                    alone=alone,
+                request = self._describe(call, progress, alone)
+                server = await self._router.acquire(
+                    request, call.settings.policy or ''
                 )
-                return self._router.choose(request, call.settings.policy or '')
-            except (errors.NotRun, errors.StaleWeights) as error:
-                if remaining_seconds <= NO_SERVER_WAIT_SECONDS:
+                self._missing.clear()
+                return server
+            except (errors.ServersBusy, errors.StaleWeights) as error:
+                # A newer version than the newest comes with no notice.
+                raise self._give_up(progress, error) from error
+            except errors.NotRun as error:
+                waited_seconds = anyio.current_time() - started_at
+                if not self._may_wait(request, waited_seconds):
                     raise self._give_up(progress, error) from error
             progress.excluded.clear()
             await anyio.sleep(NO_SERVER_WAIT_SECONDS)
 
+    def _describe(
+        self, call: GenerationCall, progress: _Progress, alone: bool
+    ) -> routing.RoutingRequest:
+        return routing.RoutingRequest(
+            path=call.path,
+            service=call.model,
+            prompt=call.prompt,
+            min_version=self._board.find_oldest(call.model, call.bound),
+            excluded=frozenset(progress.excluded),
+            alone=alone,
+            request_class=call.request_class,
+            deadline=call.deadline,
+        )
+
+    def _may_wait(
+        self, request: routing.RoutingRequest, waited_seconds: float
+    ) -> bool:
+        """Tell whether a server that may run the request can come in time.
+
+        What one request has waited for in vain, the next ones do not wait
+        for: until an engine has the version, they are refused at once.
+        """
+        wanted = (request.service, request.min_version)
+        if wanted in self._missing and not request.is_narrow():
+            return False
+        limit_seconds = (
+            FRESH_WAIT_SECONDS
+            if self._router.has_live(request.service)
+            else BLIP_SECONDS
+        )
+        if waited_seconds >= limit_seconds:
+            self._missing = {wanted}
+            return False
+        remaining_seconds = request.deadline - anyio.current_time()
+        return remaining_seconds > NO_SERVER_WAIT_SECONDS
+
     def _remaining(self, call: GenerationCall) -> float:
         return max(call.deadline - anyio.current_time(), 0.0)
 
@@ -320,7 +381,12 @@
         kind = (
             errors.NotRun if never_sent and not ran else errors.OutcomeUnknown
         )
-        return kind(error.message, step=error.step, peer=error.peer)
+        return kind(
+            error.message,
+            step=error.step,
+            peer=error.peer,
+            retry_after_seconds=getattr(error, 'retry_after_seconds', 1.0),
+        )
 
     async def _cancel(
         self, server: backends.BackendServer, request_id: str
--- a/src/swiftjunction/routing/__init__.py
+++ b/src/swiftjunction/routing/__init__.py
@@ -1,19 +1,29 @@
 """Which backend server gets a request."""
 
+from swiftjunction.routing._blocks import BLOCK_CHARS
+from swiftjunction.routing._blocks import hash_blocks
+from swiftjunction.routing._holders import CacheEvent
+from swiftjunction.routing._holders import PrefixHolders
 from swiftjunction.routing._pipeline import Route
 from swiftjunction.routing._pipeline import Router
 from swiftjunction.routing._policy import Policy
 from swiftjunction.routing._policy import RoutingRequest
+from swiftjunction.routing._prefix import PrefixAffinity
 from swiftjunction.routing._simple import LeastOutstanding
 from swiftjunction.routing._simple import RoundRobin
 from swiftjunction.routing._simple import TwoChoices
 
 __all__ = [
+    'BLOCK_CHARS',
+    'CacheEvent',
     'LeastOutstanding',
     'Policy',
+    'PrefixAffinity',
+    'PrefixHolders',
     'RoundRobin',
     'Route',
     'Router',
     'RoutingRequest',
     'TwoChoices',
+    'hash_blocks',
 ]
--- a/src/swiftjunction/routing/_policy.py
+++ b/src/swiftjunction/routing/_policy.py
@@ -2,11 +2,13 @@
 
 import abc
 import collections.abc
+import math
 
 import msgspec
 
 from swiftjunction import backends
 
+Server = backends.BackendServer
 Candidates = collections.abc.Sequence[backends.BackendServer]
 
 
@@ -21,6 +23,10 @@
         Servers that failed this request.
     alone : bool
         Whether it must not share its server, nor have the last one.
+    request_class : str
+        ``live``, ``internal`` or ``samples``.
+    deadline : float
+        On the event loop's clock, in seconds.
     """
 
     path: str
@@ -29,6 +35,12 @@
     min_version: int = 0
     excluded: frozenset[str] = frozenset()
     alone: bool = False
+    request_class: str = 'live'
+    deadline: float = math.inf
+
+    def is_narrow(self) -> bool:
+        """Tell whether it can use only some of the service's servers."""
+        return self.alone or bool(self.excluded)
 
 
 class Policy(abc.ABC):
--- a/src/swiftjunction/routing/_simple.py
+++ b/src/swiftjunction/routing/_simple.py
@@ -47,7 +47,7 @@
 
 
 class TwoChoices(_policy.Policy):
-    """Takes the less loaded of two servers drawn at random.
+    """Takes the one of two servers, drawn at random, that is done earlier.
 
     Reported load is old and the same for every entry, so that a minimum over
     it would send all of them to one server at once. Drawing two keeps them
@@ -68,10 +68,30 @@
     ) -> backends.BackendServer:
         if len(candidates) == 1:
             return candidates[0]
-        first, second = self._rng.sample(list(candidates), 2)
-        return min(first, second, key=estimate_load)
+        first, second = self._rng.sample(candidates, 2)
+        return choose_earlier(first, second)
+
+
+def choose_earlier(
+    first: backends.BackendServer, second: backends.BackendServer
+) -> backends.BackendServer:
+    """Return the server that is expected to answer first.
+
+    A latency that is not known is taken to be the other one's.
+    """
+    first_seconds = first.latency_seconds
+    second_seconds = second.latency_seconds
+    first_cost = estimate_load(first) * (first_seconds or second_seconds or 1)
+    second_cost = estimate_load(second) * (
+        second_seconds or first_seconds or 1
+    )
+    return first if first_cost <= second_cost else second
 
 
 def estimate_load(server: backends.BackendServer) -> float:
-    """Return reported load and own requests as one number."""
-    return server.load * LOAD_WEIGHT_REQUESTS + server.in_flight
+    """Return reported load and own requests, the next one too, as one number.
+
+    A server that is new or just came back counts as fuller than it is.
+    """
+    requests = server.recent_load * LOAD_WEIGHT_REQUESTS + server.in_flight + 1
+    return requests / server.health.compute_share()
--- a/src/swiftjunction/standins/_prefixes.py
+++ b/src/swiftjunction/standins/_prefixes.py
@@ -2,19 +2,7 @@
 
 import collections
 
-import xxhash
-
-BLOCK_CHARS = 32
-
-
-def hash_blocks(prompt: str) -> list[str]:
-    """Return a chained hash for each whole block of `prompt`."""
-    hashes = []
-    digest = xxhash.xxh3_64()
-    for start in range(0, len(prompt) - BLOCK_CHARS + 1, BLOCK_CHARS):
-        digest.update(prompt[start : start + BLOCK_CHARS].encode())
-        hashes.append(digest.hexdigest())
-    return hashes
+from swiftjunction import routing
 
 
 class PrefixCache:
@@ -42,7 +30,7 @@
         """Cache `prompt` and return how many of its characters were."""
         hits = 0
         missed = False
-        for block in hash_blocks(prompt):
+        for block in routing.hash_blocks(prompt):
             if block in self._blocks and not missed:
                 hits += 1
             else:
@@ -53,7 +41,7 @@
         while len(self._blocks) > self._max_blocks:
             removed, _ = self._blocks.popitem(last=False)
             self.changes.append((removed, False))
-        return hits * BLOCK_CHARS
+        return hits * routing.BLOCK_CHARS
 
     def clear(self) -> None:
         """Forget everything, as at a swap of weights."""
--- /dev/null
+++ b/tests/cover/test_routing.py
@@ -0,0 +1,217 @@
+import collections
+import math
+import random
+
+import msgspec
+import pytest
+
+from swiftjunction import backends
+from swiftjunction import errors
+from swiftjunction import membership
+from swiftjunction import routing
+
+
+class Servers:
+    """A directory whose servers the tests change."""
+
+    def __init__(self, clock, *data_centers):
+        self.table = membership.RecordTable()
+        self.directory = backends.Directory(self.table, clock)
+        self.router = routing.Router(
+            self.directory, 'dc-1', random.Random('routing')
+        )
+        for number, data_center in enumerate(data_centers):
+            self.report(f's{number}', data_center)
+        clock.now += 60
+
+    def report(self, name, data_center='dc-1', state='live', version=1):
+        report = backends.ServerReport(
+            name, f'{name}:1', 'fit', data_center, '', state, version
+        )
+        self.table.put(f'server/{name}', msgspec.msgpack.encode(report))
+
+    def __getitem__(self, name):
+        return self.directory.get(name)
+
+    def count(self, policy, times=200, **request):
+        asked = routing.RoutingRequest('demo', 'fit', **request)
+        return collections.Counter(
+            self.router.choose(asked, policy).name for _ in range(times)
+        )
+
+
+POLICIES = ['round-robin', 'least-outstanding', 'two-choices', 'prefix']
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+@pytest.mark.parametrize(
+    'request_', [{}, {'prompt': 'p' * 64}], ids=['short', 'long']
+)
+def test_never_chooses_a_server_that_may_not_run_it(clock, policy, request_):
+    servers = Servers(clock, *['dc-1'] * 5)
+    servers['s0'].note_leaving()
+    servers.report('s1', state='leaving')
+    servers.report('s2', version=0)
+    chosen = servers.count(
+        policy, min_version=1, excluded=frozenset({'s3'}), **request_
+    )
+    assert set(chosen) == {'s4'}
+
+
+@pytest.mark.parametrize('policy', ['least-outstanding', 'two-choices'])
+def test_avoids_the_server_with_the_most_of_our_own_requests(clock, policy):
+    servers = Servers(clock, 'dc-1', 'dc-1', 'dc-1')
+    servers['s0'].in_flight = 5
+    assert 's0' not in servers.count(policy)
+
+
+def test_avoids_a_server_that_answers_ten_times_slower(clock):
+    servers = Servers(clock, *['dc-1'] * 4)
+    for name, seconds in zip(['s0', 's1', 's2', 's3'], [1, 0.1, 0.1, 0.1]):
+        servers[name].note_latency(seconds)
+    assert 's0' not in servers.count('two-choices')
+
+
+def test_tries_a_slow_server_again_when_its_latency_is_old(clock):
+    servers = Servers(clock, 'dc-1', 'dc-1')
+    servers['s0'].note_latency(1)
+    clock.now += 60
+    servers['s1'].note_latency(0.1)
+    assert servers.count('two-choices')['s0'] > 0
+
+
+def test_does_not_herd_on_the_server_with_the_lowest_old_report(clock):
+    servers = Servers(clock, *['dc-1'] * 10)
+    for number in range(1, 10):
+        servers[f's{number}'].load = 0.5
+    share = servers.count('two-choices', times=1000)['s0'] / 1000
+    # Each of two drawn servers is s0 with one in ten.
+    assert share < 0.25
+
+
+@pytest.mark.parametrize(
+    ('near_load', 'uses_far'), [(0.2, False), (0.7, False), (0.9, True)]
+)
+def test_spills_over_when_near_servers_are_loaded(clock, near_load, uses_far):
+    servers = Servers(clock, 'dc-1', 'dc-1', 'dc-2', 'dc-2')
+    for name in ('s0', 's1'):
+        servers[name].load = near_load
+    chosen = set(servers.count('two-choices'))
+    assert bool(chosen & {'s2', 's3'}) is uses_far
+
+
+def test_does_not_spill_over_to_servers_that_are_as_loaded(clock):
+    servers = Servers(clock, 'dc-1', 'dc-2')
+    for name in ('s0', 's1'):
+        servers[name].load = 0.9
+    assert set(servers.count('two-choices')) == {'s0'}
+
+
+@pytest.mark.parametrize(
+    ('servers', 'failed', 'left'),
+    [(4, 1, 3), (4, 2, 2), (4, 3, 2), (4, 4, 2), (5, 5, 3), (1, 1, 1)],
+)
+def test_ejects_at_most_half_of_the_servers(clock, servers, failed, left):
+    fleet = Servers(clock, *['dc-1'] * servers)
+    for number in range(failed):
+        fleet[f's{number}'].note_failure()
+    assert len(fleet.count('round-robin')) == left
+
+
+def test_failures_at_the_same_time_count_as_one(clock):
+    server = Servers(clock, 'dc-1')['s0']
+    for _ in range(50):
+        server.note_failure()
+    assert server.health.ejected_seconds == 3
+
+
+def test_each_failure_in_a_row_ejects_for_longer(clock):
+    server = Servers(clock, 'dc-1')['s0']
+    lasted = []
+    for _ in range(6):
+        server.note_failure()
+        lasted.append(server.health.ejected_seconds)
+        clock.now += lasted[-1]
+    assert lasted == [3, 6, 12, 24, 24, 24]
+
+
+@pytest.mark.parametrize('how', ['new', 'returned', 'ejected'])
+def test_a_server_that_comes_to_work_gets_its_share_slowly(clock, how):
+    servers = Servers(clock, *['dc-1'] * 4)
+    if how == 'new':
+        servers.report('s4')
+    elif how == 'returned':
+        servers.report('s3', state='leaving')
+        servers.report('s3')
+    else:
+        servers['s3'].note_failure()
+        clock.now += 3
+    name = 's4' if how == 'new' else 's3'
+    for other in servers.directory.select('fit'):
+        other.in_flight = 2
+    servers[name].in_flight = 1
+    assert name not in servers.count('two-choices')
+    clock.now += 10
+    assert servers.count('two-choices')[name] > 50
+
+
+def test_a_server_that_returns_after_it_left_is_used(clock):
+    servers = Servers(clock, 'dc-1')
+    servers['s0'].note_leaving()
+    servers.report('s0', state='leaving')
+    servers.report('s0')
+    assert servers.count('two-choices')['s0'] == 200
+
+
+def test_a_server_that_is_gone_is_forgotten(clock):
+    servers = Servers(clock, 'dc-1', 'dc-1')
+    servers.report('s0', state='gone')
+    assert servers['s0'] is None
+    assert set(servers.directory.summarize()) == {'s1'}
+
+
+def test_the_limit_of_each_server_is_kept(clock):
+    servers = Servers(clock, 'dc-1', 'dc-1')
+    servers['s0'].in_flight = servers['s0'].limit.requests
+    assert set(servers.count('round-robin')) == {'s1'}
+    servers['s1'].in_flight = servers['s1'].limit.requests
+    with pytest.raises(errors.ServersBusy):
+        servers.count('round-robin')
+
+
+def test_the_limit_falls_with_latency_and_rises_without(clock):
+    server = Servers(clock, 'dc-1')['s0']
+    server.in_flight = 16
+
+    def answer(windows, seconds):
+        for _ in range(windows * 16):
+            server.note_latency(seconds)
+        return server.limit.requests
+
+    assert answer(5, 0.1) == 21
+    assert answer(20, 0.5) < 5
+    server.in_flight = 4
+    assert answer(10, 0.1) > 8
+
+
+def test_the_limit_never_reaches_zero(clock):
+    server = Servers(clock, 'dc-1')['s0']
+    for _ in range(100):
+        server.note_failure()
+        clock.now += 60
+    assert server.limit.requests == 2
+
+
+def test_an_unused_limit_does_not_grow(clock):
+    server = Servers(clock, 'dc-1')['s0']
+    for _ in range(1000):
+        server.note_latency(0.1)
+    assert server.limit.requests == 16
+
+
+@pytest.mark.parametrize('load', [0.0, 5.0, math.pi])
+def test_a_load_report_loses_its_weight_with_age(clock, load):
+    server = Servers(clock, 'dc-1')['s0']
+    server.load = load
+    clock.now += 4
+    assert server.recent_load == pytest.approx(load / 4)
--- /dev/null
+++ b/tests/cover/test_routing_waiting.py
@@ -0,0 +1,122 @@
+import anyio
+import pytest
+
+from swiftjunction import errors
+from swiftjunction import routing
+from tests.cover import test_routing
+
+pytestmark = pytest.mark.anyio
+
+
+def fill(servers):
+    for server in servers.directory.select('fit'):
+        server.in_flight = server.limit.requests
+
+
+def release(server):
+    with server.track():
+        server.in_flight -= 1
+
+
+async def acquire(servers, request_class='live', seconds=5.0, excluded=()):
+    return await servers.router.acquire(
+        routing.RoutingRequest(
+            'demo',
+            'fit',
+            excluded=frozenset(excluded),
+            request_class=request_class,
+            deadline=anyio.current_time() + seconds,
+        ),
+        'two-choices',
+    )
+
+
+async def test_waits_for_a_place_and_takes_it(clock):
+    servers = test_routing.Servers(clock, 'dc-1')
+    fill(servers)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(acquire, servers)
+        await anyio.wait_all_tasks_blocked()
+        assert servers.router.count_waiting() == {'fit': 1}
+        release(servers['s0'])
+    assert servers.router.count_waiting() == {'fit': 0}
+
+
+async def test_live_requests_come_before_others_in_order_of_arrival(clock):
+    servers = test_routing.Servers(clock, 'dc-1')
+    fill(servers)
+    served = []
+
+    async def ask(name, request_class):
+        server = await acquire(servers, request_class)
+        served.append(name)
+        server.in_flight += 1
+
+    async with anyio.create_task_group() as tasks:
+        for name, request_class in [
+            ('sample', 'samples'),
+            ('lookup', 'internal'),
+            ('first', 'live'),
+            ('second', 'live'),
+        ]:
+            tasks.start_soon(ask, name, request_class)
+            await anyio.wait_all_tasks_blocked()
+        for _ in range(4):
+            release(servers['s0'])
+            await anyio.wait_all_tasks_blocked()
+    assert served == ['first', 'second', 'lookup', 'sample']
+
+
+@pytest.mark.parametrize('seconds', [0.0, 0.05])
+async def test_gives_up_at_the_deadline_and_leaves_the_line(clock, seconds):
+    servers = test_routing.Servers(clock, 'dc-1')
+    fill(servers)
+    with pytest.raises(errors.ServersBusy):
+        await acquire(servers, seconds=seconds)
+    assert servers.router.count_waiting() == {'fit': 0}
+
+
+async def test_refuses_at_once_who_would_wait_too_long(clock):
+    servers = test_routing.Servers(clock, 'dc-1')
+    for _ in range(4):
+        await acquire(servers)
+        await anyio.sleep(0.01)
+    fill(servers)
+    async with anyio.create_task_group() as tasks:
+        for _ in range(300):
+            tasks.start_soon(acquire, servers, 'samples', 60)
+        await anyio.wait_all_tasks_blocked()
+        with pytest.raises(errors.ServersBusy) as caught:
+            with anyio.fail_after(0.1):
+                await acquire(servers, 'samples', seconds=0.2)
+        assert 0.2 <= caught.value.retry_after_seconds <= 30
+        tasks.cancel_scope.cancel()
+
+
+async def test_one_that_cannot_use_the_free_server_lets_the_next_try(clock):
+    servers = test_routing.Servers(clock, 'dc-1', 'dc-1')
+    fill(servers)
+    served = []
+
+    async def ask(excluded):
+        server = await acquire(servers, excluded=excluded)
+        served.append(server.name)
+        server.in_flight += 1
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask, ['s0'])
+        await anyio.wait_all_tasks_blocked()
+        tasks.start_soon(ask, [])
+        await anyio.wait_all_tasks_blocked()
+        release(servers['s0'])
+        await anyio.wait_all_tasks_blocked()
+        assert served == ['s0']
+        release(servers['s1'])
+    assert served == ['s0', 's1']
+
+
+async def test_a_service_with_no_server_is_refused_at_once(clock):
+    servers = test_routing.Servers(clock)
+    with pytest.raises(errors.NotRun) as caught:
+        await acquire(servers)
+    assert not isinstance(caught.value, errors.ServersBusy)
