--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from swiftjunction.backends import _limit
 from swiftjunction.backends import _server
 from swiftjunction import links
 from swiftjunction import membership
@@ -23,9 +24,20 @@
         The records of this daemon.
     clock : callable
         Returns seconds.
+
+    Attributes
+    ----------
+    tolerance : float
+        Of the concurrency limits of servers that are found from now on.
     """
 
-    __slots__ = ('_by_service', '_clock', '_listeners', '_servers')
+    __slots__ = (
+        '_by_service',
+        '_clock',
+        '_listeners',
+        '_servers',
+        'tolerance',
+    )
 
     def __init__(
         self,
@@ -33,6 +45,7 @@
         clock: collections.abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self._clock = clock
+        self.tolerance = _limit.LIVE_TOLERANCE
         self._listeners: list[Listener] = []
         self._servers: dict[str, _server.BackendServer] = {}
         self._by_service: dict[str, dict[str, _server.BackendServer]] = {}
@@ -65,6 +78,7 @@
             report,
             self._clock,
             lambda: self._notify(server.report.service),
+            self.tolerance,
         )
         self._servers[report.name] = server
         return server
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -52,6 +52,8 @@
         Returns seconds.
     on_release : callable, optional
         Called when a request has left the server.
+    tolerance : float
+        Of its concurrency limit.
 
     Attributes
     ----------
@@ -74,6 +76,7 @@
         '_load',
         '_load_at',
         '_on_release',
+        '_waits',
         'health',
         'in_flight',
         'left',
@@ -88,10 +91,11 @@
         report: ServerReport,
         clock: collections.abc.Callable[[], float] = time.monotonic,
         on_release: collections.abc.Callable[[], None] | None = None,
+        tolerance: float = _limit.LIVE_TOLERANCE,
     ) -> None:
         self.report = report
         self.health = _health.Health(clock)
-        self.limit = _limit.ConcurrencyLimit()
+        self.limit = _limit.ConcurrencyLimit(tolerance)
         self.in_flight = 0
         self.weight_version = report.weight_version
         self.left = False
@@ -102,6 +106,8 @@
         self._load_at = clock()
         self._latency_seconds = 0.0
         self._latency_at = clock()
+        # In the order in which they began: the first one is the oldest.
+        self._waits: dict[Wait, None] = {}
 
     @property
     def name(self) -> str:
@@ -131,11 +137,19 @@
 
     @property
     def latency_seconds(self) -> float:
-        """Return the mean latency of late, less the older it is."""
-        age_seconds = self._clock() - self._latency_at
-        return self._latency_seconds * 0.5 ** (
+        """Return the mean latency of late, less the older it is.
+
+        A request that has waited for longer than that counts too: a server
+        that hangs gives no answers to learn from.
+        """
+        now = self._clock()
+        age_seconds = now - self._latency_at
+        mean_seconds = self._latency_seconds * 0.5 ** (
             age_seconds / LATENCY_HALF_LIFE_SECONDS
         )
+        for wait in self._waits:
+            return max(mean_seconds, now - wait.started_at)
+        return mean_seconds
 
     def is_live(self) -> bool:
         """Tell whether it takes new work, as far as is known."""
@@ -165,9 +179,20 @@
         """Learn the version from an answer, which is newer than a report."""
         self.weight_version = max(self.weight_version, version)
 
+    def start_wait(self) -> 'Wait':
+        """Begin to wait for an answer, or for its first chunk."""
+        wait = Wait(self, self._clock())
+        self._waits[wait] = None
+        return wait
+
+    def end_wait(self, wait: 'Wait') -> None:
+        """Learn how long it took, also where no answer came."""
+        del self._waits[wait]
+        self.note_latency(self._clock() - wait.started_at)
+
     def note_latency(self, seconds: float) -> None:
         """Learn how long an answer, or its first chunk, took."""
-        self.limit.note_latency(seconds, self.in_flight)
+        self.limit.note_latency(seconds, self.in_flight, self._clock())
         held = self._latency_seconds
         self._latency_seconds = (
             held + LATENCY_WEIGHT * (seconds - held) if held else seconds
@@ -206,3 +231,25 @@
             self.in_flight -= 1
             if self._on_release is not None:
                 self._on_release()
+
+
+class Wait:
+    """One request's wait for the first that a server answers.
+
+    Attributes
+    ----------
+    started_at : float
+        On the server's clock, in seconds.
+    """
+
+    __slots__ = ('_server', 'started_at')
+
+    def __init__(self, server: BackendServer, started_at: float) -> None:
+        self._server: BackendServer | None = server
+        self.started_at = started_at
+
+    def end(self) -> None:
+        """End it; a second time has no effect."""
+        if self._server is not None:
+            self._server.end_wait(self)
+            self._server = None
--- a/src/swiftjunction/daemons/_rollout.py
+++ b/src/swiftjunction/daemons/_rollout.py
@@ -19,6 +19,7 @@
         self.exchange.set_peers(
             {config.link_address(config.conductor.link_port)}
         )
+        self.directory.tolerance = backends.SAMPLE_TOLERANCE
         router = routing.Router(
             self.directory, config.vm.data_center, self.rng
         )
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -152,7 +152,7 @@
         )
         excluded.add(server.name)
         began = self._suspects.now()
-        started_at = anyio.current_time()
+        wait = server.start_wait()
         remaining_seconds = max(call.deadline - anyio.current_time(), 0.001)
         service_call = msgspec.structs.replace(
             call.service_call, timeout_seconds=remaining_seconds
@@ -171,6 +171,7 @@
             if await self._services.is_crashed(server):
                 self._suspects.note_crash(call.fingerprint, server.name, began)
             raise
+        finally:
+            wait.end()
         server.note_success()
-        server.note_latency(anyio.current_time() - started_at)
         return answer
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -213,14 +213,12 @@
             timeout_seconds=self._remaining(call),
         )
         finished = False
-        started_at: float | None = anyio.current_time()
+        wait = server.start_wait()
         stream = self._read_through_breaks(server, engine_call, progress)
         try:
             async with contextlib.aclosing(stream) as chunks:
                 async for chunk in chunks:
-                    if started_at is not None:
-                        server.note_latency(anyio.current_time() - started_at)
-                        started_at = None
+                    wait.end()
                     server.note_version(chunk.weight_version)
                     self._board.check(
                         call.model, chunk.weight_version, call.bound
@@ -230,6 +228,7 @@
                     if fresh is not None:
                         yield fresh
         finally:
+            wait.end()
             if not finished:
                 await self._cancel(server, engine_call.request_id)
 
--- a/src/swiftjunction/routing/_prefix.py
+++ b/src/swiftjunction/routing/_prefix.py
@@ -64,7 +64,7 @@
     def _find_holder(
         self, candidates: _policy.Candidates, blocks: list[str]
     ) -> backends.BackendServer | None:
-        loads = {s.name: _simple.estimate_load(s) for s in candidates}
+        loads = _simple.compare_loads(candidates)
         mean = sum(loads.values()) / len(loads)
         bound = mean * LOAD_BOUND + LOAD_SLACK_REQUESTS
         below = {s.name: s for s in candidates if loads[s.name] <= bound}
--- a/src/swiftjunction/routing/_simple.py
+++ b/src/swiftjunction/routing/_simple.py
@@ -1,12 +1,14 @@
 """Routing policies that need no memory of earlier requests."""
 
 import random
+import statistics
 
 from swiftjunction import backends
 from swiftjunction.routing import _policy
 
-# How many requests of this process weigh as much as a full server.
-LOAD_WEIGHT_REQUESTS = 8.0
+# How many requests of this process weigh as much as a full server. Higher
+# weights make entries herd on old reports; docs/design/routing.md has figures.
+LOAD_WEIGHT_REQUESTS = 0.5
 
 
 class RoundRobin(_policy.Policy):
@@ -95,3 +97,18 @@
     """
     requests = server.recent_load * LOAD_WEIGHT_REQUESTS + server.in_flight + 1
     return requests / server.health.compute_share()
+
+
+def compare_loads(candidates: _policy.Candidates) -> dict[str, float]:
+    """Return the load of each server, higher for slower servers.
+
+    The latencies are compared with their median, so that the unit stays
+    requests on a server of usual speed.
+    """
+    known = [s.latency_seconds for s in candidates if s.latency_seconds]
+    usual_seconds = statistics.median(known) if known else 1.0
+    return {
+        server.name: estimate_load(server)
+        * ((server.latency_seconds or usual_seconds) / usual_seconds)
+        for server in candidates
+    }
