Send requests past httpx's client layers and httpcore's pool

Cause: a profile of an entry under 600 service calls gave half of the time to httpx: a fifth of all to the walk of httpcore's pool over its connections at each request, another fifth to building and merging URLs, cookies, redirects.

Change: one single-connection transport for each connection, idle ones on a stack; requests of callers go to the transport directly. bench/hop.py measures the entry's processor time over real processes, several source trees in a run.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that measure; they are not shipped with the daemons."""
--- /dev/null
+++ b/bench/hop.py
@@ -0,0 +1,269 @@
+"""Measures the processor time that an entry spends on one hop.
+
+Starts one VM's conductor and entry and the stand-ins as processes, and reads
+the entry's processor time before and after a number of requests. Several
+source trees can be measured in one run, to compare versions:
+
+    python -m bench.hop --source old=OLD/src --source new=src
+"""
+
+import argparse
+import collections.abc
+import contextlib
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+import anyio
+import httpx
+import msgspec
+
+from swiftjunction.demo import _fleet
+from swiftjunction import standins
+
+REQUESTS = 400
+CONCURRENCY = 8
+READY_TIMEOUT_SECONDS = 30.0
+STREAM_TOKENS = 400
+TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
+
+SETTINGS = """
+[vm]
+name = "entry-1"
+ip = "127.0.0.1"
+data_center = "dc-1"
+region = "loopback"
+[platform]
+objects = "http://127.0.0.1:{objects}"
+vms = "http://127.0.0.1:{vms}"
+weights = "http://127.0.0.1:{weights}"
+[entry]
+port = {entry}
+link_port = {entry_link}
+[conductor]
+port = {conductor}
+link_port = {conductor_link}
+"""
+STANDINS = """
+objects_port = {objects}
+vms_port = {vms}
+weights_port = {weights}
+[[engines]]
+name = "engine-1"
+port = {engine}
+model = "fit"
+data_center = "dc-1"
+[[services]]
+name = "server-1"
+port = {server}
+service = "sizing"
+data_center = "dc-1"
+"""
+PORTS = (
+    'objects',
+    'vms',
+    'weights',
+    'entry',
+    'entry_link',
+    'conductor',
+    'conductor_link',
+    'engine',
+    'server',
+)
+
+
+class HopFigures(msgspec.Struct):
+    """Processor time of the entry, in milliseconds.
+
+    Attributes
+    ----------
+    service_ms : float
+        One call of a plain service.
+    completion_ms : float
+        One short completion, not streamed.
+    chunk_us : float
+        One more chunk of a stream, in microseconds.
+    """
+
+    service_ms: float
+    completion_ms: float
+    chunk_us: float
+
+
+def read_cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rsplit(')', 1)[1]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / TICKS_PER_SECOND
+
+
+@contextlib.contextmanager
+def start_programs(
+    source: str, ports: dict[str, int], folder: pathlib.Path
+) -> collections.abc.Iterator[dict[str, subprocess.Popen]]:
+    """Run the programs of one source tree during the body."""
+    (folder / 'vm.toml').write_text(SETTINGS.format(**ports))
+    (folder / 'standins.toml').write_text(STANDINS.format(**ports))
+    programs = {}
+    environment = os.environ | {'PYTHONPATH': str(pathlib.Path(source))}
+    for name, file in (
+        ('standin', 'standins.toml'),
+        ('conductor', 'vm.toml'),
+        ('entry', 'vm.toml'),
+    ):
+        code = f'from swiftjunction import commands; commands.run_{name}()'
+        programs[name] = subprocess.Popen(
+            [sys.executable, '-c', code, '--config', str(folder / file)],
+            env=environment,
+            stderr=subprocess.DEVNULL,
+        )
+    try:
+        yield programs
+    finally:
+        for program in programs.values():
+            program.kill()
+        for program in programs.values():
+            program.wait()
+
+
+async def wait_ready(client: httpx.AsyncClient, ports: dict[str, int]) -> None:
+    """Configure the paths and wait for the first answers."""
+    conductor = f'http://127.0.0.1:{ports["conductor"]}'
+    change = {
+        'version': 0,
+        'author': 'bench',
+        'paths': {'t/fit': {'model': 'fit'}, 't/s': {'service': 'sizing'}},
+    }
+    with anyio.fail_after(READY_TIMEOUT_SECONDS):
+        await _until_done(
+            client, 'POST', f'{conductor}/v1/configuration/t', change
+        )
+        await _until_done(
+            client, 'POST', f'{conductor}/v1/weights/fit/versions', None
+        )
+        entry = f'http://127.0.0.1:{ports["entry"]}'
+        await _until_done(
+            client, 'POST', f'{entry}/v1/completions', _completion(4)
+        )
+        await _until_done(client, 'GET', f'{entry}/services/t/s/x', None)
+
+
+async def _until_done(
+    client: httpx.AsyncClient, method: str, url: str, body: object
+) -> None:
+    while True:
+        try:
+            response = await client.request(method, url, json=body)
+            if response.is_success:
+                return
+        except httpx.HTTPError:
+            pass
+        await anyio.sleep(0.2)
+
+
+def _completion(tokens: int, stream: bool = False) -> dict[str, object]:
+    # The stand-in's answer to this prompt is as long as is asked for.
+    return {
+        'model': 't/fit',
+        'prompt': LONG_PROMPT,
+        'max_tokens': tokens,
+        'stream': stream,
+    }
+
+
+async def run_load(
+    client: httpx.AsyncClient, method: str, url: str, body: object, count: int
+) -> None:
+    """Send `count` requests, some at a time, and read each answer."""
+    limiter = anyio.CapacityLimiter(CONCURRENCY)
+
+    async def send() -> None:
+        async with limiter:
+            response = await client.request(method, url, json=body)
+            response.raise_for_status()
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(count):
+            tasks.start_soon(send)
+
+
+async def measure(source: str) -> HopFigures:
+    """Measure one source tree."""
+    ports = dict(zip(PORTS, _fleet.choose_ports(len(PORTS)), strict=True))
+    entry = f'http://127.0.0.1:{ports["entry"]}'
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        start_programs(source, ports, pathlib.Path(folder)) as programs,
+    ):
+        pid = programs['entry'].pid
+        async with httpx.AsyncClient(timeout=60, trust_env=False) as client:
+            await wait_ready(client, ports)
+            idle = await _measure_idle(pid)
+
+            async def cost(
+                method: str, path: str, body: object, count: int
+            ) -> float:
+                await run_load(client, method, entry + path, body, 40)
+                started, before = time.monotonic(), read_cpu_seconds(pid)
+                await run_load(client, method, entry + path, body, count)
+                spent = read_cpu_seconds(pid) - before
+                return (spent - idle * (time.monotonic() - started)) / count
+
+            service = await cost('GET', '/services/t/s/x', None, REQUESTS)
+            whole = await cost(
+                'POST', '/v1/completions', _completion(4), REQUESTS
+            )
+            short = await cost(
+                'POST', '/v1/completions', _completion(4, True), REQUESTS // 4
+            )
+            long = await cost(
+                'POST',
+                '/v1/completions',
+                _completion(STREAM_TOKENS, True),
+                REQUESTS // 4,
+            )
+    chunks = STREAM_TOKENS / 4 - 1
+    return HopFigures(
+        round(service * 1e3, 3),
+        round(whole * 1e3, 3),
+        round((long - short) * 1e6 / chunks, 1),
+    )
+
+
+async def _measure_idle(pid: int) -> float:
+    before = read_cpu_seconds(pid)
+    await anyio.sleep(3)
+    return (read_cpu_seconds(pid) - before) / 3
+
+
+def find_long_prompt() -> str:
+    """Return a prompt whose answer is as long as may be asked for."""
+    number = 0
+    while standins.count_tokens(f'prompt {number}', 0, 10**6) < STREAM_TOKENS:
+        number += 1
+    return f'prompt {number}'
+
+
+LONG_PROMPT = find_long_prompt()
+
+
+def main() -> None:
+    """Measure each source tree in turn, and print the ratios."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--source', action='append', default=[])
+    parser.add_argument('--rounds', type=int, default=1)
+    arguments = parser.parse_args()
+    sources = dict(
+        pair.split('=', 1) for pair in arguments.source or ['now=src']
+    )
+    for _ in range(arguments.rounds):
+        for name, source in sources.items():
+            figures = anyio.run(measure, str(pathlib.Path(source).resolve()))
+            print(name, msgspec.json.encode(figures).decode(), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -113,16 +113,16 @@
             'generated': call.generated,
             'generated_tokens': call.generated_tokens,
         }
-        request = self._peers.get(server.address).build_request(
+        request = self._peers.peer(server.address).send(
             'POST',
             '/v1/completions',
             content=msgspec.json.encode(body),
-            headers={
-                'content-type': 'application/json',
-                'x-request-id': call.request_id,
-                'x-timeout-seconds': f'{call.timeout_seconds:.3f}',
-            },
-            timeout=call.timeout_seconds,
+            headers=[
+                ('content-type', 'application/json'),
+                ('x-request-id', call.request_id),
+                ('x-timeout-seconds', f'{call.timeout_seconds:.3f}'),
+            ],
+            timeout_seconds=call.timeout_seconds,
         )
         async for chunk in self._read_chunks(server, call.request_id, request):
             yield chunk
@@ -134,11 +134,10 @@
         offset: int,
     ) -> collections.abc.AsyncGenerator[Chunk, None]:
         """Take up a running generation of this engine at `offset` tokens."""
-        request = self._peers.get(server.address).build_request(
+        request = self._peers.peer(server.address).send(
             'GET',
-            f'/v1/completions/{call.request_id}',
-            params={'offset': offset},
-            timeout=call.timeout_seconds,
+            f'/v1/completions/{call.request_id}?offset={offset}',
+            timeout_seconds=call.timeout_seconds,
         )
         async for chunk in self._read_chunks(server, call.request_id, request):
             yield chunk
@@ -147,12 +146,13 @@
         self,
         server: _server.BackendServer,
         request_id: str,
-        request: httpx.Request,
+        request: collections.abc.Coroutine[
+            typing.Any, typing.Any, httpx.Response
+        ],
     ) -> collections.abc.AsyncGenerator[Chunk, None]:
         step, peer = 'generate', server.name
         with _calls.translate_errors(step, peer):
-            client = self._peers.get(server.address)
-            response = await client.send(request, stream=True)
+            response = await request
         try:
             _check_start(response, server, step)
             source = httpx_sse.EventSource(response)
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -59,21 +59,19 @@
             If whether it ran is unknown.
         """
         query = f'?{call.query}' if call.query else ''
-        client = self._peers.get(server.address)
-        request = client.build_request(
-            call.method,
-            f'/{call.path}{query}',
-            content=call.body,
-            headers=[
-                *call.headers,
-                ('x-request-id', call.request_id),
-                ('x-timeout-seconds', f'{call.timeout_seconds:.3f}'),
-            ],
-            timeout=call.timeout_seconds,
-        )
         step, peer = 'call', server.name
         with _calls.translate_errors(step, peer):
-            response = await client.send(request, stream=True)
+            response = await self._peers.peer(server.address).send(
+                call.method,
+                f'/{call.path}{query}',
+                content=call.body,
+                headers=[
+                    *call.headers,
+                    ('x-request-id', call.request_id),
+                    ('x-timeout-seconds', f'{call.timeout_seconds:.3f}'),
+                ],
+                timeout_seconds=call.timeout_seconds,
+            )
             try:
                 body = await _read_body(response, peer)
             finally:
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -4,6 +4,7 @@
 from swiftjunction.web._answers import respond_error
 from swiftjunction.web._answers import respond_json
 from swiftjunction.web._calling import connect_client
+from swiftjunction.web._calling import Peer
 from swiftjunction.web._calling import PeerClients
 from swiftjunction.web._serving import Listener
 from swiftjunction.web._serving import open_listener
@@ -11,6 +12,7 @@
 
 __all__ = [
     'Listener',
+    'Peer',
     'PeerClients',
     'connect_client',
     'describe_error',
--- a/src/swiftjunction/web/_calling.py
+++ b/src/swiftjunction/web/_calling.py
@@ -1,19 +1,14 @@
 """Builds the HTTP clients that daemons call their peers with."""
 
-import functools
-import ssl
+import collections.abc
 
 import httpx
 
-CONNECT_TIMEOUT_SECONDS = 2.0
-MAX_CONNECTIONS_PER_PEER = 512
+from swiftjunction.web import _transport
 
+CONNECT_TIMEOUT_SECONDS = 2.0
 
-@functools.cache
-def _load_ssl_context() -> ssl.SSLContext:
-    # Loading the certificates takes 30 ms of processor time, too long to do
-    # for each client.
-    return ssl.create_default_context()
+Headers = collections.abc.Sequence[tuple[str, str]]
 
 
 def connect_client(
@@ -24,7 +19,7 @@
     Parameters
     ----------
     base_url : str
-        Prefix of every URL; empty for a client of a few peers.
+        The one peer's URL.
     timeout_seconds : float
         Longest wait for a read, a write or a free connection.
     """
@@ -33,37 +28,104 @@
         timeout=httpx.Timeout(
             timeout_seconds, connect=CONNECT_TIMEOUT_SECONDS
         ),
-        limits=httpx.Limits(
-            max_connections=MAX_CONNECTIONS_PER_PEER,
-            max_keepalive_connections=MAX_CONNECTIONS_PER_PEER,
-        ),
-        verify=_load_ssl_context(),
+        transport=_transport.StackTransport(),
         trust_env=False,
     )
 
 
-class PeerClients:
-    """One client for each peer.
+class Peer:
+    """One peer on the hot path.
+
+    A request goes to the transport without passing the layers of a client
+    (redirects, cookies, authentication), which no peer of ours uses and which
+    cost a fifth of the processor time of a hop.
 
-    httpcore walks all connections of a pool at each request, which with one
-    pool for all peers took half of a daemon's processor time.
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
     """
 
-    __slots__ = ('_clients',)
+    __slots__ = ('_host', '_transport', '_url')
+
+    def __init__(self, address: str) -> None:
+        self._url = httpx.URL(f'http://{address}')
+        self._host = address
+        self._transport = _transport.StackTransport()
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        *,
+        headers: Headers = (),
+        content: bytes = b'',
+        timeout_seconds: float = 10.0,
+    ) -> httpx.Response:
+        """Send one request; the caller reads and closes the response.
+
+        Parameters
+        ----------
+        method : str
+            Of HTTP.
+        target : str
+            Path and query, encoded.
+        timeout_seconds : float
+            Longest wait for a read or a write.
+        """
+        own = [('host', self._host)]
+        if content:
+            own.append(('content-length', str(len(content))))
+        request = httpx.Request(
+            method,
+            self._url.copy_with(raw_path=target.encode()),
+            headers=own + list(headers),
+            stream=httpx.ByteStream(content),
+            extensions={
+                'timeout': {
+                    'connect': min(CONNECT_TIMEOUT_SECONDS, timeout_seconds),
+                    'read': timeout_seconds,
+                    'write': timeout_seconds,
+                    'pool': timeout_seconds,
+                }
+            },
+        )
+        return await self._transport.handle_async_request(request)
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._transport.aclose()
+
+
+class PeerClients:
+    """The clients of all peers, one or two for each."""
+
+    __slots__ = ('_clients', '_peers')
 
     def __init__(self) -> None:
         self._clients: dict[str, httpx.AsyncClient] = {}
+        self._peers: dict[str, Peer] = {}
 
     def get(self, address: str) -> httpx.AsyncClient:
-        """Return the client of the peer at ``ip:port``."""
+        """Return the client of the peer at ``ip:port``, for control."""
         client = self._clients.get(address)
         if client is None:
             client = connect_client(f'http://{address}')
             self._clients[address] = client
         return client
 
+    def peer(self, address: str) -> Peer:
+        """Return the peer at ``ip:port``, for requests of callers."""
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = Peer(address)
+        return peer
+
     async def close(self) -> None:
         """Close all connections."""
         for client in self._clients.values():
             await client.aclose()
+        for peer in self._peers.values():
+            await peer.close()
         self._clients.clear()
+        self._peers.clear()
