--- a/src/swiftjunction/backends/_calls.py
+++ b/src/swiftjunction/backends/_calls.py
@@ -6,6 +6,7 @@
 import httpx
 
 from swiftjunction import errors
+from swiftjunction.backends import _server
 
 OUTCOME_HEADER = 'x-request-outcome'
 NOT_RUN = 'not-run'
@@ -41,9 +42,11 @@
         )
 
 
-def read_load(headers: httpx.Headers) -> float | None:
-    """Return the load that an answer's headers report, if they do."""
-    try:
-        return float(headers['x-load'])
-    except (KeyError, ValueError):
-        return None
+def note_headers(
+    response: httpx.Response, server: _server.BackendServer
+) -> None:
+    """Learn what an answer's headers, also a refusal's, say of the server."""
+    if response.headers.get('x-leaving'):
+        server.note_leaving()
+    with contextlib.suppress(KeyError, ValueError):
+        server.load = float(response.headers['x-load'])
--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -243,12 +243,8 @@
 def _check_start(
     response: httpx.Response, server: _server.BackendServer, step: str
 ) -> None:
+    _calls.note_headers(response, server)
     _calls.check_refusal(response, step, server.name)
-    if response.headers.get('x-leaving'):
-        server.note_leaving()
-    load = _calls.read_load(response.headers)
-    if load is not None:
-        server.load = load
     if response.status_code == httpx.codes.NOT_FOUND:
         raise errors.ServerCrashed(
             'the engine does not know the generation',
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -76,13 +76,9 @@
                 body = await _read_body(response, peer)
             finally:
                 await response.aclose()
+        _calls.note_headers(response, server)
         _calls.check_refusal(response, step, peer)
         self._check_match(response, call, peer)
-        load = _calls.read_load(response.headers)
-        if load is not None:
-            server.load = load
-        if response.headers.get('x-leaving'):
-            server.note_leaving()
         return ServiceAnswer(
             response.status_code, response.headers.multi_items(), body
         )
--- a/src/swiftjunction/standins/_service.py
+++ b/src/swiftjunction/standins/_service.py
@@ -29,6 +29,8 @@
     ----------
     runs : Counter
         How often each request id ran.
+    refusals : Counter
+        How often each request id was refused.
     key_runs : Counter
         How often each idempotency key ran.
     """
@@ -39,6 +41,7 @@
             'crashed', 'slow_seconds', 'refuse', 'break_after_run', 'leaving'
         )
         self.runs: collections.Counter[str] = collections.Counter()
+        self.refusals: collections.Counter[str] = collections.Counter()
         self.key_runs: collections.Counter[str] = collections.Counter()
         self._work_seconds = work_seconds
         self._in_flight = 0
@@ -71,12 +74,16 @@
     ) -> starlette.responses.Response:
         return web.respond_json({'runs': self.runs, 'keys': self.key_runs})
 
-    def _refuse(self) -> starlette.responses.Response | None:
+    def _refuse(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response | None:
         if self.faults.get('refuse') or self.faults.get('leaving'):
+            self.refusals[request.headers.get('x-request-id', '')] += 1
             return web.respond_json(
                 {'error': 'refused'},
                 status=503,
-                headers={'x-request-outcome': 'not-run'},
+                headers=self._headers(request)
+                | {'x-request-outcome': 'not-run'},
             )
         return None
 
@@ -96,7 +103,7 @@
     async def _echo(
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
-        refusal = self._refuse()
+        refusal = self._refuse(request)
         if refusal is not None:
             return refusal
         body = await request.body()
@@ -114,7 +121,7 @@
     async def _score(
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
-        refusal = self._refuse()
+        refusal = self._refuse(request)
         if refusal is not None:
             return refusal
         body = msgspec.json.decode(await request.body())
