--- a/src/swiftjunction/backends/_calls.py
+++ b/src/swiftjunction/backends/_calls.py
@@ -5,8 +5,8 @@
 
 import httpx
 
-from swiftjunction import errors
 from swiftjunction.backends import _server
+from swiftjunction import errors
 
 OUTCOME_HEADER = 'x-request-outcome'
 NOT_RUN = 'not-run'
