Give up what nobody can serve at once, and let operators hold samples back

Cause: nothing tested how long a request is held that no engine can serve. Samples slow live answers at 80% live load.

Change: tests in virtual time of giving up, of the line in overload, and of live answers behind samples. sample_load_ceiling of a path lets samples wait while an engine reports more. Servers said to be down are tried where no server is live.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -48,8 +48,12 @@
 def list_trainers(seed: int) -> list[routing_load.Cell]:
     """Return live load beside trainers that take all they can get."""
     return [
-        routing_load.Cell('two-choices', load, samples=samples, seed=seed)
-        for load, samples in itertools.product((0.3, 0.5, 0.8), (0, 8))
+        routing_load.Cell(
+            'two-choices', load, samples=samples, ceiling=ceiling, seed=seed
+        )
+        for load, (samples, ceiling) in itertools.product(
+            (0.3, 0.5, 0.8), ((0, None), (8, None), (8, 1.25))
+        )
     ]
 
 
--- a/bench/routing_engines.py
+++ b/bench/routing_engines.py
@@ -177,7 +177,7 @@
         if scope.cancelled_caught:
             raise errors.AnswerBroken('timed out', peer=server.name)
         server.load = engine.report_load()
-        yield backends.Chunk('x', 0, 1, 1, 'stop')
+        yield backends.Chunk('x', 0, 1, server.weight_version, 'stop')
 
     async def resume(
         self,
--- a/bench/routing_load.py
+++ b/bench/routing_load.py
@@ -51,6 +51,8 @@
         Cost of a prompt whose prefix is not cached.
     samples : int
         Samples that trainers would have on each engine at once.
+    ceiling : float, optional
+        Reported load from which on samples wait.
     """
 
     policy: str
@@ -59,6 +61,7 @@
     limits: bool = True
     prefill_seconds: float = 0.0
     samples: int = 0
+    ceiling: float | None = None
     seed: int = 1
 
 
@@ -105,7 +108,7 @@
         """Learn nothing."""
 
 
-class _Entry:
+class Entry:
     """One entry: the real classes, over engines in the same process."""
 
     def __init__(
@@ -159,14 +162,16 @@
         if cell.fault in ('slow', 'both'):
             self._engines['engine-0'].slow_factor = SLOW_FACTOR
         self._entries = [
-            _Entry(f'entry-{number}', cell, self._engines)
+            Entry(f'entry-{number}', cell, self._engines)
             for number in range(ENTRIES)
         ]
         # Crash reports travel between entries; here at once.
         for entry in self._entries:
             entry.table.listen('crash/', self._spread)
         self._settings = configuration.PathSettings(
-            model='fit', policy=cell.policy
+            model='fit',
+            policy=cell.policy,
+            sample_load_ceiling=cell.ceiling,
         )
         self._latencies: list[float] = []
         self._refused: list[float] = []
@@ -200,13 +205,13 @@
             tasks.start_soon(self._ask, number)
 
     def _start_samples(self, tasks: anyio.abc.TaskGroup) -> None:
-        rollout = _Entry(
+        rollout = Entry(
             'rollout', self._cell, self._engines, backends.SAMPLE_TOLERANCE
         )
         for number in range(self._cell.samples * ENGINES):
             tasks.start_soon(self._sample, rollout, number)
 
-    async def _sample(self, rollout: _Entry, number: int) -> None:
+    async def _sample(self, rollout: Entry, number: int) -> None:
         while True:
             call = requests.GenerationCall(
                 f's{number}',
--- a/bench/routing_report.py
+++ b/bench/routing_report.py
@@ -28,7 +28,7 @@
     """Return the outcomes as a Markdown table."""
     names = (
         'fault load policy p50_ms p99_ms p99.9_ms answers/s refused failed '
-        'retries_% cache_hits_% samples'
+        'retries_% cache_hits_% samples ceiling'
     ).split()
     lines = [
         f'| {" | ".join(names)} |',
@@ -55,6 +55,7 @@
         f'{outcome.retries_share:.1%}',
         f'{outcome.hits:.0%}',
         str(outcome.samples),
+        str(cell.ceiling or ''),
     ]
 
 
--- a/src/swiftjunction/configuration/_settings.py
+++ b/src/swiftjunction/configuration/_settings.py
@@ -44,6 +44,8 @@
         Requests of the whole team at once on each entry [none].
     policy : str
         The routing policy [two-choices].
+    sample_load_ceiling : float
+        Reported load of an engine from which on samples wait [none].
     checks_fencing : bool
         Whether the path's backend servers refuse old fencing tokens [false].
     share : float
@@ -64,6 +66,9 @@
         ]
         | None
     ) = None
+    sample_load_ceiling: (
+        typing.Annotated[float, msgspec.Meta(gt=0, le=100)] | None
+    ) = None
     checks_fencing: bool | None = None
     share: typing.Annotated[float, msgspec.Meta(gt=0, le=1000)] | None = None
 
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import logging
+import math
 
 import anyio
 import msgspec
@@ -61,6 +62,14 @@
             return 'samples'
         return self.settings.request_class or 'live'
 
+    @property
+    def max_load(self) -> float:
+        """Return the reported load from which on an engine is not used."""
+        ceiling = self.settings.sample_load_ceiling
+        if ceiling is None or self.request_class != 'samples':
+            return math.inf
+        return ceiling
+
     @property
     def fingerprint(self) -> str:
         """Return what is the same when the request is sent again."""
@@ -303,6 +312,7 @@
             excluded=frozenset(progress.excluded),
             alone=alone,
             request_class=call.request_class,
+            max_load=call.max_load,
             deadline=call.deadline,
         )
 
--- a/src/swiftjunction/routing/_pipeline.py
+++ b/src/swiftjunction/routing/_pipeline.py
@@ -101,7 +101,8 @@
                 f'no server of {request.service} can take it now',
                 step='route',
             )
-        candidates = spill_over(keep_with_place(usable), self._data_center)
+        free = keep_with_place(usable, request.max_load)
+        candidates = spill_over(free, self._data_center)
         if not candidates:
             raise errors.ServersBusy(
                 f'every server of {request.service} is at its limit',
@@ -113,7 +114,8 @@
     def _select_usable(
         self, request: _policy.RoutingRequest
     ) -> collections.abc.Iterator[backends.BackendServer]:
-        live = keep_live(self._directory.select(request.service))
+        servers = list(self._directory.select(request.service))
+        live = list(keep_live(servers)) or keep_silent(servers)
         fresh = keep_fresh(live, request.min_version)
         if request.alone:
             available = (s for s in fresh if s.is_available())
@@ -128,6 +130,24 @@
     return (server for server in servers if server.is_live())
 
 
+def keep_silent(
+    servers: Servers,
+) -> collections.abc.Iterator[backends.BackendServer]:
+    """Yield the servers that did not answer their conductor.
+
+    They are tried where no server is live: one that does not answer in time
+    may be slow, or out of reach of its conductor only, and a connection that
+    is refused does no harm.
+    """
+    return (
+        server
+        for server in servers
+        if server.report.state == 'down'
+        and not server.left
+        and not server.reserved
+    )
+
+
 def limit_ejections(
     servers: Servers,
 ) -> collections.abc.Iterator[backends.BackendServer]:
@@ -147,10 +167,18 @@
 
 
 def keep_with_place(
-    servers: Servers,
+    servers: Servers, max_load: float
 ) -> collections.abc.Iterator[backends.BackendServer]:
-    """Yield the servers whose concurrency limit is not reached."""
-    return (server for server in servers if server.has_place())
+    """Yield the servers whose limits are not reached.
+
+    A load report that is not renewed loses its weight, so that a request that
+    waits for a lower load is in time let through to learn of it.
+    """
+    return (
+        server
+        for server in servers
+        if server.has_place() and server.recent_load < max_load
+    )
 
 
 def keep_fresh(
--- a/src/swiftjunction/routing/_policy.py
+++ b/src/swiftjunction/routing/_policy.py
@@ -25,6 +25,8 @@
         Whether it must not share its server, nor have the last one.
     request_class : str
         ``live``, ``internal`` or ``samples``.
+    max_load : float
+        Reported load from which on a server does not get it.
     deadline : float
         On the event loop's clock, in seconds.
     """
@@ -36,6 +38,7 @@
     excluded: frozenset[str] = frozenset()
     alone: bool = False
     request_class: str = 'live'
+    max_load: float = math.inf
     deadline: float = math.inf
 
     def is_narrow(self) -> bool:
--- /dev/null
+++ b/tests/cover/test_admission_generation.py
@@ -0,0 +1,151 @@
+import random
+
+import anyio
+import msgspec
+import pytest
+
+from bench import routing_engines
+from bench import routing_load
+from bench import routing_virtual
+from swiftjunction import configuration
+from swiftjunction import errors
+from swiftjunction import requests
+from swiftjunction import weights
+
+
+def make_entry(count=2):
+    cell = routing_load.Cell('two-choices', 0.5)
+    engines = {
+        f'engine-{number}': routing_engines.ModelEngine(random.Random(number))
+        for number in range(count)
+    }
+    return routing_load.Entry('entry-0', cell, engines)
+
+
+def publish(entry, version):
+    history = weights.History(
+        'fit',
+        [weights.PublishedVersion(v, 1.0) for v in range(1, version + 1)],
+    )
+    entry.table.put('weights/fit', msgspec.json.encode(history))
+
+
+def make_call(number=0, seconds=30.0, priority=1, **settings):
+    return requests.GenerationCall(
+        f'r{number}',
+        'demo',
+        configuration.PathSettings(model='fit', **settings),
+        'prompt',
+        16,
+        anyio.current_time() + seconds,
+        priority=priority,
+    )
+
+
+async def generate(entry, call):
+    """Return the error and after how many seconds it came."""
+    began = anyio.current_time()
+    try:
+        async for _ in entry.generator.generate(call):
+            pass
+    except errors.RequestError as error:
+        return error, anyio.current_time() - began
+    return None, anyio.current_time() - began
+
+
+@pytest.mark.parametrize(
+    ('case', 'error', 'least', 'most'),
+    [
+        ('all well', None, 0, 1),
+        ('no server', errors.NotRun, 1, 1.2),
+        ('weights too old to serve', errors.StaleWeights, 0, 0),
+        ('no engine is fresh', errors.NotRun, 8, 8.2),
+        ('no engine is fresh yet', None, 2, 3),
+    ],
+)
+def test_a_request_is_given_up_as_soon_as_nobody_can_serve_it(
+    case, error, least, most
+):
+    async def run():
+        entry = make_entry(0 if case == 'no server' else 2)
+        call = make_call(freshness_versions=0)
+        async with anyio.create_task_group() as tasks:
+            if case == 'weights too old to serve':
+                publish(entry, 1)
+                call = make_call(freshness_seconds=1.0)
+            elif case.startswith('no engine'):
+                publish(entry, 2)
+            if case.endswith('yet'):
+                tasks.start_soon(activate, entry, 2.0)
+            return await generate(entry, call)
+
+    async def activate(entry, seconds):
+        await anyio.sleep(seconds)
+        for server in entry.directory.select('fit'):
+            server.note_version(2)
+
+    ended, seconds = routing_virtual.run(run)
+    assert type(ended) is (error or type(None))
+    assert least <= seconds <= most
+
+
+def test_what_one_waited_for_in_vain_is_refused_at_once_after_it():
+    async def run():
+        entry = make_entry()
+        publish(entry, 2)
+        call = make_call(freshness_versions=0)
+        waited = [(await generate(entry, call))[1] for _ in range(3)]
+        for server in entry.directory.select('fit'):
+            server.note_version(2)
+        return waited, await generate(entry, call)
+
+    waited, (error, _) = routing_virtual.run(run)
+    assert waited[0] >= 8
+    assert waited[1:] == [0, 0]
+    assert error is None
+
+
+@pytest.mark.parametrize('seconds', [0.3, 2.0, 5.0])
+def test_overload_is_refused_within_the_time_that_a_live_request_may_wait(
+    seconds,
+):
+    async def run():
+        entry = make_entry()
+        ended = []
+
+        async def ask(number):
+            ended.append(await generate(entry, make_call(number, seconds)))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(400):
+                tasks.start_soon(ask, number)
+                await anyio.sleep(0.002)
+        return ended
+
+    ended = routing_virtual.run(run)
+    refused = [pair for pair in ended if isinstance(pair[0], errors.NotRun)]
+    assert refused
+    assert len(refused) < 400
+    assert all(waited <= 1.3 for _, waited in refused)
+    assert all(0.2 <= e.retry_after_seconds <= 30 for e, _ in refused)
+
+
+def test_live_answers_wait_for_one_slot_at_most_behind_samples():
+    async def run():
+        entry = make_entry(1)
+        async with anyio.create_task_group() as tasks:
+            for number in range(50):
+                call = make_call(number, 60, priority=-1)
+                tasks.start_soon(generate, entry, call)
+            await anyio.sleep(1)
+            waits = [
+                await generate(entry, make_call(100 + number))
+                for number in range(10)
+            ]
+            tasks.cancel_scope.cancel()
+        return waits
+
+    waits = routing_virtual.run(run)
+    assert all(error is None for error, _ in waits)
+    # Each takes some 0.1 s; behind all of the samples it would take 1 s.
+    assert max(seconds for _, seconds in waits) < 0.8
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -118,6 +118,23 @@
     assert len(fleet.count('round-robin')) == left
 
 
+@pytest.mark.parametrize(
+    ('states', 'chosen'),
+    [
+        (['live', 'down'], {'s0'}),
+        (['leaving', 'down'], {'s1'}),
+        (['down', 'down'], {'s0', 's1'}),
+    ],
+)
+def test_tries_servers_that_are_said_to_be_down_where_none_is_live(
+    clock, states, chosen
+):
+    servers = Servers(clock)
+    for number, state in enumerate(states):
+        servers.report(f's{number}', state=state)
+    assert set(servers.count('two-choices')) == chosen
+
+
 def test_failures_at_the_same_time_count_as_one(clock):
     server = Servers(clock, 'dc-1')['s0']
     for _ in range(50):
@@ -251,3 +268,12 @@
     server.load = load
     clock.now += 4
     assert server.recent_load == pytest.approx(load / 4)
+
+
+def test_a_request_with_a_load_ceiling_waits_until_the_report_is_old(clock):
+    servers = Servers(clock, 'dc-1')
+    servers['s0'].load = 2.0
+    with pytest.raises(errors.ServersBusy):
+        servers.count('two-choices', max_load=1.25)
+    clock.now += 2
+    assert servers.count('two-choices', max_load=1.25)['s0'] == 200
