Order engines by shard, under leases that outlive lost answers

A renewal that hung blocked for the client's 10 s, the whole term. An order was checked before a connection was made, and its 5 s were a limit for each read and write, not for the whole. Each model had a lease of its own with tokens counting from 1, so an engine that changes models could meet lower tokens and refuse every order. checks_fencing was read nowhere. An order of 5 s fitted into a lease only in the first 3 s after a renewal. An engine that failed to answer held up the orders to all others, and an engine that was slow to stage was told to fetch again every 2 s, each time with another fetch at the store.

Engines are in 32 shards by name, each ordered under one lease; the token is the store's revision at which the term began. Writes whose end is unknown are remembered by nonce and settled by the next read or conflict. The lease is checked again as the first byte of an order is about to leave; an order takes 3 s in all. For engines that ignore tokens a new term waits out the longest order. Orders run beside each other; reports wake the wave; a window bounds the fetches at the weight store; an engine behind for 30 s is logged, counted and shown in the dump. A version may point to the files of an earlier one, to go back.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -6,6 +6,7 @@
 from swiftjunction.backends._engine import EngineCall
 from swiftjunction.backends._engine import EngineClient
 from swiftjunction.backends._engine import ORDER_TIMEOUT_SECONDS
+from swiftjunction.backends._ordering import OrderSender
 from swiftjunction.backends._orders import EngineStatus
 from swiftjunction.backends._orders import Order
 from swiftjunction.backends._orders import STATUS_INTERVAL_SECONDS
@@ -24,6 +25,7 @@
     'EngineStatus',
     'ORDER_TIMEOUT_SECONDS',
     'Order',
+    'OrderSender',
     'SERVER_PREFIX',
     'STATUS_INTERVAL_SECONDS',
     'ServerReport',
--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -14,7 +14,11 @@
 from swiftjunction import web
 
 CANCEL_TIMEOUT_SECONDS = 2.0
-ORDER_TIMEOUT_SECONDS = 5.0
+# With the interval and the timeout of a renewal it fits into a lease.
+ORDER_TIMEOUT_SECONDS = 3.0
+
+# What httpcore calls the moment before the first byte.
+SEND_EVENT = 'http11.send_request_headers.started'
 
 
 class EngineCall(msgspec.Struct, frozen=True):
@@ -179,9 +183,20 @@
         with _calls.translate_errors('cancel', server.name):
             await client.delete(url, timeout=CANCEL_TIMEOUT_SECONDS)
 
-    async def give_order(self, address: str, order: _orders.Order) -> None:
+    async def give_order(
+        self,
+        address: str,
+        order: _orders.Order,
+        check: collections.abc.Callable[[], None] | None = None,
+    ) -> None:
         """Send an order.
 
+        Parameters
+        ----------
+        check : callable
+            Called when there is a connection and nothing stands between it
+            and the first byte; what it raises keeps the order from leaving.
+
         Raises
         ------
         BackendRefused
@@ -189,11 +204,17 @@
         BackendError
             If it is not known whether the engine took it.
         """
+
+        async def trace(event: str, info: dict[str, typing.Any]) -> None:
+            if check is not None and event == SEND_EVENT:
+                check()
+
         with _calls.translate_errors('order', address):
             response = await self._peers.get(address).post(
                 '/orders',
                 content=msgspec.json.encode(order),
                 timeout=ORDER_TIMEOUT_SECONDS,
+                extensions={'trace': trace},
             )
         if response.status_code == 409:
             raise errors.BackendRefused(
--- a/src/swiftjunction/backends/_orders.py
+++ b/src/swiftjunction/backends/_orders.py
@@ -19,6 +19,9 @@
         ``load`` takes up a model, ``adapter`` an adapter, ``role`` a role.
     fencing_token : int
         Of the lease that the order is given under.
+    source_version : int
+        The version whose files are staged, where a version goes back to
+        earlier weights; 0 for its own.
     """
 
     kind: str
@@ -26,6 +29,7 @@
     weight_version: int = 0
     fencing_token: int = 0
     argument: str = ''
+    source_version: int = 0
 
 
 class EngineStatus(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/configuration/_tree.py
+++ b/src/swiftjunction/configuration/_tree.py
@@ -94,6 +94,19 @@
         """Tell whether some path is served by the plain `service`."""
         return any(found.service == service for found in self.paths().values())
 
+    def checks_fencing(self, model: str) -> bool:
+        """Tell whether the engines of `model` refuse old fencing tokens.
+
+        Every path that names the model must say so: to wait out an earlier
+        holder for nothing costs seconds, and not to wait may cost an order.
+        """
+        said = [
+            found.checks_fencing
+            for found in self.paths().values()
+            if found.model == model
+        ]
+        return bool(said) and all(said)
+
     def versions(self) -> dict[str, int]:
         """Return the object version in force for each team."""
         return dict(self._versions)
--- a/src/swiftjunction/daemons/_conductor.py
+++ b/src/swiftjunction/daemons/_conductor.py
@@ -3,7 +3,6 @@
 import collections.abc
 
 import anyio
-import anyio.abc
 import starlette.applications
 
 from swiftjunction import backends
@@ -11,9 +10,9 @@
 from swiftjunction.daemons import _control
 from swiftjunction.daemons import _daemon
 from swiftjunction.daemons import _servers
+from swiftjunction.daemons import _shards
 from swiftjunction.daemons import _spool
 from swiftjunction.daemons import _watches
-from swiftjunction import leases
 from swiftjunction import membership
 from swiftjunction import platform
 from swiftjunction import settings
@@ -21,7 +20,6 @@
 from swiftjunction import weights
 
 PEER_INTERVAL_SECONDS = 0.5
-WAVE_INTERVAL_SECONDS = 0.5
 
 
 class ConductorDaemon(_daemon.Daemon):
@@ -57,13 +55,22 @@
             weights.Publisher(self.store),
             self.tree,
         )
-        self._waves: dict[str, tuple[weights.Wave, anyio.CancelScope]] = {}
+        self._shards = _shards.ShardOrders(
+            config.vm.name,
+            self.name,
+            self.store,
+            self.table,
+            self.processes,
+            self.tree,
+            self.directory,
+            self.board,
+            self._engines,
+            self.metrics,
+        )
         self._announce_spool()
         self.dump.add('watched', self._servers.owned)
         self.dump.add('platform', lambda: [w.reachable for w in self._watches])
-        self.dump.add(
-            'waves', lambda: [w.summarize() for w, _ in self._waves.values()]
-        )
+        self.dump.add('orders', self._shards.summarize)
 
     def _announce_spool(self) -> None:
         described = _spool.describe_spool(self.config)
@@ -84,7 +91,7 @@
             *(watch.run for watch in self._watches),
             self._servers.run,
             self._follow_peers,
-            self._run_waves,
+            self._shards.run,
         ]
 
     async def close(self) -> None:
@@ -103,40 +110,3 @@
                 | known
             )
             await anyio.sleep(PEER_INTERVAL_SECONDS)
-
-    async def _run_waves(self) -> None:
-        """Roll out the models that this conductor owns."""
-        async with anyio.create_task_group() as tasks:
-            while True:
-                vms = [p.vm for p in self.processes.select('conductor')]
-                owned = {
-                    model
-                    for model in self.board.models()
-                    if membership.choose_owner(f'wave/{model}', vms)
-                    == self.config.vm.name
-                }
-                for model in set(self._waves) - owned:
-                    self._waves.pop(model)[1].cancel()
-                for model in owned - set(self._waves):
-                    self._start_wave(tasks, model)
-                await anyio.sleep(WAVE_INTERVAL_SECONDS)
-
-    def _start_wave(self, tasks: anyio.abc.TaskGroup, model: str) -> None:
-        keeper = leases.LeaseKeeper(self.store, f'wave/{model}', self.name)
-        wave = weights.Wave(
-            model, self.directory, self.board, keeper, self._engines
-        )
-        scope = anyio.CancelScope()
-        self._waves[model] = (wave, scope)
-        tasks.start_soon(self._run_wave, wave, keeper, scope)
-
-    async def _run_wave(
-        self,
-        wave: weights.Wave,
-        keeper: leases.LeaseKeeper,
-        scope: anyio.CancelScope,
-    ) -> None:
-        with scope:
-            await wave.run()
-        with anyio.move_on_after(1, shield=True):
-            await keeper.release()
--- a/src/swiftjunction/daemons/_control.py
+++ b/src/swiftjunction/daemons/_control.py
@@ -97,7 +97,12 @@
     ) -> starlette.responses.Response:
         model = request.path_params['model']
         try:
-            version = await self._publisher.publish(model)
+            source = int(request.query_params.get('source', '0'))
+            version = await self._publisher.publish(model, source)
+        except ValueError as error:
+            return _respond_problem('invalid', f'source: {error}', 400)
+        except errors.SettingsError as error:
+            return _respond_problem('invalid', error.message, 400)
         except errors.PlatformError as error:
             return _respond_platform_error(error)
         return web.respond_json({'model': model, 'version': version})
--- a/src/swiftjunction/leases/__init__.py
+++ b/src/swiftjunction/leases/__init__.py
@@ -1,6 +1,6 @@
 """Leases on platform objects, with fencing tokens."""
 
+from swiftjunction.leases._keeper import LeaseKeeper
 from swiftjunction.leases._lease import Lease
-from swiftjunction.leases._lease import LeaseKeeper
 
 __all__ = ['Lease', 'LeaseKeeper']
--- /dev/null
+++ b/src/swiftjunction/leases/_keeper.py
@@ -0,0 +1,234 @@
+"""Takes and renews a lease by conditional updates of one object."""
+
+import logging
+import uuid
+
+import anyio
+import msgspec
+
+from swiftjunction import errors
+from swiftjunction.leases import _lease
+from swiftjunction import platform
+
+LOG = logging.getLogger(__name__)
+
+# A renewal that hangs is given up in time for a second try: interval, timeout
+# and the longest order (3 s) together are within the term less its margin.
+RENEW_INTERVAL_SECONDS = 3.0
+RENEW_TIMEOUT_SECONDS = 2.0
+RETRY_INTERVAL_SECONDS = 1.0
+
+
+class _Claim(msgspec.Struct):
+    holder: str
+    # The fencing token of this holder's term: the version of the object at
+    # which the term began, and 0 in that first write itself. Versions are
+    # revisions of the whole store, so tokens grow over all leases.
+    token: int
+    # Unlike in every write, so that a lost answer can be told by reading.
+    nonce: str
+    ttl_seconds: float
+
+
+class _Write(msgspec.Struct, frozen=True):
+    # Before it was sent, on the keeper's clock.
+    started: float
+    # The version that it is conditional on.
+    version: int
+
+
+class LeaseKeeper:
+    """Takes, renews and gives back one lease.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where the lease object lives.
+    name : str
+        The lease; its object is ``leases/{name}``.
+    holder : str
+        This daemon.
+    ttl_seconds : float
+        How long a renewal holds.
+    clock : callable
+        A clock that only goes forward.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_holder',
+        '_key',
+        '_seen',
+        '_seen_at',
+        '_store',
+        '_ttl_seconds',
+        '_unresolved',
+        '_version',
+        'lease',
+        'name',
+    )
+
+    def __init__(
+        self,
+        store: platform.ObjectStore,
+        name: str,
+        holder: str,
+        *,
+        ttl_seconds: float = _lease.LEASE_TTL_SECONDS,
+        clock: _lease.Clock = _lease.read_boot_clock,
+    ) -> None:
+        self._store = store
+        self._key = f'leases/{name}'
+        self._holder = holder
+        self._ttl_seconds = ttl_seconds
+        self._clock = clock
+        self._version = 0
+        self._seen = 0
+        self._seen_at = 0.0
+        # The writes whose end is not known, by their nonces.
+        self._unresolved: dict[str, _Write] = {}
+        self.name = name
+        self.lease: _lease.Lease | None = None
+
+    async def take(self) -> _lease.Lease:
+        """Take the lease if it is free, or renew it if held here.
+
+        Raises
+        ------
+        LeaseLost
+            If another daemon holds it, or may still hold it.
+        PlatformError
+            If the platform could not be asked, or its answer was lost.
+        """
+        if self._unresolved:
+            await self._resolve()
+        if self.lease is not None:
+            return await self._write(self.lease.token, self._version)
+        try:
+            found = await self._store.read(self._key)
+        except errors.ObjectMissing:
+            return await self._write(0, 0)
+        claim = msgspec.json.decode(found.value, type=_Claim)
+        if claim.holder and not self._has_lapsed(found.version, claim):
+            raise errors.LeaseLost(
+                f'lease {self.name} is held by {claim.holder}', step='take'
+            )
+        return await self._write(0, found.version)
+
+    async def release(self) -> None:
+        """Give the lease back, so that the next holder need not wait."""
+        if self.lease is None:
+            return
+        token = self.lease.token
+        self.lease = None
+        self._unresolved.clear()
+        claim = _Claim('', token, uuid.uuid4().hex, 0.0)
+        await self._store.update(
+            self._key, msgspec.json.encode(claim), self._version
+        )
+
+    async def run(self) -> None:
+        """Keep the lease, or keep trying for it, until cancelled."""
+        while True:
+            renewed = False
+            with anyio.move_on_after(RENEW_TIMEOUT_SECONDS):
+                try:
+                    await self.take()
+                    renewed = True
+                except errors.SwiftjunctionError as error:
+                    LOG.debug('lease not renewed: %s', error)
+            await anyio.sleep(
+                RENEW_INTERVAL_SECONDS if renewed else RETRY_INTERVAL_SECONDS
+            )
+
+    def _has_lapsed(self, version: int, claim: _Claim) -> bool:
+        # Another daemon's lease has lapsed when its object stayed at one
+        # version for the whole term on *this* clock; wall clocks of two VMs
+        # are never compared.
+        now = self._clock()
+        if version != self._seen:
+            self._seen = version
+            self._seen_at = now
+            return False
+        waited_seconds = now - self._seen_at
+        return waited_seconds > claim.ttl_seconds * (
+            1 + _lease.MAX_CLOCK_RATE_ERROR
+        )
+
+    async def _write(self, token: int, version: int) -> _lease.Lease:
+        started = self._clock()
+        claim = _Claim(
+            self._holder, token, uuid.uuid4().hex, self._ttl_seconds
+        )
+        value = msgspec.json.encode(claim)
+        # Noted before it is sent, as a cancellation leaves its end unknown.
+        self._unresolved[claim.nonce] = _Write(started, version)
+        try:
+            if version == 0:
+                made = await self._store.create(self._key, value)
+            else:
+                made = await self._store.update(self._key, value, version)
+        except errors.WriteUncertain:
+            await self._resolve()
+            if self.lease is None or claim.nonce in self._unresolved:
+                raise
+            return self.lease
+        except (errors.RevisionConflict, errors.ObjectMissing) as error:
+            del self._unresolved[claim.nonce]
+            return await self._find_own(error)
+        except errors.PlatformUnavailable:
+            del self._unresolved[claim.nonce]
+            raise
+        return self._adopt(made, token, started, version > 0)
+
+    async def _find_own(self, error: errors.PlatformError) -> _lease.Lease:
+        """Return the lease where an own earlier write made the conflict."""
+        if self._unresolved:
+            await self._resolve()
+        else:
+            self.lease = None
+        if self.lease is None:
+            raise errors.LeaseLost(
+                f'lease {self.name} was taken by another', step='take'
+            ) from error
+        return self.lease
+
+    async def _resolve(self) -> None:
+        """Find out by reading whether a write whose end is unknown landed."""
+        try:
+            found = await self._store.read(self._key)
+        except errors.ObjectMissing:
+            # The creation that was lost may still land; creating again
+            # settles it.
+            return
+        claim = msgspec.json.decode(found.value, type=_Claim)
+        write = self._unresolved.get(claim.nonce)
+        if write is not None:
+            self._adopt(found.version, claim.token, write.started, True)
+            return
+        # A write that was conditional on an older version can never land any
+        # more. A stale read shows an older version still, and settles nothing.
+        self._unresolved = {
+            nonce: write
+            for nonce, write in self._unresolved.items()
+            if write.version >= found.version
+        }
+        if found.version > self._version:
+            self.lease = None
+
+    def _adopt(
+        self, version: int, token: int, started: float, succeeds: bool
+    ) -> _lease.Lease:
+        """Note that the write begun at `started` made `version`."""
+        # Every other write under way was conditional on an older version.
+        self._unresolved.clear()
+        self._version = version
+        token = token or version
+        deadline = started + self._ttl_seconds
+        if self.lease is not None and self.lease.token == token:
+            self.lease.extend(deadline)
+        else:
+            self.lease = _lease.Lease(
+                self.name, token, deadline, self._clock, succeeds
+            )
+        return self.lease
--- a/src/swiftjunction/standins/_engine.py
+++ b/src/swiftjunction/standins/_engine.py
@@ -256,8 +256,9 @@
         ):
             return
         try:
+            files = order.source_version or order.weight_version
             response = await self._weights.get(
-                f'/weights/{order.model}/{order.weight_version}'
+                f'/weights/{order.model}/{files}'
             )
             response.raise_for_status()
         except httpx.HTTPError as error:
--- a/src/swiftjunction/weights/_board.py
+++ b/src/swiftjunction/weights/_board.py
@@ -57,6 +57,12 @@
         history = self._histories.get(model)
         return history.newest if history is not None else 0
 
+    def find_source(self, model: str, version: int) -> int:
+        """Return the version whose files `version` has."""
+        history = self._histories.get(model)
+        found = history.find(version) if history is not None else None
+        return found.source if found is not None and found.source else version
+
     def find_oldest(self, model: str, bound: Bound) -> int:
         """Return the oldest version of `model` within `bound`.
 
--- a/src/swiftjunction/weights/_publishing.py
+++ b/src/swiftjunction/weights/_publishing.py
@@ -19,9 +19,15 @@
     def __init__(self, store: platform.ObjectStore) -> None:
         self._store = store
 
-    async def publish(self, model: str) -> int:
+    async def publish(self, model: str, source: int = 0) -> int:
         """Publish the next version of `model`.
 
+        Parameters
+        ----------
+        source : int
+            The earlier version whose weights it has, to go back to them; 0
+            for weights of its own.
+
         Returns
         -------
         int
@@ -31,14 +37,16 @@
         ------
         PlatformError
             If it is not published, or not known to be.
+        SettingsError
+            If `source` is not among the versions that are kept.
         """
         while True:
             try:
-                return await self._publish_once(model)
+                return await self._publish_once(model, source)
             except errors.RevisionConflict:
                 continue
 
-    async def _publish_once(self, model: str) -> int:
+    async def _publish_once(self, model: str, source: int) -> int:
         key = f'{_board.WEIGHTS_PREFIX}{model}'
         try:
             found = await self._store.read(key)
@@ -47,7 +55,7 @@
         else:
             held = found.version
             history = msgspec.json.decode(found.value, type=_versions.History)
-        version = history.add(time.time())
+        version = history.add(time.time(), _find_files(history, source))
         history.nonce = uuid.uuid4().hex
         value = msgspec.json.encode(history)
         if held:
@@ -55,3 +63,15 @@
         else:
             await platform.create_or_confirm(self._store, key, value)
         return version
+
+
+def _find_files(history: _versions.History, source: int) -> int:
+    """Return the version that has the files of `source` itself."""
+    if not source:
+        return 0
+    found = history.find(source)
+    if found is None:
+        raise errors.SettingsError(
+            [f'source {source}: not among the versions of {history.model}']
+        )
+    return found.source or source
--- a/src/swiftjunction/weights/_versions.py
+++ b/src/swiftjunction/weights/_versions.py
@@ -6,10 +6,17 @@
 
 
 class PublishedVersion(msgspec.Struct, frozen=True, array_like=True):
-    """One version and when it was published, in seconds of Unix time."""
+    """One version and when it was published, in seconds of Unix time.
+
+    Attributes
+    ----------
+    source : int
+        The earlier version whose weights it has again; 0 for its own.
+    """
 
     version: int
     published_at: float
+    source: int = 0
 
 
 class History(msgspec.Struct):
@@ -24,10 +31,10 @@
         """Return the newest version, 0 where none was published."""
         return self.versions[-1].version if self.versions else 0
 
-    def add(self, published_at: float) -> int:
+    def add(self, published_at: float, source: int = 0) -> int:
         """Add the next version and return it."""
         version = self.newest + 1
-        self.versions.append(PublishedVersion(version, published_at))
+        self.versions.append(PublishedVersion(version, published_at, source))
         del self.versions[:-KEPT_VERSIONS]
         return version
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures and fakes that the tests share."""
 
+import anyio
 import hypothesis
 import pytest
 
@@ -18,24 +19,47 @@
     Attributes
     ----------
     faults : list of str
-        Consumed one a call: ``ok``, ``refuse`` or ``lose`` (a write takes
-        effect and its answer is lost).
+        Consumed one a call: ``ok``, ``refuse``, ``lose`` (a write takes
+        effect and its answer is lost), ``drop`` (a write and its answer are
+        lost), ``delay`` (as ``drop``, but the write takes effect later),
+        ``land`` (the delayed write takes effect just before this call) or
+        ``hang`` (a write takes effect and is never answered).
     """
 
     def __init__(self):
         self.objects = {}
         self.revision = 0
         self.faults = []
+        self._delayed = None
+
+    def land(self):
+        """Let the delayed write arrive, still under its condition."""
+        if self._delayed is not None:
+            key, value, version = self._delayed
+            self._delayed = None
+            held = self.objects.get(key)
+            if (held.version if held else 0) == version:
+                self._put(key, value)
 
     def _enter(self):
         fault = self.faults.pop(0) if self.faults else 'ok'
         if fault == 'refuse':
             raise errors.PlatformUnavailable('refused', step='test')
+        if fault == 'land':
+            self.land()
         return fault
 
-    def _leave(self, fault, key):
+    def _lose_before(self, fault, key, value, version):
+        if fault == 'delay':
+            self._delayed = (key, value, version)
+        if fault in ('drop', 'delay'):
+            raise errors.WriteUncertain('dropped', step='test')
+
+    async def _leave(self, fault, key):
         if fault == 'lose':
             raise errors.WriteUncertain('lost', step='test')
+        if fault == 'hang':
+            await anyio.sleep_forever()
         return self.objects[key].version
 
     def _put(self, key, value):
@@ -56,19 +80,21 @@
 
     async def create(self, key, value):
         fault = self._enter()
+        self._lose_before(fault, key, value, 0)
         if key in self.objects:
             raise errors.RevisionConflict(key)
         self._put(key, value)
-        return self._leave(fault, key)
+        return await self._leave(fault, key)
 
     async def update(self, key, value, version):
         fault = self._enter()
+        self._lose_before(fault, key, value, version)
         if key not in self.objects:
             raise errors.ObjectMissing(key)
         if self.objects[key].version != version:
             raise errors.RevisionConflict(key)
         self._put(key, value)
-        return self._leave(fault, key)
+        return await self._leave(fault, key)
 
     async def delete(self, key, version):
         self._enter()
--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -1,78 +1,259 @@
+import anyio
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
 import pytest
 
 from swiftjunction import errors
 from swiftjunction import leases
-
-pytestmark = pytest.mark.anyio
+from swiftjunction.leases import _keeper
+from swiftjunction.leases import _lease
+from tests import conftest
 
 
 def keep(store, clock, holder):
     return leases.LeaseKeeper(
-        store, 'wave/fit', holder, ttl_seconds=10, clock=clock
+        store, 'orders/1', holder, ttl_seconds=10, clock=clock
     )
 
 
-async def test_a_lease_lapses_while_its_holder_is_paused(store, clock):
-    lease = await keep(store, clock, 'a').take()
-    lease.check()
-    clock.now += 9
-    with pytest.raises(errors.LeaseLost):
+@pytest.mark.anyio
+class TestOneHolder:
+    async def test_a_lease_lapses_while_its_holder_is_paused(
+        self, store, clock
+    ):
+        lease = await keep(store, clock, 'a').take()
         lease.check()
+        clock.now += 9
+        with pytest.raises(errors.LeaseLost):
+            lease.check()
+
+    async def test_the_deadline_counts_from_before_the_write(
+        self, store, clock
+    ):
+        keeper = keep(store, clock, 'a')
+        create = store.create
+
+        async def create_slowly(key, value):
+            clock.now += 5
+            return await create(key, value)
+
+        store.create = create_slowly
+        lease = await keeper.take()
+        assert lease.remaining_seconds() == pytest.approx(3)
+
+    @pytest.mark.parametrize(
+        ('faults', 'remaining_seconds'),
+        [
+            ([['ok']], 8),
+            # The write took effect; reading its answer back succeeds ...
+            ([['lose']], 8),
+            # ... or fails, and the next round finds the write.
+            ([['lose', 'refuse'], ['ok']], 8),
+            ([['lose', 'refuse'], ['refuse'], ['ok']], 8),
+            ([['lose', 'refuse'], ['ok', 'lose']], 8),
+            # Nothing was written.
+            ([['refuse']], 5),
+            ([['drop'], ['ok']], 8),
+            ([['drop', 'refuse'], ['ok', 'drop']], 5),
+        ],
+    )
+    async def test_no_fault_of_a_renewal_ends_the_term(
+        self, store, clock, faults, remaining_seconds
+    ):
+        keeper = keep(store, clock, 'a')
+        token = (await keeper.take()).token
+        clock.now += 3
+        for round_faults in faults:
+            store.faults = list(round_faults)
+            try:
+                await keeper.take()
+            except errors.PlatformError:
+                pass
+        assert keeper.lease.token == token
+        assert keeper.lease.remaining_seconds() == pytest.approx(
+            remaining_seconds
+        )
+
+    async def test_a_late_write_that_makes_the_next_one_fail_is_its_own(
+        self, store, clock
+    ):
+        keeper = keep(store, clock, 'a')
+        token = (await keeper.take()).token
+        clock.now += 3
+        store.faults = ['delay', 'ok', 'ok', 'land']
+        with pytest.raises(errors.WriteUncertain):
+            await keeper.take()
+        clock.now += 1
+        lease = await keeper.take()
+        assert lease.token == token
+        assert lease.remaining_seconds() == pytest.approx(7)
+
+    async def test_a_renewal_that_hangs_is_given_up_and_found_again(
+        self, store, clock, monkeypatch
+    ):
+        monkeypatch.setattr(_keeper, 'RENEW_TIMEOUT_SECONDS', 0.01)
+        monkeypatch.setattr(_keeper, 'RETRY_INTERVAL_SECONDS', 0.01)
+        monkeypatch.setattr(_keeper, 'RENEW_INTERVAL_SECONDS', 9)
+        keeper = keep(store, clock, 'a')
+        token = (await keeper.take()).token
+        clock.now += 3
+        store.faults = ['hang']
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(keeper.run)
+            with anyio.fail_after(5):
+                while keeper.lease.remaining_seconds() < 8:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        assert keeper.lease.token == token
 
+    async def test_the_renewal_of_a_paused_process_fits_before_the_lapse(self):
+        needed_seconds = (
+            _keeper.RENEW_INTERVAL_SECONDS + _keeper.RENEW_TIMEOUT_SECONDS + 3
+        )
+        assert needed_seconds <= (
+            _lease.LEASE_TTL_SECONDS - _lease.LEASE_MARGIN_SECONDS
+        )
+
+
+@pytest.mark.anyio
+class TestTakeOver:
+    async def test_another_holder_waits_a_whole_term_on_its_own_clock(
+        self, store, clock
+    ):
+        first = await keep(store, clock, 'a').take()
+        other = keep(store, clock, 'b')
+        with pytest.raises(errors.LeaseLost):
+            await other.take()
+        clock.now += 10
+        with pytest.raises(errors.LeaseLost):
+            await other.take()
+        clock.now += 1
+        assert (await other.take()).token > first.token
 
-async def test_another_holder_waits_a_whole_term_on_its_own_clock(
-    store, clock
-):
-    await keep(store, clock, 'a').take()
-    other = keep(store, clock, 'b')
-    with pytest.raises(errors.LeaseLost):
-        await other.take()
-    clock.now += 10
-    with pytest.raises(errors.LeaseLost):
-        await other.take()
-    clock.now += 1
-    assert (await other.take()).token == 2
-
-
-async def test_the_old_holder_cannot_renew_after_a_take_over(store, clock):
-    first = keep(store, clock, 'a')
-    await first.take()
-    second = keep(store, clock, 'b')
-    for _ in range(2):
+    async def test_the_old_holder_cannot_renew_after_a_take_over(
+        self, store, clock
+    ):
+        first = keep(store, clock, 'a')
+        await first.take()
+        second = keep(store, clock, 'b')
+        for _ in range(2):
+            with pytest.raises(errors.LeaseLost):
+                await second.take()
+            clock.now += 6
+        await second.take()
         with pytest.raises(errors.LeaseLost):
-            await second.take()
-        clock.now += 6
-    await second.take()
-    with pytest.raises(errors.LeaseLost):
+            await first.take()
+        assert first.lease is None
+
+    async def test_fencing_tokens_grow_over_a_release(self, store, clock):
+        first = keep(store, clock, 'a')
+        old = await first.take()
+        await first.release()
+        assert (await keep(store, clock, 'b').take()).token > old.token
+
+    async def test_fencing_tokens_grow_over_different_leases(
+        self, store, clock
+    ):
+        old = await keep(store, clock, 'a').take()
+        other = leases.LeaseKeeper(store, 'orders/2', 'a', clock=clock)
+        assert (await other.take()).token > old.token
+
+    async def test_a_first_term_has_nobody_to_wait_out(self, store, clock):
+        lease = await keep(store, clock, 'a').take()
+        lease.check_settled(3)
+
+    async def test_a_later_term_waits_out_the_actions_of_the_one_before(
+        self, store, clock
+    ):
+        first = keep(store, clock, 'a')
         await first.take()
-    assert first.lease is None
+        await first.release()
+        lease = await keep(store, clock, 'b').take()
+        clock.now += 3
+        with pytest.raises(errors.LeaseLost, match='waits out'):
+            lease.check_settled(3)
+        clock.now += 0.1
+        lease.check_settled(3)
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Three keepers whose clocks differ, over a store that fails."""
+
+    @stateful.initialize(
+        rates=strategies.lists(
+            strategies.floats(0.995, 1.005), min_size=3, max_size=3
+        )
+    )
+    def begin(self, rates):
+        self.store = conftest.MemoryStore()
+        self.clocks = [conftest.Clock() for _ in rates]
+        self.rates = rates
+        self.keepers = [
+            keep(self.store, clock, f'holder-{number}')
+            for number, clock in enumerate(self.clocks)
+        ]
+        self.tokens = [0, 0, 0]
+
+    @stateful.rule(
+        number=strategies.integers(0, 2),
+        faults=strategies.lists(
+            strategies.sampled_from(
+                ['ok', 'refuse', 'lose', 'drop', 'delay', 'land']
+            ),
+            max_size=4,
+        ),
+    )
+    def take(self, number, faults):
+        self.store.faults = list(faults)
+        try:
+            anyio.run(self.keepers[number].take)
+        except (errors.PlatformError, errors.LeaseLost):
+            pass
+        self.store.faults = []
 
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 1, 3, 8, 10.2, 30]))
+    def wait(self, seconds):
+        # A holder that does nothing meanwhile is a holder that was paused.
+        for clock, rate in zip(self.clocks, self.rates, strict=True):
+            clock.now += seconds * rate
 
-async def test_a_lost_answer_of_a_renewal_is_resolved(store, clock):
-    keeper = keep(store, clock, 'a')
-    await keeper.take()
-    store.faults = ['lose']
-    clock.now += 3
-    lease = await keeper.take()
-    assert lease.token == 1
-    assert lease.remaining_seconds() == pytest.approx(8)
+    @stateful.rule(number=strategies.integers(0, 2))
+    def release(self, number):
+        try:
+            anyio.run(self.keepers[number].release)
+        except errors.PlatformError:
+            pass
 
+    @stateful.rule()
+    def land_a_delayed_write(self):
+        self.store.land()
 
-async def test_the_deadline_counts_from_before_the_write(store, clock):
-    keeper = keep(store, clock, 'a')
-    create = store.create
+    @stateful.invariant()
+    def at_most_one_may_act(self):
+        able = [
+            keeper.lease
+            for keeper in getattr(self, 'keepers', [])
+            if keeper.lease is not None and self._may_act(keeper.lease)
+        ]
+        assert len(able) <= 1
 
-    async def create_slowly(key, value):
-        clock.now += 5
-        return await create(key, value)
+    @stateful.invariant()
+    def whoever_may_act_has_the_highest_token_so_far(self):
+        for keeper in getattr(self, 'keepers', []):
+            if keeper.lease is not None and self._may_act(keeper.lease):
+                assert keeper.lease.token >= max(self.tokens)
+                self.tokens.append(keeper.lease.token)
 
-    store.create = create_slowly
-    lease = await keeper.take()
-    assert lease.remaining_seconds() == pytest.approx(3)
+    def _may_act(self, lease):
+        try:
+            lease.check()
+        except errors.LeaseLost:
+            return False
+        return True
 
 
-async def test_fencing_tokens_grow_over_a_release(store, clock):
-    first = keep(store, clock, 'a')
-    await first.take()
-    await first.release()
-    assert (await keep(store, clock, 'b').take()).token == 2
+TestLeaseMachine = LeaseMachine.TestCase
+TestLeaseMachine.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40
+)
--- /dev/null
+++ b/tests/cover/test_weights_orders.py
@@ -0,0 +1,116 @@
+import contextlib
+
+import anyio
+import msgspec
+import pytest
+
+from swiftjunction import backends
+from swiftjunction import configuration
+from swiftjunction import errors
+from swiftjunction import leases
+from swiftjunction import membership
+from swiftjunction import standins
+from swiftjunction import web
+
+pytestmark = pytest.mark.anyio
+
+ORDER = backends.Order('role', 'fit', argument='prefill', fencing_token=7)
+
+
+@contextlib.asynccontextmanager
+async def serve_engine():
+    engine = standins.EngineStandin('engine-0', 'fit', web.connect_client())
+    listener = web.open_listener('127.0.0.1', 0)
+    peers = web.PeerClients()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(standins.host, listener, engine)
+        yield engine, backends.EngineClient(peers), listener.address
+        await peers.close()
+        tasks.cancel_scope.cancel()
+
+
+def make_lease(clock, has_predecessor=False):
+    return leases.Lease('orders/1', 7, clock.now + 10, clock, has_predecessor)
+
+
+@pytest.mark.parametrize(
+    ('checks_fencing', 'has_predecessor', 'waited_seconds', 'sent'),
+    [
+        (True, True, 0, True),
+        (True, False, 0, True),
+        (False, False, 0, True),
+        (False, True, 0, False),
+        (False, True, 2.9, False),
+        (False, True, 3.1, True),
+        # The lease must outlast the longest order.
+        (True, True, 5.1, False),
+        (False, True, 5.1, False),
+    ],
+)
+async def test_an_order_is_sent_only_while_no_other_can_be_under_way(
+    clock, checks_fencing, has_predecessor, waited_seconds, sent
+):
+    async with serve_engine() as (engine, client, address):
+        sender = backends.OrderSender(client, lambda model: checks_fencing)
+        lease = make_lease(clock, has_predecessor)
+        clock.now += waited_seconds
+        if sent:
+            await sender.send(lease, address, 'fit', ORDER)
+        else:
+            with pytest.raises(errors.LeaseLost):
+                await sender.send(lease, address, 'fit', ORDER)
+        assert engine.orders == ([ORDER] if sent else [])
+
+
+async def test_a_pause_while_connecting_keeps_the_order_from_leaving(clock):
+    async with serve_engine() as (engine, client, address):
+        lease = make_lease(clock)
+        checks = 0
+
+        def check():
+            nonlocal checks
+            checks += 1
+            lease.check(3)
+
+        check()
+        clock.now += 6
+        with pytest.raises(errors.LeaseLost):
+            await client.give_order(address, ORDER, check)
+        assert checks == 2
+        assert engine.orders == []
+
+
+async def test_an_order_whose_answer_never_comes_ends_in_time(
+    clock, monkeypatch
+):
+    class Silent:
+        async def give_order(self, address, order, check):
+            check()
+            await anyio.sleep_forever()
+
+    monkeypatch.setattr(
+        'swiftjunction.backends._engine.ORDER_TIMEOUT_SECONDS', 0.01
+    )
+    sender = backends.OrderSender(Silent(), lambda model: True)
+    with pytest.raises(errors.AnswerBroken, match='in time'):
+        await sender.send(make_lease(clock), 'engine-0', 'fit', ORDER)
+
+
+@pytest.mark.parametrize(
+    ('said', 'checks'),
+    [([], False), ([None], False), ([True], True), ([True, None], False)],
+)
+def test_engines_check_fencing_only_where_each_path_says_so(said, checks):
+    table = membership.RecordTable()
+    tree = configuration.Tree(table)
+    subtree = configuration.Subtree(
+        'demo',
+        paths={
+            f'demo/{number}': configuration.PathSettings(
+                model='fit', checks_fencing=value
+            )
+            for number, value in enumerate(said)
+        },
+    )
+    table.put('config/demo', msgspec.json.encode(subtree))
+    assert tree.checks_fencing('fit') == checks
--- /dev/null
+++ b/tests/cover/test_weights_wave.py
@@ -0,0 +1,259 @@
+import contextlib
+
+import anyio
+import httpx
+import msgspec
+import pytest
+
+from swiftjunction import backends
+from swiftjunction import errors
+from swiftjunction import leases
+from swiftjunction import membership
+from swiftjunction import standins
+from swiftjunction import telemetry
+from swiftjunction import weights
+from swiftjunction.weights import _rollout
+from swiftjunction.weights import _staging
+
+pytestmark = pytest.mark.anyio
+
+LONGEST_ROLLOUT_SECONDS = 10
+
+
+class DirectEngines:
+    """Gives orders to stand-ins of this process, without HTTP."""
+
+    def __init__(self, engines):
+        self.engines = engines
+
+    async def give_order(self, address, order, check):
+        check()
+        await anyio.lowlevel.checkpoint()
+        if self.engines[address].faults.get('crashed'):
+            raise errors.BackendUnreachable('crashed', peer=address)
+        try:
+            self.engines[address].take_order(order)
+        except Exception as error:
+            raise errors.AnswerBroken(str(error), peer=address) from error
+
+
+class Fleet:
+    """Engine stand-ins, their reports, and one holder that orders them."""
+
+    def __init__(self, store, count, checks_fencing=True):
+        self.table = membership.RecordTable()
+        self.directory = backends.Directory(self.table)
+        self.board = weights.Board(self.table)
+        self.history = weights.History('fit')
+        self.weights = standins.WeightStoreStandin(0.01, 4)
+        client = httpx.AsyncClient(
+            transport=httpx.ASGITransport(app=self.weights.build_app()),
+            base_url='http://weights',
+        )
+        self.engines = {
+            f'engine-{number}': standins.EngineStandin(
+                f'engine-{number}',
+                'fit',
+                client,
+                checks_fencing=checks_fencing,
+            )
+            for number in range(count)
+        }
+        self.keeper = leases.LeaseKeeper(store, 'orders/1', 'a')
+        self.wave = weights.Wave(
+            self.directory,
+            self.board,
+            self.keeper,
+            backends.OrderSender(
+                DirectEngines(self.engines), lambda model: checks_fencing
+            ),
+            lambda name: True,
+            anyio.sleep,
+            telemetry.Metrics(),
+        )
+
+    @contextlib.asynccontextmanager
+    async def run(self):
+        await self.keeper.take()
+        async with anyio.create_task_group() as tasks:
+            for engine in self.engines.values():
+                tasks.start_soon(engine.run)
+            tasks.start_soon(self._report_often)
+            tasks.start_soon(self.wave.run)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    def publish(self, source=0):
+        version = self.history.add(0.0, source)
+        self.table.put('weights/fit', msgspec.json.encode(self.history))
+        return version
+
+    async def wait_for(self, version):
+        with anyio.fail_after(LONGEST_ROLLOUT_SECONDS):
+            while any(
+                engine.weight_version != version
+                for engine in self.engines.values()
+            ):
+                await anyio.sleep(0.01)
+
+    async def _report_often(self):
+        while True:
+            for name, engine in self.engines.items():
+                status = engine.describe_status()
+                down = engine.faults.get('crashed')
+                report = backends.ServerReport(
+                    name,
+                    name,
+                    'fit',
+                    'dc-1',
+                    state='down' if down else 'live',
+                    weight_version=0 if down else status.weight_version,
+                    staged_version=0 if down else status.staged_version,
+                )
+                self.table.put(
+                    f'server/{name}', msgspec.msgpack.encode(report)
+                )
+            await anyio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'number'),
+    [
+        ('fail_orders', 3),
+        ('ignore_orders', 1),
+        ('fail_swaps', 2),
+        ('crashed', 1),
+    ],
+)
+async def test_an_engine_that_fails_is_seen_and_put_right(
+    store, monkeypatch, fault, number
+):
+    monkeypatch.setattr(_staging, 'FIRST_TIMEOUT_SECONDS', 0.3)
+    monkeypatch.setattr(_staging, 'MIN_TIMEOUT_SECONDS', 0.3)
+    async with Fleet(store, 3).run() as fleet:
+        fleet.publish()
+        await fleet.wait_for(1)
+        engine = fleet.engines['engine-1']
+        engine.faults.set(fault, number)
+        fleet.publish()
+        if fault == 'crashed':
+            await anyio.sleep(0.2)
+            assert engine.weight_version == 0
+            engine.faults.set('crashed', 0)
+        await fleet.wait_for(2)
+
+
+async def test_a_late_order_of_an_earlier_holder_is_put_right(store):
+    async with Fleet(store, 2, checks_fencing=False).run() as fleet:
+        for version in (1, 2):
+            fleet.publish()
+            await fleet.wait_for(version)
+        engine = fleet.engines['engine-0']
+        engine.take_order(backends.Order('activate', 'fit', 1, 0))
+        assert engine.weight_version == 1
+        await fleet.wait_for(2)
+
+
+async def test_a_late_order_is_refused_where_tokens_are_checked(store):
+    async with Fleet(store, 2).run() as fleet:
+        for version in (1, 2):
+            fleet.publish()
+            await fleet.wait_for(version)
+        with pytest.raises(Exception, match='fencing'):
+            fleet.engines['engine-0'].take_order(
+                backends.Order('activate', 'fit', 1, 0)
+            )
+
+
+async def test_going_back_is_a_new_version_with_earlier_files(store):
+    async with Fleet(store, 2).run() as fleet:
+        for version in (1, 2):
+            fleet.publish()
+            await fleet.wait_for(version)
+        fleet.publish(source=1)
+        await fleet.wait_for(3)
+        orders = fleet.engines['engine-0'].orders
+        assert orders[-1].weight_version == 3
+        assert orders[-1].source_version == 1
+
+
+async def test_no_engine_is_activated_before_all_have_staged(store):
+    async with Fleet(store, 8).run() as fleet:
+        fleet.publish()
+        await fleet.wait_for(1)
+        staged = [e.staged_version for e in fleet.engines.values()]
+        for engine in fleet.engines.values():
+            kinds = [order.kind for order in engine.orders]
+            assert kinds.count('stage') == 1
+            assert kinds[-1] == 'activate'
+        assert staged == [1] * 8
+
+
+async def test_nothing_is_ordered_without_a_lease(store):
+    fleet = Fleet(store, 2)
+    store.faults = ['ok', 'ok'] + ['refuse'] * 50
+    async with fleet.run():
+        fleet.keeper.lease = None
+        fleet.publish()
+        await anyio.sleep(0.2)
+    assert not any(engine.orders for engine in fleet.engines.values())
+
+
+def make_server(number, version, staged, state='live'):
+    return backends.BackendServer(
+        backends.ServerReport(
+            f'engine-{number}',
+            f'engine-{number}',
+            'fit',
+            'dc-1',
+            state=state,
+            weight_version=version,
+            staged_version=staged,
+        )
+    )
+
+
+def test_those_that_staged_go_ahead_when_staging_stands_still():
+    rollout = _rollout.Rollout('fit', 2, 2, 100)
+    servers = [make_server(0, 1, 2), make_server(1, 1, 1)]
+    rollout.look(servers, 100)
+    assert rollout.list_ready(100 + _rollout.STAGE_PATIENCE_SECONDS) == []
+    ready = rollout.list_ready(100.1 + _rollout.STAGE_PATIENCE_SECONDS)
+    assert [s.name for s in ready] == ['engine-0']
+
+
+def test_an_engine_that_stays_behind_makes_the_rollout_stuck():
+    rollout = _rollout.Rollout('fit', 2, 2, 100)
+    rollout.look([make_server(0, 2, 2), make_server(1, 0, 2)], 100)
+    assert not rollout.is_stuck(100 + _rollout.STUCK_SECONDS)
+    assert rollout.is_stuck(100.1 + _rollout.STUCK_SECONDS)
+    assert rollout.summarize(200)['behind'] == ['engine-1']
+
+
+@pytest.mark.parametrize('state', ['leaving', 'down', 'gone'])
+def test_an_engine_that_is_not_live_holds_no_rollout_up(state):
+    rollout = _rollout.Rollout('fit', 2, 2, 100)
+    rollout.look([make_server(0, 2, 2), make_server(1, 0, 0, state)], 100)
+    assert rollout.is_done()
+
+
+def test_the_staging_window_grows_while_quick_and_shrinks_when_slow():
+    window = _staging.StagingWindow()
+    now = 0.0
+    for number in range(40):
+        assert window.admit(str(number), now)
+        now += 0.1
+        window.note_staged(str(number), now)
+    grown = window.limit
+    assert grown > 2
+    assert window.admit('slow', now)
+    window.note_staged('slow', now + 1)
+    assert window.limit <= grown // 2
+
+
+def test_a_fetch_that_takes_too_long_is_ordered_again():
+    window = _staging.StagingWindow()
+    assert window.admit('a', 0)
+    assert not window.admit('a', 1)
+    assert window.expire(_staging.FIRST_TIMEOUT_SECONDS + 1) == ['a']
+    assert window.admit('a', 40)
