--- a/src/swiftjunction/client/_trainer.py
+++ b/src/swiftjunction/client/_trainer.py
@@ -10,9 +10,17 @@
 from swiftjunction import errors
 from swiftjunction import web
 
-DRAW_WAIT_SECONDS = 5.0
+DRAW_WAIT_SECONDS = 1.5
 RETRY_SECONDS = 0.2
-REQUEST_TIMEOUT_SECONDS = 20.0
+# What an owner that is cut off costs a draw before another one is asked.
+REQUEST_TIMEOUT_SECONDS = 3.5
+CONNECT_TIMEOUT_SECONDS = 1.0
+OUTCOME_HEADER = 'x-request-outcome'
+
+
+_TIMEOUT = httpx.Timeout(
+    REQUEST_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS
+)
 
 
 class DrawnSample(msgspec.Struct, frozen=True):
@@ -37,6 +45,7 @@
 
 
 class _WireDraw(msgspec.Struct):
+    start: int
     samples: list[DrawnSample]
     cursor: int
     total: int
@@ -83,12 +92,28 @@
         *,
         scorer: str = '',
         deadline_seconds: float = 780.0,
+        cursor: int = 0,
     ) -> collections.abc.AsyncIterator[DrawnSample]:
         """Submit a step and yield each of its samples once.
 
         Submitting the same step again, for example after a restart of the
         trainer, goes on with the step that is open.
+
+        Parameters
+        ----------
+        cursor : int
+            The sequence number of the last sample that the trainer has. One
+            that keeps it with its own state gets each sample once over its
+            restarts too; without it, the step goes on after the last sample
+            that its owner knows to have arrived.
+
+        Raises
+        ------
+        StepIncomplete
+            If the step ended, by its deadline or a cancel, before all of its
+            samples were handed over.
         """
+        total = sum(group['samples'] for group in groups)
         spec = {
             'trainer': self._trainer,
             'step': step,
@@ -99,7 +124,7 @@
         }
         await self._call('POST', '/v1/steps', json=spec)
         step_id = f'{self._trainer}.{step}'
-        cursor = 0
+        received = cursor
         while True:
             response = await self._call(
                 'GET',
@@ -107,15 +132,28 @@
                 params={'cursor': cursor, 'wait_seconds': DRAW_WAIT_SECONDS},
             )
             if response.status_code == httpx.codes.GONE:
-                return
+                if response.headers.get(OUTCOME_HEADER) == 'complete':
+                    return
+                break
             draw = msgspec.json.decode(response.content, type=_WireDraw)
+            if draw.start > cursor:
+                # What was acknowledged before a restart is not drawn again.
+                received += draw.start - cursor
+                cursor = draw.start
             for sample in draw.samples:
                 # A draw that was repeated may begin with what is here.
-                if sample.sequence == cursor + 1:
+                if sample.sequence > cursor:
                     cursor = sample.sequence
+                    received += 1
                     yield sample
             if draw.done:
-                return
+                break
+        if received < total:
+            raise errors.StepIncomplete(
+                f'step {step_id} ended with {received} of {total} samples',
+                step='draw',
+                peer=self._owner,
+            )
 
     async def _call(
         self, method: str, url: str, **options: object
@@ -154,7 +192,7 @@
     ) -> httpx.Response | None:
         try:
             return await self._peers.get(self._owner).request(
-                method, url, timeout=REQUEST_TIMEOUT_SECONDS, **options
+                method, url, timeout=_TIMEOUT, **options
             )
         except httpx.HTTPError:
             return None
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -25,6 +25,7 @@
     'SettingsError',
     'StepElsewhere',
     'StepEnded',
+    'StepIncomplete',
     'StaleWeights',
     'SwiftjunctionError',
     'WriteUncertain',
@@ -153,6 +154,13 @@
     outcome = 'complete'
 
 
+class StepIncomplete(RequestError):
+    """The step ended, by its deadline or a cancel, before it was whole."""
+
+    status = 410
+    outcome = 'incomplete'
+
+
 class StepElsewhere(RequestError):
     """Another process owns the step; ``peer`` is its address."""
 
--- a/src/swiftjunction/spool/_client.py
+++ b/src/swiftjunction/spool/_client.py
@@ -5,6 +5,8 @@
 from swiftjunction.spool import _messages
 
 TIMEOUT_SECONDS = 5.0
+# A new owner of a step waits for this, and its trainer with it.
+FETCH_TIMEOUT_SECONDS = 2.0
 
 
 class SpoolClient:
@@ -18,9 +20,10 @@
         ``ip:port`` of the spool.
     """
 
-    __slots__ = ('_requester',)
+    __slots__ = ('_requester', 'address')
 
     def __init__(self, address: str) -> None:
+        self.address = address
         self._requester = links.Requester(address)
 
     async def put(
@@ -31,16 +34,22 @@
 
     async def fetch(self, step_id: str) -> list[_messages.Payload]:
         """Return the newest payload of each index."""
-        reply = await self._ask(_messages.Fetch(step_id))
+        reply = await self._ask(
+            _messages.Fetch(step_id), FETCH_TIMEOUT_SECONDS
+        )
         return reply.payloads
 
     async def drop(self, step_id: str) -> None:
         """Forget a step."""
         await self._ask(_messages.Drop(step_id))
 
-    async def _ask(self, request: _messages.Request) -> _messages.Reply:
+    async def _ask(
+        self,
+        request: _messages.Request,
+        timeout_seconds: float = TIMEOUT_SECONDS,
+    ) -> _messages.Reply:
         data = await self._requester.ask(
-            _messages.encoder.encode(request), TIMEOUT_SECONDS
+            _messages.encoder.encode(request), timeout_seconds
         )
         reply = _messages.reply_decoder.decode(data)
         if reply.error:
--- a/src/swiftjunction/spool/_store.py
+++ b/src/swiftjunction/spool/_store.py
@@ -1,6 +1,7 @@
 """Payloads on disk: one append-only file for each step."""
 
 import logging
+import os
 import pathlib
 import re
 import struct
@@ -23,7 +24,9 @@
     """Keeps payloads under one data folder.
 
     A frame that was torn by a crash in the middle of a write ends the file:
-    whatever stands before it is good, as each frame has its own checksum.
+    whatever stands before it is good, as each frame has its own checksum. It
+    is cut off before the next frame is written, which could not be found
+    behind it.
 
     Parameters
     ----------
@@ -33,12 +36,13 @@
         At which the spool refuses more.
     """
 
-    __slots__ = ('_folder', '_max_bytes', '_sizes')
+    __slots__ = ('_checked', '_folder', '_max_bytes', '_sizes')
 
     def __init__(self, folder: pathlib.Path, max_bytes: int) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
         self._max_bytes = max_bytes
+        self._checked: set[str] = set()
         self._sizes = {
             file.stem: file.stat().st_size for file in folder.glob('*.spool')
         }
@@ -61,10 +65,23 @@
             raise errors.LinkError('the spool is full', step='put')
         head = FRAME_HEAD.pack(len(body), xxhash.xxh3_64_intdigest(body))
         path = self._find_path(step_id)
+        self._cut_torn_frame(step_id, path)
         with path.open('ab') as file:
+            # Until the frame is whole, the file is taken for torn.
+            self._checked.discard(step_id)
             file.write(head + body)
+        self._checked.add(step_id)
         self._sizes[step_id] = path.stat().st_size
 
+    def _cut_torn_frame(self, step_id: str, path: pathlib.Path) -> None:
+        if step_id in self._checked or not path.exists():
+            return
+        good_bytes = sum(
+            FRAME_HEAD.size + len(body)
+            for body in read_frames(path.read_bytes())
+        )
+        os.truncate(path, good_bytes)
+
     def fetch(self, step_id: str) -> list[_messages.Payload]:
         """Return the newest payload of each index."""
         path = self._find_path(step_id)
@@ -82,6 +99,7 @@
         """Delete the step's file."""
         self._find_path(step_id).unlink(missing_ok=True)
         self._sizes.pop(step_id, None)
+        self._checked.discard(step_id)
 
     def summarize(self) -> dict[str, object]:
         """Return the state, for a dump."""
--- a/src/swiftjunction/steps/_app.py
+++ b/src/swiftjunction/steps/_app.py
@@ -136,10 +136,6 @@
             return running
         try:
             owner = await self._registry.read_owner(step_id)
-            if not owner:
-                raise errors.RequestInvalid(
-                    f'there is no step {step_id}', step='find'
-                )
             address = await self._probe(owner)
             if address:
                 raise errors.StepElsewhere(
@@ -148,6 +144,10 @@
                     peer=address,
                 )
             return await self._registry.take_over(step_id)
+        except errors.ObjectMissing as error:
+            raise errors.RequestInvalid(
+                f'there is no step {step_id}', step='find'
+            ) from error
         except errors.PlatformError as error:
             raise errors.NotRun(
                 error.message, step='find', peer=error.peer
@@ -159,6 +159,9 @@
         Where it does not, taking over is safe even if it still runs: the
         ledger lets only one of the two go on.
         """
+        if owner == self._registry.owner:
+            # An earlier run of this process.
+            return ''
         process = self._processes.get(owner)
         if process is None or process.state == 'dead':
             return ''
@@ -201,6 +204,7 @@
             'total': step.total,
             'placed': len(step.order),
             'acknowledged': step.acknowledged,
+            'expired': step.expired,
         }
     )
 
--- a/src/swiftjunction/steps/_delivery.py
+++ b/src/swiftjunction/steps/_delivery.py
@@ -1,9 +1,9 @@
 """Works on one step: makes its samples and hands them over once each."""
 
 import logging
+import time
 
 import anyio
-import anyio.abc
 import msgspec
 
 from swiftjunction import errors
@@ -14,10 +14,12 @@
 
 LOG = logging.getLogger(__name__)
 
-# At most one ledger write a step in this time.
+# At most one call of the platform for the ledger of a step in this time.
 PLACE_INTERVAL_SECONDS = 1.0
 MAX_DRAW_SAMPLES = 512
 MAX_WAIT_SECONDS = 30.0
+# How long an expired step is kept for a trainer that has not drawn the rest.
+EXPIRED_LINGER_SECONDS = 60.0
 
 
 class Draw(msgspec.Struct, frozen=True):
@@ -25,12 +27,15 @@
 
     Attributes
     ----------
+    start : int
+        The sequence number after which it begins.
     cursor : int
         What to draw with next; it acknowledges these samples.
     done : bool
-        Whether the trainer has acknowledged the whole step.
+        Whether nothing comes after `cursor`, now or later.
     """
 
+    start: int
     samples: list[_step.Sample]
     cursor: int
     total: int
@@ -56,12 +61,15 @@
         '_changed',
         '_finished',
         '_ledger',
+        '_makers',
         '_making',
         '_payloads',
+        '_placing_since',
         '_producer',
-        '_stop',
-        '_tasks',
+        '_schedule',
         '_tasks_by_index',
+        '_unplaced',
+        '_wanted',
         'step',
     )
 
@@ -78,12 +86,15 @@
         self._payloads = payloads
         self._changed = anyio.Event()
         self._finished = anyio.Event()
-        self._stop = anyio.CancelScope()
+        self._unplaced = anyio.Event()
+        self._wanted = anyio.Event()
         self._making: set[int] = set()
+        self._placing_since = 0.0
         self._tasks_by_index = {
             task.index: task for task in step.spec.list_tasks()
         }
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._schedule = producer.make_schedule(step.spec)
+        self._makers = anyio.CancelScope()
 
     async def run(self) -> None:
         """Work until the trainer has every sample, or the step is lost.
@@ -93,13 +104,15 @@
         ExceptionGroup
             Of ``LeaseLost``, if another process owns the step by now.
         """
-        with self._stop:
-            async with anyio.create_task_group() as tasks:
-                self._tasks = tasks
-                self._make_missing()
-                tasks.start_soon(self._place_finished)
-                await self._finished.wait()
-                tasks.cancel_scope.cancel()
+        async with anyio.create_task_group() as tasks:
+            for index in self.step.list_missing():
+                self._want(index)
+            tasks.start_soon(self._make_wanted)
+            tasks.start_soon(self._place_finished)
+            tasks.start_soon(self._watch_deadline)
+            await self._finished.wait()
+            tasks.cancel_scope.cancel()
+        self._producer.forget(self.step.spec)
         await self._end()
 
     def cancel(self) -> None:
@@ -110,8 +123,12 @@
     async def draw(self, cursor: int, wait_seconds: float) -> Draw:
         """Acknowledge up to `cursor` and return what comes after it.
 
-        The same cursor always gives the same samples in the same order,
-        perhaps more or fewer of them.
+        A sequence number always means the same index, also on an earlier
+        owner that was paused and does not know yet that it is not the owner:
+        it has no numbers but those that the ledger gave.
+
+        What was acknowledged is never handed over again: a trainer that lost
+        its cursor goes on after the last sample acknowledged.
 
         Parameters
         ----------
@@ -121,14 +138,24 @@
             How long to wait where there is nothing after it yet.
         """
         self.step.acknowledge(cursor)
+        cursor = max(cursor, self.step.acknowledged)
         if self.step.is_acknowledged:
             self._finished.set()
-            return Draw([], cursor, self.step.total, True)
+            return Draw(cursor, [], cursor, self.step.total, True)
         with anyio.move_on_after(min(wait_seconds, MAX_WAIT_SECONDS)):
-            while not (ready := self._list_ready(cursor)):
+            while not (self._list_ready(cursor) or self.step.expired):
                 await self._changed.wait()
-        samples = self._list_ready(cursor) if not ready else ready
-        return Draw(samples, cursor + len(samples), self.step.total, False)
+        samples = self._list_ready(cursor)
+        last = samples[-1].sequence if samples else cursor
+        done = self._is_over(samples)
+        return Draw(cursor, samples, last, self.step.total, done)
+
+    def _is_over(self, samples: list[_step.Sample]) -> bool:
+        """Tell whether an expired step has nothing more to hand over."""
+        if not self.step.expired or samples or self._has_unplaced():
+            return False
+        self._finished.set()
+        return True
 
     def _list_ready(self, cursor: int) -> list[_step.Sample]:
         """Return the samples from `cursor` to the first that is not ready.
@@ -136,79 +163,168 @@
         Sequence numbers are handed over without gaps. A sample that became
         stale while it waited, or was lost with an earlier owner, is made
         again under the number it has: under another one, a trainer that did
-        get it in an answer thought lost would have it twice.
+        get it in an answer thought lost would have it twice. All such
+        samples are looked for, so that they are made at the same time. After
+        the step's deadline they are left out.
         """
         ready = []
-        for sequence in range(
-            cursor + 1,
-            min(len(self.step.order), cursor + MAX_DRAW_SAMPLES) + 1,
-        ):
+        gap = False
+        last = min(len(self.step.order), cursor + MAX_DRAW_SAMPLES)
+        for sequence in range(cursor + 1, last + 1):
             index = self.step.order[sequence - 1]
-            sample = self.step.samples.get(index)
-            if sample is not None and not self._producer.is_fresh(
-                self.step.spec, sample
-            ):
-                LOG.info('sample %s went stale before hand-over', index)
-                del self.step.samples[index]
-                sample = None
+            sample = self._find_fresh(index)
             if sample is None:
-                self._start_making(index)
-                break
-            ready.append(msgspec.structs.replace(sample, sequence=sequence))
+                self._want(index)
+                gap = not self.step.expired
+            elif not gap:
+                ready.append(
+                    msgspec.structs.replace(sample, sequence=sequence)
+                )
         return ready
 
-    def _make_missing(self) -> None:
-        acknowledged = set(self.step.order[: self.step.acknowledged])
-        for index in self._tasks_by_index:
-            if index not in self.step.samples and index not in acknowledged:
-                self._start_making(index)
+    def _find_fresh(self, index: int) -> _step.Sample | None:
+        sample = self.step.samples.get(index)
+        if sample is None or self._producer.is_fresh(self.step.spec, sample):
+            return sample
+        LOG.info('sample %s went stale before hand-over', index)
+        del self.step.samples[index]
+        return None
 
-    def _start_making(self, index: int) -> None:
-        if index in self._making or self._tasks is None:
+    def _want(self, index: int) -> None:
+        if index in self._making or self.step.expired:
             return
         self._making.add(index)
-        self._tasks.start_soon(self._make, index)
+        self._schedule.push(
+            self._tasks_by_index[index], index in self.step.placed
+        )
+        self._wanted.set()
+
+    async def _make_wanted(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            self._makers = tasks.cancel_scope
+            while True:
+                while not self._schedule.size:
+                    self._wanted = anyio.Event()
+                    await self._wanted.wait()
+                slot = await self._producer.admit(
+                    self.step.spec, self._remaining_seconds()
+                )
+                task = self._schedule.pop()
+                assert task is not None, 'only this task takes from it'
+                tasks.start_soon(self._make, task, slot)
+
+    def _remaining_seconds(self) -> float:
+        if not self.step.expires_at:
+            return self.step.spec.deadline_seconds
+        return max(self.step.expires_at - time.time(), 0.0)
 
-    async def _make(self, index: int) -> None:
+    async def _make(
+        self, task: _step.SampleTask, slot: _production.Slot
+    ) -> None:
+        urgent = task.index in self.step.placed or not self._schedule.size
         sample = await self._producer.make(
-            self.step.spec, self._tasks_by_index[index]
+            self.step.spec, task, slot, urgent=urgent
         )
-        self._making.discard(index)
-        self.step.samples[index] = sample
-        if index in self.step.placed:
+        self._making.discard(task.index)
+        self._schedule.learn(task, sample.tokens)
+        self.step.samples[task.index] = sample
+        if task.index in self.step.placed:
             await self._payloads.keep(self.step.spec.step_id, [sample])
             self._notify()
+        else:
+            self._unplaced.set()
+
+    async def _watch_deadline(self) -> None:
+        """Stop making samples at the deadline; hand over those there are."""
+        if not self.step.expires_at:
+            return
+        await anyio.sleep(self._remaining_seconds())
+        LOG.warning(
+            'step %s expired with %s of %s samples placed',
+            self.step.spec.step_id,
+            len(self.step.order),
+            self.step.total,
+        )
+        self.step.expired = True
+        self._makers.cancel()
+        self._notify()
+        await anyio.sleep(EXPIRED_LINGER_SECONDS)
+        self._finished.set()
+
+    def _has_unplaced(self) -> bool:
+        return any(i not in self.step.placed for i in self.step.samples)
 
     async def _place_finished(self) -> None:
         while True:
-            await anyio.sleep(PLACE_INTERVAL_SECONDS)
-            samples = [
-                sample
-                for index, sample in self.step.samples.items()
-                if index not in self.step.placed
-            ]
-            if samples:
-                await self._place(samples)
-
-    async def _place(self, samples: list[_step.Sample]) -> None:
+            await self._unplaced.wait()
+            self._unplaced = anyio.Event()
+            calls = self._ledger.calls
+            await self._place()
+            calls_made = self._ledger.calls - calls
+            await anyio.sleep(PLACE_INTERVAL_SECONDS * max(calls_made, 1))
+
+    async def _place(self) -> None:
+        for index in [i for i in self.step.samples if self._is_late(i)]:
+            self._want(index)
+        samples = [
+            sample
+            for index, sample in self.step.samples.items()
+            if index not in self.step.placed
+        ]
+        if not samples:
+            return
+        self._placing_since = anyio.current_time()
         await self._payloads.keep(self.step.spec.step_id, samples)
         indices = [sample.index for sample in samples]
         await self._ledger.place(indices, self.step.acknowledged)
+        self._placing_since = 0.0
         # Only now may the trainer see them: from here on a new owner reads
         # the same sequence numbers in the ledger.
         for index in indices:
             self.step.place(index)
         self._notify()
 
+    def _is_late(self, index: int) -> bool:
+        """Tell whether an unplaced sample went stale, and drop it then.
+
+        One that is placed all the same would hold up those behind it.
+        """
+        if index in self.step.placed:
+            return False
+        return self._find_fresh(index) is None
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
 
     async def _end(self) -> None:
         try:
-            await self._ledger.close(self.step.acknowledged)
+            await self._ledger.close(
+                self.step.acknowledged,
+                self.step.total - self.step.acknowledged,
+            )
         except errors.LeaseLost:
             LOG.info('step %s was ended by another', self.step.spec.step_id)
             return
         await self._payloads.drop(self.step.spec.step_id)
         await self._ledger.erase()
+
+    def summarize(self) -> dict[str, object]:
+        """Return the state, for a dump.
+
+        ``placing_seconds`` grows while the platform takes no writes.
+        """
+        placing_seconds = 0.0
+        if self._placing_since:
+            placing_seconds = anyio.current_time() - self._placing_since
+        return {
+            'total': self.step.total,
+            'waiting': self._schedule.size,
+            'making': len(self._making) - self._schedule.size,
+            'made': len(self.step.samples),
+            'placed': len(self.step.order),
+            'acknowledged': self.step.acknowledged,
+            'expired': self.step.expired,
+            'placing_seconds': round(placing_seconds, 3),
+            'platform_calls': self._ledger.calls,
+        }
--- a/src/swiftjunction/steps/_payloads.py
+++ b/src/swiftjunction/steps/_payloads.py
@@ -1,6 +1,7 @@
 """Where finished samples are kept until the trainer acknowledges them."""
 
 import abc
+import collections.abc
 import logging
 
 import anyio
@@ -14,6 +15,7 @@
 LOG = logging.getLogger(__name__)
 
 COPIES = 2
+AVOID_SECONDS = 10.0
 
 
 class Payloads(abc.ABC):
@@ -54,45 +56,46 @@
         Knows the spools.
     """
 
-    __slots__ = ('_clients', '_processes')
+    __slots__ = ('_avoided_until', '_clients', '_processes')
 
     def __init__(self, processes: membership.ProcessList) -> None:
         self._processes = processes
         self._clients: dict[str, spool.SpoolClient] = {}
+        self._avoided_until: dict[str, float] = {}
 
     async def keep(self, step_id: str, samples: list[_step.Sample]) -> None:
         payloads = [
             spool.Payload(sample.index, msgspec.msgpack.encode(sample))
             for sample in samples
         ]
+        clients = iter(self._choose(step_id))
         async with anyio.create_task_group() as tasks:
-            for client in self._choose(step_id)[:COPIES]:
-                tasks.start_soon(self._put, client, step_id, payloads)
+            for _ in range(COPIES):
+                tasks.start_soon(self._put, clients, step_id, payloads)
 
     async def fetch(self, step_id: str) -> dict[int, _step.Sample]:
-        samples: dict[int, _step.Sample] = {}
-        for client in self._choose(step_id):
-            try:
-                payloads = await client.fetch(step_id)
-            except errors.LinkError as error:
-                LOG.warning('spool not read: %s', error)
-                continue
-            for payload in payloads:
-                samples[payload.index] = msgspec.msgpack.decode(
-                    payload.data, type=_step.Sample
-                )
-        return samples
+        found: list[spool.Payload] = []
+        async with anyio.create_task_group() as tasks:
+            for client in self._choose(step_id):
+                tasks.start_soon(self._fetch, client, step_id, found)
+        return {
+            payload.index: msgspec.msgpack.decode(
+                payload.data, type=_step.Sample
+            )
+            for payload in found
+        }
 
     async def drop(self, step_id: str) -> None:
-        for client in self._choose(step_id):
-            try:
-                await client.drop(step_id)
-            except errors.LinkError as error:
-                LOG.info('spool not told of the end of a step: %s', error)
+        async with anyio.create_task_group() as tasks:
+            for client in self._choose(step_id):
+                tasks.start_soon(self._drop, client, step_id)
 
     def _choose(self, step_id: str) -> list[spool.SpoolClient]:
         addresses = [p.address for p in self._processes.select('spool')]
         ranked = membership.rank_owners(step_id, addresses)
+        # A spool that did not answer is asked last for a while.
+        now = anyio.current_time()
+        ranked.sort(key=lambda a: self._avoided_until.get(a, 0.0) > now)
         return [self._connect(address) for address in ranked]
 
     def _connect(self, address: str) -> spool.SpoolClient:
@@ -100,15 +103,42 @@
             self._clients[address] = spool.SpoolClient(address)
         return self._clients[address]
 
+    def _avoid(self, client: spool.SpoolClient) -> None:
+        until = anyio.current_time() + AVOID_SECONDS
+        self._avoided_until[client.address] = until
+
     async def _put(
         self,
-        client: spool.SpoolClient,
+        clients: collections.abc.Iterator[spool.SpoolClient],
         step_id: str,
         payloads: list[spool.Payload],
     ) -> None:
+        """Make one copy, on the first of `clients` that takes it."""
+        for client in clients:
+            try:
+                await client.put(step_id, payloads)
+                return
+            except errors.LinkError as error:
+                LOG.warning('payloads not spooled: %s', error)
+                self._avoid(client)
+        # A sample without a copy is made again if its owner dies, under the
+        # sequence number that it has.
+        LOG.warning('step %s has too few spools', step_id)
+
+    async def _fetch(
+        self,
+        client: spool.SpoolClient,
+        step_id: str,
+        found: list[spool.Payload],
+    ) -> None:
+        try:
+            found.extend(await client.fetch(step_id))
+        except errors.LinkError as error:
+            LOG.warning('spool not read: %s', error)
+            self._avoid(client)
+
+    async def _drop(self, client: spool.SpoolClient, step_id: str) -> None:
         try:
-            await client.put(step_id, payloads)
+            await client.drop(step_id)
         except errors.LinkError as error:
-            # A sample without a copy is made again if its owner dies, under
-            # the sequence number that it has.
-            LOG.warning('payloads not spooled: %s', error)
+            LOG.info('spool not told of the end of a step: %s', error)
--- a/src/swiftjunction/steps/_production.py
+++ b/src/swiftjunction/steps/_production.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import random
+import types
 import typing
 
 import anyio
@@ -14,6 +15,8 @@
 from swiftjunction import configuration
 from swiftjunction import errors
 from swiftjunction import requests
+from swiftjunction.steps import _queue
+from swiftjunction.steps import _schedule
 from swiftjunction.steps import _step
 from swiftjunction import weights
 
@@ -26,7 +29,9 @@
 FIRST_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 5.0
 MAX_SCORES_IN_FLIGHT = 16
-SAMPLE_PRIORITY = -1
+SAMPLE_PRIORITY = -2
+# Of a sample that a whole step waits for; live answers still go before it.
+URGENT_PRIORITY = -1
 
 
 class _Score(msgspec.Struct):
@@ -34,6 +39,37 @@
     score: float
 
 
+class Slot:
+    """The right to run one sample; given back at the end of the body.
+
+    Parameters
+    ----------
+    queue : FairQueue
+        That gave it.
+    """
+
+    __slots__ = ('_queue',)
+
+    def __init__(self, queue: _queue.FairQueue) -> None:
+        self._queue = queue
+
+    def __enter__(self) -> 'Slot':
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._queue.release()
+
+
+class _Work(msgspec.Struct, frozen=True):
+    task: _step.SampleTask
+    priority: int
+
+
 class Producer:
     """Makes samples, each until it is whole, scored and fresh.
 
@@ -57,7 +93,8 @@
         '_board',
         '_forwarder',
         '_generator',
-        '_limiter',
+        '_lengths',
+        '_queue',
         '_rng',
         '_score_limiter',
         '_tree',
@@ -76,7 +113,8 @@
         self._generator = generator
         self._forwarder = forwarder
         self._board = board
-        self._limiter = anyio.CapacityLimiter(max_in_flight)
+        self._queue = _queue.FairQueue(max_in_flight)
+        self._lengths = _schedule.Lengths()
         self._score_limiter = anyio.CapacityLimiter(MAX_SCORES_IN_FLIGHT)
         self._rng = rng
 
@@ -101,8 +139,16 @@
         return msgspec.structs.replace(settings, **own)
 
     def is_fresh(self, spec: _step.StepSpec, sample: _step.Sample) -> bool:
-        """Tell whether a sample may be handed over now."""
-        settings = self.resolve(spec)
+        """Tell whether a sample may be handed over now.
+
+        Where the path has lost its model, its bound is not known: nothing
+        is handed over until it has one again.
+        """
+        try:
+            settings = self.resolve(spec)
+        except errors.RequestInvalid as error:
+            LOG.warning('step %s: %s', spec.step_id, error)
+            return False
         bound = weights.Bound(
             settings.freshness_versions, settings.freshness_seconds
         )
@@ -114,17 +160,49 @@
             return False
         return True
 
+    def make_schedule(self, spec: _step.StepSpec) -> _schedule.Schedule:
+        """Return the order in which the samples of a step are made."""
+        return _schedule.LongestFirst(self._lengths)
+
+    async def admit(
+        self, spec: _step.StepSpec, remaining_seconds: float
+    ) -> Slot:
+        """Wait until the step may run one more sample."""
+        share = self._tree.resolve(spec.path).share or 1.0
+        weight = _queue.weigh_step(
+            share, remaining_seconds, spec.deadline_seconds
+        )
+        await self._queue.acquire(spec.step_id, weight)
+        return Slot(self._queue)
+
+    def forget(self, spec: _step.StepSpec) -> None:
+        """Drop what is known of a step that has ended."""
+        self._queue.forget(spec.step_id)
+
     async def make(
-        self, spec: _step.StepSpec, task: _step.SampleTask
+        self,
+        spec: _step.StepSpec,
+        task: _step.SampleTask,
+        slot: Slot,
+        *,
+        urgent: bool,
     ) -> _step.Sample:
-        """Make one sample, over as many attempts as it takes."""
+        """Make one sample, over as many attempts as it takes.
+
+        Parameters
+        ----------
+        slot : Slot
+            Given back when the text is there.
+        urgent : bool
+            Whether the step waits for this sample alone.
+        """
+        work = _Work(task, URGENT_PRIORITY if urgent else SAMPLE_PRIORITY)
         while True:
-            async with self._limiter:
-                sample = await self._retry(self._generate, spec, task)
+            with slot:
+                sample = await self._retry(self._generate, spec, work)
+            # A slow scorer holds no slot of the engines.
             if spec.scorer:
-                async with self._score_limiter:
-                    score = await self._retry(self._score, spec, sample)
-                sample = msgspec.structs.replace(sample, score=score)
+                sample = await self._add_score(spec, sample)
             if self.is_fresh(spec, sample):
                 return sample
             LOG.info(
@@ -132,6 +210,14 @@
                 task.index,
                 spec.step_id,
             )
+            slot = await self.admit(spec, spec.deadline_seconds)
+
+    async def _add_score(
+        self, spec: _step.StepSpec, sample: _step.Sample
+    ) -> _step.Sample:
+        async with self._score_limiter:
+            score = await self._retry(self._score, spec, sample)
+        return msgspec.structs.replace(sample, score=score)
 
     async def _retry(
         self,
@@ -153,8 +239,9 @@
             delay_seconds = min(delay_seconds * 2, MAX_RETRY_SECONDS)
 
     async def _generate(
-        self, spec: _step.StepSpec, task: _step.SampleTask
+        self, spec: _step.StepSpec, work: _Work
     ) -> _step.Sample:
+        task = work.task
         call = requests.GenerationCall(
             request_id=(
                 f'{spec.step_id}.{task.index}.{self._rng.getrandbits(32):08x}'
@@ -165,7 +252,7 @@
             max_tokens=task.group.max_tokens,
             deadline=anyio.current_time() + ATTEMPT_TIMEOUT_SECONDS,
             seed=task.index,
-            priority=SAMPLE_PRIORITY,
+            priority=work.priority,
         )
         chunks: list[backends.Chunk] = []
         async with contextlib.aclosing(
--- a/src/swiftjunction/steps/_registry.py
+++ b/src/swiftjunction/steps/_registry.py
@@ -1,6 +1,7 @@
 """The steps that this process owns, and how it comes to own one."""
 
 import logging
+import time
 
 import anyio
 import anyio.abc
@@ -69,20 +70,38 @@
         ------
         RequestInvalid
             If the step cannot be made.
+        NotRun
+            If the platform does not answer; submitting again is safe.
         """
         self._producer.resolve(spec)
+        if spec.count_samples() > _step.MAX_SAMPLES:
+            raise errors.RequestInvalid(
+                f'{spec.count_samples()} samples: at most {_step.MAX_SAMPLES}',
+                step='submit',
+            )
         async with self._lock(spec.step_id):
             running = self._running.get(spec.step_id)
             if running is not None:
                 return running
             ledger = _ledger.Ledger(self._store, spec.step_id, self._owner)
+            step = _step.Step(spec)
+            step.expires_at = time.time() + spec.deadline_seconds
             try:
-                await ledger.open(spec)
+                await ledger.open(spec, step.expires_at)
             except errors.RevisionConflict as error:
                 raise errors.StepElsewhere(
                     f'step {spec.step_id} is open already', step='submit'
                 ) from error
-            return self._start(_step.Step(spec), ledger)
+            except errors.PlatformError as error:
+                raise errors.NotRun(
+                    error.message, step='submit', peer=error.peer
+                ) from error
+            return self._start(step, ledger)
+
+    @property
+    def owner(self) -> str:
+        """Return the name of this process."""
+        return self._owner
 
     def find(self, step_id: str) -> _delivery.RunningStep | None:
         """Return the step if this process owns it."""
@@ -102,9 +121,10 @@
                 return running
             ledger = _ledger.Ledger(self._store, step_id, self._owner)
             step = await ledger.take_over()
+            acknowledged = set(step.order[: step.acknowledged])
             kept = await self._payloads.fetch(step_id)
             for index, sample in kept.items():
-                if index not in set(step.order[: step.acknowledged]):
+                if index not in acknowledged:
                     step.samples[index] = sample
             LOG.info(
                 'took over step %s with %s of %s samples placed',
@@ -132,19 +152,15 @@
         step_id = running.step.spec.step_id
         try:
             await running.run()
-        except* errors.LeaseLost as group:
+        except* errors.SwiftjunctionError as group:
             LOG.warning('step %s given up: %s', step_id, group.exceptions[0])
         finally:
             self._running.pop(step_id, None)
+            self._locks.pop(step_id, None)
 
     def summarize(self) -> dict[str, object]:
         """Return the state of each step, for a dump."""
         return {
-            step_id: {
-                'total': running.step.total,
-                'made': len(running.step.samples),
-                'placed': len(running.step.order),
-                'acknowledged': running.step.acknowledged,
-            }
+            step_id: running.summarize()
             for step_id, running in self._running.items()
         }
--- a/src/swiftjunction/steps/_step.py
+++ b/src/swiftjunction/steps/_step.py
@@ -13,6 +13,8 @@
 ]
 Positive = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 
+MAX_SAMPLES = 100_000
+
 
 class Group(msgspec.Struct, frozen=True):
     """Samples that share a prompt."""
@@ -97,17 +99,25 @@
         """Return the oldest version that made any of its tokens."""
         return min(segment.version for segment in self.segments)
 
+    @property
+    def tokens(self) -> int:
+        """Return how long it is."""
+        return sum(segment.tokens for segment in self.segments)
+
 
 class Step:
     """One step as its owner holds it.
 
     The order of delivery is the ledger's. `samples` holds what is in memory
-    by index, and `order` the indices in sequence.
+    by index, and `order` the indices in sequence. After `expires_at`, in Unix
+    seconds, no more is made; 0 is never.
     """
 
     __slots__ = (
         'acknowledged',
         'cancelled',
+        'expired',
+        'expires_at',
         'order',
         'placed',
         'samples',
@@ -123,6 +133,8 @@
         self.placed: set[int] = set()
         self.acknowledged = 0
         self.cancelled = False
+        self.expired = False
+        self.expires_at = 0.0
 
     @property
     def is_complete(self) -> bool:
@@ -157,3 +169,20 @@
         for index in self.order[self.acknowledged : cursor]:
             self.samples.pop(index, None)
         self.acknowledged = max(self.acknowledged, cursor)
+
+    def list_missing(self) -> list[int]:
+        """Return the samples to be made, those with a number first.
+
+        They hold up all samples behind them in the order of delivery.
+        """
+        waited_for = [
+            index
+            for index in self.order[self.acknowledged :]
+            if index not in self.samples
+        ]
+        rest = [
+            index
+            for index in range(self.total)
+            if index not in self.placed and index not in self.samples
+        ]
+        return waited_for + rest
--- a/tests/cover/test_spool.py
+++ b/tests/cover/test_spool.py
@@ -35,3 +35,15 @@
 def test_a_step_that_names_a_path_is_refused(tmp_path):
     with pytest.raises(errors.LinkError, match='not a step'):
         make_store(tmp_path).fetch('../../etc/passwd')
+
+
+@pytest.mark.parametrize('torn_bytes', range(1, 16))
+def test_frames_appended_after_a_torn_one_are_found(tmp_path, torn_bytes):
+    make_store(tmp_path).put('t.s', [spool.Payload(1, b'a')])
+    make_store(tmp_path).put('t.s', [spool.Payload(2, b'b')])
+    path = tmp_path / 'spool' / 't.s.spool'
+    path.write_bytes(path.read_bytes()[:-torn_bytes])
+    store = make_store(tmp_path)
+    store.put('t.s', [spool.Payload(3, b'c')])
+    store.put('t.s', [spool.Payload(4, b'd')])
+    assert [p.index for p in store.fetch('t.s')] == [1, 3, 4]
