Add the bench: experiments over real processes with outside checks

Cause: nothing could run the deployments at their size of today as processes, disturb them and compare what callers and trainers were told with what the servers ran.

Change: python -m bench run, compare, report, suite and soak.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 READY := .venv/.ready
 
-.PHONY: demo test check format sizes clean
+.PHONY: demo test check format sizes clean experiments soak
 
 $(READY): pyproject.toml constraints.txt
 	$(PYTHON) -m venv .venv
@@ -27,5 +27,14 @@
 sizes: $(READY)
 	$(BIN)/python bench/sizes.py
 
+SEED ?= 1
+SECONDS ?= 60
+
+experiments: $(READY)
+	$(BIN)/python -m bench suite --seed $(SEED) --page docs/RESULTS.md
+
+soak: $(READY)
+	$(BIN)/python -m bench soak --seed $(SEED) --seconds $(SECONDS)
+
 clean:
 	rm -rf .venv build src/*.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments over the real programs, their checks and their reports."""
--- a/src/swiftjunction/standins/_engine.py
+++ b/src/swiftjunction/standins/_engine.py
@@ -76,6 +76,8 @@
         What it was told, for tests.
     crashes : int
         How often a request crashed it.
+    refused : int
+        How many requests were refused.
     started : Counter
         How often each request id began to run.
     """
@@ -95,6 +97,7 @@
         self.role = 'generate'
         self.adapters: set[str] = set()
         self.crashes = 0
+        self.refused = 0
         self.orders: list[backends.Order] = []
         self.started: collections.Counter[str] = collections.Counter()
         self.faults = _faults.FaultSwitches(
--- a/src/swiftjunction/standins/_engine_app.py
+++ b/src/swiftjunction/standins/_engine_app.py
@@ -56,6 +56,7 @@
     ) -> starlette.responses.Response:
         body = msgspec.json.decode(await request.body())
         if not self._engine.accepts_work():
+            self._engine.refused += 1
             return web.respond_json(
                 {'error': 'refused'},
                 status=503,
@@ -103,6 +104,7 @@
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
         if not self._engine.accepts_work():
+            self._engine.refused += 1
             return web.respond_json(
                 {'error': 'refused'},
                 status=503,
@@ -149,7 +151,11 @@
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
         return web.respond_json(
-            {'runs': self._engine.started, 'orders': self._engine.orders}
+            {
+                'runs': self._engine.started,
+                'orders': self._engine.orders,
+                'refused': self._engine.refused,
+            }
         )
 
     def _headers(self) -> dict[str, str]:
--- a/src/swiftjunction/standins/_service.py
+++ b/src/swiftjunction/standins/_service.py
@@ -31,6 +31,8 @@
         How often each request id ran.
     key_runs : Counter
         How often each idempotency key ran.
+    refused : int
+        How many requests were refused.
     """
 
     def __init__(self, name: str, work_seconds: float = 0.005) -> None:
@@ -40,6 +42,7 @@
         )
         self.runs: collections.Counter[str] = collections.Counter()
         self.key_runs: collections.Counter[str] = collections.Counter()
+        self.refused = 0
         self._work_seconds = work_seconds
         self._in_flight = 0
 
@@ -69,10 +72,17 @@
     async def _show_runs(
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
-        return web.respond_json({'runs': self.runs, 'keys': self.key_runs})
+        return web.respond_json(
+            {
+                'runs': self.runs,
+                'keys': self.key_runs,
+                'refused': self.refused,
+            }
+        )
 
     def _refuse(self) -> starlette.responses.Response | None:
         if self.faults.get('refuse') or self.faults.get('leaving'):
+            self.refused += 1
             return web.respond_json(
                 {'error': 'refused'},
                 status=503,
