Give every hostile input from outside a typed error

Cause: fuzzing with hypothesis. A record, a message or an object of the platform that could not be decoded ended the task group of a daemon; a version near 2^64 could not be counted up; settings of a tied version hit an assert; a torn spool frame hid every frame appended behind it; paths that callers make up below a set one each took a cache entry and a 185 KB histogram; a load of nan was believed; a server that changed its address and its service at once stayed routable under its old service; a caller's request id went into engines' URLs and was shared by two generations when a caller turned to another entry; an entry that had just started answered 400 to every path; the caller's client said 'not run' after an earlier try that may have run.

Change: listeners of the shared records log what they do not understand; versions are bounded; platform objects are decoded by one function with one error, ObjectBroken; a spool cuts its torn end off when it opens; generations have ids of their own; an entry without settings answers 'not run' with a time to come back.

Conclusion: each fault has its own smallest example beside the random run.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -1,5 +1,6 @@
 """Backend servers: what is known of each, and the clients that call them."""
 
+from swiftjunction.backends._calls import read_load
 from swiftjunction.backends._directory import Directory
 from swiftjunction.backends._directory import SERVER_PREFIX
 from swiftjunction.backends._engine import Chunk
@@ -30,4 +31,5 @@
     'ServiceAnswer',
     'ServiceCall',
     'ServiceClient',
+    'read_load',
 ]
--- a/src/swiftjunction/backends/_calls.py
+++ b/src/swiftjunction/backends/_calls.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import math
 
 import httpx
 
@@ -44,6 +45,7 @@
 def read_load(headers: httpx.Headers) -> float | None:
     """Return the load that an answer's headers report, if they do."""
     try:
-        return float(headers['x-load'])
+        load = float(headers['x-load'])
     except (KeyError, ValueError):
         return None
+    return load if math.isfinite(load) else None
--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -32,11 +32,11 @@
             record.value, type=_server.ServerReport
         )
         server = self._servers.get(report.name)
+        if server is not None and server.report.service != report.service:
+            self._by_service[server.report.service].pop(report.name, None)
         if server is None or server.address != report.address:
             server = _server.BackendServer(report)
             self._servers[report.name] = server
-        elif server.report.service != report.service:
-            self._by_service[server.report.service].pop(report.name, None)
         server.report = report
         # The report is what the engine says now; an engine that restarted
         # with older weights must not keep the version of its earlier run.
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -64,10 +64,15 @@
             call.method,
             f'/{call.path}{query}',
             content=call.body,
+            # As bytes: a header may hold any character of Latin-1, and text
+            # would have to be ASCII.
             headers=[
-                *call.headers,
-                ('x-request-id', call.request_id),
-                ('x-timeout-seconds', f'{call.timeout_seconds:.3f}'),
+                *((n.encode(), v.encode('latin-1')) for n, v in call.headers),
+                (b'x-request-id', call.request_id.encode()),
+                (
+                    b'x-timeout-seconds',
+                    f'{call.timeout_seconds:.3f}'.encode(),
+                ),
             ],
             timeout=call.timeout_seconds,
         )
--- a/src/swiftjunction/client/_caller.py
+++ b/src/swiftjunction/client/_caller.py
@@ -149,6 +149,7 @@
         if idempotency_key:
             headers['idempotency-key'] = idempotency_key
         last: errors.RequestError | None = None
+        may_have_run = False
         for attempt in range(MAX_TRIES):
             if last is not None:
                 await anyio.sleep(FIRST_RETRY_SECONDS * 2**attempt)
@@ -167,6 +168,7 @@
                 self._refresh_at = 0.0
                 continue
             except httpx.HTTPError as error:
+                may_have_run = True
                 last = errors.OutcomeUnknown(
                     f'no whole answer: {error}', peer=address
                 )
@@ -177,9 +179,15 @@
             if outcome == 'complete':
                 return response
             last = _read_error(response, address)
+            may_have_run |= isinstance(last, errors.OutcomeUnknown)
             if not self._may_repeat(last, idempotency_key):
                 raise last
         assert last is not None
+        if may_have_run and isinstance(last, errors.NotRun):
+            # Only the last try was refused; an earlier one may have run.
+            raise errors.OutcomeUnknown(
+                last.message, step=last.step, peer=last.peer
+            )
         raise last
 
     def _may_repeat(self, error: errors.RequestError, key: str) -> bool:
--- a/src/swiftjunction/configuration/_editor.py
+++ b/src/swiftjunction/configuration/_editor.py
@@ -31,7 +31,7 @@
         except errors.ObjectMissing:
             return _settings.Subtree(team), 0
         return (
-            msgspec.json.decode(found.value, type=_settings.Subtree),
+            platform.decode_value(found, _settings.Subtree),
             found.version,
         )
 
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -12,6 +12,7 @@
     'LeaseLost',
     'LinkError',
     'NotRun',
+    'ObjectBroken',
     'ObjectMissing',
     'ObjectTooLarge',
     'OutcomeUnknown',
@@ -87,6 +88,10 @@
     """The object does not exist."""
 
 
+class ObjectBroken(PlatformError):
+    """The object does not hold what its key says; an operator must look."""
+
+
 class ObjectTooLarge(PlatformError):
     """The value is over the platform's limit of one megabyte."""
 
--- a/src/swiftjunction/leases/_lease.py
+++ b/src/swiftjunction/leases/_lease.py
@@ -136,7 +136,7 @@
             found = await self._store.read(self._key)
         except errors.ObjectMissing:
             return await self._write(1, 0)
-        claim = msgspec.json.decode(found.value, type=_Claim)
+        claim = platform.decode_value(found, _Claim)
         if claim.holder and not self._has_lapsed(found.version, claim):
             raise errors.LeaseLost(
                 f'lease {self.name} is held by {claim.holder}', step='take'
--- a/src/swiftjunction/links/_messages.py
+++ b/src/swiftjunction/links/_messages.py
@@ -1,15 +1,22 @@
 """The typed messages and their codec."""
 
+import typing
+
 import msgspec
 
 from swiftjunction import errors
 
 
+# Far above any real one, and still to be counted up and encoded.
+MAX_VERSION = 2**53
+RecordVersion = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+
+
 class Record(msgspec.Struct, frozen=True, array_like=True):
     """One fact of the shared state; a higher version replaces a lower."""
 
     key: str
-    version: int
+    version: RecordVersion
     value: bytes
 
 
@@ -52,7 +59,7 @@
     """
     try:
         return _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError) as error:
         raise errors.LinkError(
             f'message not understood: {error}', step='decode', peer=peer
         ) from error
--- a/src/swiftjunction/membership/_records.py
+++ b/src/swiftjunction/membership/_records.py
@@ -1,9 +1,14 @@
 """The state that daemons share: one versioned record for each key."""
 
 import collections.abc
+import logging
+
+import msgspec
 
 from swiftjunction import links
 
+LOG = logging.getLogger(__name__)
+
 Listener = collections.abc.Callable[[links.Record], None]
 
 
@@ -26,7 +31,7 @@
         """Call `listener` for each record under `prefix`, old ones first."""
         self._listeners.append((prefix, listener))
         for record in list(self.select(prefix)):
-            listener(record)
+            _tell(listener, record)
 
     def get(self, key: str) -> links.Record | None:
         """Return the record of `key`, if there is one."""
@@ -81,5 +86,15 @@
         self._records[record.key] = record
         for prefix, listener in self._listeners:
             if record.key.startswith(prefix):
-                listener(record)
+                _tell(listener, record)
         return True
+
+
+def _tell(listener: Listener, record: links.Record) -> None:
+    # A record that cannot be understood, from a later release or a broken
+    # peer, costs its own fact and never the daemon. It is kept and passed
+    # on, as others may understand it.
+    try:
+        listener(record)
+    except (msgspec.MsgspecError, ValueError) as error:
+        LOG.error('record %s not understood: %s', record.key, error)
--- a/src/swiftjunction/platform/__init__.py
+++ b/src/swiftjunction/platform/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform: the object API, the VM list, the weight store."""
 
+from swiftjunction.platform._objects import decode_value
 from swiftjunction.platform._objects import HttpObjectStore
 from swiftjunction.platform._objects import Object
 from swiftjunction.platform._objects import ObjectStore
@@ -17,5 +18,6 @@
     'VmList',
     'Watch',
     'create_or_confirm',
+    'decode_value',
     'update_or_confirm',
 ]
--- a/src/swiftjunction/platform/_objects.py
+++ b/src/swiftjunction/platform/_objects.py
@@ -32,6 +32,27 @@
     value: bytes
 
 
+ValueT = typing.TypeVar('ValueT')
+
+
+def decode_value(item: Object, kind: type[ValueT]) -> ValueT:
+    """Return the JSON value of an object.
+
+    Raises
+    ------
+    ObjectBroken
+        If it is not a value of that kind.
+    """
+    try:
+        return msgspec.json.decode(item.value, type=kind)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise errors.ObjectBroken(
+            f'{item.key} not understood: {error}',
+            step='decode',
+            peer='object API',
+        ) from error
+
+
 class Watch(msgspec.Struct, frozen=True):
     """What changed under a prefix, up to `revision` of the store."""
 
--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import math
+import re
 import uuid
 
 import anyio
@@ -27,6 +28,7 @@
 LOG = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+REQUEST_ID_PATTERN = re.compile('[A-Za-z0-9][A-Za-z0-9._:-]{0,127}')
 MAX_TOKENS = 1_000_000
 SERVICE_METHODS = ['GET', 'HEAD', 'PUT', 'DELETE', 'POST', 'PATCH']
 IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'PUT', 'DELETE'})
@@ -127,14 +129,18 @@
         body: CompletionRequest,
         request_id: str,
     ) -> _generation.GenerationCall:
-        settings = self._tree.resolve(body.model)
+        self._check_settings()
+        # Latencies and limits are kept for each path that is set, not for
+        # each one that a caller makes up below it.
+        path, _ = self._tree.find_service(body.model)
+        settings = self._tree.resolve(path)
         if not settings.model:
             raise errors.RequestInvalid(
                 f'no model is set for path {body.model!r}', step='resolve'
             )
         return _generation.GenerationCall(
             request_id=request_id,
-            path=body.model,
+            path=path,
             settings=settings,
             prompt=body.prompt,
             max_tokens=body.max_tokens,
@@ -143,6 +149,20 @@
             idempotent=request.headers.get('x-idempotent') != 'false',
         )
 
+    def _check_settings(self) -> None:
+        """Refuse while this process has no settings of any team yet.
+
+        Raises
+        ------
+        NotRun
+            Whether the path exists cannot be said; another entry may know.
+        """
+        if not self._tree.versions():
+            raise errors.NotRun(
+                'this entry has just started and has no settings yet',
+                step='resolve',
+            )
+
     async def _run(
         self, call: _generation.GenerationCall
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
@@ -239,6 +259,7 @@
         path, rest = self._tree.find_service(request.path_params['path'])
         settings = self._tree.resolve(path)
         try:
+            self._check_settings()
             if not settings.service:
                 raise errors.RequestInvalid(
                     f'no service is set for {request.url.path}',
@@ -341,7 +362,15 @@
 
 
 def _read_request_id(request: starlette.requests.Request) -> str:
-    return request.headers.get('x-request-id') or uuid.uuid4().hex
+    """Return the caller's request id, or a new one.
+
+    An id becomes a part of engines' URLs, so what could not stand there is
+    replaced by an id that is its own.
+    """
+    found = request.headers.get('x-request-id', '')
+    if REQUEST_ID_PATTERN.fullmatch(found):
+        return found
+    return uuid.uuid4().hex
 
 
 def _read_deadline(
--- a/src/swiftjunction/requests/_claims.py
+++ b/src/swiftjunction/requests/_claims.py
@@ -141,6 +141,7 @@
     async def _read(self, name: str, state: _ClaimState, key: str) -> Claim:
         try:
             found = await self._store.read(name)
+            held = platform.decode_value(found, _ClaimState)
         except errors.PlatformError as error:
             raise errors.OutcomeUnknown(
                 f'idempotency key {key!r} was used before, and how that '
@@ -148,7 +149,6 @@
                 step='claim',
                 peer='object API',
             ) from error
-        held = msgspec.json.decode(found.value, type=_ClaimState)
         if held.nonce != state.nonce and held.answer is None:
             raise errors.OutcomeUnknown(
                 f'idempotency key {key!r} was used before; that request may '
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import logging
+import uuid
 
 import anyio
 import msgspec
@@ -68,12 +69,13 @@
 class _Progress:
     """What the caller has been given so far."""
 
-    __slots__ = ('excluded', 'text', 'tokens', 'tries')
+    __slots__ = ('excluded', 'nonce', 'text', 'tokens', 'tries')
 
     def __init__(self) -> None:
         self.text = ''
         self.tokens = 0
         self.tries = 0
+        self.nonce = uuid.uuid4().hex[:12]
         self.excluded: set[str] = set()
 
     def add(self, chunk: backends.Chunk) -> backends.Chunk | None:
@@ -183,7 +185,10 @@
         progress: _Progress,
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         engine_call = backends.EngineCall(
-            request_id=f'{call.request_id}.{progress.tries}',
+            # Callers may use an id twice, for example when they turn to
+            # another entry; engines must not take the one generation for
+            # the other when it is resumed or cancelled.
+            request_id=f'{call.request_id}.{progress.nonce}-{progress.tries}',
             model=call.model,
             prompt=call.prompt,
             max_tokens=call.max_tokens,
--- a/src/swiftjunction/spool/_client.py
+++ b/src/swiftjunction/spool/_client.py
@@ -1,5 +1,7 @@
 """The client of one spool."""
 
+import msgspec
+
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction.spool import _messages
@@ -42,7 +44,14 @@
         data = await self._requester.ask(
             _messages.encoder.encode(request), TIMEOUT_SECONDS
         )
-        reply = _messages.reply_decoder.decode(data)
+        try:
+            reply = _messages.reply_decoder.decode(data)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise errors.LinkError(
+                f'reply not understood: {error}',
+                step='spool',
+                peer=self._requester.address,
+            ) from error
         if reply.error:
             raise errors.LinkError(
                 reply.error, step='spool', peer=self._requester.address
--- a/src/swiftjunction/spool/_store.py
+++ b/src/swiftjunction/spool/_store.py
@@ -40,7 +40,7 @@
         self._folder = folder
         self._max_bytes = max_bytes
         self._sizes = {
-            file.stem: file.stat().st_size for file in folder.glob('*.spool')
+            file.stem: cut_torn_end(file) for file in folder.glob('*.spool')
         }
 
     @property
@@ -61,8 +61,13 @@
             raise errors.LinkError('the spool is full', step='put')
         head = FRAME_HEAD.pack(len(body), xxhash.xxh3_64_intdigest(body))
         path = self._find_path(step_id)
-        with path.open('ab') as file:
-            file.write(head + body)
+        try:
+            with path.open('ab') as file:
+                file.write(head + body)
+        except OSError:
+            # A disk that is full may have taken a part of it.
+            self._sizes[step_id] = cut_torn_end(path)
+            raise
         self._sizes[step_id] = path.stat().st_size
 
     def fetch(self, step_id: str) -> list[_messages.Payload]:
@@ -93,6 +98,19 @@
         return self._folder / f'{step_id}.spool'
 
 
+def cut_torn_end(file: pathlib.Path) -> int:
+    """Cut off what a crash left half written and return the size.
+
+    Frames that were appended behind it could not be found again.
+    """
+    data = file.read_bytes()
+    size = sum(FRAME_HEAD.size + len(body) for body in read_frames(data))
+    if size < len(data):
+        with file.open('r+b') as opened:
+            opened.truncate(size)
+    return size
+
+
 def read_frames(data: bytes) -> list[bytes]:
     """Return the bodies of the whole frames in `data`."""
     bodies = []
--- a/src/swiftjunction/steps/_ledger.py
+++ b/src/swiftjunction/steps/_ledger.py
@@ -128,7 +128,7 @@
         """Rebuild the step from the log, and stand at the log's end."""
         found = await self._store.list(self._prefix())
         entries = [
-            msgspec.json.decode(item.value, type=LedgerEntry)
+            platform.decode_value(item, LedgerEntry)
             for item in sorted(found.changed, key=lambda item: item.key)
         ]
         if not entries:
@@ -153,7 +153,7 @@
         found = await self._store.list(self._prefix())
         owner = ''
         for item in sorted(found.changed, key=lambda item: item.key):
-            owner = msgspec.json.decode(item.value, type=LedgerEntry).owner
+            owner = platform.decode_value(item, LedgerEntry).owner
         return owner
 
     async def erase(self) -> None:
--- a/src/swiftjunction/weights/_publishing.py
+++ b/src/swiftjunction/weights/_publishing.py
@@ -46,7 +46,7 @@
             history, held = _versions.History(model), 0
         else:
             held = found.version
-            history = msgspec.json.decode(found.value, type=_versions.History)
+            history = platform.decode_value(found, _versions.History)
         version = history.add(time.time())
         history.nonce = uuid.uuid4().hex
         value = msgspec.json.encode(history)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures and fakes that the tests share."""
 
+import httpx
 import hypothesis
 import pytest
 
@@ -80,6 +81,23 @@
         return await self.list(prefix)
 
 
+def connect(answer):
+    """Return an HTTP client whose server is the function `answer`."""
+    return httpx.AsyncClient(
+        transport=httpx.MockTransport(answer), base_url='http://test'
+    )
+
+
+class FixedPeers:
+    """HTTP clients that all reach the function `answer`."""
+
+    def __init__(self, answer):
+        self._client = connect(answer)
+
+    def get(self, address):
+        return self._client
+
+
 class Clock:
     """A clock that the test moves."""
 
--- /dev/null
+++ b/tests/cover/test_fuzz_inputs.py
@@ -0,0 +1,287 @@
+"""Inputs from outside, random and hostile: each ends in a typed error."""
+
+import math
+
+import anyio
+import httpx
+import hypothesis
+import hypothesis.strategies as st
+import msgspec
+import pytest
+
+from swiftjunction import backends
+from swiftjunction import configuration
+from swiftjunction import errors
+from swiftjunction import leases
+from swiftjunction import links
+from swiftjunction import membership
+from swiftjunction import platform
+from swiftjunction import requests
+from swiftjunction import settings
+from swiftjunction import spool
+from swiftjunction import steps
+from swiftjunction import weights
+from tests import conftest
+
+PREFIXES = ('config/', 'weights/', 'server/', 'process/', 'crash/', 'other/')
+VALUES = st.one_of(
+    st.binary(max_size=60),
+    st.recursive(
+        st.one_of(
+            st.none(),
+            st.booleans(),
+            st.integers(-(2**63), 2**63 - 1),
+            st.floats(),
+            st.text(max_size=8),
+        ),
+        lambda inner: st.one_of(
+            st.lists(inner, max_size=4),
+            st.dictionaries(
+                st.sampled_from(
+                    ['model', 'versions', 'team', 'paths', 'vm', 'name']
+                ),
+                inner,
+                max_size=4,
+            ),
+        ),
+        max_leaves=8,
+    ).flatmap(
+        lambda value: st.sampled_from(
+            [msgspec.msgpack.encode(value), msgspec.json.encode(value)]
+        )
+    ),
+)
+PROCESS = membership.Process('v1', 'entry', 'a:1', 'a:2', 'd', 'r')
+REPORT = backends.ServerReport('s1', '127.0.0.1:1', 'fit', 'dc-1')
+
+
+def build_table():
+    """Return a table with every listener of a daemon."""
+    table = membership.RecordTable()
+    membership.ProcessList(table)
+    configuration.Tree(table)
+    backends.Directory(table)
+    weights.Board(table)
+    requests.SuspectList(table, 'v1/entry')
+    membership.Announcement(table, PROCESS)
+    return table
+
+
+@hypothesis.given(st.binary(max_size=200))
+def test_a_peers_message_is_decoded_or_a_typed_error(data):
+    try:
+        links.decode_message(data)
+    except errors.LinkError as error:
+        assert error.step == 'decode'
+
+
+@pytest.mark.parametrize('version', [-1, 2**63, 2**64 - 1])
+def test_a_version_that_cannot_be_counted_up_is_refused(version):
+    record = links.Record('process/v1/entry', version, b'')
+    data = links.encode_message(links.Delta('peer', [record]))
+    with pytest.raises(errors.LinkError):
+        links.decode_message(data)
+
+
+@hypothesis.given(
+    st.sampled_from(PREFIXES),
+    st.sampled_from(['v1/entry', 'x', 'a/b/c', '', 'team']),
+    st.integers(1, 2**53),
+    VALUES,
+)
+def test_a_bad_record_crashes_no_daemon(prefix, name, version, value):
+    table = build_table()
+    table.apply([links.Record(prefix + name, version, value)])
+    table.put('server/s1', msgspec.msgpack.encode(REPORT))
+
+
+@pytest.mark.parametrize('team', ['other', 'team'])
+def test_settings_of_a_tied_version_or_another_team_crash_no_daemon(team):
+    table = build_table()
+    for author in ('a', 'b'):
+        subtree = configuration.Subtree(team, changed_by=author)
+        value = msgspec.json.encode(subtree)
+        table.apply([links.Record('config/team', 3, value)])
+
+
+def test_settings_of_another_team_under_a_teams_key_do_not_count():
+    table = membership.RecordTable()
+    tree = configuration.Tree(table)
+    subtree = configuration.Subtree('other')
+    value = msgspec.json.encode(subtree)
+    table.apply([links.Record('config/team', 3, value)])
+    assert tree.versions() == {}
+
+
+def test_paths_that_callers_make_up_take_no_memory():
+    table = membership.RecordTable()
+    tree = configuration.Tree(table)
+    subtree = configuration.Subtree('team')
+    table.put('config/team', msgspec.json.encode(subtree))
+    for number in range(20_000):
+        tree.resolve(f'team/{number}')
+    assert len(tree._cache) < 20_000
+
+
+def test_a_server_that_changes_address_and_service_leaves_its_old_service():
+    table = membership.RecordTable()
+    directory = backends.Directory(table)
+    moved = msgspec.structs.replace(REPORT, address='b:2', service='riders')
+    for report in (REPORT, moved):
+        table.put('server/s1', msgspec.msgpack.encode(report))
+    assert not list(directory.select('fit'))
+    assert [s.address for s in directory.select('riders')] == ['b:2']
+
+
+def run_engine(content, headers):
+    """Read what an engine answers; return the chunks or the error."""
+
+    def answer(request):
+        return httpx.Response(200, content=content, headers=headers)
+
+    async def read():
+        peers = conftest.FixedPeers(answer)
+        client = backends.EngineClient(peers)
+        server = backends.BackendServer(REPORT)
+        call = backends.EngineCall('r1', 'fit', 'p', 8)
+        chunks = [c async for c in client.stream(server, call)]
+        assert math.isfinite(server.load)
+        return chunks
+
+    return anyio.run(read)
+
+
+@hypothesis.given(
+    st.one_of(
+        st.binary(max_size=200),
+        VALUES.map(lambda value: b'data: ' + value + b'\n\n'),
+    ),
+    st.sampled_from(['text/event-stream', 'text/event-stream; charset=x', '']),
+)
+def test_an_engines_stream_is_read_or_a_typed_error(content, kind):
+    with pytest.raises(errors.BackendError):
+        run_engine(content, {'content-type': kind})
+
+
+@pytest.mark.parametrize('load', ['nan', 'inf', '-inf', 'x', '', '1e999'])
+def test_a_load_that_is_no_number_is_not_believed(load):
+    assert backends.read_load(httpx.Headers({'x-load': load})) is None
+
+
+CALLS_OF_THE_STORE = (
+    lambda store: store.read('k'),
+    lambda store: store.list('k'),
+    lambda store: store.create('k', b''),
+    lambda store: store.update('k', b'', 1),
+    lambda store: store.delete('k', 1),
+    lambda store: store.watch('k', 1, 0.1),
+)
+
+
+@hypothesis.given(
+    st.sampled_from(CALLS_OF_THE_STORE),
+    st.sampled_from([200, 201, 302, 404, 412, 413, 429, 500, 503]),
+    st.sampled_from(['', '"x"', '"12"', '"-1"', '"\u00b2"']),
+    VALUES,
+)
+def test_the_platforms_answers_are_read_or_a_typed_error(
+    call, status, tag, content
+):
+    def answer(request):
+        return httpx.Response(
+            status, content=content, headers={'etag': tag.encode('latin-1')}
+        )
+
+    async def run():
+        client = conftest.connect(answer)
+        store = platform.HttpObjectStore(client)
+        try:
+            await call(store)
+        except errors.PlatformError as error:
+            assert error.step
+        try:
+            await platform.VmList(client).read()
+        except errors.PlatformError as error:
+            assert error.step
+
+    anyio.run(run)
+
+
+READERS = {
+    'claim': lambda store: requests.Claims(store, 'a').claim('p', 'k'),
+    'lease': lambda store: leases.LeaseKeeper(store, 'l', 'a').take(),
+    'settings': lambda store: configuration.Editor(store).read('team'),
+    'weights': lambda store: weights.Publisher(store).publish('fit'),
+}
+
+
+class _FilledStore(conftest.MemoryStore):
+    """A store in which every object is there, with the same value."""
+
+    def __init__(self, value):
+        super().__init__()
+        self.value = value
+
+    async def read(self, key):
+        return platform.Object(key, 1, self.value)
+
+    async def create(self, key, value):
+        raise errors.RevisionConflict(key)
+
+
+@pytest.mark.parametrize('name', READERS)
+@hypothesis.given(value=VALUES)
+def test_a_broken_object_of_the_platform_is_a_typed_error(name, value):
+    store = _FilledStore(value)
+    with pytest.raises(errors.SwiftjunctionError):
+        anyio.run(READERS[name], store)
+
+
+@hypothesis.given(st.binary(max_size=300))
+def test_a_settings_file_is_read_or_each_mistake_is_named(tmp_path_factory, d):
+    path = tmp_path_factory.mktemp('s') / 'vm.toml'
+    path.write_bytes(d)
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.read_settings(str(path))
+    assert all(line.startswith(str(path)) for line in caught.value.problems)
+
+
+@hypothesis.given(st.data())
+def test_a_torn_write_of_a_spool_loses_only_itself(tmp_path_factory, data):
+    folder = tmp_path_factory.mktemp('spool')
+    store = spool.SpoolStore(folder, 1_000_000)
+    store.put('t.s', [spool.Payload(0, b'first')])
+    whole = (folder / 't.s.spool').read_bytes()
+    store.put('t.s', [spool.Payload(1, b'second')])
+    both = (folder / 't.s.spool').read_bytes()
+    cut = data.draw(st.integers(len(whole) + 1, len(both) - 1))
+    (folder / 't.s.spool').write_bytes(both[:cut])
+    again = spool.SpoolStore(folder, 1_000_000)
+    again.put('t.s', [spool.Payload(2, b'third')])
+    found = {p.index: p.data for p in again.fetch('t.s')}
+    assert found == {0: b'first', 2: b'third'}
+
+
+@hypothesis.given(VALUES)
+def test_a_spools_reply_is_read_or_a_typed_error(value):
+    class _Requester:
+        address = 'spool'
+
+        async def ask(self, request, timeout_seconds):
+            return value
+
+    client = spool.SpoolClient('127.0.0.1:9')
+    client._requester.close()
+    client._requester = _Requester()
+    try:
+        anyio.run(client.fetch, 't.s')
+    except errors.LinkError:
+        pass
+
+
+@hypothesis.given(VALUES)
+def test_a_step_is_understood_or_a_typed_error(value):
+    try:
+        msgspec.json.decode(value, type=steps.StepSpec)
+    except msgspec.MsgspecError:
+        pass
