--- a/bench/processes.py
+++ b/bench/processes.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import anyio
 
@@ -19,6 +20,8 @@
     ----------
     expected_end : bool
         Whether the bench itself ended it.
+    started_at : float
+        On the monotonic clock, in seconds.
     """
 
     def __init__(
@@ -26,6 +29,7 @@
     ) -> None:
         self.name = name
         self.expected_end = False
+        self.started_at = 0.0
         self._command = [
             sys.executable,
             '-c',
@@ -38,6 +42,7 @@
     def start(self) -> None:
         """Start it, or start it again."""
         self.expected_end = False
+        self.started_at = time.monotonic()
         with self._log.open('ab') as log:
             # In a session of its own, so that Ctrl-C reaches only the bench.
             self._process = subprocess.Popen(
--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -319,6 +319,7 @@
 ) -> starlette.applications.Starlette:
     """Assemble the application of an entry, with `routes` of the process."""
     return starlette.applications.Starlette(
+        exception_handlers=web.EXCEPTION_HANDLERS,
         routes=[
             starlette.routing.Route('/v1/addresses', live.list_addresses),
             starlette.routing.Route(
@@ -330,7 +331,7 @@
                 methods=SERVICE_METHODS,
             ),
             *routes,
-        ]
+        ],
     )
 
 
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -69,12 +69,20 @@
 class _Progress:
     """What the caller has been given so far."""
 
-    __slots__ = ('excluded', 'nonce', 'text', 'tokens', 'tries')
+    __slots__ = (
+        'excluded',
+        'may_have_run',
+        'nonce',
+        'text',
+        'tokens',
+        'tries',
+    )
 
     def __init__(self) -> None:
         self.text = ''
         self.tokens = 0
         self.tries = 0
+        self.may_have_run = False
         self.nonce = uuid.uuid4().hex[:12]
         self.excluded: set[str] = set()
 
@@ -165,8 +173,9 @@
             except errors.StaleWeights:
                 # The engine runs older weights than was reported, or newer
                 # ones were published meanwhile: go on where they are fresh.
+                progress.may_have_run = True
                 progress.excluded.add(server.name)
-                if progress.tries >= MAX_ATTEMPTS:
+                if not call.idempotent or progress.tries >= MAX_ATTEMPTS:
                     raise
 
     def check_fresh(
@@ -287,6 +296,7 @@
         refused = isinstance(
             error, (errors.BackendRefused, errors.BackendUnreachable)
         )
+        progress.may_have_run |= not refused
         if not isinstance(error, errors.BackendRefused):
             server.note_failure()
         if not refused and not call.idempotent:
@@ -313,17 +323,8 @@
             return error
         # A refusal of the last attempt does not undo an earlier attempt that
         # ran: only when none did is "not run" true.
-        ran = progress.tokens > 0 or progress.tries > 1
-        never_sent = isinstance(
-            error,
-            (
-                errors.BackendRefused,
-                errors.BackendUnreachable,
-                errors.NotRun,
-            ),
-        )
         kind = (
-            errors.NotRun if never_sent and not ran else errors.OutcomeUnknown
+            errors.OutcomeUnknown if progress.may_have_run else errors.NotRun
         )
         return kind(error.message, step=error.step, peer=error.peer)
 
--- a/src/swiftjunction/steps/_app.py
+++ b/src/swiftjunction/steps/_app.py
@@ -176,6 +176,7 @@
 ) -> starlette.applications.Starlette:
     """Assemble the application of a rollout process."""
     return starlette.applications.Starlette(
+        exception_handlers=web.EXCEPTION_HANDLERS,
         routes=[
             starlette.routing.Route('/v1/rollouts', steps.list_addresses),
             starlette.routing.Route(
@@ -187,7 +188,7 @@
             ),
             starlette.routing.Route('/v1/steps/{step_id}/samples', steps.draw),
             *routes,
-        ]
+        ],
     )
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 from swiftjunction import errors
 from swiftjunction import platform
+from swiftjunction import web
 
 hypothesis.settings.register_profile(
     'deterministic', derandomize=True, deadline=None, database=None
@@ -93,10 +94,15 @@
 
     def __init__(self, answer):
         self._client = connect(answer)
+        self._peer = web.Peer('test')
+        self._peer._transport = httpx.MockTransport(answer)
 
     def get(self, address):
         return self._client
 
+    def peer(self, address):
+        return self._peer
+
 
 class Clock:
     """A clock that the test moves."""
