--- a/src/swiftjunction/backends/_calls.py
+++ b/src/swiftjunction/backends/_calls.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import math
 
 import httpx
 
@@ -48,5 +49,15 @@
     """Learn what an answer's headers, also a refusal's, say of the server."""
     if response.headers.get('x-leaving'):
         server.note_leaving()
-    with contextlib.suppress(KeyError, ValueError):
-        server.load = float(response.headers['x-load'])
+    load = read_load(response.headers)
+    if load is not None:
+        server.load = load
+
+
+def read_load(headers: httpx.Headers) -> float | None:
+    """Return the load that an answer's headers report, if they do."""
+    try:
+        load = float(headers['x-load'])
+    except (KeyError, ValueError):
+        return None
+    return load if math.isfinite(load) else None
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import logging
+import uuid
 
 import anyio
 import msgspec
@@ -79,12 +80,21 @@
 class _Progress:
     """What the caller has been given so far."""
 
-    __slots__ = ('excluded', 'text', 'tokens', 'tries')
+    __slots__ = (
+        'excluded',
+        'may_have_run',
+        'nonce',
+        'text',
+        'tokens',
+        'tries',
+    )
 
     def __init__(self) -> None:
         self.text = ''
         self.tokens = 0
         self.tries = 0
+        self.may_have_run = False
+        self.nonce = uuid.uuid4().hex[:12]
         self.excluded: set[str] = set()
 
     def add(self, chunk: backends.Chunk) -> backends.Chunk | None:
@@ -182,8 +192,9 @@
             except errors.StaleWeights:
                 # The engine runs older weights than was reported, or newer
                 # ones were published meanwhile: go on where they are fresh.
+                progress.may_have_run = True
                 progress.excluded.add(server.name)
-                if progress.tries >= MAX_ATTEMPTS:
+                if not call.idempotent or progress.tries >= MAX_ATTEMPTS:
                     raise
 
     def check_fresh(
@@ -202,7 +213,10 @@
         progress: _Progress,
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         engine_call = backends.EngineCall(
-            request_id=f'{call.request_id}.{progress.tries}',
+            # Callers may use an id twice, for example when they turn to
+            # another entry; engines must not take the one generation for
+            # the other when it is resumed or cancelled.
+            request_id=f'{call.request_id}.{progress.nonce}-{progress.tries}',
             model=call.model,
             prompt=call.prompt,
             max_tokens=call.max_tokens,
@@ -343,6 +357,7 @@
         refused = isinstance(
             error, (errors.BackendRefused, errors.BackendUnreachable)
         )
+        progress.may_have_run |= not refused
         if not isinstance(error, errors.BackendRefused):
             server.note_failure()
         if not refused and not call.idempotent:
@@ -369,17 +384,8 @@
             return error
         # A refusal of the last attempt does not undo an earlier attempt that
         # ran: only when none did is "not run" true.
-        ran = progress.tokens > 0 or progress.tries > 1
-        never_sent = isinstance(
-            error,
-            (
-                errors.BackendRefused,
-                errors.BackendUnreachable,
-                errors.NotRun,
-            ),
-        )
         kind = (
-            errors.NotRun if never_sent and not ran else errors.OutcomeUnknown
+            errors.OutcomeUnknown if progress.may_have_run else errors.NotRun
         )
         return kind(
             error.message,
--- a/src/swiftjunction/spool/_store.py
+++ b/src/swiftjunction/spool/_store.py
@@ -1,7 +1,6 @@
 """Payloads on disk: one append-only file for each step."""
 
 import logging
-import os
 import pathlib
 import re
 import struct
@@ -36,15 +35,14 @@
         At which the spool refuses more.
     """
 
-    __slots__ = ('_checked', '_folder', '_max_bytes', '_sizes')
+    __slots__ = ('_folder', '_max_bytes', '_sizes')
 
     def __init__(self, folder: pathlib.Path, max_bytes: int) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
         self._max_bytes = max_bytes
-        self._checked: set[str] = set()
         self._sizes = {
-            file.stem: file.stat().st_size for file in folder.glob('*.spool')
+            file.stem: cut_torn_end(file) for file in folder.glob('*.spool')
         }
 
     @property
@@ -65,23 +63,15 @@
             raise errors.LinkError('the spool is full', step='put')
         head = FRAME_HEAD.pack(len(body), xxhash.xxh3_64_intdigest(body))
         path = self._find_path(step_id)
-        self._cut_torn_frame(step_id, path)
-        with path.open('ab') as file:
-            # Until the frame is whole, the file is taken for torn.
-            self._checked.discard(step_id)
-            file.write(head + body)
-        self._checked.add(step_id)
+        try:
+            with path.open('ab') as file:
+                file.write(head + body)
+        except OSError:
+            # A disk that is full may have taken a part of it.
+            self._sizes[step_id] = cut_torn_end(path)
+            raise
         self._sizes[step_id] = path.stat().st_size
 
-    def _cut_torn_frame(self, step_id: str, path: pathlib.Path) -> None:
-        if step_id in self._checked or not path.exists():
-            return
-        good_bytes = sum(
-            FRAME_HEAD.size + len(body)
-            for body in read_frames(path.read_bytes())
-        )
-        os.truncate(path, good_bytes)
-
     def fetch(self, step_id: str) -> list[_messages.Payload]:
         """Return the newest payload of each index."""
         path = self._find_path(step_id)
@@ -99,7 +89,6 @@
         """Delete the step's file."""
         self._find_path(step_id).unlink(missing_ok=True)
         self._sizes.pop(step_id, None)
-        self._checked.discard(step_id)
 
     def summarize(self) -> dict[str, object]:
         """Return the state, for a dump."""
@@ -111,6 +100,19 @@
         return self._folder / f'{step_id}.spool'
 
 
+def cut_torn_end(file: pathlib.Path) -> int:
+    """Cut off what a crash left half written and return the size.
+
+    Frames that were appended behind it could not be found again.
+    """
+    data = file.read_bytes()
+    size = sum(FRAME_HEAD.size + len(body) for body in read_frames(data))
+    if size < len(data):
+        with file.open('r+b') as opened:
+            opened.truncate(size)
+    return size
+
+
 def read_frames(data: bytes) -> list[bytes]:
     """Return the bodies of the whole frames in `data`."""
     bodies = []
--- a/src/swiftjunction/standins/_service.py
+++ b/src/swiftjunction/standins/_service.py
@@ -72,7 +72,13 @@
     async def _show_runs(
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
-        return web.respond_json({'runs': self.runs, 'keys': self.key_runs})
+        return web.respond_json(
+            {
+                'runs': self.runs,
+                'keys': self.key_runs,
+                'refused': self.refusals.total(),
+            }
+        )
 
     def _refuse(
         self, request: starlette.requests.Request
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,13 @@
 """Fixtures and fakes that the tests share."""
 
 import anyio
+import httpx
 import hypothesis
 import pytest
 
 from swiftjunction import errors
 from swiftjunction import platform
+from swiftjunction import web
 
 hypothesis.settings.register_profile(
     'deterministic', derandomize=True, deadline=None, database=None
@@ -106,6 +108,28 @@
         return await self.list(prefix)
 
 
+def connect(answer):
+    """Return an HTTP client whose server is the function `answer`."""
+    return httpx.AsyncClient(
+        transport=httpx.MockTransport(answer), base_url='http://test'
+    )
+
+
+class FixedPeers:
+    """HTTP clients that all reach the function `answer`."""
+
+    def __init__(self, answer):
+        self._client = connect(answer)
+        self._peer = web.Peer('test')
+        self._peer._transport = httpx.MockTransport(answer)
+
+    def get(self, address):
+        return self._client
+
+    def peer(self, address):
+        return self._peer
+
+
 class Clock:
     """A clock that the test moves."""
 
--- /dev/null
+++ b/tests/cover/test_contract_engines.py
@@ -0,0 +1,172 @@
+"""The contract with engines: every way in which a stream may end."""
+
+import anyio
+import pytest
+
+from swiftjunction import standins
+from tests import stack
+
+pytestmark = pytest.mark.anyio
+
+PROMPT = 'does it fit?'
+MAX_TOKENS = 12
+
+
+async def close(exchange):
+    await exchange.stream.aclose()
+
+
+async def close_after_the_head(exchange):
+    await stack.start_stream(exchange)
+    await close(exchange)
+
+
+async def close_within_the_stream(exchange):
+    await stack.start_stream(exchange)
+    await exchange.send(stack.frame(exchange, 0, 2, last=False))
+    await close(exchange)
+
+
+async def close_after_the_last_token(exchange):
+    await stack.start_stream(exchange)
+    await exchange.send(stack.frame(exchange))
+    await close(exchange)
+
+
+async def refuse(exchange):
+    await exchange.answer(b'', 'x-request-outcome: not-run\r\n', '503 Busy')
+
+
+async def fail(exchange):
+    await exchange.answer(b'oops', '', '500 Error')
+
+
+async def answer_in_html(exchange):
+    await stack.start_stream(exchange, 'text/html')
+    await exchange.send(b'<p>' + stack.frame(exchange))
+    await close(exchange)
+
+
+async def send_bad_json(exchange):
+    await stack.start_stream(exchange)
+    await exchange.send(b'data: {"choices": [\n\n')
+    await close(exchange)
+
+
+async def answer_another_request(exchange):
+    await stack.start_stream(exchange)
+    await exchange.send(stack.frame(exchange, id='another'))
+    await close(exchange)
+
+
+async def leave_tokens_out(exchange):
+    await stack.start_stream(exchange)
+    await exchange.send(stack.frame(exchange, 2))
+    await close(exchange)
+
+
+async def send_tokens_twice(exchange):
+    await stack.start_stream(exchange)
+    await exchange.send(stack.frame(exchange, 0, 2, last=False))
+    await exchange.send(stack.frame(exchange, 0, 2, last=False))
+    await exchange.send(stack.frame(exchange, 2))
+    await close(exchange)
+
+
+async def name_no_version(exchange):
+    await stack.start_stream(exchange)
+    await exchange.send(stack.frame(exchange, weight_version=0))
+    await close(exchange)
+
+
+async def name_an_old_version(exchange):
+    await stack.start_stream(exchange)
+    await exchange.send(stack.frame(exchange, weight_version=1))
+    await close(exchange)
+
+
+async def send_nothing(exchange):
+    await stack.start_stream(exchange)
+    await anyio.sleep(0.4)
+    await close(exchange)
+
+
+# What the engine does, and what the caller of a generation that may not be
+# repeated is told where there is no other engine.
+CASES = [
+    (None, 'not-run'),
+    (refuse, 'not-run'),
+    (close, 'unknown'),
+    (close_after_the_head, 'unknown'),
+    (close_within_the_stream, 'unknown'),
+    (close_after_the_last_token, 'complete'),
+    (fail, 'unknown'),
+    (answer_in_html, 'unknown'),
+    (send_bad_json, 'unknown'),
+    (answer_another_request, 'unknown'),
+    (leave_tokens_out, 'unknown'),
+    (send_tokens_twice, 'complete'),
+    (name_no_version, 'stale'),
+    (name_an_old_version, 'stale'),
+    (send_nothing, 'unknown'),
+]
+NAMES = [getattr(script, '__name__', 'nobody listens') for script, _ in CASES]
+
+
+async def ask(client, idempotent, seconds, stream=False):
+    return await client.post(
+        '/v1/completions',
+        json={
+            'model': 'team/fit',
+            'prompt': PROMPT,
+            'max_tokens': MAX_TOKENS,
+            'stream': stream,
+        },
+        headers={
+            'x-timeout-seconds': str(seconds),
+            'x-idempotent': str(idempotent).lower(),
+        },
+    )
+
+
+@pytest.mark.parametrize(('script', 'outcome'), CASES, ids=NAMES)
+async def test_a_generation_that_may_run_once_ends_as_it_did(script, outcome):
+    bad = stack.ScriptedServer(script)
+    entry = stack.Stack(engines=[bad])
+    async with entry.run() as client:
+        response = await ask(client, False, 0.3)
+    assert response.headers['x-request-outcome'] == outcome
+    if script is not refuse:
+        assert len(bad.read) <= 1
+
+
+@pytest.mark.parametrize(('script', 'outcome'), CASES, ids=NAMES)
+@pytest.mark.parametrize('stream', [False, True])
+async def test_another_engine_completes_the_answer(script, outcome, stream):
+    entry = stack.Stack(
+        engines=[
+            stack.ScriptedServer(script),
+            stack.ScriptedServer(stack.generate),
+            stack.ScriptedServer(stack.generate),
+        ]
+    )
+    whole = standins.expected_text(PROMPT, 0, MAX_TOKENS)
+    async with entry.run() as client:
+        for _ in range(3):
+            response = await ask(client, True, 5, stream)
+            assert response.status_code == 200
+            if stream:
+                assert response.text.rstrip().endswith('[DONE]')
+            else:
+                assert response.json()['choices'][0]['text'] == whole
+
+
+async def test_two_requests_with_one_id_are_two_generations():
+    engine = stack.ScriptedServer(stack.generate)
+    entry = stack.Stack(engines=[engine])
+    async with entry.run() as client:
+        client.headers['x-request-id'] = 'the-same'
+        for _ in range(2):
+            await ask(client, True, 2)
+    assert len(set(engine.read)) == 2
+    assert all(name.startswith('the-same.') for name in engine.read)
