--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -1,5 +1,6 @@
 """Backend servers: what is known of each, and the clients that call them."""
 
+from swiftjunction.backends._calls import read_load
 from swiftjunction.backends._directory import Directory
 from swiftjunction.backends._directory import SERVER_PREFIX
 from swiftjunction.backends._engine import Chunk
@@ -7,6 +8,7 @@
 from swiftjunction.backends._engine import EngineClient
 from swiftjunction.backends._engine import ORDER_TIMEOUT_SECONDS
 from swiftjunction.backends._limit import SAMPLE_TOLERANCE
+from swiftjunction.backends._ordering import OrderSender
 from swiftjunction.backends._orders import EngineStatus
 from swiftjunction.backends._orders import Order
 from swiftjunction.backends._orders import STATUS_INTERVAL_SECONDS
@@ -25,6 +27,7 @@
     'EngineStatus',
     'ORDER_TIMEOUT_SECONDS',
     'Order',
+    'OrderSender',
     'SAMPLE_TOLERANCE',
     'SERVER_PREFIX',
     'STATUS_INTERVAL_SECONDS',
@@ -32,4 +35,5 @@
     'ServiceAnswer',
     'ServiceCall',
     'ServiceClient',
+    'read_load',
 ]
--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -59,10 +59,10 @@
             self._remove(report.name)
             return
         server = self._servers.get(report.name)
+        if server is not None and server.report.service != report.service:
+            self._by_service[server.report.service].pop(report.name, None)
         if server is None or server.address != report.address:
             server = self._add(report)
-        elif server.report.service != report.service:
-            self._by_service[server.report.service].pop(report.name, None)
         server.take_report(report)
         self._by_service.setdefault(report.service, {})[report.name] = server
         self._notify(report.service)
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -1,5 +1,7 @@
 """The client of a plain service."""
 
+import urllib.parse
+
 import httpx
 import msgspec
 
@@ -9,6 +11,8 @@
 from swiftjunction import web
 
 PROBE_TIMEOUT_SECONDS = 1.0
+# What may stand in a path or a query as it is.
+PATH_SAFE = "/:@!$&'()*+,;=~"
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
@@ -58,12 +62,11 @@
         AnswerBroken
             If whether it ran is unknown.
         """
-        query = f'?{call.query}' if call.query else ''
         step, peer = 'call', server.name
         with _calls.translate_errors(step, peer):
             response = await self._peers.peer(server.address).send(
                 call.method,
-                f'/{call.path}{query}',
+                _encode_target(call.path, call.query),
                 content=call.body,
                 headers=[
                     *call.headers,
@@ -106,6 +109,15 @@
             )
 
 
+def _encode_target(path: str, query: str) -> str:
+    # The path came decoded: what it holds must not end it, begin a query or
+    # break the request line.
+    target = '/' + urllib.parse.quote(path, safe=PATH_SAFE)
+    if query:
+        target += '?' + urllib.parse.quote(query, safe=PATH_SAFE + '?%')
+    return target
+
+
 async def _read_body(response: httpx.Response, peer: str) -> bytes:
     parts = []
     size = 0
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -12,6 +12,7 @@
     'LeaseLost',
     'LinkError',
     'NotRun',
+    'ObjectBroken',
     'ObjectMissing',
     'ObjectTooLarge',
     'OutcomeUnknown',
@@ -26,6 +27,7 @@
     'SettingsError',
     'StepElsewhere',
     'StepEnded',
+    'StepIncomplete',
     'StaleWeights',
     'SwiftjunctionError',
     'WriteUncertain',
@@ -88,6 +90,10 @@
     """The object does not exist."""
 
 
+class ObjectBroken(PlatformError):
+    """The object does not hold what its key says; an operator must look."""
+
+
 class ObjectTooLarge(PlatformError):
     """The value is over the platform's limit of one megabyte."""
 
@@ -154,6 +160,13 @@
     outcome = 'complete'
 
 
+class StepIncomplete(RequestError):
+    """The step ended, by its deadline or a cancel, before it was whole."""
+
+    status = 410
+    outcome = 'incomplete'
+
+
 class StepElsewhere(RequestError):
     """Another process owns the step; ``peer`` is its address."""
 
--- a/src/swiftjunction/web/_answers.py
+++ b/src/swiftjunction/web/_answers.py
@@ -3,6 +3,8 @@
 import math
 
 import msgspec
+import starlette.exceptions
+import starlette.requests
 import starlette.responses
 
 from swiftjunction import errors
@@ -55,3 +57,30 @@
             **(headers or {}),
         },
     )
+
+
+async def answer_http_exception(
+    request: starlette.requests.Request, error: Exception
+) -> starlette.responses.Response:
+    """Answer what no route takes as a typed error, with its own status."""
+    assert isinstance(error, starlette.exceptions.HTTPException)
+    invalid = errors.RequestInvalid(str(error.detail), step='route')
+    response = respond_error(invalid)
+    response.status_code = error.status_code
+    return response
+
+
+async def answer_failure(
+    request: starlette.requests.Request, error: Exception
+) -> starlette.responses.Response:
+    """Answer a fault of this process as a typed error; it is logged too."""
+    failure = errors.OutcomeUnknown(
+        f'this process failed: {type(error).__name__}', step='serve'
+    )
+    return respond_error(failure)
+
+
+EXCEPTION_HANDLERS = {
+    starlette.exceptions.HTTPException: answer_http_exception,
+    Exception: answer_failure,
+}
