--- /dev/null
+++ b/bench/routing_http.py
@@ -0,0 +1,120 @@
+"""Compares routing policies over real HTTP, with one slow engine.
+
+A whole fleet of stand-ins and daemons in this process, over loopback; callers
+arrive at a fixed mean rate. The policies take turns in one run, so that they
+share whatever else the machine does.
+
+    python -m bench.routing_http
+"""
+
+import logging
+import random
+
+import anyio
+import anyio.abc
+import msgspec
+
+from bench import routing_load
+from swiftjunction import client
+from swiftjunction import configuration
+from swiftjunction import demo
+from swiftjunction import errors
+from swiftjunction import weights
+
+POLICIES = ('round-robin', 'least-outstanding', 'two-choices')
+ROUNDS = 2
+ROUND_SECONDS = 5.0
+CALLS_PER_SECOND = 20.0
+SLOW_FACTOR = 10
+MAX_TOKENS = 32
+CALLERS = 8
+
+
+class Row(msgspec.Struct):
+    """What the callers of one policy saw, in seconds."""
+
+    policy: str
+    latencies: list[float] = []
+    failed: int = 0
+
+
+class _Experiment:
+    def __init__(self, fleet: demo.Fleet) -> None:
+        self._fleet = fleet
+        self._rng = random.Random('http')
+        self.rows = {policy: Row(policy, []) for policy in POLICIES}
+
+    async def run(self) -> None:
+        await weights.Publisher(self._fleet.connect_store()).publish('fit')
+        await self._fleet.configure(self._list_paths())
+        await self._fleet.wait_ready()
+        self._fleet.engines['engine-0'].faults.set('slow_factor', SLOW_FACTOR)
+        callers = [
+            client.CallerClient(self._fleet.entry_addresses())
+            for _ in range(CALLERS)
+        ]
+        for _ in range(ROUNDS):
+            for policy in POLICIES:
+                await self._run_round(callers, policy)
+        for caller in callers:
+            await caller.__aexit__(None, None, None)
+
+    def _list_paths(self) -> dict[str, configuration.PathSettings]:
+        return self._fleet.default_paths() | {
+            f'demo/{policy}': configuration.PathSettings(
+                model='fit', policy=policy
+            )
+            for policy in POLICIES
+        }
+
+    async def _run_round(
+        self, callers: list[client.CallerClient], policy: str
+    ) -> None:
+        end_at = anyio.current_time() + ROUND_SECONDS
+        async with anyio.create_task_group() as tasks:
+            while anyio.current_time() < end_at:
+                tasks.start_soon(
+                    self._ask, self._rng.choice(callers), self.rows[policy]
+                )
+                await anyio.sleep(self._rng.expovariate(CALLS_PER_SECOND))
+
+    async def _ask(self, caller: client.CallerClient, row: Row) -> None:
+        began = anyio.current_time()
+        prompt = f'which size fits, order {self._rng.randrange(10**9)}?'
+        try:
+            await caller.complete(
+                f'demo/{row.policy}', prompt, max_tokens=MAX_TOKENS
+            )
+        except errors.RequestError:
+            row.failed += 1
+        row.latencies.append(anyio.current_time() - began)
+
+
+async def measure() -> list[Row]:
+    """Run all policies and return what their callers saw."""
+    plan = demo.FleetPlan(services=1, scorers=0)
+    async with demo.Fleet(plan).run() as fleet:
+        experiment = _Experiment(fleet)
+        await experiment.run()
+        return list(experiment.rows.values())
+
+
+def main() -> None:
+    """Print a table."""
+    logging.disable(logging.WARNING)
+    print('| policy | requests | failed | p50_ms | p90_ms | p99_ms |')
+    print(f'|{" --- |" * 6}')
+    for row in anyio.run(measure):
+        row.latencies.sort()
+        values = ' | '.join(
+            f'{1000 * routing_load.pick(row.latencies, quantile):.0f}'
+            for quantile in (0.5, 0.9, 0.99)
+        )
+        print(
+            f'| {row.policy} | {len(row.latencies)} | {row.failed} '
+            f'| {values} |'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/routing_load.py
+++ b/bench/routing_load.py
@@ -289,10 +289,10 @@
             self._requests,
             self._answers,
             dict(self._errors),
-            _pick(self._latencies, 0.5),
-            _pick(self._latencies, 0.99),
-            _pick(self._latencies, 0.999),
-            _pick(self._refused, 0.99),
+            pick(self._latencies, 0.5),
+            pick(self._latencies, 0.99),
+            pick(self._latencies, 0.999),
+            pick(self._refused, 0.99),
             self._in_time / (RUN_SECONDS - WARM_UP_SECONDS),
             retries / max(first, 1),
             hits / started,
@@ -301,7 +301,8 @@
         )
 
 
-def _pick(ordered: list[float], quantile: float) -> float:
+def pick(ordered: list[float], quantile: float) -> float:
+    """Return a quantile of values in order; 0 where there are none."""
     if not ordered:
         return 0.0
     return ordered[min(int(quantile * len(ordered)), len(ordered) - 1)]
--- a/src/swiftjunction/routing/_pipeline.py
+++ b/src/swiftjunction/routing/_pipeline.py
@@ -114,8 +114,7 @@
     def _select_usable(
         self, request: _policy.RoutingRequest
     ) -> collections.abc.Iterator[backends.BackendServer]:
-        servers = list(self._directory.select(request.service))
-        live = list(keep_live(servers)) or keep_silent(servers)
+        live = keep_live(self._directory.select(request.service))
         fresh = keep_fresh(live, request.min_version)
         if request.alone:
             available = (s for s in fresh if s.is_available())
@@ -130,24 +129,6 @@
     return (server for server in servers if server.is_live())
 
 
-def keep_silent(
-    servers: Servers,
-) -> collections.abc.Iterator[backends.BackendServer]:
-    """Yield the servers that did not answer their conductor.
-
-    They are tried where no server is live: one that does not answer in time
-    may be slow, or out of reach of its conductor only, and a connection that
-    is refused does no harm.
-    """
-    return (
-        server
-        for server in servers
-        if server.report.state == 'down'
-        and not server.left
-        and not server.reserved
-    )
-
-
 def limit_ejections(
     servers: Servers,
 ) -> collections.abc.Iterator[backends.BackendServer]:
