Relay records along a tree, probe a few members, watch with a few

Cause: every conductor posted each change to every other one over pynng, sent digests with the version of every key, watched the platform itself and read the VM list each second; nothing found a dead process.

Change: conductors form a relay tree (data centre, region, world; four children each). Hashes of 256 buckets are compared with one contact every 2 s, and versions are sent only for buckets that differ; records of equal version and other value are exchanged too, which the old digest missed. Messages up to 1.4 KB go as UDP datagrams by anyio, larger ones over pynng links that are opened when needed. Each conductor probes the next three on a hashed ring and its VM's entry and rollout, directly and through others; what it finds dead is a record that the living one refutes. Two conductors a region watch the platform and two of all read the VM list into records.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 READY := .venv/.ready
 
-.PHONY: demo test check format sizes clean
+.PHONY: demo test check format sizes slopes clean
 
 $(READY): pyproject.toml constraints.txt
 	$(PYTHON) -m venv .venv
@@ -27,5 +27,15 @@
 sizes: $(READY)
 	$(BIN)/python bench/sizes.py
 
+SLOPES := out/slopes.jsonl
+SLOPES_SIZES := 8 16 32 64 128 200
+
+slopes: $(READY)
+	rm -f $(SLOPES)
+	for size in $(SLOPES_SIZES); do \
+		PYTHONPATH=. $(BIN)/python bench/slopes.py --size $$size \
+			--output $(SLOPES) || exit 1; done
+	PYTHONPATH=. $(BIN)/python bench/slopes.py --report --output $(SLOPES)
+
 clean:
 	rm -rf .venv build src/*.egg-info
--- a/src/swiftjunction/daemons/_conductor.py
+++ b/src/swiftjunction/daemons/_conductor.py
@@ -10,6 +10,7 @@
 from swiftjunction import configuration
 from swiftjunction.daemons import _control
 from swiftjunction.daemons import _daemon
+from swiftjunction.daemons import _listing
 from swiftjunction.daemons import _servers
 from swiftjunction.daemons import _spool
 from swiftjunction.daemons import _watches
@@ -20,8 +21,8 @@
 from swiftjunction import web
 from swiftjunction import weights
 
-PEER_INTERVAL_SECONDS = 0.5
 WAVE_INTERVAL_SECONDS = 0.5
+VM_LISTERS = 2
 
 
 class ConductorDaemon(_daemon.Daemon):
@@ -30,15 +31,34 @@
     def __init__(self, config: settings.Settings, seed: int = 0) -> None:
         own = config.conductor
         super().__init__(config, 'conductor', own.port, own.link_port, seed)
-        self._locals = {
-            config.link_address(config.entry.link_port),
-            config.link_address(config.rollout.link_port),
-        }
-        self.exchange.set_peers(self._locals | set(own.seeds))
         self._vm_client = web.connect_client(config.platform.vms)
         self._engines = backends.EngineClient(self.peers)
+        self._listing = _listing.VmListing(
+            platform.VmList(self._vm_client),
+            self.table,
+            lambda: self._member.rank('vm list', VM_LISTERS),
+        )
+        self._member = membership.Member(
+            self.announcement,
+            self.links,
+            self.table,
+            self.processes,
+            self.exchange,
+            {
+                config.link_address(config.entry.link_port),
+                config.link_address(config.rollout.link_port),
+            },
+            lambda: set(own.seeds) | self._listing.listed_links(),
+            self.rng,
+        )
         self._watches = [
-            _watches.PrefixWatch(self.store, prefix, self.table, self.rng)
+            _watches.PrefixWatch(
+                self.store,
+                prefix,
+                self.table,
+                self.rng,
+                self._member.is_watcher,
+            )
             for prefix in (
                 configuration.CONFIGURATION_PREFIX,
                 weights.WEIGHTS_PREFIX,
@@ -46,7 +66,6 @@
         ]
         self._servers = _servers.ServerWatches(
             config.vm.name,
-            platform.VmList(self._vm_client),
             self.table,
             self.processes,
             self.tree,
@@ -82,8 +101,9 @@
         """Return the watches and the control loops."""
         return [
             *(watch.run for watch in self._watches),
+            self._listing.run,
             self._servers.run,
-            self._follow_peers,
+            self._member.run,
             self._run_waves,
         ]
 
@@ -93,17 +113,6 @@
             await self._vm_client.aclose()
         await super().close()
 
-    async def _follow_peers(self) -> None:
-        while True:
-            known = {p.link for p in self.processes.select('conductor')}
-            self.exchange.set_peers(
-                self._locals
-                | set(self.config.conductor.seeds)
-                | self._servers.listed_links()
-                | known
-            )
-            await anyio.sleep(PEER_INTERVAL_SECONDS)
-
     async def _run_waves(self) -> None:
         """Roll out the models that this conductor owns."""
         async with anyio.create_task_group() as tasks:
--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -56,7 +56,7 @@
         self.kind = kind
         self.rng = random.Random(f'{seed} {config.vm.name} {kind}')
         self.listener = web.open_listener(config.vm.ip, port)
-        self.inbox = links.Inbox(config.link_address(link_port))
+        self.links = links.PeerLinks(config.link_address(link_port))
         self.table = membership.RecordTable()
         self.processes = membership.ProcessList(self.table)
         self.tree = configuration.Tree(self.table)
@@ -72,20 +72,20 @@
                 config.vm.name,
                 kind,
                 self.listener.address,
-                self.inbox.address,
+                self.links.address,
                 config.vm.data_center,
                 config.vm.region,
             ),
         )
-        self.exchange = membership.Exchange(
-            self.name, self.inbox, self.table, self.rng
-        )
+        self.exchange = membership.Exchange(self.links, self.table, self.rng)
         self.dump = telemetry.StateDump()
         self.dump.add('process', lambda: self.announcement.process)
         self.dump.add('configuration', self.tree.versions)
         self.dump.add('servers', self.directory.summarize)
         self.dump.add('latencies', self.metrics.summarize)
-        self.dump.add('links', self.exchange.peers)
+        self.dump.add('relays', self.exchange.peers)
+        self.dump.add('links', self.links.peers)
+        self.dump.add('traffic', lambda: self.links.traffic)
         self._stopping = anyio.Event()
 
     @property
@@ -93,6 +93,11 @@
         """Return the process's name among all processes."""
         return f'{self.config.vm.name}/{self.kind}'
 
+    def join(self, addresses: set[str]) -> None:
+        """Exchange records with the processes at `addresses`."""
+        self.exchange.set_peers(addresses)
+        self.exchange.set_contacts(addresses)
+
     def stop(self) -> None:
         """Begin a graceful shutdown."""
         self._stopping.set()
@@ -102,6 +107,7 @@
         LOG.info('%s serves on %s', self.name, self.listener.address)
         try:
             async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.links.run, self.exchange.handle)
                 tasks.start_soon(self.exchange.run)
                 for task in self.list_tasks():
                     tasks.start_soon(task)
@@ -121,7 +127,7 @@
         with anyio.CancelScope(shield=True):
             await self.peers.close()
             await self.platform_client.aclose()
-        self.inbox.close()
+        self.links.close()
 
     async def drain(self) -> None:
         """Serve on until no caller may hold this process's address."""
--- a/src/swiftjunction/daemons/_entry.py
+++ b/src/swiftjunction/daemons/_entry.py
@@ -20,9 +20,7 @@
     def __init__(self, config: settings.Settings, seed: int = 0) -> None:
         own = config.entry
         super().__init__(config, 'entry', own.port, own.link_port, seed)
-        self.exchange.set_peers(
-            {config.link_address(config.conductor.link_port)}
-        )
+        self.join({config.link_address(config.conductor.link_port)})
         router = routing.Router(
             self.directory, config.vm.data_center, self.rng
         )
--- a/src/swiftjunction/daemons/_servers.py
+++ b/src/swiftjunction/daemons/_servers.py
@@ -9,14 +9,16 @@
 
 from swiftjunction import backends
 from swiftjunction import configuration
+from swiftjunction.daemons import _listing
 from swiftjunction import errors
+from swiftjunction import links
 from swiftjunction import membership
 from swiftjunction import platform
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
 
-LIST_INTERVAL_SECONDS = 1.0
+ASSIGN_INTERVAL_SECONDS = 0.25
 RETRY_SECONDS = 0.3
 HEALTH_INTERVAL_SECONDS = 1.0
 HEALTH_TIMEOUT_SECONDS = 2.0
@@ -32,8 +34,6 @@
     ----------
     vm : str
         This VM.
-    vms : VmList
-        The platform's list.
     table : RecordTable
         Where the reports go.
     processes : ProcessList
@@ -47,27 +47,26 @@
     __slots__ = (
         '_engines',
         '_listed',
+        '_list_changes',
         '_peers',
         '_processes',
         '_scopes',
+        '_seen',
         '_table',
         '_tasks',
         '_tree',
         '_vm',
-        '_vms',
     )
 
     def __init__(
         self,
         vm: str,
-        vms: platform.VmList,
         table: membership.RecordTable,
         processes: membership.ProcessList,
         tree: configuration.Tree,
         peers: web.PeerClients,
     ) -> None:
         self._vm = vm
-        self._vms = vms
         self._table = table
         self._processes = processes
         self._tree = tree
@@ -76,27 +75,28 @@
         self._listed: dict[str, platform.Vm] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._seen = (-1, -1)
+        self._list_changes = 0
+        table.listen(_listing.VM_PREFIX, self._learn_vm)
 
     async def run(self) -> None:
         """Watch until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                try:
-                    listed = await self._vms.read()
-                    self._listed = {vm.name: vm for vm in listed}
-                except errors.PlatformUnavailable as error:
-                    LOG.debug('%s', error)
-                self._assign()
-                await anyio.sleep(LIST_INTERVAL_SECONDS)
-
-    def listed_links(self) -> set[str]:
-        """Return the link addresses of this system's own VMs, as listed."""
-        return {
-            vm.address
-            for vm in self._listed.values()
-            if vm.service == 'swiftjunction'
-        }
+                seen = (self._list_changes, self._processes.changes)
+                if seen != self._seen:
+                    self._seen = seen
+                    self._assign()
+                await anyio.sleep(ASSIGN_INTERVAL_SECONDS)
+
+    def _learn_vm(self, record: links.Record) -> None:
+        self._list_changes += 1
+        vm = msgspec.msgpack.decode(record.value, type=platform.Vm)
+        if vm.state == _listing.REMOVED:
+            self._listed.pop(vm.name, None)
+        else:
+            self._listed[vm.name] = vm
 
     def owned(self) -> list[str]:
         """Return the servers that are watched here."""
@@ -121,7 +121,7 @@
 
     async def _watch(self, name: str, scope: anyio.CancelScope) -> None:
         with scope:
-            while True:
+            while name in self._listed:
                 vm = self._listed[name]
                 try:
                     if self._tree.has_model(vm.service):
--- a/src/swiftjunction/daemons/_watches.py
+++ b/src/swiftjunction/daemons/_watches.py
@@ -1,5 +1,6 @@
 """Reads the platform into the shared records."""
 
+import collections.abc
 import logging
 import random
 
@@ -15,6 +16,7 @@
 WATCH_SECONDS = 20.0
 FIRST_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 5.0
+ROLE_INTERVAL_SECONDS = 0.5
 
 
 class PrefixWatch:
@@ -33,9 +35,19 @@
         The records of this daemon.
     rng : random.Random
         Spreads the retries.
+    is_watcher : callable
+        Tells whether this daemon is one of the few of its region that
+        watch; the others learn from their peers.
     """
 
-    __slots__ = ('_prefix', '_rng', '_store', '_table', 'reachable')
+    __slots__ = (
+        '_is_watcher',
+        '_prefix',
+        '_rng',
+        '_store',
+        '_table',
+        'reachable',
+    )
 
     def __init__(
         self,
@@ -43,7 +55,9 @@
         prefix: str,
         table: membership.RecordTable,
         rng: random.Random,
+        is_watcher: collections.abc.Callable[[], bool],
     ) -> None:
+        self._is_watcher = is_watcher
         self._store = store
         self._prefix = prefix
         self._table = table
@@ -54,12 +68,17 @@
         """Watch until cancelled."""
         retry_seconds = FIRST_RETRY_SECONDS
         while True:
+            while not self._is_watcher():
+                self.reachable = False
+                await anyio.sleep(ROLE_INTERVAL_SECONDS)
             try:
                 found = await self._store.list(self._prefix)
                 while True:
                     self._apply(found)
                     self.reachable = True
                     retry_seconds = FIRST_RETRY_SECONDS
+                    if not self._is_watcher():
+                        break
                     found = await self._store.watch(
                         self._prefix, found.revision, WATCH_SECONDS
                     )
--- a/src/swiftjunction/links/__init__.py
+++ b/src/swiftjunction/links/__init__.py
@@ -1,22 +1,32 @@
-"""Messages between this project's own processes, over pynng."""
+"""Messages between this project's own processes, by UDP and pynng."""
 
+from swiftjunction.links._carrier import Carrier
+from swiftjunction.links._carrier import MAX_DATAGRAM_BYTES
+from swiftjunction.links._carrier import PeerLinks
+from swiftjunction.links._messages import Ack
+from swiftjunction.links._messages import Compare
 from swiftjunction.links._messages import decode_message
 from swiftjunction.links._messages import Delta
 from swiftjunction.links._messages import Digest
 from swiftjunction.links._messages import encode_message
 from swiftjunction.links._messages import Message
+from swiftjunction.links._messages import Ping
+from swiftjunction.links._messages import PingRequest
 from swiftjunction.links._messages import Record
-from swiftjunction.links._sockets import Inbox
-from swiftjunction.links._sockets import Outbox
 from swiftjunction.links._sockets import Replier
 from swiftjunction.links._sockets import Requester
 
 __all__ = [
+    'Ack',
+    'Carrier',
+    'Compare',
     'Delta',
     'Digest',
-    'Inbox',
+    'MAX_DATAGRAM_BYTES',
     'Message',
-    'Outbox',
+    'PeerLinks',
+    'Ping',
+    'PingRequest',
     'Record',
     'Replier',
     'Requester',
--- a/src/swiftjunction/links/_sockets.py
+++ b/src/swiftjunction/links/_sockets.py
@@ -52,13 +52,19 @@
                 [f'cannot listen on {address}: {error}']
             ) from error
 
-    async def receive(self) -> _messages.Message:
-        """Wait for the next message that can be understood."""
+    async def receive_sized(self) -> tuple[_messages.Message, int]:
+        """Wait for the next message that can be understood.
+
+        Returns
+        -------
+        tuple
+            The message and its size in bytes.
+        """
         while True:
             async with _clean_cancellation():
                 data = await self._socket.arecv()
             try:
-                return _messages.decode_message(data)
+                return _messages.decode_message(data), len(data)
             except errors.LinkError as error:
                 LOG.warning('dropped a message: %s', error)
 
--- a/src/swiftjunction/membership/_exchange.py
+++ b/src/swiftjunction/membership/_exchange.py
@@ -1,144 +1,225 @@
-"""Spreads records between daemons: deltas at once, digests now and then."""
+"""Spreads records between daemons: changes at once, comparisons repair."""
 
+import collections.abc
 import logging
 import random
 
 import anyio
-import anyio.abc
 
 from swiftjunction import links
 from swiftjunction.membership import _records
 
 LOG = logging.getLogger(__name__)
 
-DIGEST_INTERVAL_SECONDS = 2.0
+COMPARE_INTERVAL_SECONDS = 2.0
+CATCH_UP_INTERVAL_SECONDS = 0.5
 FLUSH_INTERVAL_SECONDS = 0.05
+# As many as fit into one message of a few hundred kilobytes.
+RECORDS_PER_DELTA = 500
+# Of a few tens of kilobytes; the next comparison goes on with the rest.
+MARKS_PER_DIGEST = 1000
+# About what a datagram holds, so that most changes go as datagrams.
+SMALL_DELTA_BYTES = links.MAX_DATAGRAM_BYTES - 100
 
 
 class Exchange:
-    """Keeps one daemon's records in step with those of its peers.
+    """Keeps one daemon's records in step with those of the others.
 
-    Records that change here are posted to every peer in batches. A digest to
-    one peer at a time repairs whatever a lost message left out.
+    A change is posted to the neighbours in the relay tree, which pass it on.
+    Now and then the hashes of all buckets are sent to some other daemon,
+    which answers where they differ; so a lost message, a dead relay or a cut
+    is repaired whichever way the records lack.
 
     Parameters
     ----------
-    name : str
-        This process, as peers see it.
-    inbox : Inbox
-        Where peers reach this process.
+    carrier : Carrier
+        Takes messages to others.
     table : RecordTable
         The records to keep in step.
     rng : random.Random
-        Chooses the peer of the next digest.
+        Chooses whom to compare with.
     """
 
     __slots__ = (
+        '_carrier',
+        '_caught_up',
         '_changed',
-        '_inbox',
-        '_name',
-        '_outboxes',
+        '_contacts',
+        '_note_ack',
+        '_peers',
         '_rng',
-        '_scopes',
+        '_source',
         '_table',
-        '_tasks',
         '_unsent',
     )
 
     def __init__(
         self,
-        name: str,
-        inbox: links.Inbox,
+        carrier: links.Carrier,
         table: _records.RecordTable,
         rng: random.Random,
     ) -> None:
-        self._name = name
-        self._inbox = inbox
+        self._carrier = carrier
         self._table = table
         self._rng = rng
-        self._outboxes: dict[str, links.Outbox] = {}
-        self._scopes: dict[str, anyio.CancelScope] = {}
-        self._unsent: dict[str, links.Record] = {}
+        self._peers: set[str] = set()
+        self._contacts: list[str] = []
+        # Of each record not passed on yet, the address that it came from.
+        self._unsent: dict[str, tuple[links.Record, str]] = {}
+        self._source = ''
+        self._caught_up = False
         self._changed = anyio.Event()
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._note_ack: collections.abc.Callable[[links.Ack], None] = (
+            lambda ack: None
+        )
         table.listen('', self._note_change)
 
+    def listen_acks(
+        self, note_ack: collections.abc.Callable[[links.Ack], None]
+    ) -> None:
+        """Call `note_ack` with each answer to a probe."""
+        self._note_ack = note_ack
+
     def set_peers(self, addresses: set[str]) -> None:
-        """Talk to exactly the peers at `addresses`."""
-        wanted = addresses - {self._inbox.address}
-        for address in set(self._outboxes) - wanted:
-            self._outboxes.pop(address)
-            self._scopes.pop(address).cancel()
-        for address in wanted - set(self._outboxes):
-            self._add_peer(address)
-
-    def peers(self) -> dict[str, int]:
-        """Return the messages dropped so far for each peer."""
-        return {a: box.dropped for a, box in self._outboxes.items()}
+        """Pass changes on to exactly the peers at `addresses`."""
+        wanted = addresses - {self._carrier.address}
+        # A new neighbour may lack what was passed on before it was one.
+        for address in wanted - self._peers:
+            self._post_compare(address)
+        self._peers = wanted
+
+    def set_contacts(self, addresses: set[str]) -> None:
+        """Compare records with those at `addresses` from time to time."""
+        self._contacts = sorted(addresses - {self._carrier.address})
+
+    def peers(self) -> list[str]:
+        """Return the addresses that changes are passed on to."""
+        return sorted(self._peers)
 
     async def run(self) -> None:
         """Exchange records until cancelled."""
         async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            for address, box in self._outboxes.items():
-                tasks.start_soon(self._run_outbox, address, box)
-            tasks.start_soon(self._receive_each)
             tasks.start_soon(self._flush_often)
-            tasks.start_soon(self._send_digests)
+            tasks.start_soon(self._compare_often)
+
+    def handle(self, message: links.Message) -> None:
+        """Take in one message."""
+        match message:
+            case links.Delta():
+                self._apply(message)
+            case links.Compare():
+                self._answer_compare(message)
+            case links.Digest():
+                self._answer_digest(message)
+            case links.Ping():
+                ack = links.Ack(self._carrier.address, message.origin)
+                self._carrier.post(ack, message.sender)
+            case links.PingRequest():
+                ping = links.Ping(self._carrier.address, message.sender)
+                self._carrier.post(ping, message.target)
+            case links.Ack():
+                self._pass_ack(message)
+
+    def flush(self) -> None:
+        """Pass on what changed since the last time."""
+        unsent = list(self._unsent.values())
+        self._unsent.clear()
+        for peer in self._peers:
+            self._send_records(
+                [record for record, source in unsent if source != peer], peer
+            )
+
+    def compare(self) -> None:
+        """Send the hashes of all buckets to one contact."""
+        if self._contacts:
+            self._post_compare(self._rng.choice(self._contacts))
 
-    def _add_peer(self, address: str) -> None:
-        box = links.Outbox(address)
-        self._outboxes[address] = box
-        self._scopes[address] = anyio.CancelScope()
-        if self._tasks is not None:
-            self._tasks.start_soon(self._run_outbox, address, box)
-        box.post(self._digest())
+    def catch_up(self) -> None:
+        """Ask one contact for all that this daemon lacks."""
+        if self._contacts:
+            digest = self._digest([], ask=True)
+            self._carrier.post(digest, self._rng.choice(self._contacts))
 
-    async def _run_outbox(self, address: str, box: links.Outbox) -> None:
-        with self._scopes[address]:
-            await box.run()
+    def _post_compare(self, address: str) -> None:
+        compare = links.Compare(self._carrier.address, self._table.hashes())
+        self._carrier.post(compare, address)
 
     def _note_change(self, record: links.Record) -> None:
-        self._unsent[record.key] = record
+        self._unsent[record.key] = (record, self._source)
         self._changed.set()
 
+    def _apply(self, delta: links.Delta) -> None:
+        self._caught_up = True
+        self._source = delta.sender
+        self._table.apply(delta.records)
+        self._source = ''
+
     async def _flush_often(self) -> None:
         while True:
             await self._changed.wait()
-            await anyio.sleep(FLUSH_INTERVAL_SECONDS)
             self._changed = anyio.Event()
-            records = list(self._unsent.values())
-            self._unsent.clear()
-            delta = links.Delta(self._name, records)
-            for box in self._outboxes.values():
-                box.post(delta)
+            self.flush()
+            # Whatever changes meanwhile goes out together.
+            await anyio.sleep(FLUSH_INTERVAL_SECONDS)
 
-    async def _receive_each(self) -> None:
+    async def _compare_often(self) -> None:
+        while not self._caught_up:
+            self.catch_up()
+            await anyio.sleep(CATCH_UP_INTERVAL_SECONDS)
         while True:
-            message = await self._inbox.receive()
-            if isinstance(message, links.Delta):
-                self._table.apply(message.records)
-            else:
-                self._answer_digest(message)
+            await anyio.sleep(
+                COMPARE_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2)
+            )
+            self.compare()
+
+    def _answer_compare(self, compare: links.Compare) -> None:
+        differing = self._table.find_differing(compare.hashes)
+        if differing:
+            self._rng.shuffle(differing)
+            count = max(
+                1,
+                MARKS_PER_DIGEST * _records.BUCKETS // (len(self._table) + 1),
+            )
+            digest = self._digest(differing[:count], ask=True)
+            self._carrier.post(digest, compare.sender)
 
     def _answer_digest(self, digest: links.Digest) -> None:
-        box = self._outboxes.get(digest.reply_to)
-        if box is None:
-            return
-        missing = self._table.newer_than(digest.versions)
-        if missing:
-            box.post(links.Delta(self._name, missing))
-
-    def _digest(self) -> links.Digest:
+        buckets = digest.buckets or list(range(_records.BUCKETS))
+        missing = self._table.newer_than(digest.marks, buckets)
+        self._send_records(missing, digest.sender)
+        if digest.ask and self._table.lacks(digest.marks):
+            self._carrier.post(self._digest(buckets, ask=False), digest.sender)
+        elif digest.ask and not missing:
+            # An empty delta says that the sender has all there is here.
+            self._carrier.post(
+                links.Delta(self._carrier.address, []), digest.sender
+            )
+
+    def _digest(self, buckets: list[int], *, ask: bool) -> links.Digest:
+        covered = buckets or list(range(_records.BUCKETS))
         return links.Digest(
-            self._name, self._inbox.address, self._table.versions()
+            self._carrier.address, buckets, self._table.marks(covered), ask
         )
 
-    async def _send_digests(self) -> None:
-        while True:
-            await anyio.sleep(
-                DIGEST_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2)
-            )
-            if self._outboxes:
-                address = self._rng.choice(sorted(self._outboxes))
-                self._outboxes[address].post(self._digest())
+    def _pass_ack(self, ack: links.Ack) -> None:
+        if ack.origin and ack.origin != self._carrier.address:
+            self._carrier.post(ack, ack.origin)
+        else:
+            self._note_ack(ack)
+
+    def _send_records(self, records: list[links.Record], peer: str) -> None:
+        batch: list[links.Record] = []
+        size = 0
+        for record in records:
+            length = len(record.key) + len(record.value) + 16
+            # A few small records go as one datagram; many go over a link.
+            full = len(records) < 20 and size + length > SMALL_DELTA_BYTES
+            if batch and (full or len(batch) == RECORDS_PER_DELTA):
+                self._carrier.post(
+                    links.Delta(self._carrier.address, batch), peer
+                )
+                batch, size = [], 0
+            batch.append(record)
+            size += length
+        if batch:
+            self._carrier.post(links.Delta(self._carrier.address, batch), peer)
--- a/src/swiftjunction/membership/_processes.py
+++ b/src/swiftjunction/membership/_processes.py
@@ -51,20 +51,26 @@
         The records of this daemon.
     """
 
-    __slots__ = ('_processes',)
+    __slots__ = ('_processes', 'changes')
 
     def __init__(self, table: _records.RecordTable) -> None:
         self._processes: dict[str, Process] = {}
+        self.changes = 0
         table.listen(PROCESS_PREFIX, self._learn)
 
     def _learn(self, record: links.Record) -> None:
         process = msgspec.msgpack.decode(record.value, type=Process)
         self._processes[process.name] = process
+        self.changes += 1
 
     def get(self, name: str) -> Process | None:
         """Return the process called `name`, if known."""
         return self._processes.get(name)
 
+    def all(self) -> list[Process]:
+        """Return every process, whatever its state."""
+        return list(self._processes.values())
+
     def select(
         self, kind: str, state: str = 'live'
     ) -> collections.abc.Iterator[Process]:
@@ -74,6 +80,25 @@
                 yield process
 
 
+def declare_dead(
+    table: _records.RecordTable, processes: ProcessList, dead: Process
+) -> None:
+    """Write that a process is dead, and with a conductor all of its VM.
+
+    The conductor vouches for the other processes of its VM: without it they
+    have no shared state. Any of them that lives after all refutes it.
+    """
+    for process in processes.all():
+        if process.name == dead.name or (
+            dead.kind == 'conductor' and process.vm == dead.vm
+        ):
+            gone = msgspec.structs.replace(process, state='dead')
+            table.put(
+                f'{PROCESS_PREFIX}{process.name}',
+                msgspec.msgpack.encode(gone),
+            )
+
+
 class Announcement:
     """Keeps this process's own record true.
 
--- a/src/swiftjunction/membership/_records.py
+++ b/src/swiftjunction/membership/_records.py
@@ -1,10 +1,31 @@
 """The state that daemons share: one versioned record for each key."""
 
+import array
 import collections.abc
+import time
+
+import xxhash
 
 from swiftjunction import links
 
 Listener = collections.abc.Callable[[links.Record], None]
+Mark = tuple[int, int]
+
+BUCKETS = 256
+# A bucket that changed a moment ago is not compared: what changed is still
+# on its way, and would be repaired although nothing was lost.
+QUIET_SECONDS = 1.0
+
+
+def find_bucket(key: str) -> int:
+    """Return the bucket of `key`, the same on every daemon."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % BUCKETS
+
+
+def _mark(record: links.Record) -> Mark:
+    """Return the version and a hash that tells equal versions apart."""
+    head = f'{record.key}\0{record.version}\0'.encode()
+    return record.version, xxhash.xxh32_intdigest(head + record.value)
 
 
 class RecordTable:
@@ -14,13 +35,33 @@
     read, a late relay or a restarted daemon, is not applied. Two writers that
     reach the same version, as both halves of a cut may, are told apart by
     the value itself, so that every daemon settles on the same one.
-    """
 
-    __slots__ = ('_listeners', '_records')
+    Parameters
+    ----------
+    clock : callable
+        Returns seconds of a monotonic clock.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = (
+        '_changed_at',
+        '_clock',
+        '_hashes',
+        '_keys',
+        '_listeners',
+        '_marks',
+        '_records',
+    )
+
+    def __init__(
+        self, clock: collections.abc.Callable[[], float] = time.monotonic
+    ) -> None:
+        self._clock = clock
         self._records: dict[str, links.Record] = {}
+        self._marks: dict[str, Mark] = {}
         self._listeners: list[tuple[str, Listener]] = []
+        self._keys: list[set[str]] = [set() for _ in range(BUCKETS)]
+        self._hashes = array.array('I', [0]) * BUCKETS
+        self._changed_at = [-QUIET_SECONDS] * BUCKETS
 
     def listen(self, prefix: str, listener: Listener) -> None:
         """Call `listener` for each record under `prefix`, old ones first."""
@@ -54,20 +95,65 @@
         self._apply_one(record)
         return record
 
-    def versions(self) -> dict[str, int]:
-        """Return the version held of each key."""
-        return {key: r.version for key, r in self._records.items()}
+    def hashes(self) -> bytes:
+        """Return a hash of each bucket, zero for one that is not quiet."""
+        limit = self._clock() - QUIET_SECONDS
+        return array.array(
+            'I',
+            (
+                # An empty bucket is not zero, so that it is compared too.
+                (known or 1) if changed_at <= limit else 0
+                for known, changed_at in zip(
+                    self._hashes, self._changed_at, strict=True
+                )
+            ),
+        ).tobytes()
+
+    def find_differing(self, hashes: bytes) -> list[int]:
+        """Return the buckets that are quiet and unlike on both sides."""
+        theirs = array.array('I')
+        theirs.frombytes(hashes)
+        ours = array.array('I')
+        ours.frombytes(self.hashes())
+        return [
+            bucket
+            for bucket, (own, other) in enumerate(
+                zip(ours, theirs, strict=False)
+            )
+            if own and other and own != other
+        ]
+
+    def marks(self, buckets: list[int]) -> dict[str, Mark]:
+        """Return version and hash of the records in `buckets`."""
+        return {
+            key: self._marks[key]
+            for bucket in buckets
+            for key in self._keys[bucket]
+        }
 
     def newer_than(
-        self, versions: collections.abc.Mapping[str, int]
+        self, marks: collections.abc.Mapping[str, Mark], buckets: list[int]
     ) -> list[links.Record]:
-        """Return the records that a holder of `versions` lacks."""
+        """Return the records in `buckets` that a holder of `marks` lacks.
+
+        A record of the same version and another value counts, as only the
+        receiver can tell which of the two stays.
+        """
         return [
-            record
-            for key, record in self._records.items()
-            if record.version > versions.get(key, 0)
+            self._records[key]
+            for key, mark in self.marks(buckets).items()
+            if mark[0] > marks.get(key, (0, 0))[0]
+            or (mark[0] == marks[key][0] and mark[1] != marks[key][1])
         ]
 
+    def lacks(self, marks: collections.abc.Mapping[str, Mark]) -> bool:
+        """Tell whether a holder of `marks` may have something newer."""
+        return any(
+            mark != own and mark[0] >= own[0]
+            for key, mark in marks.items()
+            if (own := self._marks.get(key, (0, 0))) is not None
+        )
+
     def __len__(self) -> int:
         return len(self._records)
 
@@ -79,7 +165,17 @@
         ):
             return False
         self._records[record.key] = record
+        self._mark_change(record)
         for prefix, listener in self._listeners:
             if record.key.startswith(prefix):
                 listener(record)
         return True
+
+    def _mark_change(self, record: links.Record) -> None:
+        bucket = find_bucket(record.key)
+        old = self._marks.get(record.key, (0, 0))
+        mark = _mark(record)
+        self._marks[record.key] = mark
+        self._keys[bucket].add(record.key)
+        self._hashes[bucket] ^= old[1] ^ mark[1]
+        self._changed_at[bucket] = self._clock()
--- a/tests/cover/test_membership_records.py
+++ b/tests/cover/test_membership_records.py
@@ -58,8 +58,10 @@
 
 def test_a_digest_is_answered_with_what_its_sender_lacks():
     table = membership.RecordTable()
+    other = membership.RecordTable()
+    other.apply([links.Record('a', 3, b'')])
     table.apply([links.Record('a', 3, b''), links.Record('b', 1, b'')])
-    missing = table.newer_than({'a': 3})
+    missing = table.newer_than(other.marks(range(256)), range(256))
     assert [record.key for record in missing] == ['b']
 
 
