Keep the history of settings, bind keys to teams, ask daemons what they have

Cause: a change could not be undone, compared or traced; anyone could edit any team's subtree; a lost answer was settled by comparing the value read back, which said "unknown" for a change that had been accepted and then followed by another one.

Change: a revision is copied to an object of its own before the next one replaces it. A change has a nonce and is sent again under it; the history tells whether it was applied. Commands: config apply, diff, history, rollback, watch and where; key issue and withdraw. Keys are kept as hashes on the platform, spread as records and replaced without a restart; /dump needs an operator's key once there are keys.

Conclusion: an outcome is accepted, refused or, when answers are lost for longer than 1.6 s a call, unknown, and a retry is safe.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,7 +24,7 @@
 from swiftjunction import standins
 from swiftjunction import web
 
-WORKERS = 2
+DAEMONS_PER_WORKER = 50
 CHANGES_PER_SECOND = 57_000 / 86_400
 BURST_CHANGES = 50
 TEAMS = 20
@@ -56,6 +56,11 @@
             text=True,
         )
 
+    def wait_ready(self) -> None:
+        """Wait until the daemons are loaded."""
+        assert self._process.stdout is not None
+        self._process.stdout.readline()
+
     def tell(self, line: str) -> None:
         """Send a line."""
         assert self._process.stdin is not None
@@ -127,14 +132,15 @@
         )
         for team in range(TEAMS):
             await change_teams(store, {}, team)
+        count = max(2, size // DAEMONS_PER_WORKER)
         workers = [
             Worker(
                 kind,
-                range(size * n // WORKERS, size * (n + 1) // WORKERS),
+                range(size * n // count, size * (n + 1) // count),
                 size,
                 addresses,
             )
-            for n in range(WORKERS)
+            for n in range(count)
         ]
         try:
             result = await _drive(workers, store, accepted, size, seconds)
@@ -170,8 +176,12 @@
     size: int,
     seconds: float,
 ) -> Report:
+    for worker in workers:
+        await anyio.to_thread.run_sync(worker.wait_ready)
+    for worker in workers:
+        worker.tell('start')
     settled = await _settle(workers, size)
-    await anyio.sleep(3.0)
+    await anyio.sleep(5.0)
     before = await ask_all(workers)
     end = anyio.current_time() + seconds
     number = 0
--- a/bench/slopes_nodes.py
+++ b/bench/slopes_nodes.py
@@ -49,6 +49,43 @@
     )
 
 
+def make_server(owner: int, number: int, version: int) -> links.Record:
+    """Return the record of one backend server."""
+    process = make_process(owner)
+    name = f'engine-{owner}-{number}'
+    report = backends.ServerReport(
+        name,
+        '10.10.100.100:9000',
+        'fit',
+        process.data_center,
+        process.region,
+        'live',
+        version,
+        version,
+    )
+    return links.Record(
+        f'{backends.SERVER_PREFIX}{name}', 1, msgspec.msgpack.encode(report)
+    )
+
+
+def make_records(size: int) -> list[links.Record]:
+    """Return the records of a fleet in which nothing happens."""
+    processes = [make_process(number) for number in range(size)]
+    return [
+        *(
+            links.Record(
+                f'process/{process.name}', 1, msgspec.msgpack.encode(process)
+            )
+            for process in processes
+        ),
+        *(
+            make_server(owner, number, 0)
+            for owner in range(size)
+            for number in range(SERVERS_PER_DAEMON)
+        ),
+    ]
+
+
 class Node:
     """What every kind of daemon in the measurement has.
 
@@ -108,10 +145,12 @@
             )
         ]
 
+    def load(self, records: list[links.Record]) -> None:
+        """Take in what a daemon of a fleet that has long run holds."""
+        self.table.apply(records)
+
     async def report_servers(self) -> None:
         """Change the records of this daemon's backend servers."""
-        for number in range(SERVERS_PER_DAEMON):
-            self._report_server(number, 0)
         version = 0
         while True:
             version += 1
@@ -121,20 +160,8 @@
             self._report_server(number, version)
 
     def _report_server(self, number: int, version: int) -> None:
-        name = f'engine-{self.number}-{number}'
-        report = backends.ServerReport(
-            name,
-            '10.10.100.100:9000',
-            'fit',
-            self.process.data_center,
-            self.process.region,
-            'live',
-            version,
-            version,
-        )
-        self.table.put(
-            f'{backends.SERVER_PREFIX}{name}', msgspec.msgpack.encode(report)
-        )
+        record = make_server(self.number, number, version)
+        self.table.put(record.key, record.value)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -265,6 +292,11 @@
     """Run nodes; write a report for each line read; end with the input."""
     base_bytes = read_resident_bytes()
     nodes = [KINDS[kind](n, size, objects, vms) for n in numbers]
+    records = make_records(size)
+    for node in nodes:
+        node.load(records)
+    print('ready', flush=True)
+    await anyio.to_thread.run_sync(sys.stdin.readline)
     scopes = {n.number: anyio.CancelScope() for n in nodes}
 
     async def run(node: Node) -> None:
--- a/src/swiftjunction/commands/_operator.py
+++ b/src/swiftjunction/commands/_operator.py
@@ -1,7 +1,6 @@
 """``swiftjunction``: the client of operators."""
 
 import sys
-import typing
 
 import anyio
 import cleo.commands.command
@@ -10,125 +9,13 @@
 import msgspec
 
 from swiftjunction import client
+from swiftjunction.commands import _conductor
+from swiftjunction.commands import _configuration
+from swiftjunction.commands import _keys
 from swiftjunction.commands import _programs
-from swiftjunction import errors
 
-TIMEOUT_SECONDS = 10.0
-DEFAULT_CONDUCTOR = '127.0.0.1:8070'
 
-
-class _ConductorCommand(cleo.commands.command.Command):
-    """A command that talks to a conductor."""
-
-    options = [
-        cleo.helpers.option(
-            'conductor',
-            None,
-            'Address of a conductor, ip:port.',
-            flag=False,
-            default=DEFAULT_CONDUCTOR,
-        ),
-        cleo.helpers.option('json', None, 'Write JSON.'),
-    ]
-
-    def call_conductor(
-        self, method: str, url: str, body: object = None
-    ) -> dict[str, typing.Any]:
-        """Call the conductor and return its answer.
-
-        Raises
-        ------
-        SwiftjunctionError
-            If it could not be asked, or refused.
-        """
-        address = self.option('conductor')
-        try:
-            response = httpx.request(
-                method,
-                f'http://{address}{url}',
-                content=msgspec.json.encode(body) if body else None,
-                timeout=TIMEOUT_SECONDS,
-                trust_env=False,
-            )
-        except httpx.HTTPError as error:
-            raise errors.SwiftjunctionError(
-                f'no answer: {error}', step='call', peer=address
-            ) from error
-        answer = msgspec.json.decode(response.content)
-        if not response.is_success:
-            raise errors.SwiftjunctionError(
-                f'{answer.get("outcome")}: {answer.get("message")}',
-                step='call',
-                peer=address,
-            )
-        return answer
-
-    def show(self, answer: dict[str, typing.Any], text: str) -> None:
-        """Write `text`, or the whole answer where JSON was asked for."""
-        if self.option('json'):
-            self.line(msgspec.json.encode(answer).decode())
-        else:
-            self.line(text)
-
-
-class ConfigGetCommand(_ConductorCommand):
-    """Shows a team's settings."""
-
-    name = 'config get'
-    description = "Shows a team's settings."
-    arguments = [cleo.helpers.argument('team', 'The team.')]
-
-    def handle(self) -> int:
-        answer = self.call_conductor(
-            'GET', f'/v1/configuration/{self.argument("team")}'
-        )
-        subtree = answer['subtree']
-        lines = [
-            f'version {answer["version"]}, in force here: '
-            f'{answer["in_force"]}, changed by {subtree["changed_by"]} at '
-            f'{subtree["changed_at"]}'
-        ]
-        for path, found in sorted(subtree['paths'].items()):
-            shown = ', '.join(f'{k} = {v!r}' for k, v in found.items())
-            lines.append(f'  {path:<30} {shown}')
-        self.show(answer, '\n'.join(lines))
-        return 0
-
-
-class ConfigSetCommand(_ConductorCommand):
-    """Changes one path."""
-
-    name = 'config set'
-    description = 'Changes settings of one path, keeping the others.'
-    arguments = [
-        cleo.helpers.argument('path', 'The path, team first.'),
-        cleo.helpers.argument('settings', 'key=value ...', multiple=True),
-    ]
-
-    def handle(self) -> int:
-        path = self.argument('path')
-        team = path.split('/')[0]
-        found = self.call_conductor('GET', f'/v1/configuration/{team}')
-        merged = found['subtree']['paths'].get(path, {})
-        for pair in self.argument('settings'):
-            key, separator, value = pair.partition('=')
-            if not separator:
-                raise errors.SettingsError([f'{pair!r}: must be key=value'])
-            merged[key] = _read_value(value)
-        answer = self.call_conductor(
-            'POST',
-            f'/v1/configuration/{team}',
-            {
-                'version': found['version'],
-                'author': 'operator',
-                'paths': {path: merged},
-            },
-        )
-        self.show(answer, f'accepted as version {answer["version"]}')
-        return 0
-
-
-class WeightsPublishCommand(_ConductorCommand):
+class WeightsPublishCommand(_conductor.ConductorCommand):
     """Publishes the next version of a model."""
 
     name = 'weights publish'
@@ -142,7 +29,7 @@
         return 0
 
 
-class DumpCommand(_ConductorCommand):
+class DumpCommand(_conductor.ConductorCommand):
     """Shows the state of any process."""
 
     name = 'dump'
@@ -151,7 +38,11 @@
 
     def handle(self) -> int:
         address = self.argument('address')
-        response = httpx.get(f'http://{address}/dump', trust_env=False)
+        response = httpx.get(
+            f'http://{address}/dump',
+            headers=self.make_headers(),
+            trust_env=False,
+        )
         self.line(response.text)
         return 0
 
@@ -205,20 +96,13 @@
                 sys.stdout.write(msgspec.json.encode(sample).decode() + '\n')
 
 
-def _read_value(text: str) -> typing.Any:
-    try:
-        return msgspec.json.decode(text)
-    except msgspec.DecodeError:
-        return text
-
-
 def run_operator() -> int:
     """Run ``swiftjunction``."""
     return _programs.run_application(
         'swiftjunction',
         [
-            ConfigGetCommand(),
-            ConfigSetCommand(),
+            *(command() for command in _configuration.COMMANDS),
+            *(command() for command in _keys.COMMANDS),
             WeightsPublishCommand(),
             DumpCommand(),
             StepRunCommand(),
--- a/src/swiftjunction/configuration/_editor.py
+++ b/src/swiftjunction/configuration/_editor.py
@@ -4,6 +4,7 @@
 import datetime
 import uuid
 
+import anyio
 import msgspec
 
 from swiftjunction.configuration import _settings
@@ -13,9 +14,50 @@
 
 Changes = collections.abc.Mapping[str, _settings.PathSettings | None]
 
+HISTORY_PREFIX = 'history/'
+SETTLE_ATTEMPTS = 6
+SETTLE_FIRST_DELAY_SECONDS = 0.05
+UNKNOWN_REVISION = -1
+
+
+class _LostRace(errors.RevisionConflict):
+    """The store refused a write, as the object had changed."""
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One change of a team's settings, as its author asks for it.
+
+    Attributes
+    ----------
+    version : int
+        The object version that the author has seen; 0 for none.
+    revision : int
+        The revision that the author has seen; 0 for none, -1 if unknown.
+    nonce : str
+        Names the change. A change that is sent again under its nonce, after
+        its answer was lost, is applied at most once.
+    paths : mapping
+        The new settings of each path; None removes a path.
+    """
+
+    version: int
+    revision: int
+    author: str
+    paths: Changes
+    nonce: str
+
+
+def name_history(team: str, revision: int) -> str:
+    """Return the key of the object that keeps an old revision."""
+    return f'{HISTORY_PREFIX}{team}/{revision:010d}'
+
 
 class Editor:
-    """Reads and changes subtrees under the condition of their version."""
+    """Reads and changes subtrees under the condition of their version.
+
+    A revision is copied to an object of its own before the next one replaces
+    it, so that the history has no gap whenever a writer dies.
+    """
 
     __slots__ = ('_store',)
 
@@ -35,8 +77,33 @@
             found.version,
         )
 
+    async def read_revision(
+        self, team: str, revision: int
+    ) -> _settings.Subtree:
+        """Return a team's subtree as of a revision.
+
+        Raises
+        ------
+        ObjectMissing
+            If there was no such revision.
+        """
+        newest, _ = await self.read(team)
+        if newest.revision == revision:
+            return newest
+        if revision == 0:
+            return _settings.Subtree(team)
+        found = await self._store.read(name_history(team, revision))
+        return msgspec.json.decode(found.value, type=_settings.Subtree)
+
     async def apply(
-        self, team: str, changes: Changes, *, author: str, version: int
+        self,
+        team: str,
+        changes: Changes,
+        *,
+        author: str,
+        version: int,
+        revision: int | None = None,
+        nonce: str = '',
     ) -> int:
         """Apply `changes` at once if the subtree is still at `version`.
 
@@ -50,48 +117,140 @@
             Who changes it.
         version : int
             The object version that the author has seen; 0 for none.
+        revision : int
+            The revision that the author has seen, where `nonce` is given.
+        nonce : str
+            Names the change, so that it can be sent again.
 
         Returns
         -------
         int
-            The new object version: the change is accepted.
+            The new object version, or a later one: the change is accepted.
 
         Raises
         ------
         SettingsError
             If a path is malformed or outside of the team's subtree.
         RevisionConflict
-            If another change came first.
+            If another change came first; this one was not applied.
         WriteUncertain
             If it is unknown whether the change was accepted.
         """
-        for path in changes:
-            _settings.check_path(path)
-            if path.split('/')[0] != team:
-                raise errors.SettingsError(
-                    [f'path {path!r}: outside of the subtree of team {team}']
-                )
-        subtree, found_version = await self.read(team)
-        if found_version != version:
-            raise errors.RevisionConflict(
-                f'{team} is at version {found_version}, not {version}; last '
-                f'changed by {subtree.changed_by} at {subtree.changed_at}',
-                step='apply',
-                peer='object API',
-            )
-        for path, settings in changes.items():
-            subtree.paths.pop(path, None)
-            if settings is not None:
-                subtree.paths[path] = settings
-        subtree.revision += 1
-        subtree.nonce = uuid.uuid4().hex
-        subtree.changed_by = author
-        now = datetime.datetime.now(datetime.UTC)
-        subtree.changed_at = now.isoformat(timespec='milliseconds')
-        value = msgspec.json.encode(subtree)
-        key = f'{_tree.CONFIGURATION_PREFIX}{team}'
-        if version == 0:
-            return await platform.create_or_confirm(self._store, key, value)
-        return await platform.update_or_confirm(
-            self._store, key, value, version
+        _check_paths(team, changes)
+        change = Change(
+            version,
+            UNKNOWN_REVISION if revision is None else revision,
+            author,
+            changes,
+            nonce or uuid.uuid4().hex,
         )
+        return await self._settle(team, change)
+
+    async def _settle(self, team: str, change: Change) -> int:
+        """Apply a change, or find out whether it was applied before.
+
+        Only a write whose answer was lost leaves a doubt. A write that is
+        sent again after it takes effect once, as both are conditional on the
+        same version.
+        """
+        doubt: errors.WriteUncertain | None = None
+        delay_seconds = SETTLE_FIRST_DELAY_SECONDS
+        for attempt in range(SETTLE_ATTEMPTS):
+            if attempt:
+                await anyio.sleep(delay_seconds)
+                delay_seconds *= 2
+            try:
+                subtree, version = await self.read(team)
+                if version > change.version:
+                    return await self._find_outcome(
+                        team, change, subtree, version
+                    )
+                if version == change.version:
+                    return await self._write(subtree, change)
+                # The object was there already: this read is a stale one.
+            except errors.WriteUncertain as error:
+                doubt = error
+            except _LostRace:
+                # Perhaps to this very change, sent before: read again.
+                continue
+            except errors.PlatformUnavailable:
+                if doubt is None:
+                    raise
+        raise doubt or errors.PlatformUnavailable(
+            f'{team} could only be read as of an earlier time',
+            step='apply',
+            peer='object API',
+        )
+
+    async def _write(self, subtree: _settings.Subtree, change: Change) -> int:
+        if change.version > 0:
+            await self._keep(subtree)
+        value = msgspec.json.encode(_edit(subtree, change))
+        key = f'{_tree.CONFIGURATION_PREFIX}{subtree.team}'
+        try:
+            if change.version == 0:
+                return await self._store.create(key, value)
+            return await self._store.update(key, value, change.version)
+        except errors.RevisionConflict as error:
+            raise _LostRace(error.message) from error
+
+    async def _find_outcome(
+        self,
+        team: str,
+        change: Change,
+        newest: _settings.Subtree,
+        version: int,
+    ) -> int:
+        made = newest
+        known = change.revision != UNKNOWN_REVISION
+        if known and newest.revision > change.revision + 1:
+            made = await self.read_revision(team, change.revision + 1)
+        if made.nonce == change.nonce:
+            return version
+        raise errors.RevisionConflict(
+            f'{team} is at version {version}, not {change.version}; last '
+            f'changed by {newest.changed_by} at {newest.changed_at}',
+            step='apply',
+            peer='object API',
+        )
+
+    async def _keep(self, subtree: _settings.Subtree) -> None:
+        try:
+            await self._store.create(
+                name_history(subtree.team, subtree.revision),
+                msgspec.json.encode(subtree),
+            )
+        except errors.RevisionConflict:
+            # Kept already, by a writer that died or lost the race since.
+            pass
+
+
+def _check_paths(team: str, changes: Changes) -> None:
+    for path in changes:
+        _settings.check_path(path)
+        if path.split('/')[0] != team:
+            raise errors.SettingsError(
+                [f'path {path!r}: outside of the subtree of team {team}']
+            )
+
+
+def _edit(subtree: _settings.Subtree, change: Change) -> _settings.Subtree:
+    paths = {
+        path: settings
+        for path, settings in subtree.paths.items()
+        if path not in change.paths
+    }
+    paths.update(
+        (path, settings)
+        for path, settings in change.paths.items()
+        if settings is not None
+    )
+    now = datetime.datetime.now(datetime.UTC)
+    return _settings.Subtree(
+        subtree.team,
+        subtree.revision + 1,
+        change.nonce,
+        change.author,
+        now.isoformat(timespec='milliseconds'),
+        paths,
+    )
--- /dev/null
+++ b/src/swiftjunction/configuration/_history.py
@@ -0,0 +1,55 @@
+"""What changed from one revision of a team's settings to another."""
+
+import msgspec
+
+from swiftjunction.configuration import _editor
+from swiftjunction.configuration import _settings
+from swiftjunction import errors
+
+MAX_ENTRIES = 50
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One revision: who made it, when, and the paths it changed."""
+
+    revision: int
+    changed_by: str
+    changed_at: str
+    paths: list[str]
+
+
+def find_changes(
+    old: _settings.Subtree, new: _settings.Subtree
+) -> dict[str, _settings.PathSettings | None]:
+    """Return what turns `old` into `new`: settings by path, None to remove."""
+    changes: dict[str, _settings.PathSettings | None] = {
+        path: settings
+        for path, settings in new.paths.items()
+        if old.paths.get(path) != settings
+    }
+    changes.update((path, None) for path in old.paths if path not in new.paths)
+    return changes
+
+
+async def list_history(
+    editor: _editor.Editor, team: str, limit: int
+) -> list[Entry]:
+    """Return the newest revisions of a team's settings, newest first."""
+    newer, _ = await editor.read(team)
+    entries: list[Entry] = []
+    while newer.revision > 0 and len(entries) < min(limit, MAX_ENTRIES):
+        try:
+            older = await editor.read_revision(team, newer.revision - 1)
+        except errors.ObjectMissing:
+            # Made before revisions were kept.
+            older = _settings.Subtree(team)
+        entries.append(
+            Entry(
+                newer.revision,
+                newer.changed_by,
+                newer.changed_at,
+                sorted(find_changes(older, newer)),
+            )
+        )
+        newer = older
+    return entries
--- a/src/swiftjunction/configuration/_tree.py
+++ b/src/swiftjunction/configuration/_tree.py
@@ -13,6 +13,13 @@
 CONFIGURATION_PREFIX = 'config/'
 
 
+class InForce(msgspec.Struct, frozen=True):
+    """The object version and the revision of a subtree that is in force."""
+
+    version: int
+    revision: int
+
+
 class Tree:
     """Answers which settings hold for a path.
 
@@ -94,6 +101,13 @@
         """Tell whether some path is served by the plain `service`."""
         return any(found.service == service for found in self.paths().values())
 
+    def in_force(self) -> dict[str, InForce]:
+        """Return what is in force for each team."""
+        return {
+            team: InForce(version, self._subtrees[team].revision)
+            for team, version in self._versions.items()
+        }
+
     def versions(self) -> dict[str, int]:
         """Return the object version in force for each team."""
         return dict(self._versions)
--- a/src/swiftjunction/daemons/_conductor.py
+++ b/src/swiftjunction/daemons/_conductor.py
@@ -14,6 +14,7 @@
 from swiftjunction.daemons import _servers
 from swiftjunction.daemons import _spool
 from swiftjunction.daemons import _watches
+from swiftjunction.daemons import _whereabouts
 from swiftjunction import leases
 from swiftjunction import membership
 from swiftjunction import platform
@@ -61,6 +62,7 @@
             )
             for prefix in (
                 configuration.CONFIGURATION_PREFIX,
+                configuration.KEYS_PREFIX,
                 weights.WEIGHTS_PREFIX,
             )
         ]
@@ -75,6 +77,9 @@
             configuration.Editor(self.store),
             weights.Publisher(self.store),
             self.tree,
+            self.keys,
+            configuration.KeyEditor(self.store),
+            _whereabouts.Whereabouts(self.processes, self.peers),
         )
         self._waves: dict[str, tuple[weights.Wave, anyio.CancelScope]] = {}
         self._announce_spool()
--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -14,6 +14,7 @@
 
 from swiftjunction import backends
 from swiftjunction import configuration
+from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
 from swiftjunction import platform
@@ -60,6 +61,9 @@
         self.table = membership.RecordTable()
         self.processes = membership.ProcessList(self.table)
         self.tree = configuration.Tree(self.table)
+        self.keys = configuration.KeyRing(
+            self.table, config.conductor.administrator_sha256
+        )
         self.directory = backends.Directory(self.table)
         self.board = weights.Board(self.table)
         self.metrics = telemetry.Metrics()
@@ -149,6 +153,7 @@
             route('/health', self._show_health),
             route('/metrics', self._show_metrics),
             route('/dump', self._show_dump),
+            route('/in-force', self._show_in_force),
         ]
 
     async def _show_health(
@@ -163,9 +168,20 @@
             self.metrics.render(), media_type='text/plain; version=0.0.4'
         )
 
+    async def _show_in_force(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response:
+        return web.respond_json(self.tree.in_force())
+
     async def _show_dump(
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
+        try:
+            self.keys.identify_operator(web.read_bearer(request))
+        except errors.KeyRefused as error:
+            return web.respond_json(
+                {'outcome': 'refused', 'message': error.message}, status=403
+            )
         return starlette.responses.Response(
             self.dump.render(), media_type='application/json'
         )
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -9,6 +9,7 @@
     'BackendError',
     'BackendRefused',
     'BackendUnreachable',
+    'KeyRefused',
     'LeaseLost',
     'LinkError',
     'NotRun',
@@ -91,6 +92,10 @@
     """The value is over the platform's limit of one megabyte."""
 
 
+class KeyRefused(SwiftjunctionError):
+    """The key given does not allow this; ask the team for one that does."""
+
+
 class LeaseLost(SwiftjunctionError):
     """The lease is not held, or not with enough margin to act under it."""
 
--- a/src/swiftjunction/membership/_exchange.py
+++ b/src/swiftjunction/membership/_exchange.py
@@ -12,7 +12,8 @@
 LOG = logging.getLogger(__name__)
 
 COMPARE_INTERVAL_SECONDS = 2.0
-CATCH_UP_INTERVAL_SECONDS = 0.5
+FIRST_CATCH_UP_SECONDS = 0.5
+MAX_CATCH_UP_SECONDS = 8.0
 FLUSH_INTERVAL_SECONDS = 0.05
 # As many as fit into one message of a few hundred kilobytes.
 RECORDS_PER_DELTA = 500
@@ -163,9 +164,12 @@
             await anyio.sleep(FLUSH_INTERVAL_SECONDS)
 
     async def _compare_often(self) -> None:
+        pause_seconds = FIRST_CATCH_UP_SECONDS
         while not self._caught_up:
             self.catch_up()
-            await anyio.sleep(CATCH_UP_INTERVAL_SECONDS)
+            # When all start at once, a few of them are asked by everyone.
+            await anyio.sleep(pause_seconds * self._rng.uniform(0.5, 1))
+            pause_seconds = min(pause_seconds * 2, MAX_CATCH_UP_SECONDS)
         while True:
             await anyio.sleep(
                 COMPARE_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2)
--- a/src/swiftjunction/settings/_model.py
+++ b/src/swiftjunction/settings/_model.py
@@ -53,6 +53,9 @@
     port: Port = 8070
     link_port: Port = 8071
     seeds: list[Address] = []
+    administrator_sha256: typing.Annotated[
+        str, msgspec.Meta(pattern='^([0-9a-f]{64})?$')
+    ] = ''
 
 
 class SpoolSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -1,6 +1,7 @@
 """HTTP for every daemon: serving by hypercorn, calling by httpx."""
 
 from swiftjunction.web._answers import describe_error
+from swiftjunction.web._answers import read_bearer
 from swiftjunction.web._answers import respond_error
 from swiftjunction.web._answers import respond_json
 from swiftjunction.web._calling import connect_client
@@ -18,6 +19,7 @@
     'describe_error',
     'format_event',
     'open_listener',
+    'read_bearer',
     'respond_error',
     'respond_json',
 ]
--- a/src/swiftjunction/web/_answers.py
+++ b/src/swiftjunction/web/_answers.py
@@ -3,6 +3,7 @@
 import math
 
 import msgspec
+import starlette.requests
 import starlette.responses
 
 from swiftjunction import errors
@@ -55,3 +56,9 @@
             **(headers or {}),
         },
     )
+
+
+def read_bearer(request: starlette.requests.Request) -> str:
+    """Return the key that came with a request, or nothing."""
+    scheme, _, key = request.headers.get('authorization', '').partition(' ')
+    return key.strip() if scheme.lower() == 'bearer' else ''
