Serve and call over TLS by settings, and read new certificates

Cause: listeners spoke plain HTTP only.

Change: [tls] in a VM's file; one context for each process, given the new files when they change; clients and commands take an authority.

Conclusion: HTTP is covered; links are left.

--- a/src/swiftjunction/client/_caller.py
+++ b/src/swiftjunction/client/_caller.py
@@ -57,6 +57,9 @@
         The caller's.
     timeout_seconds : float
         Deadline of each request.
+    authority : str
+        A file of the certificates that entries are checked against; they are
+        called over TLS where it is given.
     """
 
     __slots__ = (
@@ -74,6 +77,7 @@
         *,
         data_center: str = '',
         timeout_seconds: float = 30.0,
+        authority: str = '',
     ) -> None:
         if not seeds:
             raise ValueError('seeds is empty; give at least one "ip:port"')
@@ -82,7 +86,7 @@
         self._data_center = data_center
         self._timeout_seconds = timeout_seconds
         self._refresh_at = 0.0
-        self._peers = web.PeerClients()
+        self._peers = web.PeerClients(web.trust_authority(authority))
 
     async def __aenter__(self) -> 'CallerClient':
         return self
--- a/src/swiftjunction/client/_trainer.py
+++ b/src/swiftjunction/client/_trainer.py
@@ -61,17 +61,22 @@
         The trainer's name.
     seeds : list of str
         ``ip:port`` of rollout processes.
+    authority : str
+        A file of the certificates that they are checked against; they are
+        called over TLS where it is given.
     """
 
     __slots__ = ('_addresses', '_owner', '_peers', '_trainer')
 
-    def __init__(self, trainer: str, seeds: list[str]) -> None:
+    def __init__(
+        self, trainer: str, seeds: list[str], *, authority: str = ''
+    ) -> None:
         if not seeds:
             raise ValueError('seeds is empty; give at least one "ip:port"')
         self._trainer = trainer
         self._addresses = list(seeds)
         self._owner = seeds[0]
-        self._peers = web.PeerClients()
+        self._peers = web.PeerClients(web.trust_authority(authority))
 
     async def __aenter__(self) -> 'TrainerClient':
         return self
--- a/src/swiftjunction/commands/_conductor.py
+++ b/src/swiftjunction/commands/_conductor.py
@@ -9,10 +9,12 @@
 import msgspec
 
 from swiftjunction import errors
+from swiftjunction import web
 
 TIMEOUT_SECONDS = 15.0
 DEFAULT_CONDUCTOR = '127.0.0.1:8070'
 KEY_VARIABLE = 'SWIFTJUNCTION_KEY'
+AUTHORITY_VARIABLE = 'SWIFTJUNCTION_AUTHORITY'
 
 
 class ConductorCommand(cleo.commands.command.Command):
@@ -32,9 +34,41 @@
             f"The operator's key; else taken from ${KEY_VARIABLE}.",
             flag=False,
         ),
+        cleo.helpers.option(
+            'authority',
+            None,
+            'File of the certificates that daemons are checked against; they '
+            f'are called over TLS with it. Else taken from '
+            f'${AUTHORITY_VARIABLE}.',
+            flag=False,
+        ),
         cleo.helpers.option('json', None, 'Write JSON.'),
     ]
 
+    def call_daemon(
+        self, method: str, address: str, url: str, content: bytes = b''
+    ) -> httpx.Response:
+        """Call any daemon, over TLS where an authority is given.
+
+        Raises
+        ------
+        httpx.HTTPError
+            If it gave no answer.
+        """
+        authority = self.option('authority') or os.environ.get(
+            AUTHORITY_VARIABLE, ''
+        )
+        context = web.trust_authority(authority)
+        return httpx.request(
+            method,
+            f'{"https" if context else "http"}://{address}{url}',
+            content=content,
+            headers=self.make_headers(),
+            timeout=TIMEOUT_SECONDS,
+            verify=context or True,
+            trust_env=False,
+        )
+
     def call_conductor(
         self, method: str, url: str, body: object = None
     ) -> dict[str, typing.Any]:
@@ -49,13 +83,11 @@
         """
         address = self.option('conductor')
         try:
-            response = httpx.request(
+            response = self.call_daemon(
                 method,
-                f'http://{address}{url}',
-                content=msgspec.json.encode(body) if body else None,
-                headers=self.make_headers(),
-                timeout=TIMEOUT_SECONDS,
-                trust_env=False,
+                address,
+                url,
+                msgspec.json.encode(body) if body else b'',
             )
             answer = msgspec.json.decode(response.content)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
--- a/src/swiftjunction/commands/_operator.py
+++ b/src/swiftjunction/commands/_operator.py
@@ -5,7 +5,6 @@
 import anyio
 import cleo.commands.command
 import cleo.helpers
-import httpx
 import msgspec
 
 from swiftjunction import client
@@ -38,11 +37,7 @@
 
     def handle(self) -> int:
         address = self.argument('address')
-        response = httpx.get(
-            f'http://{address}/dump',
-            headers=self.make_headers(),
-            trust_env=False,
-        )
+        response = self.call_daemon('GET', address, '/dump')
         self.line(response.text)
         return 0
 
--- a/src/swiftjunction/daemons/_conductor.py
+++ b/src/swiftjunction/daemons/_conductor.py
@@ -77,7 +77,7 @@
             self.tree,
             self.keys,
             configuration.KeyEditor(self.store),
-            _whereabouts.Whereabouts(self.processes, self.peers),
+            _whereabouts.Whereabouts(self.processes, self.daemon_clients),
         )
         self._shards = _shards.ShardOrders(
             config.vm.name,
--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -68,6 +68,13 @@
         self.board = weights.Board(self.table)
         self.metrics = telemetry.Metrics()
         self.peers = web.PeerClients()
+        self.tls = (
+            web.TlsContexts(config.tls) if config.tls is not None else None
+        )
+        # Calls to other daemons, which serve as this one does.
+        self.daemon_clients = web.PeerClients(
+            self.tls.client if self.tls is not None else None
+        )
         self.platform_client = web.connect_client(config.platform.objects)
         self.store = platform.HttpObjectStore(self.platform_client)
         self.announcement = membership.Announcement(
@@ -113,10 +120,16 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.links.run, self.exchange.handle)
                 tasks.start_soon(self.exchange.run)
+                if self.tls is not None:
+                    tasks.start_soon(self.tls.run)
                 for task in self.list_tasks():
                     tasks.start_soon(task)
                 async with anyio.create_task_group() as serving:
-                    serving.start_soon(self.listener.serve, self.build_app())
+                    serving.start_soon(
+                        self.listener.serve,
+                        self.build_app(),
+                        self.tls.server if self.tls is not None else None,
+                    )
                     await self._stopping.wait()
                     self.announcement.set_state('draining')
                     await self.drain()
@@ -130,6 +143,7 @@
         """Free the sockets."""
         with anyio.CancelScope(shield=True):
             await self.peers.close()
+            await self.daemon_clients.close()
             await self.platform_client.aclose()
         self.links.close()
 
--- a/src/swiftjunction/daemons/_rollout.py
+++ b/src/swiftjunction/daemons/_rollout.py
@@ -49,7 +49,9 @@
             producer,
             steps.SpooledPayloads(self.processes),
         )
-        self._steps = steps.StepApp(self._registry, self.processes, self.peers)
+        self._steps = steps.StepApp(
+            self._registry, self.processes, self.daemon_clients
+        )
         self.dump.add('steps', self._registry.summarize)
 
     def build_app(self) -> collections.abc.Callable:
--- a/src/swiftjunction/settings/__init__.py
+++ b/src/swiftjunction/settings/__init__.py
@@ -11,6 +11,7 @@
 from swiftjunction.settings._model import RolloutSettings
 from swiftjunction.settings._model import Settings
 from swiftjunction.settings._model import SpoolSettings
+from swiftjunction.settings._model import TlsSettings
 from swiftjunction.settings._model import VmSettings
 
 __all__ = [
@@ -22,6 +23,7 @@
     'RolloutSettings',
     'Settings',
     'SpoolSettings',
+    'TlsSettings',
     'VmSettings',
     'check_struct',
     'read_settings',
--- a/src/swiftjunction/settings/_model.py
+++ b/src/swiftjunction/settings/_model.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from swiftjunction import web
+
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = typing.Annotated[
     str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]*$', max_length=63)
@@ -74,6 +76,10 @@
     level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
 
 
+class TlsSettings(web.TlsFiles, frozen=True, forbid_unknown_fields=True):
+    """TLS of this VM's HTTP listeners, and of calls between daemons."""
+
+
 class Settings(msgspec.Struct, forbid_unknown_fields=True):
     """One VM's settings file."""
 
@@ -85,6 +91,7 @@
         default_factory=ConductorSettings
     )
     spool: SpoolSettings | None = None
+    tls: TlsSettings | None = None
     logs: LogSettings = msgspec.field(default_factory=LogSettings)
 
     def link_address(self, port: int) -> str:
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -11,12 +11,17 @@
 from swiftjunction.web._serving import Listener
 from swiftjunction.web._serving import open_listener
 from swiftjunction.web._streams import format_event
+from swiftjunction.web._tls import TlsContexts
+from swiftjunction.web._tls import TlsFiles
+from swiftjunction.web._tls import trust_authority
 
 __all__ = [
     'EXCEPTION_HANDLERS',
     'Listener',
     'Peer',
     'PeerClients',
+    'TlsContexts',
+    'TlsFiles',
     'connect_client',
     'describe_error',
     'format_event',
@@ -24,4 +29,5 @@
     'read_bearer',
     'respond_error',
     'respond_json',
+    'trust_authority',
 ]
--- a/src/swiftjunction/web/_calling.py
+++ b/src/swiftjunction/web/_calling.py
@@ -1,6 +1,7 @@
 """Builds the HTTP clients that daemons call their peers with."""
 
 import collections.abc
+import ssl
 
 import httpx
 
@@ -12,7 +13,9 @@
 
 
 def connect_client(
-    base_url: str = '', timeout_seconds: float = 10.0
+    base_url: str = '',
+    timeout_seconds: float = 10.0,
+    context: ssl.SSLContext | None = None,
 ) -> httpx.AsyncClient:
     """Make a client that keeps its connections.
 
@@ -22,13 +25,15 @@
         The one peer's URL.
     timeout_seconds : float
         Longest wait for a read, a write or a free connection.
+    context : ssl.SSLContext
+        For a peer under https.
     """
     return httpx.AsyncClient(
         base_url=base_url,
         timeout=httpx.Timeout(
             timeout_seconds, connect=CONNECT_TIMEOUT_SECONDS
         ),
-        transport=_transport.StackTransport(),
+        transport=_transport.StackTransport(context),
         trust_env=False,
     )
 
@@ -103,11 +108,18 @@
 
 
 class PeerClients:
-    """The clients of all peers, one or two for each."""
+    """The clients of all peers, one or two for each.
 
-    __slots__ = ('_clients', '_peers')
+    Parameters
+    ----------
+    context : ssl.SSLContext
+        Where the peers are called over TLS.
+    """
+
+    __slots__ = ('_clients', '_context', '_peers')
 
-    def __init__(self) -> None:
+    def __init__(self, context: ssl.SSLContext | None = None) -> None:
+        self._context = context
         self._clients: dict[str, httpx.AsyncClient] = {}
         self._peers: dict[str, Peer] = {}
 
@@ -115,7 +127,10 @@
         """Return the client of the peer at ``ip:port``, for control."""
         client = self._clients.get(address)
         if client is None:
-            client = connect_client(f'http://{address}')
+            scheme = 'http' if self._context is None else 'https'
+            client = connect_client(
+                f'{scheme}://{address}', context=self._context
+            )
             self._clients[address] = client
         return client
 
--- a/src/swiftjunction/web/_serving.py
+++ b/src/swiftjunction/web/_serving.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+import ssl
 import typing
 
 import anyio
@@ -19,6 +20,23 @@
 BACKLOG_CONNECTIONS = 1024
 
 
+class _TlsConfig(hypercorn.config.Config):
+    """Serves TLS with a context that is kept outside of hypercorn.
+
+    hypercorn would read the certificate once and keep it; the context is
+    given the new certificate whenever its file changes.
+    """
+
+    context: ssl.SSLContext
+
+    @property
+    def ssl_enabled(self) -> bool:
+        return True
+
+    def create_ssl_context(self) -> ssl.SSLContext:
+        return self.context
+
+
 class Listener:
     """One HTTP listener: bound at once, served later, closed on request.
 
@@ -37,12 +55,24 @@
         host, port = bound.getsockname()[:2]
         self.address = f'{host}:{port}'
 
-    async def serve(self, app: typing.Any) -> None:
+    async def serve(
+        self, app: typing.Any, context: ssl.SSLContext | None = None
+    ) -> None:
         """Serve `app` until :meth:`close`, then finish what is in flight.
 
         A cancellation ends it too, and gives requests only a moment.
+
+        Parameters
+        ----------
+        app : callable
+            The ASGI application.
+        context : ssl.SSLContext
+            Where it is to be served over TLS.
         """
         config = hypercorn.config.Config()
+        if context is not None:
+            config = _TlsConfig()
+            config.context = context
         config.bind = [f'fd://{self._bound.detach()}']
         config.graceful_timeout = GRACEFUL_TIMEOUT_SECONDS
         config.keep_alive_timeout = KEEP_ALIVE_SECONDS
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -27,11 +27,18 @@
 
 
 class StackTransport(httpx.AsyncBaseTransport):
-    """Sends each request on the connection that was last in use."""
+    """Sends each request on the connection that was last in use.
 
-    __slots__ = ('_idle', '_in_use')
+    Parameters
+    ----------
+    context : ssl.SSLContext
+        For peers under https; the machine's authorities where it is None.
+    """
+
+    __slots__ = ('_context', '_idle', '_in_use')
 
-    def __init__(self) -> None:
+    def __init__(self, context: ssl.SSLContext | None = None) -> None:
+        self._context = context
         self._idle: list[httpx.AsyncHTTPTransport] = []
         self._in_use = 0
 
@@ -47,7 +54,7 @@
         """
         if self._in_use >= MAX_CONNECTIONS_PER_PEER:
             raise httpx.PoolTimeout('too many connections', request=request)
-        connection = self._idle.pop() if self._idle else _connect()
+        connection = self._idle.pop() if self._idle else self._connect()
         self._in_use += 1
         try:
             response = await connection.handle_async_request(request)
@@ -60,6 +67,17 @@
         response.request = request
         return response
 
+    def _connect(self) -> httpx.AsyncHTTPTransport:
+        return httpx.AsyncHTTPTransport(
+            verify=self._context or load_ssl_context(),
+            trust_env=False,
+            limits=httpx.Limits(
+                max_connections=1,
+                max_keepalive_connections=1,
+                keepalive_expiry=KEEP_ALIVE_SECONDS,
+            ),
+        )
+
     async def put_back(self, connection: httpx.AsyncHTTPTransport) -> None:
         """Take back a connection whose response is closed."""
         self._in_use -= 1
@@ -96,15 +114,3 @@
             await self._stream.aclose()
         finally:
             await owner.put_back(self._connection)
-
-
-def _connect() -> httpx.AsyncHTTPTransport:
-    return httpx.AsyncHTTPTransport(
-        verify=load_ssl_context(),
-        trust_env=False,
-        limits=httpx.Limits(
-            max_connections=1,
-            max_keepalive_connections=1,
-            keepalive_expiry=KEEP_ALIVE_SECONDS,
-        ),
-    )
