--- a/src/swiftjunction/daemons/_rollout.py
+++ b/src/swiftjunction/daemons/_rollout.py
@@ -17,6 +17,7 @@
         own = config.rollout
         super().__init__(config, 'rollout', own.port, own.link_port, seed)
         self.join({config.link_address(config.conductor.link_port)})
+        self.directory.tolerance = backends.SAMPLE_TOLERANCE
         router = routing.Router(
             self.directory, config.vm.data_center, self.rng
         )
