--- a/src/swiftjunction/steps/_app.py
+++ b/src/swiftjunction/steps/_app.py
@@ -98,7 +98,7 @@
                 )
             )
         try:
-            running = await self._find(request.path_params['step_id'])
+            running = await self._find(request.path_params['step_id'], cursor)
             draw = await running.draw(cursor, wait_seconds)
         except errors.RequestError as error:
             return _refuse(error)
@@ -123,18 +123,25 @@
         except errors.RequestError as error:
             return _refuse(error)
 
-    async def _find(self, step_id: str) -> _delivery.RunningStep:
+    async def _find(
+        self, step_id: str, cursor: int = 0
+    ) -> _delivery.RunningStep:
         """Return the step, taking it over where its owner is gone.
 
+        A trainer whose cursor is not known here may have it from a newer
+        owner: then this process was paused and has to look who that is.
+
         Raises
         ------
         StepElsewhere
             If its owner answers.
         """
-        running = self._registry.find(step_id)
-        if running is not None:
-            return running
         try:
+            running = self._registry.find(step_id)
+            if running is not None and running.knows(cursor):
+                return running
+            if running is not None and await self._registry.confirm(running):
+                return running
             owner = await self._registry.read_owner(step_id)
             address = await self._probe(owner)
             if address:
--- a/src/swiftjunction/steps/_delivery.py
+++ b/src/swiftjunction/steps/_delivery.py
@@ -1,5 +1,6 @@
 """Works on one step: makes its samples and hands them over once each."""
 
+import collections.abc
 import logging
 import time
 
@@ -55,12 +56,16 @@
         Makes the samples.
     payloads : Payloads
         Keeps them until they are acknowledged.
+    clock : callable
+        Returns Unix time in seconds.
     """
 
     __slots__ = (
         '_changed',
+        '_clock',
         '_finished',
         '_ledger',
+        '_lost',
         '_makers',
         '_making',
         '_payloads',
@@ -79,7 +84,9 @@
         ledger: _ledger.Ledger,
         producer: _production.Producer,
         payloads: _payloads.Payloads,
+        clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
+        self._clock = clock
         self.step = step
         self._ledger = ledger
         self._producer = producer
@@ -88,6 +95,7 @@
         self._finished = anyio.Event()
         self._unplaced = anyio.Event()
         self._wanted = anyio.Event()
+        self._lost = False
         self._making: set[int] = set()
         self._placing_since = 0.0
         self._tasks_by_index = {
@@ -113,13 +121,27 @@
             await self._finished.wait()
             tasks.cancel_scope.cancel()
         self._producer.forget(self.step.spec)
-        await self._end()
+        if not self._lost:
+            await self._end()
 
     def cancel(self) -> None:
         """End the step without the rest of its samples."""
         self.step.cancelled = True
         self._finished.set()
 
+    def knows(self, cursor: int) -> bool:
+        """Tell whether a sequence number was given as far as is known."""
+        return cursor <= len(self.step.order)
+
+    async def confirm(self) -> None:
+        """Raise ``LeaseLost`` if another process owns the step by now."""
+        await self._ledger.confirm()
+
+    def give_up(self) -> None:
+        """End the work of a process that does not own the step any more."""
+        self._lost = True
+        self._finished.set()
+
     async def draw(self, cursor: int, wait_seconds: float) -> Draw:
         """Acknowledge up to `cursor` and return what comes after it.
 
@@ -137,25 +159,31 @@
         wait_seconds : float
             How long to wait where there is nothing after it yet.
         """
+        if len(self.step.order) < cursor <= self.step.total:
+            raise errors.NotRun(
+                f'cursor = {cursor}: the newest is {len(self.step.order)}',
+                step='draw',
+            )
         self.step.acknowledge(cursor)
         cursor = max(cursor, self.step.acknowledged)
         if self.step.is_acknowledged:
             self._finished.set()
             return Draw(cursor, [], cursor, self.step.total, True)
         with anyio.move_on_after(min(wait_seconds, MAX_WAIT_SECONDS)):
-            while not (self._list_ready(cursor) or self.step.expired):
+            while not (self._list_ready(cursor) or self._makes_no_more()):
                 await self._changed.wait()
         samples = self._list_ready(cursor)
         last = samples[-1].sequence if samples else cursor
-        done = self._is_over(samples)
+        done = not samples and self._makes_no_more()
+        if done:
+            self._finished.set()
         return Draw(cursor, samples, last, self.step.total, done)
 
-    def _is_over(self, samples: list[_step.Sample]) -> bool:
-        """Tell whether an expired step has nothing more to hand over."""
-        if not self.step.expired or samples or self._has_unplaced():
-            return False
-        self._finished.set()
-        return True
+    def _makes_no_more(self) -> bool:
+        """Tell whether the step expired and all that was made is placed."""
+        return self.step.expired and all(
+            index in self.step.placed for index in self.step.samples
+        )
 
     def _list_ready(self, cursor: int) -> list[_step.Sample]:
         """Return the samples from `cursor` to the first that is not ready.
@@ -216,7 +244,7 @@
     def _remaining_seconds(self) -> float:
         if not self.step.expires_at:
             return self.step.spec.deadline_seconds
-        return max(self.step.expires_at - time.time(), 0.0)
+        return max(self.step.expires_at - self._clock(), 0.0)
 
     async def _make(
         self, task: _step.SampleTask, slot: _production.Slot
@@ -251,9 +279,6 @@
         await anyio.sleep(EXPIRED_LINGER_SECONDS)
         self._finished.set()
 
-    def _has_unplaced(self) -> bool:
-        return any(i not in self.step.placed for i in self.step.samples)
-
     async def _place_finished(self) -> None:
         while True:
             await self._unplaced.wait()
@@ -264,7 +289,7 @@
             await anyio.sleep(PLACE_INTERVAL_SECONDS * max(calls_made, 1))
 
     async def _place(self) -> None:
-        for index in [i for i in self.step.samples if self._is_late(i)]:
+        for index in [i for i in list(self.step.samples) if self._is_late(i)]:
             self._want(index)
         samples = [
             sample
--- a/src/swiftjunction/steps/_ledger.py
+++ b/src/swiftjunction/steps/_ledger.py
@@ -235,6 +235,12 @@
         found = await self._read(self._key())
         return _decode_running(found, self.step_id).owner
 
+    async def confirm(self) -> None:
+        """Raise ``LeaseLost`` if another process owns the step by now."""
+        found = await self._read(self._key())
+        if _decode_running(found, self.step_id).writer != self._writer:
+            raise self._lost()
+
     async def erase(self) -> None:
         """Delete what an ended step had beside its head."""
         try:
--- a/src/swiftjunction/steps/_registry.py
+++ b/src/swiftjunction/steps/_registry.py
@@ -1,5 +1,6 @@
 """The steps that this process owns, and how it comes to own one."""
 
+import collections.abc
 import logging
 import time
 
@@ -30,9 +31,12 @@
         Makes the samples.
     payloads : Payloads
         Keeps them until they are acknowledged.
+    clock : callable
+        Returns Unix time in seconds.
     """
 
     __slots__ = (
+        '_clock',
         '_locks',
         '_owner',
         '_payloads',
@@ -48,7 +52,9 @@
         owner: str,
         producer: _production.Producer,
         payloads: _payloads.Payloads,
+        clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
+        self._clock = clock
         self._store = store
         self._owner = owner
         self._producer = producer
@@ -85,7 +91,7 @@
                 return running
             ledger = _ledger.Ledger(self._store, spec.step_id, self._owner)
             step = _step.Step(spec)
-            step.expires_at = time.time() + spec.deadline_seconds
+            step.expires_at = self._clock() + spec.deadline_seconds
             try:
                 await ledger.open(spec, step.expires_at)
             except errors.RevisionConflict as error:
@@ -107,6 +113,16 @@
         """Return the step if this process owns it."""
         return self._running.get(step_id)
 
+    async def confirm(self, running: _delivery.RunningStep) -> bool:
+        """Tell whether this process still owns a step; give it up if not."""
+        try:
+            await running.confirm()
+        except (errors.LeaseLost, errors.StepEnded, errors.StepIncomplete):
+            self._forget(running)
+            running.give_up()
+            return False
+        return True
+
     async def read_owner(self, step_id: str) -> str:
         """Return the process that owns a step by its ledger."""
         return await _ledger.Ledger(
@@ -141,7 +157,7 @@
         self, step: _step.Step, ledger: _ledger.Ledger
     ) -> _delivery.RunningStep:
         running = _delivery.RunningStep(
-            step, ledger, self._producer, self._payloads
+            step, ledger, self._producer, self._payloads, self._clock
         )
         self._running[step.spec.step_id] = running
         assert self._tasks is not None, 'the registry runs before it serves'
@@ -155,8 +171,15 @@
         except* errors.SwiftjunctionError as group:
             LOG.warning('step %s given up: %s', step_id, group.exceptions[0])
         finally:
-            self._running.pop(step_id, None)
-            self._locks.pop(step_id, None)
+            self._forget(running)
+
+    def _forget(self, running: _delivery.RunningStep) -> None:
+        step_id = running.step.spec.step_id
+        # The step may have been taken over again meanwhile.
+        if self._running.get(step_id) is running:
+            del self._running[step_id]
+            if not self._lock(step_id).locked():
+                self._locks.pop(step_id)
 
     def summarize(self) -> dict[str, object]:
         """Return the state of each step, for a dump."""
