--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that measure and prove; they are not shipped with the daemons."""
--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -1,11 +1,13 @@
 """Backend servers: what is known of each, and the clients that call them."""
 
+from swiftjunction.backends._calls import read_load
 from swiftjunction.backends._directory import Directory
 from swiftjunction.backends._directory import SERVER_PREFIX
 from swiftjunction.backends._engine import Chunk
 from swiftjunction.backends._engine import EngineCall
 from swiftjunction.backends._engine import EngineClient
 from swiftjunction.backends._engine import ORDER_TIMEOUT_SECONDS
+from swiftjunction.backends._ordering import OrderSender
 from swiftjunction.backends._orders import EngineStatus
 from swiftjunction.backends._orders import Order
 from swiftjunction.backends._orders import STATUS_INTERVAL_SECONDS
@@ -24,10 +26,12 @@
     'EngineStatus',
     'ORDER_TIMEOUT_SECONDS',
     'Order',
+    'OrderSender',
     'SERVER_PREFIX',
     'STATUS_INTERVAL_SECONDS',
     'ServerReport',
     'ServiceAnswer',
     'ServiceCall',
     'ServiceClient',
+    'read_load',
 ]
--- a/src/swiftjunction/backends/_calls.py
+++ b/src/swiftjunction/backends/_calls.py
@@ -2,9 +2,11 @@
 
 import collections.abc
 import contextlib
+import math
 
 import httpx
 
+from swiftjunction.backends import _server
 from swiftjunction import errors
 
 OUTCOME_HEADER = 'x-request-outcome'
@@ -41,9 +43,21 @@
         )
 
 
+def note_headers(
+    response: httpx.Response, server: _server.BackendServer
+) -> None:
+    """Learn what an answer's headers, also a refusal's, say of the server."""
+    if response.headers.get('x-leaving'):
+        server.note_leaving()
+    load = read_load(response.headers)
+    if load is not None:
+        server.load = load
+
+
 def read_load(headers: httpx.Headers) -> float | None:
     """Return the load that an answer's headers report, if they do."""
     try:
-        return float(headers['x-load'])
+        load = float(headers['x-load'])
     except (KeyError, ValueError):
         return None
+    return load if math.isfinite(load) else None
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -1,5 +1,7 @@
 """The client of a plain service."""
 
+import urllib.parse
+
 import httpx
 import msgspec
 
@@ -9,6 +11,8 @@
 from swiftjunction import web
 
 PROBE_TIMEOUT_SECONDS = 1.0
+# What may stand in a path or a query as it is.
+PATH_SAFE = "/:@!$&'()*+,;=~"
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
@@ -58,33 +62,26 @@
         AnswerBroken
             If whether it ran is unknown.
         """
-        query = f'?{call.query}' if call.query else ''
-        client = self._peers.get(server.address)
-        request = client.build_request(
-            call.method,
-            f'/{call.path}{query}',
-            content=call.body,
-            headers=[
-                *call.headers,
-                ('x-request-id', call.request_id),
-                ('x-timeout-seconds', f'{call.timeout_seconds:.3f}'),
-            ],
-            timeout=call.timeout_seconds,
-        )
         step, peer = 'call', server.name
         with _calls.translate_errors(step, peer):
-            response = await client.send(request, stream=True)
+            response = await self._peers.peer(server.address).send(
+                call.method,
+                _encode_target(call.path, call.query),
+                content=call.body,
+                headers=[
+                    *call.headers,
+                    ('x-request-id', call.request_id),
+                    ('x-timeout-seconds', f'{call.timeout_seconds:.3f}'),
+                ],
+                timeout_seconds=call.timeout_seconds,
+            )
             try:
                 body = await _read_body(response, peer)
             finally:
                 await response.aclose()
+        _calls.note_headers(response, server)
         _calls.check_refusal(response, step, peer)
         self._check_match(response, call, peer)
-        load = _calls.read_load(response.headers)
-        if load is not None:
-            server.load = load
-        if response.headers.get('x-leaving'):
-            server.note_leaving()
         return ServiceAnswer(
             response.status_code, response.headers.multi_items(), body
         )
@@ -112,6 +109,15 @@
             )
 
 
+def _encode_target(path: str, query: str) -> str:
+    # The path came decoded: what it holds must not end it, begin a query or
+    # break the request line.
+    target = '/' + urllib.parse.quote(path, safe=PATH_SAFE)
+    if query:
+        target += '?' + urllib.parse.quote(query, safe=PATH_SAFE + '?%')
+    return target
+
+
 async def _read_body(response: httpx.Response, peer: str) -> bytes:
     parts = []
     size = 0
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -12,6 +12,7 @@
     'LeaseLost',
     'LinkError',
     'NotRun',
+    'ObjectBroken',
     'ObjectMissing',
     'ObjectTooLarge',
     'OutcomeUnknown',
@@ -22,6 +23,7 @@
     'RequestInvalid',
     'RevisionConflict',
     'ServerCrashed',
+    'ServersBusy',
     'SettingsError',
     'StepElsewhere',
     'StepEnded',
@@ -88,6 +90,10 @@
     """The object does not exist."""
 
 
+class ObjectBroken(PlatformError):
+    """The object does not hold what its key says; an operator must look."""
+
+
 class ObjectTooLarge(PlatformError):
     """The value is over the platform's limit of one megabyte."""
 
@@ -175,6 +181,10 @@
     outcome = 'not-run'
 
 
+class ServersBusy(NotRun):
+    """Every backend server that could run the request is at its limit."""
+
+
 class PoisonRefused(RequestError):
     """The request crashed several backend servers and is not run again."""
 
--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import math
+import re
 import uuid
 
 import anyio
@@ -21,12 +22,14 @@
 from swiftjunction.requests import _forwarding
 from swiftjunction.requests import _generation
 from swiftjunction.requests import _segments
+from swiftjunction.requests import _streaming
 from swiftjunction import telemetry
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+REQUEST_ID_PATTERN = re.compile('[A-Za-z0-9][A-Za-z0-9._:-]{0,127}')
 MAX_TOKENS = 1_000_000
 SERVICE_METHODS = ['GET', 'HEAD', 'PUT', 'DELETE', 'POST', 'PATCH']
 IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'PUT', 'DELETE'})
@@ -117,7 +120,9 @@
             call = self._build_call(request, body, request_id)
             if body.stream:
                 return await self._stream(call, self._run(call))
-            return await self._collect(call)
+            return await _streaming.run_while_connected(
+                request, lambda: self._collect(call)
+            )
         except errors.RequestError as error:
             return self._refuse(request_id, error)
 
@@ -127,22 +132,41 @@
         body: CompletionRequest,
         request_id: str,
     ) -> _generation.GenerationCall:
-        settings = self._tree.resolve(body.model)
+        self._check_settings()
+        # Latencies and limits are kept for each path that is set, not for
+        # each one that a caller makes up below it.
+        path, _ = self._tree.find_service(body.model)
+        settings = self._tree.resolve(path)
         if not settings.model:
             raise errors.RequestInvalid(
                 f'no model is set for path {body.model!r}', step='resolve'
             )
         return _generation.GenerationCall(
             request_id=request_id,
-            path=body.model,
+            path=path,
             settings=settings,
             prompt=body.prompt,
             max_tokens=body.max_tokens,
             deadline=_read_deadline(request, settings),
             seed=body.seed,
+            priority=_admission.find_priority(settings),
             idempotent=request.headers.get('x-idempotent') != 'false',
         )
 
+    def _check_settings(self) -> None:
+        """Refuse while this process has no settings of any team yet.
+
+        Raises
+        ------
+        NotRun
+            Whether the path exists cannot be said; another entry may know.
+        """
+        if not self._tree.versions():
+            raise errors.NotRun(
+                'this entry has just started and has no settings yet',
+                step='resolve',
+            )
+
     async def _run(
         self, call: _generation.GenerationCall
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
@@ -201,36 +225,16 @@
         # The first chunk is awaited before the status line is sent, so that
         # a refusal still has a status of its own.
         first = await anext(aiter(chunks))
-        return starlette.responses.StreamingResponse(
-            self._frame(call, first, chunks),
-            media_type='text/event-stream',
-            headers={'x-request-id': call.request_id},
+        return _streaming.StreamedAnswer(
+            call.request_id,
+            first,
+            chunks,
+            lambda chunk: _frame_chunk(call, chunk),
+            lambda outcome: self._metrics.count(
+                'answers', path=call.path, outcome=outcome
+            ),
         )
 
-    async def _frame(
-        self,
-        call: _generation.GenerationCall,
-        first: backends.Chunk,
-        rest: collections.abc.AsyncGenerator[backends.Chunk, None],
-    ) -> collections.abc.AsyncIterator[bytes]:
-        try:
-            yield _frame_chunk(call, first)
-            async for chunk in rest:
-                yield _frame_chunk(call, chunk)
-            self._metrics.count('answers', path=call.path, outcome='complete')
-            yield web.format_event(b'[DONE]')
-        except errors.RequestError as error:
-            self._metrics.count(
-                'answers', path=call.path, outcome=error.outcome
-            )
-            LOG.warning('stream %s ended early: %s', call.request_id, error)
-            body = msgspec.json.encode(
-                web.describe_error(error, call.request_id)
-            )
-            yield web.format_event(body, name='error')
-        finally:
-            await rest.aclose()
-
     async def serve_service(
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
@@ -239,6 +243,7 @@
         path, rest = self._tree.find_service(request.path_params['path'])
         settings = self._tree.resolve(path)
         try:
+            self._check_settings()
             if not settings.service:
                 raise errors.RequestInvalid(
                     f'no service is set for {request.url.path}',
@@ -298,6 +303,7 @@
 ) -> starlette.applications.Starlette:
     """Assemble the application of an entry, with `routes` of the process."""
     return starlette.applications.Starlette(
+        exception_handlers=web.EXCEPTION_HANDLERS,
         routes=[
             starlette.routing.Route('/v1/addresses', live.list_addresses),
             starlette.routing.Route(
@@ -309,7 +315,7 @@
                 methods=SERVICE_METHODS,
             ),
             *routes,
-        ]
+        ],
     )
 
 
@@ -341,7 +347,15 @@
 
 
 def _read_request_id(request: starlette.requests.Request) -> str:
-    return request.headers.get('x-request-id') or uuid.uuid4().hex
+    """Return the caller's request id, or a new one.
+
+    An id becomes a part of engines' URLs, so what could not stand there is
+    replaced by an id that is its own.
+    """
+    found = request.headers.get('x-request-id', '')
+    if REQUEST_ID_PATTERN.fullmatch(found):
+        return found
+    return uuid.uuid4().hex
 
 
 def _read_deadline(
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import logging
+import uuid
 
 import anyio
 import msgspec
@@ -22,6 +23,10 @@
 
 MAX_ATTEMPTS = 6
 NO_SERVER_WAIT_SECONDS = 0.1
+# Within this time new weights are on all engines, or something is wrong.
+FRESH_WAIT_SECONDS = 8.0
+# How long a service without one live server may be a mere blip.
+BLIP_SECONDS = 1.0
 
 
 class GenerationCall(msgspec.Struct, frozen=True):
@@ -50,6 +55,13 @@
         """Return the model that serves the path."""
         return self.settings.model or ''
 
+    @property
+    def request_class(self) -> str:
+        """Return the class; a sample is one whatever its path's class."""
+        if self.priority < 0:
+            return 'samples'
+        return self.settings.request_class or 'live'
+
     @property
     def fingerprint(self) -> str:
         """Return what is the same when the request is sent again."""
@@ -68,12 +80,21 @@
 class _Progress:
     """What the caller has been given so far."""
 
-    __slots__ = ('excluded', 'text', 'tokens', 'tries')
+    __slots__ = (
+        'excluded',
+        'may_have_run',
+        'nonce',
+        'text',
+        'tokens',
+        'tries',
+    )
 
     def __init__(self) -> None:
         self.text = ''
         self.tokens = 0
         self.tries = 0
+        self.may_have_run = False
+        self.nonce = uuid.uuid4().hex[:12]
         self.excluded: set[str] = set()
 
     def add(self, chunk: backends.Chunk) -> backends.Chunk | None:
@@ -107,7 +128,14 @@
         Knows the requests that servers crashed under.
     """
 
-    __slots__ = ('_board', '_budget', '_engines', '_router', '_suspects')
+    __slots__ = (
+        '_board',
+        '_budget',
+        '_engines',
+        '_missing',
+        '_router',
+        '_suspects',
+    )
 
     def __init__(
         self,
@@ -120,6 +148,7 @@
         self._router = router
         self._suspects = suspects
         self._engines = engines
+        self._missing: set[tuple[str, int]] = set()
         self._board = board
         self._budget = budget
 
@@ -163,8 +192,9 @@
             except errors.StaleWeights:
                 # The engine runs older weights than was reported, or newer
                 # ones were published meanwhile: go on where they are fresh.
+                progress.may_have_run = True
                 progress.excluded.add(server.name)
-                if progress.tries >= MAX_ATTEMPTS:
+                if not call.idempotent or progress.tries >= MAX_ATTEMPTS:
                     raise
 
     def check_fresh(
@@ -183,7 +213,10 @@
         progress: _Progress,
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         engine_call = backends.EngineCall(
-            request_id=f'{call.request_id}.{progress.tries}',
+            # Callers may use an id twice, for example when they turn to
+            # another entry; engines must not take the one generation for
+            # the other when it is resumed or cancelled.
+            request_id=f'{call.request_id}.{progress.nonce}-{progress.tries}',
             model=call.model,
             prompt=call.prompt,
             max_tokens=call.max_tokens,
@@ -194,10 +227,14 @@
             timeout_seconds=self._remaining(call),
         )
         finished = False
+        started_at: float | None = anyio.current_time()
         stream = self._read_through_breaks(server, engine_call, progress)
         try:
             async with contextlib.aclosing(stream) as chunks:
                 async for chunk in chunks:
+                    if started_at is not None:
+                        server.note_latency(anyio.current_time() - started_at)
+                        started_at = None
                     server.note_version(chunk.weight_version)
                     self._board.check(
                         call.model, chunk.weight_version, call.bound
@@ -247,27 +284,65 @@
     async def _find_server(
         self, call: GenerationCall, progress: _Progress, alone: bool
     ) -> backends.BackendServer:
-        """Return the next server, waiting for one while the deadline lets."""
+        """Return the next server, waiting while one may come.
+
+        A request that nobody will serve in time is given up at once.
+        """
+        started_at = anyio.current_time()
         while True:
-            remaining_seconds = self._remaining(call)
             try:
-                request = routing.RoutingRequest(
-                    path=call.path,
-                    service=call.model,
-                    prompt=call.prompt,
-                    min_version=self._board.find_oldest(
-                        call.model, call.bound
-                    ),
-                    excluded=frozenset(progress.excluded),
-                    alone=alone,
+                request = self._describe(call, progress, alone)
+                server = await self._router.acquire(
+                    request, call.settings.policy or ''
                 )
-                return self._router.choose(request, call.settings.policy or '')
-            except (errors.NotRun, errors.StaleWeights) as error:
-                if remaining_seconds <= NO_SERVER_WAIT_SECONDS:
+                self._missing.clear()
+                return server
+            except (errors.ServersBusy, errors.StaleWeights) as error:
+                # A newer version than the newest comes with no notice.
+                raise self._give_up(progress, error) from error
+            except errors.NotRun as error:
+                waited_seconds = anyio.current_time() - started_at
+                if not self._may_wait(request, waited_seconds):
                     raise self._give_up(progress, error) from error
             progress.excluded.clear()
             await anyio.sleep(NO_SERVER_WAIT_SECONDS)
 
+    def _describe(
+        self, call: GenerationCall, progress: _Progress, alone: bool
+    ) -> routing.RoutingRequest:
+        return routing.RoutingRequest(
+            path=call.path,
+            service=call.model,
+            prompt=call.prompt,
+            min_version=self._board.find_oldest(call.model, call.bound),
+            excluded=frozenset(progress.excluded),
+            alone=alone,
+            request_class=call.request_class,
+            deadline=call.deadline,
+        )
+
+    def _may_wait(
+        self, request: routing.RoutingRequest, waited_seconds: float
+    ) -> bool:
+        """Tell whether a server that may run the request can come in time.
+
+        What one request has waited for in vain, the next ones do not wait
+        for: until an engine has the version, they are refused at once.
+        """
+        wanted = (request.service, request.min_version)
+        if wanted in self._missing and not request.is_narrow():
+            return False
+        limit_seconds = (
+            FRESH_WAIT_SECONDS
+            if self._router.has_live(request.service)
+            else BLIP_SECONDS
+        )
+        if waited_seconds >= limit_seconds:
+            self._missing = {wanted}
+            return False
+        remaining_seconds = request.deadline - anyio.current_time()
+        return remaining_seconds > NO_SERVER_WAIT_SECONDS
+
     def _remaining(self, call: GenerationCall) -> float:
         return max(call.deadline - anyio.current_time(), 0.0)
 
@@ -282,6 +357,7 @@
         refused = isinstance(
             error, (errors.BackendRefused, errors.BackendUnreachable)
         )
+        progress.may_have_run |= not refused
         if not isinstance(error, errors.BackendRefused):
             server.note_failure()
         if not refused and not call.idempotent:
@@ -308,19 +384,15 @@
             return error
         # A refusal of the last attempt does not undo an earlier attempt that
         # ran: only when none did is "not run" true.
-        ran = progress.tokens > 0 or progress.tries > 1
-        never_sent = isinstance(
-            error,
-            (
-                errors.BackendRefused,
-                errors.BackendUnreachable,
-                errors.NotRun,
-            ),
-        )
         kind = (
-            errors.NotRun if never_sent and not ran else errors.OutcomeUnknown
+            errors.OutcomeUnknown if progress.may_have_run else errors.NotRun
+        )
+        return kind(
+            error.message,
+            step=error.step,
+            peer=error.peer,
+            retry_after_seconds=getattr(error, 'retry_after_seconds', 1.0),
         )
-        return kind(error.message, step=error.step, peer=error.peer)
 
     async def _cancel(
         self, server: backends.BackendServer, request_id: str
--- a/src/swiftjunction/standins/_engine.py
+++ b/src/swiftjunction/standins/_engine.py
@@ -76,6 +76,8 @@
         What it was told, for tests.
     crashes : int
         How often a request crashed it.
+    refused : int
+        How many requests were refused.
     started : Counter
         How often each request id began to run.
     """
@@ -95,6 +97,7 @@
         self.role = 'generate'
         self.adapters: set[str] = set()
         self.crashes = 0
+        self.refused = 0
         self.orders: list[backends.Order] = []
         self.started: collections.Counter[str] = collections.Counter()
         self.faults = _faults.FaultSwitches(
@@ -256,8 +259,9 @@
         ):
             return
         try:
+            files = order.source_version or order.weight_version
             response = await self._weights.get(
-                f'/weights/{order.model}/{order.weight_version}'
+                f'/weights/{order.model}/{files}'
             )
             response.raise_for_status()
         except httpx.HTTPError as error:
--- a/src/swiftjunction/steps/_ledger.py
+++ b/src/swiftjunction/steps/_ledger.py
@@ -329,7 +329,7 @@
         if found.version <= self._version:
             # Read from an old copy.
             return False
-        head = msgspec.json.decode(found.value, type=Head)
+        head = platform.decode_value(found, Head)
         if head.writer != self._writer or head.ended or not closing:
             raise self._lost()
         # A change of this run whose call was cancelled and took effect: the
@@ -383,7 +383,7 @@
 
 
 def _decode_running(found: platform.Object, step_id: str) -> Head:
-    head = msgspec.json.decode(found.value, type=Head)
+    head = platform.decode_value(found, Head)
     if not head.ended:
         return head
     if head.missing:
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -1,16 +1,20 @@
 """HTTP for every daemon: serving by hypercorn, calling by httpx."""
 
 from swiftjunction.web._answers import describe_error
+from swiftjunction.web._answers import EXCEPTION_HANDLERS
 from swiftjunction.web._answers import respond_error
 from swiftjunction.web._answers import respond_json
 from swiftjunction.web._calling import connect_client
+from swiftjunction.web._calling import Peer
 from swiftjunction.web._calling import PeerClients
 from swiftjunction.web._serving import Listener
 from swiftjunction.web._serving import open_listener
 from swiftjunction.web._streams import format_event
 
 __all__ = [
+    'EXCEPTION_HANDLERS',
     'Listener',
+    'Peer',
     'PeerClients',
     'connect_client',
     'describe_error',
