Keep two copies of payloads, on spools in memory where there is no disk

Cause: it was open whether fragments with parity, as in Zebra, cost less than two copies; and a deployment without disks had no spools at all.

--- a/src/swiftjunction/daemons/_spool.py
+++ b/src/swiftjunction/daemons/_spool.py
@@ -1,4 +1,4 @@
-"""``swiftjunction-spool``: keeps finished samples on disk."""
+"""``swiftjunction-spool``: keeps finished samples."""
 
 import pathlib
 
@@ -21,9 +21,11 @@
                 ['spool: missing; this VM is not set to have a spool']
             )
         self._replier = links.Replier(config.link_address(config.spool.port))
-        store = spool.SpoolStore(
-            pathlib.Path(config.spool.folder), config.spool.max_bytes
-        )
+        store: spool.Store = spool.MemoryStore(config.spool.max_bytes)
+        if config.spool.folder:
+            store = spool.SpoolStore(
+                pathlib.Path(config.spool.folder), config.spool.max_bytes
+            )
         self._server = spool.SpoolServer(self._replier, store)
         self.dump = telemetry.StateDump()
         self.dump.add('spool', store.summarize)
--- a/src/swiftjunction/settings/_model.py
+++ b/src/swiftjunction/settings/_model.py
@@ -56,7 +56,7 @@
 
 
 class SpoolSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """``swiftjunction-spool``, on VMs with a disk."""
+    """``swiftjunction-spool``; with an empty folder it keeps in memory."""
 
     folder: str
     port: Port = 8061
--- a/src/swiftjunction/spool/_server.py
+++ b/src/swiftjunction/spool/_server.py
@@ -9,13 +9,11 @@
 
 
 class SpoolServer:
-    """Serves one :class:`SpoolStore` to rollout processes."""
+    """Serves one :class:`Store` to rollout processes."""
 
     __slots__ = ('_replier', '_store')
 
-    def __init__(
-        self, replier: links.Replier, store: _store.SpoolStore
-    ) -> None:
+    def __init__(self, replier: links.Replier, store: _store.Store) -> None:
         self._replier = replier
         self._store = store
 
--- a/src/swiftjunction/spool/_store.py
+++ b/src/swiftjunction/spool/_store.py
@@ -1,5 +1,6 @@
-"""Payloads on disk: one append-only file for each step."""
+"""Payloads on disk, one append-only file for each step, or in memory."""
 
+import abc
 import logging
 import pathlib
 import re
@@ -19,7 +20,80 @@
 MAX_FRAME_BYTES = 1 << 30
 
 
-class SpoolStore:
+class Store(abc.ABC):
+    """Keeps the payloads of steps."""
+
+    __slots__ = ()
+
+    @property
+    @abc.abstractmethod
+    def used_bytes(self) -> int:
+        """Return how much is kept."""
+
+    @abc.abstractmethod
+    def put(self, step_id: str, payloads: list[_messages.Payload]) -> None:
+        """Add `payloads` to the step's.
+
+        Raises
+        ------
+        LinkError
+            If the spool is full.
+        """
+
+    @abc.abstractmethod
+    def fetch(self, step_id: str) -> list[_messages.Payload]:
+        """Return the newest payload of each index."""
+
+    @abc.abstractmethod
+    def drop(self, step_id: str) -> None:
+        """Forget the step."""
+
+    @abc.abstractmethod
+    def summarize(self) -> dict[str, object]:
+        """Return the state, for a dump."""
+
+
+class MemoryStore(Store):
+    """Keeps payloads in memory, on a VM without a disk.
+
+    Parameters
+    ----------
+    max_bytes : int
+        At which the spool refuses more.
+    """
+
+    __slots__ = ('_max_bytes', '_steps')
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._steps: dict[str, dict[int, _messages.Payload]] = {}
+
+    @property
+    def used_bytes(self) -> int:
+        return sum(
+            len(payload.data)
+            for step in self._steps.values()
+            for payload in step.values()
+        )
+
+    def put(self, step_id: str, payloads: list[_messages.Payload]) -> None:
+        size = sum(len(payload.data) for payload in payloads)
+        if self.used_bytes + size > self._max_bytes:
+            raise errors.LinkError('the spool is full', step='put')
+        step = self._steps.setdefault(step_id, {})
+        step.update({payload.index: payload for payload in payloads})
+
+    def fetch(self, step_id: str) -> list[_messages.Payload]:
+        return list(self._steps.get(step_id, {}).values())
+
+    def drop(self, step_id: str) -> None:
+        self._steps.pop(step_id, None)
+
+    def summarize(self) -> dict[str, object]:
+        return {'used_bytes': self.used_bytes, 'steps': sorted(self._steps)}
+
+
+class SpoolStore(Store):
     """Keeps payloads under one data folder.
 
     A frame that was torn by a crash in the middle of a write ends the file:
@@ -47,17 +121,9 @@
 
     @property
     def used_bytes(self) -> int:
-        """Return how much is kept."""
         return sum(self._sizes.values())
 
     def put(self, step_id: str, payloads: list[_messages.Payload]) -> None:
-        """Append `payloads` to the step's file.
-
-        Raises
-        ------
-        LinkError
-            If the spool is full.
-        """
         body = msgspec.msgpack.encode(payloads)
         if self.used_bytes + len(body) > self._max_bytes:
             raise errors.LinkError('the spool is full', step='put')
@@ -73,7 +139,6 @@
         self._sizes[step_id] = path.stat().st_size
 
     def fetch(self, step_id: str) -> list[_messages.Payload]:
-        """Return the newest payload of each index."""
         path = self._find_path(step_id)
         if not path.exists():
             return []
@@ -86,12 +151,10 @@
         return list(newest.values())
 
     def drop(self, step_id: str) -> None:
-        """Delete the step's file."""
         self._find_path(step_id).unlink(missing_ok=True)
         self._sizes.pop(step_id, None)
 
     def summarize(self) -> dict[str, object]:
-        """Return the state, for a dump."""
         return {'used_bytes': self.used_bytes, 'steps': dict(self._sizes)}
 
     def _find_path(self, step_id: str) -> pathlib.Path:
--- a/tests/cover/test_spool.py
+++ b/tests/cover/test_spool.py
@@ -8,6 +8,19 @@
     return spool.SpoolStore(tmp_path / 'spool', max_bytes)
 
 
+@pytest.mark.parametrize('kind', ['disk', 'memory'])
+def test_a_spool_keeps_the_newest_until_it_is_dropped(tmp_path, kind):
+    store = make_store(tmp_path)
+    if kind == 'memory':
+        store = spool.MemoryStore(100)
+    store.put('t.s', [spool.Payload(1, b'a'), spool.Payload(2, b'b')])
+    store.put('t.s', [spool.Payload(1, b'c')])
+    assert {p.index: p.data for p in store.fetch('t.s')} == {1: b'c', 2: b'b'}
+    store.drop('t.s')
+    assert store.fetch('t.s') == []
+    assert store.used_bytes == 0
+
+
 def test_the_newest_payload_of_an_index_is_fetched(tmp_path):
     store = make_store(tmp_path)
     store.put('t.s', [spool.Payload(1, b'a'), spool.Payload(2, b'b')])
@@ -26,6 +39,11 @@
     assert [p.index for p in store.fetch('t.s')] == [1]
 
 
+def test_a_full_memory_spool_refuses():
+    with pytest.raises(errors.LinkError, match='full'):
+        spool.MemoryStore(3).put('t.s', [spool.Payload(1, bytes(4))])
+
+
 def test_a_full_spool_refuses(tmp_path):
     store = make_store(tmp_path, max_bytes=1_000_000)
     with pytest.raises(errors.LinkError, match='full'):
