Give slots by fair queueing and make the longest samples first

Cause: the order by index leaves long samples to the end, where a step waits for them alone. A group whose first sample was not back ranked last, which put the longest groups last. A step that waits for one slot at a time gets one of each bunch that comes back, whatever its share.

Change: groups are ranked by the learnt length of their prompts; new ones are probed by one sample each, and a group whose probe is still running goes before all that have a length. Each step waits for eight slots, and each wait has its own tag.

--- a/src/swiftjunction/steps/__init__.py
+++ b/src/swiftjunction/steps/__init__.py
@@ -9,6 +9,7 @@
 from swiftjunction.steps._production import Producer
 from swiftjunction.steps._production import Slot
 from swiftjunction.steps._queue import FairQueue
+from swiftjunction.steps._queue import weigh_step
 from swiftjunction.steps._registry import StepRegistry
 from swiftjunction.steps._schedule import FirstInFirstOut
 from swiftjunction.steps._schedule import Lengths
@@ -38,4 +39,5 @@
     'StepRegistry',
     'StepSpec',
     'build_app',
+    'weigh_step',
 ]
--- a/src/swiftjunction/steps/_delivery.py
+++ b/src/swiftjunction/steps/_delivery.py
@@ -5,6 +5,7 @@
 import time
 
 import anyio
+import anyio.abc
 import msgspec
 
 from swiftjunction import errors
@@ -19,6 +20,8 @@
 PLACE_INTERVAL_SECONDS = 1.0
 MAX_DRAW_SAMPLES = 512
 MAX_WAIT_SECONDS = 30.0
+# Slots that a step waits for at once.
+SLOTS_ASKED = 8
 # How long an expired step is kept for a trainer that has not drawn the rest.
 EXPIRED_LINGER_SECONDS = 60.0
 
@@ -226,20 +229,26 @@
             self._tasks_by_index[index], index in self.step.placed
         )
         self._wanted.set()
+        self._wanted = anyio.Event()
 
     async def _make_wanted(self) -> None:
         async with anyio.create_task_group() as tasks:
             self._makers = tasks.cancel_scope
-            while True:
-                while not self._schedule.size:
-                    self._wanted = anyio.Event()
-                    await self._wanted.wait()
-                slot = await self._producer.admit(
-                    self.step.spec, self._remaining_seconds()
-                )
-                task = self._schedule.pop()
-                assert task is not None, 'only this task takes from it'
-                tasks.start_soon(self._make, task, slot)
+            for _ in range(SLOTS_ASKED):
+                tasks.start_soon(self._start_wanted, tasks)
+
+    async def _start_wanted(self, tasks: anyio.abc.TaskGroup) -> None:
+        while True:
+            while not self._schedule.size:
+                await self._wanted.wait()
+            slot = await self._producer.admit(
+                self.step.spec, self._remaining_seconds()
+            )
+            task = self._schedule.pop()
+            if task is None:
+                slot.release()
+                continue
+            tasks.start_soon(self._make, task, slot)
 
     def _remaining_seconds(self) -> float:
         if not self.step.expires_at:
--- a/src/swiftjunction/steps/_production.py
+++ b/src/swiftjunction/steps/_production.py
@@ -62,6 +62,10 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
+        self.release()
+
+    def release(self) -> None:
+        """Give it back without having run a sample."""
         self._queue.release()
 
 
--- a/src/swiftjunction/steps/_queue.py
+++ b/src/swiftjunction/steps/_queue.py
@@ -1,5 +1,7 @@
 """A fair queue: several steps share what this process runs at once."""
 
+import collections
+
 import anyio
 
 # By how much the weight of a step grows until its deadline. It is bounded,
@@ -8,6 +10,16 @@
 MIN_REMAINING_SHARE = 1 / MAX_URGENCY
 
 
+class _Waiter:
+    """One call that waits for a slot."""
+
+    __slots__ = ('event', 'tag')
+
+    def __init__(self, tag: float) -> None:
+        self.event = anyio.Event()
+        self.tag = tag
+
+
 class _Flow:
     """One step that waits for slots, in the order in which it asked."""
 
@@ -15,7 +27,7 @@
 
     def __init__(self) -> None:
         self.finish = 0.0
-        self.waiting: list[anyio.Event] = []
+        self.waiting: collections.deque[_Waiter] = collections.deque()
 
 
 class FairQueue:
@@ -25,6 +37,9 @@
     goes to the waiting step with the smallest one. A step that was idle
     begins at the tag served last, so it gains nothing from having waited.
 
+    Slots come back in bunches, as an engine ends several samples at once. A
+    step gets its part of a bunch only if it waits for as many.
+
     Parameters
     ----------
     capacity : int
@@ -55,16 +70,16 @@
         """
         flow = self._flows.setdefault(flow_id, _Flow())
         flow.finish = max(flow.finish, self._served) + 1.0 / weight
-        event = anyio.Event()
-        flow.waiting.append(event)
+        waiter = _Waiter(flow.finish)
+        flow.waiting.append(waiter)
         self._grant()
         try:
-            await event.wait()
+            await waiter.event.wait()
         except anyio.get_cancelled_exc_class():
-            if event.is_set():
+            if waiter.event.is_set():
                 self.release()
             else:
-                flow.waiting.remove(event)
+                flow.waiting.remove(waiter)
             raise
 
     def release(self) -> None:
@@ -81,10 +96,11 @@
             waiting = [f for f in self._flows.values() if f.waiting]
             if not waiting:
                 return
-            flow = min(waiting, key=lambda f: f.finish)
-            self._served = max(self._served, flow.finish)
+            flow = min(waiting, key=lambda f: f.waiting[0].tag)
+            waiter = flow.waiting.popleft()
+            self._served = max(self._served, waiter.tag)
             self._free -= 1
-            flow.waiting.pop(0).set()
+            waiter.event.set()
 
 
 def weigh_step(
--- a/src/swiftjunction/steps/_registry.py
+++ b/src/swiftjunction/steps/_registry.py
@@ -80,11 +80,7 @@
             If the platform does not answer; submitting again is safe.
         """
         self._producer.resolve(spec)
-        if spec.count_samples() > _step.MAX_SAMPLES:
-            raise errors.RequestInvalid(
-                f'{spec.count_samples()} samples: at most {_step.MAX_SAMPLES}',
-                step='submit',
-            )
+        spec.check()
         async with self._lock(spec.step_id):
             running = self._running.get(spec.step_id)
             if running is not None:
--- a/src/swiftjunction/steps/_schedule.py
+++ b/src/swiftjunction/steps/_schedule.py
@@ -11,6 +11,7 @@
 # Weight of the newest length in the mean of a prompt.
 LENGTH_GAIN = 0.25
 UNKNOWN_TOKENS = float('inf')
+RUNNING_TOKENS = 1e9
 
 
 class Lengths:
@@ -139,7 +140,9 @@
     ) -> None:
         tokens = self._lengths.expect(prompt)
         if tokens is None:
-            # After the first of a new group comes the first of the next.
-            tokens = 0.0 if sent else UNKNOWN_TOKENS
+            # After the first of a new group comes the first of the next. A
+            # group whose first is not back yet is longer than those whose
+            # first is.
+            tokens = RUNNING_TOKENS if sent else UNKNOWN_TOKENS
         self._expected[group_index] = -tokens
         heapq.heappush(self._heap, (-tokens, group_index))
--- a/src/swiftjunction/steps/_step.py
+++ b/src/swiftjunction/steps/_step.py
@@ -57,6 +57,15 @@
         """Return how many samples the step has."""
         return sum(group.samples for group in self.groups)
 
+    def check(self) -> None:
+        """Raise ``RequestInvalid`` if the step is too large to be kept."""
+        count = self.count_samples()
+        if count > MAX_SAMPLES:
+            raise errors.RequestInvalid(
+                f'{count} samples: a step has at most {MAX_SAMPLES}',
+                step='submit',
+            )
+
     def list_tasks(self) -> collections.abc.Iterator['SampleTask']:
         """Yield one task for each sample, in order of their indices."""
         index = 0
