Call the object API through a budget, a breaker, retries and hedges

Each use called the platform as it liked: nothing bounded the rate of a process or put renewals of leases first, an outage was met by every caller at full pace, and nothing showed it.

GuardedObjectStore wraps HttpObjectStore in every daemon. The dump has the platform's state, /metrics its outage in seconds and its calls by use and outcome.

Refusals by rate (429) do not lower the budget yet.

--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -65,7 +65,12 @@
         self.metrics = telemetry.Metrics()
         self.peers = web.PeerClients()
         self.platform_client = web.connect_client(config.platform.objects)
-        self.store = platform.HttpObjectStore(self.platform_client)
+        self.store = platform.GuardedObjectStore(
+            platform.HttpObjectStore(self.platform_client),
+            self.processes.count,
+            self.rng,
+            self.metrics.count,
+        )
         self.announcement = membership.Announcement(
             self.table,
             membership.Process(
@@ -86,6 +91,10 @@
         self.dump.add('servers', self.directory.summarize)
         self.dump.add('latencies', self.metrics.summarize)
         self.dump.add('links', self.exchange.peers)
+        self.dump.add('object API', self.store.summarize)
+        self.metrics.watch(
+            'platform_outage_seconds', self.store.outage_seconds
+        )
         self._stopping = anyio.Event()
 
     @property
--- a/src/swiftjunction/membership/_processes.py
+++ b/src/swiftjunction/membership/_processes.py
@@ -65,6 +65,10 @@
         """Return the process called `name`, if known."""
         return self._processes.get(name)
 
+    def count(self) -> int:
+        """Return how many processes are known that have not died."""
+        return sum(p.state != 'dead' for p in self._processes.values())
+
     def select(
         self, kind: str, state: str = 'live'
     ) -> collections.abc.Iterator[Process]:
--- a/src/swiftjunction/platform/__init__.py
+++ b/src/swiftjunction/platform/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform: the object API, the VM list, the weight store."""
 
+from swiftjunction.platform._guarded import GuardedObjectStore
 from swiftjunction.platform._objects import HttpObjectStore
 from swiftjunction.platform._objects import Object
 from swiftjunction.platform._objects import ObjectStore
@@ -10,6 +11,7 @@
 from swiftjunction.platform._writes import update_or_confirm
 
 __all__ = [
+    'GuardedObjectStore',
     'HttpObjectStore',
     'Object',
     'ObjectStore',
--- a/src/swiftjunction/telemetry/_metrics.py
+++ b/src/swiftjunction/telemetry/_metrics.py
@@ -45,6 +45,17 @@
             self._counters[name] = counter
         (counter.labels(**labels) if labels else counter).inc(amount)
 
+    def watch(
+        self, name: str, read: collections.abc.Callable[[], float]
+    ) -> None:
+        """Show what `read` returns as the gauge `name`."""
+        gauge = prometheus_client.Gauge(
+            f'swiftjunction_{name}',
+            name.replace('_', ' '),
+            registry=self._registry,
+        )
+        gauge.set_function(read)
+
     def record(self, path: str, stage: str, seconds: float) -> None:
         """Record one latency."""
         key = (path, stage)
--- /dev/null
+++ b/tests/cover/test_platform_contract.py
@@ -0,0 +1,137 @@
+"""The object API's contract, over HTTP against its stand-in."""
+
+import contextlib
+import random
+
+import anyio
+import httpx
+import pytest
+
+from swiftjunction import errors
+from swiftjunction import platform
+from swiftjunction import standins
+from swiftjunction import web
+
+pytestmark = pytest.mark.anyio
+
+
+@contextlib.asynccontextmanager
+async def serve(guarded=False, timeout_seconds=0.5):
+    standin = standins.ObjectStoreStandin()
+    listener = web.open_listener('127.0.0.1', 0)
+    client = web.connect_client(f'http://{listener.address}', timeout_seconds)
+    store = platform.HttpObjectStore(client)
+    if guarded:
+        store = platform.GuardedObjectStore(store, lambda: 1, random.Random(0))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(standins.host, listener, standin)
+        await store.create('claims/held', b'1')
+        yield standin, store
+        await client.aclose()
+        tasks.cancel_scope.cancel()
+
+
+CALLS = {
+    'read': lambda store: store.read('claims/held'),
+    'list': lambda store: store.list('claims/'),
+    'watch': lambda store: store.watch('claims/', 0, 0.1),
+    'create': lambda store: store.create('claims/new', b'2'),
+    'update': lambda store: store.update('claims/held', b'2', 1),
+    'delete': lambda store: store.delete('claims/held', 1),
+}
+READS = ('read', 'list', 'watch')
+
+
+@pytest.mark.parametrize('guarded', [False, True])
+@pytest.mark.parametrize('call', CALLS)
+@pytest.mark.parametrize(
+    ('fault', 'number', 'of_read', 'of_write'),
+    [
+        ('outage', 1, errors.PlatformUnavailable, errors.PlatformUnavailable),
+        ('slow_seconds', 2, errors.PlatformUnavailable, errors.WriteUncertain),
+        ('slow_seconds', 0.01, None, None),
+    ],
+)
+async def test_each_call_says_what_it_knows_of_a_fault(
+    guarded, call, fault, number, of_read, of_write
+):
+    expected = of_read if call in READS else of_write
+    # A watch has five seconds more than it waits.
+    if call == 'watch' and fault == 'slow_seconds':
+        expected = None
+    async with serve(guarded) as (standin, store):
+        standin.faults.set(fault, number)
+        if expected is None:
+            await CALLS[call](store)
+        else:
+            with pytest.raises(expected) as caught:
+                await CALLS[call](store)
+            assert type(caught.value) is expected
+            assert caught.value.step
+            assert caught.value.peer == 'object API'
+        standin.faults.set(fault, 0)
+
+
+@pytest.mark.parametrize('call', ['create', 'update'])
+async def test_a_lost_answer_is_uncertain_and_not_repeated(call):
+    async with serve(guarded=True) as (standin, store):
+        standin.faults.set('lose_answers', 1)
+        calls = standin.calls['write']
+        with pytest.raises(errors.WriteUncertain):
+            await CALLS[call](store)
+        assert standin.calls['write'] == calls + 1
+
+
+@pytest.mark.parametrize('call', ['create', 'update', 'delete'])
+async def test_a_refused_write_is_repeated(call):
+    async with serve(guarded=True) as (standin, store):
+        standin.faults.set('refuse_writes', 2)
+        await CALLS[call](store)
+
+
+async def test_conditions_are_kept():
+    async with serve(guarded=True) as (_, store):
+        with pytest.raises(errors.RevisionConflict):
+            await store.create('claims/held', b'2')
+        with pytest.raises(errors.RevisionConflict):
+            await store.update('claims/held', b'2', 9)
+        with pytest.raises(errors.ObjectMissing):
+            await store.read('claims/none')
+        with pytest.raises(errors.ObjectTooLarge):
+            await store.create('claims/big', bytes(1_000_001))
+
+
+async def test_a_late_answer_does_not_hold_up_a_read():
+    async with serve(guarded=True, timeout_seconds=5) as (standin, store):
+        standin.faults.set('slow_seconds', 3)
+        async with anyio.create_task_group() as tasks:
+
+            async def read():
+                assert (await store.read('claims/held')).value == b'1'
+
+            tasks.start_soon(read)
+            await anyio.sleep(0.02)
+            # The hedge is sent after 50 ms, when the fault is over.
+            standin.faults.set('slow_seconds', 0)
+            with anyio.fail_after(2):
+                while standin.calls['read'] < 2:
+                    await anyio.sleep(0.01)
+
+
+async def test_a_crashed_platform_makes_writes_unavailable():
+    client = web.connect_client('http://127.0.0.1:1')
+    store = platform.HttpObjectStore(client)
+    with pytest.raises(errors.PlatformUnavailable):
+        await store.create('claims/new', b'1')
+    await client.aclose()
+
+
+async def test_an_answer_without_a_version_leaves_the_write_uncertain():
+    async def answer(request):
+        return httpx.Response(200)
+
+    client = httpx.AsyncClient(
+        transport=httpx.MockTransport(answer), base_url='http://objects'
+    )
+    with pytest.raises(errors.WriteUncertain):
+        await platform.HttpObjectStore(client).create('claims/new', b'1')
