--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -3,12 +3,14 @@
 import collections.abc
 import typing
 
+import anyio
 import httpx
 import httpx_sse
 import msgspec
 
 from swiftjunction.backends import _calls
 from swiftjunction.backends import _orders
+from swiftjunction.backends import _pacing
 from swiftjunction.backends import _server
 from swiftjunction import errors
 from swiftjunction import web
@@ -16,9 +18,10 @@
 CANCEL_TIMEOUT_SECONDS = 2.0
 # With the interval and the timeout of a renewal it fits into a lease.
 ORDER_TIMEOUT_SECONDS = 3.0
-
 # What httpcore calls the moment before the first byte.
 SEND_EVENT = 'http11.send_request_headers.started'
+# A shorter time between two chunks means that both came in one read.
+READ_SECONDS = 0.002
 
 
 class EngineCall(msgspec.Struct, frozen=True):
@@ -90,10 +93,11 @@
         The HTTP clients of all engines.
     """
 
-    __slots__ = ('_peers',)
+    __slots__ = ('_pacing', '_peers')
 
     def __init__(self, peers: web.PeerClients) -> None:
         self._peers = peers
+        self._pacing = _pacing.ReadPacing()
 
     async def stream(
         self, server: _server.BackendServer, call: EngineCall
@@ -160,7 +164,11 @@
         try:
             _check_start(response, server, step)
             source = httpx_sse.EventSource(response)
-            with _calls.translate_errors(step, peer):
+            with (
+                self._pacing.count_stream(),
+                _calls.translate_errors(step, peer),
+            ):
+                began = read_at = anyio.current_time()
                 async for event in source.aiter_sse():
                     if event.data == '[DONE]':
                         break
@@ -168,6 +176,13 @@
                     yield chunk
                     if chunk.finish_reason:
                         return
+                    # Chunks that are here already come without a wait; time
+                    # has passed only where the stream had to be read.
+                    now = anyio.current_time()
+                    if now - read_at > READ_SECONDS:
+                        pause_seconds = self._pacing.choose_pause(now - began)
+                        await anyio.sleep(pause_seconds)
+                        read_at = anyio.current_time()
         finally:
             await response.aclose()
         raise errors.AnswerBroken(
@@ -248,12 +263,8 @@
 def _check_start(
     response: httpx.Response, server: _server.BackendServer, step: str
 ) -> None:
+    _calls.note_headers(response, server)
     _calls.check_refusal(response, step, server.name)
-    if response.headers.get('x-leaving'):
-        server.note_leaving()
-    load = _calls.read_load(response.headers)
-    if load is not None:
-        server.load = load
     if response.status_code == httpx.codes.NOT_FOUND:
         raise errors.ServerCrashed(
             'the engine does not know the generation',
