--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -76,7 +76,12 @@
             self.tls.client if self.tls is not None else None
         )
         self.platform_client = web.connect_client(config.platform.objects)
-        self.store = platform.HttpObjectStore(self.platform_client)
+        self.store = platform.GuardedObjectStore(
+            platform.HttpObjectStore(self.platform_client),
+            self.processes.count,
+            self.rng,
+            self.metrics.count,
+        )
         self.announcement = membership.Announcement(
             self.table,
             membership.Process(
@@ -97,6 +102,10 @@
         self.dump.add('relays', self.exchange.peers)
         self.dump.add('links', self.links.peers)
         self.dump.add('traffic', lambda: self.links.traffic)
+        self.dump.add('object API', self.store.summarize)
+        self.metrics.watch(
+            'platform_outage_seconds', self.store.outage_seconds
+        )
         self._stopping = anyio.Event()
 
     @property
--- a/src/swiftjunction/membership/_processes.py
+++ b/src/swiftjunction/membership/_processes.py
@@ -71,6 +71,10 @@
         """Return every process, whatever its state."""
         return list(self._processes.values())
 
+    def count(self) -> int:
+        """Return how many processes are known that have not died."""
+        return sum(p.state != 'dead' for p in self._processes.values())
+
     def select(
         self, kind: str, state: str = 'live'
     ) -> collections.abc.Iterator[Process]:
