--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -3,18 +3,26 @@
 import collections.abc
 import typing
 
+import anyio
 import httpx
 import httpx_sse
 import msgspec
 
 from swiftjunction.backends import _calls
 from swiftjunction.backends import _orders
+from swiftjunction.backends import _pacing
 from swiftjunction.backends import _server
 from swiftjunction import errors
 from swiftjunction import web
 
 CANCEL_TIMEOUT_SECONDS = 2.0
-ORDER_TIMEOUT_SECONDS = 5.0
+# With the interval and the timeout of a renewal it fits into a lease.
+ORDER_TIMEOUT_SECONDS = 3.0
+# A shorter time between two chunks means that both came in one read.
+READ_SECONDS = 0.002
+
+# What httpcore calls the moment before the first byte.
+SEND_EVENT = 'http11.send_request_headers.started'
 
 
 class EngineCall(msgspec.Struct, frozen=True):
@@ -86,10 +94,11 @@
         The HTTP clients of all engines.
     """
 
-    __slots__ = ('_peers',)
+    __slots__ = ('_pacing', '_peers')
 
     def __init__(self, peers: web.PeerClients) -> None:
         self._peers = peers
+        self._pacing = _pacing.ReadPacing()
 
     async def stream(
         self, server: _server.BackendServer, call: EngineCall
@@ -156,7 +165,11 @@
         try:
             _check_start(response, server, step)
             source = httpx_sse.EventSource(response)
-            with _calls.translate_errors(step, peer):
+            with (
+                self._pacing.count_stream(),
+                _calls.translate_errors(step, peer),
+            ):
+                began = read_at = anyio.current_time()
                 async for event in source.aiter_sse():
                     if event.data == '[DONE]':
                         break
@@ -164,6 +177,13 @@
                     yield chunk
                     if chunk.finish_reason:
                         return
+                    # Chunks that are here already come without a wait; time
+                    # has passed only where the stream had to be read.
+                    now = anyio.current_time()
+                    if now - read_at > READ_SECONDS:
+                        pause_seconds = self._pacing.choose_pause(now - began)
+                        await anyio.sleep(pause_seconds)
+                        read_at = anyio.current_time()
         finally:
             await response.aclose()
         raise errors.AnswerBroken(
@@ -179,9 +199,20 @@
         with _calls.translate_errors('cancel', server.name):
             await client.delete(url, timeout=CANCEL_TIMEOUT_SECONDS)
 
-    async def give_order(self, address: str, order: _orders.Order) -> None:
+    async def give_order(
+        self,
+        address: str,
+        order: _orders.Order,
+        check: collections.abc.Callable[[], None] | None = None,
+    ) -> None:
         """Send an order.
 
+        Parameters
+        ----------
+        check : callable
+            Called when there is a connection and nothing stands between it
+            and the first byte; what it raises keeps the order from leaving.
+
         Raises
         ------
         BackendRefused
@@ -189,11 +220,17 @@
         BackendError
             If it is not known whether the engine took it.
         """
+
+        async def trace(event: str, info: dict[str, typing.Any]) -> None:
+            if check is not None and event == SEND_EVENT:
+                check()
+
         with _calls.translate_errors('order', address):
             response = await self._peers.get(address).post(
                 '/orders',
                 content=msgspec.json.encode(order),
                 timeout=ORDER_TIMEOUT_SECONDS,
+                extensions={'trace': trace},
             )
         if response.status_code == 409:
             raise errors.BackendRefused(
@@ -227,12 +264,8 @@
 def _check_start(
     response: httpx.Response, server: _server.BackendServer, step: str
 ) -> None:
+    _calls.note_headers(response, server)
     _calls.check_refusal(response, step, server.name)
-    if response.headers.get('x-leaving'):
-        server.note_leaving()
-    load = _calls.read_load(response.headers)
-    if load is not None:
-        server.load = load
     if response.status_code == httpx.codes.NOT_FOUND:
         raise errors.ServerCrashed(
             'the engine does not know the generation',
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -23,9 +23,11 @@
     'RequestInvalid',
     'RevisionConflict',
     'ServerCrashed',
+    'ServersBusy',
     'SettingsError',
     'StepElsewhere',
     'StepEnded',
+    'StepIncomplete',
     'StaleWeights',
     'SwiftjunctionError',
     'WriteUncertain',
@@ -158,6 +160,13 @@
     outcome = 'complete'
 
 
+class StepIncomplete(RequestError):
+    """The step ended, by its deadline or a cancel, before it was whole."""
+
+    status = 410
+    outcome = 'incomplete'
+
+
 class StepElsewhere(RequestError):
     """Another process owns the step; ``peer`` is its address."""
 
@@ -172,6 +181,10 @@
     outcome = 'not-run'
 
 
+class ServersBusy(NotRun):
+    """Every backend server that could run the request is at its limit."""
+
+
 class PoisonRefused(RequestError):
     """The request crashed several backend servers and is not run again."""
 
--- a/tests/cover/test_spread.py
+++ b/tests/cover/test_spread.py
@@ -16,7 +16,7 @@
         self.network = network
         self.table = membership.RecordTable(clock)
         self.exchange = membership.Exchange(
-            self, self.table, random.Random(f'{seed} {address}')
+            self, self.table, random.Random(f'{seed} {address}'), clock
         )
         network.nodes[address] = self
 
@@ -194,3 +194,13 @@
     line.post = lambda *args: posted.append(args)
     node.exchange.flush()
     assert len(posted) == 3
+
+
+def test_a_new_neighbour_gets_what_its_dead_relay_did_not_pass_on(line):
+    line.paused = {'b'}
+    change(line.nodes['a'], 5)
+    line.flush()
+    # The tree without b joins a and c.
+    line.nodes['a'].exchange.set_peers({'c'})
+    line.run()
+    assert line.nodes['c'].version() == 5
