--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 READY := .venv/.ready
 
-.PHONY: demo test check format sizes slopes clean
+.PHONY: demo test check format sizes slopes clean experiments soak
 
 $(READY): pyproject.toml constraints.txt
 	$(PYTHON) -m venv .venv
@@ -37,5 +37,14 @@
 			--output $(SLOPES) || exit 1; done
 	PYTHONPATH=. $(BIN)/python bench/slopes.py --report --output $(SLOPES)
 
+SEED ?= 1
+SECONDS ?= 60
+
+experiments: $(READY)
+	$(BIN)/python -m bench suite --seed $(SEED) --page docs/RESULTS.md
+
+soak: $(READY)
+	$(BIN)/python -m bench soak --seed $(SEED) --seconds $(SECONDS)
+
 clean:
 	rm -rf .venv build src/*.egg-info
--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Tools that measure; they are not shipped with the daemons."""
+"""Tools that measure and prove; they are not shipped with the daemons."""
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -108,7 +108,7 @@
             found = await self._store.read(self._key)
         except errors.ObjectMissing:
             return await self._write(0, 0)
-        claim = msgspec.json.decode(found.value, type=_Claim)
+        claim = platform.decode_value(found, _Claim)
         if claim.holder and not self._has_lapsed(found.version, claim):
             raise errors.LeaseLost(
                 f'lease {self.name} is held by {claim.holder}', step='take'
@@ -201,7 +201,7 @@
             # The creation that was lost may still land; creating again
             # settles it.
             return
-        claim = msgspec.json.decode(found.value, type=_Claim)
+        claim = platform.decode_value(found, _Claim)
         write = self._unresolved.get(claim.nonce)
         if write is not None:
             self._adopt(found.version, claim.token, write.started, True)
--- a/src/swiftjunction/membership/_records.py
+++ b/src/swiftjunction/membership/_records.py
@@ -2,12 +2,16 @@
 
 import array
 import collections.abc
+import logging
 import time
 
+import msgspec
 import xxhash
 
 from swiftjunction import links
 
+LOG = logging.getLogger(__name__)
+
 Listener = collections.abc.Callable[[links.Record], None]
 Mark = tuple[int, int]
 
@@ -67,7 +71,7 @@
         """Call `listener` for each record under `prefix`, old ones first."""
         self._listeners.append((prefix, listener))
         for record in list(self.select(prefix)):
-            listener(record)
+            _tell(listener, record)
 
     def get(self, key: str) -> links.Record | None:
         """Return the record of `key`, if there is one."""
@@ -111,6 +115,9 @@
 
     def find_differing(self, hashes: bytes) -> list[int]:
         """Return the buckets that are quiet and unlike on both sides."""
+        if len(hashes) != BUCKETS * array.array('I').itemsize:
+            # Another release counts its buckets otherwise.
+            return []
         theirs = array.array('I')
         theirs.frombytes(hashes)
         ours = array.array('I')
@@ -128,6 +135,7 @@
         return {
             key: self._marks[key]
             for bucket in buckets
+            if 0 <= bucket < BUCKETS
             for key in self._keys[bucket]
         }
 
@@ -168,7 +176,7 @@
         self._mark_change(record)
         for prefix, listener in self._listeners:
             if record.key.startswith(prefix):
-                listener(record)
+                _tell(listener, record)
         return True
 
     def _mark_change(self, record: links.Record) -> None:
@@ -179,3 +187,13 @@
         self._keys[bucket].add(record.key)
         self._hashes[bucket] ^= old[1] ^ mark[1]
         self._changed_at[bucket] = self._clock()
+
+
+def _tell(listener: Listener, record: links.Record) -> None:
+    # A record that cannot be understood, from a later release or a broken
+    # peer, costs its own fact and never the daemon. It is kept and passed
+    # on, as others may understand it.
+    try:
+        listener(record)
+    except (msgspec.MsgspecError, ValueError) as error:
+        LOG.error('record %s not understood: %s', record.key, error)
--- a/src/swiftjunction/steps/_app.py
+++ b/src/swiftjunction/steps/_app.py
@@ -179,6 +179,7 @@
 ) -> starlette.applications.Starlette:
     """Assemble the application of a rollout process."""
     return starlette.applications.Starlette(
+        exception_handlers=web.EXCEPTION_HANDLERS,
         routes=[
             starlette.routing.Route('/v1/rollouts', steps.list_addresses),
             starlette.routing.Route(
@@ -190,7 +191,7 @@
             ),
             starlette.routing.Route('/v1/steps/{step_id}/samples', steps.draw),
             *routes,
-        ]
+        ],
     )
 
 
--- a/src/swiftjunction/steps/_delivery.py
+++ b/src/swiftjunction/steps/_delivery.py
@@ -264,7 +264,7 @@
             await anyio.sleep(PLACE_INTERVAL_SECONDS * max(calls_made, 1))
 
     async def _place(self) -> None:
-        for index in [i for i in self.step.samples if self._is_late(i)]:
+        for index in [i for i in list(self.step.samples) if self._is_late(i)]:
             self._want(index)
         samples = [
             sample
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -1,6 +1,7 @@
 """HTTP for every daemon: serving by hypercorn, calling by httpx."""
 
 from swiftjunction.web._answers import describe_error
+from swiftjunction.web._answers import EXCEPTION_HANDLERS
 from swiftjunction.web._answers import read_bearer
 from swiftjunction.web._answers import respond_error
 from swiftjunction.web._answers import respond_json
@@ -12,6 +13,7 @@
 from swiftjunction.web._streams import format_event
 
 __all__ = [
+    'EXCEPTION_HANDLERS',
     'Listener',
     'Peer',
     'PeerClients',
--- a/src/swiftjunction/web/_calling.py
+++ b/src/swiftjunction/web/_calling.py
@@ -79,7 +79,12 @@
         request = httpx.Request(
             method,
             self._url.copy_with(raw_path=target.encode()),
-            headers=own + list(headers),
+            # As bytes: a header may hold any character of Latin-1, and text
+            # would have to be ASCII.
+            headers=[
+                (name.encode('latin-1'), value.encode('latin-1'))
+                for name, value in [*own, *headers]
+            ],
             stream=httpx.ByteStream(content),
             extensions={
                 'timeout': {
--- a/tests/cover/test_spread.py
+++ b/tests/cover/test_spread.py
@@ -204,3 +204,20 @@
     line.nodes['a'].exchange.set_peers({'c'})
     line.run()
     assert line.nodes['c'].version() == 5
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        links.Compare('a', b'abc'),
+        links.Compare('a', b'x' * 4096),
+        links.Digest('a', [-1, 7000], {}),
+        links.Digest('a', [3], {'no such key': (9, 9)}),
+        links.Ack('a', 'no address'),
+    ],
+)
+def test_a_message_of_another_release_is_harmless(line, message):
+    change(line.nodes['b'], 5)
+    line.nodes['b'].exchange.handle(message)
+    line.run()
+    assert line.nodes['b'].version() == 5
