--- a/src/swiftjunction/membership/_probing.py
+++ b/src/swiftjunction/membership/_probing.py
@@ -13,12 +13,12 @@
 LOG = logging.getLogger(__name__)
 
 PROBE_INTERVAL_SECONDS = 0.75
-PROBE_TIMEOUT_SECONDS = 0.4
-SUSPICION_STEP_SECONDS = 0.25
-SUSPICION_STEPS = 10
+PROBE_TIMEOUT_SECONDS = 0.7
+SUSPICION_STEP_SECONDS = 0.5
+SUSPICION_STEPS = 5
 # A step that took longer says that this process was slow, and nothing of
 # the one that it probes.
-SLOW_STEP_SECONDS = 0.5
+SLOW_STEP_SECONDS = 0.7
 INDIRECT_PROBES = 2
 
 Targets = collections.abc.Callable[[], list[_processes.Process]]
