--- a/src/swiftjunction/membership/_exchange.py
+++ b/src/swiftjunction/membership/_exchange.py
@@ -3,6 +3,7 @@
 import collections.abc
 import logging
 import random
+import time
 
 import anyio
 
@@ -15,6 +16,7 @@
 FIRST_CATCH_UP_SECONDS = 0.5
 MAX_CATCH_UP_SECONDS = 8.0
 FLUSH_INTERVAL_SECONDS = 0.05
+RECENT_SECONDS = 2 * _records.QUIET_SECONDS
 # As many as fit into one message of a few hundred kilobytes.
 RECORDS_PER_DELTA = 500
 # Of a few tens of kilobytes; the next comparison goes on with the rest.
@@ -39,15 +41,19 @@
         The records to keep in step.
     rng : random.Random
         Chooses whom to compare with.
+    clock : callable
+        Returns seconds of a monotonic clock.
     """
 
     __slots__ = (
         '_carrier',
         '_caught_up',
         '_changed',
+        '_clock',
         '_contacts',
         '_note_ack',
         '_peers',
+        '_recent',
         '_rng',
         '_source',
         '_table',
@@ -59,7 +65,11 @@
         carrier: links.Carrier,
         table: _records.RecordTable,
         rng: random.Random,
+        clock: collections.abc.Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
+        # What comparisons pass over, as it changed a moment ago.
+        self._recent: dict[str, tuple[links.Record, float]] = {}
         self._carrier = carrier
         self._table = table
         self._rng = rng
@@ -84,8 +94,10 @@
     def set_peers(self, addresses: set[str]) -> None:
         """Pass changes on to exactly the peers at `addresses`."""
         wanted = addresses - {self._carrier.address}
-        # A new neighbour may lack what was passed on before it was one.
+        # A new neighbour may lack what was passed on before it was one: its
+        # relay died, and that is why it is a neighbour now.
         for address in wanted - self._peers:
+            self._send_records(self._list_recent(), address)
             self._post_compare(address)
         self._peers = wanted
 
@@ -93,6 +105,19 @@
         """Compare records with those at `addresses` from time to time."""
         self._contacts = sorted(addresses - {self._carrier.address})
 
+    def _list_recent(self) -> list[links.Record]:
+        self._forget_old()
+        return [record for record, _ in self._recent.values()]
+
+    def _forget_old(self) -> None:
+        limit = self._clock() - RECENT_SECONDS
+        # The oldest come first.
+        while self._recent:
+            key, (_, changed_at) = next(iter(self._recent.items()))
+            if changed_at >= limit:
+                break
+            del self._recent[key]
+
     def peers(self) -> list[str]:
         """Return the addresses that changes are passed on to."""
         return sorted(self._peers)
@@ -125,6 +150,7 @@
         """Pass on what changed since the last time."""
         unsent = list(self._unsent.values())
         self._unsent.clear()
+        self._forget_old()
         for peer in self._peers:
             self._send_records(
                 [record for record, source in unsent if source != peer], peer
@@ -147,6 +173,8 @@
 
     def _note_change(self, record: links.Record) -> None:
         self._unsent[record.key] = (record, self._source)
+        self._recent.pop(record.key, None)
+        self._recent[record.key] = (record, self._clock())
         self._changed.set()
 
     def _apply(self, delta: links.Delta) -> None:
