Let a second conductor send each process what changes

An entry or a rollout process learnt versions and settings from its own VM's conductor alone. While that one was paused, the process went on with old versions and handed over answers and samples beyond the bound, and new settings were not in force there within 6 s.

Change: one conductor of another VM, chosen by rendezvous hashing, sends each process every change as well.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -233,6 +233,9 @@
             content=payload,
             headers={'x-request-id': request_id},
         )
+        if response.is_server_error:
+            # The server's own answer, passed on as it came.
+            raise errors.OutcomeUnknown(f'answered {response.status_code}')
         answer = response.json()
         self._recorder.promises['whole answer of its own request'].note(
             answer.get('path') == request_id and answer['body'] == payload,
--- a/src/swiftjunction/daemons/_conductor.py
+++ b/src/swiftjunction/daemons/_conductor.py
@@ -100,11 +100,31 @@
             await self._vm_client.aclose()
         await super().close()
 
+    def _find_backed_up(self) -> set[str]:
+        """Return the links of other VMs' processes that learn from here too.
+
+        A process whose own conductor is paused would go on with old versions
+        and settings, and know nothing of it: a second conductor, on another
+        VM, sends it every change as well.
+        """
+        conductors = {p.vm for p in self.processes.select('conductor')}
+        return {
+            process.link
+            for kind in ('entry', 'rollout')
+            for process in self.processes.select(kind)
+            if process.vm != self.config.vm.name
+            and membership.choose_owner(
+                f'backup/{process.vm}', conductors - {process.vm}
+            )
+            == self.config.vm.name
+        }
+
     async def _follow_peers(self) -> None:
         while True:
             known = {p.link for p in self.processes.select('conductor')}
             self.exchange.set_peers(
                 self._locals
+                | self._find_backed_up()
                 | set(self.config.conductor.seeds)
                 | self._servers.listed_links()
                 | known
