--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -169,6 +169,7 @@
     signal.signal(signal.SIGTERM, _interrupt)
     application = cleo.application.Application('swiftjunction-bench')
     application.auto_exits(False)
+    application.catch_exceptions(False)
     for command in (
         RunCommand(),
         CompareCommand(),
