--- a/src/swiftjunction/membership/_member.py
+++ b/src/swiftjunction/membership/_member.py
@@ -1,5 +1,6 @@
 """One conductor's part in the membership."""
 
+import bisect
 import collections.abc
 import random
 import typing
@@ -150,9 +151,28 @@
         seeds = self._list_seeds()
         if known <= {own.link}:
             relays |= seeds
-        self._exchange.set_peers(self._local_links | relays)
+        self._exchange.set_peers(
+            self._local_links | relays | self._find_backed_up()
+        )
         self._exchange.set_contacts(known | seeds)
 
+    def _find_backed_up(self) -> set[str]:
+        """Return the links of another VM's processes that learn here too.
+
+        A process whose own conductor is paused would go on with old versions
+        and settings, and know nothing of it. So the next conductor, in order
+        of the VMs' names, sends it every change as well.
+        """
+        own = self._announcement.process
+        vms = sorted({p.vm for p in self._list_live()} | {own.vm})
+        return {
+            process.link
+            for kind in LOCAL_KINDS
+            for process in self._processes.select(kind)
+            if process.vm != own.vm
+            and vms[bisect.bisect_right(vms, process.vm) % len(vms)] == own.vm
+        }
+
     def _list_targets(self) -> list[_processes.Process]:
         own = self._announcement.process
         beside = [
