--- a/src/swiftjunction/settings/_model.py
+++ b/src/swiftjunction/settings/_model.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from swiftjunction import web
+
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Name = typing.Annotated[
     str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]*$', max_length=63)
@@ -53,10 +55,13 @@
     port: Port = 8070
     link_port: Port = 8071
     seeds: list[Address] = []
+    administrator_sha256: typing.Annotated[
+        str, msgspec.Meta(pattern='^([0-9a-f]{64})?$')
+    ] = ''
 
 
 class SpoolSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """``swiftjunction-spool``, on VMs with a disk."""
+    """``swiftjunction-spool``; with an empty folder it keeps in memory."""
 
     folder: str
     port: Port = 8061
@@ -71,6 +76,10 @@
     level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
 
 
+class TlsSettings(web.TlsFiles, frozen=True, forbid_unknown_fields=True):
+    """TLS of this VM's HTTP listeners, and of calls between daemons."""
+
+
 class Settings(msgspec.Struct, forbid_unknown_fields=True):
     """One VM's settings file."""
 
@@ -82,6 +91,7 @@
         default_factory=ConductorSettings
     )
     spool: SpoolSettings | None = None
+    tls: TlsSettings | None = None
     logs: LogSettings = msgspec.field(default_factory=LogSettings)
 
     def link_address(self, port: int) -> str:
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -2,6 +2,7 @@
 
 from swiftjunction.web._answers import describe_error
 from swiftjunction.web._answers import EXCEPTION_HANDLERS
+from swiftjunction.web._answers import read_bearer
 from swiftjunction.web._answers import respond_error
 from swiftjunction.web._answers import respond_json
 from swiftjunction.web._calling import connect_client
@@ -10,16 +11,23 @@
 from swiftjunction.web._serving import Listener
 from swiftjunction.web._serving import open_listener
 from swiftjunction.web._streams import format_event
+from swiftjunction.web._tls import TlsContexts
+from swiftjunction.web._tls import TlsFiles
+from swiftjunction.web._tls import trust_authority
 
 __all__ = [
     'EXCEPTION_HANDLERS',
     'Listener',
     'Peer',
     'PeerClients',
+    'TlsContexts',
+    'TlsFiles',
     'connect_client',
     'describe_error',
     'format_event',
     'open_listener',
+    'read_bearer',
     'respond_error',
     'respond_json',
+    'trust_authority',
 ]
--- a/src/swiftjunction/web/_answers.py
+++ b/src/swiftjunction/web/_answers.py
@@ -84,3 +84,9 @@
     starlette.exceptions.HTTPException: answer_http_exception,
     Exception: answer_failure,
 }
+
+
+def read_bearer(request: starlette.requests.Request) -> str:
+    """Return the key that came with a request, or nothing."""
+    scheme, _, key = request.headers.get('authorization', '').partition(' ')
+    return key.strip() if scheme.lower() == 'bearer' else ''
