--- a/bench/routing_engines.py
+++ b/bench/routing_engines.py
@@ -165,7 +165,7 @@
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         """Run the request; its answer is one chunk."""
         engine = self._engines[server.name]
-        if call.request_id.endswith('.1'):
+        if call.request_id.endswith('-1'):
             self.first_attempts += 1
         else:
             self.retries += 1
--- /dev/null
+++ b/tests/cover/test_routing_targets.py
@@ -0,0 +1,41 @@
+"""The targets of routing, in virtual time with a fixed seed."""
+
+import pytest
+
+from bench import routing_load
+from swiftjunction import requests
+
+
+def run(policy, load, fault, limits=True):
+    cell = routing_load.Cell(policy, load, fault, limits)
+    return routing_load.run_cell(cell)
+
+
+def test_one_slow_server_costs_less_than_half_of_what_it_costs_in_turn():
+    chosen = run('two-choices', 0.8, 'slow')
+    in_turn = run('round-robin', 0.8, 'slow', limits=False)
+    assert chosen.p99 <= in_turn.p99 / 2
+    assert not chosen.errors
+
+
+def test_a_crash_loses_no_request_and_retries_stay_within_their_budget():
+    outcome = run('two-choices', 0.8, 'crash')
+    assert not outcome.errors
+    assert outcome.retries_share <= 0.1
+
+
+def test_overload_keeps_95_percent_of_the_goodput():
+    full = run('two-choices', 1.0, 'none')
+    over = run('two-choices', 1.2, 'none')
+    assert over.goodput_per_second >= 0.95 * full.goodput_per_second
+    assert set(over.errors) == {'NotRun'}
+
+
+@pytest.mark.parametrize('count', [100, 1000, 10_000])
+def test_retries_add_a_tenth_and_a_bounded_burst(count):
+    budget = requests.RetryBudget()
+    taken = 0
+    for _ in range(count):
+        budget.note_request()
+        taken += budget.take_retry()
+    assert taken <= 0.1 * count + 20
