--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -14,6 +14,7 @@
 
 from swiftjunction import backends
 from swiftjunction import configuration
+from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
 from swiftjunction import platform
@@ -56,10 +57,13 @@
         self.kind = kind
         self.rng = random.Random(f'{seed} {config.vm.name} {kind}')
         self.listener = web.open_listener(config.vm.ip, port)
-        self.inbox = links.Inbox(config.link_address(link_port))
+        self.links = links.PeerLinks(config.link_address(link_port))
         self.table = membership.RecordTable()
         self.processes = membership.ProcessList(self.table)
         self.tree = configuration.Tree(self.table)
+        self.keys = configuration.KeyRing(
+            self.table, config.conductor.administrator_sha256
+        )
         self.directory = backends.Directory(self.table)
         self.board = weights.Board(self.table)
         self.metrics = telemetry.Metrics()
@@ -72,20 +76,20 @@
                 config.vm.name,
                 kind,
                 self.listener.address,
-                self.inbox.address,
+                self.links.address,
                 config.vm.data_center,
                 config.vm.region,
             ),
         )
-        self.exchange = membership.Exchange(
-            self.name, self.inbox, self.table, self.rng
-        )
+        self.exchange = membership.Exchange(self.links, self.table, self.rng)
         self.dump = telemetry.StateDump()
         self.dump.add('process', lambda: self.announcement.process)
         self.dump.add('configuration', self.tree.versions)
         self.dump.add('servers', self.directory.summarize)
         self.dump.add('latencies', self.metrics.summarize)
-        self.dump.add('links', self.exchange.peers)
+        self.dump.add('relays', self.exchange.peers)
+        self.dump.add('links', self.links.peers)
+        self.dump.add('traffic', lambda: self.links.traffic)
         self._stopping = anyio.Event()
 
     @property
@@ -93,6 +97,11 @@
         """Return the process's name among all processes."""
         return f'{self.config.vm.name}/{self.kind}'
 
+    def join(self, addresses: set[str]) -> None:
+        """Exchange records with the processes at `addresses`."""
+        self.exchange.set_peers(addresses)
+        self.exchange.set_contacts(addresses)
+
     def stop(self) -> None:
         """Begin a graceful shutdown."""
         self._stopping.set()
@@ -102,6 +111,7 @@
         LOG.info('%s serves on %s', self.name, self.listener.address)
         try:
             async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.links.run, self.exchange.handle)
                 tasks.start_soon(self.exchange.run)
                 for task in self.list_tasks():
                     tasks.start_soon(task)
@@ -121,7 +131,7 @@
         with anyio.CancelScope(shield=True):
             await self.peers.close()
             await self.platform_client.aclose()
-        self.inbox.close()
+        self.links.close()
 
     async def drain(self) -> None:
         """Serve on until no caller may hold this process's address."""
@@ -143,6 +153,7 @@
             route('/health', self._show_health),
             route('/metrics', self._show_metrics),
             route('/dump', self._show_dump),
+            route('/in-force', self._show_in_force),
         ]
 
     async def _show_health(
@@ -157,9 +168,20 @@
             self.metrics.render(), media_type='text/plain; version=0.0.4'
         )
 
+    async def _show_in_force(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response:
+        return web.respond_json(self.tree.in_force())
+
     async def _show_dump(
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
+        try:
+            self.keys.identify_operator(web.read_bearer(request))
+        except errors.KeyRefused as error:
+            return web.respond_json(
+                {'outcome': 'refused', 'message': error.message}, status=403
+            )
         return starlette.responses.Response(
             self.dump.render(), media_type='application/json'
         )
--- a/src/swiftjunction/steps/_registry.py
+++ b/src/swiftjunction/steps/_registry.py
@@ -166,6 +166,10 @@
             await running.run()
         except* errors.SwiftjunctionError as group:
             LOG.warning('step %s given up: %s', step_id, group.exceptions[0])
+        except* Exception:
+            # A fault of ours in one step must not end the other trainers'
+            # steps; this one is taken over when its trainer asks again.
+            LOG.exception('step %s failed and is given up', step_id)
         finally:
             self._forget(running)
 
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -2,6 +2,7 @@
 
 from swiftjunction.web._answers import describe_error
 from swiftjunction.web._answers import EXCEPTION_HANDLERS
+from swiftjunction.web._answers import read_bearer
 from swiftjunction.web._answers import respond_error
 from swiftjunction.web._answers import respond_json
 from swiftjunction.web._calling import connect_client
@@ -20,6 +21,7 @@
     'describe_error',
     'format_event',
     'open_listener',
+    'read_bearer',
     'respond_error',
     'respond_json',
 ]
