Try another process where an owner breaks off its answer

Cause: a rollout process that ends while it answers a draw sends 500 with an empty body, which the trainer's client took for an invalid request. A trial that cancels the owner's process in the middle of a step ended so.

Change: the client takes any server error but 503 for a process that is ending, and asks the next one; each call of a trainer may be repeated.

--- a/src/swiftjunction/client/_trainer.py
+++ b/src/swiftjunction/client/_trainer.py
@@ -162,7 +162,7 @@
         tries = 0
         while True:
             response = await self._try(method, url, options)
-            if response is None:
+            if response is None or _is_dying(response):
                 tries += 1
                 self._owner = self._addresses[tries % len(self._addresses)]
                 await anyio.sleep(RETRY_SECONDS)
@@ -196,3 +196,14 @@
             )
         except httpx.HTTPError:
             return None
+
+
+def _is_dying(response: httpx.Response) -> bool:
+    """Tell whether a process broke off its answer, as it does on its end.
+
+    Each call of a trainer may be repeated, so it goes to another process.
+    """
+    return (
+        response.is_server_error
+        and response.status_code != httpx.codes.SERVICE_UNAVAILABLE
+    )
