Fetch an earlier owner's payloads outside of the draw

Cause: a trial that ends an owner's whole VM did not go on in 30 s. The draw that took the step over also fetched the payloads; the spool that had gone with the VM never answered, as the socket's own timeout did not end the wait; the trainer gave up after 3.5 s, and each next draw began again.

Change: a step that was taken over runs at once and fetches the payloads by itself, while draws wait; a spool's client bounds every call by itself.

--- a/src/swiftjunction/spool/_client.py
+++ b/src/swiftjunction/spool/_client.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+import anyio
+
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction.spool import _messages
@@ -50,9 +52,17 @@
         request: _messages.Request,
         timeout_seconds: float = TIMEOUT_SECONDS,
     ) -> _messages.Reply:
-        data = await self._requester.ask(
-            _messages.encoder.encode(request), timeout_seconds
-        )
+        data = None
+        # The socket's own timeout does not end a wait for a spool that went
+        # away after it had taken the request.
+        with anyio.move_on_after(timeout_seconds):
+            data = await self._requester.ask(
+                _messages.encoder.encode(request), timeout_seconds
+            )
+        if data is None:
+            raise errors.LinkError(
+                'no reply in time', step='spool', peer=self.address
+            )
         try:
             reply = _messages.reply_decoder.decode(data)
         except (msgspec.MsgspecError, ValueError) as error:
--- a/src/swiftjunction/steps/_delivery.py
+++ b/src/swiftjunction/steps/_delivery.py
@@ -61,6 +61,8 @@
         Keeps them until they are acknowledged.
     clock : callable
         Returns Unix time in seconds.
+    restoring : bool
+        Whether an earlier owner may have kept payloads.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         '_payloads',
         '_placing_since',
         '_producer',
+        '_restoring',
         '_schedule',
         '_tasks_by_index',
         '_unplaced',
@@ -88,8 +91,11 @@
         producer: _production.Producer,
         payloads: _payloads.Payloads,
         clock: collections.abc.Callable[[], float] = time.time,
+        *,
+        restoring: bool = False,
     ) -> None:
         self._clock = clock
+        self._restoring = restoring
         self.step = step
         self._ledger = ledger
         self._producer = producer
@@ -116,10 +122,7 @@
             Of ``LeaseLost``, if another process owns the step by now.
         """
         async with anyio.create_task_group() as tasks:
-            for index in self.step.list_missing():
-                self._want(index)
-            tasks.start_soon(self._make_wanted)
-            tasks.start_soon(self._place_finished)
+            tasks.start_soon(self._begin, tasks)
             tasks.start_soon(self._watch_deadline)
             await self._finished.wait()
             tasks.cancel_scope.cancel()
@@ -127,6 +130,24 @@
         if not self._lost:
             await self._end()
 
+    async def _begin(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Fetch what an earlier owner kept, and make the rest.
+
+        This is not left to the draw that caused the take-over: it may take
+        longer than the trainer waits for an answer, and would begin again
+        with each draw.
+        """
+        if self._restoring:
+            kept = await self._payloads.fetch(self.step.spec.step_id)
+            self.step.restore(kept)
+            self._restoring = False
+            self._notify()
+            self._unplaced.set()
+        for index in self.step.list_missing():
+            self._want(index)
+        tasks.start_soon(self._make_wanted)
+        tasks.start_soon(self._place_finished)
+
     def cancel(self) -> None:
         """End the step without the rest of its samples."""
         self.step.cancelled = True
@@ -222,7 +243,7 @@
         return None
 
     def _want(self, index: int) -> None:
-        if index in self._making or self.step.expired:
+        if self._restoring or index in self._making or self.step.expired:
             return
         self._making.add(index)
         self._schedule.push(
--- a/src/swiftjunction/steps/_registry.py
+++ b/src/swiftjunction/steps/_registry.py
@@ -133,27 +133,31 @@
                 return running
             ledger = _ledger.Ledger(self._store, step_id, self._owner)
             step = await ledger.take_over()
-            acknowledged = set(step.order[: step.acknowledged])
-            kept = await self._payloads.fetch(step_id)
-            for index, sample in kept.items():
-                if index not in acknowledged:
-                    step.samples[index] = sample
             LOG.info(
                 'took over step %s with %s of %s samples placed',
                 step_id,
                 len(step.order),
                 step.total,
             )
-            return self._start(step, ledger)
+            return self._start(step, ledger, restoring=True)
 
     def _lock(self, step_id: str) -> anyio.Lock:
         return self._locks.setdefault(step_id, anyio.Lock())
 
     def _start(
-        self, step: _step.Step, ledger: _ledger.Ledger
+        self,
+        step: _step.Step,
+        ledger: _ledger.Ledger,
+        *,
+        restoring: bool = False,
     ) -> _delivery.RunningStep:
         running = _delivery.RunningStep(
-            step, ledger, self._producer, self._payloads, self._clock
+            step,
+            ledger,
+            self._producer,
+            self._payloads,
+            self._clock,
+            restoring=restoring,
         )
         self._running[step.spec.step_id] = running
         assert self._tasks is not None, 'the registry runs before it serves'
--- a/src/swiftjunction/steps/_step.py
+++ b/src/swiftjunction/steps/_step.py
@@ -179,6 +179,13 @@
             self.samples.pop(index, None)
         self.acknowledged = max(self.acknowledged, cursor)
 
+    def restore(self, kept: dict[int, Sample]) -> None:
+        """Take what an earlier owner kept and was not acknowledged."""
+        acknowledged = set(self.order[: self.acknowledged])
+        for index, sample in kept.items():
+            if index not in acknowledged:
+                self.samples[index] = sample
+
     def list_missing(self) -> list[int]:
         """Return the samples to be made, those with a number first.
 
--- a/tests/cover/test_steps_delivery.py
+++ b/tests/cover/test_steps_delivery.py
@@ -160,3 +160,15 @@
     seconds = anyio.current_time() - started
     # One more, as the first is made at once.
     assert sum(world.store.calls.values()) - before <= seconds + 1
+
+
+@in_world
+async def test_spools_that_answer_late_do_not_hold_up_a_take_over(world):
+    trainer = await submit(world)
+    await trainer.draw(world.processes['a'])
+    world.fetch_seconds = 20.0
+    await world.processes['a'].restart()
+    while not trainer.done:
+        await trainer.draw(world.processes['a'])
+    trainer.check_whole()
+    assert anyio.current_time() < 30
--- a/tests/stepworld.py
+++ b/tests/stepworld.py
@@ -105,7 +105,7 @@
 
     async def fetch(self, step_id):
         await self._gate.cross()
-        await anyio.sleep(0.002)
+        await anyio.sleep(self._world.fetch_seconds)
         return dict(self._world.kept[step_id])
 
     async def drop(self, step_id):
@@ -222,6 +222,7 @@
         self.fault_share = fault_share
         self.loss_share = loss_share
         self.version = 2
+        self.fetch_seconds = 0.002
         self.made = 0
         self.delivered = 0
         self.repeated = 0
