--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -7,6 +7,7 @@
 from swiftjunction.backends._engine import EngineCall
 from swiftjunction.backends._engine import EngineClient
 from swiftjunction.backends._engine import ORDER_TIMEOUT_SECONDS
+from swiftjunction.backends._limit import SAMPLE_TOLERANCE
 from swiftjunction.backends._ordering import OrderSender
 from swiftjunction.backends._orders import EngineStatus
 from swiftjunction.backends._orders import Order
@@ -27,6 +28,7 @@
     'ORDER_TIMEOUT_SECONDS',
     'Order',
     'OrderSender',
+    'SAMPLE_TOLERANCE',
     'SERVER_PREFIX',
     'STATUS_INTERVAL_SECONDS',
     'ServerReport',
--- a/src/swiftjunction/membership/_records.py
+++ b/src/swiftjunction/membership/_records.py
@@ -115,6 +115,9 @@
 
     def find_differing(self, hashes: bytes) -> list[int]:
         """Return the buckets that are quiet and unlike on both sides."""
+        if len(hashes) != BUCKETS * array.array('I').itemsize:
+            # Another release counts its buckets otherwise.
+            return []
         theirs = array.array('I')
         theirs.frombytes(hashes)
         ours = array.array('I')
@@ -132,6 +135,7 @@
         return {
             key: self._marks[key]
             for bucket in buckets
+            if 0 <= bucket < BUCKETS
             for key in self._keys[bucket]
         }
 
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import logging
+import math
 import uuid
 
 import anyio
@@ -62,6 +63,14 @@
             return 'samples'
         return self.settings.request_class or 'live'
 
+    @property
+    def max_load(self) -> float:
+        """Return the reported load from which on an engine is not used."""
+        ceiling = self.settings.sample_load_ceiling
+        if ceiling is None or self.request_class != 'samples':
+            return math.inf
+        return ceiling
+
     @property
     def fingerprint(self) -> str:
         """Return what is the same when the request is sent again."""
@@ -227,14 +236,12 @@
             timeout_seconds=self._remaining(call),
         )
         finished = False
-        started_at: float | None = anyio.current_time()
+        wait = server.start_wait()
         stream = self._read_through_breaks(server, engine_call, progress)
         try:
             async with contextlib.aclosing(stream) as chunks:
                 async for chunk in chunks:
-                    if started_at is not None:
-                        server.note_latency(anyio.current_time() - started_at)
-                        started_at = None
+                    wait.end()
                     server.note_version(chunk.weight_version)
                     self._board.check(
                         call.model, chunk.weight_version, call.bound
@@ -244,6 +251,7 @@
                     if fresh is not None:
                         yield fresh
         finally:
+            wait.end()
             if not finished:
                 await self._cancel(server, engine_call.request_id)
 
@@ -318,6 +326,7 @@
             excluded=frozenset(progress.excluded),
             alone=alone,
             request_class=call.request_class,
+            max_load=call.max_load,
             deadline=call.deadline,
         )
 
