--- a/bench/slopes_nodes.py
+++ b/bench/slopes_nodes.py
@@ -1,6 +1,7 @@
 """Control tasks of many daemons in one process, for ``bench/slopes.py``."""
 
 import collections
+import gc
 import random
 import resource
 import sys
@@ -295,6 +296,10 @@
     records = make_records(size)
     for node in nodes:
         node.load(records)
+    # A collection of what is loaded here takes as long as those of all these
+    # daemons together, and stops all of them; a daemon's own takes a few ms.
+    gc.collect()
+    gc.freeze()
     print('ready', flush=True)
     await anyio.to_thread.run_sync(sys.stdin.readline)
     scopes = {n.number: anyio.CancelScope() for n in nodes}
--- a/src/swiftjunction/configuration/_tree.py
+++ b/src/swiftjunction/configuration/_tree.py
@@ -107,13 +107,6 @@
         """Tell whether some path is served by the plain `service`."""
         return any(found.service == service for found in self.paths().values())
 
-    def in_force(self) -> dict[str, InForce]:
-        """Return what is in force for each team."""
-        return {
-            team: InForce(version, self._subtrees[team].revision)
-            for team, version in self._versions.items()
-        }
-
     def checks_fencing(self, model: str) -> bool:
         """Tell whether the engines of `model` refuse old fencing tokens.
 
@@ -127,6 +120,13 @@
         ]
         return bool(said) and all(said)
 
+    def in_force(self) -> dict[str, InForce]:
+        """Return what is in force for each team."""
+        return {
+            team: InForce(version, self._subtrees[team].revision)
+            for team, version in self._versions.items()
+        }
+
     def versions(self) -> dict[str, int]:
         """Return the object version in force for each team."""
         return dict(self._versions)
--- a/src/swiftjunction/daemons/_listing.py
+++ b/src/swiftjunction/daemons/_listing.py
@@ -20,6 +20,9 @@
 # How many reads the second reader waits before it writes what the first one
 # has not written.
 BACKUP_READS = 3
+# A list that suddenly lags more may lack VMs that were there already. A VM
+# that is gone does not answer its watch, so nothing waits for its removal.
+REMOVAL_READS = 5
 
 
 class VmListing:
@@ -81,7 +84,8 @@
         }
         self._differing = differing
         for name, reads in differing.items():
-            if reads > patience_reads:
+            gone = wanted[name].state == REMOVED
+            if reads > patience_reads + REMOVAL_READS * gone:
                 self._table.put(
                     f'{VM_PREFIX}{name}',
                     msgspec.msgpack.encode(wanted[name]),
