--- a/src/swiftjunction/daemons/_listing.py
+++ b/src/swiftjunction/daemons/_listing.py
@@ -83,9 +83,12 @@
             if vm != self._listed.get(name)
         }
         self._differing = differing
-        for name, reads in differing.items():
-            gone = wanted[name].state == REMOVED
-            if reads > patience_reads + REMOVAL_READS * gone:
+        for name, reads in list(differing.items()):
+            needed = patience_reads
+            if wanted[name].state == REMOVED:
+                needed += REMOVAL_READS
+            if reads > needed:
+                del self._differing[name]
                 self._table.put(
                     f'{VM_PREFIX}{name}',
                     msgspec.msgpack.encode(wanted[name]),
