--- a/bench/slopes_nodes.py
+++ b/bench/slopes_nodes.py
@@ -30,6 +30,7 @@
 # Each server's report changes about three times with each weight version.
 SERVER_CHANGE_SECONDS = 24 * 60 / 3
 HEARTBEAT_SECONDS = 1.0
+LOADED_SECONDS = 2.5
 
 
 def make_address(number: int) -> str:
@@ -186,6 +187,12 @@
             self.rng,
         )
 
+    def load(self, records: list[links.Record]) -> None:
+        super().load(records)
+        # Nothing of it is news to the others: drop it with no peer to send to.
+        self.exchange.set_peers(set())
+        self.exchange.flush()
+
     async def run(self) -> None:
         listing = _listing.VmListing(
             self.vms, self.table, lambda: self.member.rank('vm list', 2)
@@ -302,6 +309,8 @@
     gc.freeze()
     print('ready', flush=True)
     await anyio.to_thread.run_sync(sys.stdin.readline)
+    # What was loaded is no longer recent then.
+    await anyio.sleep(LOADED_SECONDS)
     scopes = {n.number: anyio.CancelScope() for n in nodes}
 
     async def run(node: Node) -> None:
--- a/src/swiftjunction/membership/_probing.py
+++ b/src/swiftjunction/membership/_probing.py
@@ -115,10 +115,11 @@
             began = anyio.current_time()
             self._ping(target)
             self._ping_through_others(target)
+            self._ping_itself()
             await anyio.sleep(SUSPICION_STEP_SECONDS)
             if self._heard_since(target, since):
                 return
-            if anyio.current_time() - began < SLOW_STEP_SECONDS:
+            if self._was_quick(began):
                 steps += 1
         LOG.warning('%s does not answer and is taken for dead', target.name)
         self._report_dead(target)
@@ -133,5 +134,19 @@
         for helper in self._rng.sample(helpers, count):
             self._carrier.post(request, helper.link)
 
+    def _ping_itself(self) -> None:
+        own = self._carrier.address
+        self._carrier.post(links.Ping(own), own)
+
+    def _was_quick(self, began: float) -> bool:
+        """Tell whether this process was up to date in a step.
+
+        Its timers may be on time while answers wait unread in its socket. A
+        ping to itself waits behind them.
+        """
+        own_heard_at = self._heard_at.get(self._carrier.address, -1.0)
+        passed = anyio.current_time() - began
+        return own_heard_at >= began and passed < SLOW_STEP_SECONDS
+
     def _heard_since(self, target: _processes.Process, since: float) -> bool:
         return self._heard_at.get(target.link, -1.0) >= since
--- a/tests/cover/test_membership_probing.py
+++ b/tests/cover/test_membership_probing.py
@@ -88,6 +88,17 @@
     assert not reported
 
 
+async def test_a_prober_that_does_not_hear_itself_accuses_nobody(fast):
+    # Its timers are on time, but what it receives waits unread.
+    prober, reported = make_prober(
+        Network('a', {'a', 'b'}), [make_process('b')]
+    )
+    with anyio.move_on_after(0.4):
+        await prober.run()
+    assert prober.suspicions
+    assert not reported
+
+
 async def test_a_process_that_is_no_target_any_more_is_left_alone(fast):
     targets = [make_process('b')]
     prober, reported = make_prober(Network('a', {'b'}), targets)
