Choose by path what a swap of weights does to a generation

A sample whose first tokens left the freshness bound was made to its end and thrown away then. Which bound was broken could not be told from the error. The age of a version was taken from the wall clock alone, so a clock that stepped back made old weights look fresh; and a process that knew of no version yet accepted any. A test of the rate budget counted on the order in which tasks began and failed once on a busy machine.

Policies finish, resume and regenerate, by the path setting swap; answers that nobody has seen a part of begin anew as soon as they are lost. A version's age is the larger of wall clock and a steady clock. The test of the budget now moves a clock of its own and asserts the same.

What resume costs a real engine was not measured, as the stand-ins read prompts almost for nothing.

--- a/src/swiftjunction/configuration/_settings.py
+++ b/src/swiftjunction/configuration/_settings.py
@@ -44,8 +44,15 @@
         Requests of the whole team at once on each entry [none].
     policy : str
         The routing policy [two-choices].
+    swap : str
+        What becomes of a generation under which the weights change:
+        ``finish`` goes on, ``resume`` has the new weights read what there is
+        first, ``regenerate`` begins anew [finish].
     checks_fencing : bool
         Whether the path's backend servers refuse old fencing tokens [false].
+    least_servers, most_servers : int
+        Between how many engines of the path's model placement keeps; a model
+        for which no path sets one of them keeps its engines [none].
     share : float
         Weight of this path's trainers where several share engines [1].
     """
@@ -64,7 +71,10 @@
         ]
         | None
     ) = None
+    swap: typing.Literal['finish', 'resume', 'regenerate'] | None = None
     checks_fencing: bool | None = None
+    least_servers: Count | None = None
+    most_servers: Count | None = None
     share: typing.Annotated[float, msgspec.Meta(gt=0, le=1000)] | None = None
 
 
@@ -74,6 +84,7 @@
     request_class='live',
     max_in_flight=256,
     policy='two-choices',
+    swap='finish',
     checks_fencing=False,
     share=1.0,
 )
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -28,6 +28,7 @@
     'StepEnded',
     'StaleWeights',
     'SwiftjunctionError',
+    'WeightsSwapped',
     'WriteUncertain',
 ]
 
@@ -195,3 +196,7 @@
 
     status = 504
     outcome = 'stale'
+
+
+class WeightsSwapped(StaleWeights):
+    """The weights changed under an answer, which is to be begun anew."""
--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -145,6 +145,7 @@
             seed=body.seed,
             priority=_admission.find_priority(settings),
             idempotent=request.headers.get('x-idempotent') != 'false',
+            is_whole=not body.stream,
         )
 
     async def _run(
@@ -189,7 +190,12 @@
         old by the time the last one is there.
         """
         while True:
-            collected = [chunk async for chunk in self._run(call)]
+            try:
+                collected = [chunk async for chunk in self._run(call)]
+            except errors.WeightsSwapped:
+                if anyio.current_time() > call.deadline:
+                    raise
+                continue
             try:
                 self._generator.check_fresh(call, collected)
                 return collected
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -37,6 +37,8 @@
         On the event loop's clock, in seconds.
     idempotent : bool
         Whether a second attempt may be made after the first one started.
+    is_whole : bool
+        Whether nobody sees a part of the answer before its end.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     seed: int = 0
     priority: int = 0
     idempotent: bool = True
+    is_whole: bool = False
 
     @property
     def model(self) -> str:
@@ -79,13 +82,20 @@
 class _Progress:
     """What the caller has been given so far."""
 
-    __slots__ = ('excluded', 'text', 'tokens', 'tries')
+    __slots__ = ('excluded', 'swaps', 'text', 'tokens', 'tries', 'versions')
 
     def __init__(self) -> None:
         self.text = ''
         self.tokens = 0
         self.tries = 0
+        self.swaps = 0
         self.excluded: set[str] = set()
+        # The oldest and the newest version of the tokens so far.
+        self.versions: tuple[int, int] | None = None
+
+    def name_attempt(self, request_id: str) -> str:
+        """Return what the next attempt is called on its engine."""
+        return f'{request_id}.{self.tries}{"r" * self.swaps}'
 
     def add(self, chunk: backends.Chunk) -> backends.Chunk | None:
         """Take in a chunk; None if the caller has it already."""
@@ -98,9 +108,19 @@
             )
         self.text += chunk.text
         self.tokens += chunk.tokens
+        if chunk.tokens:
+            oldest, newest = self.versions or (chunk.weight_version,) * 2
+            self.versions = (
+                min(oldest, chunk.weight_version),
+                max(newest, chunk.weight_version),
+            )
         return chunk
 
 
+class _Aborted(Exception):
+    """The attempt ended so that new weights read what there is so far."""
+
+
 class Generator:
     """Makes whole answers out of attempts that may fail.
 
@@ -179,6 +199,11 @@
                 if isinstance(error, errors.ServerCrashed):
                     self._suspects.note_crash(fingerprint, server.name, began)
                 self._note_failure(call, server, progress, error)
+            except _Aborted:
+                progress.tries -= 1
+                progress.swaps += 1
+            except errors.WeightsSwapped:
+                raise
             except errors.StaleWeights:
                 # The engine runs older weights than was reported, or newer
                 # ones were published meanwhile: go on where they are fresh.
@@ -202,7 +227,7 @@
         progress: _Progress,
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         engine_call = backends.EngineCall(
-            request_id=f'{call.request_id}.{progress.tries}',
+            request_id=progress.name_attempt(call.request_id),
             model=call.model,
             prompt=call.prompt,
             max_tokens=call.max_tokens,
@@ -225,6 +250,7 @@
                     self._board.check(
                         call.model, chunk.weight_version, call.bound
                     )
+                    self._follow_swap(call, chunk, progress)
                     fresh = progress.add(chunk)
                     finished = bool(chunk.finish_reason)
                     if fresh is not None:
@@ -233,6 +259,37 @@
             if not finished:
                 await self._cancel(server, engine_call.request_id)
 
+    def _follow_swap(
+        self,
+        call: GenerationCall,
+        chunk: backends.Chunk,
+        progress: _Progress,
+    ) -> None:
+        """End the attempt where the path's policy says so at a swap."""
+        if progress.versions is None or not chunk.tokens:
+            return
+        oldest, newest = progress.versions
+        if chunk.weight_version <= newest or not call.idempotent:
+            return
+        policy = weights.SWAP_POLICIES[call.settings.swap or 'finish']
+        action = policy.decide(
+            weights.Swap(
+                oldest,
+                self._board.find_oldest(call.model, call.bound),
+                call.is_whole,
+            )
+        )
+        if action is weights.SwapAction.RESTART:
+            raise errors.WeightsSwapped(
+                f'version {chunk.weight_version} took the place of {oldest} '
+                'under the answer',
+                step='swap',
+            )
+        if action is weights.SwapAction.RESUME:
+            # What the new weights make next is not a second swap.
+            progress.versions = (oldest, chunk.weight_version)
+            raise _Aborted
+
     async def _read_through_breaks(
         self,
         server: backends.BackendServer,
--- a/src/swiftjunction/steps/_production.py
+++ b/src/swiftjunction/steps/_production.py
@@ -147,6 +147,9 @@
         while True:
             try:
                 return await attempt(spec, subject)
+            except errors.WeightsSwapped as error:
+                LOG.info('step %s: %s', spec.step_id, error)
+                continue
             except errors.RequestError as error:
                 LOG.info('step %s: %s', spec.step_id, error)
             await anyio.sleep(delay_seconds * self._rng.uniform(0.5, 1))
@@ -166,6 +169,7 @@
             deadline=anyio.current_time() + ATTEMPT_TIMEOUT_SECONDS,
             seed=task.index,
             priority=SAMPLE_PRIORITY,
+            is_whole=True,
         )
         chunks: list[backends.Chunk] = []
         async with contextlib.aclosing(
--- a/src/swiftjunction/weights/_board.py
+++ b/src/swiftjunction/weights/_board.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from swiftjunction import errors
+from swiftjunction import leases
 from swiftjunction import links
 from swiftjunction import membership
 from swiftjunction.weights import _versions
@@ -31,22 +32,37 @@
         The records of this daemon.
     clock : callable
         Returns Unix time in seconds.
+    steady_clock : callable
+        Returns seconds, and only goes forward.
     """
 
-    __slots__ = ('_clock', '_histories')
+    __slots__ = ('_clock', '_histories', '_learned', '_steady_clock')
 
     def __init__(
         self,
         table: membership.RecordTable,
         clock: collections.abc.Callable[[], float] = time.time,
+        steady_clock: collections.abc.Callable[
+            [], float
+        ] = leases.read_boot_clock,
     ) -> None:
         self._histories: dict[str, _versions.History] = {}
         self._clock = clock
+        self._steady_clock = steady_clock
+        # When each version became known here, by a clock that a step of the
+        # wall clock does not move.
+        self._learned: dict[str, dict[int, float]] = {}
         table.listen(WEIGHTS_PREFIX, self._learn)
 
     def _learn(self, record: links.Record) -> None:
         history = msgspec.json.decode(record.value, type=_versions.History)
         self._histories[history.model] = history
+        held = self._learned.get(history.model, {})
+        now = self._steady_clock()
+        self._learned[history.model] = {
+            published.version: held.get(published.version, now)
+            for published in history.versions
+        }
 
     def models(self) -> list[str]:
         """Return the models that have versions."""
@@ -73,7 +89,12 @@
         """
         history = self._histories.get(model)
         if history is None:
-            return 0
+            if bound == Bound():
+                return 0
+            # A process that has just started knows of no newer version.
+            raise errors.StaleWeights(
+                f'no version of {model} is known here yet', step='freshness'
+            )
         oldest = 1
         if bound.versions is not None:
             oldest = max(oldest, history.newest - bound.versions)
@@ -89,16 +110,27 @@
             )
         oldest = self.find_oldest(model, bound)
         if version < oldest:
+            in_versions = Bound(versions=bound.versions)
+            broken = (
+                f'{bound.versions} versions'
+                if version < self.find_oldest(model, in_versions)
+                else f'{bound.seconds:g} s'
+            )
             raise errors.StaleWeights(
                 f'version {version} of {model} is older than {oldest}, the '
-                f'oldest within the bound',
+                f'oldest within the bound of {broken}',
                 step='freshness',
             )
 
     def _find_since(self, history: _versions.History, seconds: float) -> int:
         since = self._clock() - seconds + CLOCK_ERROR_SECONDS
+        learned_since = self._steady_clock() - seconds
+        learned = self._learned[history.model]
         for published in history.versions:
-            if published.published_at >= since:
+            if (
+                published.published_at >= since
+                and learned[published.version] >= learned_since
+            ):
                 return published.version
         raise errors.StaleWeights(
             f'version {history.newest} of {history.model}, the newest, was '
--- a/tests/cover/test_platform_guard.py
+++ b/tests/cover/test_platform_guard.py
@@ -19,9 +19,9 @@
 
 
 class TestBudget:
-    def make(self, calls_per_second):
+    def make(self, calls_per_second, *clock):
         shares = calls_per_second / _budget.SHARES_PER_PROCESS
-        budget = _budget.RateBudget(shares, lambda: 1)
+        budget = _budget.RateBudget(shares, lambda: 1, *clock)
         budget._tokens = 0
         return budget
 
@@ -33,8 +33,8 @@
         budget = _budget.RateBudget(300, lambda: processes)
         assert budget.calls_per_second == calls_per_second
 
-    async def test_uses_that_wait_take_turns(self):
-        budget = self.make(200)
+    async def test_uses_that_wait_take_turns(self, clock):
+        budget = self.make(200, clock)
         order = []
 
         async def acquire(use):
@@ -44,7 +44,13 @@
         async with anyio.create_task_group() as tasks:
             for use in ['claims'] * 12 + ['steps'] * 4:
                 tasks.start_soon(acquire, use)
-        assert order[:8].count('steps') == 4
+            while sum(budget.waiting().values()) < 16:
+                await anyio.sleep(0.001)
+            clock.now += 8.5 / 200
+            while len(order) < 8:
+                await anyio.sleep(0.001)
+            assert order.count('steps') == 4
+            clock.now += 1
 
     async def test_renewals_of_leases_never_wait(self):
         budget = self.make(10)
--- a/tests/cover/test_weights.py
+++ b/tests/cover/test_weights.py
@@ -4,6 +4,7 @@
 from swiftjunction import errors
 from swiftjunction import membership
 from swiftjunction import weights
+from tests import conftest
 
 
 def make_board(clock, *times):
@@ -43,3 +44,51 @@
     publisher = weights.Publisher(store)
     assert await publisher.publish('fit') == 1
     assert await publisher.publish('fit') == 2
+
+
+@pytest.mark.parametrize(
+    ('bound', 'text'),
+    [
+        (weights.Bound(versions=1), 'bound of 1 versions'),
+        (weights.Bound(versions=5, seconds=50), 'bound of 50 s'),
+        (weights.Bound(versions=1, seconds=50), 'bound of 1 versions'),
+    ],
+)
+def test_the_error_names_the_bound_that_is_broken(clock, bound, text):
+    board = make_board(clock, 900, 990, 999)
+    with pytest.raises(errors.StaleWeights, match=text):
+        board.check('fit', 1, bound)
+
+
+def test_a_wall_clock_that_steps_back_makes_no_version_fresh(clock):
+    steady = conftest.Clock()
+    table = membership.RecordTable()
+    board = weights.Board(table, clock, steady)
+    history = weights.History('fit')
+    history.add(clock.now)
+    table.put('weights/fit', msgspec.json.encode(history))
+    steady.now += 30
+    clock.now -= 3600
+    with pytest.raises(errors.StaleWeights, match='more than 20 s ago'):
+        board.check('fit', 1, weights.Bound(seconds=20))
+
+
+def test_a_later_version_does_not_renew_an_earlier_one(clock):
+    steady = conftest.Clock()
+    table = membership.RecordTable()
+    board = weights.Board(table, clock, steady)
+    history = weights.History('fit')
+    for _ in range(2):
+        history.add(clock.now)
+        table.put('weights/fit', msgspec.json.encode(history))
+        steady.now += 15
+    board.check('fit', 2, weights.Bound(seconds=20))
+    with pytest.raises(errors.StaleWeights):
+        board.check('fit', 1, weights.Bound(seconds=20))
+
+
+def test_nothing_is_fresh_where_no_version_is_known_yet(clock):
+    board = weights.Board(membership.RecordTable(), clock)
+    with pytest.raises(errors.StaleWeights, match='known here yet'):
+        board.check('fit', 3, weights.Bound(versions=1))
+    board.check('fit', 3, weights.Bound())
