Place models on engines by their limits and by load

Nothing decided what an engine loads: a model without engines stayed without, and a status of another model than listed was reported as the listed one. A conductor that stopped kept its leases until they lapsed, as their release came after the cancellation had passed.

One conductor plans under a lease and writes the plan as one object; the holders of shards order load until the engine says so. Reports carry what an engine says it serves, and a smoothed load. Leases are released also when a process stops.

--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -90,6 +90,13 @@
         """Yield the servers of a model or plain service."""
         yield from list(self._by_service.get(service, {}).values())
 
+    def list_servers(
+        self,
+    ) -> collections.abc.Iterator[_server.BackendServer]:
+        """Yield all servers that are not gone."""
+        for group in list(self._by_service.values()):
+            yield from list(group.values())
+
     def summarize(self) -> dict[str, dict[str, object]]:
         """Return the state of each server, for a dump."""
         return {
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -29,6 +29,10 @@
         The version that an engine last said was active; 0 if not known.
     staged_version : int
         The newest version that an engine said it could activate at once.
+    load : float
+        Of an engine, smoothed and rounded; 1 where its batch is full.
+    listed_service : str
+        What the VM list says that it serves.
     """
 
     name: str
@@ -39,6 +43,8 @@
     state: str = 'live'
     weight_version: int = 0
     staged_version: int = 0
+    load: float = 0.0
+    listed_service: str = ''
 
 
 class BackendServer:
--- a/src/swiftjunction/daemons/_conductor.py
+++ b/src/swiftjunction/daemons/_conductor.py
@@ -14,6 +14,7 @@
 from swiftjunction.daemons import _spool
 from swiftjunction.daemons import _watches
 from swiftjunction import membership
+from swiftjunction import placement
 from swiftjunction import platform
 from swiftjunction import settings
 from swiftjunction import web
@@ -40,6 +41,7 @@
             for prefix in (
                 configuration.CONFIGURATION_PREFIX,
                 weights.WEIGHTS_PREFIX,
+                placement.PLACEMENT_PREFIX,
             )
         ]
         self._servers = _servers.ServerWatches(
@@ -71,6 +73,7 @@
         self.dump.add('watched', self._servers.owned)
         self.dump.add('platform', lambda: [w.reachable for w in self._watches])
         self.dump.add('orders', self._shards.summarize)
+        self.dump.add('placement', self._shards.summarize_plan)
 
     def _announce_spool(self) -> None:
         described = _spool.describe_spool(self.config)
--- a/src/swiftjunction/daemons/_servers.py
+++ b/src/swiftjunction/daemons/_servers.py
@@ -1,6 +1,7 @@
 """Watches the backend servers that this conductor owns."""
 
 import logging
+import time
 
 import anyio
 import anyio.abc
@@ -9,6 +10,7 @@
 
 from swiftjunction import backends
 from swiftjunction import configuration
+from swiftjunction.daemons import _loads
 from swiftjunction import errors
 from swiftjunction import membership
 from swiftjunction import platform
@@ -47,6 +49,7 @@
     __slots__ = (
         '_engines',
         '_listed',
+        '_loads',
         '_peers',
         '_processes',
         '_scopes',
@@ -74,6 +77,7 @@
         self._peers = peers
         self._engines = backends.EngineClient(peers)
         self._listed: dict[str, platform.Vm] = {}
+        self._loads: dict[str, _loads.LoadFilter] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -112,6 +116,7 @@
         }
         for name in set(self._scopes) - owned:
             self._scopes.pop(name).cancel()
+            self._loads.pop(name, None)
             if name not in self._listed:
                 self._report_gone(name)
         for name in owned - set(self._scopes):
@@ -140,11 +145,17 @@
                 'leaving' if status.leaving else 'live',
                 status.weight_version,
                 status.staged_version,
+                service=status.model,
+                load=self._filter_load(vm.name, status.load),
             )
         raise errors.AnswerBroken(
             'the status stream ended', step='watch', peer=vm.name
         )
 
+    def _filter_load(self, name: str, load: float) -> float:
+        filter_ = self._loads.setdefault(name, _loads.LoadFilter())
+        return filter_.filter(load, time.monotonic())
+
     async def _watch_service(self, vm: platform.Vm) -> None:
         while self._tree.has_service(vm.service):
             try:
@@ -166,6 +177,9 @@
         state: str,
         weight_version: int = 0,
         staged_version: int = 0,
+        *,
+        service: str = '',
+        load: float = 0.0,
     ) -> None:
         listed = self._listed.get(vm.name, vm)
         if listed.state != 'live' and state == 'live':
@@ -173,18 +187,30 @@
         report = backends.ServerReport(
             vm.name,
             vm.address,
-            vm.service,
+            # An engine knows best what it serves; the list says what it was
+            # set up for.
+            service or self._find_service(vm),
             vm.data_center,
             vm.region,
             state,
             weight_version,
             staged_version,
+            load,
+            vm.service,
         )
         self._table.put(
             f'{backends.SERVER_PREFIX}{vm.name}',
             msgspec.msgpack.encode(report),
         )
 
+    def _find_service(self, vm: platform.Vm) -> str:
+        """Return what a server that says nothing was last known to serve."""
+        held = self._table.get(f'{backends.SERVER_PREFIX}{vm.name}')
+        if held is None:
+            return vm.service
+        report = msgspec.msgpack.decode(held.value, type=backends.ServerReport)
+        return report.service if report.listed_service else vm.service
+
     def _report_gone(self, name: str) -> None:
         key = f'{backends.SERVER_PREFIX}{name}'
         held = self._table.get(key)
--- a/src/swiftjunction/daemons/_shards.py
+++ b/src/swiftjunction/daemons/_shards.py
@@ -5,6 +5,10 @@
 one lease only, and no two holders ever order it.
 """
 
+import collections.abc
+import logging
+import typing
+
 import anyio
 import anyio.abc
 import xxhash
@@ -15,14 +19,21 @@
 from swiftjunction import leases
 from swiftjunction import links
 from swiftjunction import membership
+from swiftjunction import placement
 from swiftjunction import platform
 from swiftjunction import telemetry
 from swiftjunction import weights
 
+LOG = logging.getLogger(__name__)
+
 SHARDS = 32
 ASSIGN_INTERVAL_SECONDS = 0.5
 RELEASE_TIMEOUT_SECONDS = 1.0
 
+Duty = collections.abc.Callable[
+    [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
+
 
 def choose_shard(server: str) -> int:
     """Return the shard of the engine named `server`."""
@@ -96,6 +107,9 @@
         self._metrics = metrics
         self._sender = backends.OrderSender(engines, tree.checks_fencing)
         self._signal = ChangeSignal(table)
+        self._tree = tree
+        self._plans = placement.PlanBoard(table)
+        self._planning: anyio.CancelScope | None = None
         self._shards: dict[int, tuple[weights.Wave, anyio.CancelScope]] = {}
 
     async def run(self) -> None:
@@ -105,16 +119,25 @@
                 self._assign(tasks)
                 await anyio.sleep(ASSIGN_INTERVAL_SECONDS)
 
+    def summarize_plan(self) -> dict[str, object]:
+        """Return the placement in force, for a dump."""
+        return {
+            'planned here': self._planning is not None,
+            'version': self._plans.version,
+            'moved': self._plans.plan.models,
+        }
+
     def summarize(self) -> list[dict[str, object]]:
         """Return the state of each shard, for a dump."""
         return [wave.summarize() for wave, _ in self._shards.values()]
 
     def _assign(self, tasks: anyio.abc.TaskGroup) -> None:
         vms = [p.vm for p in self._processes.select('conductor')]
+        self._assign_planning(tasks, vms)
         used = {
             choose_shard(server.name)
-            for model in self._board.models()
-            for server in self._directory.select(model)
+            for server in self._directory.list_servers()
+            if self._is_engine(server)
         }
         owned = {
             shard
@@ -126,36 +149,88 @@
         for shard in owned - set(self._shards):
             self._start(tasks, shard)
 
+    def _is_engine(self, server: backends.BackendServer) -> bool:
+        return (
+            server.report.service in self._board.models()
+            or server.name in self._plans.plan.models
+        )
+
+    def _assign_planning(
+        self, tasks: anyio.abc.TaskGroup, vms: list[str]
+    ) -> None:
+        owned = bool(placement.list_needs(self._tree)) and (
+            membership.choose_owner('placement', vms) == self._vm
+        )
+        if self._planning is not None and not owned:
+            self._planning.cancel()
+            self._planning = None
+        if self._planning is None and owned:
+            self._planning = anyio.CancelScope()
+            keeper = leases.LeaseKeeper(self._store, 'placement', self._holder)
+            planner = placement.Planner(
+                self._store,
+                keeper,
+                lambda: placement.list_needs(self._tree),
+                self._directory,
+                self._plans,
+                placement.DemandPolicy(),
+            )
+            tasks.start_soon(
+                self._run_held, [planner.run], keeper, self._planning
+            )
+
     def _start(self, tasks: anyio.abc.TaskGroup, shard: int) -> None:
         keeper = leases.LeaseKeeper(
             self._store, f'orders/{shard}', self._holder
         )
+
+        def holds(server: str) -> bool:
+            return choose_shard(server) == shard
+
         wave = weights.Wave(
             self._directory,
             self._board,
             keeper,
             self._sender,
-            lambda server: choose_shard(server) == shard,
+            holds,
             self._signal.wait,
             self._metrics,
         )
+        loading = placement.Loading(
+            lambda: [n.model for n in placement.list_needs(self._tree)],
+            self._directory,
+            self._plans,
+            keeper,
+            self._sender,
+            holds,
+        )
         scope = anyio.CancelScope()
         self._shards[shard] = (wave, scope)
-        tasks.start_soon(self._run_shard, wave, keeper, scope)
+        tasks.start_soon(
+            self._run_held, [wave.run, loading.run], keeper, scope
+        )
 
-    async def _run_shard(
+    async def _run_held(
         self,
-        wave: weights.Wave,
+        duties: list[Duty],
         keeper: leases.LeaseKeeper,
         scope: anyio.CancelScope,
     ) -> None:
-        with scope:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(keeper.run)
-                tasks.start_soon(wave.run)
-        with anyio.move_on_after(RELEASE_TIMEOUT_SECONDS, shield=True):
-            try:
-                await keeper.release()
-            except errors.PlatformError:
-                # It lapses by itself.
-                pass
+        try:
+            with scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(keeper.run)
+                    for duty in duties:
+                        tasks.start_soon(duty)
+        finally:
+            # Also when the process stops, so that the next holder need not
+            # wait until the lease lapses.
+            with anyio.move_on_after(RELEASE_TIMEOUT_SECONDS, shield=True):
+                await _release(keeper)
+
+
+async def _release(keeper: leases.LeaseKeeper) -> None:
+    try:
+        await keeper.release()
+    except errors.PlatformError as error:
+        LOG.info('lease %s is left to lapse: %s', keeper.name, error)
