--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -18,11 +18,12 @@
 CANCEL_TIMEOUT_SECONDS = 2.0
 # With the interval and the timeout of a renewal it fits into a lease.
 ORDER_TIMEOUT_SECONDS = 3.0
-# What httpcore calls the moment before the first byte.
-SEND_EVENT = 'http11.send_request_headers.started'
 # A shorter time between two chunks means that both came in one read.
 READ_SECONDS = 0.002
 
+# What httpcore calls the moment before the first byte.
+SEND_EVENT = 'http11.send_request_headers.started'
+
 
 class EngineCall(msgspec.Struct, frozen=True):
     """One generation as sent to an engine.
--- a/src/swiftjunction/client/_caller.py
+++ b/src/swiftjunction/client/_caller.py
@@ -57,6 +57,9 @@
         The caller's.
     timeout_seconds : float
         Deadline of each request.
+    authority : str
+        A file of the certificates that entries are checked against; they are
+        called over TLS where it is given.
     """
 
     __slots__ = (
@@ -74,6 +77,7 @@
         *,
         data_center: str = '',
         timeout_seconds: float = 30.0,
+        authority: str = '',
     ) -> None:
         if not seeds:
             raise ValueError('seeds is empty; give at least one "ip:port"')
@@ -82,7 +86,7 @@
         self._data_center = data_center
         self._timeout_seconds = timeout_seconds
         self._refresh_at = 0.0
-        self._peers = web.PeerClients()
+        self._peers = web.PeerClients(web.trust_authority(authority))
 
     async def __aenter__(self) -> 'CallerClient':
         return self
@@ -149,6 +153,7 @@
         if idempotency_key:
             headers['idempotency-key'] = idempotency_key
         last: errors.RequestError | None = None
+        may_have_run = False
         for attempt in range(MAX_TRIES):
             if last is not None:
                 await anyio.sleep(FIRST_RETRY_SECONDS * 2**attempt)
@@ -167,6 +172,7 @@
                 self._refresh_at = 0.0
                 continue
             except httpx.HTTPError as error:
+                may_have_run = True
                 last = errors.OutcomeUnknown(
                     f'no whole answer: {error}', peer=address
                 )
@@ -177,9 +183,15 @@
             if outcome == 'complete':
                 return response
             last = _read_error(response, address)
+            may_have_run |= isinstance(last, errors.OutcomeUnknown)
             if not self._may_repeat(last, idempotency_key):
                 raise last
         assert last is not None
+        if may_have_run and isinstance(last, errors.NotRun):
+            # Only the last try was refused; an earlier one may have run.
+            raise errors.OutcomeUnknown(
+                last.message, step=last.step, peer=last.peer
+            )
         raise last
 
     def _may_repeat(self, error: errors.RequestError, key: str) -> bool:
--- a/src/swiftjunction/configuration/_settings.py
+++ b/src/swiftjunction/configuration/_settings.py
@@ -44,6 +44,8 @@
         Requests of the whole team at once on each entry [none].
     policy : str
         The routing policy [two-choices].
+    sample_load_ceiling : float
+        Reported load of an engine from which on samples wait [none].
     swap : str
         What becomes of a generation under which the weights change:
         ``finish`` goes on, ``resume`` has the new weights read what there is
@@ -71,6 +73,9 @@
         ]
         | None
     ) = None
+    sample_load_ceiling: (
+        typing.Annotated[float, msgspec.Meta(gt=0, le=100)] | None
+    ) = None
     swap: typing.Literal['finish', 'resume', 'regenerate'] | None = None
     checks_fencing: bool | None = None
     least_servers: Count | None = None
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -9,9 +9,11 @@
     'BackendError',
     'BackendRefused',
     'BackendUnreachable',
+    'KeyRefused',
     'LeaseLost',
     'LinkError',
     'NotRun',
+    'ObjectBroken',
     'ObjectMissing',
     'ObjectTooLarge',
     'OutcomeUnknown',
@@ -26,6 +28,7 @@
     'SettingsError',
     'StepElsewhere',
     'StepEnded',
+    'StepIncomplete',
     'StaleWeights',
     'SwiftjunctionError',
     'WeightsSwapped',
@@ -89,10 +92,18 @@
     """The object does not exist."""
 
 
+class ObjectBroken(PlatformError):
+    """The object does not hold what its key says; an operator must look."""
+
+
 class ObjectTooLarge(PlatformError):
     """The value is over the platform's limit of one megabyte."""
 
 
+class KeyRefused(SwiftjunctionError):
+    """The key given does not allow this; ask the team for one that does."""
+
+
 class LeaseLost(SwiftjunctionError):
     """The lease is not held, or not with enough margin to act under it."""
 
@@ -155,6 +166,13 @@
     outcome = 'complete'
 
 
+class StepIncomplete(RequestError):
+    """The step ended, by its deadline or a cancel, before it was whole."""
+
+    status = 410
+    outcome = 'incomplete'
+
+
 class StepElsewhere(RequestError):
     """Another process owns the step; ``peer`` is its address."""
 
--- a/src/swiftjunction/platform/__init__.py
+++ b/src/swiftjunction/platform/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the platform: the object API, the VM list, the weight store."""
 
 from swiftjunction.platform._guarded import GuardedObjectStore
+from swiftjunction.platform._objects import decode_value
 from swiftjunction.platform._objects import HttpObjectStore
 from swiftjunction.platform._objects import Object
 from swiftjunction.platform._objects import ObjectStore
@@ -19,5 +20,6 @@
     'VmList',
     'Watch',
     'create_or_confirm',
+    'decode_value',
     'update_or_confirm',
 ]
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -6,6 +6,8 @@
 import collections.abc
 import contextlib
 import logging
+import math
+import uuid
 
 import anyio
 import msgspec
@@ -64,6 +66,14 @@
             return 'samples'
         return self.settings.request_class or 'live'
 
+    @property
+    def max_load(self) -> float:
+        """Return the reported load from which on an engine is not used."""
+        ceiling = self.settings.sample_load_ceiling
+        if ceiling is None or self.request_class != 'samples':
+            return math.inf
+        return ceiling
+
     @property
     def fingerprint(self) -> str:
         """Return what is the same when the request is sent again."""
@@ -82,12 +92,23 @@
 class _Progress:
     """What the caller has been given so far."""
 
-    __slots__ = ('excluded', 'swaps', 'text', 'tokens', 'tries', 'versions')
+    __slots__ = (
+        'excluded',
+        'may_have_run',
+        'nonce',
+        'swaps',
+        'text',
+        'tokens',
+        'tries',
+        'versions',
+    )
 
     def __init__(self) -> None:
         self.text = ''
         self.tokens = 0
         self.tries = 0
+        self.may_have_run = False
+        self.nonce = uuid.uuid4().hex[:12]
         self.swaps = 0
         self.excluded: set[str] = set()
         # The oldest and the newest version of the tokens so far.
@@ -95,7 +116,7 @@
 
     def name_attempt(self, request_id: str) -> str:
         """Return what the next attempt is called on its engine."""
-        return f'{request_id}.{self.tries}{"r" * self.swaps}'
+        return f'{request_id}.{self.nonce}-{self.tries}{"r" * self.swaps}'
 
     def add(self, chunk: backends.Chunk) -> backends.Chunk | None:
         """Take in a chunk; None if the caller has it already."""
@@ -207,8 +228,9 @@
             except errors.StaleWeights:
                 # The engine runs older weights than was reported, or newer
                 # ones were published meanwhile: go on where they are fresh.
+                progress.may_have_run = True
                 progress.excluded.add(server.name)
-                if progress.tries >= MAX_ATTEMPTS:
+                if not call.idempotent or progress.tries >= MAX_ATTEMPTS:
                     raise
 
     def check_fresh(
@@ -227,6 +249,9 @@
         progress: _Progress,
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         engine_call = backends.EngineCall(
+            # Callers may use an id twice, for example when they turn to
+            # another entry; engines must not take the one generation for
+            # the other when it is resumed or cancelled.
             request_id=progress.name_attempt(call.request_id),
             model=call.model,
             prompt=call.prompt,
@@ -238,14 +263,12 @@
             timeout_seconds=self._remaining(call),
         )
         finished = False
-        started_at: float | None = anyio.current_time()
+        wait = server.start_wait()
         stream = self._read_through_breaks(server, engine_call, progress)
         try:
             async with contextlib.aclosing(stream) as chunks:
                 async for chunk in chunks:
-                    if started_at is not None:
-                        server.note_latency(anyio.current_time() - started_at)
-                        started_at = None
+                    wait.end()
                     server.note_version(chunk.weight_version)
                     self._board.check(
                         call.model, chunk.weight_version, call.bound
@@ -256,6 +279,7 @@
                     if fresh is not None:
                         yield fresh
         finally:
+            wait.end()
             if not finished:
                 await self._cancel(server, engine_call.request_id)
 
@@ -361,6 +385,7 @@
             excluded=frozenset(progress.excluded),
             alone=alone,
             request_class=call.request_class,
+            max_load=call.max_load,
             deadline=call.deadline,
         )
 
@@ -400,6 +425,7 @@
         refused = isinstance(
             error, (errors.BackendRefused, errors.BackendUnreachable)
         )
+        progress.may_have_run |= not refused
         if not isinstance(error, errors.BackendRefused):
             server.note_failure()
         if not refused and not call.idempotent:
@@ -426,17 +452,8 @@
             return error
         # A refusal of the last attempt does not undo an earlier attempt that
         # ran: only when none did is "not run" true.
-        ran = progress.tokens > 0 or progress.tries > 1
-        never_sent = isinstance(
-            error,
-            (
-                errors.BackendRefused,
-                errors.BackendUnreachable,
-                errors.NotRun,
-            ),
-        )
         kind = (
-            errors.NotRun if never_sent and not ran else errors.OutcomeUnknown
+            errors.OutcomeUnknown if progress.may_have_run else errors.NotRun
         )
         return kind(
             error.message,
--- a/src/swiftjunction/steps/_app.py
+++ b/src/swiftjunction/steps/_app.py
@@ -98,7 +98,7 @@
                 )
             )
         try:
-            running = await self._find(request.path_params['step_id'])
+            running = await self._find(request.path_params['step_id'], cursor)
             draw = await running.draw(cursor, wait_seconds)
         except errors.RequestError as error:
             return _refuse(error)
@@ -123,23 +123,26 @@
         except errors.RequestError as error:
             return _refuse(error)
 
-    async def _find(self, step_id: str) -> _delivery.RunningStep:
+    async def _find(
+        self, step_id: str, cursor: int = 0
+    ) -> _delivery.RunningStep:
         """Return the step, taking it over where its owner is gone.
 
+        A trainer whose cursor is not known here may have it from a newer
+        owner: then this process was paused and has to look who that is.
+
         Raises
         ------
         StepElsewhere
             If its owner answers.
         """
-        running = self._registry.find(step_id)
-        if running is not None:
-            return running
         try:
+            running = self._registry.find(step_id)
+            if running is not None and running.knows(cursor):
+                return running
+            if running is not None and await self._registry.confirm(running):
+                return running
             owner = await self._registry.read_owner(step_id)
-            if not owner:
-                raise errors.RequestInvalid(
-                    f'there is no step {step_id}', step='find'
-                )
             address = await self._probe(owner)
             if address:
                 raise errors.StepElsewhere(
@@ -148,6 +151,10 @@
                     peer=address,
                 )
             return await self._registry.take_over(step_id)
+        except errors.ObjectMissing as error:
+            raise errors.RequestInvalid(
+                f'there is no step {step_id}', step='find'
+            ) from error
         except errors.PlatformError as error:
             raise errors.NotRun(
                 error.message, step='find', peer=error.peer
@@ -159,6 +166,9 @@
         Where it does not, taking over is safe even if it still runs: the
         ledger lets only one of the two go on.
         """
+        if owner == self._registry.owner:
+            # An earlier run of this process.
+            return ''
         process = self._processes.get(owner)
         if process is None or process.state == 'dead':
             return ''
@@ -176,6 +186,7 @@
 ) -> starlette.applications.Starlette:
     """Assemble the application of a rollout process."""
     return starlette.applications.Starlette(
+        exception_handlers=web.EXCEPTION_HANDLERS,
         routes=[
             starlette.routing.Route('/v1/rollouts', steps.list_addresses),
             starlette.routing.Route(
@@ -187,7 +198,7 @@
             ),
             starlette.routing.Route('/v1/steps/{step_id}/samples', steps.draw),
             *routes,
-        ]
+        ],
     )
 
 
@@ -201,6 +212,7 @@
             'total': step.total,
             'placed': len(step.order),
             'acknowledged': step.acknowledged,
+            'expired': step.expired,
         }
     )
 
--- a/src/swiftjunction/steps/_registry.py
+++ b/src/swiftjunction/steps/_registry.py
@@ -1,6 +1,8 @@
 """The steps that this process owns, and how it comes to own one."""
 
+import collections.abc
 import logging
+import time
 
 import anyio
 import anyio.abc
@@ -29,9 +31,12 @@
         Makes the samples.
     payloads : Payloads
         Keeps them until they are acknowledged.
+    clock : callable
+        Returns Unix time in seconds.
     """
 
     __slots__ = (
+        '_clock',
         '_locks',
         '_owner',
         '_payloads',
@@ -47,7 +52,9 @@
         owner: str,
         producer: _production.Producer,
         payloads: _payloads.Payloads,
+        clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
+        self._clock = clock
         self._store = store
         self._owner = owner
         self._producer = producer
@@ -69,25 +76,49 @@
         ------
         RequestInvalid
             If the step cannot be made.
+        NotRun
+            If the platform does not answer; submitting again is safe.
         """
         self._producer.resolve(spec)
+        spec.check()
         async with self._lock(spec.step_id):
             running = self._running.get(spec.step_id)
             if running is not None:
                 return running
             ledger = _ledger.Ledger(self._store, spec.step_id, self._owner)
+            step = _step.Step(spec)
+            step.expires_at = self._clock() + spec.deadline_seconds
             try:
-                await ledger.open(spec)
+                await ledger.open(spec, step.expires_at)
             except errors.RevisionConflict as error:
                 raise errors.StepElsewhere(
                     f'step {spec.step_id} is open already', step='submit'
                 ) from error
-            return self._start(_step.Step(spec), ledger)
+            except errors.PlatformError as error:
+                raise errors.NotRun(
+                    error.message, step='submit', peer=error.peer
+                ) from error
+            return self._start(step, ledger)
+
+    @property
+    def owner(self) -> str:
+        """Return the name of this process."""
+        return self._owner
 
     def find(self, step_id: str) -> _delivery.RunningStep | None:
         """Return the step if this process owns it."""
         return self._running.get(step_id)
 
+    async def confirm(self, running: _delivery.RunningStep) -> bool:
+        """Tell whether this process still owns a step; give it up if not."""
+        try:
+            await running.confirm()
+        except (errors.LeaseLost, errors.StepEnded, errors.StepIncomplete):
+            self._forget(running)
+            running.give_up()
+            return False
+        return True
+
     async def read_owner(self, step_id: str) -> str:
         """Return the process that owns a step by its ledger."""
         return await _ledger.Ledger(
@@ -102,9 +133,10 @@
                 return running
             ledger = _ledger.Ledger(self._store, step_id, self._owner)
             step = await ledger.take_over()
+            acknowledged = set(step.order[: step.acknowledged])
             kept = await self._payloads.fetch(step_id)
             for index, sample in kept.items():
-                if index not in set(step.order[: step.acknowledged]):
+                if index not in acknowledged:
                     step.samples[index] = sample
             LOG.info(
                 'took over step %s with %s of %s samples placed',
@@ -121,7 +153,7 @@
         self, step: _step.Step, ledger: _ledger.Ledger
     ) -> _delivery.RunningStep:
         running = _delivery.RunningStep(
-            step, ledger, self._producer, self._payloads
+            step, ledger, self._producer, self._payloads, self._clock
         )
         self._running[step.spec.step_id] = running
         assert self._tasks is not None, 'the registry runs before it serves'
@@ -132,19 +164,26 @@
         step_id = running.step.spec.step_id
         try:
             await running.run()
-        except* errors.LeaseLost as group:
+        except* errors.SwiftjunctionError as group:
             LOG.warning('step %s given up: %s', step_id, group.exceptions[0])
+        except* Exception:
+            # A fault of ours in one step must not end the other trainers'
+            # steps; this one is taken over when its trainer asks again.
+            LOG.exception('step %s failed and is given up', step_id)
         finally:
-            self._running.pop(step_id, None)
+            self._forget(running)
+
+    def _forget(self, running: _delivery.RunningStep) -> None:
+        step_id = running.step.spec.step_id
+        # The step may have been taken over again meanwhile.
+        if self._running.get(step_id) is running:
+            del self._running[step_id]
+            if not self._lock(step_id).locked():
+                self._locks.pop(step_id)
 
     def summarize(self) -> dict[str, object]:
         """Return the state of each step, for a dump."""
         return {
-            step_id: {
-                'total': running.step.total,
-                'made': len(running.step.samples),
-                'placed': len(running.step.order),
-                'acknowledged': running.step.acknowledged,
-            }
+            step_id: running.summarize()
             for step_id, running in self._running.items()
         }
--- a/src/swiftjunction/weights/_board.py
+++ b/src/swiftjunction/weights/_board.py
@@ -89,12 +89,8 @@
         """
         history = self._histories.get(model)
         if history is None:
-            if bound == Bound():
-                return 0
-            # A process that has just started knows of no newer version.
-            raise errors.StaleWeights(
-                f'no version of {model} is known here yet', step='freshness'
-            )
+            # A model whose weights never change has no versions.
+            return 0
         oldest = 1
         if bound.versions is not None:
             oldest = max(oldest, history.newest - bound.versions)
