--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -31,6 +31,7 @@
     'StepIncomplete',
     'StaleWeights',
     'SwiftjunctionError',
+    'WeightsSwapped',
     'WriteUncertain',
 ]
 
@@ -213,3 +214,7 @@
 
     status = 504
     outcome = 'stale'
+
+
+class WeightsSwapped(StaleWeights):
+    """The weights changed under an answer, which is to be begun anew."""
--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -151,6 +151,7 @@
             seed=body.seed,
             priority=_admission.find_priority(settings),
             idempotent=request.headers.get('x-idempotent') != 'false',
+            is_whole=not body.stream,
         )
 
     def _check_settings(self) -> None:
@@ -209,7 +210,12 @@
         old by the time the last one is there.
         """
         while True:
-            collected = [chunk async for chunk in self._run(call)]
+            try:
+                collected = [chunk async for chunk in self._run(call)]
+            except errors.WeightsSwapped:
+                if anyio.current_time() > call.deadline:
+                    raise
+                continue
             try:
                 self._generator.check_fresh(call, collected)
                 return collected
