Keep hostile messages of the relay from ending a daemon

Cause: the relay brought new messages. Hashes of another length, buckets out of range and addresses to answer to that are none raised out of the task that receives, or out of the one that sends: pynng refuses to dial what is no address, and a port above 65535 overflows in sendto.

Change: an exchange ignores hashes and buckets of another size, a carrier drops what goes to no address. Fuzzing covers the new messages, the team keys' listener and their prefixes.

Conclusion: what a peer says costs its own message and no more.

--- a/src/swiftjunction/links/_carrier.py
+++ b/src/swiftjunction/links/_carrier.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import ipaddress
 import logging
 import socket
 
@@ -80,6 +81,10 @@
         self._tasks: anyio.abc.TaskGroup | None = None
 
     def post(self, message: _messages.Message, address: str) -> None:
+        if not _is_address(address):
+            # Addresses to answer to come in peers' messages.
+            self.traffic.dropped_messages += 1
+            return
         data = _messages.encode_message(message)
         self.traffic.sent_messages += 1
         self.traffic.sent_bytes += len(data)
@@ -169,6 +174,15 @@
                     link.scope.cancel()
 
 
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+        return 0 < int(port) < 65536
+    except ValueError:
+        return False
+
+
 class _Link:
     """An open link with the time of its last use."""
 
--- a/src/swiftjunction/membership/_exchange.py
+++ b/src/swiftjunction/membership/_exchange.py
@@ -177,6 +177,9 @@
             self.compare()
 
     def _answer_compare(self, compare: links.Compare) -> None:
+        if len(compare.hashes) != len(self._table.hashes()):
+            LOG.warning('hashes of another release from %s', compare.sender)
+            return
         differing = self._table.find_differing(compare.hashes)
         if differing:
             self._rng.shuffle(differing)
@@ -188,6 +191,9 @@
             self._carrier.post(digest, compare.sender)
 
     def _answer_digest(self, digest: links.Digest) -> None:
+        if not all(0 <= b < _records.BUCKETS for b in digest.buckets):
+            LOG.warning('buckets of another release from %s', digest.sender)
+            return
         buckets = digest.buckets or list(range(_records.BUCKETS))
         missing = self._table.newer_than(digest.marks, buckets)
         self._send_records(missing, digest.sender)
--- a/tests/cover/test_fuzz_inputs.py
+++ b/tests/cover/test_fuzz_inputs.py
@@ -1,6 +1,7 @@
 """Inputs from outside, random and hostile: each ends in a typed error."""
 
 import math
+import random
 
 import anyio
 import httpx
@@ -23,7 +24,16 @@
 from swiftjunction import weights
 from tests import conftest
 
-PREFIXES = ('config/', 'weights/', 'server/', 'process/', 'crash/', 'other/')
+PREFIXES = (
+    'config/',
+    'keys/',
+    'vm/',
+    'weights/',
+    'server/',
+    'process/',
+    'crash/',
+    'other/',
+)
 VALUES = st.one_of(
     st.binary(max_size=60),
     st.recursive(
@@ -60,6 +70,7 @@
     table = membership.RecordTable()
     membership.ProcessList(table)
     configuration.Tree(table)
+    configuration.KeyRing(table)
     backends.Directory(table)
     weights.Board(table)
     requests.SuspectList(table, 'v1/entry')
@@ -83,6 +94,55 @@
         links.decode_message(data)
 
 
+class _NullCarrier(links.Carrier):
+    """Encodes what is posted and throws it away."""
+
+    address = '127.0.0.1:1'
+
+    def post(self, message, address):
+        links.encode_message(message)
+
+
+NUMBERS = st.integers(-(2**63), 2**64 - 1)
+MESSAGES = st.one_of(
+    st.builds(links.Compare, st.text(), st.binary(max_size=1030)),
+    st.builds(
+        links.Digest,
+        st.text(),
+        st.lists(NUMBERS, max_size=3),
+        st.dictionaries(
+            st.sampled_from(['a', 'process/v1/entry']),
+            st.tuples(NUMBERS, NUMBERS),
+        ),
+        st.booleans(),
+    ),
+    st.builds(links.Ping, st.text(), st.text()),
+    st.builds(links.PingRequest, st.text(), st.text()),
+)
+
+
+@hypothesis.given(MESSAGES)
+def test_a_hostile_message_of_the_right_shape_crashes_no_daemon(message):
+    decoded = links.decode_message(links.encode_message(message))
+    exchange = membership.Exchange(
+        _NullCarrier(), build_table(), random.Random(1)
+    )
+    exchange.handle(decoded)
+
+
+@pytest.mark.parametrize(
+    'address', ['', 'x', 'host:1', '127.0.0.1:', '127.0.0.1:99999', ':1', '1']
+)
+def test_what_is_no_address_is_not_sent_to(address):
+    carrier = links.PeerLinks('127.0.0.1:0')
+    try:
+        carrier.post(links.Ping('a'), address)
+        assert carrier.traffic.dropped_messages == 1
+        assert not carrier.traffic.sent_messages
+    finally:
+        carrier.close()
+
+
 @hypothesis.given(
     st.sampled_from(PREFIXES),
     st.sampled_from(['v1/entry', 'x', 'a/b/c', '', 'team']),
