--- a/src/swiftjunction/daemons/_rollout.py
+++ b/src/swiftjunction/daemons/_rollout.py
@@ -17,6 +17,7 @@
         own = config.rollout
         super().__init__(config, 'rollout', own.port, own.link_port, seed)
         self.join({config.link_address(config.conductor.link_port)})
+        self.directory.tolerance = backends.SAMPLE_TOLERANCE
         router = routing.Router(
             self.directory, config.vm.data_center, self.rng
         )
@@ -49,7 +50,9 @@
             producer,
             steps.SpooledPayloads(self.processes),
         )
-        self._steps = steps.StepApp(self._registry, self.processes, self.peers)
+        self._steps = steps.StepApp(
+            self._registry, self.processes, self.daemon_clients
+        )
         self.dump.add('steps', self._registry.summarize)
 
     def build_app(self) -> collections.abc.Callable:
