Take no version for fresh before any version is known

Three of 1692 answers came from weights up to three versions behind. A board without the history of a model allowed every version; a process that has just started may learn settings and engines from changes a moment before it learns the versions.

Change: with a bound and no history known, a board raises StaleWeights; a request waits for the history, or ends as stale at its deadline.

Conclusion: the error of a missing report goes to the safe side.

--- a/src/swiftjunction/weights/_board.py
+++ b/src/swiftjunction/weights/_board.py
@@ -69,11 +69,17 @@
         Raises
         ------
         StaleWeights
-            If even the newest version is too old.
+            If even the newest version is too old, or none is known.
         """
+        if bound.versions is None and bound.seconds is None:
+            return 1
         history = self._histories.get(model)
         if history is None:
-            return 0
+            # This process has just started: what it will be told any moment
+            # may forbid the version that an engine reports.
+            raise errors.StaleWeights(
+                f'no version of {model} is known here yet', step='freshness'
+            )
         oldest = 1
         if bound.versions is not None:
             oldest = max(oldest, history.newest - bound.versions)
--- a/tests/cover/test_weights.py
+++ b/tests/cover/test_weights.py
@@ -43,3 +43,21 @@
     publisher = weights.Publisher(store)
     assert await publisher.publish('fit') == 1
     assert await publisher.publish('fit') == 2
+
+
+@pytest.mark.parametrize(
+    ('bound', 'refused'),
+    [
+        (weights.Bound(versions=1), True),
+        (weights.Bound(seconds=60), True),
+        (weights.Bound(), False),
+    ],
+)
+def test_nothing_is_fresh_before_any_version_is_known(bound, refused):
+    """As on a process that has just started and knows engines already."""
+    board = weights.Board(membership.RecordTable())
+    if not refused:
+        board.check('fit', 7, bound)
+        return
+    with pytest.raises(errors.StaleWeights):
+        board.check('fit', 7, bound)
