Publish a version before the calls of the admission tests

Cause: the tests ran calls with a bound of zero versions on a board that knew no version, which is refused by now, as it must be.

Change: the entry of these tests knows version 1, which its engines report.

Conclusion: nothing is eased; each case still ends as its table says.

--- a/tests/cover/test_admission_generation.py
+++ b/tests/cover/test_admission_generation.py
@@ -19,7 +19,9 @@
         f'engine-{number}': routing_engines.ModelEngine(random.Random(number))
         for number in range(count)
     }
-    return routing_load.Entry('entry-0', cell, engines)
+    entry = routing_load.Entry('entry-0', cell, engines)
+    publish(entry, 1)
+    return entry
 
 
 def publish(entry, version):
