Check each chunk of a stream for freshness when it comes

Change: each chunk is checked as the caller receives it, which is when it is handed over; a whole answer is checked at its end, as before.

Conclusion: the check now asks for what is promised.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -171,7 +171,10 @@
         )
 
     async def _ask_streamed(self, request_id: str, body: dict) -> None:
-        text, segments = await self._streams.complete(request_id, body)
+        # What was handed over was fresh then, also where the rest is late.
+        text, segments = await self._streams.complete(
+            request_id, body, self._check_fresh
+        )
         self._check_answer(request_id, body, text, segments)
 
     def _check_answer(
@@ -191,7 +194,7 @@
         note['answers name their versions'].note(
             named, f'{request_id}: {segments}'
         )
-        if named:
+        if named and not body['stream']:
             oldest = min(s[0] for s in segments)
             self._check_fresh(request_id, oldest)
 
@@ -248,6 +251,7 @@
             'model': self.path('answers'),
             'prompt': f'POISON {self._count}',
             'max_tokens': 64,
+            'stream': False,
         }
         for number in range(times):
             request_id = f'poison-{self._count}-{number}'
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -1,5 +1,6 @@
 """A caller that reads its answers as streams."""
 
+import collections.abc
 import time
 
 import httpx
@@ -39,14 +40,22 @@
         await self._peers.close()
 
     async def complete(
-        self, request_id: str, body: dict
+        self,
+        request_id: str,
+        body: dict,
+        note_version: collections.abc.Callable[[str, int], None],
     ) -> tuple[str, list[list[int]]]:
-        """Return the text and the segments of a whole answer."""
+        """Return the text and the segments of a whole answer.
+
+        `note_version` is called with each chunk's version as it comes.
+        """
         last: errors.RequestError | None = None
         for attempt in range(TRIES):
             address = await self._choose_address()
             try:
-                return await self._read(address, request_id, body)
+                return await self._read(
+                    address, request_id, body, note_version
+                )
             except (httpx.ConnectError, httpx.ConnectTimeout) as error:
                 self._refresh_at = 0.0
                 last = errors.NotRun(f'cannot connect: {error}', peer=address)
@@ -82,7 +91,11 @@
         raise errors.NotRun('no entry says which addresses to use')
 
     async def _read(
-        self, address: str, request_id: str, body: dict
+        self,
+        address: str,
+        request_id: str,
+        body: dict,
+        note_version: collections.abc.Callable[[str, int], None],
     ) -> tuple[str, list[list[int]]]:
         headers = {
             'x-request-id': request_id,
@@ -108,6 +121,7 @@
                 chunk = msgspec.json.decode(event.data)
                 text += chunk['choices'][0]['text']
                 if chunk['tokens']:
+                    note_version(request_id, chunk['weight_version'])
                     segments.append(
                         [
                             chunk['weight_version'],
