--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -132,7 +132,8 @@
             report.write_report(folder)
         if self.option('page'):
             page = pathlib.Path(self.option('page'))
-            page.write_text(suite.format_page(found))
+            held = page.read_text() if page.exists() else ''
+            page.write_text(suite.format_page(found, held))
         return 1 if any(r.violations() for r in found) else 0
 
 
--- a/bench/suite.py
+++ b/bench/suite.py
@@ -5,6 +5,7 @@
 from bench import report
 from bench import results
 
+KEPT_MARK = '<!-- what stands below is kept by make experiments -->'
 HEAD = """\
 # Results
 
@@ -20,8 +21,8 @@
 """
 
 
-def format_page(found: list[results.Result]) -> str:
-    """Return docs/RESULTS.md."""
+def format_page(found: list[results.Result], held: str = '') -> str:
+    """Return docs/RESULTS.md; notes below the mark in `held` are kept."""
     page = HEAD.format(cores=found[0].cores, memory=found[0].memory_gb)
     page += ''.join(_format_row(result) for result in found)
     page += '\n## Promises, over all these runs\n\n'
@@ -37,7 +38,8 @@
     page += '\n## Commands\n\n'
     for result in found:
         page += f'    {result.command}\n'
-    return page
+    _, mark, notes = held.partition(KEPT_MARK)
+    return f'{page}\n{mark}{notes}' if mark else page
 
 
 def _format_row(result: results.Result) -> str:
