Do not hold up a step for the calls that an outage refused

A step paused for a second for each call that its placement had made; in an outage a placement makes a call each 0.25 s, so that the step paused for half a minute after the platform answered again.

Change: the pause covers the calls that a placement takes of a platform that answers, at most two.

--- a/src/swiftjunction/steps/_delivery.py
+++ b/src/swiftjunction/steps/_delivery.py
@@ -26,6 +26,20 @@
 EXPIRED_LINGER_SECONDS = 60.0
 
 
+# What one placement takes of a platform that answers: the head and now and
+# then a sealed part of the order.
+MAX_PLACE_CALLS = 2
+
+
+def choose_pause_seconds(calls_made: int) -> float:
+    """Return how long to wait after a placement took so many calls.
+
+    Calls that an outage refused are not made up for: after 8 s of an outage
+    that would hold up the step for half a minute more.
+    """
+    return PLACE_INTERVAL_SECONDS * min(max(calls_made, 1), MAX_PLACE_CALLS)
+
+
 class Draw(msgspec.Struct, frozen=True):
     """What a trainer gets for a cursor.
 
@@ -295,7 +309,7 @@
             calls = self._ledger.calls
             await self._place()
             calls_made = self._ledger.calls - calls
-            await anyio.sleep(PLACE_INTERVAL_SECONDS * max(calls_made, 1))
+            await anyio.sleep(choose_pause_seconds(calls_made))
 
     async def _place(self) -> None:
         for index in [i for i in list(self.step.samples) if self._is_late(i)]:
