--- a/tests/cover/test_weights.py
+++ b/tests/cover/test_weights.py
@@ -87,8 +87,19 @@
         board.check('fit', 1, weights.Bound(seconds=20))
 
 
-def test_a_model_without_published_versions_has_no_bound(clock):
-    board = weights.Board(membership.RecordTable(), clock)
-    board.check('fit', 3, weights.Bound(versions=1))
-    with pytest.raises(errors.StaleWeights, match='did not name'):
-        board.check('fit', 0, weights.Bound(versions=1))
+@pytest.mark.parametrize(
+    ('bound', 'refused'),
+    [
+        (weights.Bound(versions=1), True),
+        (weights.Bound(seconds=60), True),
+        (weights.Bound(), False),
+    ],
+)
+def test_nothing_is_fresh_before_any_version_is_known(bound, refused):
+    """As on a process that has just started and knows engines already."""
+    board = weights.Board(membership.RecordTable())
+    if not refused:
+        board.check('fit', 7, bound)
+        return
+    with pytest.raises(errors.StaleWeights):
+        board.check('fit', 7, bound)
