Blame no backend server for this process's own late loop

Cause: the hop bench, 32 requests at once on one healthy server, got refusals. Two faults: the drain rate counted starts while nobody waited, which is the callers' rate, so a burst after a quiet time looked hopeless (retry_after 1.2 s for a wait of 0.1 s); and latencies measured while the entry's own loop was late drove the concurrency limit down to 4.

Change: only starts while others wait count, and a new line starts a new measurement; a window with a late loop lowers nothing.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -183,7 +183,7 @@
     async def send() -> None:
         async with limiter:
             response = await client.request(method, url, json=body)
-            response.raise_for_status()
+            assert response.is_success, response.text
 
     async with anyio.create_task_group() as tasks:
         for _ in range(count):
--- a/bench/routing_load.py
+++ b/bench/routing_load.py
@@ -101,7 +101,9 @@
 class _NoLimit:
     requests = 1_000_000
 
-    def note_latency(self, seconds: float, in_flight: int, now: float) -> None:
+    def note_latency(
+        self, seconds: float, in_flight: int, now: float, blurred: bool
+    ) -> None:
         """Learn nothing."""
 
     def note_failure(self) -> None:
--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from swiftjunction.backends import _lateness
 from swiftjunction.backends import _limit
 from swiftjunction.backends import _server
 from swiftjunction import links
@@ -27,6 +28,8 @@
 
     Attributes
     ----------
+    lateness : Lateness
+        Of this process's event loop, to be run beside it.
     tolerance : float
         Of the concurrency limits of servers that are found from now on.
     """
@@ -36,6 +39,7 @@
         '_clock',
         '_listeners',
         '_servers',
+        'lateness',
         'tolerance',
     )
 
@@ -45,6 +49,7 @@
         clock: collections.abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self._clock = clock
+        self.lateness = _lateness.Lateness()
         self.tolerance = _limit.LIVE_TOLERANCE
         self._listeners: list[Listener] = []
         self._servers: dict[str, _server.BackendServer] = {}
@@ -79,6 +84,7 @@
             self._clock,
             lambda: self._notify(server.report.service),
             self.tolerance,
+            self.lateness,
         )
         self._servers[report.name] = server
         return server
--- a/src/swiftjunction/backends/_limit.py
+++ b/src/swiftjunction/backends/_limit.py
@@ -33,6 +33,7 @@
 
     __slots__ = (
         '_baseline_seconds',
+        '_blurred',
         '_count',
         '_full',
         '_limit',
@@ -53,6 +54,7 @@
         self._total_seconds = 0.0
         self._count = 0
         self._full = False
+        self._blurred = False
 
     @property
     def requests(self) -> int:
@@ -60,8 +62,19 @@
         share = PROBE_SHARE if self._probing else 1.0
         return int(max(self._limit * share, MIN_LIMIT_REQUESTS))
 
-    def note_latency(self, seconds: float, in_flight: int, now: float) -> None:
-        """Learn from an answer that came while `in_flight` were there."""
+    def note_latency(
+        self,
+        seconds: float,
+        in_flight: int,
+        now: float,
+        blurred: bool = False,
+    ) -> None:
+        """Learn from an answer that came while `in_flight` were there.
+
+        `blurred` tells that much of the latency may be this process's own;
+        the window then neither lowers the limit nor is a measure for others.
+        """
+        self._blurred = self._blurred or blurred
         self._total_seconds += seconds
         self._count += 1
         self._full = self._full or in_flight * 2 >= self._limit
@@ -73,7 +86,10 @@
         self._decrease()
 
     def _close_window(self, mean_seconds: float, now: float) -> None:
-        if self._probing or not self._baseline_seconds:
+        if self._blurred:
+            if self._full:
+                self._raise()
+        elif self._probing or not self._baseline_seconds:
             self._baseline_seconds = mean_seconds
             self._probe_at = now + PROBE_INTERVAL_SECONDS
             self._probing = False
@@ -84,13 +100,17 @@
         self._total_seconds = 0.0
         self._count = 0
         self._full = False
+        self._blurred = False
 
     def _adapt(self, mean_seconds: float) -> None:
         if mean_seconds > self._baseline_seconds * self._tolerance:
             self._decrease()
         elif self._full:
-            raised = self._limit * 2 if self._starting else self._limit + 1
-            self._limit = min(raised, MAX_LIMIT_REQUESTS)
+            self._raise()
+
+    def _raise(self) -> None:
+        raised = self._limit * 2 if self._starting else self._limit + 1
+        self._limit = min(raised, MAX_LIMIT_REQUESTS)
 
     def _decrease(self) -> None:
         self._starting = False
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from swiftjunction.backends import _health
+from swiftjunction.backends import _lateness
 from swiftjunction.backends import _limit
 
 LATENCY_WEIGHT = 0.2
@@ -60,6 +61,8 @@
         Called when a request has left the server.
     tolerance : float
         Of its concurrency limit.
+    lateness : Lateness
+        Of this process's event loop.
 
     Attributes
     ----------
@@ -77,6 +80,7 @@
 
     __slots__ = (
         '_clock',
+        '_lateness',
         '_latency_at',
         '_latency_seconds',
         '_load',
@@ -98,6 +102,7 @@
         clock: collections.abc.Callable[[], float] = time.monotonic,
         on_release: collections.abc.Callable[[], None] | None = None,
         tolerance: float = _limit.LIVE_TOLERANCE,
+        lateness: _lateness.Lateness | None = None,
     ) -> None:
         self.report = report
         self.health = _health.Health(clock)
@@ -108,6 +113,7 @@
         self.reserved = False
         self._clock = clock
         self._on_release = on_release
+        self._lateness = lateness or _lateness.Lateness()
         self._load = 0.0
         self._load_at = clock()
         self._latency_seconds = 0.0
@@ -198,7 +204,12 @@
 
     def note_latency(self, seconds: float) -> None:
         """Learn how long an answer, or its first chunk, took."""
-        self.limit.note_latency(seconds, self.in_flight, self._clock())
+        self.limit.note_latency(
+            seconds,
+            self.in_flight,
+            self._clock(),
+            self._lateness.blurs(seconds),
+        )
         held = self._latency_seconds
         self._latency_seconds = (
             held + LATENCY_WEIGHT * (seconds - held) if held else seconds
--- a/src/swiftjunction/routing/_waiting.py
+++ b/src/swiftjunction/routing/_waiting.py
@@ -22,8 +22,8 @@
 STANDING_AFTER_SECONDS = 1.0
 # A place may also come free with no event, such as an ejection that ends.
 CHECK_INTERVAL_SECONDS = 0.25
-# While the drain rate is not known, so many may wait.
-MAX_WAITING_UNMEASURED = 64
+# While the drain rate is not known.
+ASSUMED_STARTS_PER_SECOND = 100.0
 
 
 class Patience(typing.NamedTuple):
@@ -101,10 +101,7 @@
 
     def estimate_retry_after(self) -> float:
         """Return in how many seconds the line will have been worked off."""
-        rate = self._drain.estimate(anyio.current_time())
-        if not rate:
-            return 1.0
-        seconds = (len(self._tickets) + 1) / rate
+        seconds = (len(self._tickets) + 1) / self._estimate_rate()
         return min(
             max(seconds, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS
         )
@@ -129,12 +126,14 @@
 
     def _start(self, choose: Choose) -> _policy.Server:
         chosen = choose()
-        self._drain.note(anyio.current_time())
+        if self._tickets:
+            self._drain.note(anyio.current_time())
         return chosen
 
     def _join(self, patience: Patience) -> _Ticket:
         if not self._tickets:
             self._empty_at = anyio.current_time()
+            self._drain.restart(self._empty_at)
         self._next += 1
         ticket = _Ticket((patience.rank, self._next))
         bisect.insort(self._tickets, ticket, key=lambda t: t.order)
@@ -166,11 +165,11 @@
         return min(limit, remaining)
 
     def _estimate_wait(self, patience: Patience) -> float:
-        ahead = self._count_ahead(patience)
-        rate = self._drain.estimate(anyio.current_time())
-        if not rate:
-            return 0.0 if ahead < MAX_WAITING_UNMEASURED else float('inf')
-        return (ahead + 1) / rate
+        return (self._count_ahead(patience) + 1) / self._estimate_rate()
+
+    def _estimate_rate(self) -> float:
+        measured = self._drain.estimate(anyio.current_time())
+        return measured or ASSUMED_STARTS_PER_SECOND
 
     def _refuse(
         self, request: _policy.RoutingRequest, why: str
--- /dev/null
+++ b/tests/cover/test_backends_limit.py
@@ -0,0 +1,35 @@
+import pytest
+
+from swiftjunction.backends import _lateness
+from swiftjunction.backends import _limit
+
+
+def fill_windows(limit, latencies, *, blurred=False):
+    for seconds in latencies:
+        for _ in range(_limit.WINDOW_ANSWERS):
+            limit.note_latency(seconds, limit.requests, 0.0, blurred)
+
+
+def test_a_latency_that_grows_lowers_the_limit():
+    limit = _limit.ConcurrencyLimit()
+    fill_windows(limit, [0.03, 0.03, 0.3])
+    assert limit.requests == 6
+
+
+def test_a_latency_of_a_late_loop_does_not():
+    limit = _limit.ConcurrencyLimit()
+    fill_windows(limit, [0.03, 0.03])
+    fill_windows(limit, [0.3], blurred=True)
+    assert limit.requests == 16
+
+
+@pytest.mark.parametrize(
+    ('late_seconds', 'latency_seconds', 'blurred'),
+    [(0.0005, 0.03, False), (0.01, 0.1, True), (0.01, 0.5, False)],
+)
+def test_a_late_loop_blurs_short_latencies(
+    late_seconds, latency_seconds, blurred
+):
+    lateness = _lateness.Lateness()
+    lateness.seconds = late_seconds
+    assert lateness.blurs(latency_seconds) is blurred
--- a/tests/cover/test_routing_waiting.py
+++ b/tests/cover/test_routing_waiting.py
@@ -93,6 +93,20 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_a_burst_after_a_quiet_time_waits(clock):
+    servers = test_routing.Servers(clock, 'dc-1')
+    for _ in range(4):
+        await acquire(servers)
+        await anyio.sleep(0.1)
+    fill(servers)
+    async with anyio.create_task_group() as tasks:
+        for _ in range(32):
+            tasks.start_soon(acquire, servers)
+        await anyio.wait_all_tasks_blocked()
+        assert servers.router.count_waiting() == {'fit': 32}
+        tasks.cancel_scope.cancel()
+
+
 async def test_one_that_cannot_use_the_free_server_lets_the_next_try(clock):
     servers = test_routing.Servers(clock, 'dc-1', 'dc-1')
     fill(servers)
