Read streams to their end, so that their connections are kept

Cause: a profile showed a new connection to the engine for each completion: the reader left after the last chunk, and httpcore closes a connection whose response was not read to its end.

Change: what follows the last chunk is read, for at most 50 ms.

--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -1,6 +1,7 @@
 """The client of a model engine."""
 
 import collections.abc
+import contextlib
 import typing
 
 import anyio
@@ -20,6 +21,8 @@
 ORDER_TIMEOUT_SECONDS = 3.0
 # A shorter time between two chunks means that both came in one read.
 READ_SECONDS = 0.002
+# How long the end of a stream may lag behind its last chunk.
+END_SECONDS = 0.05
 
 # What httpcore calls the moment before the first byte.
 SEND_EVENT = 'http11.send_request_headers.started'
@@ -170,13 +173,16 @@
                 _calls.translate_errors(step, peer),
             ):
                 began = read_at = anyio.current_time()
-                async for event in source.aiter_sse():
+                events = source.aiter_sse()
+                async for event in events:
                     if event.data == '[DONE]':
                         break
                     chunk = _decode_chunk(event.data, request_id, peer)
-                    yield chunk
                     if chunk.finish_reason:
+                        await _read_to_end(events)
+                        yield chunk
                         return
+                    yield chunk
                     # Chunks that are here already come without a wait; time
                     # has passed only where the stream had to be read.
                     now = anyio.current_time()
@@ -261,6 +267,21 @@
                         yield _orders.decode_status(event.data, address)
 
 
+async def _read_to_end(
+    events: collections.abc.AsyncIterator[httpx_sse.ServerSentEvent],
+) -> None:
+    """Read what follows the last chunk, so that the connection is kept.
+
+    Whatever goes wrong here, the answer is whole.
+    """
+    with (
+        anyio.move_on_after(END_SECONDS),
+        contextlib.suppress(httpx.HTTPError, httpx.StreamError),
+    ):
+        async for _ in events:
+            pass
+
+
 def _check_start(
     response: httpx.Response, server: _server.BackendServer, step: str
 ) -> None:
