--- a/bench/sizes.py
+++ b/bench/sizes.py
@@ -9,6 +9,7 @@
     'configuration',
     'leases',
     'membership',
+    'placement',
     'requests',
     'routing',
     'steps',
--- a/src/swiftjunction/client/_caller.py
+++ b/src/swiftjunction/client/_caller.py
@@ -1,14 +1,13 @@
 """The client of live callers: which entry to ask, and what to retry."""
 
-import types
 import typing
 
 import anyio
 import httpx
 import msgspec
 
+from swiftjunction.client import _connections
 from swiftjunction import errors
-from swiftjunction import web
 
 MAX_TRIES = 4
 FIRST_RETRY_SECONDS = 0.05
@@ -46,7 +45,7 @@
     lifetime_seconds: float
 
 
-class CallerClient:
+class CallerClient(_connections.Connections):
     """Asks entries which of them to use, and fails over between them.
 
     Parameters
@@ -65,9 +64,7 @@
     __slots__ = (
         '_addresses',
         '_data_center',
-        '_peers',
         '_refresh_at',
-        '_seeds',
         '_timeout_seconds',
     )
 
@@ -79,25 +76,11 @@
         timeout_seconds: float = 30.0,
         authority: str = '',
     ) -> None:
-        if not seeds:
-            raise ValueError('seeds is empty; give at least one "ip:port"')
-        self._seeds = list(seeds)
+        super().__init__(seeds, authority)
         self._addresses = list(seeds)
         self._data_center = data_center
         self._timeout_seconds = timeout_seconds
         self._refresh_at = 0.0
-        self._peers = web.PeerClients(web.trust_authority(authority))
-
-    async def __aenter__(self) -> 'CallerClient':
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        await self._peers.close()
 
     async def complete(
         self, path: str, prompt: str, *, max_tokens: int = 16, seed: int = 0
--- a/src/swiftjunction/client/_trainer.py
+++ b/src/swiftjunction/client/_trainer.py
@@ -1,14 +1,13 @@
 """The client of trainers: draws each sample of a step once."""
 
 import collections.abc
-import types
 
 import anyio
 import httpx
 import msgspec
 
+from swiftjunction.client import _connections
 from swiftjunction import errors
-from swiftjunction import web
 
 DRAW_WAIT_SECONDS = 1.5
 RETRY_SECONDS = 0.2
@@ -52,7 +51,7 @@
     done: bool
 
 
-class TrainerClient:
+class TrainerClient(_connections.Connections):
     """Submits steps and draws their samples.
 
     Parameters
@@ -66,28 +65,14 @@
         called over TLS where it is given.
     """
 
-    __slots__ = ('_addresses', '_owner', '_peers', '_trainer')
+    __slots__ = ('_owner', '_trainer')
 
     def __init__(
         self, trainer: str, seeds: list[str], *, authority: str = ''
     ) -> None:
-        if not seeds:
-            raise ValueError('seeds is empty; give at least one "ip:port"')
+        super().__init__(seeds, authority)
         self._trainer = trainer
-        self._addresses = list(seeds)
         self._owner = seeds[0]
-        self._peers = web.PeerClients(web.trust_authority(authority))
-
-    async def __aenter__(self) -> 'TrainerClient':
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        await self._peers.close()
 
     async def run_step(
         self,
@@ -169,7 +154,7 @@
             response = await self._try(method, url, options)
             if response is None or _is_dying(response):
                 tries += 1
-                self._owner = self._addresses[tries % len(self._addresses)]
+                self._owner = self._seeds[tries % len(self._seeds)]
                 await anyio.sleep(RETRY_SECONDS)
             elif response.status_code == httpx.codes.TEMPORARY_REDIRECT:
                 self._owner = response.headers['x-step-owner']
--- a/src/swiftjunction/daemons/_entry.py
+++ b/src/swiftjunction/daemons/_entry.py
@@ -4,10 +4,9 @@
 
 import anyio
 
-from swiftjunction import backends
 from swiftjunction.daemons import _daemon
+from swiftjunction.daemons import _makers
 from swiftjunction import requests
-from swiftjunction import routing
 from swiftjunction import settings
 
 # After callers were told, the last of them may still connect this late.
@@ -21,37 +20,19 @@
         own = config.entry
         super().__init__(config, 'entry', own.port, own.link_port, seed)
         self.join({config.link_address(config.conductor.link_port)})
-        router = routing.Router(
-            self.directory, config.vm.data_center, self.rng
-        )
-        budget = requests.RetryBudget()
-        suspects = requests.SuspectList(self.table, self.name)
-        self.dump.add('suspects', suspects.summarize)
+        makers = _makers.Makers(self)
         self._admission = requests.Admission(own.max_in_flight)
         self._live = requests.LiveApp(
             self.tree,
             self._admission,
-            requests.Generator(
-                router,
-                backends.EngineClient(self.peers),
-                self.board,
-                budget,
-                suspects,
-            ),
-            requests.Forwarder(
-                router,
-                backends.ServiceClient(self.peers),
-                requests.Claims(self.store, self.name),
-                budget,
-                suspects,
-            ),
+            makers.generator,
+            makers.forwarder,
             requests.AddressBook(
                 self.processes, own.address_lifetime_seconds, self.rng
             ),
             self.metrics,
         )
         self.dump.add('admission', self._admission.summarize)
-        self.dump.add('waiting', router.count_waiting)
 
     def build_app(self) -> collections.abc.Callable:
         """Return the HTTP application."""
--- a/src/swiftjunction/daemons/_rollout.py
+++ b/src/swiftjunction/daemons/_rollout.py
@@ -4,8 +4,7 @@
 
 from swiftjunction import backends
 from swiftjunction.daemons import _daemon
-from swiftjunction import requests
-from swiftjunction import routing
+from swiftjunction.daemons import _makers
 from swiftjunction import settings
 from swiftjunction import steps
 
@@ -18,28 +17,11 @@
         super().__init__(config, 'rollout', own.port, own.link_port, seed)
         self.join({config.link_address(config.conductor.link_port)})
         self.directory.tolerance = backends.SAMPLE_TOLERANCE
-        router = routing.Router(
-            self.directory, config.vm.data_center, self.rng
-        )
-        budget = requests.RetryBudget()
-        suspects = requests.SuspectList(self.table, self.name)
-        self.dump.add('suspects', suspects.summarize)
+        makers = _makers.Makers(self)
         producer = steps.Producer(
             self.tree,
-            requests.Generator(
-                router,
-                backends.EngineClient(self.peers),
-                self.board,
-                budget,
-                suspects,
-            ),
-            requests.Forwarder(
-                router,
-                backends.ServiceClient(self.peers),
-                requests.Claims(self.store, self.name),
-                budget,
-                suspects,
-            ),
+            makers.generator,
+            makers.forwarder,
             self.board,
             own.max_in_flight,
             self.rng,
--- a/src/swiftjunction/daemons/_servers.py
+++ b/src/swiftjunction/daemons/_servers.py
@@ -222,15 +222,17 @@
 
     def _find_service(self, vm: platform.Vm) -> str:
         """Return what a server that says nothing was last known to serve."""
-        held = self._table.get(f'{backends.SERVER_PREFIX}{vm.name}')
-        if held is None:
+        report = self._find_report(vm.name)
+        if report is None or not report.listed_service:
             return vm.service
-        report = msgspec.msgpack.decode(held.value, type=backends.ServerReport)
-        return report.service if report.listed_service else vm.service
+        return report.service
 
     def _is_gone(self, name: str) -> bool:
+        report = self._find_report(name)
+        return report is not None and report.state == 'gone'
+
+    def _find_report(self, name: str) -> backends.ServerReport | None:
         held = self._table.get(f'{backends.SERVER_PREFIX}{name}')
         if held is None:
-            return False
-        report = msgspec.msgpack.decode(held.value, type=backends.ServerReport)
-        return report.state == 'gone'
+            return None
+        return msgspec.msgpack.decode(held.value, type=backends.ServerReport)
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -5,10 +5,10 @@
 from swiftjunction.requests._app import build_app
 from swiftjunction.requests._app import LiveApp
 from swiftjunction.requests._budget import RetryBudget
+from swiftjunction.requests._call import GenerationCall
 from swiftjunction.requests._claims import Claims
 from swiftjunction.requests._forwarding import ForwardedCall
 from swiftjunction.requests._forwarding import Forwarder
-from swiftjunction.requests._generation import GenerationCall
 from swiftjunction.requests._generation import Generator
 from swiftjunction.requests._overload import CHECK_INTERVAL_SECONDS
 from swiftjunction.requests._overload import OverloadDetector
--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -3,9 +3,6 @@
 import collections.abc
 import contextlib
 import logging
-import math
-import re
-import uuid
 
 import anyio
 import msgspec
@@ -19,8 +16,10 @@
 from swiftjunction import errors
 from swiftjunction.requests import _addresses
 from swiftjunction.requests import _admission
+from swiftjunction.requests import _call
 from swiftjunction.requests import _forwarding
 from swiftjunction.requests import _generation
+from swiftjunction.requests import _reading
 from swiftjunction.requests import _segments
 from swiftjunction.requests import _streaming
 from swiftjunction import telemetry
@@ -28,9 +27,6 @@
 
 LOG = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
-REQUEST_ID_PATTERN = re.compile('[A-Za-z0-9][A-Za-z0-9._:-]{0,127}')
-MAX_TOKENS = 1_000_000
 SERVICE_METHODS = ['GET', 'HEAD', 'PUT', 'DELETE', 'POST', 'PATCH']
 IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'PUT', 'DELETE'})
 # Headers that concern one connection, not the message.
@@ -48,16 +44,6 @@
 )
 
 
-class CompletionRequest(msgspec.Struct):
-    """The body of a completion, in the shape of OpenAI's API."""
-
-    model: str
-    prompt: str
-    max_tokens: int = 16
-    stream: bool = False
-    seed: int = 0
-
-
 class LiveApp:
     """Serves live callers.
 
@@ -114,9 +100,11 @@
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
         """Serve a completion, streamed or whole."""
-        request_id = _read_request_id(request)
+        request_id = _reading.read_request_id(request)
         try:
-            body = _decode_completion(await _read_body(request))
+            body = _reading.decode_completion(
+                await _reading.read_body(request)
+            )
             call = self._build_call(request, body, request_id)
             if body.stream:
                 return await self._stream(call, self._run(call))
@@ -129,9 +117,9 @@
     def _build_call(
         self,
         request: starlette.requests.Request,
-        body: CompletionRequest,
+        body: _reading.CompletionRequest,
         request_id: str,
-    ) -> _generation.GenerationCall:
+    ) -> _call.GenerationCall:
         self._check_settings()
         # Latencies and limits are kept for each path that is set, not for
         # each one that a caller makes up below it.
@@ -141,13 +129,13 @@
             raise errors.RequestInvalid(
                 f'no model is set for path {body.model!r}', step='resolve'
             )
-        return _generation.GenerationCall(
+        return _call.GenerationCall(
             request_id=request_id,
             path=path,
             settings=settings,
             prompt=body.prompt,
             max_tokens=body.max_tokens,
-            deadline=_read_deadline(request, settings),
+            deadline=_reading.read_deadline(request, settings),
             seed=body.seed,
             priority=_admission.find_priority(settings),
             idempotent=request.headers.get('x-idempotent') != 'false',
@@ -169,7 +157,7 @@
             )
 
     async def _run(
-        self, call: _generation.GenerationCall
+        self, call: _call.GenerationCall
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         with (
             self._admission.admit(call.path, call.settings),
@@ -183,7 +171,7 @@
 
     async def _collect(
         self,
-        call: _generation.GenerationCall,
+        call: _call.GenerationCall,
     ) -> starlette.responses.Response:
         collected = await self._collect_fresh(call)
         self._metrics.count('answers', path=call.path, outcome='complete')
@@ -202,7 +190,7 @@
         )
 
     async def _collect_fresh(
-        self, call: _generation.GenerationCall
+        self, call: _call.GenerationCall
     ) -> list[backends.Chunk]:
         """Return the chunks of an answer that is fresh as a whole.
 
@@ -225,7 +213,7 @@
 
     async def _stream(
         self,
-        call: _generation.GenerationCall,
+        call: _call.GenerationCall,
         chunks: collections.abc.AsyncGenerator[backends.Chunk, None],
     ) -> starlette.responses.Response:
         # The first chunk is awaited before the status line is sent, so that
@@ -245,7 +233,7 @@
         self, request: starlette.requests.Request
     ) -> starlette.responses.Response:
         """Forward a request to a plain service."""
-        request_id = _read_request_id(request)
+        request_id = _reading.read_request_id(request)
         path, rest = self._tree.find_service(request.path_params['path'])
         settings = self._tree.resolve(path)
         try:
@@ -274,7 +262,7 @@
         rest: str,
     ) -> _forwarding.ForwardedCall:
         settings = self._tree.resolve(path)
-        body = await _read_body(request)
+        body = await _reading.read_body(request)
         default = str(request.method in IDEMPOTENT_METHODS).lower()
         return _forwarding.ForwardedCall(
             path=path,
@@ -292,7 +280,7 @@
                 ],
                 timeout_seconds=0.0,
             ),
-            deadline=_read_deadline(request, settings),
+            deadline=_reading.read_deadline(request, settings),
             idempotent=request.headers.get('x-idempotent', default) == 'true',
             idempotency_key=request.headers.get('idempotency-key', ''),
         )
@@ -326,7 +314,7 @@
 
 
 def _shape_chunk(
-    call: _generation.GenerationCall, text: str, finish_reason: str
+    call: _call.GenerationCall, text: str, finish_reason: str
 ) -> dict[str, object]:
     return {
         'id': call.request_id,
@@ -342,9 +330,7 @@
     }
 
 
-def _frame_chunk(
-    call: _generation.GenerationCall, chunk: backends.Chunk
-) -> bytes:
+def _frame_chunk(call: _call.GenerationCall, chunk: backends.Chunk) -> bytes:
     shaped = _shape_chunk(call, chunk.text, chunk.finish_reason)
     shaped['offset'] = chunk.offset
     shaped['tokens'] = chunk.tokens
@@ -352,67 +338,6 @@
     return web.format_event(msgspec.json.encode(shaped))
 
 
-def _read_request_id(request: starlette.requests.Request) -> str:
-    """Return the caller's request id, or a new one.
-
-    An id becomes a part of engines' URLs, so what could not stand there is
-    replaced by an id that is its own.
-    """
-    found = request.headers.get('x-request-id', '')
-    if REQUEST_ID_PATTERN.fullmatch(found):
-        return found
-    return uuid.uuid4().hex
-
-
-def _read_deadline(
-    request: starlette.requests.Request,
-    settings: configuration.PathSettings,
-) -> float:
-    limit_seconds = settings.timeout_seconds or 30.0
-    try:
-        asked_seconds = float(
-            request.headers.get('x-timeout-seconds', limit_seconds)
-        )
-    except ValueError as error:
-        raise errors.RequestInvalid(
-            'x-timeout-seconds must be a number', step='deadline'
-        ) from error
-    if not 0 < asked_seconds < math.inf:
-        raise errors.RequestInvalid(
-            'x-timeout-seconds must be above 0', step='deadline'
-        )
-    return anyio.current_time() + min(asked_seconds, limit_seconds)
-
-
-async def _read_body(request: starlette.requests.Request) -> bytes:
-    parts = []
-    size = 0
-    async for part in request.stream():
-        size += len(part)
-        if size > MAX_BODY_BYTES:
-            raise errors.RequestInvalid(
-                f'body over {MAX_BODY_BYTES} bytes', step='body'
-            )
-        parts.append(part)
-    return b''.join(parts)
-
-
-def _decode_completion(body: bytes) -> CompletionRequest:
-    try:
-        decoded = msgspec.json.decode(body, type=CompletionRequest)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise errors.RequestInvalid(
-            f'body not understood: {error}', step='body'
-        ) from error
-    if not 0 < decoded.max_tokens <= MAX_TOKENS:
-        raise errors.RequestInvalid(
-            f'max_tokens = {decoded.max_tokens}: must be from 1 to '
-            f'{MAX_TOKENS}',
-            step='body',
-        )
-    return decoded
-
-
 def _relay_answer(
     answer: backends.ServiceAnswer, request_id: str
 ) -> starlette.responses.Response:
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -6,16 +6,14 @@
 import collections.abc
 import contextlib
 import logging
-import math
-import uuid
 
 import anyio
-import msgspec
 
 from swiftjunction import backends
-from swiftjunction import configuration
 from swiftjunction import errors
 from swiftjunction.requests import _budget
+from swiftjunction.requests import _call
+from swiftjunction.requests import _progress
 from swiftjunction.requests import _suspects
 from swiftjunction import routing
 from swiftjunction import weights
@@ -30,114 +28,6 @@
 BLIP_SECONDS = 1.0
 
 
-class GenerationCall(msgspec.Struct, frozen=True):
-    """One generation that a caller or a trainer asked for.
-
-    Attributes
-    ----------
-    deadline : float
-        On the event loop's clock, in seconds.
-    idempotent : bool
-        Whether a second attempt may be made after the first one started.
-    is_whole : bool
-        Whether nobody sees a part of the answer before its end.
-    """
-
-    request_id: str
-    path: str
-    settings: configuration.PathSettings
-    prompt: str
-    max_tokens: int
-    deadline: float
-    seed: int = 0
-    priority: int = 0
-    idempotent: bool = True
-    is_whole: bool = False
-
-    @property
-    def model(self) -> str:
-        """Return the model that serves the path."""
-        return self.settings.model or ''
-
-    @property
-    def request_class(self) -> str:
-        """Return the class; a sample is one whatever its path's class."""
-        if self.priority < 0:
-            return 'samples'
-        return self.settings.request_class or 'live'
-
-    @property
-    def max_load(self) -> float:
-        """Return the reported load from which on an engine is not used."""
-        ceiling = self.settings.sample_load_ceiling
-        if ceiling is None or self.request_class != 'samples':
-            return math.inf
-        return ceiling
-
-    @property
-    def fingerprint(self) -> str:
-        """Return what is the same when the request is sent again."""
-        return _suspects.make_fingerprint(
-            self.path, self.prompt, str(self.max_tokens), str(self.seed)
-        )
-
-    @property
-    def bound(self) -> weights.Bound:
-        """Return the freshness bound of the path."""
-        return weights.Bound(
-            self.settings.freshness_versions, self.settings.freshness_seconds
-        )
-
-
-class _Progress:
-    """What the caller has been given so far."""
-
-    __slots__ = (
-        'excluded',
-        'may_have_run',
-        'nonce',
-        'swaps',
-        'text',
-        'tokens',
-        'tries',
-        'versions',
-    )
-
-    def __init__(self) -> None:
-        self.text = ''
-        self.tokens = 0
-        self.tries = 0
-        self.may_have_run = False
-        self.nonce = uuid.uuid4().hex[:12]
-        self.swaps = 0
-        self.excluded: set[str] = set()
-        # The oldest and the newest version of the tokens so far.
-        self.versions: tuple[int, int] | None = None
-
-    def name_attempt(self, request_id: str) -> str:
-        """Return what the next attempt is called on its engine."""
-        return f'{request_id}.{self.nonce}-{self.tries}{"r" * self.swaps}'
-
-    def add(self, chunk: backends.Chunk) -> backends.Chunk | None:
-        """Take in a chunk; None if the caller has it already."""
-        if chunk.offset + chunk.tokens <= self.tokens and chunk.tokens:
-            return None
-        if chunk.offset != self.tokens:
-            raise errors.AnswerBroken(
-                f'chunk at token {chunk.offset}, expected {self.tokens}',
-                step='generate',
-            )
-        self.text += chunk.text
-        self.tokens += chunk.tokens
-        if chunk.tokens:
-            oldest, newest = self.versions or (chunk.weight_version,) * 2
-            self.versions = (
-                min(oldest, chunk.weight_version),
-                max(newest, chunk.weight_version),
-            )
-        return chunk
-
-
 class _Aborted(Exception):
     """The attempt ended so that new weights read what there is so far."""
 
@@ -184,7 +74,7 @@
         self._budget = budget
 
     async def generate(
-        self, call: GenerationCall
+        self, call: _call.GenerationCall
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         """Yield the chunks of one answer, each token once, to the last.
 
@@ -195,7 +85,7 @@
             before is then not an answer.
         """
         self._budget.note_request()
-        progress = _Progress()
+        progress = _progress.Progress()
         fingerprint = call.fingerprint
         while True:
             alone = self._suspects.check(fingerprint)
@@ -235,7 +125,7 @@
 
     def check_fresh(
         self,
-        call: GenerationCall,
+        call: _call.GenerationCall,
         chunks: collections.abc.Iterable[backends.Chunk],
     ) -> None:
         """Raise ``StaleWeights`` if any chunk is too old by now."""
@@ -244,9 +134,9 @@
 
     async def _attempt(
         self,
-        call: GenerationCall,
+        call: _call.GenerationCall,
         server: backends.BackendServer,
-        progress: _Progress,
+        progress: _progress.Progress,
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         engine_call = backends.EngineCall(
             # Callers may use an id twice, for example when they turn to
@@ -285,9 +175,9 @@
 
     def _follow_swap(
         self,
-        call: GenerationCall,
+        call: _call.GenerationCall,
         chunk: backends.Chunk,
-        progress: _Progress,
+        progress: _progress.Progress,
     ) -> None:
         """End the attempt where the path's policy says so at a swap."""
         if progress.versions is None or not chunk.tokens:
@@ -318,7 +208,7 @@
         self,
         server: backends.BackendServer,
         engine_call: backends.EngineCall,
-        progress: _Progress,
+        progress: _progress.Progress,
     ) -> collections.abc.AsyncGenerator[backends.Chunk, None]:
         """Read the stream, taking it up again once where it breaks."""
         try:
@@ -349,7 +239,10 @@
             ) from error
 
     async def _find_server(
-        self, call: GenerationCall, progress: _Progress, alone: bool
+        self,
+        call: _call.GenerationCall,
+        progress: _progress.Progress,
+        alone: bool,
     ) -> backends.BackendServer:
         """Return the next server, waiting while one may come.
 
@@ -375,7 +268,10 @@
             await anyio.sleep(NO_SERVER_WAIT_SECONDS)
 
     def _describe(
-        self, call: GenerationCall, progress: _Progress, alone: bool
+        self,
+        call: _call.GenerationCall,
+        progress: _progress.Progress,
+        alone: bool,
     ) -> routing.RoutingRequest:
         return routing.RoutingRequest(
             path=call.path,
@@ -411,14 +307,14 @@
         remaining_seconds = request.deadline - anyio.current_time()
         return remaining_seconds > NO_SERVER_WAIT_SECONDS
 
-    def _remaining(self, call: GenerationCall) -> float:
+    def _remaining(self, call: _call.GenerationCall) -> float:
         return max(call.deadline - anyio.current_time(), 0.0)
 
     def _note_failure(
         self,
-        call: GenerationCall,
+        call: _call.GenerationCall,
         server: backends.BackendServer,
-        progress: _Progress,
+        progress: _progress.Progress,
         error: errors.BackendError,
     ) -> None:
         progress.excluded.add(server.name)
@@ -440,13 +336,13 @@
             raise self._give_up(progress, error) from error
         LOG.info('request %s is retried after %s', call.request_id, error)
 
-    def _may_go_on(self, progress: _Progress) -> bool:
+    def _may_go_on(self, progress: _progress.Progress) -> bool:
         # Going on with a generation runs only the tokens that are missing,
         # which adds no load; beginning again does.
         return progress.tokens > 0 or self._budget.take_retry()
 
     def _give_up(
-        self, progress: _Progress, error: errors.SwiftjunctionError
+        self, progress: _progress.Progress, error: errors.SwiftjunctionError
     ) -> errors.RequestError:
         if isinstance(error, errors.StaleWeights):
             return error
