Name the request and the team in each log line

Cause: log lines carried an error's step and peer, but not whose request it was.

Change: a task notes its request and path; the tasks it starts inherit them, and the filter adds request_id and team to the JSON. Refusals are logged at DEBUG, as their rate is the callers'.

Conclusion: a line is enough to find the caller.

--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -105,6 +105,7 @@
             body = _reading.decode_completion(
                 await _reading.read_body(request)
             )
+            telemetry.note_request(request_id, body.model)
             call = self._build_call(request, body, request_id)
             if body.stream:
                 return await self._stream(call, self._run(call))
@@ -236,6 +237,7 @@
         request_id = _reading.read_request_id(request)
         path, rest = self._tree.find_service(request.path_params['path'])
         settings = self._tree.resolve(path)
+        telemetry.note_request(request_id, path)
         try:
             self._check_settings()
             if not settings.service:
@@ -288,6 +290,7 @@
     def _refuse(
         self, request_id: str, error: errors.RequestError
     ) -> starlette.responses.Response:
+        LOG.debug('refused: %s', error)
         self._metrics.count('refusals', outcome=error.outcome)
         return web.respond_error(error, request_id)
 
--- a/src/swiftjunction/steps/_registry.py
+++ b/src/swiftjunction/steps/_registry.py
@@ -14,6 +14,7 @@
 from swiftjunction.steps import _payloads
 from swiftjunction.steps import _production
 from swiftjunction.steps import _step
+from swiftjunction import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -166,6 +167,7 @@
 
     async def _work(self, running: _delivery.RunningStep) -> None:
         step_id = running.step.spec.step_id
+        telemetry.note_request(step_id, running.step.spec.path)
         try:
             await running.run()
         except* errors.SwiftjunctionError as group:
--- a/src/swiftjunction/telemetry/_logs.py
+++ b/src/swiftjunction/telemetry/_logs.py
@@ -1,5 +1,6 @@
 """JSON-line logs."""
 
+import contextvars
 import logging
 import sys
 
@@ -8,10 +9,25 @@
 FIELDS = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
 
-class _PlaceFilter(logging.Filter):
-    """Adds the step and the peer of an error that is logged with it."""
+# Of the request that a task works on; tasks that it starts inherit them.
+_request_id = contextvars.ContextVar('request_id', default='')
+_team = contextvars.ContextVar('team', default='')
+
+
+def note_request(request_id: str, path: str) -> None:
+    """Name the request and the team in what this task logs from now on."""
+    _request_id.set(request_id)
+    _team.set(path.split('/')[0])
+
+
+class PlaceFilter(logging.Filter):
+    """Adds the request, the team, and an error's step and peer."""
 
     def filter(self, record: logging.LogRecord) -> bool:
+        """Add them to `record`; every record passes."""
+        for name, variable in (('request_id', _request_id), ('team', _team)):
+            if variable.get():
+                setattr(record, name, variable.get())
         candidates = list(record.args) if record.args else []
         if record.exc_info and record.exc_info[1]:
             candidates.append(record.exc_info[1])
@@ -36,7 +52,7 @@
         The least severe level that is written.
     """
     handler = logging.StreamHandler(sys.stderr)
-    handler.addFilter(_PlaceFilter())
+    handler.addFilter(PlaceFilter())
     handler.setFormatter(
         JsonFormatter(
             FIELDS,
