Name file and key where a port is in use

Cause: the line said the address alone, while every other mistake in the settings names file, key, value and what is allowed.

Change: the daemon names the key and the value, the command the file.

Conclusion: all mistakes in settings read alike.

--- a/src/swiftjunction/commands/_daemons.py
+++ b/src/swiftjunction/commands/_daemons.py
@@ -8,6 +8,7 @@
 
 from swiftjunction.commands import _programs
 from swiftjunction import daemons
+from swiftjunction import errors
 from swiftjunction import settings
 from swiftjunction import telemetry
 
@@ -41,10 +42,15 @@
             self.line(f'{path}: good')
             return 0
         telemetry.set_up_logs(self._process, config.vm.name, config.logs.level)
-        _programs.run_until_signal(
-            lambda: self._build(config),
-            lambda daemon: daemon.dump.write_on_signal(),
-        )
+        try:
+            _programs.run_until_signal(
+                lambda: self._build(config),
+                lambda daemon: daemon.dump.write_on_signal(),
+            )
+        except errors.SettingsError as error:
+            raise errors.SettingsError(
+                [f'{path}: {problem}' for problem in error.problems]
+            ) from error
         return 0
 
 
--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import contextlib
 import logging
 import random
 import typing
@@ -30,6 +31,20 @@
 ]
 
 
+@contextlib.contextmanager
+def _name_key(key: str, port: int) -> collections.abc.Iterator[None]:
+    """Name the setting where its port cannot be listened on."""
+    try:
+        yield
+    except errors.SettingsError as error:
+        raise errors.SettingsError(
+            [
+                f'{key} = {port}: {problem}; must be a free port of this VM'
+                for problem in error.problems
+            ]
+        ) from error
+
+
 class Daemon(abc.ABC):
     """One process of the system.
 
@@ -56,8 +71,10 @@
         self.config = config
         self.kind = kind
         self.rng = random.Random(f'{seed} {config.vm.name} {kind}')
-        self.listener = web.open_listener(config.vm.ip, port)
-        self.links = links.PeerLinks(config.link_address(link_port))
+        with _name_key(f'{kind}.port', port):
+            self.listener = web.open_listener(config.vm.ip, port)
+        with _name_key(f'{kind}.link_port', link_port):
+            self.links = links.PeerLinks(config.link_address(link_port))
         self.table = membership.RecordTable()
         self.processes = membership.ProcessList(self.table)
         self.tree = configuration.Tree(self.table)
