--- a/bench/platform_guard.py
+++ b/bench/platform_guard.py
@@ -11,7 +11,7 @@
 import anyio
 
 from swiftjunction import errors
-from swiftjunction import platform
+from swiftjunction import objectstore
 
 READS = 2000
 READERS = 8
@@ -24,7 +24,7 @@
 AFTER_SECONDS = 4.0
 
 
-class SlowStore(platform.HttpObjectStore):
+class SlowStore(objectstore.HttpObjectStore):
     """Answers without HTTP, now and then late, or not at all."""
 
     def __init__(self, seed):
@@ -38,12 +38,12 @@
             raise errors.PlatformUnavailable('out', step='read')
         slow = self.rng.random() < SLOW_SHARE
         await anyio.sleep(SLOW_SECONDS if slow else QUICK_SECONDS)
-        return platform.Object(key, 1, b'1')
+        return objectstore.Object(key, 1, b'1')
 
 
 def guard(store):
     """Return `store` behind the guard."""
-    return platform.GuardedObjectStore(store, lambda: 16, random.Random(1))
+    return objectstore.GuardedObjectStore(store, lambda: 16, random.Random(1))
 
 
 async def read_often(store):
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,7 +20,7 @@
 from bench import slopes_nodes
 from bench import slopes_report
 from swiftjunction import configuration
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import standins
 from swiftjunction import web
 
@@ -90,7 +90,7 @@
 
 
 async def change_teams(
-    store: platform.ObjectStore, accepted: dict[int, float], team: int
+    store: objectstore.ObjectStore, accepted: dict[int, float], team: int
 ) -> None:
     """Change one team's settings and note when that was accepted."""
     name = f'team-{team % TEAMS}'
@@ -120,14 +120,14 @@
         for number in range(size):
             process = slopes_nodes.make_process(number)
             vms.put(
-                platform.Vm(
+                objectstore.Vm(
                     process.vm,
                     process.link,
                     'swiftjunction',
                     process.data_center,
                 )
             )
-        store = platform.HttpObjectStore(
+        store = objectstore.HttpObjectStore(
             web.connect_client(f'http://{addresses[0]}')
         )
         for team in range(TEAMS):
@@ -171,7 +171,7 @@
 
 async def _drive(
     workers: list[Worker],
-    store: platform.ObjectStore,
+    store: objectstore.ObjectStore,
     accepted: dict[int, float],
     size: int,
     seconds: float,
@@ -211,7 +211,7 @@
 
 
 async def _change_often(
-    store: platform.ObjectStore, accepted: dict[int, float], team: int
+    store: objectstore.ObjectStore, accepted: dict[int, float], team: int
 ) -> None:
     for number in range(team, BURST_CHANGES, TEAMS):
         await change_teams(store, accepted, number)
--- a/bench/slopes_nodes.py
+++ b/bench/slopes_nodes.py
@@ -19,7 +19,7 @@
 from swiftjunction.daemons import _watches
 from swiftjunction import links
 from swiftjunction import membership
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import web
 from swiftjunction import weights
 
@@ -114,8 +114,8 @@
         self.table.listen('config/', self._note_arrival)
         self.table.listen('process/', self._note_death)
         self._objects = self._connect(objects)
-        self.vms = platform.VmList(self._connect(vms))
-        self.store = platform.HttpObjectStore(self._objects)
+        self.vms = objectstore.VmList(self._connect(vms))
+        self.store = objectstore.HttpObjectStore(self._objects)
 
     def _connect(self, address: str) -> httpx.AsyncClient:
         client = web.connect_client(f'http://{address}')
--- a/bench/weights.py
+++ b/bench/weights.py
@@ -20,7 +20,7 @@
 from swiftjunction import configuration
 from swiftjunction import daemons
 from swiftjunction.demo import _fleet
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import settings
 from swiftjunction import standins
 from swiftjunction import web
@@ -89,7 +89,7 @@
         vms = standins.VmListStandin()
         for number, port in enumerate(layout.engines):
             name = f'engine-{number}'
-            vms.put(platform.Vm(name, f'127.0.0.1:{port}', 'fit', 'dc-1'))
+            vms.put(objectstore.Vm(name, f'127.0.0.1:{port}', 'fit', 'dc-1'))
             if number % PROCESSES == part:
                 engine = TimedEngine(name, 'fit', client)
                 engine.faults.set('slow_factor', SLOW_TICKS)
@@ -150,7 +150,7 @@
             tasks.start_soon(engines.read, process)
             tasks.start_soon(end_with, process)
         conductor = await start_conductor(tasks, layout)
-        store = platform.HttpObjectStore(conductor.platform_client)
+        store = objectstore.HttpObjectStore(conductor.platform_client)
         await wait_watched(conductor, engines.count)
         for version in range(1, versions + 1):
             cpu, began = time.process_time(), time.monotonic()
@@ -202,7 +202,7 @@
     tasks.start_soon(conductor.run)
     paths = {'demo/fit': configuration.PathSettings(model='fit')}
     editor = configuration.Editor(
-        platform.HttpObjectStore(conductor.platform_client)
+        objectstore.HttpObjectStore(conductor.platform_client)
     )
     await editor.apply('demo', paths, author='bench', version=0)
     return conductor
--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -7,6 +7,7 @@
 from swiftjunction.backends._engine import EngineCall
 from swiftjunction.backends._engine import EngineClient
 from swiftjunction.backends._engine import ORDER_TIMEOUT_SECONDS
+from swiftjunction.backends._lapses import LapseGuard
 from swiftjunction.backends._limit import SAMPLE_TOLERANCE
 from swiftjunction.backends._ordering import OrderSender
 from swiftjunction.backends._orders import EngineStatus
@@ -16,6 +17,7 @@
 from swiftjunction.backends._server import ServerReport
 from swiftjunction.backends._service import ServiceAnswer
 from swiftjunction.backends._service import ServiceCall
+from swiftjunction.backends._service import ServiceCaller
 from swiftjunction.backends._service import ServiceClient
 
 __all__ = [
@@ -25,6 +27,7 @@
     'EngineCall',
     'EngineClient',
     'EngineStatus',
+    'LapseGuard',
     'ORDER_TIMEOUT_SECONDS',
     'Order',
     'OrderSender',
@@ -34,6 +37,7 @@
     'ServerReport',
     'ServiceAnswer',
     'ServiceCall',
+    'ServiceCaller',
     'ServiceClient',
     'read_load',
 ]
--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -60,19 +60,24 @@
         report = msgspec.msgpack.decode(
             record.value, type=_server.ServerReport
         )
+        self.learn(report)
+
+    def learn(self, report: _server.ServerReport) -> None:
+        """Take the newest report on a server."""
         if report.state == 'gone':
-            self._remove(report.name)
+            self.remove(report.name)
             return
         server = self._servers.get(report.name)
         if server is not None and server.report.service != report.service:
             self._by_service[server.report.service].pop(report.name, None)
-        if server is None or server.address != report.address:
+        if server is None or _is_restart(server.report, report):
             server = self._add(report)
         server.take_report(report)
         self._by_service.setdefault(report.service, {})[report.name] = server
         self._notify(report.service)
 
-    def _remove(self, name: str) -> None:
+    def remove(self, name: str) -> None:
+        """Drop a server that is gone."""
         server = self._servers.pop(name, None)
         if server is not None:
             server.note_leaving()
@@ -135,3 +140,8 @@
             }
             for name, server in self._servers.items()
         }
+
+
+def _is_restart(held: _server.ServerReport, new: _server.ServerReport) -> bool:
+    """Tell whether what was learnt of a server before holds no more."""
+    return held.address != new.address or held.born_ms != new.born_ms
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -34,6 +34,13 @@
         Of an engine, smoothed and rounded; 1 where its batch is full.
     listed_service : str
         What the VM list says that it serves.
+    model_versions : dict of str to int
+        Of an engine with several models, the version of each.
+    slots : int
+        How many requests it runs at once; 0 where that is not known.
+    born_ms : int
+        When it started, in Unix milliseconds; 0 where that is not known. A
+        server with the same name and another start knows nothing of before.
     """
 
     name: str
@@ -46,6 +53,9 @@
     staged_version: int = 0
     load: float = 0.0
     listed_service: str = ''
+    model_versions: dict[str, int] = {}
+    slots: int = 0
+    born_ms: int = 0
 
 
 class BackendServer:
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -1,5 +1,6 @@
 """The client of a plain service."""
 
+import abc
 import urllib.parse
 
 import httpx
@@ -17,7 +18,15 @@
 
 
 class ServiceCall(msgspec.Struct, frozen=True):
-    """One request to a plain service."""
+    """One request to a plain service.
+
+    Attributes
+    ----------
+    path, query : str
+        As the service's protocol has them.
+    host : str
+        The host that the caller named; empty where that has no meaning.
+    """
 
     request_id: str
     method: str
@@ -26,30 +35,35 @@
     body: bytes
     headers: list[tuple[str, str]]
     timeout_seconds: float
+    host: str = ''
 
 
 class ServiceAnswer(msgspec.Struct, frozen=True):
-    """The whole answer of a plain service."""
+    """The whole answer of a plain service.
+
+    Attributes
+    ----------
+    signature : str
+        By which the server vouches for the answer; empty where there is none.
+    """
 
     status: int
     headers: list[tuple[str, str]]
     body: bytes
+    signature: str = ''
 
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the status says that the request was served."""
+        return 200 <= self.status < 300
 
-class ServiceClient:
-    """Calls plain services.
-
-    Parameters
-    ----------
-    peers : PeerClients
-        The HTTP clients of all servers.
-    """
 
-    __slots__ = ('_peers',)
+class ServiceCaller(abc.ABC):
+    """Calls plain services, in the protocol that they speak."""
 
-    def __init__(self, peers: web.PeerClients) -> None:
-        self._peers = peers
+    __slots__ = ()
 
+    @abc.abstractmethod
     async def call(
         self, server: _server.BackendServer, call: ServiceCall
     ) -> ServiceAnswer:
@@ -62,6 +76,29 @@
         AnswerBroken
             If whether it ran is unknown.
         """
+
+    @abc.abstractmethod
+    async def is_crashed(self, server: _server.BackendServer) -> bool:
+        """Tell whether the server refuses connections after a failure."""
+
+
+class ServiceClient(ServiceCaller):
+    """Calls plain services in this project's own protocol.
+
+    Parameters
+    ----------
+    peers : PeerClients
+        The HTTP clients of all servers.
+    """
+
+    __slots__ = ('_peers',)
+
+    def __init__(self, peers: web.PeerClients) -> None:
+        self._peers = peers
+
+    async def call(
+        self, server: _server.BackendServer, call: ServiceCall
+    ) -> ServiceAnswer:
         step, peer = 'call', server.name
         with _calls.translate_errors(step, peer):
             response = await self._peers.peer(server.address).send(
@@ -87,7 +124,6 @@
         )
 
     async def is_crashed(self, server: _server.BackendServer) -> bool:
-        """Tell whether the server refuses connections after a failure."""
         client = self._peers.get(server.address)
         try:
             await client.get('/health', timeout=PROBE_TIMEOUT_SECONDS)
--- /dev/null
+++ b/src/swiftjunction/batches/_planning.py
@@ -0,0 +1,129 @@
+"""Which sample goes to which engine, and when.
+
+The load that this answers: steps of some dozen to some thousand samples in
+groups, whose trainers wait for most of the groups to be whole by a due time,
+on engines that run a few samples at once and are at times all full.
+"""
+
+import collections
+import collections.abc
+
+from swiftjunction.batches import _engines
+from swiftjunction.batches import _open
+
+Candidate = tuple[_open.OpenBatch, _open.Progress]
+
+
+class Placement:
+    """Remembers on which engine each group was last begun."""
+
+    __slots__ = ('_engines', '_limit')
+
+    def __init__(self, limit: int = 4096) -> None:
+        self._limit = limit
+        self._engines: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+
+    def choose(
+        self,
+        candidate: Candidate,
+        engines: list[_engines.EngineState],
+    ) -> _engines.EngineState | None:
+        """Return the engine for a sample; None where no place is free.
+
+        The engine that has read the group's prompt goes first, then the one
+        with the fewest samples. Engines that are slow of late go last.
+        """
+        opened, progress = candidate
+        batch = opened.batch
+        free = [
+            engine
+            for engine in engines
+            if engine.may_run(batch.model, batch.min_version)
+        ]
+        if not free:
+            return None
+        slow = _engines.find_slow(engines)
+        holder = self._engines.get(progress.item.group)
+        chosen = min(
+            free,
+            key=lambda engine: (
+                engine.server.name in slow,
+                engine.server.name != holder,
+                engine.server.in_flight,
+            ),
+        )
+        self._remember(progress.item.group, chosen.server.name)
+        return chosen
+
+    def _remember(self, group: str, engine: str) -> None:
+        self._engines[group] = engine
+        self._engines.move_to_end(group)
+        if len(self._engines) > self._limit:
+            self._engines.popitem(last=False)
+
+
+def order_samples(
+    batches: collections.abc.Iterable[_open.OpenBatch],
+) -> collections.abc.Iterator[Candidate]:
+    """Yield the samples that wait for an engine, the first one first.
+
+    Parameters
+    ----------
+    batches : iterable of OpenBatch
+        Those that are ended are passed over.
+    """
+    waiting = [opened for opened in batches if not opened.ended]
+    waiting.sort(key=lambda o: (o.is_satisfied(), o.due_at))
+    for opened in waiting:
+        for group in order_groups(opened):
+            for progress in group:
+                if not progress.running and not _is_finished(opened, progress):
+                    yield opened, progress
+
+
+def order_groups(opened: _open.OpenBatch) -> list[list[_open.Progress]]:
+    """Return the groups that are left, each with its longest sample first.
+
+    A step is paid by whole groups, and its trainer waits for most, not all
+    of them. So groups that are begun go first; the longest groups, which the
+    trainer can do without, go last; and of the others the longest begin
+    first, as what begins late and is long is late.
+    """
+    groups: dict[str, list[_open.Progress]] = {}
+    for progress in opened.left.values():
+        groups.setdefault(progress.item.group, []).append(progress)
+    for group in groups.values():
+        group.sort(key=lambda p: -p.item.expected_tokens)
+    wanted = opened.batch.target_groups - opened.count_whole_groups()
+    spare = _find_spare(groups, wanted, opened.carried)
+    return sorted(
+        groups.values(),
+        key=lambda group: (
+            not any(p.began_at for p in group),
+            group[0].item.group in spare,
+            group[0].item.group not in opened.carried,
+            -group[0].item.expected_tokens,
+        ),
+    )
+
+
+def _find_spare(
+    groups: dict[str, list[_open.Progress]],
+    wanted: int,
+    carried: collections.abc.Container[str],
+) -> set[str]:
+    """Return the longest groups beyond those that the trainer waits for."""
+    optional = sorted(
+        (name for name in groups if name not in carried),
+        key=lambda name: groups[name][0].item.expected_tokens,
+    )
+    needed = max(wanted - (len(groups) - len(optional)), 0)
+    return set(optional[needed:])
+
+
+def _is_finished(opened: _open.OpenBatch, progress: _open.Progress) -> bool:
+    return any(
+        result.item_id == progress.item.item_id for result in opened.finished
+    )
--- /dev/null
+++ b/src/swiftjunction/batches/_runner.py
@@ -0,0 +1,360 @@
+"""Runs all open batches: the work of the one VM that coordinates."""
+
+import contextlib
+import logging
+
+import anyio
+import anyio.abc
+
+from swiftjunction.batches import _archive
+from swiftjunction.batches import _assignment
+from swiftjunction.batches import _batch
+from swiftjunction.batches import _engines
+from swiftjunction.batches import _open
+from swiftjunction.batches import _planning
+from swiftjunction.batches import _sampling
+from swiftjunction import errors
+from swiftjunction import objectstore
+from swiftjunction import telemetry
+
+LOG = logging.getLogger(__name__)
+
+DISPATCH_INTERVAL_SECONDS = 0.1
+WRITE_INTERVAL_SECONDS = 0.05
+# Results that make no group whole wait for others, to be written together.
+MAX_UNWRITTEN_SECONDS = 0.6
+MIN_WRITE_GAP_SECONDS = 0.15
+# An ended batch is kept in memory for readers that are a little late.
+KEEP_ENDED_SECONDS = 20.0
+# Groups that were once seen, over all trainers.
+MAX_SEEN_GROUPS = 16_384
+
+
+def should_write(opened: _open.OpenBatch, now: float) -> bool:
+    """Tell whether a batch's finished samples are to be written now.
+
+    A step is paid by whole groups, so results are written when they make a
+    group whole; others wait a little, since every write has its price.
+    """
+    if not opened.finished or opened.writing:
+        return False
+    waited_seconds = now - opened.written_at
+    if waited_seconds < MIN_WRITE_GAP_SECONDS:
+        return False
+    if waited_seconds > MAX_UNWRITTEN_SECONDS:
+        return True
+    finished = {result.item_id for result in opened.finished}
+    open_groups = {
+        progress.item.group
+        for item_id, progress in opened.left.items()
+        if item_id not in finished
+    }
+    return any(
+        opened.left[item_id].item.group not in open_groups
+        for item_id in finished
+    )
+
+
+class BatchRunner:
+    """Runs batches for as long as this process coordinates.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where batches are kept.
+    archive : BatchArchive
+        Reads and writes them there.
+    engines : EngineBook
+        The engines.
+    samples : SampleRunner
+        Runs one sample.
+    assignment : Assignment
+        Is told what each model is asked for.
+    metrics : Metrics
+        Counts results.
+
+    Attributes
+    ----------
+    batches : dict of str to OpenBatch
+        All that are open, and those that ended a moment ago.
+    """
+
+    __slots__ = (
+        '_archive',
+        '_assignment',
+        '_engines',
+        '_metrics',
+        '_placement',
+        '_samples',
+        '_seen_groups',
+        '_stopping',
+        '_store',
+        '_wake',
+        'batches',
+    )
+
+    def __init__(
+        self,
+        store: objectstore.ObjectStore,
+        archive: _archive.BatchArchive,
+        engines: _engines.EngineBook,
+        samples: _sampling.SampleRunner,
+        assignment: _assignment.Assignment,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._store = store
+        self._archive = archive
+        self._engines = engines
+        self._samples = samples
+        self._assignment = assignment
+        self._metrics = metrics
+        self._placement = _planning.Placement()
+        self._seen_groups: dict[str, None] = {}
+        self._stopping = False
+        self._wake = anyio.Event()
+        self.batches: dict[str, _open.OpenBatch] = {}
+
+    async def run(self) -> None:
+        """Run batches until cancelled."""
+        self._stopping = False
+        self.batches.clear()
+        async with anyio.create_task_group() as tasks:
+
+            def learn(found: objectstore.Object) -> None:
+                tasks.start_soon(self._learn, found)
+
+            listener = objectstore.CallbackListener(learn, self._forget)
+            tasks.start_soon(
+                objectstore.follow,
+                self._store,
+                _archive.BATCH_PREFIX,
+                listener,
+            )
+            tasks.start_soon(self._write_results, tasks)
+            await self._dispatch(tasks)
+
+    async def finish(self, seconds: float) -> None:
+        """Begin no more samples, and wait a while for those that run."""
+        self._stopping = True
+        with anyio.move_on_after(seconds):
+            while self._count_running() or self._count_unwritten():
+                await anyio.sleep(WRITE_INTERVAL_SECONDS)
+
+    def _count_running(self) -> int:
+        return sum(
+            progress.running
+            for opened in self.batches.values()
+            for progress in opened.left.values()
+        )
+
+    def _count_unwritten(self) -> int:
+        return sum(len(opened.finished) for opened in self.batches.values())
+
+    async def _learn(self, found: objectstore.Object) -> None:
+        """Take in a batch that is new or has changed."""
+        batch_id = found.key.removeprefix(_archive.BATCH_PREFIX)
+        held = self.batches.get(batch_id)
+        try:
+            batch = objectstore.decode_value(found, _batch.Batch)
+            if batch.ended:
+                self.end(batch_id)
+            elif held is None:
+                await self.open(await self._archive.decode(found))
+        except errors.ObjectBroken as error:
+            LOG.error('batch not understood: %s', error)
+        except errors.PlatformError as error:
+            LOG.warning('batch %s not read: %s', batch_id, error)
+            await anyio.sleep(MAX_UNWRITTEN_SECONDS)
+            await self._learn(found)
+
+    async def open(self, stored: _archive.StoredBatch) -> _open.OpenBatch:
+        """Begin to run a batch, from what is listed of it already."""
+        batch = stored.batch
+        chunks = await self._archive.read_results(batch.batch_id)
+        held = self.batches.get(batch.batch_id)
+        if held is not None:
+            return held
+        opened = _open.OpenBatch(
+            batch,
+            anyio.current_time(),
+            chunks,
+            {item.group for item in batch.items} & self._seen_groups.keys(),
+        )
+        self.batches[batch.batch_id] = opened
+        for item in batch.items:
+            self._note_group(item.group)
+        self._assignment.note_load(
+            batch.model, sum(item.expected_tokens for item in batch.items)
+        )
+        LOG.info(
+            'batch opened',
+            extra={
+                'batch': batch.batch_id,
+                'step': batch.step,
+                'min_version': batch.min_version,
+                'samples': batch.total,
+                'listed': len(opened.results),
+            },
+        )
+        self.wake()
+        return opened
+
+    def _note_group(self, group: str) -> None:
+        if len(self._seen_groups) >= MAX_SEEN_GROUPS:
+            self._seen_groups.pop(next(iter(self._seen_groups)))
+        self._seen_groups[group] = None
+
+    def end(self, batch_id: str) -> None:
+        """Stop a batch that is marked as ended on the object store."""
+        opened = self.batches.get(batch_id)
+        if opened is None or opened.ended:
+            return
+        opened.end()
+        opened.written_at = anyio.current_time()
+        LOG.info(
+            'batch ended',
+            extra={
+                'batch': opened.batch.batch_id,
+                'listed': len(opened.results),
+                'whole_groups': opened.count_whole_groups(),
+                'wanted_groups': opened.batch.target_groups,
+            },
+        )
+
+    def _forget(self, key: str) -> None:
+        self.batches.pop(key.removeprefix(_archive.BATCH_PREFIX), None)
+
+    def wake(self) -> None:
+        """Look at once whether a sample can be begun."""
+        self._wake.set()
+
+    async def _dispatch(self, tasks: anyio.abc.TaskGroup) -> None:
+        while True:
+            if not self._stopping:
+                self._begin_samples(tasks)
+            with anyio.move_on_after(DISPATCH_INTERVAL_SECONDS):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+
+    def _begin_samples(self, tasks: anyio.abc.TaskGroup) -> None:
+        full: set[tuple[str, str, int]] = set()
+        open_batches = [b for b in self.batches.values() if not b.ended]
+        for opened, progress in _planning.order_samples(open_batches):
+            batch = opened.batch
+            kind = (batch.service, batch.model, batch.min_version)
+            if kind in full:
+                continue
+            engines = self._engines.list_engines(batch.service)
+            engine = self._placement.choose((opened, progress), engines)
+            if engine is None:
+                full.add(kind)
+                continue
+            place = contextlib.ExitStack()
+            # Before anything else is chosen, the place is taken.
+            place.enter_context(engine.server.track())
+            progress.running = True
+            progress.began_at = anyio.current_time()
+            tasks.start_soon(self._run_sample, opened, progress, engine, place)
+
+    async def _run_sample(
+        self,
+        opened: _open.OpenBatch,
+        progress: _open.Progress,
+        engine: _engines.EngineState,
+        place: contextlib.ExitStack,
+    ) -> None:
+        with anyio.CancelScope() as progress.scope:
+            try:
+                result = await self._make_result(
+                    opened, progress, engine, place
+                )
+                if result is not None:
+                    opened.finish(result)
+                    outcome = 'complete' if result.complete else 'given_up'
+                    self._metrics.count('samples', outcome=outcome)
+            finally:
+                progress.running = False
+                place.close()
+                self.wake()
+
+    async def _make_result(
+        self,
+        opened: _open.OpenBatch,
+        progress: _open.Progress,
+        engine: _engines.EngineState,
+        place: contextlib.ExitStack,
+    ) -> _batch.Result | None:
+        """Return the result; None where another attempt is needed."""
+        try:
+            whole = await self._samples.generate(opened, progress, engine)
+            place.close()
+            self.wake()
+            if whole:
+                return await self._samples.score(opened, progress)
+        except errors.NotRun as error:
+            LOG.info('not scored: %s', error)
+            return None
+        except (errors.SampleRefused, errors.SampleFailed) as error:
+            return self._give_up(opened, progress, error)
+        if progress.failures >= opened.batch.max_attempts:
+            return self._give_up(opened, progress, None)
+        return None
+
+    def _give_up(
+        self,
+        opened: _open.OpenBatch,
+        progress: _open.Progress,
+        error: errors.SwiftjunctionError | None,
+    ) -> _batch.Result:
+        LOG.warning(
+            'sample given up',
+            extra={
+                'request_id': progress.item.item_id,
+                'batch': opened.batch.batch_id,
+                'failures': progress.failures,
+                'reason': str(error or 'failed at each run'),
+            },
+        )
+        return _batch.Result(progress.item.item_id, complete=False)
+
+    async def _write_results(self, tasks: anyio.abc.TaskGroup) -> None:
+        while True:
+            await anyio.sleep(WRITE_INTERVAL_SECONDS)
+            now = anyio.current_time()
+            for batch_id, opened in list(self.batches.items()):
+                if opened.ended:
+                    if now - opened.written_at > KEEP_ENDED_SECONDS:
+                        del self.batches[batch_id]
+                elif should_write(opened, now):
+                    opened.writing = True
+                    tasks.start_soon(self._write_chunk, opened)
+
+    async def _write_chunk(self, opened: _open.OpenBatch) -> None:
+        batch_id = opened.batch.batch_id
+        chunk = list(opened.finished)
+        try:
+            await self._archive.append(batch_id, opened.chunks, chunk)
+            opened.list_chunk(chunk)
+        except errors.RevisionConflict:
+            await self._catch_up(opened)
+        except errors.PlatformError as error:
+            LOG.warning(
+                'results not written: %s', error, extra={'batch': batch_id}
+            )
+        finally:
+            opened.written_at = anyio.current_time()
+            opened.writing = False
+
+    async def _catch_up(self, opened: _open.OpenBatch) -> None:
+        """List what another process has written of a batch."""
+        batch_id = opened.batch.batch_id
+        LOG.warning(
+            'another process runs the batch', extra={'batch': batch_id}
+        )
+        try:
+            chunks = await self._archive.read_results(batch_id)
+        except errors.PlatformError as error:
+            LOG.warning('results not read: %s', error)
+            return
+        for chunk in chunks[opened.chunks :]:
+            opened.list_chunk(chunk)
--- a/src/swiftjunction/configuration/_editor.py
+++ b/src/swiftjunction/configuration/_editor.py
@@ -10,7 +10,7 @@
 from swiftjunction.configuration import _settings
 from swiftjunction.configuration import _tree
 from swiftjunction import errors
-from swiftjunction import platform
+from swiftjunction import objectstore
 
 Changes = collections.abc.Mapping[str, _settings.PathSettings | None]
 
@@ -61,7 +61,7 @@
 
     __slots__ = ('_store',)
 
-    def __init__(self, store: platform.ObjectStore) -> None:
+    def __init__(self, store: objectstore.ObjectStore) -> None:
         self._store = store
 
     async def read(self, team: str) -> tuple[_settings.Subtree, int]:
@@ -73,7 +73,7 @@
         except errors.ObjectMissing:
             return _settings.Subtree(team), 0
         return (
-            platform.decode_value(found, _settings.Subtree),
+            objectstore.decode_value(found, _settings.Subtree),
             found.version,
         )
 
--- a/src/swiftjunction/configuration/_keys.py
+++ b/src/swiftjunction/configuration/_keys.py
@@ -10,7 +10,7 @@
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
-from swiftjunction import platform
+from swiftjunction import objectstore
 
 LOG = logging.getLogger(__name__)
 
@@ -132,7 +132,7 @@
 
     __slots__ = ('_store',)
 
-    def __init__(self, store: platform.ObjectStore) -> None:
+    def __init__(self, store: objectstore.ObjectStore) -> None:
         self._store = store
 
     async def read(self, team: str) -> tuple[TeamKeys, int]:
@@ -176,6 +176,8 @@
         value = msgspec.json.encode(TeamKeys(team, secrets.token_hex(8), keys))
         key = f'{KEYS_PREFIX}{team}'
         if version == 0:
-            await platform.create_or_confirm(self._store, key, value)
+            await objectstore.create_or_confirm(self._store, key, value)
         else:
-            await platform.update_or_confirm(self._store, key, value, version)
+            await objectstore.update_or_confirm(
+                self._store, key, value, version
+            )
--- /dev/null
+++ b/src/swiftjunction/coordination/_app.py
@@ -0,0 +1,139 @@
+"""What a VM answers its peers."""
+
+import collections.abc
+import typing
+
+import msgspec
+import starlette.applications
+import starlette.requests
+import starlette.responses
+import starlette.routing
+
+from swiftjunction import batches
+from swiftjunction.coordination import _members
+from swiftjunction.coordination import _messages
+from swiftjunction.coordination import _peer
+from swiftjunction import errors
+from swiftjunction import objectstore
+
+Request = starlette.requests.Request
+Response = starlette.responses.Response
+
+
+class PeerApp:
+    """Serves peers.
+
+    Parameters
+    ----------
+    describe : callable
+        Returns this VM's status.
+    direct : ObjectStore
+        The object store as this VM reaches it; peers' calls go nowhere else,
+        so that no call is relayed twice.
+    find_runner : callable
+        Returns the way to the batches that this VM runs, or None.
+    """
+
+    __slots__ = ('_describe', '_direct', '_find_runner')
+
+    def __init__(
+        self,
+        describe: collections.abc.Callable[[], _members.MemberStatus],
+        direct: objectstore.ObjectStore,
+        find_runner: collections.abc.Callable[[], batches.BatchAccess | None],
+    ) -> None:
+        self._describe = describe
+        self._direct = direct
+        self._find_runner = find_runner
+
+    def build(self) -> starlette.applications.Starlette:
+        """Return the HTTP application."""
+        handlers = {
+            _messages.STATUS_PATH: self._answer_status,
+            _messages.STORE_PATH: self._call_store,
+            _messages.READ_PATH: self._read_results,
+            _messages.BODY_PATH: self._read_body,
+            _messages.END_PATH: self._end,
+        }
+        return starlette.applications.Starlette(
+            exception_handlers={
+                errors.PlatformError: _answer_error,
+                msgspec.MsgspecError: _answer_error,
+            },
+            routes=[
+                starlette.routing.Route(path, handler, methods=['POST'])
+                for path, handler in handlers.items()
+            ],
+        )
+
+    async def _answer_status(self, request: Request) -> Response:
+        return _respond(self._describe())
+
+    async def _call_store(self, request: Request) -> Response:
+        call = await _decode(request, _messages.StoreCall)
+        return _respond(await _run_store_call(self._direct, call))
+
+    async def _read_results(self, request: Request) -> Response:
+        call = await _decode(request, _messages.BatchCall)
+        page = await self._runner().read_results(
+            call.batch_id, call.position, call.wait_seconds
+        )
+        return _respond(page)
+
+    async def _read_body(self, request: Request) -> Response:
+        call = await _decode(request, _messages.BatchCall)
+        body = await self._runner().read_body(call.batch_id, call.item_id)
+        return _respond(_messages.BodyAnswer(body))
+
+    async def _end(self, request: Request) -> Response:
+        call = await _decode(request, _messages.BatchCall)
+        await self._runner().end(call.batch_id)
+        return _respond(None)
+
+    def _runner(self) -> batches.BatchAccess:
+        runner = self._find_runner()
+        if runner is None:
+            raise errors.PlatformUnavailable(
+                'this VM does not run the batches', step='find batch'
+            )
+        return runner
+
+
+async def _run_store_call(
+    store: objectstore.ObjectStore, call: _messages.StoreCall
+) -> object:
+    match call.operation:
+        case 'read':
+            return await store.read(call.key)
+        case 'list':
+            return await store.list(call.key)
+        case 'create':
+            return await store.create(call.key, call.value)
+        case 'update':
+            return await store.update(call.key, call.value, call.version)
+        case 'delete':
+            await store.delete(call.key, call.version)
+            return 0
+        case 'watch':
+            return await store.watch(call.key, call.version, call.wait_seconds)
+    raise errors.PlatformError(
+        f'no operation {call.operation!r}', step='relay'
+    )
+
+
+Call = typing.TypeVar('Call')
+
+
+async def _decode(request: Request, kind: type[Call]) -> Call:
+    return msgspec.msgpack.decode(await request.body(), type=kind)
+
+
+def _respond(answer: object, status: int = _peer.OK) -> Response:
+    return Response(msgspec.msgpack.encode(answer), status_code=status)
+
+
+async def _answer_error(request: Request, error: Exception) -> Response:
+    failure = _messages.Failure(
+        type(error).__name__, getattr(error, 'message', str(error))
+    )
+    return _respond(failure, _peer.FAILED)
--- /dev/null
+++ b/src/swiftjunction/coordination/_relaying.py
@@ -0,0 +1,117 @@
+"""The object store by the direct way, or through a peer that reaches it."""
+
+import collections.abc
+import logging
+import time
+import typing
+
+from swiftjunction import errors
+from swiftjunction import objectstore
+
+LOG = logging.getLogger(__name__)
+
+# After a failure of the direct way, peers are asked first for so long.
+AVOID_DIRECT_SECONDS = 1.5
+MAX_RELAYS_TRIED = 2
+
+Result = typing.TypeVar('Result')
+Ask = collections.abc.Callable[
+    [objectstore.ObjectStore], collections.abc.Awaitable[Result]
+]
+
+
+class RelayingStore(objectstore.ObjectStore):
+    """Calls the object store, through a peer where it is not reached.
+
+    A write whose answer was lost is not sent another way: whoever wrote it
+    finds out by reading whether it was carried out.
+
+    Parameters
+    ----------
+    direct : ObjectStore
+        The store as this VM reaches it.
+    list_relays : callable
+        Returns the store as peers reach it, those first that are to be tried
+        first.
+    clock : callable
+        Returns seconds of a monotonic clock.
+    """
+
+    __slots__ = ('_avoid_until', '_clock', '_direct', '_list_relays')
+
+    def __init__(
+        self,
+        direct: objectstore.ObjectStore,
+        list_relays: collections.abc.Callable[
+            [], list[objectstore.ObjectStore]
+        ],
+        clock: collections.abc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._direct = direct
+        self._list_relays = list_relays
+        self._clock = clock
+        self._avoid_until = 0.0
+
+    def reaches_directly(self) -> bool:
+        """Tell whether the last call by the direct way went well."""
+        return not self._avoid_until
+
+    async def read(self, key: str) -> objectstore.Object:
+        return await self._run(lambda store: store.read(key))
+
+    async def list(self, prefix: str) -> objectstore.Watch:
+        return await self._run(lambda store: store.list(prefix))
+
+    async def create(self, key: str, value: bytes) -> int:
+        return await self._run(lambda store: store.create(key, value))
+
+    async def update(self, key: str, value: bytes, version: int) -> int:
+        return await self._run(lambda store: store.update(key, value, version))
+
+    async def delete(self, key: str, version: int) -> None:
+        await self._run(lambda store: store.delete(key, version))
+
+    async def watch(
+        self, prefix: str, revision: int, wait_seconds: float
+    ) -> objectstore.Watch:
+        return await self._run(
+            lambda store: store.watch(prefix, revision, wait_seconds)
+        )
+
+    async def _run(self, ask: Ask[Result]) -> Result:
+        failure: errors.PlatformUnavailable | None = None
+        if self._clock() >= self._avoid_until:
+            try:
+                return await self._run_directly(ask)
+            except errors.PlatformUnavailable as error:
+                failure = error
+        for relay in self._list_relays()[:MAX_RELAYS_TRIED]:
+            try:
+                return await ask(relay)
+            except errors.PlatformUnavailable as error:
+                failure = error
+        if failure is not None:
+            raise failure
+        return await self._run_directly(ask)
+
+    async def _run_directly(self, ask: Ask[Result]) -> Result:
+        try:
+            result = await ask(self._direct)
+        except (errors.PlatformUnavailable, errors.WriteUncertain) as error:
+            self._note_failure(error)
+            raise
+        except errors.PlatformError:
+            self._note_success()
+            raise
+        self._note_success()
+        return result
+
+    def _note_failure(self, error: errors.PlatformError) -> None:
+        if self.reaches_directly():
+            LOG.warning('object store lost: %s', error)
+        self._avoid_until = self._clock() + AVOID_DIRECT_SECONDS
+
+    def _note_success(self) -> None:
+        if not self.reaches_directly():
+            LOG.info('object store reached again')
+        self._avoid_until = 0.0
--- /dev/null
+++ b/src/swiftjunction/coordination/_watching.py
@@ -0,0 +1,98 @@
+"""Keeps up with the peers."""
+
+import logging
+
+import anyio
+
+from swiftjunction.coordination import _members
+from swiftjunction.coordination import _peer
+from swiftjunction import errors
+from swiftjunction import objectstore
+from swiftjunction import web
+
+LOG = logging.getLogger(__name__)
+
+ASK_INTERVAL_SECONDS = 0.5
+# Each VM asks at most so many others, so that its work does not grow with
+# the number of VMs.
+MAX_PEERS_ASKED = 16
+ENTER_RETRY_SECONDS = 0.5
+
+
+class PeerWatch:
+    """Asks peers for their statuses, and enters this VM among them.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where VMs enter themselves.
+    peers : PeerClients
+        The HTTP clients.
+    members : MemberBook
+        Is kept up to date.
+    """
+
+    __slots__ = ('_members', '_peers', '_store')
+
+    def __init__(
+        self,
+        store: objectstore.ObjectStore,
+        peers: web.PeerClients,
+        members: _members.MemberBook,
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._members = members
+
+    async def run(self) -> None:
+        """Keep up until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._enter)
+            tasks.start_soon(
+                objectstore.follow,
+                self._store,
+                _members.MEMBER_PREFIX,
+                objectstore.CallbackListener(
+                    self._members.learn, self._members.forget
+                ),
+                ASK_INTERVAL_SECONDS,
+            )
+            while True:
+                for member in self._members.list_peers()[:MAX_PEERS_ASKED]:
+                    tasks.start_soon(self._ask, member)
+                await anyio.sleep(ASK_INTERVAL_SECONDS)
+
+    async def _enter(self) -> None:
+        own = self._members.own
+        key = _members.MEMBER_PREFIX + own.name
+        while True:
+            try:
+                await _put(self._store, key, own)
+                return
+            except errors.PlatformError as error:
+                LOG.info('this VM is not entered yet: %s', error)
+                await anyio.sleep(ENTER_RETRY_SECONDS)
+
+    async def _ask(self, member: _members.Member) -> None:
+        client = _peer.PeerClient(self._peers, member.address)
+        try:
+            status = await _peer.ask_status(client)
+        except errors.PlatformUnavailable:
+            self._members.note_silence(member.name, refused=True)
+        except errors.PlatformError as error:
+            LOG.debug('peer does not answer: %s', error)
+            self._members.note_silence(member.name, refused=False)
+        else:
+            if status.name == member.name:
+                self._members.note_status(status)
+
+
+async def _put(
+    store: objectstore.ObjectStore, key: str, member: _members.Member
+) -> None:
+    value = _members.encode(member)
+    try:
+        await objectstore.create_or_confirm(store, key, value)
+    except errors.RevisionConflict:
+        found = await store.read(key)
+        await objectstore.update_or_confirm(store, key, value, found.version)
--- a/src/swiftjunction/daemons/_conductor.py
+++ b/src/swiftjunction/daemons/_conductor.py
@@ -16,8 +16,8 @@
 from swiftjunction.daemons import _watches
 from swiftjunction.daemons import _whereabouts
 from swiftjunction import membership
+from swiftjunction import objectstore
 from swiftjunction import placement
-from swiftjunction import platform
 from swiftjunction import settings
 from swiftjunction import web
 from swiftjunction import weights
@@ -34,7 +34,7 @@
         self._vm_client = web.connect_client(config.platform.vms)
         self._engines = backends.EngineClient(self.peers)
         self._listing = _listing.VmListing(
-            platform.VmList(self._vm_client),
+            objectstore.VmList(self._vm_client),
             self.table,
             lambda: self._member.rank('vm list', VM_LISTERS),
         )
--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -18,7 +18,7 @@
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import settings
 from swiftjunction import telemetry
 from swiftjunction import web
@@ -93,8 +93,8 @@
             self.tls.client if self.tls is not None else None
         )
         self.platform_client = web.connect_client(config.platform.objects)
-        self.store = platform.GuardedObjectStore(
-            platform.HttpObjectStore(self.platform_client),
+        self.store = objectstore.GuardedObjectStore(
+            objectstore.HttpObjectStore(self.platform_client),
             self.processes.count,
             self.rng,
             self.metrics.count,
--- a/src/swiftjunction/daemons/_listing.py
+++ b/src/swiftjunction/daemons/_listing.py
@@ -9,7 +9,7 @@
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
-from swiftjunction import platform
+from swiftjunction import objectstore
 
 LOG = logging.getLogger(__name__)
 
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        vms: platform.VmList,
+        vms: objectstore.VmList,
         table: membership.RecordTable,
         rank: collections.abc.Callable[[], int | None],
     ) -> None:
@@ -54,7 +54,7 @@
         self._table = table
         self._rank = rank
         self._differing: dict[str, int] = {}
-        self._listed: dict[str, platform.Vm] = {}
+        self._listed: dict[str, objectstore.Vm] = {}
         table.listen(VM_PREFIX, self._learn)
 
     async def run(self) -> None:
@@ -71,7 +71,7 @@
                 LOG.debug('%s', error)
             await anyio.sleep(LIST_INTERVAL_SECONDS)
 
-    def write(self, listed: list[platform.Vm], patience_reads: int) -> None:
+    def write(self, listed: list[objectstore.Vm], patience_reads: int) -> None:
         """Write what differs from the records for more than some reads."""
         wanted = {vm.name: vm for vm in listed}
         for name in set(self._listed) - set(wanted):
@@ -103,7 +103,7 @@
         }
 
     def _learn(self, record: links.Record) -> None:
-        vm = msgspec.msgpack.decode(record.value, type=platform.Vm)
+        vm = msgspec.msgpack.decode(record.value, type=objectstore.Vm)
         if vm.state == REMOVED:
             self._listed.pop(vm.name, None)
         else:
--- a/src/swiftjunction/daemons/_servers.py
+++ b/src/swiftjunction/daemons/_servers.py
@@ -15,7 +15,7 @@
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -75,7 +75,7 @@
         self._tree = tree
         self._peers = peers
         self._engines = backends.EngineClient(peers)
-        self._listed: dict[str, platform.Vm] = {}
+        self._listed: dict[str, objectstore.Vm] = {}
         self._loads: dict[str, _loads.LoadFilter] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -96,7 +96,7 @@
                 await anyio.sleep(ASSIGN_INTERVAL_SECONDS)
 
     def _learn_vm(self, record: links.Record) -> None:
-        vm = msgspec.msgpack.decode(record.value, type=platform.Vm)
+        vm = msgspec.msgpack.decode(record.value, type=objectstore.Vm)
         if vm.state == _listing.REMOVED and self._is_gone(vm.name):
             return
         # The list lags and may be older than what was read before. A server
@@ -155,7 +155,7 @@
                     self._report(vm, 'gone' if unlisted else 'down')
                 await anyio.sleep(RETRY_SECONDS)
 
-    async def _watch_engine(self, vm: platform.Vm) -> None:
+    async def _watch_engine(self, vm: objectstore.Vm) -> None:
         async for status in self._engines.watch(vm.address):
             self._report(
                 vm,
@@ -173,7 +173,7 @@
         filter_ = self._loads.setdefault(name, _loads.LoadFilter())
         return filter_.filter(load, time.monotonic())
 
-    async def _watch_service(self, vm: platform.Vm) -> None:
+    async def _watch_service(self, vm: objectstore.Vm) -> None:
         while self._tree.has_service(vm.service):
             try:
                 response = await self._peers.get(vm.address).get(
@@ -190,7 +190,7 @@
 
     def _report(
         self,
-        vm: platform.Vm,
+        vm: objectstore.Vm,
         state: str,
         weight_version: int = 0,
         staged_version: int = 0,
@@ -220,7 +220,7 @@
             msgspec.msgpack.encode(report),
         )
 
-    def _find_service(self, vm: platform.Vm) -> str:
+    def _find_service(self, vm: objectstore.Vm) -> str:
         """Return what a server that says nothing was last known to serve."""
         report = self._find_report(vm.name)
         if report is None or not report.listed_service:
--- a/src/swiftjunction/daemons/_shards.py
+++ b/src/swiftjunction/daemons/_shards.py
@@ -19,8 +19,8 @@
 from swiftjunction import leases
 from swiftjunction import links
 from swiftjunction import membership
+from swiftjunction import objectstore
 from swiftjunction import placement
-from swiftjunction import platform
 from swiftjunction import telemetry
 from swiftjunction import weights
 
@@ -89,7 +89,7 @@
         self,
         vm: str,
         holder: str,
-        store: platform.ObjectStore,
+        store: objectstore.ObjectStore,
         table: membership.RecordTable,
         processes: membership.ProcessList,
         tree: configuration.Tree,
--- a/src/swiftjunction/daemons/_watches.py
+++ b/src/swiftjunction/daemons/_watches.py
@@ -9,7 +9,7 @@
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
-from swiftjunction import platform
+from swiftjunction import objectstore
 
 LOG = logging.getLogger(__name__)
 
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        store: platform.ObjectStore,
+        store: objectstore.ObjectStore,
         prefix: str,
         table: membership.RecordTable,
         rng: random.Random,
@@ -89,7 +89,7 @@
             await anyio.sleep(retry_seconds * self._rng.uniform(0.5, 1))
             retry_seconds = min(retry_seconds * 2, MAX_RETRY_SECONDS)
 
-    def _apply(self, found: platform.Watch) -> None:
+    def _apply(self, found: objectstore.Watch) -> None:
         self._table.apply(
             links.Record(item.key, item.version, item.value)
             for item in found.changed
--- a/src/swiftjunction/demo/_fleet.py
+++ b/src/swiftjunction/demo/_fleet.py
@@ -12,7 +12,7 @@
 
 from swiftjunction import configuration
 from swiftjunction import daemons
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import settings
 from swiftjunction import standins
 from swiftjunction import web
@@ -88,9 +88,9 @@
         """Return where trainers may begin."""
         return [r.listener.address for r in self.rollouts.values()]
 
-    def connect_store(self) -> platform.HttpObjectStore:
+    def connect_store(self) -> objectstore.HttpObjectStore:
         """Return a client of the object API stand-in."""
-        return platform.HttpObjectStore(
+        return objectstore.HttpObjectStore(
             web.connect_client(f'http://{self._addresses["objects"]}')
         )
 
@@ -219,7 +219,7 @@
     ) -> None:
         address = self._serve(name, standin)
         data_center = f'dc-{number % self.plan.data_centers + 1}'
-        self.vms.put(platform.Vm(name, address, service, data_center))
+        self.vms.put(objectstore.Vm(name, address, service, data_center))
 
     def start_vm(self, number: int) -> None:
         """Start the daemons of one VM."""
@@ -229,7 +229,7 @@
         self.entries[name] = daemons.EntryDaemon(config, number)
         self.rollouts[name] = daemons.RolloutDaemon(config, number)
         self.vms.put(
-            platform.Vm(
+            objectstore.Vm(
                 name,
                 config.link_address(config.conductor.link_port),
                 'swiftjunction',
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -9,6 +9,7 @@
     'BackendError',
     'BackendRefused',
     'BackendUnreachable',
+    'HistoryLost',
     'KeyRefused',
     'LeaseLost',
     'LinkError',
@@ -22,7 +23,11 @@
     'PoisonRefused',
     'RequestError',
     'RequestInvalid',
+    'RequestTimeout',
+    'RouteMissing',
     'RevisionConflict',
+    'SampleFailed',
+    'SampleRefused',
     'ServerCrashed',
     'ServersBusy',
     'SettingsError',
@@ -80,6 +85,10 @@
     """The platform refused or could not be reached: nothing was changed."""
 
 
+class HistoryLost(PlatformError):
+    """The platform no longer has the changes since that revision."""
+
+
 class WriteUncertain(PlatformError):
     """A write was sent and its answer was lost: read back to find out."""
 
@@ -159,6 +168,12 @@
     outcome = 'not-run'
 
 
+class RouteMissing(RequestInvalid):
+    """No route leads from the host and path of the request to a service."""
+
+    status = 404
+
+
 class StepEnded(RequestError):
     """The trainer has acknowledged every sample of the step."""
 
@@ -198,6 +213,14 @@
     outcome = 'not-run'
 
 
+class SampleFailed(BackendError):
+    """A backend server ran the request and answered with a failure."""
+
+
+class SampleRefused(BackendError):
+    """The backend server says that the request can never be done."""
+
+
 class ServerCrashed(AnswerBroken):
     """The backend server ended, or lost its state, while it ran a request."""
 
@@ -209,6 +232,12 @@
     outcome = 'unknown'
 
 
+class RequestTimeout(OutcomeUnknown):
+    """No answer came within the time that the route or the caller allows."""
+
+    status = 504
+
+
 class StaleWeights(RequestError):
     """No answer within the freshness bound could be given in time."""
 
--- a/src/swiftjunction/leases/__init__.py
+++ b/src/swiftjunction/leases/__init__.py
@@ -2,6 +2,7 @@
 
 from swiftjunction.leases._keeper import LeaseKeeper
 from swiftjunction.leases._lease import Lease
+from swiftjunction.leases._lease import LeaseTerms
 from swiftjunction.leases._lease import read_boot_clock
 
-__all__ = ['Lease', 'LeaseKeeper', 'read_boot_clock']
+__all__ = ['Lease', 'LeaseKeeper', 'LeaseTerms', 'read_boot_clock']
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -8,16 +8,10 @@
 
 from swiftjunction import errors
 from swiftjunction.leases import _lease
-from swiftjunction import platform
+from swiftjunction import objectstore
 
 LOG = logging.getLogger(__name__)
 
-# A renewal that hangs is given up in time for a second try: interval, timeout
-# and the longest order (3 s) together are within the term less its margin.
-RENEW_INTERVAL_SECONDS = 3.0
-RENEW_TIMEOUT_SECONDS = 2.0
-RETRY_INTERVAL_SECONDS = 1.0
-
 
 class _Claim(msgspec.Struct):
     holder: str
@@ -48,39 +42,52 @@
         The lease; its object is ``leases/{name}``.
     holder : str
         This daemon.
-    ttl_seconds : float
-        How long a renewal holds.
+    terms : LeaseTerms
+        A renewal that hangs is given up in time for a second try: interval,
+        timeout and the longest action are within the term less its margin.
     clock : callable
         A clock that only goes forward.
+    replaces_itself : bool
+        Whether no two processes ever run under the same `holder`: then one
+        that restarts need not wait for the lease of its earlier run.
+
+    Attributes
+    ----------
+    rival : str
+        Who held it when it was last read to be taken.
     """
 
     __slots__ = (
         '_clock',
         '_holder',
         '_key',
+        '_replaces_itself',
         '_seen',
         '_seen_at',
         '_store',
-        '_ttl_seconds',
+        '_terms',
         '_unresolved',
         '_version',
         'lease',
         'name',
+        'rival',
     )
 
     def __init__(
         self,
-        store: platform.ObjectStore,
+        store: objectstore.ObjectStore,
         name: str,
         holder: str,
         *,
-        ttl_seconds: float = _lease.LEASE_TTL_SECONDS,
+        terms: _lease.LeaseTerms = _lease.DEFAULT_TERMS,
         clock: _lease.Clock = _lease.read_boot_clock,
+        replaces_itself: bool = False,
     ) -> None:
         self._store = store
         self._key = f'leases/{name}'
         self._holder = holder
-        self._ttl_seconds = ttl_seconds
+        self._replaces_itself = replaces_itself
+        self._terms = terms
         self._clock = clock
         self._version = 0
         self._seen = 0
@@ -89,6 +96,7 @@
         self._unresolved: dict[str, _Write] = {}
         self.name = name
         self.lease: _lease.Lease | None = None
+        self.rival = ''
 
     async def take(self) -> _lease.Lease:
         """Take the lease if it is free, or renew it if held here.
@@ -108,8 +116,9 @@
             found = await self._store.read(self._key)
         except errors.ObjectMissing:
             return await self._write(0, 0)
-        claim = platform.decode_value(found, _Claim)
-        if claim.holder and not self._has_lapsed(found.version, claim):
+        claim = objectstore.decode_value(found, _Claim)
+        self.rival = claim.holder
+        if not self._is_free(found.version, claim):
             raise errors.LeaseLost(
                 f'lease {self.name} is held by {claim.holder}', step='take'
             )
@@ -131,16 +140,25 @@
         """Keep the lease, or keep trying for it, until cancelled."""
         while True:
             renewed = False
-            with anyio.move_on_after(RENEW_TIMEOUT_SECONDS):
+            with anyio.move_on_after(self._terms.renew_timeout_seconds):
                 try:
                     await self.take()
                     renewed = True
                 except errors.SwiftjunctionError as error:
                     LOG.debug('lease not renewed: %s', error)
             await anyio.sleep(
-                RENEW_INTERVAL_SECONDS if renewed else RETRY_INTERVAL_SECONDS
+                self._terms.renew_interval_seconds
+                if renewed
+                else self._terms.retry_interval_seconds
             )
 
+    def _is_free(self, version: int, claim: _Claim) -> bool:
+        if not claim.holder or (
+            self._replaces_itself and claim.holder == self._holder
+        ):
+            return True
+        return self._has_lapsed(version, claim)
+
     def _has_lapsed(self, version: int, claim: _Claim) -> bool:
         # Another daemon's lease has lapsed when its object stayed at one
         # version for the whole term on *this* clock; wall clocks of two VMs
@@ -158,7 +176,7 @@
     async def _write(self, token: int, version: int) -> _lease.Lease:
         started = self._clock()
         claim = _Claim(
-            self._holder, token, uuid.uuid4().hex, self._ttl_seconds
+            self._holder, token, uuid.uuid4().hex, self._terms.ttl_seconds
         )
         value = msgspec.json.encode(claim)
         # Noted before it is sent, as a cancellation leaves its end unknown.
@@ -201,7 +219,7 @@
             # The creation that was lost may still land; creating again
             # settles it.
             return
-        claim = platform.decode_value(found, _Claim)
+        claim = objectstore.decode_value(found, _Claim)
         write = self._unresolved.get(claim.nonce)
         if write is not None:
             self._adopt(found.version, claim.token, write.started, True)
@@ -224,11 +242,16 @@
         self._unresolved.clear()
         self._version = version
         token = token or version
-        deadline = started + self._ttl_seconds
+        deadline = started + self._terms.ttl_seconds
         if self.lease is not None and self.lease.token == token:
             self.lease.extend(deadline)
         else:
             self.lease = _lease.Lease(
-                self.name, token, deadline, self._clock, succeeds
+                self.name,
+                token,
+                deadline,
+                self._clock,
+                succeeds,
+                self._terms.margin_seconds,
             )
         return self.lease
--- a/src/swiftjunction/leases/_lease.py
+++ b/src/swiftjunction/leases/_lease.py
@@ -3,6 +3,8 @@
 import collections.abc
 import time
 
+import msgspec
+
 from swiftjunction import errors
 
 LEASE_TTL_SECONDS = 10.0
@@ -10,6 +12,31 @@
 # How much faster than ours another VM's clock may run.
 MAX_CLOCK_RATE_ERROR = 0.01
 
+
+class LeaseTerms(msgspec.Struct, frozen=True):
+    """The times that all holders of one lease agree on.
+
+    Attributes
+    ----------
+    ttl_seconds : float
+        How long a renewal holds.
+    margin_seconds : float
+        How long before its end a holder no longer acts under it.
+    renew_interval_seconds, renew_timeout_seconds : float
+        Between two renewals, and at most for one.
+    retry_interval_seconds : float
+        Between two tries to take it, or to renew it after a failure.
+    """
+
+    ttl_seconds: float = LEASE_TTL_SECONDS
+    margin_seconds: float = LEASE_MARGIN_SECONDS
+    renew_interval_seconds: float = 3.0
+    renew_timeout_seconds: float = 2.0
+    retry_interval_seconds: float = 1.0
+
+
+DEFAULT_TERMS = LeaseTerms()
+
 Clock = collections.abc.Callable[[], float]
 
 
@@ -35,12 +62,15 @@
         On `clock`, in seconds.
     has_predecessor : bool
         Whether another term came before, whose last orders may be under way.
+    margin_seconds : float
+        How long before the deadline nothing is done any more.
     """
 
     __slots__ = (
         '_clock',
         '_deadline',
         '_has_predecessor',
+        '_margin_seconds',
         '_taken_at',
         'name',
         'token',
@@ -53,6 +83,7 @@
         deadline: float,
         clock: Clock,
         has_predecessor: bool = False,
+        margin_seconds: float = LEASE_MARGIN_SECONDS,
     ) -> None:
         self.name = name
         self.token = token
@@ -60,10 +91,11 @@
         self._clock = clock
         self._taken_at = clock()
         self._has_predecessor = has_predecessor
+        self._margin_seconds = margin_seconds
 
     def remaining_seconds(self) -> float:
         """Return how long the lease may still be acted under."""
-        return self._deadline - LEASE_MARGIN_SECONDS - self._clock()
+        return self._deadline - self._margin_seconds - self._clock()
 
     def check(self, needed_seconds: float = 0.0) -> None:
         """Raise ``LeaseLost`` unless `needed_seconds` remain.
--- a/src/swiftjunction/platform/_guarded.py
+++ b/src/swiftjunction/objectstore/_guarded.py
@@ -8,9 +8,9 @@
 import anyio
 
 from swiftjunction import errors
-from swiftjunction.platform import _breaker
-from swiftjunction.platform import _budget
-from swiftjunction.platform import _objects
+from swiftjunction.objectstore import _breaker
+from swiftjunction.objectstore import _budget
+from swiftjunction.objectstore import _objects
 
 Result = typing.TypeVar('Result')
 Call = collections.abc.Callable[
--- a/src/swiftjunction/platform/_writes.py
+++ b/src/swiftjunction/objectstore/_writes.py
@@ -7,7 +7,7 @@
 import anyio
 
 from swiftjunction import errors
-from swiftjunction.platform import _objects
+from swiftjunction.objectstore import _objects
 
 LOG = logging.getLogger(__name__)
 
--- a/src/swiftjunction/placement/_planner.py
+++ b/src/swiftjunction/placement/_planner.py
@@ -10,9 +10,9 @@
 from swiftjunction import backends
 from swiftjunction import errors
 from swiftjunction import leases
+from swiftjunction import objectstore
 from swiftjunction.placement import _plan
 from swiftjunction.placement import _policy
-from swiftjunction import platform
 
 LOG = logging.getLogger(__name__)
 
@@ -54,7 +54,7 @@
 
     def __init__(
         self,
-        store: platform.ObjectStore,
+        store: objectstore.ObjectStore,
         keeper: leases.LeaseKeeper,
         list_needs: collections.abc.Callable[[], list[_policy.ModelNeed]],
         directory: backends.Directory,
@@ -103,11 +103,11 @@
         value = msgspec.json.encode(_plan.Plan(models, uuid.uuid4().hex))
         lease.check(WRITE_SECONDS)
         if self._board.version:
-            await platform.update_or_confirm(
+            await objectstore.update_or_confirm(
                 self._store, _plan.PLAN_KEY, value, self._board.version
             )
         else:
-            await platform.create_or_confirm(
+            await objectstore.create_or_confirm(
                 self._store, _plan.PLAN_KEY, value
             )
         return moves
--- /dev/null
+++ b/src/swiftjunction/platform/_ingress.py
@@ -0,0 +1,392 @@
+"""What callers and the platform ask of this VM, over HTTP."""
+
+import collections.abc
+import http
+import logging
+import random
+import time
+import typing
+
+import anyio
+import msgspec
+import starlette.requests
+import starlette.responses
+import starlette.types
+
+from swiftjunction import backends
+from swiftjunction import batches
+from swiftjunction import configuration
+from swiftjunction import coordination
+from swiftjunction import errors
+from swiftjunction.platform import _batches
+from swiftjunction.platform import _names
+from swiftjunction.platform import _settings
+from swiftjunction import requests
+from swiftjunction import routes
+from swiftjunction import telemetry
+
+LOG = logging.getLogger(__name__)
+
+Request = starlette.requests.Request
+Response = starlette.responses.Response
+Answer = typing.TypeVar('Answer')
+
+DEFAULT_TIMEOUT_SECONDS = 30.0
+# How long callers may keep the addresses that they were given.
+ADDRESS_SECONDS = 2.0
+MAX_WAIT_SECONDS = 1.0
+# Without an answer by this part of the time, another server is tried.
+ATTEMPT_SHARE = 0.5
+MIN_ATTEMPT_SECONDS = 0.4
+# Headers that concern one connection, or that this process sets itself.
+OWN_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'date',
+        'host',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        _names.ATTEMPT_ID,
+        _names.DEADLINE_MS,
+        _names.EXPECT_INSTANCE,
+    }
+)
+
+
+class Ingress:
+    """Answers callers.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        Which address is for what.
+    book : RouteBook
+        The routes in force.
+    forwarder : Forwarder
+        Calls plain services.
+    admission : Admission
+        Which requests may start.
+    archive : BatchArchive
+        Keeps accepted batches.
+    access : BatchAccess
+        Reads and ends batches.
+    members : MemberBook
+        The VMs that callers may use.
+    state : callable
+        Returns ``starting``, ``live`` or ``draining``.
+    rng : random.Random
+        Draws services.
+    metrics : Metrics
+        Counts and times.
+    """
+
+    __slots__ = (
+        '_access',
+        '_admission',
+        '_archive',
+        '_book',
+        '_forwarder',
+        '_members',
+        '_metrics',
+        '_rng',
+        '_settings',
+        '_state',
+    )
+
+    def __init__(
+        self,
+        settings: _settings.VmSettings,
+        book: routes.RouteBook,
+        forwarder: requests.Forwarder,
+        admission: requests.Admission,
+        archive: batches.BatchArchive,
+        access: batches.BatchAccess,
+        members: coordination.MemberBook,
+        state: collections.abc.Callable[[], str],
+        rng: random.Random,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._book = book
+        self._forwarder = forwarder
+        self._admission = admission
+        self._archive = archive
+        self._access = access
+        self._members = members
+        self._state = state
+        self._rng = rng
+        self._metrics = metrics
+
+    async def serve(self, request: Request) -> Response:
+        """Answer one request on any of this VM's addresses."""
+        port = str(request.scope['server'][1])
+        path = request.scope['raw_path'].decode('latin-1')
+        if port == self._settings.readiness.rpartition(':')[2]:
+            return self._answer_ready()
+        if port == self._settings.directory.rpartition(':')[2]:
+            return self._answer_resolve()
+        response = await self._serve_caller(request, path)
+        if self._state() == 'draining':
+            response.headers['connection'] = 'close'
+        return response
+
+    def _answer_ready(self) -> Response:
+        ready = self._state() == 'live'
+        return Response(
+            status_code=http.HTTPStatus.OK
+            if ready
+            else http.HTTPStatus.SERVICE_UNAVAILABLE
+        )
+
+    def _answer_resolve(self) -> Response:
+        fronts = self._members.list_fronts(self._state())
+        if not fronts:
+            return Response(status_code=http.HTTPStatus.SERVICE_UNAVAILABLE)
+        lifetime = min(ADDRESS_SECONDS, self._settings.max_address_seconds)
+        return _respond_json({'addresses': fronts, 'ttl_s': lifetime})
+
+    async def _serve_caller(self, request: Request, path: str) -> Response:
+        started = time.monotonic()
+        request_id = request.headers.get(_names.ATTEMPT_ID, '')
+        telemetry.note_request(request_id, '')
+        try:
+            response = await self._dispatch(request, path, request_id)
+            outcome = 'answered'
+        except errors.RequestError as error:
+            response = _respond_error(error)
+            outcome = type(error).__name__
+            LOG.info(
+                'request refused: %s',
+                error,
+                extra={
+                    'path': path,
+                    'status': response.status_code,
+                    'configuration_version': self._book.version,
+                    'seconds': round(time.monotonic() - started, 3),
+                },
+            )
+        self._metrics.count('answers', outcome=outcome)
+        if request_id:
+            response.headers[_names.ATTEMPT_ID] = request_id
+        return response
+
+    async def _dispatch(
+        self, request: Request, path: str, request_id: str
+    ) -> Response:
+        if path.startswith(_names.RESULTS_PREFIX):
+            batch_id = path.removeprefix(_names.RESULTS_PREFIX)
+            if request.method == 'DELETE':
+                return await self._end_batch(batch_id)
+            return await self._read_results(request, batch_id)
+        if path.startswith(_names.BODIES_PREFIX):
+            return await self._read_body(
+                path.removeprefix(_names.BODIES_PREFIX),
+                request.query_params.get('id', ''),
+            )
+        route = self._find_route(request.headers.get('host', ''), path)
+        if route.kind is routes.RouteKind.BATCH and request.method == 'POST':
+            return await self._submit(request, request_id, route)
+        return await self._forward(request, path, request_id, route)
+
+    def _find_route(self, host: str, path: str) -> routes.Route:
+        table = self._book.table
+        if table is None:
+            raise errors.NotRun(
+                'this VM has just started and knows no routes yet',
+                step='route',
+            )
+        route = table.find(host, path)
+        if route is None:
+            raise errors.RouteMissing(
+                f'no route to {host}{path}', step='route'
+            )
+        return route
+
+    async def _forward(
+        self,
+        request: Request,
+        path: str,
+        request_id: str,
+        route: routes.Route,
+    ) -> Response:
+        arrived = anyio.current_time()
+        body = await requests.read_body(request)
+        remaining_seconds = _read_timeout(request, route)
+        idempotent = route.kind is routes.RouteKind.IDEMPOTENT
+        settings = configuration.PathSettings(
+            service=route.draw_service(self._rng), request_class='live'
+        )
+        call = requests.ForwardedCall(
+            path=f'{route.host}{route.prefix}',
+            settings=settings,
+            service_call=backends.ServiceCall(
+                request_id=request_id,
+                method=request.method,
+                path=path,
+                query=request.scope['query_string'].decode('latin-1'),
+                body=body,
+                headers=[
+                    (name, value)
+                    for name, value in request.headers.items()
+                    if name not in OWN_HEADERS
+                ],
+                timeout_seconds=0.0,
+                host=route.host,
+            ),
+            deadline=arrived + remaining_seconds,
+            idempotent=idempotent,
+            max_attempts=max(route.max_attempts, 1),
+            attempt_seconds=max(
+                remaining_seconds * ATTEMPT_SHARE, MIN_ATTEMPT_SECONDS
+            ),
+        )
+
+        async def work() -> Response:
+            return _relay(await self._run(call))
+
+        return await requests.run_while_connected(request, work)
+
+    async def _run(
+        self, call: requests.ForwardedCall
+    ) -> backends.ServiceAnswer:
+        with (
+            self._admission.admit(call.path, call.settings),
+            self._metrics.measure(call.path, 'answer'),
+            anyio.move_on_at(call.deadline),
+        ):
+            return await self._forwarder.forward(call)
+        raise errors.RequestTimeout(
+            'no answer within the time allowed', step='call'
+        )
+
+    async def _submit(
+        self, request: Request, request_id: str, route: routes.Route
+    ) -> Response:
+        if self._state() == 'draining':
+            raise errors.NotRun('this VM is about to stop', step='submit')
+        body = await requests.read_body(request)
+        service = route.draw_service(self._rng)
+        batch = _batches.decode_submission(body, request_id, route, service)
+        with self._metrics.measure(route.name, 'submit'):
+            await _translate(self._archive.create(batch))
+        LOG.info(
+            'batch accepted',
+            extra={
+                'batch': request_id,
+                'route': route.name,
+                'configuration_version': self._book.version,
+                'samples': batch.total,
+            },
+        )
+        return Response(status_code=http.HTTPStatus.ACCEPTED)
+
+    async def _read_results(self, request: Request, batch_id: str) -> Response:
+        position = _read_number(request.query_params.get('after', ''), 0)
+        wait_ms = _read_number(request.headers.get(_names.WAIT_MS, ''), 0)
+        wait_seconds = min(wait_ms / _names.MS_PER_SECOND, MAX_WAIT_SECONDS)
+        page = await _translate(
+            self._access.read_results(batch_id, position, wait_seconds)
+        )
+        return Response(
+            _batches.encode_page(page), media_type='application/json'
+        )
+
+    async def _read_body(self, batch_id: str, item_id: str) -> Response:
+        body = await _translate(self._access.read_body(batch_id, item_id))
+        if body is None:
+            raise errors.RouteMissing(
+                f'batch {batch_id} has no open sample {item_id}', step='body'
+            )
+        return Response(body, media_type='application/octet-stream')
+
+    async def _end_batch(self, batch_id: str) -> Response:
+        await _translate(self._access.end(batch_id))
+        LOG.info('batch end accepted', extra={'batch': batch_id})
+        return Response(status_code=http.HTTPStatus.OK)
+
+
+class IngressApp:
+    """The ASGI application around :class:`Ingress`."""
+
+    __slots__ = ('_ingress',)
+
+    def __init__(self, ingress: Ingress) -> None:
+        self._ingress = ingress
+
+    async def __call__(
+        self,
+        scope: starlette.types.Scope,
+        receive: starlette.types.Receive,
+        send: starlette.types.Send,
+    ) -> None:
+        """Serve one request; lifespan events have no meaning here."""
+        if scope['type'] != 'http':
+            return
+        request = Request(scope, receive)
+        try:
+            response = await self._ingress.serve(request)
+        except Exception:
+            LOG.exception('request failed here', extra={'path': scope['path']})
+            response = Response(status_code=http.HTTPStatus.BAD_GATEWAY)
+        await response(scope, receive, send)
+
+
+async def _translate(
+    work: collections.abc.Awaitable[Answer],
+) -> Answer:
+    """Return what `work` returns, with the store's errors as a caller's."""
+    try:
+        return await work
+    except errors.ObjectMissing as error:
+        raise errors.RouteMissing(error.message, step=error.step) from error
+    except errors.PlatformUnavailable as error:
+        raise errors.NotRun(error.message, step=error.step) from error
+    except errors.PlatformError as error:
+        raise errors.RequestTimeout(error.message, step=error.step) from error
+
+
+def _read_number(text: str, default: int) -> int:
+    return int(text) if text.isdecimal() else default
+
+
+def _read_timeout(request: Request, route: routes.Route) -> float:
+    """Return how long the request may be kept, in seconds."""
+    limits = [route.timeout_seconds] if route.timeout_seconds else []
+    given_ms = _read_number(request.headers.get(_names.DEADLINE_MS, ''), 0)
+    if given_ms:
+        limits.append(given_ms / _names.MS_PER_SECOND)
+    return min(limits, default=DEFAULT_TIMEOUT_SECONDS)
+
+
+def _respond_json(body: object) -> Response:
+    return Response(msgspec.json.encode(body), media_type='application/json')
+
+
+def _respond_error(error: errors.RequestError) -> Response:
+    status = error.status
+    if isinstance(error, errors.PoisonRefused):
+        # It may have run: no status that promises the contrary.
+        status = http.HTTPStatus.BAD_GATEWAY
+    response = Response(
+        msgspec.json.encode({'message': error.message}),
+        status_code=status,
+        media_type='application/json',
+    )
+    if isinstance(error, errors.NotRun):
+        response.headers[_names.RETRY_AFTER] = (
+            f'{error.retry_after_seconds:.2f}'
+        )
+    return response
+
+
+def _relay(answer: backends.ServiceAnswer) -> Response:
+    response = Response(answer.body, status_code=answer.status)
+    for name, value in answer.headers:
+        if name.lower() not in OWN_HEADERS:
+            response.headers.append(name, value)
+    return response
--- /dev/null
+++ b/src/swiftjunction/platform/_program.py
@@ -0,0 +1,315 @@
+"""Assembles the one process that runs on each VM that callers reach."""
+
+import logging
+import random
+import signal
+import time
+import uuid
+
+import anyio
+import anyio.abc
+import starlette.requests
+import starlette.responses
+
+from swiftjunction import backends
+from swiftjunction import batches
+from swiftjunction import coordination
+from swiftjunction import errors
+from swiftjunction import leases
+from swiftjunction import membership
+from swiftjunction import objectstore
+from swiftjunction.platform import _feeds
+from swiftjunction.platform import _ingress
+from swiftjunction.platform import _settings
+from swiftjunction.platform import _store
+from swiftjunction.platform import _workers
+from swiftjunction import requests
+from swiftjunction import routes
+from swiftjunction import routing
+from swiftjunction import telemetry
+from swiftjunction import web
+
+LOG = logging.getLogger(__name__)
+
+LEASE_NAME = 'coordinator'
+# Of the time within which two holders' orders may not follow each other.
+LEASE_SHARE = 0.87
+LEASE_MARGIN_SECONDS = 0.4
+RENEW_INTERVAL_SECONDS = 0.9
+RENEW_TIMEOUT_SECONDS = 0.7
+RETRY_INTERVAL_SECONDS = 0.35
+MAX_IN_FLIGHT = 1000
+# What is left of the grace time for answers that are still under way.
+LAST_SECONDS = 1.5
+SETTINGS_CHECK_SECONDS = 1.0
+# Longer than callers leave a connection idle.
+KEEP_ALIVE_SECONDS = 75.0
+METRICS_PORT = 9464
+METRICS_PATH = '/metrics'
+
+
+class EdgeProgram(batches.ChooseAccess):
+    """The process: its parts and how they hang together.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        Of this VM.
+    """
+
+    def __init__(self, settings: _settings.VmSettings) -> None:
+        self._settings = settings
+        self._state = 'starting'
+        self._stopping = anyio.Event()
+        rng = random.Random()
+        self._metrics = telemetry.Metrics()
+        self._clients = web.PeerClients()
+        run = uuid.uuid4().hex
+        self._members = coordination.MemberBook(
+            coordination.Member(
+                settings.name,
+                f'{settings.ip}:{settings.peer_port}',
+                settings.front,
+                settings.data_center,
+                settings.region,
+                run,
+            )
+        )
+        self._direct = _store.PlatformStore(self._clients, settings.store)
+        self._store = coordination.RelayingStore(
+            self._direct, self._list_relays
+        )
+        self._feeds = _feeds.PlatformFeeds(self._store, self._direct)
+        self._book = routes.RouteBook()
+        table = membership.RecordTable()
+        self._directory = backends.Directory(table)
+        self._guard = backends.LapseGuard(
+            self._directory,
+            lambda: not self._store.reaches_directly(),
+            time.monotonic,
+        )
+        workers = _workers.WorkerClient(self._clients)
+        forwarder = requests.Forwarder(
+            routing.Router(self._directory, settings.data_center, rng),
+            workers,
+            requests.Claims(self._store, settings.name),
+            requests.RetryBudget(),
+            requests.SuspectList(table, settings.name),
+        )
+        self._archive = batches.BatchArchive(self._store)
+        engines = batches.EngineBook(self._directory, time.monotonic)
+        assignment = batches.Assignment()
+        self._runner = batches.BatchRunner(
+            self._store,
+            self._archive,
+            engines,
+            batches.SampleRunner(
+                workers,
+                batches.RoutedScoring(self._book, forwarder, rng),
+                self._metrics,
+            ),
+            assignment,
+            self._metrics,
+        )
+        self._duty = coordination.CoordinatorDuty(
+            self._runner,
+            batches.VersionRollout(
+                engines, workers, assignment, settings.name, self._metrics
+            ),
+            self._feeds,
+            self._list_batch_services,
+            0.0 if settings.checks_fencing else settings.lease_seconds,
+        )
+        terms = leases.LeaseTerms(
+            ttl_seconds=settings.lease_seconds * LEASE_SHARE,
+            margin_seconds=LEASE_MARGIN_SECONDS,
+            renew_interval_seconds=RENEW_INTERVAL_SECONDS,
+            renew_timeout_seconds=RENEW_TIMEOUT_SECONDS,
+            retry_interval_seconds=RETRY_INTERVAL_SECONDS,
+        )
+        self._coordinator = coordination.Coordinator(
+            leases.LeaseKeeper(
+                self._store,
+                LEASE_NAME,
+                f'{settings.name}@{settings.ip}',
+                terms=terms,
+                replaces_itself=True,
+            ),
+            terms,
+            self._members,
+            self._duty,
+        )
+        self._ingress = _ingress.Ingress(
+            settings,
+            self._book,
+            forwarder,
+            requests.Admission(MAX_IN_FLIGHT),
+            self._archive,
+            batches.FirstAccess(self),
+            self._members,
+            lambda: self._state,
+            rng,
+            self._metrics,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then hand over and end what runs."""
+        front = self._open_listener()
+        peers = web.open_listener(self._settings.ip, self._settings.peer_port)
+        peer_app = coordination.PeerApp(
+            self._describe, self._direct, self._find_runner
+        ).build()
+        peer_app.add_route(METRICS_PATH, self._show_metrics)
+        LOG.info('started', extra={'front': self._settings.front})
+        async with anyio.create_task_group() as tasks:
+            for task in (
+                lambda: self._feeds.follow_routes(self._book),
+                lambda: self._feeds.follow_servers(self._guard),
+                self._guard.run,
+                self._directory.lateness.run,
+                coordination.PeerWatch(
+                    self._store, self._clients, self._members
+                ).run,
+                self._coordinator.run,
+                self._become_ready,
+                self._watch_settings,
+                self._handle_signals,
+            ):
+                tasks.start_soon(task)
+            tasks.start_soon(peers.serve, peer_app)
+            async with anyio.create_task_group() as serving:
+                serving.start_soon(
+                    front.serve, _ingress.IngressApp(self._ingress)
+                )
+                await self._stopping.wait()
+                await self._drain()
+                front.close()
+            tasks.cancel_scope.cancel()
+        LOG.info('stopped')
+
+    def _open_listener(self) -> web.Listener:
+        addresses = [
+            self._settings.front,
+            self._settings.readiness,
+            self._settings.directory,
+        ]
+        bound = []
+        for address in filter(None, addresses):
+            ip, _, port = address.rpartition(':')
+            bound.append(web.bind_socket(ip, int(port)))
+        return web.Listener(*bound, keep_alive_seconds=KEEP_ALIVE_SECONDS)
+
+    async def _drain(self) -> None:
+        """Serve on while callers may hold this VM's address."""
+        self._state = 'draining'
+        LOG.info('draining')
+        ends_at = (
+            anyio.current_time() + self._settings.grace_seconds - LAST_SECONDS
+        )
+        await self._coordinator.hand_over()
+        await anyio.sleep_until(ends_at)
+
+    async def _become_ready(self) -> None:
+        while self._book.table is None or not self._feeds.has_servers:
+            await anyio.sleep(SETTINGS_CHECK_SECONDS / 10)
+        if self._state == 'starting':
+            self._state = 'live'
+            LOG.info('ready')
+
+    async def _watch_settings(self) -> None:
+        """Look now and then whether the settings file has changed."""
+        path = _settings.find_file()
+        held = path.stat().st_mtime_ns
+        while True:
+            await anyio.sleep(SETTINGS_CHECK_SECONDS)
+            try:
+                changed = path.stat().st_mtime_ns
+            except OSError as error:
+                LOG.warning('settings file not found: %s', error)
+                continue
+            if changed != held:
+                held = changed
+                self._reload()
+
+    def _reload(self) -> None:
+        try:
+            settings = _settings.read_settings(_settings.find_file())
+        except errors.SettingsError as error:
+            LOG.error('settings not reloaded: %s', error)
+            return
+        self._direct.address = settings.store
+        LOG.info('settings reloaded', extra={'store': settings.store})
+
+    async def _handle_signals(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload()
+                else:
+                    self._stopping.set()
+
+    def _describe(self) -> coordination.MemberStatus:
+        lease = self._coordinator.lease
+        own = self._members.own
+        return coordination.MemberStatus(
+            own.name,
+            own.run,
+            self._state,
+            lease.token if lease is not None else 0,
+            lease.remaining_seconds() if lease is not None else 0.0,
+            self._store.reaches_directly(),
+        )
+
+    def _list_relays(self) -> list[objectstore.ObjectStore]:
+        return [
+            coordination.RelayedStore(
+                coordination.PeerClient(self._clients, member.address)
+            )
+            for member in self._members.list_relays()
+        ]
+
+    def _list_batch_services(self) -> set[str]:
+        table = self._book.table
+        if table is None:
+            return set()
+        return table.list_services(routes.RouteKind.BATCH)
+
+    def _find_runner(self) -> batches.BatchAccess | None:
+        if not self._duty.running:
+            return None
+        return batches.RunnerAccess(self._runner, self._archive)
+
+    def list_ways(self) -> list[batches.BatchAccess]:
+        ways: list[batches.BatchAccess] = []
+        runner = self._find_runner()
+        coordinator = self._members.find_coordinator()
+        if runner is not None:
+            ways.append(runner)
+        elif coordinator is not None:
+            ways.append(
+                coordination.PeerAccess(
+                    coordination.PeerClient(self._clients, coordinator.address)
+                )
+            )
+        return [*ways, batches.ArchiveAccess(self._archive)]
+
+    async def _show_metrics(
+        self, request: starlette.requests.Request
+    ) -> starlette.responses.Response:
+        return starlette.responses.Response(
+            self._metrics.render(), media_type='text/plain; version=0.0.4'
+        )
+
+
+def run_edge() -> int:
+    """Run the process until it is told to stop."""
+    settings = _settings.read_settings(_settings.find_file())
+    telemetry.set_up_logs('swiftjunction-edge', settings.name)
+    anyio.run(_run, settings)
+    return 0
+
+
+async def _run(settings: _settings.VmSettings) -> None:
+    await EdgeProgram(settings).run()
--- /dev/null
+++ b/src/swiftjunction/platform/_workers.py
@@ -0,0 +1,321 @@
+"""Calls backend servers as the platform has them speak."""
+
+import collections.abc
+import http
+import logging
+
+import anyio
+import httpx
+import msgspec
+
+from swiftjunction import backends
+from swiftjunction import batches
+from swiftjunction import errors
+from swiftjunction.platform import _events
+from swiftjunction.platform import _names
+from swiftjunction import web
+
+LOG = logging.getLogger(__name__)
+
+CONTROL_TIMEOUT_SECONDS = 1.0
+# Longest wait for one read of a stream; who reads it has a shorter one.
+STREAM_TIMEOUT_SECONDS = 30.0
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+# Statuses by which a server promises that it has not run a request.
+PROMISES = frozenset({408, 421, 429, 503})
+
+_UNSENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class _Model(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _Report(msgspec.Struct):
+    models: list[_Model] = []
+    busy: bool = False
+    # How many orders it has accepted.
+    sequence: int = 0
+
+
+class WorkerClient(backends.ServiceCaller, batches.SampleEngine):
+    """Calls plain services and engines.
+
+    Parameters
+    ----------
+    peers : PeerClients
+        The HTTP clients.
+    """
+
+    __slots__ = ('_peers',)
+
+    def __init__(self, peers: web.PeerClients) -> None:
+        self._peers = peers
+
+    async def call(
+        self, server: backends.BackendServer, call: backends.ServiceCall
+    ) -> backends.ServiceAnswer:
+        remaining_ms = int(call.timeout_seconds * _names.MS_PER_SECOND)
+        target = f'{call.path}?{call.query}' if call.query else call.path
+        response = await self._send(
+            server,
+            call.method,
+            target,
+            [
+                *call.headers,
+                (_names.ATTEMPT_ID, call.request_id),
+                (_names.DEADLINE_MS, str(max(remaining_ms, 1))),
+            ],
+            call.body,
+            call.timeout_seconds,
+            call.host,
+        )
+        try:
+            _check_match(response, server, call.request_id)
+            _check_promise(response, server)
+            body = await _read_body(response, server)
+        finally:
+            await response.aclose()
+        answer = backends.ServiceAnswer(
+            response.status_code,
+            response.headers.multi_items(),
+            body,
+            response.headers.get(_names.SIGNATURE, ''),
+        )
+        if answer.is_success and not answer.signature:
+            raise _broken('success without a signature', server)
+        return answer
+
+    async def is_crashed(self, server: backends.BackendServer) -> bool:
+        host, _, port = server.address.rpartition(':')
+        try:
+            with anyio.fail_after(CONTROL_TIMEOUT_SECONDS):
+                stream = await anyio.connect_tcp(host, int(port))
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        await stream.aclose()
+        return False
+
+    async def generate(
+        self,
+        server: backends.BackendServer,
+        host: str,
+        item: batches.Item,
+        after: int,
+    ) -> collections.abc.AsyncGenerator[batches.SampleEvent, None]:
+        headers = [*item.headers, (_names.ATTEMPT_ID, item.item_id)]
+        if after >= 0:
+            headers.append((_names.LAST_EVENT_ID, str(after)))
+        response = await self._send(
+            server,
+            'POST',
+            item.target,
+            headers,
+            item.body,
+            STREAM_TIMEOUT_SECONDS,
+            host,
+        )
+        try:
+            _check_match(response, server, item.item_id)
+            _check_promise(response, server)
+            _check_sample(response, server)
+            reader = _events.EventReader(_read_version(response), server.name)
+            async for data in _read_parts(response, server):
+                for event in reader.feed(data):
+                    yield event
+            reader.check_end()
+        finally:
+            await response.aclose()
+
+    async def read_report(
+        self, server: backends.BackendServer
+    ) -> batches.EngineReport:
+        status, body = await self._control(server, 'GET', _names.REPORT_PATH)
+        if status != http.HTTPStatus.OK:
+            raise _broken(f'report answered {status}', server)
+        try:
+            report = msgspec.json.decode(body, type=_Report)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise _broken(f'report not understood: {error}', server) from error
+        return batches.EngineReport(
+            {model.name: model.version for model in report.models},
+            report.busy,
+            report.sequence,
+        )
+
+    async def give_order(
+        self, server: backends.BackendServer, order: batches.VersionOrder
+    ) -> bool:
+        content = msgspec.json.encode(
+            {
+                'operation': 'version',
+                'model': order.model,
+                'version': order.version,
+                'mode': 'retain' if order.keeps_running else 'wait',
+                'holder': order.holder,
+                'fencing_token': order.fencing_token,
+                'expected': order.expected_orders,
+            }
+        )
+        status, _ = await self._control(
+            server, 'POST', _names.ORDER_PATH, content
+        )
+        match status:
+            case http.HTTPStatus.ACCEPTED:
+                return False
+            case http.HTTPStatus.OK:
+                return True
+            case http.HTTPStatus.PRECONDITION_FAILED:
+                raise errors.LeaseLost(
+                    'the engine has seen a higher fencing token',
+                    step='order',
+                    peer=server.name,
+                )
+            case (
+                http.HTTPStatus.CONFLICT
+                | http.HTTPStatus.BAD_REQUEST
+                | http.HTTPStatus.MISDIRECTED_REQUEST
+            ):
+                raise errors.BackendRefused(
+                    f'order answered {status}', step='order', peer=server.name
+                )
+        raise _broken(f'order answered {status}', server)
+
+    async def _control(
+        self,
+        server: backends.BackendServer,
+        method: str,
+        path: str,
+        content: bytes = b'',
+    ) -> tuple[int, bytes]:
+        headers = [('content-type', 'application/json')] if content else []
+        with anyio.move_on_after(CONTROL_TIMEOUT_SECONDS):
+            response = await self._send(
+                server,
+                method,
+                path,
+                headers,
+                content,
+                CONTROL_TIMEOUT_SECONDS,
+            )
+            try:
+                body = await _read_body(response, server)
+            finally:
+                await response.aclose()
+            return response.status_code, body
+        raise _broken('no answer in time', server)
+
+    async def _send(
+        self,
+        server: backends.BackendServer,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        content: bytes,
+        timeout_seconds: float,
+        host: str = '',
+    ) -> httpx.Response:
+        """Send a request to this very server, and to no successor."""
+        try:
+            return await self._peers.peer(server.address).send(
+                method,
+                target,
+                headers=[*headers, (_names.EXPECT_INSTANCE, server.name)],
+                content=content,
+                timeout_seconds=timeout_seconds,
+                host=host,
+            )
+        except _UNSENT as error:
+            raise errors.BackendUnreachable(
+                f'cannot connect: {error or type(error).__name__}',
+                step='call',
+                peer=server.name,
+            ) from error
+        except (httpx.HTTPError, httpx.StreamError) as error:
+            raise _broken(
+                f'no answer: {error or type(error).__name__}', server
+            ) from error
+
+
+def _broken(
+    message: str, server: backends.BackendServer
+) -> errors.AnswerBroken:
+    return errors.AnswerBroken(message, step='call', peer=server.name)
+
+
+def _check_match(
+    response: httpx.Response, server: backends.BackendServer, request_id: str
+) -> None:
+    """Raise ``AnswerBroken`` where it is the answer of another request."""
+    answered = response.headers.get(_names.ATTEMPT_ID, request_id)
+    if answered != request_id:
+        raise _broken(f'answer of another request: {answered!r}', server)
+
+
+def _check_promise(
+    response: httpx.Response, server: backends.BackendServer
+) -> None:
+    """Raise ``BackendRefused`` where the server has not run the request."""
+    status = response.status_code
+    if status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        if response.headers.get(_names.INSTANCE_ID) != server.name:
+            server.note_leaving()
+        raise errors.BackendRefused(
+            'another server has the address', step='call', peer=server.name
+        )
+    if response.headers.get(_names.NOT_EXECUTED):
+        raise errors.BackendRefused(
+            f'refused with {status}', step='call', peer=server.name
+        )
+    if status in PROMISES:
+        raise _broken(f'answered {status} without a promise', server)
+
+
+def _check_sample(
+    response: httpx.Response, server: backends.BackendServer
+) -> None:
+    status = response.status_code
+    if status == http.HTTPStatus.OK:
+        return
+    message = f'sample answered {status}'
+    match status:
+        case http.HTTPStatus.UNPROCESSABLE_ENTITY:
+            kind: type[errors.BackendError] = errors.SampleRefused
+        case http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            kind = errors.SampleFailed
+        case _:
+            kind = errors.AnswerBroken
+    raise kind(message, step='generate', peer=server.name)
+
+
+def _read_version(response: httpx.Response) -> int:
+    text = response.headers.get(_names.WEIGHT_VERSIONS, '')
+    return int(text) if text.isdecimal() else 0
+
+
+async def _read_parts(
+    response: httpx.Response, server: backends.BackendServer
+) -> collections.abc.AsyncGenerator[bytes, None]:
+    try:
+        async for part in response.aiter_raw():
+            yield part
+    except (httpx.HTTPError, httpx.StreamError) as error:
+        raise _broken(
+            f'answer broke off: {error or type(error).__name__}', server
+        ) from error
+
+
+async def _read_body(
+    response: httpx.Response, server: backends.BackendServer
+) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    async for part in _read_parts(response, server):
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise _broken(f'answer over {MAX_ANSWER_BYTES} bytes', server)
+        parts.append(part)
+    return b''.join(parts)
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -12,8 +12,10 @@
 from swiftjunction.requests._generation import Generator
 from swiftjunction.requests._overload import CHECK_INTERVAL_SECONDS
 from swiftjunction.requests._overload import OverloadDetector
+from swiftjunction.requests._reading import read_body
 from swiftjunction.requests._segments import join_segments
 from swiftjunction.requests._segments import Segment
+from swiftjunction.requests._streaming import run_while_connected
 from swiftjunction.requests._suspects import make_fingerprint
 from swiftjunction.requests._suspects import SuspectList
 
@@ -34,4 +36,6 @@
     'build_app',
     'join_segments',
     'make_fingerprint',
+    'read_body',
+    'run_while_connected',
 ]
--- a/src/swiftjunction/requests/_claims.py
+++ b/src/swiftjunction/requests/_claims.py
@@ -16,7 +16,7 @@
 
 from swiftjunction import backends
 from swiftjunction import errors
-from swiftjunction import platform
+from swiftjunction import objectstore
 
 LOG = logging.getLogger(__name__)
 
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        store: platform.ObjectStore,
+        store: objectstore.ObjectStore,
         name: str,
         state: _ClaimState,
         version: int,
@@ -96,7 +96,7 @@
 
     __slots__ = ('_owner', '_store')
 
-    def __init__(self, store: platform.ObjectStore, owner: str) -> None:
+    def __init__(self, store: objectstore.ObjectStore, owner: str) -> None:
         self._store = store
         self._owner = owner
 
@@ -141,7 +141,7 @@
     async def _read(self, name: str, state: _ClaimState, key: str) -> Claim:
         try:
             found = await self._store.read(name)
-            held = platform.decode_value(found, _ClaimState)
+            held = objectstore.decode_value(found, _ClaimState)
         except errors.PlatformError as error:
             raise errors.OutcomeUnknown(
                 f'idempotency key {key!r} was used before, and how that '
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 
 import anyio
 import msgspec
@@ -27,6 +28,11 @@
     ----------
     idempotency_key : str
         Given by the caller; empty where there is none.
+    max_attempts : int
+        How many backend servers may be tried.
+    attempt_seconds : float
+        Of an idempotent request: without an answer by then, another server
+        is tried.
     """
 
     path: str
@@ -35,6 +41,8 @@
     deadline: float
     idempotent: bool
     idempotency_key: str = ''
+    max_attempts: int = MAX_ATTEMPTS
+    attempt_seconds: float = math.inf
 
     @property
     def fingerprint(self) -> str:
@@ -55,7 +63,7 @@
     ----------
     router : Router
         Chooses the server.
-    services : ServiceClient
+    services : ServiceCaller
         Calls it.
     claims : Claims
         Claims the idempotency key of what may run only once.
@@ -70,7 +78,7 @@
     def __init__(
         self,
         router: routing.Router,
-        services: backends.ServiceClient,
+        services: backends.ServiceCaller,
         claims: _claims.Claims,
         budget: _budget.RetryBudget,
         suspects: _suspects.SuspectList,
@@ -111,7 +119,7 @@
         excluded: set[str] = set()
         may_have_run = False
         last: errors.BackendError | None = None
-        for _ in range(MAX_ATTEMPTS):
+        for _ in range(call.max_attempts):
             if last is not None and not self._budget.take_retry():
                 break
             try:
@@ -162,7 +170,7 @@
                 server.track(),
                 server.reserve() if alone else contextlib.nullcontext(),
             ):
-                answer = await self._services.call(server, service_call)
+                answer = await self._call_in_time(call, server, service_call)
         except errors.BackendUnreachable:
             server.note_failure()
             raise
@@ -175,3 +183,20 @@
             wait.end()
         server.note_success()
         return answer
+
+    async def _call_in_time(
+        self,
+        call: ForwardedCall,
+        server: backends.BackendServer,
+        service_call: backends.ServiceCall,
+    ) -> backends.ServiceAnswer:
+        limit_seconds = service_call.timeout_seconds
+        if call.idempotent:
+            limit_seconds = min(limit_seconds, call.attempt_seconds)
+        with anyio.move_on_after(limit_seconds):
+            return await self._services.call(server, service_call)
+        raise errors.AnswerBroken(
+            f'no answer within {limit_seconds:.3f} s',
+            step='call',
+            peer=server.name,
+        )
--- /dev/null
+++ b/src/swiftjunction/routes/__init__.py
@@ -0,0 +1,17 @@
+"""Routes: which service answers a request, and what its operator allows."""
+
+from swiftjunction.routes._route import Route
+from swiftjunction.routes._route import RouteKind
+from swiftjunction.routes._route import ServiceShare
+from swiftjunction.routes._table import ConnectionLimits
+from swiftjunction.routes._table import RouteBook
+from swiftjunction.routes._table import RouteTable
+
+__all__ = [
+    'ConnectionLimits',
+    'Route',
+    'RouteBook',
+    'RouteKind',
+    'RouteTable',
+    'ServiceShare',
+]
--- a/src/swiftjunction/standins/_daemon.py
+++ b/src/swiftjunction/standins/_daemon.py
@@ -5,7 +5,7 @@
 import anyio
 import anyio.abc
 
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction.standins import _engine
 from swiftjunction.standins import _faults
 from swiftjunction.standins import _hosting
@@ -113,11 +113,11 @@
         self._faults[name] = standin.faults
         tasks.start_soon(_hosting.host, listener, standin)
 
-    def _list_vms(self) -> collections.abc.Iterator[platform.Vm]:
+    def _list_vms(self) -> collections.abc.Iterator[objectstore.Vm]:
         plan = self._plan
         yield from plan.vms
         for engine in plan.engines:
-            yield platform.Vm(
+            yield objectstore.Vm(
                 engine.name,
                 f'{plan.ip}:{engine.port}',
                 engine.model,
@@ -125,7 +125,7 @@
                 plan.region,
             )
         for server in plan.services:
-            yield platform.Vm(
+            yield objectstore.Vm(
                 server.name,
                 f'{plan.ip}:{server.port}',
                 server.service,
--- a/src/swiftjunction/standins/_plan.py
+++ b/src/swiftjunction/standins/_plan.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import settings
 
 
@@ -42,7 +42,7 @@
     region: str = 'loopback'
     engines: list[EnginePlan] = []
     services: list[ServicePlan] = []
-    vms: list[platform.Vm] = []
+    vms: list[objectstore.Vm] = []
 
 
 def read_plan(path: str) -> StandinPlan:
--- a/src/swiftjunction/standins/_vms.py
+++ b/src/swiftjunction/standins/_vms.py
@@ -9,7 +9,7 @@
 import starlette.responses
 import starlette.routing
 
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction.standins import _faults
 from swiftjunction import web
 
@@ -26,12 +26,12 @@
 
     def __init__(self) -> None:
         self.faults = _faults.FaultSwitches('crashed', 'outage', 'lag_seconds')
-        self._vms: dict[str, platform.Vm] = {}
-        self._past: collections.deque[tuple[float, list[platform.Vm]]] = (
+        self._vms: dict[str, objectstore.Vm] = {}
+        self._past: collections.deque[tuple[float, list[objectstore.Vm]]] = (
             collections.deque(maxlen=1000)
         )
 
-    def put(self, vm: platform.Vm) -> None:
+    def put(self, vm: objectstore.Vm) -> None:
         """Add or change a VM."""
         self._vms[vm.name] = vm
         self._past.append((anyio.current_time(), list(self._vms.values())))
@@ -63,7 +63,7 @@
         if self.faults.get('outage'):
             return web.respond_json({'error': 'outage'}, status=503)
         limit = anyio.current_time() - self.faults.get('lag_seconds')
-        listed: list[platform.Vm] = []
+        listed: list[objectstore.Vm] = []
         for time, vms in self._past:
             if time <= limit:
                 listed = vms
@@ -78,6 +78,6 @@
                 return web.respond_json({'error': 'missing'}, status=404)
             self.remove(name)
             return web.respond_json({})
-        vm = msgspec.json.decode(await request.body(), type=platform.Vm)
+        vm = msgspec.json.decode(await request.body(), type=objectstore.Vm)
         self.put(vm)
         return web.respond_json(vm)
--- a/src/swiftjunction/steps/_ledger.py
+++ b/src/swiftjunction/steps/_ledger.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from swiftjunction import errors
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction.steps import _step
 
 LOG = logging.getLogger(__name__)
@@ -94,7 +94,7 @@
     )
 
     def __init__(
-        self, store: platform.ObjectStore, step_id: str, owner: str
+        self, store: objectstore.ObjectStore, step_id: str, owner: str
     ) -> None:
         self._store = store
         self._owner = owner
@@ -329,7 +329,7 @@
         if found.version <= self._version:
             # Read from an old copy.
             return False
-        head = platform.decode_value(found, Head)
+        head = objectstore.decode_value(found, Head)
         if head.writer != self._writer or head.ended or not closing:
             raise self._lost()
         # A change of this run whose call was cancelled and took effect: the
@@ -368,7 +368,7 @@
                 raise
             return found.version
 
-    async def _read(self, key: str) -> platform.Object:
+    async def _read(self, key: str) -> objectstore.Object:
         self.calls += 1
         return await self._store.read(key)
 
@@ -382,8 +382,8 @@
                 LOG.info('%s left behind: %s', key, error)
 
 
-def _decode_running(found: platform.Object, step_id: str) -> Head:
-    head = platform.decode_value(found, Head)
+def _decode_running(found: objectstore.Object, step_id: str) -> Head:
+    head = objectstore.decode_value(found, Head)
     if not head.ended:
         return head
     if head.missing:
--- a/src/swiftjunction/steps/_registry.py
+++ b/src/swiftjunction/steps/_registry.py
@@ -8,7 +8,7 @@
 import anyio.abc
 
 from swiftjunction import errors
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction.steps import _delivery
 from swiftjunction.steps import _ledger
 from swiftjunction.steps import _payloads
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        store: platform.ObjectStore,
+        store: objectstore.ObjectStore,
         owner: str,
         producer: _production.Producer,
         payloads: _payloads.Payloads,
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -8,6 +8,7 @@
 from swiftjunction.web._calling import connect_client
 from swiftjunction.web._calling import Peer
 from swiftjunction.web._calling import PeerClients
+from swiftjunction.web._serving import bind_socket
 from swiftjunction.web._serving import Listener
 from swiftjunction.web._serving import open_listener
 from swiftjunction.web._streams import format_event
@@ -22,6 +23,7 @@
     'PeerClients',
     'TlsContexts',
     'TlsFiles',
+    'bind_socket',
     'connect_client',
     'describe_error',
     'format_event',
--- a/src/swiftjunction/web/_calling.py
+++ b/src/swiftjunction/web/_calling.py
@@ -66,6 +66,7 @@
         headers: Headers = (),
         content: bytes = b'',
         timeout_seconds: float = 10.0,
+        host: str = '',
     ) -> httpx.Response:
         """Send one request; the caller reads and closes the response.
 
@@ -77,8 +78,10 @@
             Path and query, encoded.
         timeout_seconds : float
             Longest wait for a read or a write.
+        host : str
+            The host to name, where it is not the peer's address.
         """
-        own = [('host', self._host)]
+        own = [('host', host or self._host)]
         if content:
             own.append(('content-length', str(len(content))))
         request = httpx.Request(
--- a/src/swiftjunction/web/_serving.py
+++ b/src/swiftjunction/web/_serving.py
@@ -40,19 +40,37 @@
 class Listener:
     """One HTTP listener: bound at once, served later, closed on request.
 
+    Parameters
+    ----------
+    bound : socket
+        One or more sockets that the same application serves.
+    keep_alive_seconds : float
+        How long a connection may be idle.
+
     Attributes
     ----------
     address : str
-        ``ip:port`` as bound, with the port that the kernel chose for 0.
+        ``ip:port`` of the first socket; the kernel chose the port for 0.
     """
 
-    __slots__ = ('_bound', '_closed', '_closing', 'address')
-
-    def __init__(self, bound: socket.socket) -> None:
+    __slots__ = (
+        '_bound',
+        '_closed',
+        '_closing',
+        '_keep_alive_seconds',
+        'address',
+    )
+
+    def __init__(
+        self,
+        *bound: socket.socket,
+        keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
+    ) -> None:
         self._bound = bound
+        self._keep_alive_seconds = keep_alive_seconds
         self._closing = anyio.Event()
         self._closed = anyio.Event()
-        host, port = bound.getsockname()[:2]
+        host, port = bound[0].getsockname()[:2]
         self.address = f'{host}:{port}'
 
     async def serve(
@@ -73,9 +91,9 @@
         if context is not None:
             config = _TlsConfig()
             config.context = context
-        config.bind = [f'fd://{self._bound.detach()}']
+        config.bind = [f'fd://{item.detach()}' for item in self._bound]
         config.graceful_timeout = GRACEFUL_TIMEOUT_SECONDS
-        config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+        config.keep_alive_timeout = self._keep_alive_seconds
         config.backlog = BACKLOG_CONNECTIONS
         config.accesslog = None
         config.errorlog = logging.getLogger('hypercorn.error')
@@ -123,6 +141,11 @@
     SettingsError
         If the address cannot be bound, for example as it is in use.
     """
+    return Listener(bind_socket(ip, port))
+
+
+def bind_socket(ip: str, port: int) -> socket.socket:
+    """Bind a listening socket, as :func:`open_listener` does."""
     family = socket.AF_INET6 if ':' in ip else socket.AF_INET
     bound = socket.socket(family, socket.SOCK_STREAM)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -135,4 +158,4 @@
         ) from error
     bound.listen(BACKLOG_CONNECTIONS)
     bound.setblocking(False)
-    return Listener(bound)
+    return bound
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import functools
+import socket
 import ssl
 
 import httpx
@@ -15,6 +16,20 @@
 MAX_CONNECTIONS_PER_PEER = 1024
 MAX_IDLE_CONNECTIONS = 64
 KEEP_ALIVE_SECONDS = 60.0
+# A connection that went silent, as behind a network partition, is found by
+# probes after some three seconds.
+PROBE_IDLE_SECONDS = 1
+PROBE_INTERVAL_SECONDS = 1
+PROBE_COUNT = 2
+UNACKNOWLEDGED_MS = 3000
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+)
 
 
 @functools.cache
@@ -71,6 +86,7 @@
         return httpx.AsyncHTTPTransport(
             verify=self._context or load_ssl_context(),
             trust_env=False,
+            socket_options=SOCKET_OPTIONS,
             limits=httpx.Limits(
                 max_connections=1,
                 max_keepalive_connections=1,
--- a/src/swiftjunction/weights/_publishing.py
+++ b/src/swiftjunction/weights/_publishing.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from swiftjunction import errors
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction.weights import _board
 from swiftjunction.weights import _versions
 
@@ -16,7 +16,7 @@
 
     __slots__ = ('_store',)
 
-    def __init__(self, store: platform.ObjectStore) -> None:
+    def __init__(self, store: objectstore.ObjectStore) -> None:
         self._store = store
 
     async def publish(self, model: str, source: int = 0) -> int:
@@ -54,14 +54,14 @@
             history, held = _versions.History(model), 0
         else:
             held = found.version
-            history = platform.decode_value(found, _versions.History)
+            history = objectstore.decode_value(found, _versions.History)
         version = history.add(time.time(), _find_files(history, source))
         history.nonce = uuid.uuid4().hex
         value = msgspec.json.encode(history)
         if held:
-            await platform.update_or_confirm(self._store, key, value, held)
+            await objectstore.update_or_confirm(self._store, key, value, held)
         else:
-            await platform.create_or_confirm(self._store, key, value)
+            await objectstore.create_or_confirm(self._store, key, value)
         return version
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 
 from swiftjunction import errors
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import web
 
 hypothesis.settings.register_profile(
@@ -15,7 +15,7 @@
 hypothesis.settings.load_profile('deterministic')
 
 
-class MemoryStore(platform.ObjectStore):
+class MemoryStore(objectstore.ObjectStore):
     """An object API in memory whose next calls fail as the test says.
 
     Attributes
@@ -66,7 +66,7 @@
 
     def _put(self, key, value):
         self.revision += 1
-        self.objects[key] = platform.Object(key, self.revision, value)
+        self.objects[key] = objectstore.Object(key, self.revision, value)
 
     async def read(self, key):
         if self._enter() == 'lose':
@@ -78,7 +78,7 @@
     async def list(self, prefix):
         self._enter()
         found = [o for k, o in self.objects.items() if k.startswith(prefix)]
-        return platform.Watch(self.revision, found, [])
+        return objectstore.Watch(self.revision, found, [])
 
     async def create(self, key, value):
         fault = self._enter()
--- a/tests/cover/test_fuzz_inputs.py
+++ b/tests/cover/test_fuzz_inputs.py
@@ -16,7 +16,7 @@
 from swiftjunction import leases
 from swiftjunction import links
 from swiftjunction import membership
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import requests
 from swiftjunction import settings
 from swiftjunction import spool
@@ -254,13 +254,13 @@
 
     async def run():
         client = conftest.connect(answer)
-        store = platform.HttpObjectStore(client)
+        store = objectstore.HttpObjectStore(client)
         try:
             await call(store)
         except errors.PlatformError as error:
             assert error.step
         try:
-            await platform.VmList(client).read()
+            await objectstore.VmList(client).read()
         except errors.PlatformError as error:
             assert error.step
 
@@ -283,7 +283,7 @@
         self.value = value
 
     async def read(self, key):
-        return platform.Object(key, 1, self.value)
+        return objectstore.Object(key, 1, self.value)
 
     async def create(self, key, value):
         raise errors.RevisionConflict(key)
--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -6,14 +6,12 @@
 
 from swiftjunction import errors
 from swiftjunction import leases
-from swiftjunction.leases import _keeper
-from swiftjunction.leases import _lease
 from tests import conftest
 
 
-def keep(store, clock, holder):
+def keep(store, clock, holder, terms=leases.LeaseTerms()):
     return leases.LeaseKeeper(
-        store, 'orders/1', holder, ttl_seconds=10, clock=clock
+        store, 'orders/1', holder, terms=terms, clock=clock
     )
 
 
@@ -90,12 +88,14 @@
         assert lease.remaining_seconds() == pytest.approx(7)
 
     async def test_a_renewal_that_hangs_is_given_up_and_found_again(
-        self, store, clock, monkeypatch
+        self, store, clock
     ):
-        monkeypatch.setattr(_keeper, 'RENEW_TIMEOUT_SECONDS', 0.01)
-        monkeypatch.setattr(_keeper, 'RETRY_INTERVAL_SECONDS', 0.01)
-        monkeypatch.setattr(_keeper, 'RENEW_INTERVAL_SECONDS', 9)
-        keeper = keep(store, clock, 'a')
+        terms = leases.LeaseTerms(
+            renew_interval_seconds=9,
+            renew_timeout_seconds=0.01,
+            retry_interval_seconds=0.01,
+        )
+        keeper = keep(store, clock, 'a', terms)
         token = (await keeper.take()).token
         clock.now += 3
         store.faults = ['hang']
@@ -108,12 +108,11 @@
         assert keeper.lease.token == token
 
     async def test_the_renewal_of_a_paused_process_fits_before_the_lapse(self):
+        terms = leases.LeaseTerms()
         needed_seconds = (
-            _keeper.RENEW_INTERVAL_SECONDS + _keeper.RENEW_TIMEOUT_SECONDS + 3
-        )
-        assert needed_seconds <= (
-            _lease.LEASE_TTL_SECONDS - _lease.LEASE_MARGIN_SECONDS
+            terms.renew_interval_seconds + terms.renew_timeout_seconds + 3
         )
+        assert needed_seconds <= (terms.ttl_seconds - terms.margin_seconds)
 
 
 @pytest.mark.anyio
--- a/tests/cover/test_membership_listing.py
+++ b/tests/cover/test_membership_listing.py
@@ -2,9 +2,9 @@
 
 from swiftjunction.daemons import _listing
 from swiftjunction import membership
-from swiftjunction import platform
+from swiftjunction import objectstore
 
-VM = platform.Vm('server', '10.0.0.1:80', 'ledger', 'dc')
+VM = objectstore.Vm('server', '10.0.0.1:80', 'ledger', 'dc')
 
 
 def make_listing():
--- a/tests/cover/test_platform_contract.py
+++ b/tests/cover/test_platform_contract.py
@@ -8,7 +8,7 @@
 import pytest
 
 from swiftjunction import errors
-from swiftjunction import platform
+from swiftjunction import objectstore
 from swiftjunction import standins
 from swiftjunction import web
 
@@ -20,9 +20,11 @@
     standin = standins.ObjectStoreStandin()
     listener = web.open_listener('127.0.0.1', 0)
     client = web.connect_client(f'http://{listener.address}', timeout_seconds)
-    store = platform.HttpObjectStore(client)
+    store = objectstore.HttpObjectStore(client)
     if guarded:
-        store = platform.GuardedObjectStore(store, lambda: 1, random.Random(0))
+        store = objectstore.GuardedObjectStore(
+            store, lambda: 1, random.Random(0)
+        )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(standins.host, listener, standin)
         await store.create('claims/held', b'1')
@@ -120,7 +122,7 @@
 
 async def test_a_crashed_platform_makes_writes_unavailable():
     client = web.connect_client('http://127.0.0.1:1')
-    store = platform.HttpObjectStore(client)
+    store = objectstore.HttpObjectStore(client)
     with pytest.raises(errors.PlatformUnavailable):
         await store.create('claims/new', b'1')
     await client.aclose()
@@ -134,4 +136,4 @@
         transport=httpx.MockTransport(answer), base_url='http://objects'
     )
     with pytest.raises(errors.WriteUncertain):
-        await platform.HttpObjectStore(client).create('claims/new', b'1')
+        await objectstore.HttpObjectStore(client).create('claims/new', b'1')
--- a/tests/cover/test_platform_guard.py
+++ b/tests/cover/test_platform_guard.py
@@ -4,16 +4,16 @@
 import pytest
 
 from swiftjunction import errors
-from swiftjunction import platform
-from swiftjunction.platform import _breaker
-from swiftjunction.platform import _budget
+from swiftjunction import objectstore
+from swiftjunction.objectstore import _breaker
+from swiftjunction.objectstore import _budget
 
 pytestmark = pytest.mark.anyio
 
 
 def guard(store, clock=None):
     options = {'clock': clock} if clock is not None else {}
-    return platform.GuardedObjectStore(
+    return objectstore.GuardedObjectStore(
         store, lambda: 1, random.Random(0), **options
     )
 
@@ -174,8 +174,8 @@
 
     async def run():
         if write == 'create':
-            return await platform.create_or_confirm(store, 'claims/a', b'2')
-        return await platform.update_or_confirm(store, 'claims/a', b'2', 1)
+            return await objectstore.create_or_confirm(store, 'claims/a', b'2')
+        return await objectstore.update_or_confirm(store, 'claims/a', b'2', 1)
 
     if version is None:
         with pytest.raises(errors.WriteUncertain):
@@ -196,4 +196,4 @@
 
     store.read = read_after_another
     with pytest.raises(errors.WriteUncertain, match='by another'):
-        await platform.update_or_confirm(store, 'claims/a', b'2', 1)
+        await objectstore.update_or_confirm(store, 'claims/a', b'2', 1)
