List anew after a watch was cut off; shorter scoring attempts; logs bounded

The cut also made the process avoid the direct way, though the store was well.

Change: after any failure a follower lists; a watch that is cut does not condemn the direct way, the list that follows shows it. A scoring attempt has three times its route's objective, and scoring has a retry budget of its own. Logs go to standard output through a handler that never waits and is bounded by bytes a second; `swiftjunction explain ID` prints a request's story. Stand-ins of the platform's store and workers, and tests of the whole path.

Conclusion: a watch that was cut says nothing of what it missed.

--- a/src/swiftjunction/batches/_engines.py
+++ b/src/swiftjunction/batches/_engines.py
@@ -8,7 +8,7 @@
 # An engine that refused is left alone for so long, twice as long each time
 # in a row.
 FIRST_PAUSE_SECONDS = 0.25
-MAX_PAUSE_SECONDS = 4.0
+MAX_PAUSE_SECONDS = 2.0
 # A load that is not seen to end within this time may have been lost.
 LOAD_TIMEOUT_SECONDS = 4.0
 # Slower than the median by this factor, an engine gets work last.
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -335,6 +335,15 @@
         try:
             await self._archive.append(batch_id, opened.chunks, chunk)
             opened.list_chunk(chunk)
+            LOG.info(
+                'results listed',
+                extra={
+                    'batch': batch_id,
+                    'request_ids': [result.item_id for result in chunk],
+                    'listed': len(opened.results),
+                    'whole_groups': opened.count_whole_groups(),
+                },
+            )
         except errors.RevisionConflict:
             await self._catch_up(opened)
         except errors.PlatformError as error:
--- a/src/swiftjunction/batches/_scoring.py
+++ b/src/swiftjunction/batches/_scoring.py
@@ -18,6 +18,9 @@
 
 # Within this time a score is had, over all attempts; then it is begun anew.
 SCORE_SECONDS = 6.0
+# A scorer that takes so many times what its route aims at is taken to hang.
+HANG_FACTOR = 3.0
+MIN_ATTEMPT_SECONDS = 0.5
 RETRY_SECONDS = 0.25
 
 
@@ -139,6 +142,8 @@
             deadline=anyio.current_time() + SCORE_SECONDS,
             idempotent=True,
             max_attempts=max(route.max_attempts, 1),
-            attempt_seconds=route.timeout_seconds or SCORE_SECONDS,
+            attempt_seconds=max(
+                route.objective_seconds * HANG_FACTOR, MIN_ATTEMPT_SECONDS
+            ),
         )
         return await self._forwarder.forward(call)
--- a/src/swiftjunction/commands/_operator.py
+++ b/src/swiftjunction/commands/_operator.py
@@ -10,6 +10,7 @@
 from swiftjunction import client
 from swiftjunction.commands import _conductor
 from swiftjunction.commands import _configuration
+from swiftjunction.commands import _explain
 from swiftjunction.commands import _keys
 from swiftjunction.commands import _programs
 
@@ -101,5 +102,6 @@
             WeightsPublishCommand(),
             DumpCommand(),
             StepRunCommand(),
+            _explain.ExplainCommand(),
         ],
     )
--- a/src/swiftjunction/commands/_programs.py
+++ b/src/swiftjunction/commands/_programs.py
@@ -14,6 +14,7 @@
 import swiftjunction
 from swiftjunction import errors
 
+EXIT_FAILURE = 1
 EXIT_USAGE = 2
 
 
@@ -58,7 +59,7 @@
             print(problem, file=sys.stderr)
     except errors.SwiftjunctionError as error:
         print(f'{name}: {error}', file=sys.stderr)
-        return 1
+        return EXIT_FAILURE
     return EXIT_USAGE
 
 
--- a/src/swiftjunction/coordination/_relaying.py
+++ b/src/swiftjunction/coordination/_relaying.py
@@ -74,6 +74,10 @@
     async def watch(
         self, prefix: str, revision: int, wait_seconds: float
     ) -> objectstore.Watch:
+        # A watch may be cut off while the store is well. Whoever watched
+        # lists next, and that shows whether the store is reached.
+        if self._clock() >= self._avoid_until:
+            return await self._direct.watch(prefix, revision, wait_seconds)
         return await self._run(
             lambda store: store.watch(prefix, revision, wait_seconds)
         )
--- a/src/swiftjunction/objectstore/_following.py
+++ b/src/swiftjunction/objectstore/_following.py
@@ -105,6 +105,9 @@
             LOG.info('lists anew: %s', error, extra={'prefix': prefix})
             revision = -1
         except errors.PlatformError as error:
+            # While the watch was cut off, the history may have been dropped,
+            # and a watch from before it need not be told.
+            revision = -1
             if not retry_seconds:
                 LOG.warning('lost: %s', error, extra={'prefix': prefix})
             retry_seconds = min(
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -157,6 +157,7 @@
         try:
             response = await self._dispatch(request, path, request_id)
             outcome = 'answered'
+            self._note_answer(path, request_id, response, started)
         except errors.RequestError as error:
             response = _respond_error(error)
             outcome = type(error).__name__
@@ -175,6 +176,21 @@
             response.headers[_names.ATTEMPT_ID] = request_id
         return response
 
+    def _note_answer(
+        self, path: str, request_id: str, response: Response, started: float
+    ) -> None:
+        if not request_id:
+            return
+        LOG.info(
+            'request answered',
+            extra={
+                'path': path,
+                'status': response.status_code,
+                'configuration_version': self._book.version,
+                'seconds': round(time.monotonic() - started, 3),
+            },
+        )
+
     async def _dispatch(
         self, request: Request, path: str, request_id: str
     ) -> Response:
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -1,6 +1,7 @@
 """Assembles the one process that runs on each VM that callers reach."""
 
 import logging
+import pathlib
 import random
 import signal
 import time
@@ -53,11 +54,23 @@
 
     Parameters
     ----------
-    settings : VmSettings
-        Of this VM.
+    path : Path
+        The settings file of this VM.
+    metrics_port : int
+        Where metrics are served, beside the peer port.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or used.
     """
 
-    def __init__(self, settings: _settings.VmSettings) -> None:
+    def __init__(
+        self, path: pathlib.Path, metrics_port: int = METRICS_PORT
+    ) -> None:
+        settings = _settings.read_settings(path)
+        self._path = path
+        self._metrics_port = metrics_port
         self._settings = settings
         self._state = 'starting'
         self._stopping = anyio.Event()
@@ -89,13 +102,17 @@
             time.monotonic,
         )
         workers = _workers.WorkerClient(self._clients)
-        forwarder = requests.Forwarder(
-            routing.Router(self._directory, settings.data_center, rng),
-            workers,
-            requests.Claims(self._store, settings.name),
-            requests.RetryBudget(),
-            requests.SuspectList(table, settings.name),
-        )
+        router = routing.Router(self._directory, settings.data_center, rng)
+        claims = requests.Claims(self._store, settings.name)
+        suspects = requests.SuspectList(table, settings.name)
+
+        def make_forwarder() -> requests.Forwarder:
+            # Each with a budget of its own: retries of scoring calls must not
+            # use up those of live callers.
+            return requests.Forwarder(
+                router, workers, claims, requests.RetryBudget(), suspects
+            )
+
         self._archive = batches.BatchArchive(self._store)
         engines = batches.EngineBook(self._directory, time.monotonic)
         assignment = batches.Assignment()
@@ -105,7 +122,7 @@
             engines,
             batches.SampleRunner(
                 workers,
-                batches.RoutedScoring(self._book, forwarder, rng),
+                batches.RoutedScoring(self._book, make_forwarder(), rng),
                 self._metrics,
             ),
             assignment,
@@ -142,7 +159,7 @@
         self._ingress = _ingress.Ingress(
             settings,
             self._book,
-            forwarder,
+            make_forwarder(),
             requests.Admission(MAX_IN_FLIGHT),
             self._archive,
             batches.FirstAccess(self),
@@ -155,7 +172,10 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then hand over and end what runs."""
         front = self._open_listener()
-        peers = web.open_listener(self._settings.ip, self._settings.peer_port)
+        peers = web.Listener(
+            web.bind_socket(self._settings.ip, self._settings.peer_port),
+            web.bind_socket(self._settings.ip, self._metrics_port),
+        )
         peer_app = coordination.PeerApp(
             self._describe, self._direct, self._find_runner
         ).build()
@@ -218,12 +238,11 @@
 
     async def _watch_settings(self) -> None:
         """Look now and then whether the settings file has changed."""
-        path = _settings.find_file()
-        held = path.stat().st_mtime_ns
+        held = self._path.stat().st_mtime_ns
         while True:
             await anyio.sleep(SETTINGS_CHECK_SECONDS)
             try:
-                changed = path.stat().st_mtime_ns
+                changed = self._path.stat().st_mtime_ns
             except OSError as error:
                 LOG.warning('settings file not found: %s', error)
                 continue
@@ -233,7 +252,7 @@
 
     def _reload(self) -> None:
         try:
-            settings = _settings.read_settings(_settings.find_file())
+            settings = _settings.read_settings(self._path)
         except errors.SettingsError as error:
             LOG.error('settings not reloaded: %s', error)
             return
@@ -305,11 +324,13 @@
 
 def run_edge() -> int:
     """Run the process until it is told to stop."""
-    settings = _settings.read_settings(_settings.find_file())
-    telemetry.set_up_logs('swiftjunction-edge', settings.name)
-    anyio.run(_run, settings)
+    path = _settings.find_file()
+    telemetry.set_up_logs(
+        'swiftjunction-edge', _settings.read_settings(path).name
+    )
+    anyio.run(_run, path)
     return 0
 
 
-async def _run(settings: _settings.VmSettings) -> None:
-    await EdgeProgram(settings).run()
+async def _run(path: pathlib.Path) -> None:
+    await EdgeProgram(path).run()
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -132,6 +132,11 @@
                     raise
                 break
             except errors.BackendError as error:
+                LOG.info(
+                    'attempt failed: %s',
+                    error,
+                    extra={'request_id': call.service_call.request_id},
+                )
                 last = error
                 if isinstance(error, errors.AnswerBroken):
                     may_have_run = True
@@ -182,6 +187,16 @@
         finally:
             wait.end()
         server.note_success()
+        LOG.info(
+            'attempt answered',
+            extra={
+                'request_id': call.service_call.request_id,
+                'server': server.name,
+                'in_flight': server.in_flight,
+                'status': answer.status,
+                'remaining_seconds': round(remaining_seconds, 3),
+            },
+        )
         return answer
 
     async def _call_in_time(
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -11,6 +11,10 @@
 from swiftjunction.standins._objects import ObjectStoreStandin
 from swiftjunction.standins._plan import read_plan
 from swiftjunction.standins._plan import StandinPlan
+from swiftjunction.standins._platform_store import PlatformStoreStandin
+from swiftjunction.standins._platform_workers import expect_text
+from swiftjunction.standins._platform_workers import PlatformEngineStandin
+from swiftjunction.standins._platform_workers import PlatformServiceStandin
 from swiftjunction.standins._schedule import FaultEvent
 from swiftjunction.standins._schedule import FaultSchedule
 from swiftjunction.standins._schedule import read_schedule
@@ -30,6 +34,9 @@
     'FaultSchedule',
     'FaultSwitches',
     'ObjectStoreStandin',
+    'PlatformEngineStandin',
+    'PlatformServiceStandin',
+    'PlatformStoreStandin',
     'ServiceStandin',
     'Standin',
     'StandinDaemon',
@@ -40,6 +47,7 @@
     'VmListStandin',
     'WeightStoreStandin',
     'count_tokens',
+    'expect_text',
     'expected_text',
     'host',
     'read_plan',
--- a/src/swiftjunction/telemetry/_logs.py
+++ b/src/swiftjunction/telemetry/_logs.py
@@ -6,6 +6,10 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from swiftjunction.telemetry import _bounded
+
+# Libraries whose lines on each connection would drown our own.
+QUIET_LOGGERS = ('httpcore', 'httpx', 'hypercorn.error')
 FIELDS = '%(asctime)s %(levelname)s %(name)s %(message)s'
 
 
@@ -40,7 +44,7 @@
 
 
 def set_up_logs(process: str, vm: str, level: str = 'INFO') -> None:
-    """Log as JSON lines to standard error.
+    """Log as JSON lines to standard output, never waiting for its reader.
 
     Parameters
     ----------
@@ -51,7 +55,7 @@
     level : str
         The least severe level that is written.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = _bounded.BoundedHandler(sys.stdout.fileno())
     handler.addFilter(PlaceFilter())
     handler.setFormatter(
         JsonFormatter(
@@ -63,5 +67,5 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
-    logging.getLogger('httpx').setLevel(logging.WARNING)
-    logging.getLogger('httpcore').setLevel(logging.WARNING)
+    for name in QUIET_LOGGERS:
+        logging.getLogger(name).setLevel(logging.WARNING)
--- /dev/null
+++ b/tests/cover/test_platform_path.py
@@ -0,0 +1,443 @@
+import json
+
+import anyio
+import pytest
+
+from swiftjunction import standins
+from tests import platformworld
+
+
+@pytest.fixture
+def world(tmp_path):
+    return platformworld.PlatformWorld(tmp_path)
+
+
+def call(request_id, deadline_ms=2000):
+    return {
+        'swiftjunction-attempt-id': request_id,
+        'swiftjunction-deadline-ms': str(deadline_ms),
+    }
+
+
+@pytest.mark.anyio
+class TestCalls:
+    async def test_an_answer_comes_back_whole_and_signed(self, world):
+        async with world.run():
+            answer = await world.ask(
+                'vm-1',
+                'POST',
+                '/plain/a%2Fb?x=1&y=%20',
+                content=b'body',
+                headers=call('r1'),
+            )
+        assert answer.status_code == 200
+        assert answer.content == b'body'
+        assert answer.headers['swiftjunction-attempt-id'] == 'r1'
+        assert (
+            answer.headers['swiftjunction-response-signature'] == 'signed.r1'
+        )
+        seen = [s for server in world.plain.values() for s in server.seen]
+        assert seen == [('r1', '/plain/a%2Fb?x=1&y=%20')]
+
+    async def test_the_deadline_is_passed_on_reduced(self, world):
+        async with world.run():
+            await world.ask(
+                'vm-1', 'POST', '/plain/a', headers=call('r1', 900)
+            )
+        (headers,) = [h for s in world.plain.values() for h in s.headers]
+        assert 0 < int(headers['swiftjunction-deadline-ms']) <= 900
+        assert headers['swiftjunction-expect-instance'] in world.plain
+
+    async def test_no_route_is_404(self, world):
+        async with world.run():
+            answer = await world.ask('vm-1', 'GET', '/nowhere/')
+        assert answer.status_code == 404
+
+    @pytest.mark.parametrize('fault', ['shed', 'unsigned', 'foreign'])
+    async def test_an_idempotent_call_is_tried_elsewhere(self, world, fault):
+        async with world.run():
+            for server in world.plain.values():
+                server.faults.set(fault, 1)
+            answer = await world.ask(
+                'vm-1', 'POST', '/plain/a', headers=call('r1')
+            )
+            for server in world.plain.values():
+                server.faults.set(fault, 0)
+        assert answer.status_code in (200, 502, 503)
+        if answer.status_code == 200:
+            assert answer.headers['swiftjunction-response-signature']
+
+    async def test_a_call_that_is_not_idempotent_runs_at_most_once(
+        self, world
+    ):
+        async with world.run():
+            for server in world.plain.values():
+                server.faults.set('foreign', 5)
+            answer = await world.ask(
+                'vm-1', 'POST', '/once/a', headers=call('r1')
+            )
+        assert answer.status_code == 502
+        assert sum(len(s.seen) for s in world.plain.values()) == 1
+
+    async def test_a_server_that_refuses_everywhere_is_503_with_retry_after(
+        self, world
+    ):
+        async with world.run():
+            for server in world.plain.values():
+                server.faults.set('shed', 100)
+            answer = await world.ask(
+                'vm-1', 'POST', '/once/a', headers=call('r1')
+            )
+        assert answer.status_code == 503
+        assert float(answer.headers['retry-after']) > 0
+
+    async def test_the_route_timeout_is_kept(self, world):
+        async with world.run():
+            for server in world.plain.values():
+                server.faults.set('silent', 10)
+            began = anyio.current_time()
+            answer = await world.ask(
+                'vm-1', 'POST', '/plain/a', headers=call('r1', 5000)
+            )
+            took = anyio.current_time() - began
+        assert answer.status_code == 504
+        assert 1.0 < took < 2.0
+
+    async def test_a_new_configuration_is_in_force_and_an_old_one_is_not(
+        self, world
+    ):
+        async with world.run():
+            newer = platformworld.make_config(7)
+            newer['routes'][0]['path_prefix'] = '/fresh/'
+            world.store.put('config', 'main', newer)
+            await anyio.sleep(0.3)
+            found = await world.ask('vm-1', 'GET', '/fresh/a')
+            gone = await world.ask('vm-1', 'GET', '/plain/a')
+            world.store.put('config', 'main', platformworld.make_config(3))
+            await anyio.sleep(0.3)
+            still = await world.ask('vm-1', 'GET', '/fresh/a')
+        assert found.status_code == 200
+        assert gone.status_code == 404
+        assert still.status_code == 200
+
+    async def test_a_configuration_that_cannot_be_read_changes_nothing(
+        self, world
+    ):
+        async with world.run():
+            world.store.put('config', 'main', {'version': 9, 'routes': 5})
+            await anyio.sleep(0.3)
+            answer = await world.ask('vm-1', 'GET', '/plain/a')
+        assert answer.status_code == 200
+
+    async def test_a_draining_server_gets_nothing_new(self, world):
+        async with world.run():
+            world.enter_server('p1', world.plain['p1'], state='draining')
+            await anyio.sleep(0.5)
+            for number in range(8):
+                await world.ask(
+                    'vm-1', 'POST', '/plain/a', headers=call(f'r{number}')
+                )
+        assert not world.plain['p1'].seen
+        assert len(world.plain['p2'].seen) == 8
+
+    async def test_an_entry_of_another_writer_names_no_server(self, world):
+        async with world.run():
+            for name, spec in (
+                ('x1', {'service': platformworld.SERVICE}),
+                ('x2', 'text'),
+                ('x3', {'service': 5, 'address': 'a:1', 'state': 'ready'}),
+                (
+                    'x4',
+                    {
+                        'service': platformworld.SERVICE,
+                        'address': '127.0.0.1:9',
+                        'zone': 'dc-1',
+                        'state': 'resting',
+                    },
+                ),
+            ):
+                world.store.put('servers', name, spec)
+            await anyio.sleep(0.5)
+            for number in range(4):
+                answer = await world.ask(
+                    'vm-1', 'POST', '/plain/a', headers=call(f'r{number}')
+                )
+                assert answer.status_code == 200
+
+
+@pytest.mark.anyio
+class TestAddresses:
+    async def test_all_live_vms_are_named(self, world):
+        async with world.run(('vm-1', 'vm-2')):
+            await anyio.sleep(1.5)
+            answer = await world.ask(
+                'vm-2',
+                'GET',
+                f'/resolve?name={platformworld.HOST}',
+                port='directory',
+            )
+        assert set(answer.json()['addresses']) == {
+            f'127.0.0.1:{world.ports[name]["front"]}'
+            for name in ('vm-1', 'vm-2')
+        }
+        assert answer.json()['ttl_s'] == 2
+
+    async def test_a_vm_that_is_gone_is_not_named(self, world):
+        async with world.run(('vm-1', 'vm-2')):
+            await anyio.sleep(1.5)
+            world.kill_vm('vm-1')
+            await anyio.sleep(1.5)
+            answer = await world.ask(
+                'vm-2', 'GET', '/resolve', port='directory'
+            )
+        assert answer.json()['addresses'] == [
+            f'127.0.0.1:{world.ports["vm-2"]["front"]}'
+        ]
+
+
+@pytest.mark.anyio
+class TestBatches:
+    async def test_each_sample_is_listed_once_and_whole(self, world):
+        async with world.run():
+            batch = platformworld.make_batch()
+            accepted = await world.submit('vm-1', 'b1', batch)
+            results = await world.read_all('vm-1', 'b1', 4)
+        assert accepted.status_code == 202
+        assert sorted(r['id'] for r in results) == [
+            'a0.0',
+            'a0.1',
+            'a1.0',
+            'a1.1',
+        ]
+        for result in results:
+            assert result['state'] == 'completed'
+            assert result['text'] == standins.expect_text(result['id'])
+            assert result['versions'] == [1]
+            assert result['score'] == f'signed.score-{result["id"]}'
+
+    async def test_a_batch_that_comes_again_is_accepted_and_run_once(
+        self, world
+    ):
+        async with world.run(('vm-1', 'vm-2')):
+            batch = platformworld.make_batch()
+            first = await world.submit('vm-1', 'b1', batch)
+            again = await world.submit('vm-2', 'b1', batch)
+            results = await world.read_all('vm-2', 'b1', 4)
+            late = await world.submit('vm-2', 'b1', batch)
+        assert [first.status_code, again.status_code, late.status_code] == [
+            202,
+            202,
+            202,
+        ]
+        assert len(results) == 4
+        runs = [run for e in world.engines.values() for run in e.runs]
+        assert len(runs) == 4
+
+    async def test_positions_are_the_same_at_each_vm_and_after_a_kill(
+        self, world
+    ):
+        async with world.run(('vm-1', 'vm-2')):
+            batch = platformworld.make_batch()
+            await world.submit('vm-1', 'b1', batch)
+            before = await world.read_all('vm-1', 'b1', 4)
+            other = await world.read_all('vm-2', 'b1', 4)
+            world.kill_vm('vm-1')
+            after = await world.read_all('vm-2', 'b1', 4)
+        assert before == other == after
+
+    async def test_a_broken_stream_is_resumed_behind_its_last_event(
+        self, world
+    ):
+        async with world.run():
+            for engine in world.engines.values():
+                engine.faults.set('cut', 1)
+            await world.submit('vm-1', 'b1', platformworld.make_batch())
+            results = await world.read_all('vm-1', 'b1', 4)
+        for result in results:
+            assert result['text'] == standins.expect_text(result['id'])
+        runs = [run for e in world.engines.values() for run in e.runs]
+        assert [after for _, after in runs if after >= 0] == [2, 2]
+
+    async def test_a_silent_stream_is_resumed_elsewhere(self, world):
+        async with world.run():
+            for engine in world.engines.values():
+                engine.faults.set('stall', 1)
+            await world.submit('vm-1', 'b1', platformworld.make_batch())
+            results = await world.read_all('vm-1', 'b1', 4)
+        for result in results:
+            assert result['text'] == standins.expect_text(result['id'])
+
+    async def test_a_sample_that_can_never_be_done_is_given_up(self, world):
+        async with world.run():
+            for engine in world.engines.values():
+                engine.faults.set('never', 4)
+            await world.submit('vm-1', 'b1', platformworld.make_batch())
+            results = await world.read_all('vm-1', 'b1', 4)
+        assert {r['state'] for r in results} == {'abandoned'}
+        assert {r['text'] for r in results} == {''}
+
+    async def test_a_sample_is_given_up_after_as_many_failures_as_allowed(
+        self, world
+    ):
+        async with world.run():
+            for engine in world.engines.values():
+                engine.faults.set('fail', 100)
+            batch = platformworld.make_batch(1, 1)
+            await world.submit('vm-1', 'b1', batch)
+            (result,) = await world.read_all('vm-1', 'b1', 1)
+        assert result['state'] == 'abandoned'
+        assert sum(len(e.runs) for e in world.engines.values()) == 3
+
+    async def test_a_body_is_given_until_its_sample_is_listed(self, world):
+        async with world.run():
+            for engine in world.engines.values():
+                engine.faults.set('shed', 10_000)
+            await world.submit('vm-1', 'b1', platformworld.make_batch())
+            held = await world.ask('vm-1', 'GET', '/items/b1?id=a0.0')
+            for engine in world.engines.values():
+                engine.faults.set('shed', 0)
+            await world.read_all('vm-1', 'b1', 4, seconds=15)
+            listed = await world.ask('vm-1', 'GET', '/items/b1?id=a0.0')
+        assert held.status_code == 200
+        assert held.content == b'prompt'
+        assert listed.status_code == 404
+
+    async def test_an_ended_batch_keeps_what_is_listed(self, world):
+        async with world.run(('vm-1', 'vm-2')):
+            await world.submit('vm-1', 'b1', platformworld.make_batch())
+            before = await world.read_all('vm-1', 'b1', 4)
+            ended = await world.ask('vm-2', 'DELETE', '/lots/b1')
+            again = await world.ask('vm-1', 'DELETE', '/lots/b1')
+            after = await world.read_all('vm-2', 'b1', 4)
+        assert [ended.status_code, again.status_code] == [200, 200]
+        assert before == after
+
+    async def test_an_unknown_batch_is_404_and_503_while_that_is_not_sure(
+        self, world
+    ):
+        async with world.run():
+            missing = await world.read('vm-1', 'nothing')
+            world.store.faults.set('down', 1)
+            unsure = await world.read('vm-1', 'nothing')
+            refused = await world.submit(
+                'vm-1', 'b1', platformworld.make_batch()
+            )
+        assert missing.status_code == 404
+        assert unsure.status_code == 503
+        assert refused.status_code == 503
+
+    async def test_a_batch_that_cannot_be_read_is_400(self, world):
+        async with world.run():
+            batch = platformworld.make_batch()
+            batch['items'][1]['id'] = 5
+            answer = await world.submit('vm-1', 'b1', batch)
+            await anyio.sleep(0.2)
+        assert answer.status_code == 400
+        assert '$.items[1].id' in json.loads(answer.content)['message']
+        assert not world.store.list_names('batches')
+
+    async def test_a_lost_answer_of_the_store_keeps_the_batch_accepted_once(
+        self, world
+    ):
+        async with world.run():
+            world.store.faults.set('lost', 1)
+            accepted = await world.submit(
+                'vm-1', 'b1', platformworld.make_batch()
+            )
+            results = await world.read_all('vm-1', 'b1', 4)
+        assert accepted.status_code == 202
+        assert len(results) == 4
+
+    async def test_another_vm_goes_on_when_the_coordinator_is_killed(
+        self, world
+    ):
+        async with world.run(('vm-1', 'vm-2')):
+            for engine in world.engines.values():
+                engine.faults.set('shed', 10_000)
+            await world.submit('vm-1', 'b1', platformworld.make_batch())
+            holder = world.store.get('leases', 'coordinator')
+            name = holder['spec']['holder'].partition('@')[0]
+            other = 'vm-2' if name == 'vm-1' else 'vm-1'
+            world.kill_vm(name)
+            for engine in world.engines.values():
+                engine.faults.set('shed', 0)
+            results = await world.read_all(other, 'b1', 4, seconds=20)
+        for result in results:
+            assert result['text'] == standins.expect_text(result['id'])
+
+
+@pytest.mark.anyio
+class TestVersions:
+    async def wait_for(self, world, version):
+        with anyio.fail_after(10):
+            while any(
+                e.versions[platformworld.MODEL] != version
+                for e in world.engines.values()
+            ):
+                await anyio.sleep(0.05)
+
+    def name(self, world, version):
+        world.store.put(
+            'versions',
+            platformworld.MODEL,
+            {'model': platformworld.MODEL, 'version': version},
+        )
+
+    async def test_each_engine_gets_one_order_for_a_version(self, world):
+        async with world.run(('vm-1', 'vm-2')):
+            self.name(world, 2)
+            await self.wait_for(world, 2)
+            await anyio.sleep(1.5)
+        for engine in world.engines.values():
+            assert [order['version'] for order in engine.orders] == [2]
+            assert engine.refused_orders == 0
+
+    @pytest.mark.parametrize('fault', ['lost_orders', 'late_orders'])
+    async def test_an_order_whose_answer_is_lost_is_carried_out_once(
+        self, world, fault
+    ):
+        async with world.run():
+            for engine in world.engines.values():
+                engine.faults.set(fault, 1)
+            self.name(world, 2)
+            await self.wait_for(world, 2)
+            await anyio.sleep(1.5)
+        for engine in world.engines.values():
+            assert [order['version'] for order in engine.orders] == [2]
+
+    async def test_samples_run_on_engines_that_are_new_enough(self, world):
+        async with world.run():
+            batch = platformworld.make_batch(min_version=2)
+            await world.submit('vm-1', 'b1', batch)
+            await anyio.sleep(0.5)
+            assert not any(e.runs for e in world.engines.values())
+            self.name(world, 2)
+            results = await world.read_all('vm-1', 'b1', 4)
+        assert all(result['versions'] == [2] for result in results)
+
+    async def test_a_new_coordinator_has_a_higher_fencing_token(self, world):
+        async with world.run(('vm-1', 'vm-2')):
+            self.name(world, 2)
+            await self.wait_for(world, 2)
+            holder = world.store.get('leases', 'coordinator')
+            world.kill_vm(holder['spec']['holder'].partition('@')[0])
+            self.name(world, 3)
+            await self.wait_for(world, 3)
+        for engine in world.engines.values():
+            first, second = engine.orders
+            assert second['fencing_token'] > first['fencing_token']
+            assert second['holder'] != first['holder']
+
+
+@pytest.mark.anyio
+class TestStorage:
+    async def test_a_storage_vm_is_empty_at_once(self, world):
+        async with world.run():
+            world.store.put('retirements', 'storage-1', {'duration_s': 8})
+            with anyio.fail_after(5):
+                while not world.store.get('retirements', 'storage-1')[
+                    'status'
+                ]:
+                    await anyio.sleep(0.05)
+        entry = world.store.get('retirements', 'storage-1')
+        assert entry['status'] == {'state': 'completed'}
--- /dev/null
+++ b/tests/cover/test_telemetry_stories.py
@@ -0,0 +1,58 @@
+import json
+
+import pytest
+
+from swiftjunction import commands
+from swiftjunction import telemetry
+
+
+def make_line(time, message, **fields):
+    return json.dumps({'time': time, 'message': message, 'vm': 'v', **fields})
+
+
+LINES = [
+    make_line('10:02', 'answered', request_id='r1', status=503),
+    make_line('10:01', 'attempt failed', request_id='r1', server='s1'),
+    make_line('10:01', 'attempt failed', request_id='r2', server='s1'),
+    make_line('10:03', 'sample given up', request_id='r3', batch='b1'),
+    'not JSON',
+    '{"message": "cut of',
+]
+
+
+def test_a_story_is_in_order_and_of_one_request():
+    story = telemetry.select_story(telemetry.read_lines(LINES), 'r1')
+    assert [line['message'] for line in story] == [
+        'attempt failed',
+        'answered',
+    ]
+
+
+def test_a_prefix_of_another_program_is_passed_over():
+    (line,) = telemetry.read_lines(['  1.2 vm-1 ' + LINES[0]])
+    assert line['request_id'] == 'r1'
+
+
+def test_a_batch_has_the_lines_of_its_samples():
+    (line,) = telemetry.select_story(telemetry.read_lines(LINES), 'b1')
+    assert telemetry.describe_line(line) == '10:03 v sample given up batch=b1'
+
+
+@pytest.mark.parametrize(('wanted', 'code'), [('r1', 0), ('nothing', 1)])
+def test_the_command_reads_files(tmp_path, monkeypatch, capsys, wanted, code):
+    path = tmp_path / 'log'
+    path.write_text('\n'.join(LINES))
+    arguments = ['swiftjunction', 'explain', wanted, str(path)]
+    monkeypatch.setattr('sys.argv', arguments)
+    assert commands.run_operator() == code
+    if not code:
+        assert 'attempt failed server=s1' in capsys.readouterr().out
+
+
+def test_a_file_that_is_not_there_is_named(tmp_path, monkeypatch, capsys):
+    path = tmp_path / 'missing'
+    monkeypatch.setattr(
+        'sys.argv', ['swiftjunction', 'explain', 'r', str(path)]
+    )
+    assert commands.run_operator() == 2
+    assert str(path) in capsys.readouterr().err
--- /dev/null
+++ b/tests/platformworld.py
@@ -0,0 +1,257 @@
+"""VMs of the platform's kind in one process, before stand-ins."""
+
+import base64
+import contextlib
+import json
+import socket
+
+import anyio
+import httpx
+
+from swiftjunction.platform import _program
+from swiftjunction import standins
+from swiftjunction import web
+
+HOST = 'callers.example'
+SERVICE = 'plain'
+ENGINES = 'engines'
+MODEL = 'model-a'
+
+
+def find_port():
+    """Return a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def make_config(version=1, **timeouts):
+    """Return a configuration with a plain route and one for batches."""
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': 'plain',
+                'host': HOST,
+                'path_prefix': '/plain/',
+                'kind': 'safe',
+                'timeout_ms': timeouts.get('timeout_ms', 1500),
+                'slo_ms': 200,
+                'priority': 2,
+                'service': SERVICE,
+                'max_attempts': 4,
+            },
+            {
+                'name': 'once',
+                'host': HOST,
+                'path_prefix': '/once/',
+                'kind': 'unsafe',
+                'timeout_ms': 1500,
+                'service': SERVICE,
+                'max_attempts': 3,
+            },
+            {
+                'name': 'samples',
+                'host': HOST,
+                'path_prefix': '/samples/',
+                'kind': 'rollout',
+                'service': ENGINES,
+                'max_attempts': 3,
+                'due_ms': 7500,
+                'max_age_s': 40,
+            },
+        ],
+        'services': [],
+        'limits': {'idle_timeout_ms': 15000, 'max_body_bytes': 1 << 20},
+    }
+
+
+def make_batch(groups=2, size=2, min_version=1, **more):
+    """Return a submission; ids are unlike those of other batches."""
+    prefix = more.get('prefix', 'a')
+    return {
+        'step': 0,
+        'model': MODEL,
+        'min_version': min_version,
+        'target_groups': groups,
+        'items': [
+            {
+                'id': f'{prefix}{group}.{index}',
+                'path': f'/samples/{group}/{index}?q=1',
+                'headers': {'Swiftjunction-Model': MODEL},
+                'body': base64.b64encode(b'prompt').decode(),
+                'tokens': 100,
+                'group': f'{prefix}{group}',
+                'scorer': {
+                    'id': f'score-{prefix}{group}.{index}',
+                    'host': HOST,
+                    'path': '/plain/score',
+                    'body': base64.b64encode(b'text').decode(),
+                },
+            }
+            for group in range(groups)
+            for index in range(size)
+        ],
+    }
+
+
+class PlatformWorld:
+    """The store, two plain servers, two engines and some VMs.
+
+    Attributes
+    ----------
+    store : PlatformStoreStandin
+        Which VMs, servers and the operator write to.
+    plain, engines : dict
+        The servers by their names.
+    """
+
+    def __init__(self, folder):
+        self._folder = folder
+        self._tasks = None
+        self._clients = contextlib.AsyncExitStack()
+        self.store = standins.PlatformStoreStandin()
+        self.plain = {
+            name: standins.PlatformServiceStandin(name)
+            for name in ('p1', 'p2')
+        }
+        self.engines = {
+            name: standins.PlatformEngineStandin(name, {MODEL: 1})
+            for name in ('e1', 'e2')
+        }
+        self.programs = {}
+        self.addresses = {}
+        self.scopes = {}
+
+    @contextlib.asynccontextmanager
+    async def run(self, vms=('vm-1',)):
+        """Run everything until the body ends."""
+        async with self._clients, anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            listener = web.open_listener('127.0.0.1', 0)
+            self.store_address = listener.address
+            tasks.start_soon(standins.host, listener, self.store)
+            self.store.put('config', 'main', make_config())
+            for name, server in [*self.plain.items(), *self.engines.items()]:
+                self.host_server(name, server)
+            for name in vms:
+                self.start_vm(name)
+            for name in vms:
+                await self.wait_until_ready(name)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    def host_server(self, name, server):
+        """Serve a stand-in and enter it into the list of servers."""
+        listener = web.open_listener('127.0.0.1', 0)
+        self.addresses[name] = listener.address
+        self._tasks.start_soon(standins.host, listener, server)
+        self.enter_server(name, server)
+
+    def enter_server(self, name, server, **changes):
+        """Write a server's entry, as the server itself does."""
+        entry = {
+            'service': SERVICE,
+            'address': self.addresses[name],
+            'zone': 'dc-1',
+            'version': 'v1',
+            'capacity': 4,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'sequence': 1,
+        }
+        if isinstance(server, standins.PlatformEngineStandin):
+            entry['service'] = ENGINES
+            entry['models'] = [
+                {'name': model, 'version': version, 'adapters': []}
+                for model, version in server.versions.items()
+            ]
+        self.store.put('servers', name, {**entry, **changes})
+
+    def start_vm(self, name):
+        """Start the process of a VM."""
+        ports = {
+            key: find_port()
+            for key in ('front', 'readiness', 'directory', 'peer')
+        }
+        path = self._folder / f'{name}.conf'
+        lines = [
+            f'node_name={name}',
+            'ip=127.0.0.1',
+            'zone=dc-1',
+            'region=r-1',
+            f'bind.front=127.0.0.1:{ports["front"]}',
+            f'bind.readiness=127.0.0.1:{ports["readiness"]}',
+            f'bind.directory=127.0.0.1:{ports["directory"]}',
+            f'port_range={ports["peer"]},{ports["peer"]}',
+            f'provider.address={self.store_address}',
+            'bounds.grace_s=3',
+            'bounds.require_fencing=true',
+        ]
+        path.write_text('\n'.join(lines) + '\n')
+        program = _program.EdgeProgram(path, metrics_port=0)
+        self.programs[name] = program
+        self.ports = getattr(self, 'ports', {})
+        self.ports[name] = ports
+        scope = anyio.CancelScope()
+        self.scopes[name] = scope
+        self._tasks.start_soon(self._run_vm, program, scope)
+
+    async def _run_vm(self, program, scope):
+        with scope:
+            await program.run()
+
+    def kill_vm(self, name):
+        """End a VM's process at once; its sockets are closed."""
+        self.scopes[name].cancel()
+
+    async def ask(self, name, method, path, port='front', **options):
+        """Send one request to a VM, on a connection of its own."""
+        headers = {'host': HOST, **options.pop('headers', {})}
+        url = f'http://127.0.0.1:{self.ports[name][port]}{path}'
+        async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
+            return await client.request(
+                method, url, headers=headers, **options
+            )
+
+    async def wait_until_ready(self, name):
+        """Wait until a VM says that it is ready."""
+        with anyio.fail_after(10):
+            while True:
+                with contextlib.suppress(httpx.HTTPError):
+                    answer = await self.ask(
+                        name, 'GET', '/ready', port='readiness'
+                    )
+                    if answer.status_code == 200:
+                        return
+                await anyio.sleep(0.05)
+
+    async def submit(self, name, batch_id, batch):
+        """Submit a batch to a VM."""
+        return await self.ask(
+            name,
+            'POST',
+            '/samples/new',
+            content=json.dumps(batch).encode(),
+            headers={'swiftjunction-attempt-id': batch_id},
+        )
+
+    async def read(self, name, batch_id, after=0):
+        """Read results from a VM."""
+        return await self.ask(
+            name,
+            'GET',
+            f'/lots/{batch_id}?after={after}',
+            headers={'swiftjunction-wait-ms': '300'},
+        )
+
+    async def read_all(self, name, batch_id, count, seconds=10):
+        """Return the results of a batch when there are `count`."""
+        with anyio.fail_after(seconds):
+            while True:
+                answer = await self.read(name, batch_id)
+                if answer.status_code == 200:
+                    results = answer.json()['results']
+                    if len(results) >= count:
+                        return results
+                await anyio.sleep(0.05)
