Move samples off slow engines; take no answer that names no request

Change: a sample on an engine that is slow of late leaves for one with a place, and goes on there behind its last event. An answer must name the request; only a refusal may come without. Orders and reports have connections of their own.

--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -56,6 +56,10 @@
         Whether it is at an engine, or being scored.
     scope : CancelScope
         Of its present run.
+    engine : str
+        Where it is generated now; empty while it is not.
+    moves : int
+        How often it was taken from a slow engine.
     began_at : float
         When it was first sent to an engine; 0 before.
     """
@@ -65,7 +69,9 @@
         'events',
         'failures',
         'item',
+        'engine',
         'last_number',
+        'moves',
         'running',
         'scope',
         'versions',
@@ -78,6 +84,8 @@
         self.versions: list[int] = []
         self.failures = 0
         self.running = False
+        self.engine = ''
+        self.moves = 0
         self.scope = anyio.CancelScope()
         self.began_at = 0.0
 
--- a/src/swiftjunction/batches/_planning.py
+++ b/src/swiftjunction/batches/_planning.py
@@ -11,6 +11,10 @@
 from swiftjunction.batches import _engines
 from swiftjunction.batches import _open
 
+# A sample is not moved before it has shown how fast its engine is.
+LEAST_STAY_SECONDS = 0.5
+MAX_MOVES = 3
+
 Candidate = tuple[_open.OpenBatch, _open.Progress]
 
 
@@ -64,6 +68,54 @@
             self._engines.popitem(last=False)
 
 
+def choose_moves(
+    batches: collections.abc.Iterable[_open.OpenBatch],
+    engines: list[_engines.EngineState],
+    now: float,
+) -> collections.abc.Iterator[_open.Progress]:
+    """Yield the samples that are to leave a slow engine for a faster one.
+
+    Another engine goes on from the last event, and reads the prompt and the
+    text again, which takes some milliseconds; the rest of a long sample on a
+    slow engine takes seconds. No more are moved than have a place.
+    """
+    slow = _engines.find_slow(engines)
+    if not slow:
+        return
+    fast = [engine for engine in engines if engine.server.name not in slow]
+    places = {
+        engine.server.name: engine.slots - engine.server.in_flight
+        for engine in fast
+    }
+    for opened in batches:
+        for progress in opened.left.values():
+            if progress.engine not in slow or not may_move(progress, now):
+                continue
+            target = next(
+                (
+                    engine.server.name
+                    for engine in fast
+                    if places[engine.server.name] > 0
+                    and engine.may_run(
+                        opened.batch.model, opened.batch.min_version
+                    )
+                ),
+                None,
+            )
+            if target is not None:
+                places[target] -= 1
+                yield progress
+
+
+def may_move(progress: _open.Progress, now: float) -> bool:
+    """Tell whether a running sample has been where it is for long enough."""
+    return (
+        progress.moves < MAX_MOVES
+        and progress.last_number >= 0
+        and now - progress.began_at > LEAST_STAY_SECONDS
+    )
+
+
 def order_samples(
     batches: collections.abc.Iterable[_open.OpenBatch],
 ) -> collections.abc.Iterator[Candidate]:
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -20,6 +20,7 @@
 LOG = logging.getLogger(__name__)
 
 DISPATCH_INTERVAL_SECONDS = 0.1
+MOVE_INTERVAL_SECONDS = 0.25
 WRITE_INTERVAL_SECONDS = 0.05
 # Results that make no group whole wait for others, to be written together.
 MAX_UNWRITTEN_SECONDS = 0.6
@@ -131,6 +132,7 @@
                 listener,
             )
             tasks.start_soon(self._write_results, tasks)
+            tasks.start_soon(self._move_from_slow)
             await self._dispatch(tasks)
 
     async def finish(self, seconds: float) -> None:
@@ -256,6 +258,28 @@
             progress.began_at = anyio.current_time()
             tasks.start_soon(self._run_sample, opened, progress, engine, place)
 
+    async def _move_from_slow(self) -> None:
+        while True:
+            await anyio.sleep(MOVE_INTERVAL_SECONDS)
+            running = [b for b in self.batches.values() if not b.ended]
+            for service in {opened.batch.service for opened in running}:
+                moves = _planning.choose_moves(
+                    [b for b in running if b.batch.service == service],
+                    self._engines.list_engines(service),
+                    anyio.current_time(),
+                )
+                for progress in moves:
+                    LOG.info(
+                        'sample leaves a slow engine',
+                        extra={
+                            'request_id': progress.item.item_id,
+                            'server': progress.engine,
+                            'last_event': progress.last_number,
+                        },
+                    )
+                    progress.moves += 1
+                    progress.scope.cancel()
+
     async def _run_sample(
         self,
         opened: _open.OpenBatch,
@@ -273,6 +297,7 @@
                     outcome = 'complete' if result.complete else 'given_up'
                     self._metrics.count('samples', outcome=outcome)
             finally:
+                progress.engine = ''
                 progress.running = False
                 place.close()
                 self.wake()
@@ -286,7 +311,9 @@
     ) -> _batch.Result | None:
         """Return the result; None where another attempt is needed."""
         try:
+            progress.engine = engine.server.name
             whole = await self._samples.generate(opened, progress, engine)
+            progress.engine = ''
             place.close()
             self.wake()
             if whole:
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -48,10 +48,13 @@
         The HTTP clients.
     """
 
-    __slots__ = ('_peers',)
+    __slots__ = ('_control_peers', '_peers')
 
     def __init__(self, peers: web.PeerClients) -> None:
         self._peers = peers
+        # Answers to orders name no request: they share no connection with
+        # requests, behind whose answers another one may come.
+        self._control_peers = web.PeerClients()
 
     async def call(
         self, server: backends.BackendServer, call: backends.ServiceCall
@@ -200,6 +203,7 @@
                 headers,
                 content,
                 CONTROL_TIMEOUT_SECONDS,
+                peers=self._control_peers,
             )
             try:
                 body = await _read_body(response, server)
@@ -217,16 +221,21 @@
         content: bytes,
         timeout_seconds: float,
         host: str = '',
+        peers: web.PeerClients | None = None,
     ) -> httpx.Response:
         """Send a request to this very server, and to no successor."""
         try:
-            return await self._peers.peer(server.address).send(
-                method,
-                target,
-                headers=[*headers, (_names.EXPECT_INSTANCE, server.name)],
-                content=content,
-                timeout_seconds=timeout_seconds,
-                host=host,
+            return (
+                await (peers or self._peers)
+                .peer(server.address)
+                .send(
+                    method,
+                    target,
+                    headers=[*headers, (_names.EXPECT_INSTANCE, server.name)],
+                    content=content,
+                    timeout_seconds=timeout_seconds,
+                    host=host,
+                )
             )
         except _UNSENT as error:
             raise errors.BackendUnreachable(
@@ -249,12 +258,25 @@
 def _check_match(
     response: httpx.Response, server: backends.BackendServer, request_id: str
 ) -> None:
-    """Raise ``AnswerBroken`` where it is the answer of another request."""
-    answered = response.headers.get(_names.ATTEMPT_ID, request_id)
+    """Raise ``AnswerBroken`` where it is the answer of another request.
+
+    A server may send a second answer behind the first. Only a refusal may
+    come without the request's id.
+    """
+    answered = response.headers.get(_names.ATTEMPT_ID, '')
+    if not answered and _is_promise(response):
+        return
     if answered != request_id:
         raise _broken(f'answer of another request: {answered!r}', server)
 
 
+def _is_promise(response: httpx.Response) -> bool:
+    return (
+        response.status_code == http.HTTPStatus.MISDIRECTED_REQUEST
+        or _names.NOT_EXECUTED in response.headers
+    )
+
+
 def _check_promise(
     response: httpx.Response, server: backends.BackendServer
 ) -> None:
--- a/src/swiftjunction/standins/_platform_workers.py
+++ b/src/swiftjunction/standins/_platform_workers.py
@@ -31,7 +31,8 @@
     faults : FaultSwitches
         ``shed`` refuses so many requests, ``fail`` answers them with 500,
         ``silent`` never answers them, ``unsigned`` leaves the signature out,
-        ``foreign`` answers with the id of another request.
+        ``foreign`` answers with the id of another request, ``unnamed`` with
+        none.
     seen : list of (str, str)
         Id and target of each request that ran.
     """
@@ -39,7 +40,13 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.faults = _faults.FaultSwitches(
-            'crashed', 'shed', 'fail', 'silent', 'unsigned', 'foreign'
+            'crashed',
+            'shed',
+            'fail',
+            'silent',
+            'unsigned',
+            'foreign',
+            'unnamed',
         )
         self.seen: list[tuple[str, str]] = []
         self.headers: list[dict[str, str]] = []
@@ -69,6 +76,8 @@
             del headers['swiftjunction-response-signature']
         if self.faults.take('foreign'):
             headers['swiftjunction-attempt-id'] = 'another'
+        if self.faults.take('unnamed'):
+            del headers['swiftjunction-attempt-id']
         return Response(
             await request.body(),
             status_code=500 if failed else 200,
--- a/tests/cover/test_batches_planning.py
+++ b/tests/cover/test_batches_planning.py
@@ -2,6 +2,7 @@
 
 from swiftjunction import backends
 from swiftjunction import batches
+from swiftjunction.batches import _planning
 from swiftjunction import membership
 from tests import conftest
 
@@ -196,6 +197,52 @@
         assert world.engine('e0').version('m') == 1
 
 
+@pytest.mark.anyio
+class TestMoves:
+    def list_moves(self, world, opened, now=10.0):
+        moves = _planning.choose_moves([opened], world.engines(), now)
+        return [progress.item.item_id for progress in moves]
+
+    def slow_world(self):
+        # trouble-1 of diurna-turneu: two samples of 194 events took 13 s on
+        # an engine that was slowed, and 7 s elsewhere; their step was late.
+        world = World(3, slots=2)
+        for name, seconds in (('e0', 0.4), ('e1', 0.1), ('e2', 0.1)):
+            world.engine(name).server.note_latency(seconds)
+        opened = open_batch([make_item(f'i{n}', 'g') for n in range(4)])
+        for progress in opened.left.values():
+            progress.engine = 'e0'
+            progress.last_number = 5
+            progress.began_at = 9.0
+        world.engine('e0').server.in_flight = 2
+        return world, opened
+
+    async def test_as_many_leave_as_have_a_place(self):
+        world, opened = self.slow_world()
+        world.engine('e1').server.in_flight = 2
+        world.engine('e2').server.in_flight = 1
+        assert self.list_moves(world, opened) == ['i0']
+
+    async def test_none_leaves_an_engine_of_usual_speed(self):
+        world, opened = self.slow_world()
+        for progress in opened.left.values():
+            progress.engine = 'e1'
+        assert self.list_moves(world, opened) == []
+
+    async def test_none_leaves_at_once_or_again_and_again(self):
+        world, opened = self.slow_world()
+        assert self.list_moves(world, opened, now=9.1) == []
+        for progress in opened.left.values():
+            progress.moves = _planning.MAX_MOVES
+        assert self.list_moves(world, opened) == []
+
+    async def test_none_leaves_for_an_engine_that_may_not_run_it(self):
+        world, opened = self.slow_world()
+        world.engine('e1').note_order('m')
+        world.engine('e2').note_order('m')
+        assert self.list_moves(world, opened) == []
+
+
 class TestRollout:
     def choose(self, world, target, room):
         chosen = batches.choose_engines(world.engines(), 'm', target, room)
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -53,19 +53,20 @@
             answer = await world.ask('vm-1', 'GET', '/nowhere/')
         assert answer.status_code == 404
 
-    @pytest.mark.parametrize('fault', ['shed', 'unsigned', 'foreign'])
+    @pytest.mark.parametrize(
+        'fault', ['shed', 'unsigned', 'foreign', 'unnamed']
+    )
     async def test_an_idempotent_call_is_tried_elsewhere(self, world, fault):
+        # fresh-d20f of tallamedida-mx: a second answer without an id, behind
+        # the first on a kept connection, was passed on as the next one's.
         async with world.run():
-            for server in world.plain.values():
-                server.faults.set(fault, 1)
-            answer = await world.ask(
-                'vm-1', 'POST', '/plain/a', headers=call('r1')
-            )
-            for server in world.plain.values():
-                server.faults.set(fault, 0)
-        assert answer.status_code in (200, 502, 503)
-        if answer.status_code == 200:
-            assert answer.headers['swiftjunction-response-signature']
+            world.plain['p1'].faults.set(fault, 10)
+            for number in range(6):
+                answer = await world.ask(
+                    'vm-1', 'POST', '/plain/a', headers=call(f'r{number}')
+                )
+                assert answer.status_code == 200
+        assert len(world.plain['p2'].seen) >= 3
 
     async def test_a_call_that_is_not_idempotent_runs_at_most_once(
         self, world
