--- a/src/swiftjunction/batches/_access.py
+++ b/src/swiftjunction/batches/_access.py
@@ -111,7 +111,12 @@
         return opened.find_body(item_id)
 
     async def end(self, batch_id: str) -> None:
-        await self._kept.end(batch_id)
+        opened = self._runner.batches.get(batch_id)
+        if opened is None:
+            await self._kept.end(batch_id)
+        elif not opened.ended:
+            held = _archive.StoredBatch(opened.batch, opened.version)
+            await self._archive.end(batch_id, held)
         self._runner.end(batch_id)
 
     async def _find(self, batch_id: str) -> _open.OpenBatch | None:
--- a/src/swiftjunction/batches/_archive.py
+++ b/src/swiftjunction/batches/_archive.py
@@ -98,9 +98,16 @@
             batch = msgspec.structs.replace(batch, items=items)
         return StoredBatch(batch, found.version)
 
-    async def end(self, batch_id: str) -> None:
+    async def end(
+        self, batch_id: str, held: StoredBatch | None = None
+    ) -> None:
         """Mark a batch as ended; what is listed of it remains.
 
+        Parameters
+        ----------
+        held : StoredBatch
+            As it was last read, where it was.
+
         Raises
         ------
         ObjectMissing
@@ -108,8 +115,11 @@
         PlatformError
             If the end may not be kept; ending again is safe.
         """
-        found = await self._store.read(BATCH_PREFIX + batch_id)
-        batch = objectstore.decode_value(found, _batch.Batch)
+        if held is None:
+            found = await self._store.read(BATCH_PREFIX + batch_id)
+            batch = objectstore.decode_value(found, _batch.Batch)
+            held = StoredBatch(batch, found.version)
+        batch = held.batch
         if batch.ended:
             return
         ended = msgspec.structs.replace(
@@ -120,7 +130,7 @@
                 self._store,
                 BATCH_PREFIX + batch_id,
                 msgspec.json.encode(ended),
-                found.version,
+                held.version,
             )
         except errors.RevisionConflict:
             # Nothing but its end ever changes a batch.
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -116,6 +116,8 @@
         The samples without a result, by their ids.
     chunks : int
         How many objects hold the results.
+    version : int
+        Of the object that holds the batch.
     seen_at : float
         When this process first saw it, on the event loop's clock. It is no
         earlier than the submission.
@@ -131,6 +133,7 @@
         'left',
         'results',
         'seen_at',
+        'version',
         'writing',
         'written_at',
     )
@@ -140,9 +143,11 @@
         batch: _batch.Batch,
         seen_at: float,
         chunks: collections.abc.Sequence[list[_batch.Result]] = (),
+        version: int = 0,
         carried: collections.abc.Container[str] = frozenset(),
     ) -> None:
         self.batch = batch
+        self.version = version
         self.carried = carried
         self.seen_at = seen_at
         self.results: list[_batch.Result] = []
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -23,8 +23,9 @@
 MOVE_INTERVAL_SECONDS = 0.25
 WRITE_INTERVAL_SECONDS = 0.05
 # Results that make no group whole wait for others, to be written together.
-MAX_UNWRITTEN_SECONDS = 0.6
-MIN_WRITE_GAP_SECONDS = 0.15
+MAX_UNWRITTEN_SECONDS = 1.5
+MIN_WRITE_GAP_SECONDS = 0.3
+READ_RETRY_SECONDS = 0.5
 # An ended batch is kept in memory for readers that are a little late.
 KEEP_ENDED_SECONDS = 20.0
 # Groups that were once seen, over all trainers.
@@ -166,7 +167,7 @@
             LOG.error('batch not understood: %s', error)
         except errors.PlatformError as error:
             LOG.warning('batch %s not read: %s', batch_id, error)
-            await anyio.sleep(MAX_UNWRITTEN_SECONDS)
+            await anyio.sleep(READ_RETRY_SECONDS)
             await self._learn(found)
 
     async def open(self, stored: _archive.StoredBatch) -> _open.OpenBatch:
@@ -180,6 +181,7 @@
             batch,
             anyio.current_time(),
             chunks,
+            stored.version,
             {item.group for item in batch.items} & self._seen_groups.keys(),
         )
         self.batches[batch.batch_id] = opened
--- a/src/swiftjunction/objectstore/_following.py
+++ b/src/swiftjunction/objectstore/_following.py
@@ -13,7 +13,7 @@
 
 # A watch costs a call when it ends, so that long ones are cheap; a silent
 # connection is found by its keep-alive probes, not by the end of a watch.
-WATCH_SECONDS = 25.0
+WATCH_SECONDS = 29.0
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
 
--- a/src/swiftjunction/platform/_feeds.py
+++ b/src/swiftjunction/platform/_feeds.py
@@ -17,8 +17,9 @@
 
 LOG = logging.getLogger(__name__)
 
-# Entries of servers change in a row, as when all change to a new version.
-GATHER_SERVERS_SECONDS = 0.25
+# Entries of servers change in a row, as when all change to a new version. A
+# server that leaves is known early enough after this and LapseGuard's delay.
+GATHER_SERVERS_SECONDS = 0.8
 CONFIG_KEY = f'{_names.CONFIG_KIND}/main'
 COMPLETED = msgspec.json.encode({'state': 'completed'})
 RETRY_SECONDS = 0.5
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -272,7 +272,8 @@
     ) -> backends.ServiceAnswer:
         with (
             self._admission.admit(call.path, call.settings),
-            self._metrics.measure(call.path, 'answer'),
+            # A histogram takes 185 KB: one for each service, not each route.
+            self._metrics.measure(call.settings.service or '', 'answer'),
             anyio.move_on_at(call.deadline),
         ):
             return await self._forwarder.forward(call)
@@ -288,7 +289,7 @@
         body = await requests.read_body(request)
         service = route.draw_service(self._rng)
         batch = _batches.decode_submission(body, request_id, route, service)
-        with self._metrics.measure(route.name, 'submit'):
+        with self._metrics.measure(service, 'submit'):
             await _translate(self._archive.create(batch))
         LOG.info(
             'batch accepted',
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -36,7 +36,7 @@
 # Of the time within which two holders' orders may not follow each other.
 LEASE_SHARE = 0.87
 LEASE_MARGIN_SECONDS = 0.4
-RENEW_INTERVAL_SECONDS = 0.9
+RENEW_INTERVAL_SECONDS = 1.0
 RENEW_TIMEOUT_SECONDS = 0.7
 RETRY_INTERVAL_SECONDS = 0.35
 MAX_IN_FLIGHT = 1000
--- a/tests/cover/test_batches_archive.py
+++ b/tests/cover/test_batches_archive.py
@@ -112,6 +112,15 @@
         assert stored.batch.total == 2
         assert len(await archive.read_results('b')) == 1
 
+    async def test_an_end_from_an_old_copy_is_an_end_all_the_same(
+        self, archive
+    ):
+        await archive.create(make_batch())
+        held = await archive.read('b')
+        await archive.end('b')
+        await archive.end('b', held)
+        assert (await archive.read('b')).batch.ended
+
     async def test_a_deleted_batch_leaves_nothing(self, store, archive):
         await archive.create(make_batch())
         await archive.append('b', 0, [result('i0')])
