Spread samples, write at once what a trainer waits for, ask before sending

A step is asked for when the one before the last is trained, so that each step must be whole within 7 s; its longest sample alone takes 6.8 s, and four samples of a group on one engine, results that waited for others and 0.3 s between writes made it longer.

Change: an engine with fewer samples goes before the one that read the prompt; the write that gives a trainer its last group does not wait; a connection to a server may take 0.5 s, and whether the server still takes work is asked again before the first byte.

--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -24,9 +24,6 @@
 # How long the end of a stream may lag behind its last chunk.
 END_SECONDS = 0.05
 
-# What httpcore calls the moment before the first byte.
-SEND_EVENT = 'http11.send_request_headers.started'
-
 
 class EngineCall(msgspec.Struct, frozen=True):
     """One generation as sent to an engine.
@@ -228,7 +225,7 @@
         """
 
         async def trace(event: str, info: dict[str, typing.Any]) -> None:
-            if check is not None and event == SEND_EVENT:
+            if check is not None and event == web.SEND_EVENT:
                 check()
 
         with _calls.translate_errors('order', address):
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -202,8 +202,21 @@
 
     def count_whole_groups(self) -> int:
         """Return how many groups have all of their results listed."""
-        groups = {item.group for item in self.batch.items}
-        return len(groups - {p.item.group for p in self.left.values()})
+        return len(self.list_groups() - self.list_open_groups(set()))
+
+    def list_groups(self) -> set[str]:
+        """Return the groups of the batch."""
+        return {item.group for item in self.batch.items}
+
+    def list_open_groups(
+        self, finished: collections.abc.Container[str]
+    ) -> set[str]:
+        """Return the groups with samples that are neither listed nor given."""
+        return {
+            progress.item.group
+            for item_id, progress in self.left.items()
+            if item_id not in finished
+        }
 
     def is_satisfied(self) -> bool:
         """Tell whether its trainer has as many whole groups as it wants."""
--- a/src/swiftjunction/batches/_planning.py
+++ b/src/swiftjunction/batches/_planning.py
@@ -36,8 +36,10 @@
     ) -> _engines.EngineState | None:
         """Return the engine for a sample; None where no place is free.
 
-        The engine that has read the group's prompt goes first, then the one
-        with the fewest samples. Engines that are slow of late go last.
+        The engine with the fewest samples goes first: the longest samples
+        bind a step, and each sample beside them makes them longer. Of equals,
+        the one that has read the group's prompt. Engines that are slow of
+        late go last.
         """
         opened, progress = candidate
         batch = opened.batch
@@ -54,8 +56,8 @@
             free,
             key=lambda engine: (
                 engine.server.name in slow,
-                engine.server.name != holder,
                 engine.server.in_flight,
+                engine.server.name != holder,
             ),
         )
         self._remember(progress.item.group, chosen.server.name)
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -41,19 +41,18 @@
     if not opened.finished or opened.writing:
         return False
     waited_seconds = now - opened.written_at
-    if waited_seconds < MIN_WRITE_GAP_SECONDS:
-        return False
     if waited_seconds > MAX_UNWRITTEN_SECONDS:
         return True
     finished = {result.item_id for result in opened.finished}
-    open_groups = {
-        progress.item.group
-        for item_id, progress in opened.left.items()
-        if item_id not in finished
-    }
-    return any(
-        opened.left[item_id].item.group not in open_groups
-        for item_id in finished
+    open_groups = opened.list_open_groups(finished)
+    whole_groups = len(opened.list_groups()) - len(open_groups)
+    if whole_groups >= opened.batch.target_groups > 0 and (
+        not opened.is_satisfied()
+    ):
+        # Its trainer waits for just this.
+        return True
+    return waited_seconds >= MIN_WRITE_GAP_SECONDS and (
+        whole_groups > opened.count_whole_groups()
     )
 
 
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -18,6 +18,8 @@
 LOG = logging.getLogger(__name__)
 
 CONTROL_TIMEOUT_SECONDS = 1.0
+# A server whose queue of connections is full lets them wait for seconds.
+CONNECT_TIMEOUT_SECONDS = 0.5
 # Longest wait for one read of a stream; who reads it has a shorter one.
 STREAM_TIMEOUT_SECONDS = 30.0
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
@@ -224,18 +226,25 @@
         peers: web.PeerClients | None = None,
     ) -> httpx.Response:
         """Send a request to this very server, and to no successor."""
-        try:
-            return (
-                await (peers or self._peers)
-                .peer(server.address)
-                .send(
-                    method,
-                    target,
-                    headers=[*headers, (_names.EXPECT_INSTANCE, server.name)],
-                    content=content,
-                    timeout_seconds=timeout_seconds,
-                    host=host,
+
+        def check() -> None:
+            # To connect takes time, in which the server may begin to leave.
+            if not server.is_live():
+                raise errors.BackendRefused(
+                    'the server is leaving', step='send', peer=server.name
                 )
+
+        peer = (peers or self._peers).peer(server.address)
+        try:
+            return await peer.send(
+                method,
+                target,
+                headers=[*headers, (_names.EXPECT_INSTANCE, server.name)],
+                content=content,
+                timeout_seconds=timeout_seconds,
+                host=host,
+                connect_seconds=CONNECT_TIMEOUT_SECONDS,
+                check=check,
             )
         except _UNSENT as error:
             raise errors.BackendUnreachable(
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -8,6 +8,7 @@
 from swiftjunction.web._calling import connect_client
 from swiftjunction.web._calling import Peer
 from swiftjunction.web._calling import PeerClients
+from swiftjunction.web._calling import SEND_EVENT
 from swiftjunction.web._serving import bind_socket
 from swiftjunction.web._serving import Listener
 from swiftjunction.web._serving import open_listener
@@ -21,6 +22,7 @@
     'Listener',
     'Peer',
     'PeerClients',
+    'SEND_EVENT',
     'TlsContexts',
     'TlsFiles',
     'bind_socket',
--- a/src/swiftjunction/web/_calling.py
+++ b/src/swiftjunction/web/_calling.py
@@ -8,6 +8,8 @@
 from swiftjunction.web import _transport
 
 CONNECT_TIMEOUT_SECONDS = 2.0
+# What httpcore calls the moment before the first byte.
+SEND_EVENT = 'http11.send_request_headers.started'
 
 Headers = collections.abc.Sequence[tuple[str, str]]
 
@@ -38,6 +40,20 @@
     )
 
 
+def _trace_start(
+    check: collections.abc.Callable[[], None] | None,
+) -> dict[str, object]:
+    """Return the extension that calls `check` before the first byte."""
+    if check is None:
+        return {}
+
+    async def trace(event: str, info: dict[str, object]) -> None:
+        if event == SEND_EVENT:
+            check()
+
+    return {'trace': trace}
+
+
 class Peer:
     """One peer on the hot path.
 
@@ -67,6 +83,8 @@
         content: bytes = b'',
         timeout_seconds: float = 10.0,
         host: str = '',
+        connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
+        check: collections.abc.Callable[[], None] | None = None,
     ) -> httpx.Response:
         """Send one request; the caller reads and closes the response.
 
@@ -80,6 +98,11 @@
             Longest wait for a read or a write.
         host : str
             The host to name, where it is not the peer's address.
+        connect_seconds : float
+            Longest wait for a new connection.
+        check : callable
+            Called when there is a connection and nothing stands between it
+            and the first byte; what it raises keeps the request from leaving.
         """
         own = [('host', host or self._host)]
         if content:
@@ -96,11 +119,12 @@
             stream=httpx.ByteStream(content),
             extensions={
                 'timeout': {
-                    'connect': min(CONNECT_TIMEOUT_SECONDS, timeout_seconds),
+                    'connect': min(connect_seconds, timeout_seconds),
                     'read': timeout_seconds,
                     'write': timeout_seconds,
                     'pool': timeout_seconds,
-                }
+                },
+                **_trace_start(check),
             },
         )
         return await self._transport.handle_async_request(request)
