Find the direct way to the store again; a server is kept only while all lost it

The store had turned that VM away from 2.5 to 11.5 s. Since then it made no call but watches through a peer, each for 29 s, so that it took the store to be away still, and LapseGuard drops no server while the list is away. Its log has no 'server gone' where the others have it at 22.1 to 22.5 s.

Change: watches through a peer last 4 s; before the next one a read shows whether the direct way works. The list counts as away only when neither this VM nor a peer reaches the store.

--- a/src/swiftjunction/coordination/_relaying.py
+++ b/src/swiftjunction/coordination/_relaying.py
@@ -15,6 +15,9 @@
 # After a failure of the direct way, peers are asked first for so long.
 AVOID_DIRECT_SECONDS = 1.5
 MAX_RELAYS_TRIED = 2
+RELAYED_WATCH_SECONDS = 4.0
+# An object that is not there: whether the store says so is what counts.
+PROBE_KEY = 'members/-'
 
 Result = typing.TypeVar('Result')
 Ask = collections.abc.Callable[
@@ -86,12 +89,31 @@
     ) -> objectstore.Watch:
         # A watch may be cut off while the store is well. Whoever watched
         # lists next, and that shows whether the store is reached.
-        if self._clock() >= self._avoid_until:
+        if await self._may_watch_directly():
             return await self._watch_directly(prefix, revision, wait_seconds)
+        # A short one, so that the direct way is soon tried again.
+        relayed_seconds = min(wait_seconds, RELAYED_WATCH_SECONDS)
         return await self._run(
-            lambda store: store.watch(prefix, revision, wait_seconds)
+            lambda store: store.watch(prefix, revision, relayed_seconds)
         )
 
+    async def _may_watch_directly(self) -> bool:
+        """Tell whether to watch directly; after a failure, find out first.
+
+        A watch that is silent tells nothing, while a read is answered or not.
+        """
+        if self.reaches_directly():
+            return True
+        if self._clock() < self._avoid_until:
+            return False
+        try:
+            await self._run_directly(lambda store: store.read(PROBE_KEY))
+        except errors.ObjectMissing:
+            return True
+        except errors.PlatformError as error:
+            LOG.debug('the direct way is still lost: %s', error)
+        return self.reaches_directly()
+
     async def _watch_directly(
         self, prefix: str, revision: int, wait_seconds: float
     ) -> objectstore.Watch:
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -108,7 +108,7 @@
         self._directory = backends.Directory(table)
         self._guard = backends.LapseGuard(
             self._directory,
-            lambda: not self._store.reaches_directly(),
+            self._is_store_away,
             time.monotonic,
         )
         workers = _workers.WorkerClient(self._clients)
@@ -293,6 +293,12 @@
             self._sharing.list_watches(),
         )
 
+    def _is_store_away(self) -> bool:
+        """Tell whether neither this VM nor a peer reaches the store."""
+        return not (
+            self._store.reaches_directly() or self._members.list_relays()
+        )
+
     def _list_relays(self) -> list[objectstore.ObjectStore]:
         return [
             coordination.RelayedStore(
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -149,6 +149,22 @@
             await store.watch('k/', 1, 0.1)
         assert store.reaches_directly()
 
+    async def test_the_direct_way_is_found_again_by_a_watch(self, clock):
+        # trouble-1 --seed 686227460774 of diurna-turneu: a VM that made no
+        # calls but relayed watches thought the store away for 11 s more, and
+        # kept servers that were gone.
+        direct, relay = conftest.MemoryStore(), conftest.MemoryStore()
+        direct.faults = ['refuse', 'refuse']
+        store = self.make(direct, [relay], clock)
+        await store.create('k/a', b'1')
+        assert not store.reaches_directly()
+        clock.now += 2
+        await store.watch('k/', 1, 9)
+        assert not store.reaches_directly()
+        clock.now += 2
+        await store.watch('k/', 1, 9)
+        assert store.reaches_directly()
+
     async def test_a_failed_call_ends_the_watches_that_wait(self, clock):
         # quiet-1 of diurna-turneu: the coordinator was cut off without a
         # word, and heard of a version 4 s later, when its watch was probed.
