Keep texts for groups that come again, and over a change of the coordinator

Change: the coordinator writes the texts of samples under way into one object each 1.5 s, and the next one goes on from it. Texts of groups that were not whole are kept when their batch ends; a sample that comes again goes on behind its last event, or is scored at once, where the versions fit.

--- a/src/swiftjunction/batches/__init__.py
+++ b/src/swiftjunction/batches/__init__.py
@@ -19,9 +19,13 @@
 from swiftjunction.batches._engine import VersionOrder
 from swiftjunction.batches._engines import EngineBook
 from swiftjunction.batches._engines import EngineState
+from swiftjunction.batches._kept import KeptText
+from swiftjunction.batches._kept import KeptTexts
+from swiftjunction.batches._kept import select_unfinished
 from swiftjunction.batches._open import cut_page
 from swiftjunction.batches._open import OpenBatch
 from swiftjunction.batches._open import Page
+from swiftjunction.batches._open import Progress
 from swiftjunction.batches._planning import order_samples
 from swiftjunction.batches._planning import Placement
 from swiftjunction.batches._rollout import choose_engines
@@ -46,9 +50,12 @@
     'EngineState',
     'FirstAccess',
     'Item',
+    'KeptText',
+    'KeptTexts',
     'OpenBatch',
     'Page',
     'Placement',
+    'Progress',
     'Result',
     'RoutedScoring',
     'RunnerAccess',
@@ -63,5 +70,6 @@
     'choose_engines',
     'cut_page',
     'order_samples',
+    'select_unfinished',
     'should_write',
 ]
--- a/src/swiftjunction/batches/_archive.py
+++ b/src/swiftjunction/batches/_archive.py
@@ -14,12 +14,15 @@
 import msgspec
 
 from swiftjunction.batches import _batch
+from swiftjunction.batches import _kept
 from swiftjunction import errors
 from swiftjunction import objectstore
 
 LOG = logging.getLogger(__name__)
 
 BATCH_PREFIX = 'batches/'
+CHECKPOINT_KEY = 'checkpoints/samples'
+MAX_CHECKPOINT_BYTES = 600_000
 # The store takes a megabyte; its own fields need some of it.
 MAX_PART_BYTES = 900_000
 
@@ -46,10 +49,11 @@
         Where they are kept.
     """
 
-    __slots__ = ('_store',)
+    __slots__ = ('_checkpoint_version', '_store')
 
     def __init__(self, store: objectstore.ObjectStore) -> None:
         self._store = store
+        self._checkpoint_version = 0
 
     async def create(self, batch: _batch.Batch) -> None:
         """Keep a batch; one that is kept already is left as it is.
@@ -166,6 +170,38 @@
             for name in sorted(found)
         ]
 
+    async def write_checkpoint(self, texts: list[_kept.KeptText]) -> None:
+        """Keep the texts of samples under way, in place of the last ones.
+
+        Where they do not fit into one object, the longest are kept.
+        """
+        chosen: list[_kept.KeptText] = []
+        size = 0
+        for text in sorted(texts, key=lambda t: t.size, reverse=True):
+            size += text.size
+            if size > MAX_CHECKPOINT_BYTES:
+                break
+            chosen.append(text)
+        value = msgspec.json.encode(chosen)
+        try:
+            if not self._checkpoint_version:
+                self._checkpoint_version = await self._store.create(
+                    CHECKPOINT_KEY, value
+                )
+                return
+            self._checkpoint_version = await self._store.update(
+                CHECKPOINT_KEY, value, self._checkpoint_version
+            )
+        except errors.RevisionConflict:
+            found = await self._store.read(CHECKPOINT_KEY)
+            self._checkpoint_version = found.version
+
+    async def read_checkpoint(self) -> list[_kept.KeptText]:
+        """Return the texts that were kept last."""
+        found = await self._store.read(CHECKPOINT_KEY)
+        self._checkpoint_version = found.version
+        return objectstore.decode_value(found, list[_kept.KeptText])
+
     async def delete(self, batch_id: str) -> None:
         """Delete all that is kept of a batch."""
         listed = await self._store.list(_list_prefix(batch_id))
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -50,6 +50,8 @@
         Of the newest event; -1 before the first one.
     versions : list of int
         The weight versions that made them, without repetition.
+    whole : bool
+        Whether the newest event was the last one.
     failures : int
         Runs that ended with a failure of the sample itself.
     running : bool
@@ -75,6 +77,7 @@
         'running',
         'scope',
         'versions',
+        'whole',
     )
 
     def __init__(self, item: _batch.Item) -> None:
@@ -82,6 +85,7 @@
         self.events: list[str] = []
         self.last_number = -1
         self.versions: list[int] = []
+        self.whole = False
         self.failures = 0
         self.running = False
         self.engine = ''
@@ -94,10 +98,13 @@
         self.events.clear()
         self.versions.clear()
         self.last_number = -1
+        self.whole = False
 
-    def may_continue(self, min_version: int) -> bool:
-        """Tell whether all of the text so far is new enough."""
-        return all(version >= min_version for version in self.versions)
+    def may_continue(self, batch: _batch.Batch) -> bool:
+        """Tell whether the text so far may be part of the whole."""
+        if batch.single_version and len(self.versions) > 1:
+            return False
+        return all(version >= batch.min_version for version in self.versions)
 
 
 class OpenBatch:
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -10,6 +10,7 @@
 from swiftjunction.batches import _assignment
 from swiftjunction.batches import _batch
 from swiftjunction.batches import _engines
+from swiftjunction.batches import _kept
 from swiftjunction.batches import _open
 from swiftjunction.batches import _planning
 from swiftjunction.batches import _sampling
@@ -21,6 +22,8 @@
 
 DISPATCH_INTERVAL_SECONDS = 0.1
 MOVE_INTERVAL_SECONDS = 0.25
+# What a process that takes over has to make again, at most.
+CHECKPOINT_SECONDS = 1.5
 WRITE_INTERVAL_SECONDS = 0.05
 # Results that make no group whole wait for others, to be written together.
 MAX_UNWRITTEN_SECONDS = 1.5
@@ -84,6 +87,7 @@
         '_archive',
         '_assignment',
         '_engines',
+        '_kept',
         '_metrics',
         '_placement',
         '_samples',
@@ -106,6 +110,7 @@
         self._store = store
         self._archive = archive
         self._engines = engines
+        self._kept = _kept.KeptTexts()
         self._samples = samples
         self._assignment = assignment
         self._metrics = metrics
@@ -119,6 +124,7 @@
         """Run batches until cancelled."""
         self._stopping = False
         self.batches.clear()
+        await self._restore_checkpoint()
         async with anyio.create_task_group() as tasks:
 
             def learn(found: objectstore.Object) -> None:
@@ -133,6 +139,7 @@
             )
             tasks.start_soon(self._write_results, tasks)
             tasks.start_soon(self._move_from_slow)
+            tasks.start_soon(self._write_checkpoints)
             await self._dispatch(tasks)
 
     async def finish(self, seconds: float) -> None:
@@ -186,6 +193,10 @@
         self.batches[batch.batch_id] = opened
         for item in batch.items:
             self._note_group(item.group)
+        restored = sum(
+            self._kept.restore(progress, batch)
+            for progress in opened.left.values()
+        )
         self._assignment.note_load(
             batch.model, sum(item.expected_tokens for item in batch.items)
         )
@@ -197,6 +208,7 @@
                 'min_version': batch.min_version,
                 'samples': batch.total,
                 'listed': len(opened.results),
+                'restored': restored,
             },
         )
         self.wake()
@@ -212,6 +224,7 @@
         opened = self.batches.get(batch_id)
         if opened is None or opened.ended:
             return
+        self._kept.keep(_kept.select_unfinished(opened))
         opened.end()
         opened.written_at = anyio.current_time()
         LOG.info(
@@ -261,6 +274,35 @@
             progress.began_at = anyio.current_time()
             tasks.start_soon(self._run_sample, opened, progress, engine, place)
 
+    async def _restore_checkpoint(self) -> None:
+        """Take what the coordinator before had under way."""
+        try:
+            self._kept.keep(await self._archive.read_checkpoint())
+        except errors.ObjectMissing:
+            return
+        except errors.PlatformError as error:
+            LOG.warning('checkpoint not read: %s', error)
+
+    async def _write_checkpoints(self) -> None:
+        while True:
+            await anyio.sleep(CHECKPOINT_SECONDS)
+            now = anyio.current_time()
+            texts = [
+                _kept.copy_text(progress)
+                for opened in self.batches.values()
+                if not opened.ended
+                for progress in opened.left.values()
+                if progress.engine
+                and progress.events
+                and now - progress.began_at > CHECKPOINT_SECONDS
+            ]
+            if not texts:
+                continue
+            try:
+                await self._archive.write_checkpoint(texts)
+            except errors.PlatformError as error:
+                LOG.info('checkpoint not written: %s', error)
+
     async def _move_from_slow(self) -> None:
         while True:
             await anyio.sleep(MOVE_INTERVAL_SECONDS)
@@ -314,9 +356,11 @@
     ) -> _batch.Result | None:
         """Return the result; None where another attempt is needed."""
         try:
-            progress.engine = engine.server.name
-            whole = await self._samples.generate(opened, progress, engine)
-            progress.engine = ''
+            whole = progress.whole
+            if not whole:
+                progress.engine = engine.server.name
+                whole = await self._samples.generate(opened, progress, engine)
+                progress.engine = ''
             place.close()
             self.wake()
             if whole:
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -58,7 +58,7 @@
         attempt goes on from there.
         """
         batch = opened.batch
-        if not progress.may_continue(batch.min_version):
+        if not progress.may_continue(batch):
             progress.restart()
         began = anyio.current_time()
         resumed_after = progress.last_number
@@ -73,6 +73,7 @@
             outcome = 'stale'
         else:
             engine.note_success()
+            progress.whole = True
             outcome = 'whole'
         self._metrics.count('sample_attempts', outcome=outcome)
         LOG.info(
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -404,6 +404,32 @@
         for result in results:
             assert result['text'] == standins.expect_text(result['id'])
 
+    async def test_a_group_that_comes_again_goes_on_from_what_there_was(
+        self, world
+    ):
+        async with world.run():
+            for engine in world.engines.values():
+                engine.faults.set('cut', 10)
+            batch = platformworld.make_batch()
+            await world.submit('vm-1', 'b1', batch)
+            await anyio.sleep(0.1)
+            for engine in world.engines.values():
+                engine.faults.set('shed', 10_000)
+            await anyio.sleep(0.3)
+            await world.ask('vm-1', 'DELETE', '/lots/b1')
+            before = [run for e in world.engines.values() for run in e.runs]
+            for engine in world.engines.values():
+                engine.runs.clear()
+                engine.faults.set('shed', 0)
+                engine.faults.set('cut', 0)
+            await world.submit('vm-1', 'b2', batch)
+            results = await world.read_all('vm-1', 'b2', 4)
+        for result in results:
+            assert result['text'] == standins.expect_text(result['id'])
+        assert before
+        runs = [run for e in world.engines.values() for run in e.runs]
+        assert all(after >= 0 for _, after in runs)
+
 
 @pytest.mark.anyio
 class TestVersions:
