Leave running samples to the next coordinator; load by the number of engines

And the number of engines that may load at once was two, whatever their number.

Change: at a stop the running samples end, their texts are written, the lease is given back, and the next coordinator goes on behind their last events. Of a service's engines 0.4 may load at once, and at least two.

--- a/src/swiftjunction/batches/_rollout.py
+++ b/src/swiftjunction/batches/_rollout.py
@@ -21,8 +21,9 @@
 
 LOG = logging.getLogger(__name__)
 
-# More loads at once take longer each.
-MAX_LOADS_AT_ONCE = 2
+# Where more of a service's engines load at once, each load takes longer.
+LOADING_SHARE = 0.4
+LEAST_LOADS_AT_ONCE = 2
 CALL_TIMEOUT_SECONDS = 1.0
 CHECK_INTERVAL_SECONDS = 0.1
 # Between two questions to an engine that loads.
@@ -52,6 +53,11 @@
     return behind[: max(room, 0)]
 
 
+def find_room(engines: int) -> int:
+    """Return how many of so many engines may load at once."""
+    return max(int(engines * LOADING_SHARE), LEAST_LOADS_AT_ONCE)
+
+
 class VersionRollout:
     """Orders versions onto engines, for as long as the lease is held.
 
@@ -154,7 +160,7 @@
             for model, target in self.targets.items()
             if any(engine.version(model) for engine in engines)
         }
-        room = MAX_LOADS_AT_ONCE - self.count_loads(engines)
+        room = find_room(len(engines)) - self.count_loads(engines)
         divided = self._assignment.divide(engines, served)
         for model, group in divided.items():
             chosen = choose_engines(group, model, served[model], room)
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -1,5 +1,6 @@
 """Runs all open batches: the work of the one VM that coordinates."""
 
+import collections.abc
 import contextlib
 import logging
 
@@ -143,19 +144,27 @@
             await self._dispatch(tasks)
 
     async def finish(self, seconds: float) -> None:
-        """Begin no more samples, and wait a while for those that run."""
+        """Stop the samples that run, and keep what there is of them.
+
+        The next coordinator goes on with them at once, while to let them end
+        here would take as long as the longest.
+        """
         self._stopping = True
+        for opened in self.batches.values():
+            for progress in opened.left.values():
+                if progress.engine:
+                    progress.scope.cancel()
         with anyio.move_on_after(seconds):
-            while self._count_running() or self._count_unwritten():
+            await self._write_checkpoint(
+                progress
+                for opened in self.batches.values()
+                if not opened.ended
+                for progress in opened.left.values()
+                if progress.events
+            )
+            while self._count_unwritten():
                 await anyio.sleep(WRITE_INTERVAL_SECONDS)
 
-    def _count_running(self) -> int:
-        return sum(
-            progress.running
-            for opened in self.batches.values()
-            for progress in opened.left.values()
-        )
-
     def _count_unwritten(self) -> int:
         return sum(len(opened.finished) for opened in self.batches.values())
 
@@ -287,21 +296,26 @@
         while True:
             await anyio.sleep(CHECKPOINT_SECONDS)
             now = anyio.current_time()
-            texts = [
-                _kept.copy_text(progress)
+            await self._write_checkpoint(
+                progress
                 for opened in self.batches.values()
                 if not opened.ended
                 for progress in opened.left.values()
                 if progress.engine
                 and progress.events
                 and now - progress.began_at > CHECKPOINT_SECONDS
-            ]
-            if not texts:
-                continue
-            try:
-                await self._archive.write_checkpoint(texts)
-            except errors.PlatformError as error:
-                LOG.info('checkpoint not written: %s', error)
+            )
+
+    async def _write_checkpoint(
+        self, samples: collections.abc.Iterable[_open.Progress]
+    ) -> None:
+        texts = [_kept.copy_text(progress) for progress in samples]
+        if not texts:
+            return
+        try:
+            await self._archive.write_checkpoint(texts)
+        except errors.PlatformError as error:
+            LOG.info('checkpoint not written: %s', error)
 
     async def _move_from_slow(self) -> None:
         while True:
@@ -399,10 +413,13 @@
                 if opened.ended:
                     if now - opened.written_at > KEEP_ENDED_SECONDS:
                         del self.batches[batch_id]
-                elif should_write(opened, now):
+                elif should_write(opened, now) or self._must_write(opened):
                     opened.writing = True
                     tasks.start_soon(self._write_chunk, opened)
 
+    def _must_write(self, opened: _open.OpenBatch) -> bool:
+        return self._stopping and bool(opened.finished) and not opened.writing
+
     async def _write_chunk(self, opened: _open.OpenBatch) -> None:
         batch_id = opened.batch.batch_id
         chunk = list(opened.finished)
--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -15,8 +15,8 @@
 LOOK_SECONDS = 0.3
 # By so much later than the one before it does each next VM try for the lease.
 RANK_STEP_SECONDS = 0.6
-# How long running samples are waited for when this VM stops.
-FINISH_SECONDS = 1.5
+# How long the duty may take to end when this VM stops.
+FINISH_SECONDS = 1.0
 
 
 class Duty(abc.ABC):
@@ -36,7 +36,7 @@
 
     @abc.abstractmethod
     async def finish(self, seconds: float) -> None:
-        """Begin nothing new, and let end what runs."""
+        """Begin nothing new, and leave what runs to the next one."""
 
 
 class Coordinator:
@@ -99,7 +99,7 @@
                 await self._coordinate(lease)
 
     async def hand_over(self) -> None:
-        """Let running work end, give the lease back and coordinate no more."""
+        """End the duty, give the lease back and coordinate no more."""
         self._stopping = True
         if self._held is None:
             return
--- a/tests/cover/test_batches_planning.py
+++ b/tests/cover/test_batches_planning.py
@@ -3,6 +3,7 @@
 from swiftjunction import backends
 from swiftjunction import batches
 from swiftjunction.batches import _planning
+from swiftjunction.batches import _rollout
 from swiftjunction import membership
 from tests import conftest
 
@@ -278,6 +279,14 @@
         world.engine('e1').note_order('m')
         assert self.choose(world, 2, 2) == ['e2']
 
+    @pytest.mark.parametrize(
+        ('engines', 'room'), [(1, 2), (5, 2), (22, 8), (23, 9)]
+    )
+    def test_more_engines_load_at_once_where_there_are_more(
+        self, engines, room
+    ):
+        assert _rollout.find_room(engines) == room
+
     def test_nothing_is_ordered_while_enough_engines_load(self, world):
         assert self.choose(world, 2, 0) == []
 
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -404,6 +404,27 @@
         for result in results:
             assert result['text'] == standins.expect_text(result['id'])
 
+    async def test_a_vm_that_stops_leaves_its_samples_to_another(self, world):
+        async with world.run(('vm-1', 'vm-2')):
+            await anyio.sleep(1.0)
+            for engine in world.engines.values():
+                engine.faults.set('stall', 2)
+            await world.submit('vm-1', 'b1', platformworld.make_batch())
+            await anyio.sleep(0.3)
+            holder = world.store.get('leases', 'coordinator')
+            name = holder['spec']['holder'].partition('@')[0]
+            other = 'vm-2' if name == 'vm-1' else 'vm-1'
+            world.programs[name]._stopping.set()
+            results = await world.read_all(other, 'b1', 4, seconds=4)
+            refused = await world.submit(
+                name, 'b2', platformworld.make_batch(prefix='c')
+            )
+        for result in results:
+            assert result['text'] == standins.expect_text(result['id'])
+        runs = [run for e in world.engines.values() for run in e.runs]
+        assert sorted(after for _, after in runs) == [-1] * 4 + [2] * 4
+        assert refused.status_code == 503
+
     async def test_a_group_that_comes_again_goes_on_from_what_there_was(
         self, world
     ):
