Split grown modules of the new packages, and make once what stood twice

Change: `web.UNSENT_ERRORS` and `Peer.fetch`, `backends.translate_errors` for the adapter too; results are written by `_writing.py`, checkpoints by `_checkpoints.py`; the adapter's answers and checks of answers stand in `_answers.py` and `_responses.py`. Behaviour is unchanged.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -1,6 +1,7 @@
 """Backend servers: what is known of each, and the clients that call them."""
 
 from swiftjunction.backends._calls import read_load
+from swiftjunction.backends._calls import translate_errors
 from swiftjunction.backends._directory import Directory
 from swiftjunction.backends._directory import SERVER_PREFIX
 from swiftjunction.backends._engine import Chunk
@@ -40,4 +41,5 @@
     'ServiceCaller',
     'ServiceClient',
     'read_load',
+    'translate_errors',
 ]
--- a/src/swiftjunction/backends/_calls.py
+++ b/src/swiftjunction/backends/_calls.py
@@ -8,20 +8,18 @@
 
 from swiftjunction.backends import _server
 from swiftjunction import errors
+from swiftjunction import web
 
 OUTCOME_HEADER = 'x-request-outcome'
 NOT_RUN = 'not-run'
 
-# Failures at which no byte of the request can have left.
-_UNSENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
-
 
 @contextlib.contextmanager
 def translate_errors(step: str, peer: str) -> collections.abc.Iterator[None]:
     """Raise ``BackendUnreachable`` or ``AnswerBroken`` for httpx's errors."""
     try:
         yield
-    except _UNSENT as error:
+    except web.UNSENT_ERRORS as error:
         raise errors.BackendUnreachable(
             f'cannot connect: {error or type(error).__name__}',
             step=step,
--- a/src/swiftjunction/batches/__init__.py
+++ b/src/swiftjunction/batches/__init__.py
@@ -31,10 +31,10 @@
 from swiftjunction.batches._rollout import choose_engines
 from swiftjunction.batches._rollout import VersionRollout
 from swiftjunction.batches._runner import BatchRunner
-from swiftjunction.batches._runner import should_write
 from swiftjunction.batches._sampling import SampleRunner
 from swiftjunction.batches._scoring import RoutedScoring
 from swiftjunction.batches._scoring import Scoring
+from swiftjunction.batches._writing import should_write
 
 __all__ = [
     'ArchiveAccess',
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -1,6 +1,5 @@
 """Runs all open batches: the work of the one VM that coordinates."""
 
-import collections.abc
 import contextlib
 import logging
 
@@ -10,11 +9,13 @@
 from swiftjunction.batches import _archive
 from swiftjunction.batches import _assignment
 from swiftjunction.batches import _batch
+from swiftjunction.batches import _checkpoints
 from swiftjunction.batches import _engines
 from swiftjunction.batches import _kept
 from swiftjunction.batches import _open
 from swiftjunction.batches import _planning
 from swiftjunction.batches import _sampling
+from swiftjunction.batches import _writing
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction import telemetry
@@ -23,43 +24,11 @@
 
 DISPATCH_INTERVAL_SECONDS = 0.1
 MOVE_INTERVAL_SECONDS = 0.25
-# What a process that takes over has to make again, at most.
-CHECKPOINT_SECONDS = 1.5
-WRITE_INTERVAL_SECONDS = 0.05
-# Results that make no group whole wait for others, to be written together.
-MAX_UNWRITTEN_SECONDS = 1.5
-MIN_WRITE_GAP_SECONDS = 0.3
 READ_RETRY_SECONDS = 0.5
-# An ended batch is kept in memory for readers that are a little late.
-KEEP_ENDED_SECONDS = 20.0
 # Groups that were once seen, over all trainers.
 MAX_SEEN_GROUPS = 16_384
 
 
-def should_write(opened: _open.OpenBatch, now: float) -> bool:
-    """Tell whether a batch's finished samples are to be written now.
-
-    A step is paid by whole groups, so results are written when they make a
-    group whole; others wait a little, since every write has its price.
-    """
-    if not opened.finished or opened.writing:
-        return False
-    waited_seconds = now - opened.written_at
-    if waited_seconds > MAX_UNWRITTEN_SECONDS:
-        return True
-    finished = {result.item_id for result in opened.finished}
-    open_groups = opened.list_open_groups(finished)
-    whole_groups = len(opened.list_groups()) - len(open_groups)
-    if whole_groups >= opened.batch.target_groups > 0 and (
-        not opened.is_satisfied()
-    ):
-        # Its trainer waits for just this.
-        return True
-    return waited_seconds >= MIN_WRITE_GAP_SECONDS and (
-        whole_groups > opened.count_whole_groups()
-    )
-
-
 class BatchRunner:
     """Runs batches for as long as this process coordinates.
 
@@ -87,8 +56,8 @@
     __slots__ = (
         '_archive',
         '_assignment',
+        '_checkpoints',
         '_engines',
-        '_kept',
         '_metrics',
         '_placement',
         '_samples',
@@ -96,6 +65,7 @@
         '_stopping',
         '_store',
         '_wake',
+        '_writer',
         'batches',
     )
 
@@ -111,7 +81,6 @@
         self._store = store
         self._archive = archive
         self._engines = engines
-        self._kept = _kept.KeptTexts()
         self._samples = samples
         self._assignment = assignment
         self._metrics = metrics
@@ -120,12 +89,15 @@
         self._stopping = False
         self._wake = anyio.Event()
         self.batches: dict[str, _open.OpenBatch] = {}
+        self._writer = _writing.ResultWriter(archive, self.batches)
+        self._checkpoints = _checkpoints.Checkpoints(archive, self.batches)
 
     async def run(self) -> None:
         """Run batches until cancelled."""
         self._stopping = False
         self.batches.clear()
-        await self._restore_checkpoint()
+        self._writer.stopping = False
+        await self._checkpoints.restore()
         async with anyio.create_task_group() as tasks:
 
             def learn(found: objectstore.Object) -> None:
@@ -138,9 +110,9 @@
                 _archive.BATCH_PREFIX,
                 listener,
             )
-            tasks.start_soon(self._write_results, tasks)
+            tasks.start_soon(self._writer.run)
             tasks.start_soon(self._move_from_slow)
-            tasks.start_soon(self._write_checkpoints)
+            tasks.start_soon(self._checkpoints.run)
             await self._dispatch(tasks)
 
     async def finish(self, seconds: float) -> None:
@@ -155,18 +127,14 @@
                 if progress.engine:
                     progress.scope.cancel()
         with anyio.move_on_after(seconds):
-            await self._write_checkpoint(
+            await self._checkpoints.write(
                 progress
                 for opened in self.batches.values()
                 if not opened.ended
                 for progress in opened.left.values()
                 if progress.events
             )
-            while self._count_unwritten():
-                await anyio.sleep(WRITE_INTERVAL_SECONDS)
-
-    def _count_unwritten(self) -> int:
-        return sum(len(opened.finished) for opened in self.batches.values())
+            await self._writer.finish()
 
     async def _learn(self, found: objectstore.Object) -> None:
         """Take in a batch that is new or has changed."""
@@ -203,7 +171,7 @@
         for item in batch.items:
             self._note_group(item.group)
         restored = sum(
-            self._kept.restore(progress, batch)
+            self._checkpoints.kept.restore(progress, batch)
             for progress in opened.left.values()
         )
         self._assignment.note_load(
@@ -233,7 +201,7 @@
         opened = self.batches.get(batch_id)
         if opened is None or opened.ended:
             return
-        self._kept.keep(_kept.select_unfinished(opened))
+        self._checkpoints.kept.keep(_kept.select_unfinished(opened))
         opened.end()
         opened.written_at = anyio.current_time()
         LOG.info(
@@ -283,40 +251,6 @@
             progress.began_at = anyio.current_time()
             tasks.start_soon(self._run_sample, opened, progress, engine, place)
 
-    async def _restore_checkpoint(self) -> None:
-        """Take what the coordinator before had under way."""
-        try:
-            self._kept.keep(await self._archive.read_checkpoint())
-        except errors.ObjectMissing:
-            return
-        except errors.PlatformError as error:
-            LOG.warning('checkpoint not read: %s', error)
-
-    async def _write_checkpoints(self) -> None:
-        while True:
-            await anyio.sleep(CHECKPOINT_SECONDS)
-            now = anyio.current_time()
-            await self._write_checkpoint(
-                progress
-                for opened in self.batches.values()
-                if not opened.ended
-                for progress in opened.left.values()
-                if progress.engine
-                and progress.events
-                and now - progress.began_at > CHECKPOINT_SECONDS
-            )
-
-    async def _write_checkpoint(
-        self, samples: collections.abc.Iterable[_open.Progress]
-    ) -> None:
-        texts = [_kept.copy_text(progress) for progress in samples]
-        if not texts:
-            return
-        try:
-            await self._archive.write_checkpoint(texts)
-        except errors.PlatformError as error:
-            LOG.info('checkpoint not written: %s', error)
-
     async def _move_from_slow(self) -> None:
         while True:
             await anyio.sleep(MOVE_INTERVAL_SECONDS)
@@ -404,57 +338,3 @@
             },
         )
         return _batch.Result(progress.item.item_id, complete=False)
-
-    async def _write_results(self, tasks: anyio.abc.TaskGroup) -> None:
-        while True:
-            await anyio.sleep(WRITE_INTERVAL_SECONDS)
-            now = anyio.current_time()
-            for batch_id, opened in list(self.batches.items()):
-                if opened.ended:
-                    if now - opened.written_at > KEEP_ENDED_SECONDS:
-                        del self.batches[batch_id]
-                elif should_write(opened, now) or self._must_write(opened):
-                    opened.writing = True
-                    tasks.start_soon(self._write_chunk, opened)
-
-    def _must_write(self, opened: _open.OpenBatch) -> bool:
-        return self._stopping and bool(opened.finished) and not opened.writing
-
-    async def _write_chunk(self, opened: _open.OpenBatch) -> None:
-        batch_id = opened.batch.batch_id
-        chunk = list(opened.finished)
-        try:
-            await self._archive.append(batch_id, opened.chunks, chunk)
-            opened.list_chunk(chunk)
-            LOG.info(
-                'results listed',
-                extra={
-                    'batch': batch_id,
-                    'request_ids': [result.item_id for result in chunk],
-                    'listed': len(opened.results),
-                    'whole_groups': opened.count_whole_groups(),
-                },
-            )
-        except errors.RevisionConflict:
-            await self._catch_up(opened)
-        except errors.PlatformError as error:
-            LOG.warning(
-                'results not written: %s', error, extra={'batch': batch_id}
-            )
-        finally:
-            opened.written_at = anyio.current_time()
-            opened.writing = False
-
-    async def _catch_up(self, opened: _open.OpenBatch) -> None:
-        """List what another process has written of a batch."""
-        batch_id = opened.batch.batch_id
-        LOG.warning(
-            'another process runs the batch', extra={'batch': batch_id}
-        )
-        try:
-            chunks = await self._archive.read_results(batch_id)
-        except errors.PlatformError as error:
-            LOG.warning('results not read: %s', error)
-            return
-        for chunk in chunks[opened.chunks :]:
-            opened.list_chunk(chunk)
--- a/src/swiftjunction/coordination/_peer.py
+++ b/src/swiftjunction/coordination/_peer.py
@@ -20,9 +20,6 @@
 
 Answer = typing.TypeVar('Answer')
 
-# Failures at which no byte of the call can have left.
-_UNSENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
-
 
 class PeerClient:
     """Calls the peer at one address.
@@ -61,8 +58,13 @@
         """
         content = b'' if call is None else msgspec.msgpack.encode(call)
         try:
-            status, body = await self._send(path, content, timeout_seconds)
-        except _UNSENT as error:
+            status, body = await self._peers.peer(self._address).fetch(
+                'POST',
+                path,
+                content=content,
+                timeout_seconds=timeout_seconds,
+            )
+        except web.UNSENT_ERRORS as error:
             raise errors.PlatformUnavailable(
                 f'peer not reached: {error or type(error).__name__}',
                 step='peer',
@@ -76,18 +78,6 @@
             ) from error
         return self._decode(status, body, kind)
 
-    async def _send(
-        self, path: str, content: bytes, timeout_seconds: float
-    ) -> tuple[int, bytes]:
-        response = await self._peers.peer(self._address).send(
-            'POST', path, content=content, timeout_seconds=timeout_seconds
-        )
-        try:
-            body = b''.join([part async for part in response.aiter_raw()])
-        finally:
-            await response.aclose()
-        return response.status_code, body
-
     def _decode(self, status: int, body: bytes, kind: type[Answer]) -> Answer:
         try:
             if status == OK:
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -5,10 +5,8 @@
 import logging
 import random
 import time
-import typing
 
 import anyio
-import msgspec
 import starlette.requests
 import starlette.responses
 import starlette.types
@@ -18,6 +16,7 @@
 from swiftjunction import configuration
 from swiftjunction import coordination
 from swiftjunction import errors
+from swiftjunction.platform import _answers
 from swiftjunction.platform import _batches
 from swiftjunction.platform import _names
 from swiftjunction.platform import _settings
@@ -29,33 +28,13 @@
 
 Request = starlette.requests.Request
 Response = starlette.responses.Response
-Answer = typing.TypeVar('Answer')
 
-DEFAULT_TIMEOUT_SECONDS = 30.0
 # How long callers may keep the addresses that they were given.
 ADDRESS_SECONDS = 2.0
 MAX_WAIT_SECONDS = 1.0
 # Without an answer by this part of the time, another server is tried.
 ATTEMPT_SHARE = 0.5
 MIN_ATTEMPT_SECONDS = 0.4
-# Headers that concern one connection, or that this process sets itself.
-OWN_HEADERS = frozenset(
-    {
-        'connection',
-        'content-length',
-        'date',
-        'host',
-        'keep-alive',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        _names.ATTEMPT_ID,
-        _names.DEADLINE_MS,
-        _names.EXPECT_INSTANCE,
-    }
-)
 
 
 class Ingress:
@@ -148,7 +127,7 @@
         if not fronts:
             return Response(status_code=http.HTTPStatus.SERVICE_UNAVAILABLE)
         lifetime = min(ADDRESS_SECONDS, self._settings.max_address_seconds)
-        return _respond_json({'addresses': fronts, 'ttl_s': lifetime})
+        return _answers.respond_json({'addresses': fronts, 'ttl_s': lifetime})
 
     async def _serve_caller(self, request: Request, path: str) -> Response:
         started = time.monotonic()
@@ -159,7 +138,7 @@
             outcome = 'answered'
             self._note_answer(path, request_id, response, started)
         except errors.RequestError as error:
-            response = _respond_error(error)
+            response = _answers.respond_error(error)
             outcome = type(error).__name__
             LOG.info(
                 'request refused: %s',
@@ -232,7 +211,7 @@
     ) -> Response:
         arrived = anyio.current_time()
         body = await requests.read_body(request)
-        remaining_seconds = _read_timeout(request, route)
+        remaining_seconds = _answers.read_timeout(request, route)
         idempotent = route.kind is routes.RouteKind.IDEMPOTENT
         settings = configuration.PathSettings(
             service=route.draw_service(self._rng), request_class='live'
@@ -249,7 +228,7 @@
                 headers=[
                     (name, value)
                     for name, value in request.headers.items()
-                    if name not in OWN_HEADERS
+                    if name not in _answers.OWN_HEADERS
                 ],
                 timeout_seconds=0.0,
                 host=route.host,
@@ -263,7 +242,7 @@
         )
 
         async def work() -> Response:
-            return _relay(await self._run(call))
+            return _answers.relay(await self._run(call))
 
         return await requests.run_while_connected(request, work)
 
@@ -290,7 +269,7 @@
         service = route.draw_service(self._rng)
         batch = _batches.decode_submission(body, request_id, route, service)
         with self._metrics.measure(service, 'submit'):
-            await _translate(self._archive.create(batch))
+            await _answers.translate(self._archive.create(batch))
         LOG.info(
             'batch accepted',
             extra={
@@ -303,10 +282,14 @@
         return Response(status_code=http.HTTPStatus.ACCEPTED)
 
     async def _read_results(self, request: Request, batch_id: str) -> Response:
-        position = _read_number(request.query_params.get('after', ''), 0)
-        wait_ms = _read_number(request.headers.get(_names.WAIT_MS, ''), 0)
+        position = _answers.read_number(
+            request.query_params.get('after', ''), 0
+        )
+        wait_ms = _answers.read_number(
+            request.headers.get(_names.WAIT_MS, ''), 0
+        )
         wait_seconds = min(wait_ms / _names.MS_PER_SECOND, MAX_WAIT_SECONDS)
-        page = await _translate(
+        page = await _answers.translate(
             self._access.read_results(batch_id, position, wait_seconds)
         )
         return Response(
@@ -314,7 +297,9 @@
         )
 
     async def _read_body(self, batch_id: str, item_id: str) -> Response:
-        body = await _translate(self._access.read_body(batch_id, item_id))
+        body = await _answers.translate(
+            self._access.read_body(batch_id, item_id)
+        )
         if body is None:
             raise errors.RouteMissing(
                 f'batch {batch_id} has no open sample {item_id}', step='body'
@@ -322,7 +307,7 @@
         return Response(body, media_type='application/octet-stream')
 
     async def _end_batch(self, batch_id: str) -> Response:
-        await _translate(self._access.end(batch_id))
+        await _answers.translate(self._access.end(batch_id))
         LOG.info('batch end accepted', extra={'batch': batch_id})
         return Response(status_code=http.HTTPStatus.OK)
 
@@ -351,59 +336,3 @@
             LOG.exception('request failed here', extra={'path': scope['path']})
             response = Response(status_code=http.HTTPStatus.BAD_GATEWAY)
         await response(scope, receive, send)
-
-
-async def _translate(
-    work: collections.abc.Awaitable[Answer],
-) -> Answer:
-    """Return what `work` returns, with the store's errors as a caller's."""
-    try:
-        return await work
-    except errors.ObjectMissing as error:
-        raise errors.RouteMissing(error.message, step=error.step) from error
-    except errors.PlatformUnavailable as error:
-        raise errors.NotRun(error.message, step=error.step) from error
-    except errors.PlatformError as error:
-        raise errors.RequestTimeout(error.message, step=error.step) from error
-
-
-def _read_number(text: str, default: int) -> int:
-    return int(text) if text.isdecimal() else default
-
-
-def _read_timeout(request: Request, route: routes.Route) -> float:
-    """Return how long the request may be kept, in seconds."""
-    limits = [route.timeout_seconds] if route.timeout_seconds else []
-    given_ms = _read_number(request.headers.get(_names.DEADLINE_MS, ''), 0)
-    if given_ms:
-        limits.append(given_ms / _names.MS_PER_SECOND)
-    return min(limits, default=DEFAULT_TIMEOUT_SECONDS)
-
-
-def _respond_json(body: object) -> Response:
-    return Response(msgspec.json.encode(body), media_type='application/json')
-
-
-def _respond_error(error: errors.RequestError) -> Response:
-    status = error.status
-    if isinstance(error, errors.PoisonRefused):
-        # It may have run: no status that promises the contrary.
-        status = http.HTTPStatus.BAD_GATEWAY
-    response = Response(
-        msgspec.json.encode({'message': error.message}),
-        status_code=status,
-        media_type='application/json',
-    )
-    if isinstance(error, errors.NotRun):
-        response.headers[_names.RETRY_AFTER] = (
-            f'{error.retry_after_seconds:.2f}'
-        )
-    return response
-
-
-def _relay(answer: backends.ServiceAnswer) -> Response:
-    response = Response(answer.body, status_code=answer.status)
-    for name, value in answer.headers:
-        if name.lower() not in OWN_HEADERS:
-            response.headers.append(name, value)
-    return response
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -338,17 +338,3 @@
         return starlette.responses.Response(
             self._metrics.render(), media_type='text/plain; version=0.0.4'
         )
-
-
-def run_edge() -> int:
-    """Run the process until it is told to stop."""
-    path = _settings.find_file()
-    telemetry.set_up_logs(
-        'swiftjunction-edge', _settings.read_settings(path).name
-    )
-    anyio.run(_run, path)
-    return 0
-
-
-async def _run(path: pathlib.Path) -> None:
-    await EdgeProgram(path).run()
--- a/src/swiftjunction/platform/_store.py
+++ b/src/swiftjunction/platform/_store.py
@@ -17,8 +17,6 @@
 # A watch may end this much later than it was told to.
 WATCH_MARGIN_SECONDS = 2.0
 
-_UNSENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
-
 
 class _Metadata(msgspec.Struct):
     name: str = ''
@@ -155,18 +153,14 @@
     ) -> bytes:
         headers = [('content-type', 'application/json')] if content else []
         try:
-            response = await self._peers.peer(self.address).send(
+            status, body = await self._peers.peer(self.address).fetch(
                 method,
                 target,
                 headers=headers,
                 content=content,
                 timeout_seconds=timeout_seconds,
             )
-            try:
-                body = b''.join([part async for part in response.aiter_raw()])
-            finally:
-                await response.aclose()
-        except _UNSENT as error:
+        except web.UNSENT_ERRORS as error:
             raise errors.PlatformUnavailable(
                 f'cannot connect: {error or type(error).__name__}',
                 step=step,
@@ -176,9 +170,9 @@
             raise _lose_answer(
                 method, f'no answer: {error or type(error).__name__}', step
             ) from error
-        if response.is_success:
+        if status < http.HTTPStatus.MULTIPLE_CHOICES:
             return body
-        raise _describe_refusal(method, target, response.status_code, step)
+        raise _describe_refusal(method, target, status, step)
 
 
 def _lose_answer(method: str, message: str, step: str) -> errors.PlatformError:
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -13,6 +13,7 @@
 from swiftjunction import errors
 from swiftjunction.platform import _events
 from swiftjunction.platform import _names
+from swiftjunction.platform import _responses
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -22,11 +23,6 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Longest wait for one read of a stream; who reads it has a shorter one.
 STREAM_TIMEOUT_SECONDS = 30.0
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
-# Statuses by which a server promises that it has not run a request.
-PROMISES = frozenset({408, 421, 429, 503})
-
-_UNSENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
 class _Model(msgspec.Struct):
@@ -77,9 +73,9 @@
             call.host,
         )
         try:
-            _check_match(response, server, call.request_id)
-            _check_promise(response, server)
-            body = await _read_body(response, server)
+            _responses.check_match(response, server, call.request_id)
+            _responses.check_promise(response, server)
+            body = await _responses.read_body(response, server)
         finally:
             await response.aclose()
         answer = backends.ServiceAnswer(
@@ -89,7 +85,7 @@
             response.headers.get(_names.SIGNATURE, ''),
         )
         if answer.is_success and not answer.signature:
-            raise _broken('success without a signature', server)
+            raise _responses.broken('success without a signature', server)
         return answer
 
     async def is_crashed(self, server: backends.BackendServer) -> bool:
@@ -124,11 +120,13 @@
             host,
         )
         try:
-            _check_match(response, server, item.item_id)
-            _check_promise(response, server)
-            _check_sample(response, server)
-            reader = _events.EventReader(_read_version(response), server.name)
-            async for data in _read_parts(response, server):
+            _responses.check_match(response, server, item.item_id)
+            _responses.check_promise(response, server)
+            _responses.check_sample(response, server)
+            reader = _events.EventReader(
+                _responses.read_version(response), server.name
+            )
+            async for data in _responses.read_parts(response, server):
                 for event in reader.feed(data):
                     yield event
             reader.check_end()
@@ -140,11 +138,13 @@
     ) -> batches.EngineReport:
         status, body = await self._control(server, 'GET', _names.REPORT_PATH)
         if status != http.HTTPStatus.OK:
-            raise _broken(f'report answered {status}', server)
+            raise _responses.broken(f'report answered {status}', server)
         try:
             report = msgspec.json.decode(body, type=_Report)
         except (msgspec.MsgspecError, ValueError) as error:
-            raise _broken(f'report not understood: {error}', server) from error
+            raise _responses.broken(
+                f'report not understood: {error}', server
+            ) from error
         return batches.EngineReport(
             {model.name: model.version for model in report.models},
             report.busy,
@@ -187,7 +187,7 @@
                 raise errors.BackendRefused(
                     f'order answered {status}', step='order', peer=server.name
                 )
-        raise _broken(f'order answered {status}', server)
+        raise _responses.broken(f'order answered {status}', server)
 
     async def _control(
         self,
@@ -208,11 +208,11 @@
                 peers=self._control_peers,
             )
             try:
-                body = await _read_body(response, server)
+                body = await _responses.read_body(response, server)
             finally:
                 await response.aclose()
             return response.status_code, body
-        raise _broken('no answer in time', server)
+        raise _responses.broken('no answer in time', server)
 
     async def _send(
         self,
@@ -235,7 +235,7 @@
                 )
 
         peer = (peers or self._peers).peer(server.address)
-        try:
+        with backends.translate_errors('call', server.name):
             return await peer.send(
                 method,
                 target,
@@ -246,107 +246,3 @@
                 connect_seconds=CONNECT_TIMEOUT_SECONDS,
                 check=check,
             )
-        except _UNSENT as error:
-            raise errors.BackendUnreachable(
-                f'cannot connect: {error or type(error).__name__}',
-                step='call',
-                peer=server.name,
-            ) from error
-        except (httpx.HTTPError, httpx.StreamError) as error:
-            raise _broken(
-                f'no answer: {error or type(error).__name__}', server
-            ) from error
-
-
-def _broken(
-    message: str, server: backends.BackendServer
-) -> errors.AnswerBroken:
-    return errors.AnswerBroken(message, step='call', peer=server.name)
-
-
-def _check_match(
-    response: httpx.Response, server: backends.BackendServer, request_id: str
-) -> None:
-    """Raise ``AnswerBroken`` where it is the answer of another request.
-
-    A server may send a second answer behind the first. Only a refusal may
-    come without the request's id.
-    """
-    answered = response.headers.get(_names.ATTEMPT_ID, '')
-    if not answered and _is_promise(response):
-        return
-    if answered != request_id:
-        raise _broken(f'answer of another request: {answered!r}', server)
-
-
-def _is_promise(response: httpx.Response) -> bool:
-    return (
-        response.status_code == http.HTTPStatus.MISDIRECTED_REQUEST
-        or _names.NOT_EXECUTED in response.headers
-    )
-
-
-def _check_promise(
-    response: httpx.Response, server: backends.BackendServer
-) -> None:
-    """Raise ``BackendRefused`` where the server has not run the request."""
-    status = response.status_code
-    if status == http.HTTPStatus.MISDIRECTED_REQUEST:
-        if response.headers.get(_names.INSTANCE_ID) != server.name:
-            server.note_leaving()
-        raise errors.BackendRefused(
-            'another server has the address', step='call', peer=server.name
-        )
-    if response.headers.get(_names.NOT_EXECUTED):
-        raise errors.BackendRefused(
-            f'refused with {status}', step='call', peer=server.name
-        )
-    if status in PROMISES:
-        raise _broken(f'answered {status} without a promise', server)
-
-
-def _check_sample(
-    response: httpx.Response, server: backends.BackendServer
-) -> None:
-    status = response.status_code
-    if status == http.HTTPStatus.OK:
-        return
-    message = f'sample answered {status}'
-    match status:
-        case http.HTTPStatus.UNPROCESSABLE_ENTITY:
-            kind: type[errors.BackendError] = errors.SampleRefused
-        case http.HTTPStatus.INTERNAL_SERVER_ERROR:
-            kind = errors.SampleFailed
-        case _:
-            kind = errors.AnswerBroken
-    raise kind(message, step='generate', peer=server.name)
-
-
-def _read_version(response: httpx.Response) -> int:
-    text = response.headers.get(_names.WEIGHT_VERSIONS, '')
-    return int(text) if text.isdecimal() else 0
-
-
-async def _read_parts(
-    response: httpx.Response, server: backends.BackendServer
-) -> collections.abc.AsyncGenerator[bytes, None]:
-    try:
-        async for part in response.aiter_raw():
-            yield part
-    except (httpx.HTTPError, httpx.StreamError) as error:
-        raise _broken(
-            f'answer broke off: {error or type(error).__name__}', server
-        ) from error
-
-
-async def _read_body(
-    response: httpx.Response, server: backends.BackendServer
-) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    async for part in _read_parts(response, server):
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise _broken(f'answer over {MAX_ANSWER_BYTES} bytes', server)
-        parts.append(part)
-    return b''.join(parts)
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -9,6 +9,7 @@
 from swiftjunction.web._calling import Peer
 from swiftjunction.web._calling import PeerClients
 from swiftjunction.web._calling import SEND_EVENT
+from swiftjunction.web._calling import UNSENT_ERRORS
 from swiftjunction.web._serving import bind_socket
 from swiftjunction.web._serving import Listener
 from swiftjunction.web._serving import open_listener
@@ -25,6 +26,7 @@
     'SEND_EVENT',
     'TlsContexts',
     'TlsFiles',
+    'UNSENT_ERRORS',
     'bind_socket',
     'connect_client',
     'describe_error',
--- a/src/swiftjunction/web/_calling.py
+++ b/src/swiftjunction/web/_calling.py
@@ -11,6 +11,9 @@
 # What httpcore calls the moment before the first byte.
 SEND_EVENT = 'http11.send_request_headers.started'
 
+# Failures at which no byte of a request can have left.
+UNSENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
 Headers = collections.abc.Sequence[tuple[str, str]]
 
 
@@ -129,6 +132,29 @@
         )
         return await self._transport.handle_async_request(request)
 
+    async def fetch(
+        self,
+        method: str,
+        target: str,
+        *,
+        headers: Headers = (),
+        content: bytes = b'',
+        timeout_seconds: float = 10.0,
+    ) -> tuple[int, bytes]:
+        """Send one request; return the status and the whole body."""
+        response = await self.send(
+            method,
+            target,
+            headers=headers,
+            content=content,
+            timeout_seconds=timeout_seconds,
+        )
+        try:
+            body = b''.join([part async for part in response.aiter_raw()])
+        finally:
+            await response.aclose()
+        return response.status_code, body
+
     async def close(self) -> None:
         """Close the idle connections."""
         await self._transport.aclose()
