--- a/src/swiftjunction/commands/_configuration.py
+++ b/src/swiftjunction/commands/_configuration.py
@@ -2,23 +2,19 @@
 
 import getpass
 import time
-import tomllib
 import typing
 import uuid
 
 import cleo.helpers
-import msgspec
 
 from swiftjunction.commands import _conductor
-from swiftjunction import configuration
+from swiftjunction.commands import _paths
 from swiftjunction import errors
 
 SEND_ATTEMPTS = 4
 RETRY_SECONDS = 1.0
 WATCH_INTERVAL_SECONDS = 0.5
 
-Paths = dict[str, typing.Any]
-
 TEAM = cleo.helpers.argument('team', 'The team.')
 
 
@@ -29,13 +25,13 @@
         """Return the newest subtree and its version."""
         return self.call_conductor('GET', f'/v1/configuration/{team}')
 
-    def read_revision(self, team: str, revision: int) -> Paths:
+    def read_revision(self, team: str, revision: int) -> _paths.Paths:
         """Return the paths of a team as of a revision."""
         url = f'/v1/configuration/{team}/history/{revision}'
         return self.call_conductor('GET', url)['subtree']['paths']
 
     def send_change(
-        self, team: str, seen: dict[str, typing.Any], paths: Paths
+        self, team: str, seen: dict[str, typing.Any], paths: _paths.Paths
     ) -> None:
         """Send a change until its outcome is known, and show the outcome.
 
@@ -72,43 +68,6 @@
         )
 
 
-def format_paths(paths: Paths) -> list[str]:
-    """Return a line for each path."""
-    return [
-        f'  {path:<30} ' + ', '.join(f'{k} = {v!r}' for k, v in found.items())
-        for path, found in sorted(paths.items())
-    ]
-
-
-def format_changes(old: Paths, new: Paths) -> list[str]:
-    """Return a line for each setting that differs."""
-    lines = []
-    for path in sorted({*old, *new}):
-        before, after = old.get(path, {}), new.get(path, {})
-        for key in sorted({*before, *after}):
-            if before.get(key) == after.get(key):
-                continue
-            if key in before:
-                lines.append(f'- {path} {key} = {before[key]!r}')
-            if key in after:
-                lines.append(f'+ {path} {key} = {after[key]!r}')
-        if before == after == {} and (path in old) != (path in new):
-            lines.append(f'{"-" if path in old else "+"} {path}')
-    return lines
-
-
-def replace_paths(old: Paths, new: Paths) -> Paths:
-    """Return the change that turns `old` into `new`; None removes a path."""
-    return {
-        **{
-            path: found
-            for path, found in new.items()
-            if old.get(path) != found
-        },
-        **{path: None for path in old if path not in new},
-    }
-
-
 class ConfigGetCommand(_ConfigCommand):
     """Shows a team's settings."""
 
@@ -124,7 +83,9 @@
             f'{answer["in_force"]}, changed by {subtree["changed_by"]} at '
             f'{subtree["changed_at"]}'
         )
-        self.show(answer, '\n'.join([head, *format_paths(subtree['paths'])]))
+        self.show(
+            answer, '\n'.join([head, *_paths.format_paths(subtree['paths'])])
+        )
         return 0
 
 
@@ -150,7 +111,7 @@
             if not separator:
                 raise errors.SettingsError([f'{pair!r}: must be key=value'])
             if value:
-                merged[key] = _read_value(value)
+                merged[key] = _paths.read_value(value)
             else:
                 merged.pop(key, None)
         self.send_change(team, seen, {path: merged})
@@ -174,14 +135,14 @@
 
     def handle(self) -> int:
         team = self.argument('team')
-        wanted = _read_paths(self.argument('file'))
+        wanted = _paths.read_paths(self.argument('file'))
         seen = self.read_team(team)
         held = seen['subtree']['paths']
         if self.option('keep'):
             wanted = {**held, **wanted}
-        changes = replace_paths(held, wanted)
+        changes = _paths.replace_paths(held, wanted)
         if self.option('dry-run') or not changes:
-            lines = format_changes(held, wanted)
+            lines = _paths.format_changes(held, wanted)
             self.show(changes, '\n'.join(lines) or 'nothing to change')
             return 0
         self.send_change(team, seen, changes)
@@ -203,15 +164,15 @@
 
     def handle(self) -> int:
         team = self.argument('team')
-        new = _read_number(self.argument('new'))
+        new = _paths.read_number(self.argument('new'))
         if new is None:
             new = self.read_team(team)['subtree']['revision']
-        old = _read_number(self.argument('old'))
+        old = _paths.read_number(self.argument('old'))
         before = self.read_revision(
             team, max(0, new - 1) if old is None else old
         )
         after = self.read_revision(team, new)
-        lines = format_changes(before, after)
+        lines = _paths.format_changes(before, after)
         self.show(
             {'old': before, 'new': after}, '\n'.join(lines) or 'no difference'
         )
@@ -253,11 +214,11 @@
 
     def handle(self) -> int:
         team = self.argument('team')
-        revision = _read_number(self.argument('revision'))
+        revision = _paths.read_number(self.argument('revision'))
         assert revision is not None, 'cleo requires the argument'
         seen = self.read_team(team)
         wanted = self.read_revision(team, revision)
-        changes = replace_paths(seen['subtree']['paths'], wanted)
+        changes = _paths.replace_paths(seen['subtree']['paths'], wanted)
         if not changes:
             self.show({}, f'{team} is already as in revision {revision}')
             return 0
@@ -278,7 +239,7 @@
 
     def handle(self) -> int:
         team = self.argument('team')
-        left = _read_number(self.option('changes'))
+        left = _paths.read_number(self.option('changes'))
         seen = self._read_in_force(team)
         paths = self.read_revision(team, seen)
         while left is None or left > 0:
@@ -287,7 +248,10 @@
             if revision <= seen:
                 continue
             new = self.read_revision(team, revision)
-            lines = [f'revision {revision}', *format_changes(paths, new)]
+            lines = [
+                f'revision {revision}',
+                *_paths.format_changes(paths, new),
+            ]
             self.show({'revision': revision, 'paths': new}, '\n'.join(lines))
             seen, paths = revision, new
             left = left - 1 if left is not None else None
@@ -322,31 +286,6 @@
         return 0
 
 
-def _read_value(text: str) -> typing.Any:
-    try:
-        return msgspec.json.decode(text)
-    except msgspec.DecodeError:
-        return text
-
-
-def _read_number(text: str | None) -> int | None:
-    if text is None:
-        return None
-    if not text.isdigit():
-        raise errors.SettingsError([f'{text!r}: must be a whole number'])
-    return int(text)
-
-
-def _read_paths(file: str) -> Paths:
-    try:
-        with open(file, 'rb') as opened:
-            raw = tomllib.load(opened)
-        msgspec.convert(raw, dict[str, configuration.PathSettings])
-    except (OSError, tomllib.TOMLDecodeError, msgspec.MsgspecError) as error:
-        raise errors.SettingsError([f'{file}: {error}']) from error
-    return raw
-
-
 COMMANDS = (
     ConfigGetCommand,
     ConfigSetCommand,
--- a/src/swiftjunction/steps/_ledger.py
+++ b/src/swiftjunction/steps/_ledger.py
@@ -16,6 +16,7 @@
 
 from swiftjunction import errors
 from swiftjunction import objectstore
+from swiftjunction.steps import _head
 from swiftjunction.steps import _step
 
 LOG = logging.getLogger(__name__)
@@ -31,40 +32,6 @@
 SEALED_SAMPLES = 1024
 
 
-class Head(msgspec.Struct, frozen=True, omit_defaults=True):
-    """The object that says how far a step is and who owns it.
-
-    Attributes
-    ----------
-    writer : str
-        The run of the process that wrote it; unlike `owner` it is another
-        one after a restart.
-    serial : int
-        Counts the changes of this writer.
-    expires_at : float
-        Deadline of the step, in Unix seconds.
-    parts : list of str
-        Objects that hold the specification, in order.
-    sealed : int
-        How many objects of ``SEALED_SAMPLES`` begin the order of delivery.
-    tail : list of int
-        The rest of that order, as indices of samples.
-    missing : int
-        In an ended step, the samples that its trainer did not acknowledge.
-    """
-
-    owner: str
-    writer: str
-    serial: int = 0
-    ended: bool = False
-    expires_at: float = 0.0
-    parts: list[str] = []
-    sealed: int = 0
-    tail: list[int] = []
-    acknowledged: int = 0
-    missing: int = 0
-
-
 class Ledger:
     """The ledger of one step, as its owner extends it.
 
@@ -99,7 +66,7 @@
         self._store = store
         self._owner = owner
         self._writer = uuid.uuid4().hex
-        self._head = Head(owner, self._writer)
+        self._head = _head.Head(owner, self._writer)
         self._version = 0
         self.calls = 0
         self.step_id = step_id
@@ -122,7 +89,7 @@
             key = f'{self._prefix()}spec-{self._writer}-{len(parts)}'
             await self._create(key, data[start : start + MAX_PART_BYTES])
             parts.append(key)
-        head = Head(
+        head = _head.Head(
             self._owner, self._writer, expires_at=expires_at, parts=parts
         )
         try:
@@ -165,7 +132,7 @@
             If another process owns the step by now.
         """
         await self._replace(
-            Head(
+            _head.Head(
                 self._owner,
                 self._writer,
                 ended=True,
@@ -209,7 +176,7 @@
         harm: what is written next is on the condition of its version.
         """
         found = await self._read(self._key())
-        head = _decode_running(found, self.step_id)
+        head = _head.decode_running(found, self.step_id)
         data = b''.join([(await self._read(key)).value for key in head.parts])
         step = _step.Step(msgspec.json.decode(data, type=_step.StepSpec))
         step.expires_at = head.expires_at
@@ -233,12 +200,12 @@
             As :meth:`take_over`.
         """
         found = await self._read(self._key())
-        return _decode_running(found, self.step_id).owner
+        return _head.decode_running(found, self.step_id).owner
 
     async def confirm(self) -> None:
         """Raise ``LeaseLost`` if another process owns the step by now."""
         found = await self._read(self._key())
-        if _decode_running(found, self.step_id).writer != self._writer:
+        if _head.decode_running(found, self.step_id).writer != self._writer:
             raise self._lost()
 
     async def erase(self) -> None:
@@ -284,7 +251,7 @@
             )
         self._head = head
 
-    async def _replace(self, head: Head, max_attempts: int = 0) -> None:
+    async def _replace(self, head: _head.Head, max_attempts: int = 0) -> None:
         """Make `head` the head if this process still owns the step."""
         serial = self._head.serial + 1
         head = msgspec.structs.replace(head, serial=serial)
@@ -329,7 +296,7 @@
         if found.version <= self._version:
             # Read from an old copy.
             return False
-        head = objectstore.decode_value(found, Head)
+        head = objectstore.decode_value(found, _head.Head)
         if head.writer != self._writer or head.ended or not closing:
             raise self._lost()
         # A change of this run whose call was cancelled and took effect: the
@@ -380,15 +347,3 @@
                 await self._store.delete(key, found.version)
             except errors.PlatformError as error:
                 LOG.info('%s left behind: %s', key, error)
-
-
-def _decode_running(found: objectstore.Object, step_id: str) -> Head:
-    head = objectstore.decode_value(found, Head)
-    if not head.ended:
-        return head
-    if head.missing:
-        raise errors.StepIncomplete(
-            f'step {step_id} ended without {head.missing} of its samples',
-            step='read ledger',
-        )
-    raise errors.StepEnded(f'step {step_id} has ended', step='read ledger')
