Test the adapter's formats and the store client against the stand-in

Cause: events, entries, submissions, settings and the store's refusals were tested only through the whole path.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures and fakes that the tests share."""
 
+import random
+
 import anyio
 import httpx
 import hypothesis
@@ -153,3 +155,8 @@
 @pytest.fixture
 def clock():
     return Clock()
+
+
+@pytest.fixture
+def rng():
+    return random.Random(1)
--- /dev/null
+++ b/tests/cover/test_platform_adapter.py
@@ -0,0 +1,296 @@
+"""The platform's formats, decoded once."""
+
+import base64
+import json
+
+import anyio
+import pytest
+
+from swiftjunction import errors
+from swiftjunction import objectstore
+from swiftjunction.platform import _batches
+from swiftjunction.platform import _entries
+from swiftjunction.platform import _events
+from swiftjunction.platform import _settings
+from swiftjunction.platform import _store
+from swiftjunction import routes
+from swiftjunction import standins
+from swiftjunction import web
+from tests import platformworld
+
+
+def make_object(key, value):
+    return objectstore.Object(key, 1, json.dumps(value).encode())
+
+
+class TestEvents:
+    def read(self, *parts):
+        reader = _events.EventReader(3, 'e')
+        events = [event for part in parts for event in reader.feed(part)]
+        reader.check_end()
+        return [(event.number, event.data, event.version) for event in events]
+
+    def test_events_may_come_in_any_pieces(self):
+        data = b'id: 0\ndata: a\n\nid: 1\ndata: b\n\n'
+        expected = [(0, 'a', 3), (1, 'b', 3)]
+        assert self.read(data) == expected
+        assert self.read(*(data[i : i + 1] for i in range(len(data)))) == (
+            expected
+        )
+
+    def test_a_version_holds_until_the_next_one(self):
+        assert self.read(
+            b'id: 0\ndata: a\n\n',
+            b'swiftjunction-weight-versions: 4\nid: 1\ndata: b\n\n',
+            b'id: 2\ndata: c\n\n',
+        ) == [(0, 'a', 3), (1, 'b', 4), (2, 'c', 4)]
+
+    def test_data_of_several_lines_is_joined(self):
+        assert self.read(b'id: 0\ndata: a\ndata: b\n\n') == [(0, 'a\nb', 3)]
+
+    @pytest.mark.parametrize('tail', [b'id: 1', b'id: 1\ndata: x\n'])
+    def test_a_stream_that_ends_within_an_event_is_broken(self, tail):
+        with pytest.raises(errors.AnswerBroken):
+            self.read(b'id: 0\ndata: a\n\n', tail)
+
+    @pytest.mark.parametrize('data', [b'id: x\n\n', b'\xff\n\n'])
+    def test_an_event_that_cannot_be_read_is_broken(self, data):
+        with pytest.raises(errors.AnswerBroken):
+            self.read(data)
+
+
+class TestRoutes:
+    def decode(self, config):
+        return _entries.decode_routes(make_object('config/main', config))
+
+    def test_the_longest_prefix_is_found(self):
+        config = platformworld.make_config()
+        longer = dict(config['routes'][0], name='longer')
+        longer['path_prefix'] = '/plain/more/'
+        config['routes'].append(longer)
+        table = self.decode(config)
+        host = platformworld.HOST
+        assert table.find(host, '/plain/more/x').name == 'longer'
+        assert table.find(host, '/plain/x').name == 'plain'
+        assert table.find('other', '/plain/x') is None
+        assert table.find(host, '/') is None
+
+    def test_times_and_kinds_are_in_our_units(self):
+        route = self.decode(platformworld.make_config()).find(
+            platformworld.HOST, '/samples/x'
+        )
+        assert route.kind is routes.RouteKind.BATCH
+        assert (route.due_seconds, route.max_age_seconds) == (7.5, 40.0)
+
+    def test_what_is_not_known_must_not_run_twice(self):
+        config = platformworld.make_config()
+        config['routes'][0]['kind'] = 'new'
+        route = self.decode(config).find(platformworld.HOST, '/plain/x')
+        assert route.kind is routes.RouteKind.ONCE
+
+    def test_a_split_route_draws_by_weight(self, rng):
+        config = platformworld.make_config()
+        config['routes'][0]['backends'] = [
+            {'service': 'a', 'weight': 90},
+            {'service': 'b', 'weight': 10},
+        ]
+        route = self.decode(config).find(platformworld.HOST, '/plain/x')
+        drawn = [route.draw_service(rng) for _ in range(1000)]
+        assert 850 < drawn.count('a') < 950
+
+    @pytest.mark.parametrize('config', [5, {}, {'version': 'x', 'routes': []}])
+    def test_a_configuration_that_cannot_be_read_is_broken(self, config):
+        with pytest.raises(errors.ObjectBroken):
+            self.decode(config)
+
+    def test_an_older_version_is_never_put_in_force(self):
+        book = routes.RouteBook()
+        assert book.take(self.decode(platformworld.make_config(5)))
+        assert not book.take(self.decode(platformworld.make_config(4)))
+        assert not book.take(self.decode(platformworld.make_config(5)))
+        assert book.version == 5
+
+
+class TestBatches:
+    def make_route(self):
+        table = _entries.decode_routes(
+            make_object('config/main', platformworld.make_config())
+        )
+        return table.find(platformworld.HOST, '/samples/x')
+
+    def decode(self, submission, batch_id='b1'):
+        body = json.dumps(submission).encode()
+        return _batches.decode_submission(
+            body, batch_id, self.make_route(), 'engines'
+        )
+
+    def test_a_submission_is_decoded_with_its_scorers(self):
+        batch = self.decode(platformworld.make_batch(1, 1, min_version=4))
+        (item,) = batch.items
+        assert (batch.total, batch.min_version) == (1, 4)
+        assert (item.target, item.body) == ('/samples/0/0?q=1', b'prompt')
+        assert item.scorer.body == b'text'
+        assert item.expected_tokens == 100.0
+
+    def test_a_hint_is_the_expected_length(self):
+        submission = platformworld.make_batch(1, 1)
+        headers = submission['items'][0]['headers']
+        headers['Swiftjunction-Length-Hint'] = '37'
+        (item,) = self.decode(submission).items
+        assert item.expected_tokens == 37.0
+        headers['Swiftjunction-Length-Hint'] = 'many'
+        (item,) = self.decode(submission).items
+        assert item.expected_tokens == 100.0
+
+    @pytest.mark.parametrize(
+        ('change', 'named'),
+        [
+            ({'items': 5}, '$.items'),
+            ({'min_version': 'x'}, '$.min_version'),
+            ({'items': [{'id': 'a'}]}, '$.items[0]'),
+            ({'items': [{'id': 'a', 'path': '/', 'body': '*'}]}, 'a'),
+        ],
+    )
+    def test_a_wrong_field_is_named(self, change, named):
+        with pytest.raises(errors.RequestInvalid) as caught:
+            self.decode({**platformworld.make_batch(), **change})
+        assert named in caught.value.message
+
+    def test_a_submission_without_an_id_is_refused(self):
+        with pytest.raises(errors.RequestInvalid):
+            self.decode(platformworld.make_batch(), batch_id='')
+
+    def test_a_body_of_any_bytes_is_kept(self):
+        submission = platformworld.make_batch(1, 1)
+        data = bytes(range(256))
+        submission['items'][0]['body'] = base64.b64encode(data).decode()
+        assert self.decode(submission).items[0].body == data
+
+
+class TestSettings:
+    LINES = [
+        'node_name=vm-1',
+        'ip=10.0.0.1',
+        'zone=z',
+        'region=r',
+        'port_range=7000,7010',
+        'provider.address=10.0.0.9:80',
+        'not a pair',
+        'some.new.key=5',
+    ]
+
+    def read(self, tmp_path, *more):
+        path = tmp_path / 'local.conf'
+        path.write_text('\n'.join([*self.LINES, *more]))
+        return _settings.read_settings(path)
+
+    def test_keys_that_are_not_known_are_passed_over(self, tmp_path):
+        settings = self.read(tmp_path, 'bounds.lease_ms=2500')
+        assert settings.name == 'vm-1'
+        assert settings.peer_port == 7000
+        assert settings.lease_seconds == 2.5
+
+    @pytest.mark.parametrize(
+        ('line', 'key'),
+        [
+            ('bounds.grace_s=soon', 'bounds.grace_s'),
+            ('port_range=a,b', 'port_range'),
+            ('ip=', 'ip'),
+        ],
+    )
+    def test_a_wrong_value_is_named_with_its_key(self, tmp_path, line, key):
+        with pytest.raises(errors.SettingsError) as caught:
+            self.read(tmp_path, line)
+        assert key in str(caught.value)
+
+    def test_a_file_that_is_not_there_is_named(self, tmp_path):
+        with pytest.raises(errors.SettingsError) as caught:
+            _settings.read_settings(tmp_path / 'none')
+        assert 'none' in str(caught.value)
+
+
+@pytest.mark.anyio
+class TestStore:
+    @pytest.fixture
+    async def served(self):
+        standin = standins.PlatformStoreStandin()
+        listener = web.open_listener('127.0.0.1', 0)
+        clients = web.PeerClients()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(standins.host, listener, standin)
+            yield standin, _store.PlatformStore(clients, listener.address)
+            await clients.close()
+            tasks.cancel_scope.cancel()
+
+    async def test_writes_are_conditional(self, served):
+        _, store = served
+        made = await store.create('k/a', b'{"x":1}')
+        with pytest.raises(errors.RevisionConflict):
+            await store.create('k/a', b'{"x":2}')
+        changed = await store.update('k/a', b'{"x":2}', made)
+        with pytest.raises(errors.RevisionConflict):
+            await store.update('k/a', b'{"x":3}', made)
+        found = await store.read('k/a')
+        assert (found.version, json.loads(found.value)) == (changed, {'x': 2})
+        with pytest.raises(errors.RevisionConflict):
+            await store.delete('k/a', made)
+        await store.delete('k/a', changed)
+        with pytest.raises(errors.ObjectMissing):
+            await store.read('k/a')
+
+    async def test_a_list_has_all_pages(self, served):
+        standin, store = served
+        standin.page_items = 3
+        for number in range(8):
+            standin.put('k', f'{number}', {})
+        found = await store.list('k/')
+        assert [item.key for item in found.changed] == [
+            f'k/{number}' for number in range(8)
+        ]
+
+    async def test_a_watch_tells_of_changes_and_deletions(self, served):
+        standin, store = served
+        standin.put('k', 'a', {})
+        listed = await store.list('k/')
+        standin.put('k', 'b', {})
+        standin.remove('k', 'a')
+        standin.put('other', 'c', {})
+        found = await store.watch('k/', listed.revision, 1.0)
+        assert [item.key for item in found.changed] == ['k/b']
+        assert found.deleted == ['k/a']
+
+    async def test_a_watch_from_a_forgotten_revision_is_told(self, served):
+        standin, store = served
+        standin.put('k', 'a', {})
+        listed = await store.list('k/')
+        standin.put('k', 'b', {})
+        standin.forget()
+        with pytest.raises(errors.HistoryLost):
+            await store.watch('k/', listed.revision, 1.0)
+
+    @pytest.mark.parametrize('fault', ['busy', 'many'])
+    async def test_a_refusal_changes_nothing(self, served, fault):
+        standin, store = served
+        standin.faults.set(fault, 1)
+        with pytest.raises(errors.PlatformUnavailable):
+            await store.create('k/a', b'1')
+        assert not standin.list_names('k')
+
+    @pytest.mark.parametrize(('fault', 'kept'), [('lost', 1), ('dropped', 0)])
+    async def test_a_write_without_an_answer_is_uncertain(
+        self, served, fault, kept
+    ):
+        standin, store = served
+        standin.faults.set(fault, 1)
+        with pytest.raises(errors.WriteUncertain):
+            await store.create('k/a', b'1')
+        assert len(standin.list_names('k')) == kept
+
+    async def test_a_status_leaves_the_rest_as_it_is(self, served):
+        standin, store = served
+        standin.put('k', 'a', {'x': 1})
+        found = await store.read('k/a')
+        await store.write_status('k/a', b'{"state":"done"}', found.version)
+        entry = standin.get('k', 'a')
+        assert entry['spec'] == {'x': 1}
+        assert entry['status'] == {'state': 'done'}
