Let runs end before a load where one version must make a sample

And `target_groups` stood for the same outside of the adapter.

Change: engines are ordered to let runs end first (`wait`) while a batch of such a route is open for the model; else runs go on as before. The field is `wanted_groups` in the project.

--- a/src/swiftjunction/batches/_batch.py
+++ b/src/swiftjunction/batches/_batch.py
@@ -56,7 +56,7 @@
         Whose engines run it.
     min_version : int
         The oldest weight version that may make any token of it.
-    target_groups : int
+    wanted_groups : int
         How many whole groups its trainer waits for.
     max_attempts : int
         Failed runs after which a sample may be given up.
@@ -80,7 +80,7 @@
     step: int = 0
     min_version: int = 0
     single_version: bool = False
-    target_groups: int = 0
+    wanted_groups: int = 0
     due_seconds: float = 0.0
     max_age_seconds: float = 0.0
     max_attempts: int = 1
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -227,7 +227,7 @@
 
     def is_satisfied(self) -> bool:
         """Tell whether its trainer has as many whole groups as it wants."""
-        wanted = self.batch.target_groups
+        wanted = self.batch.wanted_groups
         return bool(wanted) and self.count_whole_groups() >= wanted
 
     async def read(self, position: int, wait_seconds: float) -> Page:
--- a/src/swiftjunction/batches/_planning.py
+++ b/src/swiftjunction/batches/_planning.py
@@ -150,7 +150,7 @@
         groups.setdefault(progress.item.group, []).append(progress)
     for group in groups.values():
         group.sort(key=lambda p: -p.item.expected_tokens)
-    wanted = opened.batch.target_groups - opened.count_whole_groups()
+    wanted = opened.batch.wanted_groups - opened.count_whole_groups()
     spare = _find_spare(groups, wanted, opened.carried)
     return sorted(
         groups.values(),
--- a/src/swiftjunction/batches/_rollout.py
+++ b/src/swiftjunction/batches/_rollout.py
@@ -73,6 +73,9 @@
         This VM.
     metrics : Metrics
         Counts orders.
+    must_finish : callable
+        Tells whether samples of a model that run have to end before another
+        version is loaded.
 
     Attributes
     ----------
@@ -86,6 +89,7 @@
         '_engines',
         '_holder',
         '_metrics',
+        '_must_finish',
         '_under_way',
         'targets',
     )
@@ -97,12 +101,14 @@
         assignment: _assignment.Assignment,
         holder: str,
         metrics: telemetry.Metrics,
+        must_finish: collections.abc.Callable[[str], bool],
     ) -> None:
         self._engines = engines
         self._client = client
         self._assignment = assignment
         self._holder = holder
         self._metrics = metrics
+        self._must_finish = must_finish
         self._under_way: set[str] = set()
         self.targets: dict[str, int] = {}
 
@@ -226,7 +232,12 @@
         # since is counted here.
         engine.orders = max(engine.orders, orders)
         order = _engine.VersionOrder(
-            model, target, self._holder, lease.token, engine.orders
+            model,
+            target,
+            self._holder,
+            lease.token,
+            engine.orders,
+            keeps_running=not self._must_finish(model),
         )
         lease.check(CALL_TIMEOUT_SECONDS)
         self._metrics.count('orders')
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -191,6 +191,14 @@
         self.wake()
         return opened
 
+    def needs_single_version(self, model: str) -> bool:
+        """Tell whether one version must make each sample of a model."""
+        return any(
+            opened.batch.single_version and opened.batch.model == model
+            for opened in self.batches.values()
+            if not opened.ended
+        )
+
     def _note_group(self, group: str) -> None:
         if len(self._seen_groups) >= MAX_SEEN_GROUPS:
             self._seen_groups.pop(next(iter(self._seen_groups)))
@@ -210,7 +218,7 @@
                 'batch': opened.batch.batch_id,
                 'listed': len(opened.results),
                 'whole_groups': opened.count_whole_groups(),
-                'wanted_groups': opened.batch.target_groups,
+                'wanted_groups': opened.batch.wanted_groups,
             },
         )
 
--- a/src/swiftjunction/batches/_writing.py
+++ b/src/swiftjunction/batches/_writing.py
@@ -33,7 +33,7 @@
     finished = {result.item_id for result in opened.finished}
     open_groups = opened.list_open_groups(finished)
     whole_groups = len(opened.list_groups()) - len(open_groups)
-    if whole_groups >= opened.batch.target_groups > 0 and (
+    if whole_groups >= opened.batch.wanted_groups > 0 and (
         not opened.is_satisfied()
     ):
         # Its trainer waits for just this.
--- a/src/swiftjunction/platform/_batches.py
+++ b/src/swiftjunction/platform/_batches.py
@@ -82,7 +82,7 @@
         step=submission.step,
         min_version=submission.min_version,
         single_version=route.single_version,
-        target_groups=submission.target_groups,
+        wanted_groups=submission.target_groups,
         due_seconds=route.due_seconds,
         max_age_seconds=route.max_age_seconds,
         max_attempts=route.max_attempts,
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -141,7 +141,12 @@
         self._duty = coordination.CoordinatorDuty(
             self._runner,
             batches.VersionRollout(
-                engines, workers, assignment, settings.name, self._metrics
+                engines,
+                workers,
+                assignment,
+                settings.name,
+                self._metrics,
+                self._runner.needs_single_version,
             ),
             self._feeds,
             self._list_batch_services,
--- a/tests/cover/test_batches_planning.py
+++ b/tests/cover/test_batches_planning.py
@@ -14,7 +14,7 @@
     )
 
 
-def open_batch(items, target_groups=0, seen_at=0.0, carried=(), **fields):
+def open_batch(items, wanted_groups=0, seen_at=0.0, carried=(), **fields):
     batch = batches.Batch(
         batch_id=fields.pop('batch_id', 'b'),
         route='r',
@@ -23,7 +23,7 @@
         total=len(items),
         items=items,
         model='m',
-        target_groups=target_groups,
+        wanted_groups=wanted_groups,
         due_seconds=7.5,
         **fields,
     )
@@ -83,7 +83,7 @@
                 make_item('b1', 'b', 10.0),
                 make_item('b2', 'b', 10.0),
             ],
-            target_groups=2,
+            wanted_groups=2,
         )
         opened.left['b1'].running = True
         opened.left['b1'].began_at = 1.0
@@ -91,7 +91,7 @@
 
     async def test_the_longest_of_the_wanted_groups_begins_first(self):
         opened = open_batch(
-            [make_item('a', 'a', 5), make_item('b', 'b', 9)], target_groups=2
+            [make_item('a', 'a', 5), make_item('b', 'b', 9)], wanted_groups=2
         )
         assert list_ids(opened) == ['b', 'a']
 
@@ -102,14 +102,14 @@
                 make_item('b', 'b', 100),
                 make_item('c', 'c', 9),
             ],
-            target_groups=2,
+            wanted_groups=2,
         )
         assert list_ids(opened) == ['c', 'a', 'b']
 
     async def test_a_carried_group_is_never_one_to_do_without(self):
         opened = open_batch(
             [make_item('a', 'a', 5), make_item('b', 'b', 100)],
-            target_groups=1,
+            wanted_groups=1,
             carried={'b'},
         )
         assert list_ids(opened) == ['b', 'a']
@@ -117,11 +117,11 @@
     async def test_a_batch_that_has_its_groups_goes_last(self):
         done = open_batch(
             [make_item('a', 'a'), make_item('b', 'b')],
-            target_groups=1,
+            wanted_groups=1,
             seen_at=0.0,
         )
         done.list_chunk([batches.Result('a', complete=True)])
-        other = open_batch([make_item('c', 'c')], target_groups=1, seen_at=5.0)
+        other = open_batch([make_item('c', 'c')], wanted_groups=1, seen_at=5.0)
         assert list_ids(done, other) == ['c', 'b']
 
     async def test_an_ended_batch_is_passed_over(self):
@@ -364,7 +364,7 @@
 
     async def test_what_a_trainer_waits_for_is_written_at_once(self):
         opened = open_batch(
-            [make_item('a', 'a'), make_item('b', 'b')], target_groups=1
+            [make_item('a', 'a'), make_item('b', 'b')], wanted_groups=1
         )
         opened.written_at = 5.0
         opened.finish(batches.Result('b', complete=True))
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -491,6 +491,30 @@
         for engine in world.engines.values():
             assert [order['version'] for order in engine.orders] == [2]
 
+    async def test_running_samples_go_on_unless_one_version_must_make_them(
+        self, world
+    ):
+        async with world.run():
+            self.name(world, 2)
+            await self.wait_for(world, 2)
+            config = platformworld.make_config(2)
+            config['routes'][2]['single_version'] = True
+            world.store.put('config', 'main', config)
+            await anyio.sleep(0.3)
+            for engine in world.engines.values():
+                engine.faults.set('shed', 10_000)
+            await world.submit('vm-1', 'b1', platformworld.make_batch())
+            await anyio.sleep(0.3)
+            self.name(world, 3)
+            await self.wait_for(world, 3)
+            for engine in world.engines.values():
+                engine.faults.set('shed', 0)
+            results = await world.read_all('vm-1', 'b1', 4)
+        for engine in world.engines.values():
+            modes = [order['mode'] for order in engine.orders]
+            assert modes == ['retain', 'wait']
+        assert all(len(result['versions']) == 1 for result in results)
+
     async def test_samples_run_on_engines_that_are_new_enough(self, world):
         async with world.run():
             batch = platformworld.make_batch(min_version=2)
