An end that is acknowledged holds, whatever was held or learnt meanwhile

Change: at a conflict the object is read, and ended if it is not; a runner remembers which batches have ended.

--- a/src/swiftjunction/batches/_archive.py
+++ b/src/swiftjunction/batches/_archive.py
@@ -137,8 +137,8 @@
                 held.version,
             )
         except errors.RevisionConflict:
-            # Nothing but its end ever changes a batch.
-            LOG.info('batch was ended meanwhile', extra={'batch': batch_id})
+            # What was held is old. Only the object says whether it is ended.
+            await self.end(batch_id)
 
     async def append(
         self, batch_id: str, number: int, results: list[_batch.Result]
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -5,6 +5,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from swiftjunction.batches import _archive
 from swiftjunction.batches import _assignment
@@ -25,8 +26,8 @@
 DISPATCH_INTERVAL_SECONDS = 0.1
 MOVE_INTERVAL_SECONDS = 0.25
 READ_RETRY_SECONDS = 0.5
-# Groups that were once seen, over all trainers.
-MAX_SEEN_GROUPS = 16_384
+# Groups that were once seen, and batches that have ended, over all trainers.
+MAX_NAMES_SEEN = 16_384
 
 
 class BatchRunner:
@@ -57,6 +58,7 @@
         '_archive',
         '_assignment',
         '_checkpoints',
+        '_ended',
         '_engines',
         '_metrics',
         '_placement',
@@ -86,6 +88,7 @@
         self._metrics = metrics
         self._placement = _planning.Placement()
         self._seen_groups: dict[str, None] = {}
+        self._ended: dict[str, None] = {}
         self._stopping = False
         self._wake = anyio.Event()
         self.batches: dict[str, _open.OpenBatch] = {}
@@ -160,6 +163,9 @@
         held = self.batches.get(batch.batch_id)
         if held is not None:
             return held
+        if batch.batch_id in self._ended:
+            # Its end was learnt while its results were read.
+            batch = msgspec.structs.replace(batch, ended=True, items=[])
         opened = _open.OpenBatch(
             batch,
             anyio.current_time(),
@@ -169,7 +175,7 @@
         )
         self.batches[batch.batch_id] = opened
         for item in batch.items:
-            self._note_group(item.group)
+            self._note(self._seen_groups, item.group)
         restored = sum(
             self._checkpoints.kept.restore(progress, batch)
             for progress in opened.left.values()
@@ -199,13 +205,15 @@
             if not opened.ended
         )
 
-    def _note_group(self, group: str) -> None:
-        if len(self._seen_groups) >= MAX_SEEN_GROUPS:
-            self._seen_groups.pop(next(iter(self._seen_groups)))
-        self._seen_groups[group] = None
+    def _note(self, names: dict[str, None], name: str) -> None:
+        """Add a name to those that were seen last."""
+        if len(names) >= MAX_NAMES_SEEN:
+            names.pop(next(iter(names)))
+        names[name] = None
 
     def end(self, batch_id: str) -> None:
         """Stop a batch that is marked as ended on the object store."""
+        self._note(self._ended, batch_id)
         opened = self.batches.get(batch_id)
         if opened is None or opened.ended:
             return
--- a/tests/cover/test_batches_archive.py
+++ b/tests/cover/test_batches_archive.py
@@ -121,6 +121,18 @@
         await archive.end('b', held)
         assert (await archive.read('b')).batch.ended
 
+    async def test_an_end_is_kept_though_what_was_held_was_old(
+        self, store, archive
+    ):
+        # scale-2 of diurna-turneu: samples of a batch whose end was
+        # acknowledged ran on after all VMs had lost power.
+        await archive.create(make_batch())
+        held = await archive.read('b')
+        found = store.objects['batches/b']
+        store._put('batches/b', found.value)
+        await archive.end('b', held)
+        assert (await archive.read('b')).batch.ended
+
     async def test_a_deleted_batch_leaves_nothing(self, store, archive):
         await archive.create(make_batch())
         await archive.append('b', 0, [result('i0')])
