Relay live streams event by event, and resume them at another server

Cause: the platform's streaming routes were answered as plain requests: the whole answer was read before its first byte went on, so that each stream was late, and one that broke was lost.

Change: requests.StreamForwarder relays events as they come. Where the route may be resumed, a stream that breaks, or is silent for 1.2 s (callers give up after 2 s), goes on at another server after the last event that was relayed; an event there names its weight version where the caller knows another one. All other streams reach a second server only while none has run them, and end with a closed connection where they break. backends.StreamEvent takes the place of the batches' own type; what reads and checks an engine's events is one piece for samples and live streams.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -20,6 +20,11 @@
 from swiftjunction.backends._service import ServiceCall
 from swiftjunction.backends._service import ServiceCaller
 from swiftjunction.backends._service import ServiceClient
+from swiftjunction.backends._streams import NO_EVENT
+from swiftjunction.backends._streams import ServiceStream
+from swiftjunction.backends._streams import StreamCaller
+from swiftjunction.backends._streams import StreamEvent
+from swiftjunction.backends._streams import StreamPosition
 
 __all__ = [
     'BackendServer',
@@ -29,6 +34,7 @@
     'EngineClient',
     'EngineStatus',
     'LapseGuard',
+    'NO_EVENT',
     'ORDER_TIMEOUT_SECONDS',
     'Order',
     'OrderSender',
@@ -40,6 +46,10 @@
     'ServiceCall',
     'ServiceCaller',
     'ServiceClient',
+    'ServiceStream',
+    'StreamCaller',
+    'StreamEvent',
+    'StreamPosition',
     'read_load',
     'translate_errors',
 ]
--- a/src/swiftjunction/batches/__init__.py
+++ b/src/swiftjunction/batches/__init__.py
@@ -15,7 +15,6 @@
 from swiftjunction.batches._batch import Scorer
 from swiftjunction.batches._engine import EngineReport
 from swiftjunction.batches._engine import SampleEngine
-from swiftjunction.batches._engine import SampleEvent
 from swiftjunction.batches._engine import VersionOrder
 from swiftjunction.batches._engines import EngineBook
 from swiftjunction.batches._engines import EngineState
@@ -62,7 +61,6 @@
     'RoutedScoring',
     'RunnerAccess',
     'SampleEngine',
-    'SampleEvent',
     'SampleRunner',
     'Scorer',
     'Scoring',
--- a/src/swiftjunction/batches/_engine.py
+++ b/src/swiftjunction/batches/_engine.py
@@ -9,24 +9,6 @@
 from swiftjunction.batches import _batch
 
 
-class SampleEvent(msgspec.Struct, frozen=True):
-    """Some tokens of a sample.
-
-    Attributes
-    ----------
-    number : int
-        Of the event in the whole text; numbers increase.
-    data : str
-        Its part of the text.
-    version : int
-        The weight version that made it.
-    """
-
-    number: int
-    data: str
-    version: int
-
-
 class EngineReport(msgspec.Struct, frozen=True):
     """What an engine says of itself, as of some hundred milliseconds ago.
 
@@ -77,7 +59,7 @@
         host: str,
         item: _batch.Item,
         after: int,
-    ) -> collections.abc.AsyncGenerator[SampleEvent, None]:
+    ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         """Run a sample, or go on with it behind event `after`, to its end.
 
         Raises
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from swiftjunction import backends
 from swiftjunction.batches import _batch
 from swiftjunction.batches import _engine
 from swiftjunction.batches import _engines
@@ -121,10 +122,10 @@
 
     async def _read_event(
         self,
-        events: collections.abc.AsyncGenerator[_engine.SampleEvent, None],
+        events: collections.abc.AsyncGenerator[backends.StreamEvent, None],
         engine: _engines.EngineState,
         limit_seconds: float,
-    ) -> _engine.SampleEvent | None:
+    ) -> backends.StreamEvent | None:
         with anyio.move_on_after(limit_seconds):
             return await anext(events, None)
         raise errors.AnswerBroken(
@@ -174,7 +175,7 @@
 def _check_version(
     batch: _batch.Batch,
     progress: _open.Progress,
-    event: _engine.SampleEvent,
+    event: backends.StreamEvent,
 ) -> None:
     """Raise ``StaleWeights`` where the event cannot be part of the text."""
     if event.version < batch.min_version:
--- a/src/swiftjunction/platform/_answers.py
+++ b/src/swiftjunction/platform/_answers.py
@@ -92,7 +92,14 @@
 def relay(answer: backends.ServiceAnswer) -> Response:
     """Return a backend server's answer as the caller gets it."""
     response = Response(answer.body, status_code=answer.status)
-    for name, value in answer.headers:
+    copy_headers(answer.headers, response)
+    return response
+
+
+def copy_headers(
+    headers: collections.abc.Iterable[tuple[str, str]], response: Response
+) -> None:
+    """Give a response those headers that do not concern one connection."""
+    for name, value in headers:
         if name.lower() not in OWN_HEADERS:
             response.headers.append(name, value)
-    return response
--- a/src/swiftjunction/platform/_events.py
+++ b/src/swiftjunction/platform/_events.py
@@ -2,10 +2,14 @@
 
 import collections.abc
 
-from swiftjunction import batches
+import msgspec
+
+from swiftjunction import backends
 from swiftjunction import errors
 from swiftjunction.platform import _names
 
+EVENT_END = b'\n\n'
+
 
 class EventReader:
     """Cuts a stream into events.
@@ -30,11 +34,11 @@
 
     def feed(
         self, data: bytes
-    ) -> collections.abc.Iterator[batches.SampleEvent]:
+    ) -> collections.abc.Iterator[backends.StreamEvent]:
         """Yield the events that are whole with `data`."""
         self._buffer += data
-        while b'\n\n' in self._buffer:
-            text, _, self._buffer = self._buffer.partition(b'\n\n')
+        while EVENT_END in self._buffer:
+            text, _, self._buffer = self._buffer.partition(EVENT_END)
             event = self._parse(text)
             if event is not None:
                 yield event
@@ -48,7 +52,7 @@
                 peer=self._peer,
             )
 
-    def _parse(self, text: bytes) -> batches.SampleEvent | None:
+    def _parse(self, text: bytes) -> backends.StreamEvent | None:
         number: int | None = None
         data: list[str] = []
         try:
@@ -69,4 +73,25 @@
             ) from error
         if number is None:
             return None
-        return batches.SampleEvent(number, '\n'.join(data), self._version)
+        return backends.StreamEvent(
+            number, '\n'.join(data), self._version, text + EVENT_END
+        )
+
+
+def name_version(
+    event: backends.StreamEvent, known_version: int
+) -> backends.StreamEvent:
+    """Return an event that names its version where its reader knows another.
+
+    An engine that goes on with a stream says its version in the headers,
+    which the stream's reader does not get.
+    """
+    line = f'{_names.WEIGHT_VERSIONS}:'.encode()
+    if (
+        not known_version
+        or event.version in (0, known_version)
+        or event.frame.startswith(line)
+    ):
+        return event
+    frame = line + str(event.version).encode() + b'\n' + event.frame
+    return msgspec.structs.replace(event, frame=frame)
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -1,6 +1,7 @@
 """What callers and the platform ask of this VM, over HTTP."""
 
 import collections.abc
+import contextlib
 import http
 import logging
 import random
@@ -48,6 +49,8 @@
         The routes in force.
     forwarder : Forwarder
         Calls plain services.
+    streams : StreamForwarder
+        Relays streams.
     admission : Admission
         Which requests may start.
     archive : BatchArchive
@@ -75,6 +78,7 @@
         '_rng',
         '_settings',
         '_state',
+        '_streams',
     )
 
     def __init__(
@@ -82,6 +86,7 @@
         settings: _settings.VmSettings,
         book: routes.RouteBook,
         forwarder: requests.Forwarder,
+        streams: requests.StreamForwarder,
         admission: requests.Admission,
         archive: batches.BatchArchive,
         access: batches.BatchAccess,
@@ -93,6 +98,7 @@
         self._settings = settings
         self._book = book
         self._forwarder = forwarder
+        self._streams = streams
         self._admission = admission
         self._archive = archive
         self._access = access
@@ -242,10 +248,45 @@
         )
 
         async def work() -> Response:
+            if route.kind is routes.RouteKind.STREAM:
+                return await self._stream(request, call, route)
             return _answers.relay(await self._run(call))
 
         return await requests.run_while_connected(request, work)
 
+    async def _stream(
+        self,
+        request: Request,
+        call: requests.ForwardedCall,
+        route: routes.Route,
+    ) -> Response:
+        after = _answers.read_number(
+            request.headers.get(_names.LAST_EVENT_ID, ''), backends.NO_EVENT
+        )
+        with contextlib.ExitStack() as held:
+            held.enter_context(self._admission.admit(call.path, call.settings))
+            held.enter_context(
+                self._metrics.measure(call.settings.service or '', 'stream')
+            )
+            stream = await self._streams.open(call, route.resumable, after)
+            # Until the stream ends, it counts as one that is in flight.
+            kept = held.pop_all()
+
+        def finish(outcome: str) -> None:
+            kept.close()
+            self._metrics.count('streams', outcome=outcome)
+            LOG.info(
+                'stream ended',
+                extra={
+                    'request_id': call.service_call.request_id,
+                    'outcome': outcome,
+                },
+            )
+
+        response = requests.RelayedAnswer(stream, finish)
+        _answers.copy_headers(stream.headers, response)
+        return response
+
     async def _run(
         self, call: requests.ForwardedCall
     ) -> backends.ServiceAnswer:
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -176,6 +176,9 @@
             settings,
             self._book,
             make_forwarder(),
+            requests.StreamForwarder(
+                router, workers, requests.RetryBudget(), suspects
+            ),
             requests.Admission(MAX_IN_FLIGHT),
             self._archive,
             batches.FirstAccess(self),
--- a/src/swiftjunction/platform/_responses.py
+++ b/src/swiftjunction/platform/_responses.py
@@ -62,6 +62,21 @@
         raise broken(f'answered {status} without a promise', server)
 
 
+def check_signature(
+    response: httpx.Response, server: backends.BackendServer
+) -> None:
+    """Raise ``AnswerBroken`` where a success is not vouched for."""
+    if response.is_success and not response.headers.get(_names.SIGNATURE):
+        raise broken('success without a signature', server)
+
+
+def is_stream(response: httpx.Response) -> bool:
+    """Tell whether the body is a series of events."""
+    return response.headers.get('content-type', '').startswith(
+        'text/event-stream'
+    )
+
+
 def check_sample(
     response: httpx.Response, server: backends.BackendServer
 ) -> None:
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -37,7 +37,9 @@
     sequence: int = 0
 
 
-class WorkerClient(backends.ServiceCaller, batches.SampleEngine):
+class WorkerClient(
+    backends.ServiceCaller, backends.StreamCaller, batches.SampleEngine
+):
     """Calls plain services and engines.
 
     Parameters
@@ -57,36 +59,85 @@
     async def call(
         self, server: backends.BackendServer, call: backends.ServiceCall
     ) -> backends.ServiceAnswer:
-        remaining_ms = int(call.timeout_seconds * _names.MS_PER_SECOND)
-        target = f'{call.path}?{call.query}' if call.query else call.path
-        response = await self._send(
-            server,
-            call.method,
-            target,
-            [
-                *call.headers,
-                (_names.ATTEMPT_ID, call.request_id),
-                (_names.DEADLINE_MS, str(max(remaining_ms, 1))),
-            ],
-            call.body,
-            call.timeout_seconds,
-            call.host,
-        )
+        response = await self._send_call(server, call, call.timeout_seconds)
         try:
             _responses.check_match(response, server, call.request_id)
             _responses.check_promise(response, server)
+            _responses.check_signature(response, server)
             body = await _responses.read_body(response, server)
         finally:
             await response.aclose()
-        answer = backends.ServiceAnswer(
+        return backends.ServiceAnswer(
             response.status_code,
             response.headers.multi_items(),
             body,
             response.headers.get(_names.SIGNATURE, ''),
         )
-        if answer.is_success and not answer.signature:
-            raise _responses.broken('success without a signature', server)
-        return answer
+
+    async def open_stream(
+        self,
+        server: backends.BackendServer,
+        call: backends.ServiceCall,
+        position: backends.StreamPosition,
+    ) -> backends.ServiceStream:
+        headers = [h for h in call.headers if h[0] != _names.LAST_EVENT_ID]
+        if position.number != backends.NO_EVENT:
+            headers.append((_names.LAST_EVENT_ID, str(position.number)))
+        response = await self._send_call(
+            server,
+            msgspec.structs.replace(call, headers=headers),
+            STREAM_TIMEOUT_SECONDS,
+        )
+        try:
+            _responses.check_match(response, server, call.request_id)
+            _responses.check_promise(response, server)
+            _responses.check_signature(response, server)
+        except errors.BackendError:
+            await response.aclose()
+            raise
+        return backends.ServiceStream(
+            response.status_code,
+            response.headers.multi_items(),
+            self._relay_events(response, server, position.version),
+        )
+
+    async def _relay_events(
+        self,
+        response: httpx.Response,
+        server: backends.BackendServer,
+        known_version: int,
+    ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
+        try:
+            if not _responses.is_stream(response):
+                body = await _responses.read_body(response, server)
+                yield backends.StreamEvent(backends.NO_EVENT, '', frame=body)
+                return
+            async for event in _read_events(response, server):
+                yield _events.name_version(event, known_version)
+                known_version = event.version
+        finally:
+            await response.aclose()
+
+    async def _send_call(
+        self,
+        server: backends.BackendServer,
+        call: backends.ServiceCall,
+        timeout_seconds: float,
+    ) -> httpx.Response:
+        remaining_ms = int(call.timeout_seconds * _names.MS_PER_SECOND)
+        return await self._send(
+            server,
+            call.method,
+            f'{call.path}?{call.query}' if call.query else call.path,
+            [
+                *call.headers,
+                (_names.ATTEMPT_ID, call.request_id),
+                (_names.DEADLINE_MS, str(max(remaining_ms, 1))),
+            ],
+            call.body,
+            timeout_seconds,
+            call.host,
+        )
 
     async def is_crashed(self, server: backends.BackendServer) -> bool:
         host, _, port = server.address.rpartition(':')
@@ -106,7 +157,7 @@
         host: str,
         item: batches.Item,
         after: int,
-    ) -> collections.abc.AsyncGenerator[batches.SampleEvent, None]:
+    ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         headers = [*item.headers, (_names.ATTEMPT_ID, item.item_id)]
         if after >= 0:
             headers.append((_names.LAST_EVENT_ID, str(after)))
@@ -123,13 +174,8 @@
             _responses.check_match(response, server, item.item_id)
             _responses.check_promise(response, server)
             _responses.check_sample(response, server)
-            reader = _events.EventReader(
-                _responses.read_version(response), server.name
-            )
-            async for data in _responses.read_parts(response, server):
-                for event in reader.feed(data):
-                    yield event
-            reader.check_end()
+            async for event in _read_events(response, server):
+                yield event
         finally:
             await response.aclose()
 
@@ -246,3 +292,16 @@
                 connect_seconds=CONNECT_TIMEOUT_SECONDS,
                 check=check,
             )
+
+
+async def _read_events(
+    response: httpx.Response, server: backends.BackendServer
+) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
+    """Yield the events of a stream; ``AnswerBroken`` if it ends early."""
+    reader = _events.EventReader(
+        _responses.read_version(response), server.name
+    )
+    async for data in _responses.read_parts(response, server):
+        for event in reader.feed(data):
+            yield event
+    reader.check_end()
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -13,8 +13,11 @@
 from swiftjunction.requests._overload import CHECK_INTERVAL_SECONDS
 from swiftjunction.requests._overload import OverloadDetector
 from swiftjunction.requests._reading import read_body
+from swiftjunction.requests._relaying import RelayedStream
+from swiftjunction.requests._relaying import StreamForwarder
 from swiftjunction.requests._segments import join_segments
 from swiftjunction.requests._segments import Segment
+from swiftjunction.requests._streaming import RelayedAnswer
 from swiftjunction.requests._streaming import run_while_connected
 from swiftjunction.requests._suspects import make_fingerprint
 from swiftjunction.requests._suspects import SuspectList
@@ -30,8 +33,11 @@
     'Generator',
     'LiveApp',
     'OverloadDetector',
+    'RelayedAnswer',
+    'RelayedStream',
     'RetryBudget',
     'Segment',
+    'StreamForwarder',
     'SuspectList',
     'build_app',
     'join_segments',
--- a/src/swiftjunction/requests/_streaming.py
+++ b/src/swiftjunction/requests/_streaming.py
@@ -13,6 +13,7 @@
 
 from swiftjunction import backends
 from swiftjunction import errors
+from swiftjunction.requests import _relaying
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -76,13 +77,7 @@
         send: starlette.types.Send,
     ) -> None:
         """Send the answer; stop generating when the caller goes away."""
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': 200,
-                'headers': self.raw_headers,
-            }
-        )
+        await _send_start(send, self)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_cancel_at_disconnect, receive, tasks)
@@ -115,13 +110,7 @@
             parts = [self._frame(chunk) for chunk in merge_chunks(taken)]
             if ended:
                 parts.append(self._frame_end())
-            await send(
-                {
-                    'type': 'http.response.body',
-                    'body': b''.join(parts),
-                    'more_body': not ended,
-                }
-            )
+            await _send_part(send, b''.join(parts), more=not ended)
             if ended:
                 return
             if not self._buffer and not self._ended:
@@ -137,6 +126,77 @@
         return web.format_event(msgspec.json.encode(body), name='error')
 
 
+class RelayedAnswer(starlette.responses.Response):
+    """A relayed stream; a connection that closes early says it broke off.
+
+    Parameters
+    ----------
+    stream : RelayedStream
+        What is sent on.
+    finish : callable
+        Told the outcome when the answer has ended.
+    """
+
+    def __init__(
+        self, stream: _relaying.RelayedStream, finish: Finish
+    ) -> None:
+        super().__init__(status_code=stream.status)
+        del self.headers['content-length']
+        self._stream = stream
+        self._finish = finish
+
+    async def __call__(
+        self,
+        scope: starlette.types.Scope,
+        receive: starlette.types.Receive,
+        send: starlette.types.Send,
+    ) -> None:
+        """Send the stream; end it when the caller goes away."""
+        await _send_start(send, self)
+        outcome = 'caller_gone'
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_cancel_at_disconnect, receive, tasks)
+                outcome = await self._relay(send)
+                tasks.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._stream.rest.aclose()
+            self._finish(outcome)
+
+    async def _relay(self, send: starlette.types.Send) -> str:
+        """Send all events and return the outcome."""
+        try:
+            if self._stream.first is not None:
+                await _send_part(send, self._stream.first.frame)
+            async for event in self._stream.rest:
+                await _send_part(send, event.frame)
+        except errors.RequestError as error:
+            # Without a last part, the server closes the connection.
+            LOG.warning('stream broken off: %s', error)
+            return error.outcome
+        await _send_part(send, b'', more=False)
+        return 'complete'
+
+
+async def _send_start(
+    send: starlette.types.Send, response: starlette.responses.Response
+) -> None:
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': response.status_code,
+            'headers': response.raw_headers,
+        }
+    )
+
+
+async def _send_part(
+    send: starlette.types.Send, part: bytes, more: bool = True
+) -> None:
+    await send({'type': 'http.response.body', 'body': part, 'more_body': more})
+
+
 def merge_chunks(
     chunks: collections.abc.Iterable[backends.Chunk],
 ) -> list[backends.Chunk]:
