Count the term of a silent holder's lease from what it last told

Peers found the silence at 4.4 to 4.9 s, and only then began to count the lease's 2.6 s, from their first read of it.

Change: a VM's status says the version of its lease's object. Peers count from when they first hear of a version, and still read the object to see that it has not changed since.

--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -88,9 +88,15 @@
         """
         return self._held
 
+    @property
+    def lease_version(self) -> int:
+        """Return the version of the lease's object; 0 without the lease."""
+        return self._keeper.version
+
     async def run(self) -> None:
         """Coordinate whenever nobody else does, until cancelled."""
         while not self._stopping:
+            self._keeper.note_version(self._members.find_lease_version())
             if self._members.has_coordinator():
                 await anyio.sleep(LOOK_SECONDS)
                 continue
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -50,6 +50,8 @@
         Of the lease under which it coordinates; 0 where it does not.
     lease_seconds : float
         How long that lease still holds.
+    lease_version : int
+        Of the object that holds the lease.
     reaches_store : bool
         Whether it reaches the object store by itself.
     revisions : dict of str to int
@@ -63,6 +65,7 @@
     state: str
     fencing_token: int = 0
     lease_seconds: float = 0.0
+    lease_version: int = 0
     reaches_store: bool = False
     revisions: dict[str, int] = {}
     watches: list[str] = []
@@ -151,6 +154,14 @@
             for status in self.list_reached()
         )
 
+    def find_lease_version(self) -> int:
+        """Return the newest version of the lease that a peer told; 0 if none.
+
+        Also of one that is not reached any more.
+        """
+        versions = [s.lease_version for s in self._statuses.values()]
+        return max(versions, default=0)
+
     def list_relays(self) -> list[Member]:
         """Return the peers that reach the object store."""
         return [
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -91,6 +91,21 @@
         self.name = name
         self.lease: _lease.Lease | None = None
 
+    @property
+    def version(self) -> int:
+        """Return the version of the object that holds the lease here."""
+        return self._version if self.lease is not None else 0
+
+    def note_version(self, version: int) -> None:
+        """Learn from its holder at which version the lease's object is.
+
+        The time that another daemon's lease needs to lapse then counts from
+        now, rather than from when it is first read here.
+        """
+        if version > self._seen:
+            self._seen = version
+            self._seen_at = self._clock()
+
     async def take(self) -> _lease.Lease:
         """Take the lease if it is free, or renew it if held here.
 
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -297,6 +297,7 @@
             self._state,
             lease.token if lease is not None else 0,
             lease.remaining_seconds() if lease is not None else 0.0,
+            self._coordinator.lease_version,
             self._store.reaches_directly(),
             self._sharing.list_revisions(),
             self._sharing.list_watches(),
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -232,6 +232,62 @@
         assert (await other.take()).token > held.token
 
 
+@pytest.mark.anyio
+class TestHolderThatFellSilent:
+    """How soon another VM takes a lease that is not renewed any more."""
+
+    def keep(self, store, clock, holder):
+        terms = leases.LeaseTerms(ttl_seconds=2.6, margin_seconds=0.4)
+        return leases.LeaseKeeper(store, 'l', holder, terms=terms, clock=clock)
+
+    async def test_the_time_counts_from_what_the_holder_last_told(
+        self, store, clock
+    ):
+        # An incident: a coordinator was removed, and the next one began 4.5 s
+        # later, as the term was counted from its first look at the lease.
+        holder = self.keep(store, clock, 'vm-1')
+        held = await holder.take()
+        other = self.keep(store, clock, 'vm-2')
+        other.note_version(holder.version)
+        clock.now += 2.7
+        assert (await other.take()).token > held.token
+
+    async def test_a_renewal_that_was_not_told_begins_a_new_term(
+        self, store, clock
+    ):
+        holder = self.keep(store, clock, 'vm-1')
+        await holder.take()
+        other = self.keep(store, clock, 'vm-2')
+        other.note_version(holder.version)
+        clock.now += 2.0
+        await holder.take()
+        clock.now += 0.7
+        with pytest.raises(errors.LeaseLost):
+            await other.take()
+
+    async def test_an_old_version_does_not_shorten_the_term(
+        self, store, clock
+    ):
+        holder = self.keep(store, clock, 'vm-1')
+        await holder.take()
+        old = holder.version
+        await holder.take()
+        other = self.keep(store, clock, 'vm-2')
+        with pytest.raises(errors.LeaseLost):
+            await other.take()
+        clock.now += 1.0
+        other.note_version(old)
+        clock.now += 1.0
+        with pytest.raises(errors.LeaseLost):
+            await other.take()
+
+    async def test_a_vm_without_the_lease_tells_no_version(self, store, clock):
+        holder = self.keep(store, clock, 'vm-1')
+        await holder.take()
+        await holder.release()
+        assert holder.version == 0
+
+
 class TestLapses:
     def make(self):
         clock = conftest.Clock()
