Let VMs of a large deployment ask some others, whatever its size

Each VM asked the first 16 of the list of VMs, always the same: a coordinator that is not among them is not found, and all others keep trying for the lease; and each VM watched the list of VMs, so that each start woke all.

Change: coordination/_view.py chooses whom a VM asks: all others up to 17 VMs, a few of a ring and its own draw in a larger deployment. Statuses name the coordinator that their sender heard of, and tell how old each prefix of the store is there, in place of who watches it; so two VMs watch servers and the list of VMs, and the ring watches routes. Feeds are listed once before it is decided who watches. A VM tries to coordinate when its own entry is seen.

--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -13,6 +13,7 @@
 
 # Between two looks at whether another VM coordinates.
 LOOK_SECONDS = 0.3
+SETTLE_CHECK_SECONDS = 0.02
 # By so much later than the one before it does each next VM try for the lease.
 RANK_STEP_SECONDS = 0.6
 # How long the duty may take to end when this VM stops.
@@ -97,6 +98,9 @@
         """Coordinate whenever nobody else does, until cancelled."""
         while not self._stopping:
             self._keeper.note_version(self._members.find_lease_version())
+            if not self._members.is_settled():
+                await anyio.sleep(SETTLE_CHECK_SECONDS)
+                continue
             if self._members.has_coordinator():
                 await anyio.sleep(LOOK_SECONDS)
                 continue
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -2,9 +2,12 @@
 
 import collections.abc
 import logging
+import random
+import time
 
 import msgspec
 
+from swiftjunction.coordination import _view
 from swiftjunction import errors
 from swiftjunction import membership
 from swiftjunction import objectstore
@@ -16,6 +19,11 @@
 MAX_ADDRESSES = 64
 # A VM that does not answer is asked once more before it is passed over.
 LOST_AFTER_FAILURES = 2
+# What a VM said of itself holds for so long.
+STATUS_SECONDS = 3.0
+# In a large deployment, a VM that starts hears of the others within this
+# time, before it tries to coordinate.
+SETTLE_SECONDS = 0.6
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -56,8 +64,13 @@
         Whether it reaches the object store by itself.
     revisions : dict of str to int
         Of each prefix, up to which revision it knows the objects.
-    watches : list of str
-        The prefixes that it watches on the object store, and misses nothing.
+    ages : dict of str to float
+        For each prefix, how many seconds ago all its changes were known to
+        this VM, or to one that it takes them from.
+    coordinator : str
+        The VM of the highest fencing token that it heard of.
+    coordinator_token : int
+        That fencing token; 0 where it heard of none.
     """
 
     name: str
@@ -68,7 +81,18 @@
     lease_version: int = 0
     reaches_store: bool = False
     revisions: dict[str, int] = {}
-    watches: list[str] = []
+    ages: dict[str, float] = {}
+    coordinator: str = ''
+    coordinator_token: int = 0
+
+
+class _Heard(msgspec.Struct, frozen=True):
+    status: MemberStatus
+    at: float
+
+
+def _is_lost(failures: int) -> bool:
+    return failures >= LOST_AFTER_FAILURES
 
 
 class MemberBook:
@@ -78,15 +102,40 @@
     ----------
     own : Member
         This VM.
+    clock : callable
+        Returns seconds of a monotonic clock.
+    rng : random.Random
+        Draws the peers that are asked in a large deployment.
     """
 
-    __slots__ = ('_failures', '_members', '_statuses', 'own')
-
-    def __init__(self, own: Member) -> None:
+    __slots__ = (
+        '_clock',
+        '_coordinator',
+        '_entered_at',
+        '_failures',
+        '_heard',
+        '_members',
+        '_order',
+        '_view',
+        'own',
+    )
+
+    def __init__(
+        self,
+        own: Member,
+        clock: collections.abc.Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
         self.own = own
+        self._clock = clock
         self._members: dict[str, Member] = {own.name: own}
-        self._statuses: dict[str, MemberStatus] = {}
+        # All VMs by their ranks; empty until it is needed.
+        self._order: list[str] = []
+        self._heard: dict[str, _Heard] = {}
         self._failures: dict[str, int] = {}
+        self._view = _view.PeerView(own.name, rng or random.Random())
+        self._entered_at: float | None = None
+        self._coordinator = ('', 0)
 
     def learn(self, found: objectstore.Object) -> None:
         """Take the entry of a VM from the object store."""
@@ -96,25 +145,66 @@
             LOG.warning('member not understood: %s', error)
             return
         if member.name == self.own.name:
+            self._entered_at = self._entered_at or self._clock()
             return
         held = self._members.get(member.name)
         if held is None or held.run != member.run:
             self._failures.pop(member.name, None)
-            self._statuses.pop(member.name, None)
+            self._heard.pop(member.name, None)
         self._members[member.name] = member
+        if held is None:
+            self._order.clear()
 
     def forget(self, key: str) -> None:
         """Drop a VM whose entry is gone."""
         name = key.removeprefix(MEMBER_PREFIX)
-        if name != self.own.name:
-            self._members.pop(name, None)
-            self._statuses.pop(name, None)
+        if name != self.own.name and name in self._members:
+            del self._members[name]
+            self._heard.pop(name, None)
+            self._failures.pop(name, None)
+            self._order.clear()
+
+    def _list_ranked(self) -> list[str]:
+        if not self._order:
+            self._order = membership.rank_owners('coordinator', self._members)
+        return self._order
+
+    def is_settled(self) -> bool:
+        """Tell whether this VM can know if another one coordinates."""
+        if self._entered_at is None:
+            return False
+        return (
+            _view.is_small(len(self._members))
+            or self._clock() - self._entered_at > SETTLE_SECONDS
+        )
+
+    def choose_peers(self) -> list[Member]:
+        """Return the peers to ask now."""
+        lost = {
+            n for n, failures in self._failures.items() if _is_lost(failures)
+        }
+        chosen = self._view.choose(
+            self._list_ranked(), lost, self._coordinator[0]
+        )
+        return [self._members[n] for n in chosen if n in self._members]
 
     def note_status(self, status: MemberStatus) -> None:
         """Take the answer of a VM."""
-        if self._failures.pop(status.name, 0) >= LOST_AFTER_FAILURES:
+        if _is_lost(self._failures.pop(status.name, 0)):
             LOG.info('peer reached again', extra={'peer': status.name})
-        self._statuses[status.name] = status
+        self._heard[status.name] = _Heard(status, self._clock())
+        self.note_coordinator(status.coordinator, status.coordinator_token)
+        self.note_coordinator(status.name, status.fencing_token)
+
+    def note_coordinator(self, name: str, fencing_token: int) -> None:
+        """Learn who coordinates under a fencing token."""
+        if fencing_token > self._coordinator[1]:
+            self._coordinator = (name, fencing_token)
+
+    @property
+    def coordinator(self) -> tuple[str, int]:
+        """Return who is said to coordinate, and the fencing token."""
+        return self._coordinator
 
     def note_silence(self, name: str, refused: bool) -> None:
         """Take note that a VM gave no answer, or refused the connection."""
@@ -122,7 +212,7 @@
         self._failures[name] = failures + (
             LOST_AFTER_FAILURES if refused else 1
         )
-        if failures < LOST_AFTER_FAILURES <= self._failures[name]:
+        if not _is_lost(failures) and _is_lost(self._failures[name]):
             LOG.warning('peer lost', extra={'peer': name, 'refused': refused})
 
     def list_peers(self) -> list[Member]:
@@ -131,9 +221,17 @@
 
     def list_reached(self) -> collections.abc.Iterator[MemberStatus]:
         """Yield the statuses of the peers that answer."""
-        for name, status in self._statuses.items():
-            if self._failures.get(name, 0) < LOST_AFTER_FAILURES:
-                yield status
+        for status, _ in self.list_heard():
+            yield status
+
+    def list_heard(
+        self,
+    ) -> collections.abc.Iterator[tuple[MemberStatus, float]]:
+        """Yield the statuses of the peers that answer, and when they came."""
+        oldest = self._clock() - STATUS_SECONDS
+        for name, heard in self._heard.items():
+            if heard.at > oldest and not _is_lost(self._failures.get(name, 0)):
+                yield heard.status, heard.at
 
     def find(self, name: str) -> Member | None:
         """Return a VM, if it is known."""
@@ -159,7 +257,7 @@
 
         Also of one that is not reached any more.
         """
-        versions = [s.lease_version for s in self._statuses.values()]
+        versions = [h.status.lease_version for h in self._heard.values()]
         return max(versions, default=0)
 
     def list_relays(self) -> list[Member]:
@@ -171,20 +269,39 @@
         ]
 
     def list_fronts(self, own_state: str) -> list[str]:
-        """Return the addresses that callers may use, the own one first."""
+        """Return the addresses that callers may use, the own one first.
+
+        In a large deployment each VM names others, which it drew; so callers
+        are spread over all of them.
+        """
         fronts = [self.own.front] if own_state == 'live' else []
-        fronts += [
-            self._members[status.name].front
+        live = [
+            status.name
             for status in self.list_reached()
             if status.state == 'live' and status.name in self._members
         ]
+        drawn = [name for name in live if name in self._view.others]
+        fronts += [self._members[name].front for name in drawn or live]
         return fronts[:MAX_ADDRESSES]
 
     def find_rank(self) -> int:
-        """Return this VM's place among those that may coordinate next."""
-        live = [s.name for s in self.list_reached() if s.state == 'live']
-        ordered = membership.rank_owners('coordinator', [self.own.name, *live])
-        return ordered.index(self.own.name)
+        """Return this VM's place among those that may coordinate next.
+
+        Peers that are not asked count as live.
+        """
+        ranked = self._list_ranked()
+        before = ranked[: ranked.index(self.own.name)]
+        if not before:
+            return 0
+        live = {s.name for s in self.list_reached() if s.state == 'live'}
+        if _view.is_small(len(self._members)):
+            return len(live.intersection(before))
+        away = self._failures.keys() | self._heard.keys()
+        return sum(1 for name in before if name in live or name not in away)
+
+    def belongs_to_ring(self) -> bool:
+        """Tell whether this VM is among the first that others ask."""
+        return self.find_rank() < _view.find_ring_size(len(self._members))
 
 
 def encode(member: Member) -> bytes:
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -8,6 +8,8 @@
 
 import collections.abc
 import logging
+import math
+import time
 
 import anyio
 
@@ -25,6 +27,9 @@
 # So many VMs watch a prefix, beside the one that coordinates: where one of
 # them is cut off without a word, another one tells of changes.
 WATCHERS = 2
+# A VM that has not heard for so long that its objects are complete watches
+# the store itself.
+MAX_AGE_SECONDS = 2.5
 
 
 class SharedFeed(objectstore.Listener):
@@ -43,14 +48,25 @@
         All changes up to it are known; -1 before the first list.
     is_watched : bool
         Whether this VM watches the prefix now, and misses nothing.
+    complete_at : float
+        When all changes were last known here, or to a peer of which this VM
+        takes them; seconds of a monotonic clock.
     """
 
-    __slots__ = ('_objects', '_target', 'is_watched', 'prefix', 'revision')
+    __slots__ = (
+        '_objects',
+        '_target',
+        'complete_at',
+        'is_watched',
+        'prefix',
+        'revision',
+    )
 
     def __init__(self, prefix: str, target: objectstore.Listener) -> None:
         self.prefix = prefix
         self.revision = -1
         self.is_watched = False
+        self.complete_at = -math.inf
         self._target = target
         self._objects: dict[str, objectstore.Object] = {}
 
@@ -97,19 +113,23 @@
         The HTTP clients of peers.
     members : MemberBook
         Who is reached, and how far each one knows.
+    clock : callable
+        The monotonic clock that `members` uses.
     """
 
-    __slots__ = ('_feeds', '_members', '_peers', '_store')
+    __slots__ = ('_clock', '_feeds', '_members', '_peers', '_store')
 
     def __init__(
         self,
         store: objectstore.ObjectStore,
         peers: web.PeerClients,
         members: _members.MemberBook,
+        clock: collections.abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self._store = store
         self._peers = peers
         self._members = members
+        self._clock = clock
         self._feeds: dict[str, SharedFeed] = {}
 
     def add(self, prefix: str, target: objectstore.Listener) -> SharedFeed:
@@ -133,13 +153,33 @@
             )
         return feed
 
+    def is_asked_by_others(self) -> bool:
+        """Tell whether this VM is among the first that others ask."""
+        return self._members.belongs_to_ring()
+
     def list_revisions(self) -> dict[str, int]:
         """Return how far each prefix is known here, for peers."""
         return {prefix: f.revision for prefix, f in self._feeds.items()}
 
-    def list_watches(self) -> list[str]:
-        """Return the prefixes that are watched here, for peers."""
-        return [p for p, feed in self._feeds.items() if feed.is_watched]
+    def list_ages(self) -> dict[str, float]:
+        """Return how long ago each prefix was complete here, for peers."""
+        now = self._clock()
+        for feed in self._feeds.values():
+            self._note_ages(feed, now)
+        return {
+            prefix: round(now - feed.complete_at, 3)
+            for prefix, feed in self._feeds.items()
+            if feed.complete_at > -math.inf
+        }
+
+    def _note_ages(self, feed: SharedFeed, now: float) -> None:
+        """Learn from peers when the objects of a feed were complete."""
+        if feed.is_watched:
+            feed.complete_at = now
+            return
+        for status, heard_at in self._members.list_heard():
+            age_seconds = status.ages.get(feed.prefix, math.inf)
+            feed.complete_at = max(feed.complete_at, heard_at - age_seconds)
 
     async def run(
         self,
@@ -158,11 +198,23 @@
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._compare, feed)
+            if not must_watch():
+                await self._list(feed)
             while True:
                 if must_watch() or self._is_needed(feed.prefix):
                     await self._watch(feed, must_watch, gather_seconds)
                 await anyio.sleep(CHECK_SECONDS)
 
+    async def _list(self, feed: SharedFeed) -> None:
+        """List once; who is to watch is known better a moment later."""
+        while feed.revision < 0:
+            try:
+                feed.take(await self._store.list(feed.prefix))
+                feed.complete_at = self._clock()
+            except errors.PlatformError as error:
+                LOG.info('%s not listed: %s', feed.prefix, error)
+            await anyio.sleep(CHECK_SECONDS)
+
     async def _watch(
         self,
         feed: SharedFeed,
@@ -188,8 +240,11 @@
         """Tell whether this VM is among those that watch."""
         if self._members.find_rank() < WATCHERS:
             return True
-        return not any(
-            prefix in status.watches for status in self._members.list_reached()
+        now = self._clock()
+        feed = self._feeds[prefix]
+        self._note_ages(feed, now)
+        return not feed.is_watched and (
+            now - feed.complete_at > MAX_AGE_SECONDS
         )
 
     async def _compare(self, feed: SharedFeed) -> None:
--- a/src/swiftjunction/coordination/_watching.py
+++ b/src/swiftjunction/coordination/_watching.py
@@ -6,6 +6,7 @@
 
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _peer
+from swiftjunction.coordination import _sharing
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction import web
@@ -13,9 +14,6 @@
 LOG = logging.getLogger(__name__)
 
 ASK_INTERVAL_SECONDS = 0.5
-# Each VM asks at most so many others, so that its work does not grow with
-# the number of VMs.
-MAX_PEERS_ASKED = 16
 ENTER_RETRY_SECONDS = 0.5
 
 
@@ -30,35 +28,40 @@
         The HTTP clients.
     members : MemberBook
         Is kept up to date.
+    sharing : FeedSharing
+        Tells of the VMs that have entered themselves.
     """
 
-    __slots__ = ('_members', '_peers', '_store')
+    __slots__ = ('_feed', '_members', '_peers', '_sharing', '_store')
 
     def __init__(
         self,
         store: objectstore.ObjectStore,
         peers: web.PeerClients,
         members: _members.MemberBook,
+        sharing: _sharing.FeedSharing,
     ) -> None:
         self._store = store
         self._peers = peers
         self._members = members
+        self._sharing = sharing
+        self._feed = sharing.add(
+            _members.MEMBER_PREFIX,
+            objectstore.CallbackListener(members.learn, members.forget),
+        )
 
     async def run(self) -> None:
         """Keep up until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._enter)
             tasks.start_soon(
-                objectstore.follow,
-                self._store,
-                _members.MEMBER_PREFIX,
-                objectstore.CallbackListener(
-                    self._members.learn, self._members.forget
-                ),
+                self._sharing.run,
+                self._feed,
+                lambda: False,
                 ASK_INTERVAL_SECONDS,
             )
             while True:
-                for member in self._members.list_peers()[:MAX_PEERS_ASKED]:
+                for member in self._members.choose_peers():
                     tasks.start_soon(self._ask, member)
                 await anyio.sleep(ASK_INTERVAL_SECONDS)
 
--- a/src/swiftjunction/platform/_feeds.py
+++ b/src/swiftjunction/platform/_feeds.py
@@ -73,11 +73,12 @@
             except errors.ObjectBroken as error:
                 LOG.error('configuration not understood: %s', error)
 
-        # Changes are rare and must be in force soon: each VM watches.
+        # Changes are rare and must be in force soon: each VM of a small
+        # deployment watches, and in a large one those that others ask.
         feed = self._sharing.add(
             f'{_names.CONFIG_KIND}/', objectstore.CallbackListener(learn)
         )
-        await self._sharing.run(feed, lambda: True)
+        await self._sharing.run(feed, self._sharing.is_asked_by_others)
 
     async def follow_servers(self, guard: backends.LapseGuard) -> None:
         """Tell of each backend server until cancelled."""
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -207,7 +207,7 @@
                 self._guard.run,
                 self._directory.lateness.run,
                 coordination.PeerWatch(
-                    self._store, self._clients, self._members
+                    self._store, self._clients, self._members, self._sharing
                 ).run,
                 self._coordinator.run,
                 self._become_ready,
@@ -291,6 +291,8 @@
     def _describe(self) -> coordination.MemberStatus:
         lease = self._coordinator.lease
         own = self._members.own
+        if lease is not None:
+            self._members.note_coordinator(own.name, lease.token)
         return coordination.MemberStatus(
             own.name,
             own.run,
@@ -300,7 +302,8 @@
             self._coordinator.lease_version,
             self._store.reaches_directly(),
             self._sharing.list_revisions(),
-            self._sharing.list_watches(),
+            self._sharing.list_ages(),
+            *self._members.coordinator,
         )
 
     def _is_store_away(self) -> bool:
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -500,7 +500,10 @@
             self.name(world, 2)
             await self.wait_for(world, 2)
             config = platformworld.make_config(2)
-            config['routes'][2]['single_version'] = True
+            (samples,) = [
+                r for r in config['routes'] if r['name'] == 'samples'
+            ]
+            samples['single_version'] = True
             world.store.put('config', 'main', config)
             await anyio.sleep(0.3)
             for engine in world.engines.values():
