Let operators read a deployment on the platform, and dump a VM's state

Cause: no command worked against the platform's store, and its process had no dump, which each process of ours has. A storage VM to be emptied was answered at most 20 times; where the store refused for longer, it never was.

Settings that change, metrics and dump have modules of their own beside platform/_program.py. The answer to a storage VM is tried until the store has it.

--- a/src/swiftjunction/batches/__init__.py
+++ b/src/swiftjunction/batches/__init__.py
@@ -7,6 +7,7 @@
 from swiftjunction.batches._access import RunnerAccess
 from swiftjunction.batches._archive import BATCH_PREFIX
 from swiftjunction.batches._archive import BatchArchive
+from swiftjunction.batches._archive import BatchSummary
 from swiftjunction.batches._archive import StoredBatch
 from swiftjunction.batches._assignment import Assignment
 from swiftjunction.batches._batch import Batch
@@ -44,6 +45,7 @@
     'BatchAccess',
     'BatchArchive',
     'BatchRunner',
+    'BatchSummary',
     'ChooseAccess',
     'EngineBook',
     'EngineReport',
--- a/src/swiftjunction/batches/_archive.py
+++ b/src/swiftjunction/batches/_archive.py
@@ -40,6 +40,25 @@
     version: int
 
 
+class BatchSummary(msgspec.Struct, frozen=True):
+    """One batch in a list.
+
+    Attributes
+    ----------
+    listed : int
+        How many of its samples have a result.
+    total : int
+        How many samples it has.
+    """
+
+    batch_id: str
+    model: str
+    step: int
+    listed: int
+    total: int
+    ended: bool
+
+
 class BatchArchive:
     """Reads and writes batches.
 
@@ -170,6 +189,29 @@
             for name in sorted(found)
         ]
 
+    async def list_batches(self) -> list[BatchSummary]:
+        """Return all batches that are kept, by model and step."""
+        found = await self._store.list(BATCH_PREFIX)
+        heads = [
+            objectstore.decode_value(item, _batch.Batch)
+            for item in found.changed
+        ]
+        return [
+            await self._summarize(head)
+            for head in sorted(heads, key=lambda b: (b.model, b.step))
+        ]
+
+    async def _summarize(self, batch: _batch.Batch) -> BatchSummary:
+        chunks = await self.read_results(batch.batch_id)
+        return BatchSummary(
+            batch.batch_id,
+            batch.model,
+            batch.step,
+            sum(len(chunk) for chunk in chunks),
+            batch.total,
+            batch.ended,
+        )
+
     async def write_checkpoint(self, texts: list[_kept.KeptText]) -> None:
         """Keep the texts of samples under way, in place of the last ones.
 
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -201,6 +201,23 @@
         self.wake()
         return opened
 
+    def summarize(self) -> list[dict[str, object]]:
+        """Return how far each batch is, for a dump."""
+        return [
+            {
+                'batch': batch_id,
+                'model': opened.batch.model,
+                'step': opened.batch.step,
+                'listed': len(opened.results),
+                'total': opened.batch.total,
+                'running': sum(p.running for p in opened.left.values()),
+                'whole_groups': opened.count_whole_groups(),
+                'wanted_groups': opened.batch.wanted_groups,
+                'ended': opened.ended,
+            }
+            for batch_id, opened in self.batches.items()
+        ]
+
     def needs_single_version(self, model: str) -> bool:
         """Tell whether one version must make each sample of a model."""
         return any(
--- /dev/null
+++ b/src/swiftjunction/commands/_fleet.py
@@ -0,0 +1,216 @@
+"""``swiftjunction fleet``: the VMs of a deployment on the platform."""
+
+import abc
+import collections.abc
+import os
+import typing
+
+import anyio
+import cleo.commands.command
+import cleo.helpers
+import msgspec
+
+from swiftjunction import coordination
+from swiftjunction import errors
+from swiftjunction import platform
+from swiftjunction import web
+
+STORE_VARIABLE = 'SWIFTJUNCTION_STORE'
+
+
+class Sources:
+    """Where a command takes its answer from."""
+
+    __slots__ = ('catalog', 'fleet')
+
+    def __init__(self, peers: web.PeerClients, address: str) -> None:
+        store = platform.open_store(peers, address)
+        self.fleet = coordination.FleetReader(store, peers)
+        self.catalog = platform.PlatformCatalog(store)
+
+
+class _FleetCommand(cleo.commands.command.Command):
+    """A command that reads the platform's store."""
+
+    options = [
+        cleo.helpers.option(
+            'store',
+            None,
+            f"Address of the platform's store, ip:port; else taken from "
+            f'${STORE_VARIABLE}.',
+            flag=False,
+        ),
+        cleo.helpers.option('json', None, 'Write JSON.'),
+    ]
+
+    def handle(self) -> int:
+        address = self.option('store') or os.environ.get(STORE_VARIABLE, '')
+        host, _, port = address.rpartition(':')
+        if not host or not port.isdecimal():
+            raise errors.SettingsError(
+                [
+                    f'--store {address!r}: must be ip:port of the store '
+                    f'(or set {STORE_VARIABLE})'
+                ]
+            )
+        rows = anyio.run(self._collect, address)
+        if self.option('json'):
+            self.line(msgspec.json.encode(rows).decode())
+            return 0
+        for row in rows:
+            self.line(self.format_row(row))
+        if not rows:
+            self.line('nothing found')
+        return 0
+
+    async def _collect(self, address: str) -> list[typing.Any]:
+        peers = web.PeerClients()
+        try:
+            return list(await self.collect(Sources(peers, address)))
+        finally:
+            await peers.close()
+
+    @abc.abstractmethod
+    async def collect(
+        self, sources: Sources
+    ) -> collections.abc.Iterable[typing.Any]:
+        """Return what is to be shown."""
+
+    @abc.abstractmethod
+    def format_row(self, row: typing.Any) -> str:
+        """Return the line of one of them."""
+
+
+class FleetStatusCommand(_FleetCommand):
+    """Shows the VMs, and who coordinates."""
+
+    name = 'fleet status'
+    description = 'Shows each VM: its state, and what it reaches.'
+
+    async def collect(
+        self, sources: Sources
+    ) -> collections.abc.Iterable[coordination.VmReport]:
+        return await sources.fleet.list_vms()
+
+    def format_row(self, row: coordination.VmReport) -> str:
+        head = f'{row.member.name:<28} {row.member.data_center:<16}'
+        status = row.status
+        if status is None:
+            return f'{head} away: {row.problem}'
+        words = [f'{status.state:<9}']
+        if status.fencing_token:
+            words.append(f'coordinates under {status.fencing_token}')
+        if not status.reaches_store:
+            words.append('does not reach the store')
+        return f'{head} {", ".join(words)}'
+
+
+class FleetLeasesCommand(_FleetCommand):
+    """Shows who holds which lease."""
+
+    name = 'fleet leases'
+    description = 'Shows the holder and the fencing token of each lease.'
+
+    async def collect(
+        self, sources: Sources
+    ) -> collections.abc.Iterable[typing.Any]:
+        return await sources.fleet.list_leases()
+
+    def format_row(self, row: typing.Any) -> str:
+        return (
+            f'{row.name:<16} {row.holder or "free":<40} token {row.token}, '
+            f'version {row.version}'
+        )
+
+
+class FleetStepsCommand(_FleetCommand):
+    """Shows the trainers' steps."""
+
+    name = 'fleet steps'
+    description = 'Shows the batch of each step, and how far it is.'
+
+    async def collect(
+        self, sources: Sources
+    ) -> collections.abc.Iterable[typing.Any]:
+        return await sources.fleet.list_batches()
+
+    def format_row(self, row: typing.Any) -> str:
+        state = 'ended' if row.ended else 'open'
+        return (
+            f'{row.batch_id:<20} {row.model:<16} step {row.step:<5} '
+            f'{row.listed} of {row.total} listed, {state}'
+        )
+
+
+class FleetServersCommand(_FleetCommand):
+    """Shows the backend servers."""
+
+    name = 'fleet servers'
+    description = 'Shows each backend server and its weight versions.'
+
+    async def collect(
+        self, sources: Sources
+    ) -> collections.abc.Iterable[typing.Any]:
+        return await sources.catalog.list_servers()
+
+    def format_row(self, row: typing.Any) -> str:
+        versions = ', '.join(
+            f'{model} at {version}'
+            for model, version in sorted(row.model_versions.items())
+        )
+        return (
+            f'{row.name:<16} {row.service:<20} {row.address:<22} '
+            f'{row.state:<8} {versions}'
+        )
+
+
+class ModelVersion(msgspec.Struct, frozen=True):
+    """The newest version of a model."""
+
+    model: str
+    version: int
+
+
+class FleetVersionsCommand(_FleetCommand):
+    """Shows the newest version of each model."""
+
+    name = 'fleet versions'
+    description = 'Shows the newest version that each trainer has named.'
+
+    async def collect(
+        self, sources: Sources
+    ) -> collections.abc.Iterable[ModelVersion]:
+        named = await sources.catalog.list_versions()
+        return [ModelVersion(*pair) for pair in sorted(named.items())]
+
+    def format_row(self, row: ModelVersion) -> str:
+        return f'{row.model:<24} {row.version}'
+
+
+class FleetRoutesCommand(_FleetCommand):
+    """Shows the newest configuration."""
+
+    name = 'fleet routes'
+    description = 'Shows the routes of the newest configuration.'
+
+    async def collect(
+        self, sources: Sources
+    ) -> collections.abc.Iterable[typing.Any]:
+        return (await sources.catalog.read_routes()).routes
+
+    def format_row(self, row: typing.Any) -> str:
+        services = ', '.join(share.service for share in row.shares)
+        return (
+            f'{row.host}{row.prefix}  {row.kind.value}, to {services}, '
+            f'{row.timeout_seconds} s'
+        )
+
+
+COMMANDS = (
+    FleetStatusCommand,
+    FleetLeasesCommand,
+    FleetStepsCommand,
+    FleetServersCommand,
+    FleetVersionsCommand,
+    FleetRoutesCommand,
+)
--- a/src/swiftjunction/commands/_operator.py
+++ b/src/swiftjunction/commands/_operator.py
@@ -11,6 +11,7 @@
 from swiftjunction.commands import _conductor
 from swiftjunction.commands import _configuration
 from swiftjunction.commands import _explain
+from swiftjunction.commands import _fleet
 from swiftjunction.commands import _keys
 from swiftjunction.commands import _programs
 
@@ -99,6 +100,7 @@
         [
             *(command() for command in _configuration.COMMANDS),
             *(command() for command in _keys.COMMANDS),
+            *(command() for command in _fleet.COMMANDS),
             WeightsPublishCommand(),
             DumpCommand(),
             StepRunCommand(),
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -5,6 +5,9 @@
 from swiftjunction.coordination._coordinator import Duty
 from swiftjunction.coordination._duty import CoordinatorDuty
 from swiftjunction.coordination._duty import Feeds
+from swiftjunction.coordination._fleet import Catalog
+from swiftjunction.coordination._fleet import FleetReader
+from swiftjunction.coordination._fleet import VmReport
 from swiftjunction.coordination._members import Member
 from swiftjunction.coordination._members import MEMBER_PREFIX
 from swiftjunction.coordination._members import MemberBook
@@ -18,11 +21,13 @@
 from swiftjunction.coordination._watching import PeerWatch
 
 __all__ = [
+    'Catalog',
     'Coordinator',
     'CoordinatorDuty',
     'Duty',
     'FeedSharing',
     'Feeds',
+    'FleetReader',
     'MEMBER_PREFIX',
     'Member',
     'MemberBook',
@@ -34,4 +39,5 @@
     'RelayedStore',
     'RelayingStore',
     'SharedFeed',
+    'VmReport',
 ]
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -303,6 +303,17 @@
         """Tell whether this VM is among the first that others ask."""
         return self.find_rank() < _view.find_ring_size(len(self._members))
 
+    def summarize(self) -> dict[str, object]:
+        """Return who is known and who answers, for a dump."""
+        name, token = self._coordinator
+        return {
+            'rank': self.find_rank(),
+            'coordinator': name,
+            'coordinator_token': token,
+            'members': sorted(self._members),
+            'reached': {status.name: status for status in self.list_reached()},
+        }
+
 
 def encode(member: Member) -> bytes:
     """Return the value of a VM's entry."""
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -161,6 +161,18 @@
         """Return how far each prefix is known here, for peers."""
         return {prefix: f.revision for prefix, f in self._feeds.items()}
 
+    def summarize(self) -> dict[str, dict[str, object]]:
+        """Return how far each prefix is known, for a dump."""
+        ages = self.list_ages()
+        return {
+            prefix: {
+                'revision': feed.revision,
+                'watched': feed.is_watched,
+                'age_seconds': ages.get(prefix),
+            }
+            for prefix, feed in self._feeds.items()
+        }
+
     def list_ages(self) -> dict[str, float]:
         """Return how long ago each prefix was complete here, for peers."""
         now = self._clock()
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -12,8 +12,12 @@
 
 LOG = logging.getLogger(__name__)
 
+LEASE_PREFIX = 'leases/'
+
+
+class Claim(msgspec.Struct):
+    """The value of a lease's object."""
 
-class _Claim(msgspec.Struct):
     holder: str
     # The fencing token of this holder's term: the version of the object at
     # which the term began, and 0 in that first write itself. Versions are
@@ -78,7 +82,7 @@
         replaces_itself: bool = False,
     ) -> None:
         self._store = store
-        self._key = f'leases/{name}'
+        self._key = f'{LEASE_PREFIX}{name}'
         self._holder = holder
         self._replaces_itself = replaces_itself
         self._terms = terms
@@ -124,7 +128,7 @@
             found = await self._store.read(self._key)
         except errors.ObjectMissing:
             return await self._write(0, 0)
-        claim = objectstore.decode_value(found, _Claim)
+        claim = objectstore.decode_value(found, Claim)
         if not self._is_free(found.version, claim):
             raise errors.LeaseLost(
                 f'lease {self.name} is held by {claim.holder}', step='take'
@@ -138,7 +142,7 @@
         token = self.lease.token
         self.lease = None
         self._unresolved.clear()
-        claim = _Claim('', token, uuid.uuid4().hex, 0.0)
+        claim = Claim('', token, uuid.uuid4().hex, 0.0)
         await self._store.update(
             self._key, msgspec.json.encode(claim), self._version
         )
@@ -159,14 +163,14 @@
                 else self._terms.retry_interval_seconds
             )
 
-    def _is_free(self, version: int, claim: _Claim) -> bool:
+    def _is_free(self, version: int, claim: Claim) -> bool:
         if not claim.holder or (
             self._replaces_itself and claim.holder == self._holder
         ):
             return True
         return self._has_lapsed(version, claim)
 
-    def _has_lapsed(self, version: int, claim: _Claim) -> bool:
+    def _has_lapsed(self, version: int, claim: Claim) -> bool:
         # Another daemon's lease has lapsed when its object stayed at one
         # version for the whole term on *this* clock; wall clocks of two VMs
         # are never compared.
@@ -182,7 +186,7 @@
 
     async def _write(self, token: int, version: int) -> _lease.Lease:
         started = self._clock()
-        claim = _Claim(
+        claim = Claim(
             self._holder, token, uuid.uuid4().hex, self._terms.ttl_seconds
         )
         value = msgspec.json.encode(claim)
@@ -226,7 +230,7 @@
             # The creation that was lost may still land; creating again
             # settles it.
             return
-        claim = objectstore.decode_value(found, _Claim)
+        claim = objectstore.decode_value(found, Claim)
         write = self._unresolved.get(claim.nonce)
         if write is not None:
             self._adopt(found.version, claim.token, write.started, True)
--- a/src/swiftjunction/platform/_feeds.py
+++ b/src/swiftjunction/platform/_feeds.py
@@ -23,7 +23,6 @@
 CONFIG_KEY = f'{_names.CONFIG_KIND}/main'
 COMPLETED = msgspec.json.encode({'state': 'completed'})
 RETRY_SECONDS = 0.5
-MAX_RETRIES = 20
 
 
 class PlatformFeeds(coordination.Feeds):
@@ -132,7 +131,7 @@
             )
 
     async def _complete(self, key: str) -> None:
-        for _ in range(MAX_RETRIES):
+        while True:
             try:
                 found = await self._store.read(key)
                 await self._direct.write_status(key, COMPLETED, found.version)
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -9,18 +9,17 @@
 
 import anyio
 import anyio.abc
-import starlette.requests
-import starlette.responses
 
 from swiftjunction import backends
 from swiftjunction import batches
 from swiftjunction import coordination
-from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import membership
 from swiftjunction import objectstore
 from swiftjunction.platform import _feeds
 from swiftjunction.platform import _ingress
+from swiftjunction.platform import _inspection
+from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
 from swiftjunction.platform import _store
 from swiftjunction.platform import _workers
@@ -44,11 +43,10 @@
 MAX_IN_FLIGHT = 1000
 # What is left of the grace time for answers that are still under way.
 LAST_SECONDS = 1.5
-SETTINGS_CHECK_SECONDS = 1.0
+READY_CHECK_SECONDS = 0.1
 # Longer than callers leave a connection idle.
 KEEP_ALIVE_SECONDS = 75.0
 METRICS_PORT = 9464
-METRICS_PATH = '/metrics'
 
 
 class EdgeProgram(batches.ChooseAccess):
@@ -71,7 +69,7 @@
         self, path: pathlib.Path, metrics_port: int = METRICS_PORT
     ) -> None:
         settings = _settings.read_settings(path)
-        self._path = path
+        self._settings_watch = _reloading.SettingsWatch(path, self._apply)
         self._metrics_port = metrics_port
         self._settings = settings
         self._state = 'starting'
@@ -172,6 +170,7 @@
             self._members,
             self._duty,
         )
+        self._admission = requests.Admission(MAX_IN_FLIGHT)
         self._ingress = _ingress.Ingress(
             settings,
             self._book,
@@ -179,7 +178,7 @@
             requests.StreamForwarder(
                 router, workers, requests.RetryBudget(), suspects
             ),
-            requests.Admission(MAX_IN_FLIGHT),
+            self._admission,
             self._archive,
             batches.FirstAccess(self),
             self._members,
@@ -188,6 +187,8 @@
             self._metrics,
         )
 
+        self._dump = self._build_dump()
+
     async def run(self) -> None:
         """Serve until SIGTERM, then hand over and end what runs."""
         front = self._open_listener()
@@ -198,7 +199,7 @@
         peer_app = coordination.PeerApp(
             self._describe, self._direct, self._sharing, self._find_runner
         ).build()
-        peer_app.add_route(METRICS_PATH, self._show_metrics)
+        _inspection.Inspection(self._metrics, self._dump).add_routes(peer_app)
         LOG.info('started', extra={'front': self._settings.front})
         async with anyio.create_task_group() as tasks:
             for task in (
@@ -211,8 +212,9 @@
                 ).run,
                 self._coordinator.run,
                 self._become_ready,
-                self._watch_settings,
+                self._settings_watch.run,
                 self._handle_signals,
+                self._dump.write_on_signal,
             ):
                 tasks.start_soon(task)
             tasks.start_soon(peers.serve, peer_app)
@@ -250,33 +252,13 @@
 
     async def _become_ready(self) -> None:
         while self._book.table is None or not self._feeds.has_servers:
-            await anyio.sleep(SETTINGS_CHECK_SECONDS / 10)
+            await anyio.sleep(READY_CHECK_SECONDS)
         if self._state == 'starting':
             self._state = 'live'
             LOG.info('ready')
 
-    async def _watch_settings(self) -> None:
-        """Look now and then whether the settings file has changed."""
-        held = self._path.stat().st_mtime_ns
-        while True:
-            await anyio.sleep(SETTINGS_CHECK_SECONDS)
-            try:
-                changed = self._path.stat().st_mtime_ns
-            except OSError as error:
-                LOG.warning('settings file not found: %s', error)
-                continue
-            if changed != held:
-                held = changed
-                self._reload()
-
-    def _reload(self) -> None:
-        try:
-            settings = _settings.read_settings(self._path)
-        except errors.SettingsError as error:
-            LOG.error('settings not reloaded: %s', error)
-            return
+    def _apply(self, settings: _settings.VmSettings) -> None:
         self._direct.address = settings.store
-        LOG.info('settings reloaded', extra={'store': settings.store})
 
     async def _handle_signals(self) -> None:
         with anyio.open_signal_receiver(
@@ -284,7 +266,7 @@
         ) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    self._reload()
+                    self._settings_watch.reload()
                 else:
                     self._stopping.set()
 
@@ -345,9 +327,15 @@
             )
         return [*ways, batches.ArchiveAccess(self._archive)]
 
-    async def _show_metrics(
-        self, request: starlette.requests.Request
-    ) -> starlette.responses.Response:
-        return starlette.responses.Response(
-            self._metrics.render(), media_type='text/plain; version=0.0.4'
-        )
+    def _build_dump(self) -> telemetry.StateDump:
+        dump = telemetry.StateDump()
+        dump.add('status', self._describe)
+        dump.add('settings', lambda: self._settings)
+        dump.add('members', self._members.summarize)
+        dump.add('feeds', self._sharing.summarize)
+        dump.add('configuration', self._book.summarize)
+        dump.add('servers', self._directory.summarize)
+        dump.add('batches', self._runner.summarize)
+        dump.add('admission', self._admission.summarize)
+        dump.add('metrics', self._metrics.summarize)
+        return dump
--- a/src/swiftjunction/routes/_table.py
+++ b/src/swiftjunction/routes/_table.py
@@ -1,6 +1,9 @@
 """All routes of one configuration version."""
 
+import collections
+import collections.abc
 import logging
+import time
 
 import msgspec
 
@@ -8,6 +11,9 @@
 
 LOG = logging.getLogger(__name__)
 
+# Versions of which a process remembers when they came into force.
+MAX_HISTORY = 32
+
 
 class ConnectionLimits(msgspec.Struct, frozen=True):
     """What a caller's connection may use.
@@ -72,16 +78,28 @@
 class RouteBook:
     """The newest routes that this process has seen; it never goes back.
 
+    Parameters
+    ----------
+    clock : callable
+        Returns seconds of a monotonic clock.
+
     Attributes
     ----------
     table : RouteTable or None
         None until the first version has come.
     """
 
-    __slots__ = ('table',)
+    __slots__ = ('_clock', '_history', 'table')
 
-    def __init__(self) -> None:
+    def __init__(
+        self, clock: collections.abc.Callable[[], float] = time.monotonic
+    ) -> None:
         self.table: RouteTable | None = None
+        self._clock = clock
+        # Versions and when they came into force here.
+        self._history: collections.deque[tuple[int, float]] = (
+            collections.deque(maxlen=MAX_HISTORY)
+        )
 
     @property
     def version(self) -> int:
@@ -106,4 +124,17 @@
             },
         )
         self.table = table
+        self._history.append((table.version, self._clock()))
         return True
+
+    def summarize(self) -> dict[str, object]:
+        """Return what is in force, and since when, for a dump."""
+        now = self._clock()
+        return {
+            'version': self.version,
+            'routes': self.table.routes if self.table else [],
+            'history': [
+                {'version': version, 'seconds_ago': round(now - at, 1)}
+                for version, at in reversed(self._history)
+            ],
+        }
