Split the modules that had grown, and break the circle of the engine stand-in

Change: steps/_making.py makes the samples of a step, steps/_draw.py is what a trainer is handed; requests/_finding.py finds an engine or refuses, requests/_shaping.py shapes answers. The engine stand-in's HTTP interface derives from the engine. No behaviour is changed.

--- a/src/swiftjunction/requests/_app.py
+++ b/src/swiftjunction/requests/_app.py
@@ -5,7 +5,6 @@
 import logging
 
 import anyio
-import msgspec
 import starlette.applications
 import starlette.requests
 import starlette.responses
@@ -21,6 +20,7 @@
 from swiftjunction.requests import _generation
 from swiftjunction.requests import _reading
 from swiftjunction.requests import _segments
+from swiftjunction.requests import _shaping
 from swiftjunction.requests import _streaming
 from swiftjunction import telemetry
 from swiftjunction import web
@@ -29,19 +29,6 @@
 
 SERVICE_METHODS = ['GET', 'HEAD', 'PUT', 'DELETE', 'POST', 'PATCH']
 IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'PUT', 'DELETE'})
-# Headers that concern one connection, not the message.
-HOP_HEADERS = frozenset(
-    {
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    }
-)
 
 
 class LiveApp:
@@ -176,7 +163,7 @@
     ) -> starlette.responses.Response:
         collected = await self._collect_fresh(call)
         self._metrics.count('answers', path=call.path, outcome='complete')
-        answer = _shape_chunk(
+        answer = _shaping.shape_chunk(
             call,
             ''.join(chunk.text for chunk in collected),
             collected[-1].finish_reason,
@@ -224,7 +211,7 @@
             call.request_id,
             first,
             chunks,
-            lambda chunk: _frame_chunk(call, chunk),
+            lambda chunk: _shaping.frame_chunk(call, chunk),
             lambda outcome: self._metrics.count(
                 'answers', path=call.path, outcome=outcome
             ),
@@ -254,7 +241,7 @@
         except errors.RequestError as error:
             return self._refuse(request_id, error)
         self._metrics.count('answers', path=path, outcome='complete')
-        return _relay_answer(answer, request_id)
+        return _shaping.relay_answer(answer, request_id)
 
     async def _build_forwarded(
         self,
@@ -278,7 +265,8 @@
                 headers=[
                     (name, value)
                     for name, value in request.headers.items()
-                    if name not in HOP_HEADERS and name != 'x-request-id'
+                    if name not in _shaping.HOP_HEADERS
+                    and name != 'x-request-id'
                 ],
                 timeout_seconds=0.0,
             ),
@@ -314,42 +302,3 @@
             *routes,
         ],
     )
-
-
-def _shape_chunk(
-    call: _call.GenerationCall, text: str, finish_reason: str
-) -> dict[str, object]:
-    return {
-        'id': call.request_id,
-        'object': 'text_completion',
-        'model': call.path,
-        'choices': [
-            {
-                'index': 0,
-                'text': text,
-                'finish_reason': finish_reason or None,
-            }
-        ],
-    }
-
-
-def _frame_chunk(call: _call.GenerationCall, chunk: backends.Chunk) -> bytes:
-    shaped = _shape_chunk(call, chunk.text, chunk.finish_reason)
-    shaped['offset'] = chunk.offset
-    shaped['tokens'] = chunk.tokens
-    shaped['weight_version'] = chunk.weight_version
-    return web.format_event(msgspec.json.encode(shaped))
-
-
-def _relay_answer(
-    answer: backends.ServiceAnswer, request_id: str
-) -> starlette.responses.Response:
-    response = starlette.responses.Response(
-        answer.body, status_code=answer.status
-    )
-    for name, value in answer.headers:
-        if name not in HOP_HEADERS and name != 'x-request-id':
-            response.headers.append(name, value)
-    response.headers['x-request-id'] = request_id
-    response.headers['x-request-outcome'] = 'complete'
-    return response
--- a/src/swiftjunction/requests/_generation.py
+++ b/src/swiftjunction/requests/_generation.py
@@ -13,6 +13,7 @@
 from swiftjunction import errors
 from swiftjunction.requests import _budget
 from swiftjunction.requests import _call
+from swiftjunction.requests import _finding
 from swiftjunction.requests import _progress
 from swiftjunction.requests import _suspects
 from swiftjunction import routing
@@ -21,11 +22,6 @@
 LOG = logging.getLogger(__name__)
 
 MAX_ATTEMPTS = 6
-NO_SERVER_WAIT_SECONDS = 0.1
-# Within this time new weights are on all engines, or something is wrong.
-FRESH_WAIT_SECONDS = 8.0
-# How long a service without one live server may be a mere blip.
-BLIP_SECONDS = 1.0
 
 
 class _Aborted(Exception):
@@ -53,8 +49,7 @@
         '_board',
         '_budget',
         '_engines',
-        '_missing',
-        '_router',
+        '_finder',
         '_suspects',
     )
 
@@ -66,10 +61,9 @@
         budget: _budget.RetryBudget,
         suspects: _suspects.SuspectList,
     ) -> None:
-        self._router = router
+        self._finder = _finding.ServerFinder(router, board)
         self._suspects = suspects
         self._engines = engines
-        self._missing: set[tuple[str, int]] = set()
         self._board = board
         self._budget = budget
 
@@ -89,7 +83,7 @@
         fingerprint = call.fingerprint
         while True:
             alone = self._suspects.check(fingerprint)
-            server = await self._find_server(call, progress, alone)
+            server = await self._finder.find(call, progress, alone)
             progress.tries += 1
             began = self._suspects.now()
             try:
@@ -238,75 +232,6 @@
                 error.message, step='resume', peer=error.peer
             ) from error
 
-    async def _find_server(
-        self,
-        call: _call.GenerationCall,
-        progress: _progress.Progress,
-        alone: bool,
-    ) -> backends.BackendServer:
-        """Return the next server, waiting while one may come.
-
-        A request that nobody will serve in time is given up at once.
-        """
-        started_at = anyio.current_time()
-        while True:
-            try:
-                request = self._describe(call, progress, alone)
-                server = await self._router.acquire(
-                    request, call.settings.policy or ''
-                )
-                self._missing.clear()
-                return server
-            except (errors.ServersBusy, errors.StaleWeights) as error:
-                # A newer version than the newest comes with no notice.
-                raise self._give_up(progress, error) from error
-            except errors.NotRun as error:
-                waited_seconds = anyio.current_time() - started_at
-                if not self._may_wait(request, waited_seconds):
-                    raise self._give_up(progress, error) from error
-            progress.excluded.clear()
-            await anyio.sleep(NO_SERVER_WAIT_SECONDS)
-
-    def _describe(
-        self,
-        call: _call.GenerationCall,
-        progress: _progress.Progress,
-        alone: bool,
-    ) -> routing.RoutingRequest:
-        return routing.RoutingRequest(
-            path=call.path,
-            service=call.model,
-            prompt=call.prompt,
-            min_version=self._board.find_oldest(call.model, call.bound),
-            excluded=frozenset(progress.excluded),
-            alone=alone,
-            request_class=call.request_class,
-            max_load=call.max_load,
-            deadline=call.deadline,
-        )
-
-    def _may_wait(
-        self, request: routing.RoutingRequest, waited_seconds: float
-    ) -> bool:
-        """Tell whether a server that may run the request can come in time.
-
-        What one request has waited for in vain, the next ones do not wait
-        for: until an engine has the version, they are refused at once.
-        """
-        wanted = (request.service, request.min_version)
-        if wanted in self._missing and not request.is_narrow():
-            return False
-        limit_seconds = (
-            FRESH_WAIT_SECONDS
-            if self._router.has_live(request.service)
-            else BLIP_SECONDS
-        )
-        if waited_seconds >= limit_seconds:
-            self._missing = {wanted}
-            return False
-        remaining_seconds = request.deadline - anyio.current_time()
-        return remaining_seconds > NO_SERVER_WAIT_SECONDS
-
     def _remaining(self, call: _call.GenerationCall) -> float:
         return max(call.deadline - anyio.current_time(), 0.0)
 
@@ -333,7 +258,7 @@
             or self._remaining(call) <= 0
             or not self._may_go_on(progress)
         ):
-            raise self._give_up(progress, error) from error
+            raise _finding.describe_failure(progress, error) from error
         LOG.info('request %s is retried after %s', call.request_id, error)
 
     def _may_go_on(self, progress: _progress.Progress) -> bool:
@@ -341,23 +266,6 @@
         # which adds no load; beginning again does.
         return progress.tokens > 0 or self._budget.take_retry()
 
-    def _give_up(
-        self, progress: _progress.Progress, error: errors.SwiftjunctionError
-    ) -> errors.RequestError:
-        if isinstance(error, errors.StaleWeights):
-            return error
-        # A refusal of the last attempt does not undo an earlier attempt that
-        # ran: only when none did is "not run" true.
-        kind = (
-            errors.OutcomeUnknown if progress.may_have_run else errors.NotRun
-        )
-        return kind(
-            error.message,
-            step=error.step,
-            peer=error.peer,
-            retry_after_seconds=getattr(error, 'retry_after_seconds', 1.0),
-        )
-
     async def _cancel(
         self, server: backends.BackendServer, request_id: str
     ) -> None:
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from swiftjunction.standins._daemon import StandinDaemon
-from swiftjunction.standins._engine import EngineStandin
+from swiftjunction.standins._engine_app import EngineStandin
 from swiftjunction.standins._faults import FaultSwitches
 from swiftjunction.standins._hosting import host
 from swiftjunction.standins._hosting import Standin
--- a/src/swiftjunction/standins/_daemon.py
+++ b/src/swiftjunction/standins/_daemon.py
@@ -6,7 +6,7 @@
 import anyio.abc
 
 from swiftjunction import objectstore
-from swiftjunction.standins import _engine
+from swiftjunction.standins import _engine_app
 from swiftjunction.standins import _faults
 from swiftjunction.standins import _hosting
 from swiftjunction.standins import _objects
@@ -93,7 +93,7 @@
     ) -> None:
         if not self._runs(plan.name):
             return
-        engine = _engine.EngineStandin(
+        engine = _engine_app.EngineStandin(
             plan.name,
             plan.model,
             self._weights,
--- a/src/swiftjunction/standins/_engine.py
+++ b/src/swiftjunction/standins/_engine.py
@@ -6,10 +6,8 @@
 import anyio
 import anyio.abc
 import httpx
-import starlette.applications
 
 from swiftjunction import backends
-from swiftjunction.standins import _engine_app
 from swiftjunction.standins import _faults
 from swiftjunction.standins import _generations
 from swiftjunction.standins import _prefixes
@@ -39,7 +37,7 @@
         self.refused = refused
 
 
-class EngineStandin:
+class Engine:
     """Batches requests; its token rate falls as the batch grows.
 
     Parameters
@@ -131,10 +129,6 @@
         )
         self._tasks: anyio.abc.TaskGroup | None = None
 
-    def build_app(self) -> starlette.applications.Starlette:
-        """Return the HTTP application."""
-        return _engine_app.build_app(self)
-
     async def run(self) -> None:
         """Generate until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/src/swiftjunction/standins/_engine_app.py
+++ b/src/swiftjunction/standins/_engine_app.py
@@ -1,7 +1,6 @@
 """The HTTP interface of an engine stand-in."""
 
 import collections.abc
-import typing
 
 import anyio
 import msgspec
@@ -11,18 +10,24 @@
 import starlette.routing
 
 from swiftjunction import backends
+from swiftjunction.standins import _engine
 from swiftjunction.standins import _generations
 from swiftjunction.standins import _texts
 from swiftjunction import web
 
-if typing.TYPE_CHECKING:
-    from swiftjunction.standins import _engine
-
 STATUS_CHECK_SECONDS = 0.05
 
 
-def build_app(
-    engine: '_engine.EngineStandin',
+class EngineStandin(_engine.Engine):
+    """An engine that is called over HTTP."""
+
+    def build_app(self) -> starlette.applications.Starlette:
+        """Return the HTTP application."""
+        return _build_app(self)
+
+
+def _build_app(
+    engine: _engine.Engine,
 ) -> starlette.applications.Starlette:
     """Return the application of `engine`."""
     app = _EngineApp(engine)
@@ -48,7 +53,7 @@
 
 
 class _EngineApp:
-    def __init__(self, engine: '_engine.EngineStandin') -> None:
+    def __init__(self, engine: _engine.Engine) -> None:
         self._engine = engine
 
     async def complete(
--- a/src/swiftjunction/steps/_delivery.py
+++ b/src/swiftjunction/steps/_delivery.py
@@ -9,7 +9,9 @@
 import msgspec
 
 from swiftjunction import errors
+from swiftjunction.steps import _draw
 from swiftjunction.steps import _ledger
+from swiftjunction.steps import _making
 from swiftjunction.steps import _payloads
 from swiftjunction.steps import _production
 from swiftjunction.steps import _step
@@ -20,8 +22,6 @@
 PLACE_INTERVAL_SECONDS = 1.0
 MAX_DRAW_SAMPLES = 512
 MAX_WAIT_SECONDS = 30.0
-# Slots that a step waits for at once.
-SLOTS_ASKED = 8
 # How long an expired step is kept for a trainer that has not drawn the rest.
 EXPIRED_LINGER_SECONDS = 60.0
 
@@ -40,26 +40,6 @@
     return PLACE_INTERVAL_SECONDS * min(max(calls_made, 1), MAX_PLACE_CALLS)
 
 
-class Draw(msgspec.Struct, frozen=True):
-    """What a trainer gets for a cursor.
-
-    Attributes
-    ----------
-    start : int
-        The sequence number after which it begins.
-    cursor : int
-        What to draw with next; it acknowledges these samples.
-    done : bool
-        Whether nothing comes after `cursor`, now or later.
-    """
-
-    start: int
-    samples: list[_step.Sample]
-    cursor: int
-    total: int
-    done: bool
-
-
 class RunningStep:
     """One step on its owner.
 
@@ -85,16 +65,12 @@
         '_finished',
         '_ledger',
         '_lost',
-        '_makers',
-        '_making',
+        '_maker',
         '_payloads',
         '_placing_since',
         '_producer',
         '_restoring',
-        '_schedule',
-        '_tasks_by_index',
         '_unplaced',
-        '_wanted',
         'step',
     )
 
@@ -117,15 +93,11 @@
         self._changed = anyio.Event()
         self._finished = anyio.Event()
         self._unplaced = anyio.Event()
-        self._wanted = anyio.Event()
         self._lost = False
-        self._making: set[int] = set()
         self._placing_since = 0.0
-        self._tasks_by_index = {
-            task.index: task for task in step.spec.list_tasks()
-        }
-        self._schedule = producer.make_schedule(step.spec)
-        self._makers = anyio.CancelScope()
+        self._maker = _making.SampleMaker(
+            step, producer, self._remaining_seconds, self._note_made
+        )
 
     async def run(self) -> None:
         """Work until the trainer has every sample, or the step is lost.
@@ -159,7 +131,7 @@
             self._unplaced.set()
         for index in self.step.list_missing():
             self._want(index)
-        tasks.start_soon(self._make_wanted)
+        tasks.start_soon(self._maker.run)
         tasks.start_soon(self._place_finished)
 
     def cancel(self) -> None:
@@ -180,7 +152,7 @@
         self._lost = True
         self._finished.set()
 
-    async def draw(self, cursor: int, wait_seconds: float) -> Draw:
+    async def draw(self, cursor: int, wait_seconds: float) -> _draw.Draw:
         """Acknowledge up to `cursor` and return what comes after it.
 
         A sequence number always means the same index, also on an earlier
@@ -206,7 +178,7 @@
         cursor = max(cursor, self.step.acknowledged)
         if self.step.is_acknowledged:
             self._finished.set()
-            return Draw(cursor, [], cursor, self.step.total, True)
+            return _draw.Draw(cursor, [], cursor, self.step.total, True)
         with anyio.move_on_after(min(wait_seconds, MAX_WAIT_SECONDS)):
             while not (self._list_ready(cursor) or self._makes_no_more()):
                 await self._changed.wait()
@@ -215,7 +187,7 @@
         done = not samples and self._makes_no_more()
         if done:
             self._finished.set()
-        return Draw(cursor, samples, last, self.step.total, done)
+        return _draw.Draw(cursor, samples, last, self.step.total, done)
 
     def _makes_no_more(self) -> bool:
         """Tell whether the step expired and all that was made is placed."""
@@ -257,50 +229,17 @@
         return None
 
     def _want(self, index: int) -> None:
-        if self._restoring or index in self._making or self.step.expired:
-            return
-        self._making.add(index)
-        self._schedule.push(
-            self._tasks_by_index[index], index in self.step.placed
-        )
-        self._wanted.set()
-        self._wanted = anyio.Event()
-
-    async def _make_wanted(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            self._makers = tasks.cancel_scope
-            for _ in range(SLOTS_ASKED):
-                tasks.start_soon(self._start_wanted, tasks)
-
-    async def _start_wanted(self, tasks: anyio.abc.TaskGroup) -> None:
-        while True:
-            while not self._schedule.size:
-                await self._wanted.wait()
-            slot = await self._producer.admit(
-                self.step.spec, self._remaining_seconds()
-            )
-            task = self._schedule.pop()
-            if task is None:
-                slot.release()
-                continue
-            tasks.start_soon(self._make, task, slot)
+        if not self._restoring and not self.step.expired:
+            self._maker.want(index)
 
     def _remaining_seconds(self) -> float:
         if not self.step.expires_at:
             return self.step.spec.deadline_seconds
         return max(self.step.expires_at - self._clock(), 0.0)
 
-    async def _make(
-        self, task: _step.SampleTask, slot: _production.Slot
-    ) -> None:
-        urgent = task.index in self.step.placed or not self._schedule.size
-        sample = await self._producer.make(
-            self.step.spec, task, slot, urgent=urgent
-        )
-        self._making.discard(task.index)
-        self._schedule.learn(task, sample.tokens)
-        self.step.samples[task.index] = sample
-        if task.index in self.step.placed:
+    async def _note_made(self, sample: _step.Sample) -> None:
+        self.step.samples[sample.index] = sample
+        if sample.index in self.step.placed:
             await self._payloads.keep(self.step.spec.step_id, [sample])
             self._notify()
         else:
@@ -318,7 +257,7 @@
             self.step.total,
         )
         self.step.expired = True
-        self._makers.cancel()
+        self._maker.stop()
         self._notify()
         await anyio.sleep(EXPIRED_LINGER_SECONDS)
         self._finished.set()
@@ -388,8 +327,8 @@
             placing_seconds = anyio.current_time() - self._placing_since
         return {
             'total': self.step.total,
-            'waiting': self._schedule.size,
-            'making': len(self._making) - self._schedule.size,
+            'waiting': self._maker.waiting,
+            'making': self._maker.running,
             'made': len(self.step.samples),
             'placed': len(self.step.order),
             'acknowledged': self.step.acknowledged,
