Refuse nobody by the rate of a line that has ended

A line's drain rate falls on while nobody waits, and was only measured anew when somebody joined; but who came was refused because of that rate, with a Retry-After of up to 30 s. So after an outage nine scoring calls of a batch were refused at once and came back after 7 s, though three servers were idle again 50 ms later.

Change: where nobody waits, the rate is not known.

Measured: the new test failed before.

--- a/src/swiftjunction/routing/_waiting.py
+++ b/src/swiftjunction/routing/_waiting.py
@@ -168,6 +168,9 @@
         return (self._count_ahead(patience) + 1) / self._estimate_rate()
 
     def _estimate_rate(self) -> float:
+        if not self._tickets:
+            # What was measured tells of a line that has ended.
+            return ASSUMED_STARTS_PER_SECOND
         measured = self._drain.estimate(anyio.current_time())
         return measured or ASSUMED_STARTS_PER_SECOND
 
--- a/tests/cover/test_routing_waiting.py
+++ b/tests/cover/test_routing_waiting.py
@@ -134,3 +134,22 @@
     with pytest.raises(errors.NotRun) as caught:
         await acquire(servers)
     assert not isinstance(caught.value, errors.ServersBusy)
+
+
+async def test_a_slow_line_of_long_ago_refuses_nobody(clock):
+    # Soak, seed 12: scoring calls were refused for 7 s after an outage, as
+    # the rate of a line that had ended fell on while nobody waited.
+    servers = test_routing.Servers(clock, 'dc-1')
+    fill(servers)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(acquire, servers)
+        await anyio.sleep(0.4)
+        release(servers['s0'])
+    await anyio.sleep(2.5)
+    fill(servers)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(acquire, servers)
+        await anyio.sleep(0.05)
+        assert servers.router.count_waiting() == {'fit': 1}
+        release(servers['s0'])
+    assert servers.router.count_waiting() == {'fit': 0}
