Add a soak over the processes of the platform's deployment

Change: soak/ starts the edge processes of deploy/system.toml, each with a loopback address of its own and with proxies on its links to the store and to servers, that delay, silence, cut one way, refuse and reset. Processes are killed, frozen, terminated and told to reload; the store refuses, is slow, loses answers and forgets; servers crash, drain, break answers off and carry orders out late. The stand-in of an engine changes its version within a run and remembers who made what. The soak of an own deployment is make own-soak now.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 BIN := .venv/bin
 READY := .venv/.ready
 
-.PHONY: demo test check platform-check format sizes clean experiments soak slopes
+.PHONY: demo test check platform-check format sizes clean experiments soak \
+	own-soak slopes
 
 $(READY): pyproject.toml constraints.txt
 	$(PYTHON) -m venv .venv
@@ -14,8 +15,8 @@
 	$(BIN)/python -m swiftjunction.demo
 
 check: $(READY)
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/flake8 src tests bench
+	$(BIN)/ruff format --check src tests bench soak
+	$(BIN)/flake8 src tests bench soak
 	$(BIN)/mypy src
 
 # The roles of deploy/system.toml as processes, before our own stand-ins.
@@ -26,7 +27,7 @@
 	$(BIN)/python -m pytest tests/cover
 
 format: $(READY)
-	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff format src tests bench soak
 
 sizes: $(READY)
 	$(BIN)/python bench/sizes.py
@@ -37,7 +38,12 @@
 experiments: $(READY)
 	$(BIN)/python -m bench suite --seed $(SEED) --page docs/RESULTS.md
 
+# Random faults over the processes of deploy/system.toml.
 soak: $(READY)
+	PYTHONPATH=. $(BIN)/python -m soak --seed $(SEED) --seconds $(SECONDS)
+
+# The same over the processes of an own deployment.
+own-soak: $(READY)
 	$(BIN)/python -m bench soak --seed $(SEED) --seconds $(SECONDS)
 
 SLOPES := out/slopes.jsonl
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -152,7 +152,7 @@
         seed = int(self.option('seed'))
         seconds = float(self.option('seconds'))
         experiment = soak.make_experiment(seed, seconds)
-        command = f'make soak SEED={seed} SECONDS={seconds:g}'
+        command = f'make own-soak SEED={seed} SECONDS={seconds:g}'
         folder = pathlib.Path(self.option('out') or f'out/soak-{seed}')
         result = run_one(experiment, seed, folder.absolute(), command)
         for line in report.format_summary(result):
--- a/src/swiftjunction/standins/_platform_workers.py
+++ b/src/swiftjunction/standins/_platform_workers.py
@@ -100,12 +100,21 @@
         Of each model.
     runs : list of (str, int)
         Id of each sample that ran, and the event it was resumed after.
+    made : dict of str to dict of int to int
+        For each sample, the version that made each event last.
     orders : list of dict
         The bodies of all orders that were accepted.
     """
 
-    def __init__(self, name: str, versions: dict[str, int]) -> None:
+    def __init__(
+        self,
+        name: str,
+        versions: dict[str, int],
+        event_seconds: float = EVENT_SECONDS,
+    ) -> None:
         self.name = name
+        self.made: dict[str, dict[int, int]] = {}
+        self._event_seconds = event_seconds
         self.faults = _faults.FaultSwitches(
             'crashed',
             'shed',
@@ -192,9 +201,10 @@
             return Response(status_code=500, headers=_sign(request_id))
         if self.faults.take('never'):
             return Response(status_code=422, headers=_sign(request_id))
-        version = self.versions[request.headers['swiftjunction-model']]
+        model = request.headers['swiftjunction-model']
+        version = self.versions[model]
         return starlette.responses.StreamingResponse(
-            self._make_events(request_id, after, version),
+            self._make_events(request_id, after, model),
             media_type='text/event-stream',
             headers={
                 **_sign(request_id),
@@ -203,14 +213,21 @@
         )
 
     async def _make_events(
-        self, request_id: str, after: int, version: int
+        self, request_id: str, after: int, model: str
     ) -> collections.abc.AsyncGenerator[bytes, None]:
+        known = self.versions[model]
+        made = self.made.setdefault(request_id, {})
         self._running += 1
         self.most_at_once = max(self.most_at_once, self._running)
         try:
             for number in range(after + 1, EVENTS):
-                await anyio.sleep(EVENT_SECONDS)
+                await anyio.sleep(self._event_seconds)
                 event = f'id: {number}\ndata: {request_id} {number}\n\n'
+                made[number] = self.versions[model]
+                if made[number] != known:
+                    # The run went on under other weights.
+                    known = made[number]
+                    event = f'swiftjunction-weight-versions:{known}\n{event}'
                 if number == EVENTS // 2 and self.faults.take('cut'):
                     yield event[:8].encode()
                     raise ConnectionAbortedError
--- /dev/null
+++ b/tests/cover/test_soak.py
@@ -0,0 +1,18 @@
+"""A short run of the soak, as a whole."""
+
+import anyio
+import pytest
+
+from soak import runs
+
+SECONDS = 6.0
+
+
+@pytest.mark.anyio
+async def test_a_short_soak_breaks_no_promise(tmp_path):
+    with anyio.fail_after(90):
+        report = await runs.run(1, SECONDS, 3, tmp_path)
+    assert report.broken == []
+    assert report.answered > 0
+    assert report.steps > 0
+    assert len(report.faults) >= 3
