Refuse a stream that crashes the servers that run it

Cause: reread: StreamForwarder asked the list of suspects and told it nothing, so a stream that crashes servers was sent to every one, each time it came.

Change: as for plain calls, a crash is noted, the next attempt runs alone, and after the second crash the request is refused.

Measured: the new test called four servers before, two after.

--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -176,7 +176,7 @@
             self._book,
             make_forwarder(),
             requests.StreamForwarder(
-                router, workers, requests.RetryBudget(), suspects
+                router, workers, workers, requests.RetryBudget(), suspects
             ),
             self._admission,
             self._archive,
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -83,24 +83,28 @@
     router : Router
         Chooses the server of each attempt.
     streams : StreamCaller
-        Calls it.
+        Opens streams there.
+    services : ServiceCaller
+        Tells whether a server has crashed.
     budget : RetryBudget
         Bounds the retries of all requests together.
     suspects : SuspectList
         Knows the requests that servers crashed under.
     """
 
-    __slots__ = ('_budget', '_router', '_streams', '_suspects')
+    __slots__ = ('_budget', '_router', '_services', '_streams', '_suspects')
 
     def __init__(
         self,
         router: routing.Router,
         streams: backends.StreamCaller,
+        services: backends.ServiceCaller,
         budget: _budget.RetryBudget,
         suspects: _suspects.SuspectList,
     ) -> None:
         self._router = router
         self._streams = streams
+        self._services = services
         self._budget = budget
         self._suspects = suspects
 
@@ -144,12 +148,15 @@
         for _ in range(call.max_attempts):
             if not self._may_try(progress):
                 break
+            alone = self._suspects.check(call.fingerprint)
             try:
                 async with contextlib.aclosing(
-                    self._attempt(call, progress)
+                    self._attempt(call, progress, alone)
                 ) as events:
                     async for event in events:
                         yield event
+                if alone:
+                    self._suspects.clear(call.fingerprint)
                 return
             except errors.BackendError as error:
                 self._note_failure(call, progress, error)
@@ -167,12 +174,19 @@
         )
 
     async def _attempt(
-        self, call: _forwarding.ForwardedCall, progress: _Progress
+        self,
+        call: _forwarding.ForwardedCall,
+        progress: _Progress,
+        alone: bool,
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
-        server = await self._choose(call, progress)
+        server = await self._choose(call, progress, alone)
         progress.excluded.add(server.name)
+        began = self._suspects.now()
         wait = server.start_wait()
-        with server.track():
+        with (
+            server.track(),
+            server.reserve() if alone else contextlib.nullcontext(),
+        ):
             try:
                 stream = await self._open(call, server, progress)
                 if progress.head is None:
@@ -188,8 +202,15 @@
                         if self._is_new(event, progress):
                             progress.note_event(event)
                             yield event
-            except (errors.BackendUnreachable, errors.AnswerBroken):
+            except errors.BackendUnreachable:
+                server.note_failure()
+                raise
+            except errors.AnswerBroken:
                 server.note_failure()
+                if await self._services.is_crashed(server):
+                    self._suspects.note_crash(
+                        call.fingerprint, server.name, began
+                    )
                 raise
             finally:
                 wait.end()
@@ -204,12 +225,16 @@
         )
 
     async def _choose(
-        self, call: _forwarding.ForwardedCall, progress: _Progress
+        self,
+        call: _forwarding.ForwardedCall,
+        progress: _Progress,
+        alone: bool,
     ) -> backends.BackendServer:
         request = routing.RoutingRequest(
             path=call.path,
             service=call.settings.service or '',
             excluded=frozenset(progress.excluded),
+            alone=alone,
             request_class=call.settings.request_class or 'live',
             deadline=call.deadline,
         )
--- a/tests/cover/test_requests_forwarding.py
+++ b/tests/cover/test_requests_forwarding.py
@@ -99,3 +99,30 @@
         answer = await forwarder.forward(make_call(max_attempts=4))
         assert answer.status == 200
         assert service.called == ['a']
+
+
+class CrashingService(SlowService, backends.StreamCaller):
+    """Every server that begins the request crashes."""
+
+    async def open_stream(self, server, call, position):
+        self.called.append(server.name)
+        raise errors.AnswerBroken('reset', step='test', peer=server.name)
+
+    async def is_crashed(self, server):
+        return True
+
+
+@pytest.mark.anyio
+async def test_a_stream_that_crashes_servers_is_soon_refused():
+    service = CrashingService(0.0)
+    forwarder = requests.StreamForwarder(
+        FirstRouter(['a', 'b', 'c', 'd']),
+        service,
+        service,
+        requests.RetryBudget(),
+        requests.SuspectList(membership.RecordTable(), 'vm'),
+    )
+    for expected in (errors.RequestError, errors.PoisonRefused):
+        with pytest.raises(expected):
+            await forwarder.open(make_call(max_attempts=4), resumable=True)
+    assert service.called == ['a', 'b']
