Remove the entries of VMs that are gone

Cause: reread: a VM that is removed for good stays entered for ever; after some hundred replacements each VM would ask dead ones and rank behind them.

Change: who has found a VM silent for ten minutes removes its entry; a VM that sees its own entry removed enters itself again.

--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -21,6 +21,9 @@
 LOST_AFTER_FAILURES = 2
 # What a VM said of itself holds for so long.
 STATUS_SECONDS = 3.0
+# The entry of a VM that has not answered for so long is removed; if it lives,
+# it enters itself again.
+GONE_AFTER_SECONDS = 600.0
 # In a large deployment, a VM that starts hears of the others within this
 # time, before it tries to coordinate.
 SETTLE_SECONDS = 0.6
@@ -114,6 +117,7 @@
         '_entered_at',
         '_failures',
         '_heard',
+        '_lost_at',
         '_members',
         '_order',
         '_view',
@@ -133,6 +137,7 @@
         self._order: list[str] = []
         self._heard: dict[str, _Heard] = {}
         self._failures: dict[str, int] = {}
+        self._lost_at: dict[str, float] = {}
         self._view = _view.PeerView(own.name, rng or random.Random())
         self._entered_at: float | None = None
         self._coordinator = ('', 0)
@@ -158,8 +163,11 @@
     def forget(self, key: str) -> None:
         """Drop a VM whose entry is gone."""
         name = key.removeprefix(MEMBER_PREFIX)
-        if name != self.own.name and name in self._members:
+        if name == self.own.name:
+            self._entered_at = None
+        elif name in self._members:
             del self._members[name]
+            self._lost_at.pop(name, None)
             self._heard.pop(name, None)
             self._failures.pop(name, None)
             self._order.clear()
@@ -169,6 +177,15 @@
             self._order = membership.rank_owners('coordinator', self._members)
         return self._order
 
+    def is_entered(self) -> bool:
+        """Tell whether this VM's entry was seen, and not removed since."""
+        return self._entered_at is not None
+
+    def list_gone(self) -> list[str]:
+        """Return the VMs that have not answered for so long that they go."""
+        oldest = self._clock() - GONE_AFTER_SECONDS
+        return [name for name, at in self._lost_at.items() if at < oldest]
+
     def is_settled(self) -> bool:
         """Tell whether this VM can know if another one coordinates."""
         if self._entered_at is None:
@@ -193,6 +210,7 @@
         if _is_lost(self._failures.pop(status.name, 0)):
             LOG.info('peer reached again', extra={'peer': status.name})
         self._heard[status.name] = _Heard(status, self._clock())
+        self._lost_at.pop(status.name, None)
         self.note_coordinator(status.coordinator, status.coordinator_token)
         self.note_coordinator(status.name, status.fencing_token)
 
@@ -213,6 +231,7 @@
             LOST_AFTER_FAILURES if refused else 1
         )
         if not _is_lost(failures) and _is_lost(self._failures[name]):
+            self._lost_at[name] = self._clock()
             LOG.warning('peer lost', extra={'peer': name, 'refused': refused})
 
     def list_peers(self) -> list[Member]:
--- a/src/swiftjunction/coordination/_watching.py
+++ b/src/swiftjunction/coordination/_watching.py
@@ -15,6 +15,8 @@
 
 ASK_INTERVAL_SECONDS = 0.5
 ENTER_RETRY_SECONDS = 0.5
+# Between two looks at which entries are to be removed, or entered again.
+SWEEP_SECONDS = 10.0
 
 
 class PeerWatch:
@@ -60,6 +62,7 @@
                 lambda: False,
                 ASK_INTERVAL_SECONDS,
             )
+            tasks.start_soon(self._sweep)
             while True:
                 for member in self._members.choose_peers():
                     tasks.start_soon(self._ask, member)
@@ -76,6 +79,28 @@
                 LOG.info('this VM is not entered yet: %s', error)
                 await anyio.sleep(ENTER_RETRY_SECONDS)
 
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_SECONDS)
+            await self.sweep()
+
+    async def sweep(self) -> None:
+        """Remove the entries of VMs that are gone; enter this one anew."""
+        if not self._members.is_entered():
+            await self._enter()
+        for name in self._members.list_gone():
+            key = _members.MEMBER_PREFIX + name
+            try:
+                found = await self._store.read(key)
+                await self._store.delete(key, found.version)
+            except errors.ObjectMissing:
+                LOG.debug('%s is removed already', key)
+            except errors.PlatformError as error:
+                LOG.info('entry not removed: %s', error, extra={'peer': name})
+                continue
+            LOG.info('peer gone', extra={'peer': name})
+            self._members.forget(key)
+
     async def _ask(self, member: _members.Member) -> None:
         client = _peer.PeerClient(self._peers, member.address)
         try:
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -371,3 +371,61 @@
         assert feed.is_watched
         feed.note_failure()
         assert not feed.is_watched
+
+
+class FakeClock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.mark.anyio
+class TestVmsThatAreGone:
+    def make(self, store):
+        clock = FakeClock()
+        members = coordination.MemberBook(make_member('a'), clock)
+        sharing = coordination.FeedSharing(store, None, members, clock)
+        watch = coordination.PeerWatch(store, None, members, sharing)
+        return clock, members, watch
+
+    async def enter(self, store, members, name):
+        entry = make_entry(make_member(name))
+        await store.create(entry.key, entry.value)
+        members.learn(entry)
+
+    async def test_an_entry_is_removed_after_a_long_silence(self, store):
+        clock, members, watch = self.make(store)
+        await self.enter(store, members, 'a')
+        await self.enter(store, members, 'b')
+        members.note_silence('b', refused=True)
+        clock.now += 500
+        await watch.sweep()
+        assert 'members/b' in store.objects
+        clock.now += 200
+        await watch.sweep()
+        assert 'members/b' not in store.objects
+        assert not members.list_peers()
+
+    async def test_one_that_answers_again_stays(self, store):
+        clock, members, watch = self.make(store)
+        await self.enter(store, members, 'a')
+        await self.enter(store, members, 'b')
+        members.note_silence('b', refused=True)
+        clock.now += 500
+        members.note_status(make_status('b'))
+        clock.now += 200
+        await watch.sweep()
+        assert 'members/b' in store.objects
+
+    async def test_a_vm_whose_entry_was_removed_enters_itself_again(
+        self, store
+    ):
+        _, members, watch = self.make(store)
+        await self.enter(store, members, 'a')
+        found = store.objects['members/a']
+        await store.delete('members/a', found.version)
+        members.forget('members/a')
+        await watch.sweep()
+        assert 'members/a' in store.objects
