--- a/soak/load.py
+++ b/soak/load.py
@@ -262,6 +262,19 @@
                 await anyio.sleep(self._rng.uniform(0.3, 2 * CONFIG_SECONDS))
                 self._world.write_config(self._world.config_version + 1)
 
+    async def check_configuration(self) -> None:
+        """Change the configuration; each VM has it in time."""
+        version = self._world.config_version + 1
+        self._world.write_config(version)
+        await anyio.sleep(world.CONFIG_BOUND_SECONDS)
+        for vm in self._world.vms:
+            status = await self._probe_route(vm, version)
+            self._promises.check(
+                'a configuration is in force in time',
+                status not in NOT_FOUND,
+                (vm.name, version, status),
+            )
+
     async def _probe(self, vm: world.Vm) -> None:
         seen = (0, 0)
         async for life, version in self._list_in_force(vm):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -116,6 +116,7 @@
     )
     with anyio.fail_after(RECOVER_SECONDS):
         await work.read_again()
+        await work.check_configuration()
 
 
 async def _end(deployment: world.World, promises: checks.Promises) -> None:
