Let no reload end a process that starts

Change: the main module ignores SIGHUP first of all and imports the program then; the package itself imports nothing. Settings are read after that.

--- a/src/swiftjunction/commands/_fleet.py
+++ b/src/swiftjunction/commands/_fleet.py
@@ -12,7 +12,7 @@
 
 from swiftjunction import coordination
 from swiftjunction import errors
-from swiftjunction import platform
+from swiftjunction.platform import catalog
 from swiftjunction import web
 
 STORE_VARIABLE = 'SWIFTJUNCTION_STORE'
@@ -24,9 +24,9 @@
     __slots__ = ('catalog', 'fleet')
 
     def __init__(self, peers: web.PeerClients, address: str) -> None:
-        store = platform.open_store(peers, address)
+        store = catalog.open_store(peers, address)
         self.fleet = coordination.FleetReader(store, peers)
-        self.catalog = platform.PlatformCatalog(store)
+        self.catalog = catalog.PlatformCatalog(store)
 
 
 class _FleetCommand(cleo.commands.command.Command):
--- a/src/swiftjunction/platform/__main__.py
+++ b/src/swiftjunction/platform/__main__.py
@@ -1,37 +1,25 @@
-"""Runs the process of a VM that callers reach."""
+"""Starts the process of a VM that callers reach."""
 
-import pathlib
+import signal
 import sys
 
-import anyio
 
-from swiftjunction import errors
-from swiftjunction.platform import _program
-from swiftjunction.platform import _settings
-from swiftjunction import telemetry
+def ignore_reloads() -> None:
+    """Ignore SIGHUP until the process handles it.
 
-EXIT_USAGE = 2
+    Its settings are read later anyway, and while modules are imported, which
+    takes half a second, the signal would end it.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
-async def _run(path: pathlib.Path) -> None:
-    await _program.EdgeProgram(path).run()
+def main() -> int:
+    """Run the process and return its exit code."""
+    ignore_reloads()
+    from swiftjunction.platform import _edge
 
-
-def run_edge() -> int:
-    """Run the process until it is told to stop, and return its exit code."""
-    code = 0
-    try:
-        path = _settings.find_file()
-        name = _settings.read_settings(path).name
-        telemetry.set_up_logs('swiftjunction-edge', name)
-        anyio.run(_run, path)
-    except* errors.SettingsError as group:
-        for error in group.exceptions:
-            if isinstance(error, errors.SettingsError):
-                print('\n'.join(error.problems), file=sys.stderr)
-        code = EXIT_USAGE
-    return code
+    return _edge.run_edge()
 
 
 if __name__ == '__main__':
-    sys.exit(run_edge())
+    sys.exit(main())
--- /dev/null
+++ b/src/swiftjunction/platform/_edge.py
@@ -0,0 +1,33 @@
+"""Runs the process of a VM that callers reach."""
+
+import pathlib
+import sys
+
+import anyio
+
+from swiftjunction import errors
+from swiftjunction.platform import _program
+from swiftjunction.platform import _settings
+from swiftjunction import telemetry
+
+EXIT_USAGE = 2
+
+
+async def _run(path: pathlib.Path) -> None:
+    await _program.EdgeProgram(path).run()
+
+
+def run_edge() -> int:
+    """Run the process until it is told to stop, and return its exit code."""
+    code = 0
+    try:
+        path = _settings.find_file()
+        name = _settings.read_settings(path).name
+        telemetry.set_up_logs('swiftjunction-edge', name)
+        anyio.run(_run, path)
+    except* errors.SettingsError as group:
+        for error in group.exceptions:
+            if isinstance(error, errors.SettingsError):
+                print('\n'.join(error.problems), file=sys.stderr)
+        code = EXIT_USAGE
+    return code
--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -121,3 +121,21 @@
     assert process.poll() is None
     process.send_signal(signal.SIGTERM)
     assert process.wait(END_SECONDS) == 0
+
+
+def test_a_reload_while_a_process_starts_does_not_end_it():
+    # Soak, seed 51: SIGHUP 0.4 s after a start ended a VM's process.
+    check = (
+        'import signal, sys\n'
+        'from swiftjunction.platform import __main__\n'
+        'assert "swiftjunction.platform._program" not in sys.modules\n'
+        '__main__.ignore_reloads()\n'
+        'signal.raise_signal(signal.SIGHUP)\n'
+    )
+    ended = subprocess.run(
+        [sys.executable, '-c', check],
+        cwd=ROOT,
+        timeout=END_SECONDS,
+        env={'PYTHONPATH': str(ROOT / 'src')},
+    )
+    assert ended.returncode == 0
