--- a/soak/checks.py
+++ b/soak/checks.py
@@ -158,7 +158,7 @@
         made = {
             version
             for engine in self._world.engines.values()
-            for version in engine.made.get(sample, {}).values()
+            for _, version in engine.made.get(sample, ())
         }
         versions = set(result['versions'])
         self._promises.check(
--- a/src/swiftjunction/standins/_platform_workers.py
+++ b/src/swiftjunction/standins/_platform_workers.py
@@ -100,8 +100,9 @@
         Of each model.
     runs : list of (str, int)
         Id of each sample that ran, and the event it was resumed after.
-    made : dict of str to dict of int to int
-        For each sample, the version that made each event last.
+    made : dict of str to set of (int, int)
+        For each sample, the events that were made, and under which version;
+        a sample may run more than once.
     orders : list of dict
         The bodies of all orders that were accepted.
     """
@@ -113,7 +114,7 @@
         event_seconds: float = EVENT_SECONDS,
     ) -> None:
         self.name = name
-        self.made: dict[str, dict[int, int]] = {}
+        self.made: dict[str, set[tuple[int, int]]] = {}
         self._event_seconds = event_seconds
         self.faults = _faults.FaultSwitches(
             'crashed',
@@ -216,17 +217,17 @@
         self, request_id: str, after: int, model: str
     ) -> collections.abc.AsyncGenerator[bytes, None]:
         known = self.versions[model]
-        made = self.made.setdefault(request_id, {})
+        made = self.made.setdefault(request_id, set())
         self._running += 1
         self.most_at_once = max(self.most_at_once, self._running)
         try:
             for number in range(after + 1, EVENTS):
                 await anyio.sleep(self._event_seconds)
                 event = f'id: {number}\ndata: {request_id} {number}\n\n'
-                made[number] = self.versions[model]
-                if made[number] != known:
+                made.add((number, self.versions[model]))
+                if self.versions[model] != known:
                     # The run went on under other weights.
-                    known = made[number]
+                    known = self.versions[model]
                     event = f'swiftjunction-weight-versions:{known}\n{event}'
                 if number == EVENTS // 2 and self.faults.take('cut'):
                     yield event[:8].encode()
--- a/tests/nocover/test_soak_seeds.py
+++ b/tests/nocover/test_soak_seeds.py
@@ -11,6 +11,7 @@
     9: 'SIGTERM before a process has begun to serve ended it with -15',
     12: 'a line that had ended refused scoring calls for seconds',
     13: 'as seed 12',
+    58: 'the check knew only the last run of a sample that ran twice',
     51: 'SIGHUP while a process starts ended it',
 }
 
