--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -318,9 +318,9 @@
         away = self._failures.keys() | self._heard.keys()
         return sum(1 for name in before if name in live or name not in away)
 
-    def belongs_to_ring(self) -> bool:
+    def is_seed(self) -> bool:
         """Tell whether this VM is among the first that others ask."""
-        return self.find_rank() < _view.find_ring_size(len(self._members))
+        return self.find_rank() < _view.count_seeds(len(self._members))
 
     def summarize(self) -> dict[str, object]:
         """Return who is known and who answers, for a dump."""
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -155,7 +155,7 @@
 
     def is_asked_by_others(self) -> bool:
         """Tell whether this VM is among the first that others ask."""
-        return self._members.belongs_to_ring()
+        return self._members.is_seed()
 
     def list_revisions(self) -> dict[str, int]:
         """Return how far each prefix is known here, for peers."""
--- a/src/swiftjunction/coordination/_view.py
+++ b/src/swiftjunction/coordination/_view.py
@@ -1,9 +1,9 @@
 """Which peers a VM asks: all of a small deployment, some of a large one.
 
-In a large deployment the VMs of the first ranks form a ring. Whoever belongs
-to it asks many of it, and all others ask a few of it, besides some others
-that each VM draws for itself. So the questions that a VM asks and gets do not
-grow with the number of VMs, and news reaches all of them within a few rounds.
+In a large deployment the VMs of the first ranks are seeds. A seed asks many
+other seeds, and all other VMs ask a few of them, besides some VMs that each
+one draws for itself. So the questions that a VM asks and gets do not grow with
+the number of VMs, and news reaches all of them within a few rounds.
 """
 
 import collections.abc
@@ -12,17 +12,16 @@
 
 # Up to so many peers, each VM asks all others.
 MAX_PEERS_ALL_ASKED = 16
-LEAST_RING_SIZE = 8
-# One VM of so many belongs to the ring.
-RING_DIVISOR = 8
-RING_PEERS_ASKED = 2
-# Whoever belongs to the ring asks the first ones of it, to know its own rank,
-# and some more.
-FIRST_PEERS_ASKED = 4
-RING_PEERS_ASKED_WITHIN = 8
+LEAST_SEEDS = 8
+# One VM of so many is a seed.
+VMS_PER_SEED = 8
+SEEDS_ASKED = 2
+# A seed asks the first ones, to know its own rank, and some more.
+FIRST_SEEDS_ASKED = 4
+SEEDS_ASKED_BY_SEEDS = 8
 # Drawn by each VM for itself. Beside these, the coordinator is asked, and one
 # VM that was lost.
-OTHER_PEERS_ASKED = 4
+OTHERS_ASKED = 4
 
 
 def is_small(vms: int) -> bool:
@@ -30,9 +29,9 @@
     return vms <= MAX_PEERS_ALL_ASKED + 1
 
 
-def find_ring_size(vms: int) -> int:
-    """Return how many of so many VMs form the ring."""
-    return max(LEAST_RING_SIZE, math.ceil(vms / RING_DIVISOR))
+def count_seeds(vms: int) -> int:
+    """Return how many of so many VMs are seeds."""
+    return max(LEAST_SEEDS, math.ceil(vms / VMS_PER_SEED))
 
 
 class PeerView:
@@ -48,16 +47,16 @@
     Attributes
     ----------
     others : list of str
-        Peers outside of the ring, each VM's own draw; empty in a small
+        Peers that are no seeds, each VM's own draw; empty in a small
         deployment.
     """
 
-    __slots__ = ('_own', '_ring', '_rng', 'others')
+    __slots__ = ('_own', '_rng', '_seeds', 'others')
 
     def __init__(self, own: str, rng: random.Random) -> None:
         self._own = own
         self._rng = rng
-        self._ring: list[str] = []
+        self._seeds: list[str] = []
         self.others: list[str] = []
 
     def choose(
@@ -82,21 +81,21 @@
             self.others = []
             return [name for name in order if name != self._own]
         sound = [name for name in order if name not in lost]
-        ring = set(sound[: find_ring_size(len(order))])
+        seeds = set(sound[: count_seeds(len(order))])
         first: list[str] = []
-        count = RING_PEERS_ASKED
-        if self._own in ring:
-            count = RING_PEERS_ASKED_WITHIN
-            first = [n for n in sound if n != self._own][:FIRST_PEERS_ASKED]
-        self._ring = first + self._keep(
-            self._ring, ring - {self._own, *first}, count - len(first)
+        count = SEEDS_ASKED
+        if self._own in seeds:
+            count = SEEDS_ASKED_BY_SEEDS
+            first = [n for n in sound if n != self._own][:FIRST_SEEDS_ASKED]
+        self._seeds = first + self._keep(
+            self._seeds, seeds - {self._own, *first}, count - len(first)
         )
         self.others = self._keep(
             self.others,
-            set(sound) - ring - {self._own, coordinator},
-            OTHER_PEERS_ASKED,
+            set(sound) - seeds - {self._own, coordinator},
+            OTHERS_ASKED,
         )
-        chosen = [*self._ring, *self.others]
+        chosen = [*self._seeds, *self.others]
         if coordinator not in ('', self._own, *chosen):
             chosen.append(coordinator)
         again = sorted(lost & (set(order) - {*chosen, self._own}))
--- a/tests/cover/test_coordination_large.py
+++ b/tests/cover/test_coordination_large.py
@@ -160,7 +160,7 @@
         fleet.run(rounds=2)
         assert not any(vm.book.has_coordinator() for vm in fleet.list_up())
 
-    def test_after_the_loss_of_the_whole_ring_somebody_is_soon_next(self):
+    def test_after_the_loss_of_all_seeds_somebody_is_soon_next(self):
         fleet = Fleet(65, FakeClock())
         fleet.run(rounds=3)
         ranks = {n: vm.book.find_rank() for n, vm in fleet.vms.items()}
