Let an order wait for a lease that is renewed late

An order needs a second of the lease's time, checked just before it is sent. On a busy VM a renewal came late, the check failed, and the failure ended the whole duty, as if another holder were known.

Change: the order is not sent and is tried again; only an engine that has seen a higher token ends the duty.

--- a/src/swiftjunction/batches/_rollout.py
+++ b/src/swiftjunction/batches/_rollout.py
@@ -239,7 +239,16 @@
             engine.orders,
             keeps_running=not self._must_finish(model),
         )
-        lease.check(CALL_TIMEOUT_SECONDS)
+        try:
+            lease.check(CALL_TIMEOUT_SECONDS)
+        except errors.LeaseLost as error:
+            # It may be renewed in a moment; another holder is not known.
+            LOG.info(
+                'order not sent: %s',
+                error,
+                extra={'server': engine.server.name},
+            )
+            return False
         self._metrics.count('orders')
         try:
             holds = await self._client.give_order(engine.server, order)
