--- a/bench/hop.py
+++ b/bench/hop.py
@@ -21,7 +21,6 @@
 import httpx
 import msgspec
 
-from swiftjunction.demo import _fleet
 from swiftjunction import standins
 
 REQUESTS = 400
@@ -200,7 +199,7 @@
 async def measure(source: str) -> HopCosts:
     """Return the costs of one source tree."""
     ports = dict(
-        zip(PORT_NAMES, _fleet.find_free_ports(len(PORT_NAMES)), strict=True)
+        zip(PORT_NAMES, standins.reserve_ports(len(PORT_NAMES)), strict=True)
     )
     entry = f'http://127.0.0.1:{ports["entry"]}'
     with (
--- a/bench/payloads.py
+++ b/bench/payloads.py
@@ -17,9 +17,9 @@
 import anyio
 import msgspec
 
-from swiftjunction.demo import _fleet
 from swiftjunction import links
 from swiftjunction import spool
+from swiftjunction import standins
 
 SAMPLE_COUNT = 8192
 SAMPLES_PER_BATCH = 64
@@ -69,7 +69,7 @@
     """
 
     def __init__(self, folder: str) -> None:
-        ports = _fleet.find_free_ports(SPOOL_COUNT)
+        ports = standins.reserve_ports(SPOOL_COUNT)
         self.addresses = [f'127.0.0.1:{port}' for port in ports]
         self.stores = [
             spool.DiskStore(pathlib.Path(folder) / str(n), MAX_SPOOL_BYTES)
--- a/bench/weights.py
+++ b/bench/weights.py
@@ -20,7 +20,6 @@
 
 from swiftjunction import configuration
 from swiftjunction import daemons
-from swiftjunction.demo import _fleet
 from swiftjunction import objectstore
 from swiftjunction import settings
 from swiftjunction import standins
@@ -205,7 +204,7 @@
 async def start_conductor(tasks, layout):
     """Start a conductor and configure the path of the model."""
     format_url = 'http://127.0.0.1:{}'.format
-    ports = _fleet.find_free_ports(2)
+    ports = standins.reserve_ports(2)
     config = settings.Settings(
         vm=settings.VmSettings('entry-0', '127.0.0.1', 'dc-1', 'loopback'),
         platform=settings.PlatformSettings(
@@ -257,7 +256,7 @@
         layout = msgspec.json.decode(options.layout, type=Layout)
         anyio.run(serve, layout, options.part)
         return
-    ports = _fleet.find_free_ports(options.engines + 3)
+    ports = standins.reserve_ports(options.engines + 3)
     layout = Layout(*ports[:3], engines=ports[3:])
     sys.exit(anyio.run(measure, layout, options.versions))
 
--- a/src/swiftjunction/demo/_fleet.py
+++ b/src/swiftjunction/demo/_fleet.py
@@ -3,7 +3,6 @@
 import collections.abc
 import contextlib
 import random
-import socket
 import typing
 
 import anyio
@@ -275,7 +274,7 @@
         self.spawn(f'{name}/rollout', self.rollouts[name].run)
 
     def _build_settings(self, number: int) -> settings.Settings:
-        ports = find_free_ports(7)
+        ports = standins.reserve_ports(7)
         spool = None
         if self.options.spool_folder:
             spool = settings.SpoolSettings(
@@ -303,19 +302,6 @@
         )
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return TCP ports that were free when the kernel assigned them."""
-    probes = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind((LOOPBACK, 0))
-        probes.append(probe)
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
-
-
 def generate_prompt(rng: random.Random, kind: str) -> str:
     """Return a random prompt that starts with `kind`."""
     size = rng.choice(['s', 'm', 'l', 'xl'])
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -13,6 +13,7 @@
 from swiftjunction.standins._platform_servers import PlatformEngineStandin
 from swiftjunction.standins._platform_servers import PlatformServiceStandin
 from swiftjunction.standins._platform_store import PlatformStoreStandin
+from swiftjunction.standins._ports import reserve_ports
 from swiftjunction.standins._schedule import FaultEvent
 from swiftjunction.standins._schedule import FaultSchedule
 from swiftjunction.standins._schedule import read_schedule
@@ -51,6 +52,7 @@
     'make_platform_text',
     'read_schedule',
     'read_standin_settings',
+    'reserve_ports',
     'run_schedule',
     'serve',
 ]
--- a/src/swiftjunction/standins/_hosting.py
+++ b/src/swiftjunction/standins/_hosting.py
@@ -5,6 +5,7 @@
 import anyio
 
 from swiftjunction.standins import _faults
+from swiftjunction.standins import _ports
 from swiftjunction import web
 
 CRASH_CHECK_INTERVAL_SECONDS = 0.02
@@ -38,6 +39,7 @@
             while not standin.faults.get('crashed'):
                 await anyio.sleep(CRASH_CHECK_INTERVAL_SECONDS)
             tasks.cancel_scope.cancel()
-        await anyio.sleep(standin.faults.get('crashed'))
+        with _ports.hold_port(ip, int(port)):
+            await anyio.sleep(standin.faults.get('crashed'))
         standin.faults.set('crashed', 0)
         listener = web.open_listener(ip, int(port))
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -225,7 +225,7 @@
         model = request.headers['swiftjunction-model']
         version = self.versions[model]
         return starlette.responses.StreamingResponse(
-            self._iter_events(request_id, after, model),
+            self._iter_events(request_id, after, model, version),
             media_type='text/event-stream',
             headers={
                 **_make_signature_headers(request_id),
@@ -234,9 +234,9 @@
         )
 
     async def _iter_events(
-        self, request_id: str, after: int, model: str
+        self, request_id: str, after: int, model: str, header_version: int
     ) -> collections.abc.AsyncGenerator[bytes, None]:
-        known_version = self.versions[model]
+        known_version = header_version
         generated = self.generated.setdefault(request_id, set())
         self._running_count += 1
         self.max_concurrent_samples = max(
