Run the roles without the machine's own packages

Cause: httpx imports click and pygments where it finds them, which our programs never use. Change: the roles run with -S, so that only target/deps is on Python's path; tests and the soak pass the folder of the installed packages themselves.

--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 import tomllib
 
 import anyio
@@ -16,6 +17,10 @@
 from swiftjunction import web
 
 ROOT = pathlib.Path(__file__).parents[1]
+# The roles run without site-packages (-S), so that they need its folder here.
+MODULE_PATH = os.pathsep.join(
+    [str(ROOT / 'src'), sysconfig.get_path('purelib')]
+)
 HOST = 'callers.example'
 MODEL = 'model-a'
 PLAIN_SERVICE = 'plain'
@@ -148,7 +153,7 @@
                 stderr=subprocess.STDOUT,
                 env={
                     'PATH': os.environ['PATH'],
-                    'PYTHONPATH': str(ROOT / 'src'),
+                    'PYTHONPATH': MODULE_PATH,
                     'SWIFTJUNCTION_NODE_FILE': str(self._settings),
                 },
             )
--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -12,6 +12,7 @@
 import httpx
 import pytest
 
+from soak import testbed
 from tests import platform_deployment
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -44,7 +45,7 @@
                 stderr=subprocess.STDOUT,
                 env={
                     'PATH': os.environ['PATH'],
-                    'PYTHONPATH': str(ROOT / 'src'),
+                    'PYTHONPATH': testbed.MODULE_PATH,
                     'SWIFTJUNCTION_NODE_FILE': str(path),
                 },
             )
@@ -102,7 +103,7 @@
         timeout=STOP_TIMEOUT_SECONDS,
         env={
             'PATH': os.environ['PATH'],
-            'PYTHONPATH': str(ROOT / 'src'),
+            'PYTHONPATH': testbed.MODULE_PATH,
             'SWIFTJUNCTION_NODE_FILE': str(path),
         },
     )
@@ -138,6 +139,6 @@
         [sys.executable, '-c', check],
         cwd=ROOT,
         timeout=STOP_TIMEOUT_SECONDS,
-        env={'PYTHONPATH': str(ROOT / 'src')},
+        env={'PYTHONPATH': testbed.MODULE_PATH},
     )
     assert result.returncode == 0
