Start no samples while the event loop lags

Change: the runner starts no samples while the average lag of the event loop is above 0.2 s; those that run go on. Result: the new test failed before. Conclusion: work is taken on at the rate that the VM can carry.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -9,6 +9,7 @@
 from swiftjunction.backends._http import read_load
 from swiftjunction.backends._http import translate_errors
 from swiftjunction.backends._lapses import DelayedRemoval
+from swiftjunction.backends._lateness import LoopLag
 from swiftjunction.backends._limit import SAMPLE_LATENCY_TOLERANCE
 from swiftjunction.backends._order_sender import OrderSender
 from swiftjunction.backends._orders import EngineStatus
@@ -34,6 +35,7 @@
     'EngineCall',
     'EngineClient',
     'EngineStatus',
+    'LoopLag',
     'NO_EVENT',
     'ORDER_TIMEOUT_SECONDS',
     'Order',
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -6,6 +6,7 @@
 import anyio.abc
 import msgspec
 
+from swiftjunction import backends
 from swiftjunction.batches import _archive
 from swiftjunction.batches import _assignment
 from swiftjunction.batches import _batch
@@ -24,6 +25,9 @@
 LOG = logging.getLogger(__name__)
 
 DISPATCH_INTERVAL_SECONDS = 0.1
+# While the event loop lags by more than this, no samples are started. Those
+# that run would all be late, and so would the news that a batch has ended.
+MAX_LOOP_LAG_SECONDS = 0.2
 MIGRATION_INTERVAL_SECONDS = 0.25
 READ_RETRY_SECONDS = 0.5
 # Maximum number of remembered group names, and of remembered ended batches, of
@@ -48,6 +52,8 @@
         Receives the demand for each model.
     metrics : Metrics
         Counts results.
+    loop_lag : LoopLag
+        The lag of this process's event loop.
     keep_seconds : float
         Minimum time for which results stay readable after the submission of a
         batch.
@@ -65,6 +71,7 @@
         '_checkpoints',
         '_dispatcher',
         '_ended',
+        '_loop_lag',
         '_metrics',
         '_retention',
         '_sample_runner',
@@ -84,6 +91,7 @@
         sample_runner: _sampling.SampleRunner,
         allocator: _assignment.EngineAllocator,
         metrics: telemetry.Metrics,
+        loop_lag: backends.LoopLag,
         keep_seconds: float,
     ) -> None:
         self._store = store
@@ -91,6 +99,7 @@
         self._sample_runner = sample_runner
         self._allocator = allocator
         self._metrics = metrics
+        self._loop_lag = loop_lag
         self._dispatcher = _dispatch.Dispatcher(engines)
         self._seen_groups: dict[str, None] = {}
         self._ended: dict[str, None] = {}
@@ -287,7 +296,7 @@
 
     async def _dispatch_samples(self, tasks: anyio.abc.TaskGroup) -> None:
         while True:
-            if not self._stopping:
+            if self._may_start():
                 for attempt in self._dispatcher.reserve_attempts(
                     self._list_open()
                 ):
@@ -296,6 +305,11 @@
                 await self._wake.wait()
             self._wake = anyio.Event()
 
+    def _may_start(self) -> bool:
+        """Return whether to start waiting samples now."""
+        lags = self._loop_lag.average_seconds > MAX_LOOP_LAG_SECONDS
+        return not (self._stopping or lags)
+
     async def _migrate_from_slow_engines(self) -> None:
         while True:
             await anyio.sleep(MIGRATION_INTERVAL_SECONDS)
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -141,6 +141,7 @@
             ),
             allocator,
             self._metrics,
+            self._directory.loop_lag,
             settings.keep_seconds,
         )
         self._control_loops = coordination.ControlLoops(
--- a/tests/cover/test_batches_runner.py
+++ b/tests/cover/test_batches_runner.py
@@ -5,6 +5,7 @@
 from swiftjunction import batches
 from swiftjunction import membership
 from swiftjunction import telemetry
+from tests.cover import test_batches_planning
 
 
 class BlockingArchive(batches.BatchArchive):
@@ -22,16 +23,30 @@
 KEEP_SECONDS = 100.0
 
 
-def make_runner(store, archive):
+class RecordingSampleRunner:
+    """Records the samples that are started; none of them ends."""
+
+    def __init__(self):
+        self.started = []
+
+    async def generate(self, open_batch, progress, engine):
+        self.started.append(progress.sample.sample_id)
+        await anyio.sleep_forever()
+
+
+def make_runner(store, archive, engines=None, sample_runner=None):
     table = membership.RecordTable()
-    engines = batches.EngineRegistry(backends.Directory(table), lambda: 0.0)
+    engines = engines or batches.EngineRegistry(
+        backends.Directory(table), lambda: 0.0
+    )
     return batches.BatchRunner(
         store,
         archive,
         engines,
-        None,
+        sample_runner,
         batches.EngineAllocator(),
         telemetry.Metrics(),
+        backends.LoopLag(),
         KEEP_SECONDS,
     )
 
@@ -58,3 +73,40 @@
             archive.may_read.set()
     assert runner.batches['b'].ended
     assert list(batches.prioritize_samples(runner.batches.values())) == []
+
+
+@pytest.mark.anyio
+async def test_an_overloaded_vm_starts_no_samples_until_it_has_caught_up(
+    store,
+):
+    # The load: a coordinator with less processor time than the events of the
+    # running samples take. It went on starting samples, and so learnt of the
+    # end of their batches seconds late.
+    pool = test_batches_planning.EnginePool()
+    sample_runner = RecordingSampleRunner()
+    archive = batches.BatchArchive(store)
+    runner = make_runner(store, archive, pool.registry, sample_runner)
+    samples = [
+        batches.Sample(name, '/x', [], b'', group='g') for name in 'abcd'
+    ]
+    await archive.create(
+        batches.Batch(
+            batch_id='b',
+            route='r',
+            host='h',
+            service='s',
+            total=len(samples),
+            samples=samples,
+            model='m',
+        )
+    )
+    runner._loop_lag.average_seconds = 1.0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(runner.run)
+        await anyio.sleep(0.3)
+        assert 'b' in runner.batches
+        assert sample_runner.started == []
+        runner._loop_lag.average_seconds = 0.0
+        await anyio.sleep(0.3)
+        assert sorted(sample_runner.started) == ['a', 'b', 'c', 'd']
+        tasks.cancel_scope.cancel()
