Poll the statuses of peers in datagrams

Cause: each VM polls 8 to 14 peers each half second by HTTP and answers as many, and the coordinator answers all VMs. Besides, each feed compared all known statuses ten times a second. Change: a poll is a datagram each way. A peer that does not answer within 0.2 s is polled over HTTP, which tells a refused connection from silence; both together take no longer than before. A status with a newer revision wakes the feed, in place of the comparison. Weighed: pynng takes several times the processor time of a datagram, and a connection for each peer; a lost message is repeated half a second later here.

--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -15,6 +15,7 @@
 from swiftjunction.coordination._peer import PeerBatchAccess
 from swiftjunction.coordination._peer import PeerClient
 from swiftjunction.coordination._peer import PeerStore
+from swiftjunction.coordination._polling import PeerPoller
 from swiftjunction.coordination._relaying import FailoverStore
 from swiftjunction.coordination._sharing import FeedSync
 from swiftjunction.coordination._sharing import SharedFeed
@@ -37,6 +38,7 @@
     'PeerBatchAccess',
     'PeerClient',
     'PeerMonitor',
+    'PeerPoller',
     'PeerStore',
     'SharedFeed',
     'VmReport',
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -91,6 +91,9 @@
     coordinator_token: int = 0
 
 
+StatusSource = collections.abc.Callable[[], MemberStatus]
+
+
 class _ReceivedStatus(msgspec.Struct, frozen=True):
     """A peer's status, and when it arrived on the table's clock."""
 
@@ -270,19 +273,12 @@
 
     def list_statuses(self) -> collections.abc.Iterator[MemberStatus]:
         """Yield the recent statuses of reachable peers."""
-        for status, _ in self.list_timed_statuses():
-            yield status
-
-    def list_timed_statuses(
-        self,
-    ) -> collections.abc.Iterator[tuple[MemberStatus, float]]:
-        """Yield recent statuses of reachable peers and their arrival times."""
         oldest = self._clock() - MAX_STATUS_AGE_SECONDS
         for name, received in self._statuses.items():
             if received.at > oldest and not _is_unreachable(
                 self._failures.get(name, 0)
             ):
-                yield received.status, received.at
+                yield received.status
 
     def find(self, name: str) -> Member | None:
         """Return the entry of a VM, or None if it is not registered."""
--- a/src/swiftjunction/coordination/_peer.py
+++ b/src/swiftjunction/coordination/_peer.py
@@ -208,6 +208,10 @@
         )
 
 
-async def fetch_status(peer: PeerClient) -> _members.MemberStatus:
+async def fetch_status(
+    peer: PeerClient, timeout_seconds: float = CALL_TIMEOUT_SECONDS
+) -> _members.MemberStatus:
     """Return the status of a peer."""
-    return await peer.call(_messages.STATUS_PATH, None, _members.MemberStatus)
+    return await peer.call(
+        _messages.STATUS_PATH, None, _members.MemberStatus, timeout_seconds
+    )
--- /dev/null
+++ b/src/swiftjunction/coordination/_polling.py
@@ -0,0 +1,170 @@
+"""Polls of the peers' statuses, in datagrams or over HTTP.
+
+A datagram costs far less processor time than an HTTP request, which matters
+most to the coordinator, as all VMs poll it. A datagram may be lost, though,
+and a lost one says nothing about the reason. A peer that does not answer in
+time is therefore polled again over HTTP, which tells a refused connection
+from silence.
+"""
+
+import logging
+import socket
+
+import anyio
+import anyio.abc
+import msgspec
+
+from swiftjunction.coordination import _members
+from swiftjunction.coordination import _peer
+from swiftjunction.coordination import _sharing
+from swiftjunction import errors
+from swiftjunction import web
+
+LOG = logging.getLogger(__name__)
+
+POLL_INTERVAL_SECONDS = 0.5
+# How long to wait for a datagram before polling over HTTP.
+DATAGRAM_TIMEOUT_SECONDS = 0.2
+# Together with the datagram, a poll takes as long as any other call.
+HTTP_TIMEOUT_SECONDS = _peer.CALL_TIMEOUT_SECONDS - DATAGRAM_TIMEOUT_SECONDS
+# A reply to a query of an earlier round is too old to count.
+MAX_REPLY_AGE_ROUNDS = 1
+
+
+class StatusQuery(msgspec.Struct, frozen=True, tag='query'):
+    """Datagram that asks a peer for its status.
+
+    Attributes
+    ----------
+    round_number : int
+        The sender's number of the round of polls; the reply repeats it.
+    """
+
+    round_number: int
+
+
+class StatusReply(msgspec.Struct, frozen=True, tag='reply'):
+    """Datagram that answers a :class:`StatusQuery`."""
+
+    round_number: int
+    status: _members.MemberStatus
+
+
+DECODER = msgspec.msgpack.Decoder(StatusQuery | StatusReply)
+
+
+class PeerPoller:
+    """Polls peers for their statuses, and answers their datagrams.
+
+    Parameters
+    ----------
+    sock : socket
+        A UDP socket bound to the peer address of this VM.
+    peers : PeerClients
+        HTTP clients for the peers.
+    members : MemberTable
+        Selects the peers to poll, and receives their statuses.
+    feed_sync : FeedSync
+        Receives the statuses as well.
+    get_status : callable
+        Returns this VM's status.
+    """
+
+    __slots__ = (
+        '_feed_sync',
+        '_get_status',
+        '_members',
+        '_peers',
+        '_round_number',
+        '_send_lock',
+        '_sock',
+        '_unanswered',
+    )
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        peers: web.PeerClients,
+        members: _members.MemberTable,
+        feed_sync: _sharing.FeedSync,
+        get_status: _members.StatusSource,
+    ) -> None:
+        self._sock = sock
+        self._peers = peers
+        self._members = members
+        self._feed_sync = feed_sync
+        self._get_status = get_status
+        self._round_number = 0
+        # Queries and replies are sent by different tasks.
+        self._send_lock = anyio.Lock(fast_acquire=True)
+        # The peers polled in this round that have not answered, by name.
+        self._unanswered: dict[str, _members.Member] = {}
+
+    async def run(self) -> None:
+        """Poll the selected peers in rounds, until cancelled."""
+        udp = await anyio.abc.UDPSocket.from_socket(self._sock)
+        async with udp, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._receive, udp)
+            while True:
+                await self._send_queries(udp)
+                await anyio.sleep(DATAGRAM_TIMEOUT_SECONDS)
+                for member in self._unanswered.values():
+                    tasks.start_soon(self._poll_over_http, member)
+                await anyio.sleep(
+                    POLL_INTERVAL_SECONDS - DATAGRAM_TIMEOUT_SECONDS
+                )
+
+    async def _send_queries(self, udp: anyio.abc.UDPSocket) -> None:
+        self._round_number += 1
+        selected = self._members.select_peers()
+        self._unanswered = {member.name: member for member in selected}
+        query = msgspec.msgpack.encode(StatusQuery(self._round_number))
+        for member in selected:
+            host, _, port = member.address.rpartition(':')
+            await self._send(udp, query, host, int(port))
+
+    async def _receive(self, udp: anyio.abc.UDPSocket) -> None:
+        async for data, (host, port) in udp:
+            try:
+                message = DECODER.decode(data)
+            except msgspec.MsgspecError as error:
+                LOG.warning('ignoring an invalid datagram: %s', error)
+                continue
+            if isinstance(message, StatusReply):
+                self._handle_reply(message)
+                continue
+            reply = StatusReply(message.round_number, self._get_status())
+            await self._send(udp, msgspec.msgpack.encode(reply), host, port)
+
+    def _handle_reply(self, reply: StatusReply) -> None:
+        age_rounds = self._round_number - reply.round_number
+        if age_rounds <= MAX_REPLY_AGE_ROUNDS:
+            self._unanswered.pop(reply.status.name, None)
+            self._record_status(reply.status)
+
+    async def _poll_over_http(self, member: _members.Member) -> None:
+        client = _peer.PeerClient(self._peers, member.address)
+        try:
+            status = await _peer.fetch_status(client, HTTP_TIMEOUT_SECONDS)
+        except errors.PlatformUnavailable:
+            self._members.record_failure(member.name, unsent=True)
+        except errors.PlatformError as error:
+            LOG.debug('poll of a peer failed: %s', error)
+            self._members.record_failure(member.name, unsent=False)
+        else:
+            if status.name == member.name:
+                self._record_status(status)
+
+    def _record_status(self, status: _members.MemberStatus) -> None:
+        self._members.record_status(status)
+        self._feed_sync.record_status(status)
+
+    async def _send(
+        self, udp: anyio.abc.UDPSocket, data: bytes, host: str, port: int
+    ) -> None:
+        async with self._send_lock:
+            try:
+                await udp.sendto(data, host, port)
+            except OSError as error:
+                # As good as lost on the way; polls are repeated over HTTP.
+                LOG.debug('cannot send to %s:%s: %s', host, port, error)
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -22,7 +22,7 @@
 
 LOG = logging.getLogger(__name__)
 
-COMPARE_INTERVAL_SECONDS = 0.1
+COPY_INTERVAL_SECONDS = 0.1
 WATCH_CHECK_INTERVAL_SECONDS = 0.5
 # The VMs of this many lowest ranks watch each prefix, besides those for which
 # `must_watch` is true or whose copy is too old. If packets of one of them are
@@ -59,6 +59,7 @@
         '_listener',
         '_objects',
         'current_at',
+        '_newer_known',
         'is_watched',
         'prefix',
         'revision',
@@ -70,6 +71,7 @@
         self.is_watched = False
         self.current_at = -math.inf
         self._listener = listener
+        self._newer_known = anyio.Event()
         self._objects: dict[str, objectstore.Object] = {}
 
     def replace(self, objects: list[objectstore.Object]) -> None:
@@ -97,6 +99,26 @@
             self.revision, list(self._objects.values()), []
         )
 
+    def record_peer(self, revision: int, current_at: float) -> None:
+        """Record a peer's copy of the objects.
+
+        Parameters
+        ----------
+        revision : int
+            The revision of that copy.
+        current_at : float
+            When that copy was last known to have all changes; monotonic time
+            in seconds.
+        """
+        self.current_at = max(self.current_at, current_at)
+        if revision > self.revision:
+            self._newer_known.set()
+
+    async def wait_for_newer(self) -> None:
+        """Wait until a peer is recorded that has a newer copy."""
+        self._newer_known = anyio.Event()
+        await self._newer_known.wait()
+
     def replace_if_newer(self, snapshot: objectstore.ChangeSet) -> None:
         """Replace the objects by a peer's copy if that is newer."""
         if snapshot.revision > self.revision:
@@ -186,22 +208,26 @@
         Feeds that were never known to be current are left out.
         """
         now = self._clock()
-        for feed in self._feeds.values():
-            self._update_current_at(feed, now)
+        self._refresh_watched(now)
         return {
             prefix: round(now - feed.current_at, 3)
             for prefix, feed in self._feeds.items()
             if feed.current_at > -math.inf
         }
 
-    def _update_current_at(self, feed: SharedFeed, now: float) -> None:
-        """Update when a feed was last current, from the peers' statuses."""
-        if feed.is_watched:
-            feed.current_at = now
-            return
-        for status, received_at in self._members.list_timed_statuses():
-            age_seconds = status.ages.get(feed.prefix, math.inf)
-            feed.current_at = max(feed.current_at, received_at - age_seconds)
+    def record_status(self, status: _members.MemberStatus) -> None:
+        """Record the copies of which a peer's status tells."""
+        now = self._clock()
+        for prefix, feed in self._feeds.items():
+            feed.record_peer(
+                status.revisions.get(prefix, -1),
+                now - status.ages.get(prefix, math.inf),
+            )
+
+    def _refresh_watched(self, now: float) -> None:
+        for feed in self._feeds.values():
+            if feed.is_watched:
+                feed.current_at = now
 
     async def run(
         self,
@@ -274,25 +300,24 @@
         if self._members.find_rank() < WATCHER_COUNT:
             return True
         now = self._clock()
-        feed = self._feeds[prefix]
-        self._update_current_at(feed, now)
-        return not feed.is_watched and (
-            now - feed.current_at > MAX_AGE_SECONDS
-        )
+        self._refresh_watched(now)
+        return now - self._feeds[prefix].current_at > MAX_AGE_SECONDS
 
     async def _copy_newer(self, feed: SharedFeed) -> None:
         while True:
-            await anyio.sleep(COMPARE_INTERVAL_SECONDS)
             newest = max(
                 self._members.list_statuses(),
                 key=lambda status: status.revisions.get(feed.prefix, -1),
                 default=None,
             )
             if (
-                newest is not None
-                and newest.revisions.get(feed.prefix, -1) > feed.revision
+                newest is None
+                or newest.revisions.get(feed.prefix, -1) <= feed.revision
             ):
-                await self._copy_from(feed, newest.name)
+                await feed.wait_for_newer()
+                continue
+            await self._copy_from(feed, newest.name)
+            await anyio.sleep(COPY_INTERVAL_SECONDS)
 
     async def _copy_from(self, feed: SharedFeed, name: str) -> None:
         member = self._members.find(name)
--- a/src/swiftjunction/coordination/_watching.py
+++ b/src/swiftjunction/coordination/_watching.py
@@ -1,19 +1,18 @@
-"""Registers this VM, polls its peers and deletes expired entries."""
+"""Registers this VM and deletes the entries of VMs that are gone."""
 
 import logging
 
 import anyio
 
 from swiftjunction.coordination import _members
-from swiftjunction.coordination import _peer
+from swiftjunction.coordination import _polling
 from swiftjunction.coordination import _sharing
 from swiftjunction import errors
 from swiftjunction import objectstore
-from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
 
-POLL_INTERVAL_SECONDS = 0.5
+MEMBERS_COALESCE_SECONDS = 0.5
 REGISTER_RETRY_SECONDS = 0.5
 RECONCILE_INTERVAL_SECONDS = 10.0
 
@@ -25,27 +24,27 @@
     ----------
     store : ObjectStore
         Holds the entries of the VMs.
-    peers : PeerClients
-        HTTP clients for the peers.
     members : MemberTable
         Receives entries and statuses.
     feed_sync : FeedSync
         Keeps the copy of the VMs' entries up to date.
+    poller : PeerPoller
+        Polls the peers for their statuses.
     """
 
-    __slots__ = ('_feed', '_feed_sync', '_members', '_peers', '_store')
+    __slots__ = ('_feed', '_feed_sync', '_members', '_poller', '_store')
 
     def __init__(
         self,
         store: objectstore.ObjectStore,
-        peers: web.PeerClients,
         members: _members.MemberTable,
         feed_sync: _sharing.FeedSync,
+        poller: _polling.PeerPoller,
     ) -> None:
         self._store = store
-        self._peers = peers
         self._members = members
         self._feed_sync = feed_sync
+        self._poller = poller
         self._feed = feed_sync.add(
             _members.MEMBER_PREFIX,
             objectstore.CallbackListener(
@@ -61,13 +60,10 @@
                 self._feed_sync.run,
                 self._feed,
                 lambda: False,
-                POLL_INTERVAL_SECONDS,
+                MEMBERS_COALESCE_SECONDS,
             )
             tasks.start_soon(self._run_reconciliation)
-            while True:
-                for member in self._members.select_peers():
-                    tasks.start_soon(self._poll, member)
-                await anyio.sleep(POLL_INTERVAL_SECONDS)
+            tasks.start_soon(self._poller.run)
 
     async def _register(self) -> None:
         own = self._members.own
@@ -108,19 +104,6 @@
             )
             self._members.remove_entry(key)
 
-    async def _poll(self, member: _members.Member) -> None:
-        client = _peer.PeerClient(self._peers, member.address)
-        try:
-            status = await _peer.fetch_status(client)
-        except errors.PlatformUnavailable:
-            self._members.record_failure(member.name, unsent=True)
-        except errors.PlatformError as error:
-            LOG.debug('poll of a peer failed: %s', error)
-            self._members.record_failure(member.name, unsent=False)
-        else:
-            if status.name == member.name:
-                self._members.record_status(status)
-
 
 async def _write_entry(
     store: objectstore.ObjectStore, key: str, member: _members.Member
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -212,6 +212,15 @@
         _inspection.InspectionEndpoints(self._metrics, self._dump).add_routes(
             peer_app
         )
+        poller = coordination.PeerPoller(
+            web.bind_datagram_socket(
+                self._settings.ip, self._settings.peer_port
+            ),
+            self._clients,
+            self._members,
+            self._feed_sync,
+            self._build_status,
+        )
         LOG.info('started', extra={'front': self._settings.front})
         async with anyio.create_task_group() as tasks:
             for task in (
@@ -220,7 +229,7 @@
                 self._delayed_removal.run,
                 self._directory.loop_lag.run,
                 coordination.PeerMonitor(
-                    self._store, self._clients, self._members, self._feed_sync
+                    self._store, self._members, self._feed_sync, poller
                 ).run,
                 self._coordinator.run,
                 self._become_ready,
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -5,6 +5,7 @@
 from swiftjunction.web._clients import PeerClients
 from swiftjunction.web._clients import REQUEST_START_EVENT
 from swiftjunction.web._clients import UNSENT_ERRORS
+from swiftjunction.web._listeners import bind_datagram_socket
 from swiftjunction.web._listeners import bind_socket
 from swiftjunction.web._listeners import HttpListener
 from swiftjunction.web._listeners import open_listener
@@ -27,6 +28,7 @@
     'TlsContexts',
     'TlsFiles',
     'UNSENT_ERRORS',
+    'bind_datagram_socket',
     'bind_socket',
     'create_client',
     'create_client_context',
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -150,16 +150,32 @@
 
 def bind_socket(ip: str, port: int) -> socket.socket:
     """Return a listening socket; fails as :func:`open_listener` does."""
-    family = socket.AF_INET6 if ':' in ip else socket.AF_INET
-    bound_socket = socket.socket(family, socket.SOCK_STREAM)
+    bound_socket = _create_socket(ip, socket.SOCK_STREAM)
     bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _bind(bound_socket, ip, port)
+    bound_socket.listen(BACKLOG_CONNECTIONS)
+    return bound_socket
+
+
+def bind_datagram_socket(ip: str, port: int) -> socket.socket:
+    """Return a bound UDP socket; fails as :func:`open_listener` does."""
+    bound_socket = _create_socket(ip, socket.SOCK_DGRAM)
+    _bind(bound_socket, ip, port)
+    return bound_socket
+
+
+def _create_socket(ip: str, kind: socket.SocketKind) -> socket.socket:
+    family = socket.AF_INET6 if ':' in ip else socket.AF_INET
+    created = socket.socket(family, kind)
+    created.setblocking(False)
+    return created
+
+
+def _bind(unbound_socket: socket.socket, ip: str, port: int) -> None:
     try:
-        bound_socket.bind((ip, port))
+        unbound_socket.bind((ip, port))
     except OSError as error:
-        bound_socket.close()
+        unbound_socket.close()
         raise errors.SettingsError(
             [f'cannot listen on {ip}:{port}: {error.strerror}']
         ) from error
-    bound_socket.listen(BACKLOG_CONNECTIONS)
-    bound_socket.setblocking(False)
-    return bound_socket
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -458,7 +458,7 @@
         clock = FakeClock()
         members = coordination.MemberTable(make_member('a'), clock)
         feed_sync = coordination.FeedSync(store, None, members, clock)
-        monitor = coordination.PeerMonitor(store, None, members, feed_sync)
+        monitor = coordination.PeerMonitor(store, members, feed_sync, None)
         return clock, members, monitor
 
     async def register(self, store, members, name):
--- a/tests/cover/test_coordination_large.py
+++ b/tests/cover/test_coordination_large.py
@@ -89,7 +89,9 @@
         if name in self.down:
             vm.members.record_failure(name, unsent=True)
         else:
-            vm.members.record_status(self.vms[name].make_status())
+            status = self.vms[name].make_status()
+            vm.members.record_status(status)
+            vm.feed_sync.record_status(status)
 
     def list_first_candidates(self):
         return [vm for vm in self.list_up() if vm.members.find_rank() == 0]
