Rank the VMs with the most processor time first

Cause: the coordinator relays each event of each sample, about half a core for three trainers. Change: a VM's entry names its processor time, and ranks go by it first.

--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -40,6 +40,8 @@
         ``ip:port`` for callers.
     run : str
         Identifies one run of the process; each start generates a new one.
+    processor_cores : float
+        Processor time that the VM provides, in cores.
     """
 
     name: str
@@ -48,6 +50,7 @@
     data_center: str
     region: str
     run: str
+    processor_cores: float = 0.0
 
 
 class MemberStatus(msgspec.Struct, frozen=True):
@@ -166,7 +169,7 @@
             self._failures.pop(member.name, None)
             self._statuses.pop(member.name, None)
         self._members[member.name] = member
-        if known is None:
+        if known is None or known.processor_cores != member.processor_cores:
             self._ranking.clear()
 
     def remove_entry(self, key: str) -> None:
@@ -182,9 +185,16 @@
             self._ranking.clear()
 
     def _rank_members(self) -> list[str]:
+        """Return all VMs, those with the most processor time first.
+
+        The coordinator relays every event of every sample, which can take
+        more processor time than a small VM has.
+        """
         if not self._ranking:
-            self._ranking = membership.rank_owners(
-                'coordinator', self._members
+            self._ranking = sorted(
+                membership.rank_owners('coordinator', self._members),
+                key=lambda name: self._members[name].processor_cores,
+                reverse=True,
             )
         return self._ranking
 
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -90,6 +90,7 @@
                 settings.data_center,
                 settings.region,
                 run_id,
+                settings.processor_cores,
             )
         )
         self._direct = _store.PlatformStore(self._clients, settings.store)
--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -34,6 +34,8 @@
         in seconds.
     checks_fencing : bool
         Whether engines refuse orders with old fencing tokens.
+    processor_cores : float
+        Processor time that this VM provides, in cores.
     """
 
     name: str
@@ -50,6 +52,7 @@
     max_address_seconds: float = 5.0
     keep_seconds: float = 120.0
     checks_fencing: bool = False
+    processor_cores: float = 1.0
 
 
 def find_settings_file() -> pathlib.Path:
@@ -100,6 +103,9 @@
         keep_seconds=reader.read_number('bounds.status_s', 120.0),
         checks_fencing=reader.read_text('bounds.require_fencing', '')
         == 'true',
+        # The share of a core, and how much faster than one core that is.
+        processor_cores=reader.read_number('limits.cpu_share', 1.0)
+        * reader.read_number('limits.cpu_cores', 1.0),
     )
     reader.raise_problems()
     return settings
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -11,9 +11,15 @@
 from tests import conftest
 
 
-def make_member(name, run='1'):
+def make_member(name, run='1', processor_cores=1.0):
     return coordination.Member(
-        name, f'{name}:1', f'{name}:2', 'dc', 'region', run
+        name,
+        f'{name}:1',
+        f'{name}:2',
+        'dc',
+        'region',
+        run,
+        processor_cores,
     )
 
 
@@ -86,6 +92,31 @@
         members.apply_entry(objectstore.Object('members/x', 1, b'{"name": 5}'))
         assert [m.name for m in members.list_peers()] == ['b', 'c']
 
+    @pytest.mark.parametrize('largest', ['a', 'b', 'c'])
+    def test_the_vm_with_the_most_processor_time_ranks_first(self, largest):
+        members = [
+            make_member(name, processor_cores=2.0 if name == largest else 0.5)
+            for name in ('a', 'b', 'c')
+        ]
+        first = []
+        for own in members:
+            table = coordination.MemberTable(own)
+            for member in members:
+                table.apply_entry(make_entry(member))
+                if member is not own:
+                    table.record_status(make_status(member.name))
+            if table.find_rank() == 0:
+                first.append(own.name)
+        assert first == [largest]
+
+    def test_a_peer_that_got_more_processor_time_is_ranked_again(self):
+        table = coordination.MemberTable(make_member('a'))
+        for cores in (0.5, 2.0):
+            member = make_member('b', processor_cores=cores)
+            table.apply_entry(make_entry(member))
+            table.record_status(make_status('b'))
+            assert table.find_rank() == (cores > 1)
+
     def test_all_vms_agree_on_ranks(self):
         names = ('a', 'b', 'c')
         ranks = []
@@ -207,6 +238,14 @@
                 await store.read('k/a')
 
 
+class IdleTask(coordination.CoordinatorTask):
+    async def run(self, lease):
+        await anyio.sleep_forever()
+
+    async def stop(self, timeout_seconds):
+        pass
+
+
 @pytest.mark.anyio
 class TestRestartedHolder:
     async def test_a_restarted_holder_reacquires_at_once_with_a_higher_token(
@@ -286,14 +325,6 @@
         assert (await other.acquire()).fencing_token > lease.fencing_token
 
 
-class IdleTask(coordination.CoordinatorTask):
-    async def run(self, lease):
-        await anyio.sleep_forever()
-
-    async def stop(self, timeout_seconds):
-        pass
-
-
 @pytest.mark.anyio
 class TestHolderThatStoppedRenewing:
     """How soon another VM acquires a lease that is no longer renewed."""
