Send a server no more requests than it runs concurrently

The adaptive limit had grown past 64, as windows that the event loop's lag distorts raise it, and servers elsewhere are added only from 0.8 of that limit on. Change: the requests of this process on a server are limited to its slots, and the share of them that is in use decides on servers elsewhere. Result: two of the new tests, which play a burst of scoring from one VM, failed before; the third shows that few requests still stay in the data centre. Conclusion: a request that has to wait does so here, where it can go to whichever server is free first.

--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -207,9 +207,20 @@
         """Return whether the server is live and not ejected."""
         return self.is_live() and not self.health.ejected_seconds
 
+    @property
+    def max_in_flight(self) -> int:
+        """Return how many requests this process may have in flight.
+
+        That is its concurrency limit, but not more than the server runs
+        concurrently: one that waits at the server cannot move to another
+        server that becomes free first.
+        """
+        limit = self.limit.requests
+        return min(limit, self.report.slots) if self.report.slots else limit
+
     def has_capacity(self) -> bool:
-        """Return whether the concurrency limit allows one more request."""
-        return self.in_flight < self.limit.requests
+        """Return whether one more request may be sent to the server."""
+        return self.in_flight < self.max_in_flight
 
     def update_report(self, report: ServerReport) -> None:
         """Replace the report; begin a slow start if it is live again."""
--- a/src/swiftjunction/routing/_router.py
+++ b/src/swiftjunction/routing/_router.py
@@ -226,4 +226,4 @@
 
 def estimate_utilization(server: backends.BackendServer) -> float:
     """Return the higher of reported load and used share of the limit."""
-    return max(server.decayed_load, server.in_flight / server.limit.requests)
+    return max(server.decayed_load, server.in_flight / server.max_in_flight)
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -24,9 +24,18 @@
             self.report(f's{number}', data_center)
         clock.now += 60
 
-    def report(self, name, data_center='dc-1', state='live', version=1):
+    def report(
+        self, name, data_center='dc-1', state='live', version=1, slots=0
+    ):
         report = backends.ServerReport(
-            name, f'{name}:1', 'fit', data_center, '', state, version
+            name,
+            f'{name}:1',
+            'fit',
+            data_center,
+            '',
+            state,
+            version,
+            slots=slots,
         )
         self.table.put(f'server/{name}', msgspec.msgpack.encode(report))
 
@@ -264,3 +273,46 @@
         harness.count('two-choices', max_load=1.25)
     clock.now += 2
     assert harness.count('two-choices', max_load=1.25)['s0'] == 200
+
+
+class TestScoringFromOneVm:
+    """The load: a coordinator that has a burst of samples scored.
+
+    All scoring requests come from one VM, and one server of eight is in its
+    data centre. It got nearly all of them, queued them and refused the rest,
+    while the other servers were idle.
+    """
+
+    SLOTS = 6
+
+    def make_harness(self, clock):
+        harness = RouterHarness(clock, 'dc-1', *['dc-2'] * 7)
+        for number in range(8):
+            data_center = 'dc-2' if number else 'dc-1'
+            harness.report(f's{number}', data_center, slots=self.SLOTS)
+            # As after many responses that were not slow.
+            harness[f's{number}'].limit._limit = 64.0
+        return harness
+
+    def start_requests(self, harness, count):
+        request = routing.RoutingRequest('demo', 'fit')
+        for _ in range(count):
+            harness.router.choose(request, 'two-choices').in_flight += 1
+        return [harness[f's{number}'].in_flight for number in range(8)]
+
+    def test_no_server_gets_more_requests_than_it_has_slots(self, clock):
+        harness = self.make_harness(clock)
+        in_flight = self.start_requests(harness, 8 * self.SLOTS)
+        assert in_flight == [self.SLOTS] * 8
+        with pytest.raises(errors.ServersBusy):
+            self.start_requests(harness, 1)
+
+    def test_a_burst_spreads_over_all_servers(self, clock):
+        harness = self.make_harness(clock)
+        in_flight = self.start_requests(harness, 4 * self.SLOTS)
+        assert min(in_flight) >= 1
+
+    def test_few_requests_stay_in_the_data_centre(self, clock):
+        harness = self.make_harness(clock)
+        in_flight = self.start_requests(harness, self.SLOTS // 2)
+        assert in_flight[1:] == [0] * 7
