--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -71,6 +71,7 @@
         '_checkpoints',
         '_dispatcher',
         '_ended',
+        '_lags',
         '_loop_lag',
         '_metrics',
         '_retention',
@@ -100,6 +101,7 @@
         self._allocator = allocator
         self._metrics = metrics
         self._loop_lag = loop_lag
+        self._lags = False
         self._dispatcher = _dispatch.Dispatcher(engines)
         self._seen_groups: dict[str, None] = {}
         self._ended: dict[str, None] = {}
@@ -307,7 +309,17 @@
 
     def _may_start(self) -> bool:
         """Return whether to start waiting samples now."""
-        lags = self._loop_lag.average_seconds > MAX_LOOP_LAG_SECONDS
+        lag_seconds = self._loop_lag.average_seconds
+        lags = lag_seconds > MAX_LOOP_LAG_SECONDS
+        if lags != self._lags:
+            self._lags = lags
+            LOG.log(
+                logging.WARNING if lags else logging.INFO,
+                'event loop lags; starting no samples'
+                if lags
+                else 'event loop keeps up again; starting samples',
+                extra={'lag_seconds': round(lag_seconds, 3)},
+            )
         return not (self._stopping or lags)
 
     async def _migrate_from_slow_engines(self) -> None:
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -195,6 +195,10 @@
             self._metrics,
         )
 
+        self._metrics.add_gauge(
+            'event_loop_lag_seconds',
+            lambda: self._directory.loop_lag.average_seconds,
+        )
         self._dump = self._build_dump()
 
     async def run(self) -> None:
