End relayed watches when a call through a peer fails

A watch through a peer that freezes hangs until its own time is over, 6 s, though each renewal of the lease through the same peer fails within one. Change: a failed call through a peer ends the pending watches through peers, as a failed direct call ends the direct ones. The watcher lists again.

--- a/src/swiftjunction/coordination/_relaying.py
+++ b/src/swiftjunction/coordination/_relaying.py
@@ -50,6 +50,7 @@
         '_direct_retry_at',
         '_direct_watches',
         '_list_relays',
+        '_relayed_watches',
     )
 
     def __init__(
@@ -66,6 +67,8 @@
         self._direct_retry_at = 0.0
         # Cancelled when another direct call fails.
         self._direct_watches: set[anyio.CancelScope] = set()
+        # Cancelled when another call through a peer fails.
+        self._relayed_watches: set[anyio.CancelScope] = set()
 
     def reaches_directly(self) -> bool:
         """Return whether the store counts as directly reachable.
@@ -101,11 +104,17 @@
         # lists the objects next, and that call shows whether the direct path
         # has failed.
         if await self._check_direct_path():
-            return await self._watch_directly(prefix, revision, wait_seconds)
+            return await _watch_until_cancelled(
+                self._direct_watches,
+                lambda: self._direct.watch(prefix, revision, wait_seconds),
+            )
         # Short, so that the direct path is soon tried again.
         relayed_seconds = min(wait_seconds, MAX_RELAYED_WATCH_SECONDS)
-        return await self._call(
-            lambda store: store.watch(prefix, revision, relayed_seconds)
+        return await _watch_until_cancelled(
+            self._relayed_watches,
+            lambda: self._call(
+                lambda store: store.watch(prefix, revision, relayed_seconds)
+            ),
         )
 
     async def _check_direct_path(self) -> bool:
@@ -126,20 +135,6 @@
             LOG.debug('object store is still unreachable directly: %s', error)
         return self.reaches_directly()
 
-    async def _watch_directly(
-        self, prefix: str, revision: int, wait_seconds: float
-    ) -> objectstore.ChangeSet:
-        """Watch until another direct call fails to reach the store."""
-        with anyio.CancelScope() as scope:
-            self._direct_watches.add(scope)
-            try:
-                return await self._direct.watch(prefix, revision, wait_seconds)
-            finally:
-                self._direct_watches.discard(scope)
-        raise errors.PlatformUnavailable(
-            'the object store is unreachable', step='watch'
-        )
-
     async def _call(self, operation: Operation[Result]) -> Result:
         failure: errors.PlatformUnavailable | None = None
         if self._clock() >= self._direct_retry_at:
@@ -152,6 +147,10 @@
                 return await operation(relay)
             except errors.PlatformUnavailable as error:
                 failure = error
+                _cancel_all(self._relayed_watches)
+            except errors.WriteUncertain:
+                _cancel_all(self._relayed_watches)
+                raise
         if failure is not None:
             raise failure
         # The direct path failed recently, but no peer can relay the call.
@@ -173,10 +172,41 @@
         if self.reaches_directly():
             LOG.warning('object store is unreachable directly: %s', error)
         self._direct_retry_at = self._clock() + DIRECT_RETRY_SECONDS
-        for scope in self._direct_watches:
-            scope.cancel()
+        _cancel_all(self._direct_watches)
 
     def _record_success(self) -> None:
         if not self.reaches_directly():
             LOG.info('object store is reachable directly again')
         self._direct_retry_at = 0.0
+
+
+async def _watch_until_cancelled(
+    scopes: set[anyio.CancelScope],
+    watch: collections.abc.Callable[
+        [], collections.abc.Awaitable[objectstore.ChangeSet]
+    ],
+) -> objectstore.ChangeSet:
+    """Watch until another call shows that the path to the store has failed.
+
+    A watch hears nothing for as long as nothing changes, so that it does not
+    notice by itself that its connection is dead.
+
+    Parameters
+    ----------
+    scopes : set of CancelScope
+        Holds the scope of the watch while it is pending.
+    """
+    with anyio.CancelScope() as scope:
+        scopes.add(scope)
+        try:
+            return await watch()
+        finally:
+            scopes.discard(scope)
+    raise errors.PlatformUnavailable(
+        'the object store is unreachable', step='watch'
+    )
+
+
+def _cancel_all(scopes: set[anyio.CancelScope]) -> None:
+    for scope in scopes:
+        scope.cancel()
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import anyio
 import msgspec
 import pytest
@@ -203,16 +205,8 @@
         await store.watch('k/', 1, 9)
         assert store.reaches_directly()
 
-    async def test_a_failed_call_ends_pending_direct_watches(self, clock):
-        # Guards against a coordinator whose packets are silently dropped and
-        # that learns of a new version only when a keep-alive probe ends its
-        # watch. Seen on day quiet-1 of diurna-turneu: it learned 4 s later.
-        class PendingWatchStore(conftest.MemoryStore):
-            async def watch(self, prefix, revision, wait_seconds):
-                await anyio.sleep_forever()
-
-        direct = PendingWatchStore()
-        store = self.make(direct, [conftest.MemoryStore()], clock)
+    async def count_ended_watches(self, store, path):
+        """Return how many watches end as a call over `path` fails."""
         failures = []
 
         async def watch():
@@ -225,9 +219,33 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(watch)
                 await anyio.sleep(0.01)
-                direct.faults = ['refuse']
-                await store.create('k/a', b'1')
-        assert len(failures) == 1
+                path.faults = ['refuse']
+                with contextlib.suppress(errors.PlatformUnavailable):
+                    await store.create('k/a', b'1')
+                await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+        return len(failures)
+
+    async def test_a_failed_call_ends_pending_direct_watches(self, clock):
+        # Guards against a coordinator whose packets are silently dropped and
+        # that learns of a new version only when a keep-alive probe ends its
+        # watch. Seen on day quiet-1 of diurna-turneu: it learned 4 s later.
+        direct = PendingWatchStore()
+        store = self.make(direct, [conftest.MemoryStore()], clock)
+        assert await self.count_ended_watches(store, direct) == 1
+
+    async def test_a_failed_relayed_call_ends_pending_relayed_watches(
+        self, clock
+    ):
+        # Guards against a coordinator that watches through a peer which then
+        # freezes: it would learn of the end of a batch only as the watch
+        # times out, 6 s later.
+        direct, relay = conftest.MemoryStore(), PendingWatchStore()
+        direct.faults = ['refuse']
+        store = self.make(direct, [relay], clock)
+        await store.create('k/b', b'1')
+        assert not store.reaches_directly()
+        assert await self.count_ended_watches(store, relay) == 1
 
     async def test_without_peers_the_failure_is_raised(self, clock):
         direct = conftest.MemoryStore()
@@ -238,6 +256,11 @@
                 await store.read('k/a')
 
 
+class PendingWatchStore(conftest.MemoryStore):
+    async def watch(self, prefix, revision, wait_seconds):
+        await anyio.sleep_forever()
+
+
 class IdleTask(coordination.CoordinatorTask):
     async def run(self, lease):
         await anyio.sleep_forever()
