Copy only what has changed of a peer's objects

Cause: each change of a prefix made every VM copy all of its objects from a peer: at 165 VMs, 40 KB of members for each VM that restarts, and the servers' entries several times a second while versions are loaded. Change: a VM names the revision that it has, and gets what changed after it. One whose copy is older than the peer's last list still gets all objects, as a list may show what no watch has reported. Result: the new tests pass; a copied feed equals the watched one from each revision. Conclusion: what a VM copies grows with what changes, no longer with the number of VMs too.

--- a/src/swiftjunction/coordination/_app.py
+++ b/src/swiftjunction/coordination/_app.py
@@ -84,7 +84,8 @@
 
     async def _list_objects(self, request: Request) -> Response:
         call = await _decode(request, _messages.ObjectsCall)
-        return _respond(self._feed_sync.get(call.prefix).snapshot())
+        feed = self._feed_sync.get(call.prefix)
+        return _respond(feed.copy_since(call.since))
 
     async def _read_results(self, request: Request) -> Response:
         call = await _decode(request, _messages.BatchCall)
--- a/src/swiftjunction/coordination/_messages.py
+++ b/src/swiftjunction/coordination/_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from swiftjunction import errors
+from swiftjunction import objectstore
 
 STATUS_PATH = '/peer/status'
 STORE_PATH = '/peer/store'
@@ -38,9 +39,37 @@
 
 
 class ObjectsCall(msgspec.Struct, frozen=True):
-    """Request for all objects under a prefix that the peer has in memory."""
+    """Request for the objects under a prefix that the peer has in memory.
+
+    Attributes
+    ----------
+    since : int
+        The revision that the caller has; -1 for none.
+    """
 
     prefix: str
+    since: int = -1
+
+
+class FeedCopy(msgspec.Struct, frozen=True):
+    """Response to :class:`ObjectsCall`: all objects, or what has changed.
+
+    Attributes
+    ----------
+    revision : int
+        The revision of the store up to which the copy is complete.
+    changed : list of Object
+        All objects, or those that have changed after `since`.
+    deleted : list of str
+        Keys of the objects that were deleted after `since`.
+    since : int
+        The revision that the changes follow; -1 with all objects.
+    """
+
+    revision: int
+    changed: list[objectstore.Object]
+    deleted: list[str]
+    since: int = -1
 
 
 class BatchCall(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -31,6 +31,8 @@
 # A VM whose copy has not been known to be current for this long watches the
 # store itself.
 MAX_AGE_SECONDS = 2.5
+# Remembered deletions of a feed.
+MAX_DELETIONS = 1024
 
 
 class SharedFeed(objectstore.Listener):
@@ -56,8 +58,10 @@
     """
 
     __slots__ = (
+        '_deletions',
         '_listener',
         '_objects',
+        '_replaced_at',
         'current_at',
         '_newer_known',
         'is_watched',
@@ -73,30 +77,69 @@
         self._listener = listener
         self._newer_known = anyio.Event()
         self._objects: dict[str, objectstore.Object] = {}
+        # The objects deleted since the last list, with a revision at which
+        # each was known to be gone; None until the next one is known.
+        self._deletions: dict[str, int | None] = {}
+        # From this revision on, changes and deletions are known one by one;
+        # None until the revision of the last list is known.
+        self._replaced_at: int | None = None
 
     def replace(self, objects: list[objectstore.Object]) -> None:
         self._objects = {found.key: found for found in objects}
+        self._deletions.clear()
+        self._replaced_at = None
         self._listener.replace(objects)
 
     def change(self, found: objectstore.Object) -> None:
         self._objects[found.key] = found
+        self._deletions.pop(found.key, None)
         self._listener.change(found)
 
     def remove(self, key: str) -> None:
-        self._objects.pop(key, None)
-        self._listener.remove(key)
+        known = self._objects.pop(key, None) is not None
+        self._deletions[key] = None
+        if known:
+            self._listener.remove(key)
 
     def mark_current(self, revision: int) -> None:
-        self.revision = max(self.revision, revision)
+        self._advance(revision)
         self.is_watched = True
 
+    def _advance(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        if self._replaced_at is None:
+            self._replaced_at = self.revision
+        for key, gone_at in self._deletions.items():
+            if gone_at is None:
+                self._deletions[key] = self.revision
+        if len(self._deletions) > MAX_DELETIONS:
+            # Peers that do not have them yet get all objects.
+            self._replaced_at = self.revision
+            self._deletions.clear()
+
     def mark_stale(self) -> None:
         self.is_watched = False
 
-    def snapshot(self) -> objectstore.ChangeSet:
-        """Return all objects and the revision, for a peer."""
-        return objectstore.ChangeSet(
-            self.revision, list(self._objects.values()), []
+    def copy_since(self, since: int) -> _messages.FeedCopy:
+        """Return what a peer needs that has all changes up to `since`.
+
+        All objects are sent to a peer whose copy is older than the last list.
+        A list may show changes that no watch has reported, also of objects
+        with an older revision.
+        """
+        if self._replaced_at is None or since < self._replaced_at:
+            return _messages.FeedCopy(
+                self.revision, list(self._objects.values()), []
+            )
+        return _messages.FeedCopy(
+            self.revision,
+            [o for o in self._objects.values() if o.version > since],
+            [
+                key
+                for key, gone_at in self._deletions.items()
+                if gone_at is None or gone_at > since
+            ],
+            since,
         )
 
     def record_peer(self, revision: int, current_at: float) -> None:
@@ -119,11 +162,18 @@
         self._newer_known = anyio.Event()
         await self._newer_known.wait()
 
-    def replace_if_newer(self, snapshot: objectstore.ChangeSet) -> None:
-        """Replace the objects by a peer's copy if that is newer."""
-        if snapshot.revision > self.revision:
-            self.replace(snapshot.changed)
-            self.revision = snapshot.revision
+    def apply_if_newer(self, copy: _messages.FeedCopy) -> None:
+        """Replace or change the objects by a peer's copy if it is newer."""
+        if copy.revision <= self.revision:
+            return
+        if copy.since < 0:
+            self.replace(copy.changed)
+        else:
+            for found in copy.changed:
+                self.change(found)
+            for key in copy.deleted:
+                self.remove(key)
+        self._advance(copy.revision)
 
 
 class FeedSync:
@@ -262,7 +312,10 @@
         """
         while feed.revision < 0:
             try:
-                feed.replace_if_newer(await self._store.list(feed.prefix))
+                listed = await self._store.list(feed.prefix)
+                feed.apply_if_newer(
+                    _messages.FeedCopy(listed.revision, listed.changed, [])
+                )
                 feed.current_at = self._clock()
             except errors.PlatformError as error:
                 LOG.info(
@@ -325,10 +378,10 @@
             return
         client = _peer.PeerClient(self._peers, member.address)
         try:
-            snapshot = await client.call(
+            copy = await client.call(
                 _messages.OBJECTS_PATH,
-                _messages.ObjectsCall(feed.prefix),
-                objectstore.ChangeSet,
+                _messages.ObjectsCall(feed.prefix, feed.revision),
+                _messages.FeedCopy,
             )
         except errors.PlatformError as error:
             LOG.info(
@@ -337,4 +390,4 @@
                 error,
             )
             return
-        feed.replace_if_newer(snapshot)
+        feed.apply_if_newer(copy)
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -6,6 +6,8 @@
 
 from swiftjunction import backends
 from swiftjunction import coordination
+from swiftjunction.coordination import _messages
+from swiftjunction.coordination import _sharing
 from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import membership
@@ -475,10 +477,8 @@
         feed, seen = self.make()
         feed.replace([objectstore.Object('k/a', 1, b'1')])
         feed.mark_current(4)
-        snapshot = objectstore.ChangeSet(
-            6, [objectstore.Object('k/b', 6, b'1')], []
-        )
-        feed.replace_if_newer(snapshot)
+        copy = _messages.FeedCopy(6, [objectstore.Object('k/b', 6, b'1')], [])
+        feed.apply_if_newer(copy)
         assert seen == ['k/a', '-k/a', 'k/b']
         assert feed.revision == 6
 
@@ -486,9 +486,73 @@
         feed, seen = self.make()
         feed.replace([objectstore.Object('k/a', 5, b'1')])
         feed.mark_current(5)
-        feed.replace_if_newer(objectstore.ChangeSet(4, [], []))
+        feed.apply_if_newer(_messages.FeedCopy(4, [], []))
         assert seen == ['k/a']
-        assert feed.snapshot().changed == [objectstore.Object('k/a', 5, b'1')]
+        assert feed.copy_since(-1).changed == [
+            objectstore.Object('k/a', 5, b'1')
+        ]
+
+    def make_watched(self):
+        """Return a feed that was listed at 5 and has changes up to 9."""
+        feed, _ = self.make()
+        feed.replace(
+            [objectstore.Object(f'k/{n}', n, b'1') for n in (1, 2, 3)]
+        )
+        feed.mark_current(5)
+        feed.change(objectstore.Object('k/4', 7, b'1'))
+        feed.mark_current(7)
+        feed.remove('k/1')
+        feed.mark_current(9)
+        return feed
+
+    @pytest.mark.parametrize('since', [5, 6, 7, 8])
+    def test_a_peer_that_has_the_list_gets_only_changes(self, since):
+        watched = self.make_watched()
+        copy = watched.copy_since(since)
+        assert copy.since == since
+        assert [o.key for o in copy.changed] == ['k/4'] * (since < 7)
+        assert copy.deleted == ['k/1']
+
+    @pytest.mark.parametrize('since', [-1, 4])
+    def test_a_peer_without_the_list_gets_all_objects(self, since):
+        copy = self.make_watched().copy_since(since)
+        assert copy.since == -1
+        assert {o.key for o in copy.changed} == {'k/2', 'k/3', 'k/4'}
+
+    @pytest.mark.parametrize('since', [-1, 5, 7, 8])
+    def test_a_copied_feed_has_what_the_watched_one_has(self, since):
+        watched, (copied, _) = self.make_watched(), self.make()
+        if since >= 5:
+            objects = [
+                objectstore.Object(f'k/{n}', n, b'1') for n in (1, 2, 3)
+            ]
+            if since >= 7:
+                objects.append(objectstore.Object('k/4', 7, b'1'))
+            copied.apply_if_newer(_messages.FeedCopy(since, objects, []))
+        copied.apply_if_newer(watched.copy_since(since))
+        assert copied.copy_since(-1) == watched.copy_since(-1)
+
+    def test_a_change_that_only_a_list_showed_reaches_all_peers(self):
+        # Guards against a watch that missed the change of an object: peers
+        # that copied after a later revision would never get it.
+        watched = self.make_watched()
+        watched.mark_stale()
+        watched.replace([objectstore.Object('k/2', 6, b'2')])
+        watched.mark_current(10)
+        assert watched.copy_since(9).changed == [
+            objectstore.Object('k/2', 6, b'2')
+        ]
+        assert watched.copy_since(9).since == -1
+
+    def test_only_a_number_of_deletions_is_remembered(self):
+        feed, _ = self.make()
+        feed.replace([])
+        feed.mark_current(1)
+        for number in range(_sharing.MAX_DELETIONS + 1):
+            feed.remove(f'k/{number}')
+        feed.mark_current(2)
+        assert feed.copy_since(1).since == -1
+        assert feed.copy_since(2).deleted == []
 
     def test_a_failed_feed_is_not_reported_as_watched(self):
         feed, _ = self.make()
