Check the address of a peer before a datagram is sent to it

Cause: asyncio closes a UDP socket that is told to send to a port out of range, so that one broken entry of a member would have ended the process of every VM that polls it. Found by a test of entries with broken addresses, which failed before. Change: an address that is not an IP address and a port counts as an unreachable peer, and nothing is sent there. Result: the test passes with four kinds of broken addresses. Conclusion: a stored entry cannot end a process.

--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -7,6 +7,7 @@
 from silence.
 """
 
+import ipaddress
 import logging
 import socket
 
@@ -29,6 +30,7 @@
 HTTP_TIMEOUT_SECONDS = _peer.CALL_TIMEOUT_SECONDS - DATAGRAM_TIMEOUT_SECONDS
 # A reply to a query of an earlier round is too old to count.
 MAX_REPLY_AGE_ROUNDS = 1
+MAX_PORT = 65535
 
 
 class StatusQuery(msgspec.Struct, frozen=True, tag='query'):
@@ -116,12 +118,17 @@
 
     async def _send_queries(self, udp: anyio.abc.UDPSocket) -> None:
         self._round_number += 1
-        selected = self._members.select_peers()
-        self._unanswered = {member.name: member for member in selected}
+        self._unanswered = {}
         query = msgspec.msgpack.encode(StatusQuery(self._round_number))
-        for member in selected:
-            host, _, port = member.address.rpartition(':')
-            await self._send(udp, query, host, int(port))
+        for member in self._members.select_peers():
+            try:
+                host, port = _parse_address(member.address)
+            except ValueError as error:
+                LOG.warning('invalid address of peer %s: %s', member, error)
+                self._members.record_failure(member.name, unsent=True)
+                continue
+            self._unanswered[member.name] = member
+            await self._send(udp, query, host, port)
 
     async def _receive(self, udp: anyio.abc.UDPSocket) -> None:
         async for data, (host, port) in udp:
@@ -168,3 +175,22 @@
             except OSError as error:
                 # As good as lost on the way; polls are repeated over HTTP.
                 LOG.debug('cannot send to %s:%s: %s', host, port, error)
+
+
+def _parse_address(address: str) -> tuple[str, int]:
+    """Return the IP address and the port of ``ip:port``.
+
+    Checked here, as asyncio closes a UDP socket that is told to send to a
+    port out of range.
+
+    Raises
+    ------
+    ValueError
+        If one of them is invalid.
+    """
+    host, _, port = address.rpartition(':')
+    ip = ipaddress.ip_address(host.strip('[]'))
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f'port {number} is not between 1 and {MAX_PORT}')
+    return str(ip), number
--- a/tests/cover/test_coordination_polling.py
+++ b/tests/cover/test_coordination_polling.py
@@ -173,6 +173,17 @@
                     await udp.sendto(data, '127.0.0.1', a.port)
             await wait_until(lambda: a.reaches(b) and b.reaches(a))
 
+    async def test_a_member_with_a_broken_address_stops_no_polls(self):
+        a, b = Vm('a'), Vm('b')
+        for address in ('', 'nowhere', '127.0.0.1:x', '127.0.0.1:99999'):
+            member = msgspec.structs.replace(
+                a.make_member(), name=f'broken {address}', address=address
+            )
+            a.members.apply_entry(make_entry(member))
+        async with run_vms(a, b):
+            await anyio.sleep(2 * _polling.POLL_INTERVAL_SECONDS)
+            await wait_until(lambda: a.reaches(b) and b.reaches(a))
+
     def test_a_port_in_use_is_an_error_of_the_settings(self):
         a = Vm('a')
         with web.bind_datagram_socket('127.0.0.1', a.port):
