Move the calls of trainers out of the ingress module

Cause: platform/_ingress.py had 401 lines and two jobs: the requests that are forwarded, and the submission, results, bodies and end of batches. Change: the latter are in platform/_batch_calls.py, unchanged but for the check of a draining VM, which stays with the caller. Their log lines have the new module's name. Result: the tests of the platform's path, streams, processes and contract pass.

--- /dev/null
+++ b/src/swiftjunction/platform/_batch_calls.py
@@ -0,0 +1,116 @@
+"""Calls of trainers: submission, results, sample bodies and the end."""
+
+import http
+import logging
+import random
+
+import starlette.requests
+import starlette.responses
+
+from swiftjunction import batches
+from swiftjunction import errors
+from swiftjunction.platform import _batches
+from swiftjunction.platform import _caller_http
+from swiftjunction.platform import _names
+from swiftjunction import requests
+from swiftjunction import routes
+from swiftjunction import telemetry
+
+LOG = logging.getLogger(__name__)
+
+Request = starlette.requests.Request
+Response = starlette.responses.Response
+
+MAX_RESULTS_WAIT_SECONDS = 1.0
+
+
+class BatchCalls:
+    """Handles the calls that concern batches.
+
+    Parameters
+    ----------
+    active_routes : ActiveRoutes
+        Routing table in effect.
+    archive : BatchArchive
+        Stores accepted batches.
+    access : BatchAccess
+        Reads the results of batches and ends batches.
+    rng : random.Random
+        Selects the service of a split route.
+    metrics : Metrics
+        Latency histograms.
+    """
+
+    __slots__ = ('_access', '_active_routes', '_archive', '_metrics', '_rng')
+
+    def __init__(
+        self,
+        active_routes: routes.ActiveRoutes,
+        archive: batches.BatchArchive,
+        access: batches.BatchAccess,
+        rng: random.Random,
+        metrics: telemetry.Metrics,
+    ) -> None:
+        self._active_routes = active_routes
+        self._archive = archive
+        self._access = access
+        self._rng = rng
+        self._metrics = metrics
+
+    async def submit(
+        self, request: Request, request_id: str, route: routes.Route
+    ) -> Response:
+        """Store a batch; respond with 202 once it is stored."""
+        body = await requests.read_body(request)
+        service = route.draw_service(self._rng)
+        batch = _batches.decode_submission(body, request_id, route, service)
+        with self._metrics.measure(service, 'submit'):
+            await _caller_http.translate_store_errors(
+                self._archive.create(batch)
+            )
+        LOG.info(
+            'batch accepted',
+            extra={
+                'batch': request_id,
+                'route': route.name,
+                'configuration_version': self._active_routes.version,
+                'samples': batch.total,
+            },
+        )
+        return Response(status_code=http.HTTPStatus.ACCEPTED)
+
+    async def read_results(self, request: Request, batch_id: str) -> Response:
+        """Respond with the results from a position on."""
+        position = _caller_http.parse_int(
+            request.query_params.get('after', ''), 0
+        )
+        wait_ms = _caller_http.parse_int(
+            request.headers.get(_names.WAIT_MS_HEADER, ''), 0
+        )
+        wait_seconds = min(
+            wait_ms / _names.MS_PER_SECOND, MAX_RESULTS_WAIT_SECONDS
+        )
+        page = await _caller_http.translate_store_errors(
+            self._access.read_results(batch_id, position, wait_seconds)
+        )
+        return Response(
+            _batches.encode_page(page), media_type='application/json'
+        )
+
+    async def read_body(self, batch_id: str, sample_id: str) -> Response:
+        """Respond with the request body of an unfinished sample."""
+        body = await _caller_http.translate_store_errors(
+            self._access.read_body(batch_id, sample_id)
+        )
+        if body is None:
+            raise errors.RouteMissing(
+                f'batch {batch_id} has no unfinished sample {sample_id}',
+                step='body',
+            )
+        return Response(body, media_type='application/octet-stream')
+
+    async def end(self, batch_id: str) -> Response:
+        """End a batch."""
+        await _caller_http.translate_store_errors(self._access.end(batch_id))
+        LOG.info('batch ended by caller', extra={'batch': batch_id})
+        return Response(status_code=http.HTTPStatus.OK)
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -13,11 +13,10 @@
 import starlette.types
 
 from swiftjunction import backends
-from swiftjunction import batches
 from swiftjunction import configuration
 from swiftjunction import coordination
 from swiftjunction import errors
-from swiftjunction.platform import _batches
+from swiftjunction.platform import _batch_calls
 from swiftjunction.platform import _caller_http
 from swiftjunction.platform import _names
 from swiftjunction.platform import _settings
@@ -32,7 +31,6 @@
 
 # How long callers may cache the addresses that they resolve.
 ADDRESS_TTL_SECONDS = 2.0
-MAX_RESULTS_WAIT_SECONDS = 1.0
 # Timeout of each attempt of an idempotent request, as a fraction of the time
 # allowed for the request; the next attempt goes to another server.
 ATTEMPT_TIMEOUT_FRACTION = 0.5
@@ -54,10 +52,8 @@
         Forwards requests for event streams.
     admission : AdmissionController
         Limits the requests in flight.
-    archive : BatchArchive
-        Stores accepted batches.
-    batch_access : BatchAccess
-        Reads the results of batches and ends batches.
+    batch_calls : BatchCalls
+        Handles the calls of trainers.
     members : MemberTable
         Membership of the VMs.
     get_state : callable
@@ -70,10 +66,9 @@
     """
 
     __slots__ = (
-        '_batch_access',
-        '_admission',
-        '_archive',
         '_active_routes',
+        '_admission',
+        '_batch_calls',
         '_forwarder',
         '_members',
         '_metrics',
@@ -90,8 +85,7 @@
         forwarder: requests.Forwarder,
         stream_relay: requests.StreamRelay,
         admission: requests.AdmissionController,
-        archive: batches.BatchArchive,
-        batch_access: batches.BatchAccess,
+        batch_calls: _batch_calls.BatchCalls,
         members: coordination.MemberTable,
         get_state: collections.abc.Callable[[], str],
         rng: random.Random,
@@ -102,8 +96,7 @@
         self._forwarder = forwarder
         self._stream_relay = stream_relay
         self._admission = admission
-        self._archive = archive
-        self._batch_access = batch_access
+        self._batch_calls = batch_calls
         self._members = members
         self._get_state = get_state
         self._rng = rng
@@ -188,16 +181,18 @@
         if path.startswith(_names.RESULTS_PATH_PREFIX):
             batch_id = path.removeprefix(_names.RESULTS_PATH_PREFIX)
             if request.method == 'DELETE':
-                return await self._end_batch(batch_id)
-            return await self._read_results(request, batch_id)
+                return await self._batch_calls.end(batch_id)
+            return await self._batch_calls.read_results(request, batch_id)
         if path.startswith(_names.BODIES_PATH_PREFIX):
-            return await self._read_body(
+            return await self._batch_calls.read_body(
                 path.removeprefix(_names.BODIES_PATH_PREFIX),
                 request.query_params.get('id', ''),
             )
         route = self._find_route(request.headers.get('host', ''), path)
         if route.kind is routes.RouteKind.BATCH and request.method == 'POST':
-            return await self._submit(request, request_id, route)
+            if self._get_state() == 'draining':
+                raise errors.NotRun('this VM is shutting down', step='submit')
+            return await self._batch_calls.submit(request, request_id, route)
         return await self._forward(request, path, request_id, route)
 
     def _find_route(self, host: str, path: str) -> routes.Route:
@@ -314,64 +309,6 @@
             'no response before the deadline', step='call'
         )
 
-    async def _submit(
-        self, request: Request, request_id: str, route: routes.Route
-    ) -> Response:
-        if self._get_state() == 'draining':
-            raise errors.NotRun('this VM is shutting down', step='submit')
-        body = await requests.read_body(request)
-        service = route.draw_service(self._rng)
-        batch = _batches.decode_submission(body, request_id, route, service)
-        with self._metrics.measure(service, 'submit'):
-            await _caller_http.translate_store_errors(
-                self._archive.create(batch)
-            )
-        LOG.info(
-            'batch accepted',
-            extra={
-                'batch': request_id,
-                'route': route.name,
-                'configuration_version': self._active_routes.version,
-                'samples': batch.total,
-            },
-        )
-        return Response(status_code=http.HTTPStatus.ACCEPTED)
-
-    async def _read_results(self, request: Request, batch_id: str) -> Response:
-        position = _caller_http.parse_int(
-            request.query_params.get('after', ''), 0
-        )
-        wait_ms = _caller_http.parse_int(
-            request.headers.get(_names.WAIT_MS_HEADER, ''), 0
-        )
-        wait_seconds = min(
-            wait_ms / _names.MS_PER_SECOND, MAX_RESULTS_WAIT_SECONDS
-        )
-        page = await _caller_http.translate_store_errors(
-            self._batch_access.read_results(batch_id, position, wait_seconds)
-        )
-        return Response(
-            _batches.encode_page(page), media_type='application/json'
-        )
-
-    async def _read_body(self, batch_id: str, sample_id: str) -> Response:
-        body = await _caller_http.translate_store_errors(
-            self._batch_access.read_body(batch_id, sample_id)
-        )
-        if body is None:
-            raise errors.RouteMissing(
-                f'batch {batch_id} has no unfinished sample {sample_id}',
-                step='body',
-            )
-        return Response(body, media_type='application/octet-stream')
-
-    async def _end_batch(self, batch_id: str) -> Response:
-        await _caller_http.translate_store_errors(
-            self._batch_access.end(batch_id)
-        )
-        LOG.info('batch ended by caller', extra={'batch': batch_id})
-        return Response(status_code=http.HTTPStatus.OK)
-
 
 class IngressApp:
     """ASGI application of :class:`Ingress`."""
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -16,6 +16,7 @@
 from swiftjunction import leases
 from swiftjunction import membership
 from swiftjunction import objectstore
+from swiftjunction.platform import _batch_calls
 from swiftjunction.platform import _feeds
 from swiftjunction.platform import _ingress
 from swiftjunction.platform import _inspection
@@ -187,8 +188,13 @@
                 router, workers, workers, requests.RetryBudget(), suspects
             ),
             self._admission,
-            self._archive,
-            batches.FailoverAccess(self),
+            _batch_calls.BatchCalls(
+                self._active_routes,
+                self._archive,
+                batches.FailoverAccess(self),
+                rng,
+                self._metrics,
+            ),
             self._members,
             lambda: self._state,
             rng,
