Name only the peer in the log of a broken address

Cause: read as a newcomer, the line printed a whole entry, and the slots of a feed were out of order. Change: the line names the peer in its own field, as other lines do. Result: the tests of coordination pass. Conclusion: no behaviour changes.

--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -124,7 +124,11 @@
             try:
                 host, port = _parse_address(member.address)
             except ValueError as error:
-                LOG.warning('invalid address of peer %s: %s', member, error)
+                LOG.warning(
+                    'invalid address of a peer: %s',
+                    error,
+                    extra={'peer': member.name},
+                )
                 self._members.record_failure(member.name, unsent=True)
                 continue
             self._unanswered[member.name] = member
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -60,10 +60,10 @@
     __slots__ = (
         '_deletions',
         '_listener',
+        '_newer_known',
         '_objects',
         '_replaced_at',
         'current_at',
-        '_newer_known',
         'is_watched',
         'prefix',
         'revision',
