--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -17,7 +17,7 @@
 from swiftjunction import web
 
 ROOT = pathlib.Path(__file__).parents[1]
-# The roles run without site-packages (-S), so that they need its folder here.
+# The roles run without site-packages (-S), so its folder is passed on.
 MODULE_PATH = os.pathsep.join(
     [str(ROOT / 'src'), sysconfig.get_path('purelib')]
 )
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -26,13 +26,13 @@
 LOG = logging.getLogger(__name__)
 
 DISPATCH_INTERVAL_SECONDS = 0.1
-# While the event loop lags by more than this, no samples are started. Those
-# that run would all be late, and so would the news that a batch has ended.
+# While the event loop lags by more than this, no samples are started: more of
+# them would delay all running ones, and the handling of ended batches.
 MAX_LOOP_LAG_SECONDS = 0.2
 MIGRATION_INTERVAL_SECONDS = 0.25
 READ_RETRY_SECONDS = 0.5
 # For this long after this process became the coordinator, its predecessor may
-# have written results that this process has not read.
+# still write results, which this process does not have in memory.
 HANDOVER_SECONDS = 6.0
 # Maximum number of remembered group names, and of remembered ended batches, of
 # all trainers together.
@@ -75,7 +75,7 @@
         '_checkpoints',
         '_dispatcher',
         '_ended',
-        '_lags',
+        '_lagging',
         '_loop_lag',
         '_metrics',
         '_retention',
@@ -106,7 +106,7 @@
         self._allocator = allocator
         self._metrics = metrics
         self._loop_lag = loop_lag
-        self._lags = False
+        self._lagging = False
         self._dispatcher = _dispatch.Dispatcher(engines)
         self._seen_groups: dict[str, None] = {}
         self._ended: dict[str, None] = {}
@@ -255,9 +255,9 @@
     def may_lack_results(self, open_batch: _open.OpenBatch) -> bool:
         """Return whether the object store may hold more results of a batch.
 
-        It may if the previous coordinator has written them since this process
-        read the batch, or if the batch ended before this process learnt the
-        outcome of a write.
+        The previous coordinator may have written them after this process had
+        read the batch. Or the batch ended before the outcome of a write was
+        known, and is not read again.
         """
         running_seconds = anyio.current_time() - self._started_at
         return open_batch.ended or running_seconds < HANDOVER_SECONDS
@@ -326,18 +326,23 @@
 
     def _may_start(self) -> bool:
         """Return whether to start waiting samples now."""
+        self._update_lagging()
+        return not (self._stopping or self._lagging)
+
+    def _update_lagging(self) -> None:
+        """Update whether the event loop lags too much, and log changes."""
         lag_seconds = self._loop_lag.average_seconds
-        lags = lag_seconds > MAX_LOOP_LAG_SECONDS
-        if lags != self._lags:
-            self._lags = lags
-            LOG.log(
-                logging.WARNING if lags else logging.INFO,
-                'event loop lags; starting no samples'
-                if lags
-                else 'event loop keeps up again; starting samples',
-                extra={'lag_seconds': round(lag_seconds, 3)},
+        lagging = lag_seconds > MAX_LOOP_LAG_SECONDS
+        if lagging == self._lagging:
+            return
+        self._lagging = lagging
+        extra = {'lag_seconds': round(lag_seconds, 3)}
+        if lagging:
+            LOG.warning('event loop lags; starting no samples', extra=extra)
+        else:
+            LOG.info(
+                'event loop keeps up again; starting samples', extra=extra
             )
-        return not (self._stopping or lags)
 
     async def _migrate_from_slow_engines(self) -> None:
         while True:
--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -99,7 +99,7 @@
 
     async def run(self) -> None:
         """Coordinate whenever no other VM does, until cancelled."""
-        # A restarted coordinator continues at once. Its peers would first
+        # A restarted coordinator continues at once, while its peers would
         # have to wait until its lease expires.
         lease = await self._attempt(self._keeper.reclaim)
         if lease is not None:
--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -1,10 +1,10 @@
 """Polls of the peers' statuses, in datagrams or over HTTP.
 
-A datagram costs far less processor time than an HTTP request, which matters
-most to the coordinator, as all VMs poll it. A datagram may be lost, though,
-and a lost one says nothing about the reason. A peer that does not answer in
-time is therefore polled again over HTTP, which tells a refused connection
-from silence.
+A datagram takes far less processor time than an HTTP request, which matters
+most to the coordinator, as all VMs poll it. A missing reply, however, does not
+show whether the peer has stopped, is slow, or only a datagram was lost. Such a
+peer is therefore polled again over HTTP, where a refused connection shows that
+its process has stopped.
 """
 
 import ipaddress
@@ -26,9 +26,9 @@
 POLL_INTERVAL_SECONDS = 0.5
 # How long to wait for a datagram before polling over HTTP.
 DATAGRAM_TIMEOUT_SECONDS = 0.2
-# Together with the datagram, a poll takes as long as any other call.
+# A poll takes no longer in total than any other call to a peer.
 HTTP_TIMEOUT_SECONDS = _peer.CALL_TIMEOUT_SECONDS - DATAGRAM_TIMEOUT_SECONDS
-# A reply to a query of an earlier round is too old to count.
+# Replies to older queries are ignored; a status describes the present.
 MAX_REPLY_AGE_ROUNDS = 1
 MAX_PORT = 65535
 
@@ -67,7 +67,7 @@
     members : MemberTable
         Selects the peers to poll, and receives their statuses.
     feed_sync : FeedSync
-        Receives the statuses as well.
+        Receives the statuses too, to learn of newer copies.
     get_status : callable
         Returns this VM's status.
     """
@@ -177,7 +177,7 @@
             try:
                 await udp.sendto(data, host, port)
             except OSError as error:
-                # As good as lost on the way; polls are repeated over HTTP.
+                # The same as a lost datagram: a poll is repeated over HTTP.
                 LOG.debug('cannot send to %s:%s: %s', host, port, error)
 
 
--- a/src/swiftjunction/coordination/_relaying.py
+++ b/src/swiftjunction/coordination/_relaying.py
@@ -188,8 +188,8 @@
 ) -> objectstore.ChangeSet:
     """Watch until another call shows that the path to the store has failed.
 
-    A watch hears nothing for as long as nothing changes, so that it does not
-    notice by itself that its connection is dead.
+    While nothing changes, a watch receives nothing, so it cannot itself
+    distinguish a dead connection from a quiet one.
 
     Parameters
     ----------
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -22,6 +22,7 @@
 
 LOG = logging.getLogger(__name__)
 
+# Shortest time between two copies of one feed.
 COPY_INTERVAL_SECONDS = 0.1
 WATCH_CHECK_INTERVAL_SECONDS = 0.5
 # The VMs of this many lowest ranks watch each prefix, besides those for which
@@ -31,7 +32,7 @@
 # A VM whose copy has not been known to be current for this long watches the
 # store itself.
 MAX_AGE_SECONDS = 2.5
-# Remembered deletions of a feed.
+# Largest number of deletions that each feed remembers.
 MAX_DELETIONS = 1024
 
 
@@ -60,9 +61,9 @@
     __slots__ = (
         '_deletions',
         '_listener',
+        '_min_since',
         '_newer_known',
         '_objects',
-        '_replaced_at',
         'current_at',
         'is_watched',
         'prefix',
@@ -77,17 +78,17 @@
         self._listener = listener
         self._newer_known = anyio.Event()
         self._objects: dict[str, objectstore.Object] = {}
-        # The objects deleted since the last list, with a revision at which
-        # each was known to be gone; None until the next one is known.
+        # The objects deleted since the last list, each with a revision by
+        # which it was deleted; None until the next revision is known.
         self._deletions: dict[str, int | None] = {}
-        # From this revision on, changes and deletions are known one by one;
+        # The oldest revision of a peer to which changes alone can be sent;
         # None until the revision of the last list is known.
-        self._replaced_at: int | None = None
+        self._min_since: int | None = None
 
     def replace(self, objects: list[objectstore.Object]) -> None:
         self._objects = {found.key: found for found in objects}
         self._deletions.clear()
-        self._replaced_at = None
+        self._min_since = None
         self._listener.replace(objects)
 
     def change(self, found: objectstore.Object) -> None:
@@ -107,14 +108,14 @@
 
     def _advance(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
-        if self._replaced_at is None:
-            self._replaced_at = self.revision
-        for key, gone_at in self._deletions.items():
-            if gone_at is None:
+        if self._min_since is None:
+            self._min_since = self.revision
+        for key, deleted_by in self._deletions.items():
+            if deleted_by is None:
                 self._deletions[key] = self.revision
         if len(self._deletions) > MAX_DELETIONS:
-            # Peers that do not have them yet get all objects.
-            self._replaced_at = self.revision
+            # Peers that have not received them get all objects instead.
+            self._min_since = self.revision
             self._deletions.clear()
 
     def mark_stale(self) -> None:
@@ -127,7 +128,7 @@
         A list may show changes that no watch has reported, also of objects
         with an older revision.
         """
-        if self._replaced_at is None or since < self._replaced_at:
+        if self._min_since is None or since < self._min_since:
             return _messages.FeedCopy(
                 self.revision, list(self._objects.values()), []
             )
@@ -136,14 +137,14 @@
             [o for o in self._objects.values() if o.version > since],
             [
                 key
-                for key, gone_at in self._deletions.items()
-                if gone_at is None or gone_at > since
+                for key, deleted_by in self._deletions.items()
+                if deleted_by is None or deleted_by > since
             ],
             since,
         )
 
-    def record_peer(self, revision: int, current_at: float) -> None:
-        """Record a peer's copy of the objects.
+    def record_copy(self, revision: int, current_at: float) -> None:
+        """Record which copy of the objects a peer has.
 
         Parameters
         ----------
@@ -158,7 +159,7 @@
             self._newer_known.set()
 
     async def wait_for_newer(self) -> None:
-        """Wait until a peer is recorded that has a newer copy."""
+        """Wait until a peer with a newer copy is recorded."""
         self._newer_known = anyio.Event()
         await self._newer_known.wait()
 
@@ -266,10 +267,10 @@
         }
 
     def record_status(self, status: _members.MemberStatus) -> None:
-        """Record the copies of which a peer's status tells."""
+        """Record the copies that a peer has, according to its status."""
         now = self._clock()
         for prefix, feed in self._feeds.items():
-            feed.record_peer(
+            feed.record_copy(
                 status.revisions.get(prefix, -1),
                 now - status.ages.get(prefix, math.inf),
             )
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -166,7 +166,7 @@
         return await self._write(0, item.version)
 
     async def reclaim(self) -> _lease.Lease | None:
-        """Acquire the lease if its last holder was this process's predecessor.
+        """Acquire the lease if it was held by an earlier run of this process.
 
         Returns
         -------
--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -103,7 +103,7 @@
         keep_seconds=reader.read_number('bounds.status_s', 120.0),
         checks_fencing=reader.read_text('bounds.require_fencing', '')
         == 'true',
-        # The share of a core, and how much faster than one core that is.
+        # The VM gets this share of a core that is so many times as fast.
         processor_cores=reader.read_number('limits.cpu_share', 1.0)
         * reader.read_number('limits.cpu_cores', 1.0),
     )
--- a/tests/cover/test_batches_runner.py
+++ b/tests/cover/test_batches_runner.py
@@ -20,6 +20,16 @@
         return await super().read_results(batch_id)
 
 
+class CountingArchive(batches.BatchArchive):
+    """An archive that counts the reads of results."""
+
+    reads = 0
+
+    async def read_results(self, batch_id):
+        self.reads += 1
+        return await super().read_results(batch_id)
+
+
 KEEP_SECONDS = 100.0
 
 
@@ -79,9 +89,9 @@
 async def test_an_overloaded_vm_starts_no_samples_until_it_has_caught_up(
     store,
 ):
-    # The load: a coordinator with less processor time than the events of the
-    # running samples take. It went on starting samples, and so learnt of the
-    # end of their batches seconds late.
+    # The load: a coordinator whose running samples take more processor time
+    # than its VM has. Guards against starting even more of them, which delays
+    # the handling of ended batches by seconds.
     pool = test_batches_planning.EnginePool()
     sample_runner = RecordingSampleRunner()
     archive = batches.BatchArchive(store)
@@ -116,14 +126,14 @@
 class TestResultsOfAnotherWriter:
     """Results on the store that the coordinator does not have in memory.
 
-    Guards against readers that get nothing at a position which another VM has
-    already returned, as it was read from the object store. It happens if the
-    previous coordinator still writes after its successor has read the batch,
-    or if a batch ends before the outcome of its last write is known.
+    Guards against an empty page for a position that another VM has already
+    returned from the object store. The previous coordinator may still write
+    after its successor has read the batch, and a batch may end before the
+    outcome of its last write is known.
     """
 
-    async def open_batch(self, store):
-        archive = batches.BatchArchive(store)
+    async def open_batch(self, store, archive_class=batches.BatchArchive):
+        archive = archive_class(store)
         runner = make_runner(store, archive)
         await archive.create(
             batches.Batch(
@@ -139,11 +149,15 @@
             )
         )
         await runner.open(await archive.read('b'))
+        return runner, archive, batches.RunnerAccess(runner, archive)
+
+    async def open_with_result_on_the_store(self, store):
+        runner, archive, access = await self.open_batch(store)
         await archive.append('b', 0, [batches.Result('i', complete=True)])
-        return runner, batches.RunnerAccess(runner, archive)
+        return runner, access
 
     async def test_they_are_returned_after_the_end_of_the_batch(self, store):
-        runner, access = await self.open_batch(store)
+        runner, access = await self.open_with_result_on_the_store(store)
         runner.end('b')
         page = await access.read_results('b', 0, 0.0)
         assert [result.sample_id for result in page.results] == ['i']
@@ -151,12 +165,14 @@
     async def test_they_are_returned_after_a_change_of_coordinator(
         self, store
     ):
-        runner, access = await self.open_batch(store)
+        runner, access = await self.open_with_result_on_the_store(store)
         runner._started_at = anyio.current_time()
         page = await access.read_results('b', 0, 0.0)
         assert [result.sample_id for result in page.results] == ['i']
 
     async def test_the_store_is_not_asked_for_each_empty_page(self, store):
-        _, access = await self.open_batch(store)
+        _, archive, access = await self.open_batch(store, CountingArchive)
+        archive.reads = 0
         page = await access.read_results('b', 0, 0.0)
         assert page.results == []
+        assert archive.reads == 0
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -207,8 +207,12 @@
         await store.watch('k/', 1, 9)
         assert store.reaches_directly()
 
-    async def count_ended_watches(self, store, path):
-        """Return how many watches end as a call over `path` fails."""
+    @contextlib.asynccontextmanager
+    async def run_watch(self, store):
+        """Yield a list that receives the failure of a pending watch.
+
+        The watch must have failed by the end of the context.
+        """
         failures = []
 
         async def watch():
@@ -221,33 +225,35 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(watch)
                 await anyio.sleep(0.01)
-                path.faults = ['refuse']
-                with contextlib.suppress(errors.PlatformUnavailable):
-                    await store.create('k/a', b'1')
-                await anyio.sleep(0.01)
-                tasks.cancel_scope.cancel()
-        return len(failures)
+                yield failures
 
     async def test_a_failed_call_ends_pending_direct_watches(self, clock):
         # Guards against a coordinator whose packets are silently dropped and
         # that learns of a new version only when a keep-alive probe ends its
-        # watch. Seen on day quiet-1 of diurna-turneu: it learned 4 s later.
+        # watch, seconds later.
         direct = PendingWatchStore()
         store = self.make(direct, [conftest.MemoryStore()], clock)
-        assert await self.count_ended_watches(store, direct) == 1
+        async with self.run_watch(store) as failures:
+            direct.faults = ['refuse']
+            await store.create('k/a', b'1')
+        assert len(failures) == 1
 
     async def test_a_failed_relayed_call_ends_pending_relayed_watches(
         self, clock
     ):
         # Guards against a coordinator that watches through a peer which then
-        # freezes: it would learn of the end of a batch only as the watch
-        # times out, 6 s later.
+        # freezes, and learns of the end of a batch only when the watch times
+        # out, seconds later.
         direct, relay = conftest.MemoryStore(), PendingWatchStore()
         direct.faults = ['refuse']
         store = self.make(direct, [relay], clock)
         await store.create('k/b', b'1')
         assert not store.reaches_directly()
-        assert await self.count_ended_watches(store, relay) == 1
+        async with self.run_watch(store) as failures:
+            relay.faults = ['refuse']
+            with pytest.raises(errors.PlatformUnavailable):
+                await store.create('k/a', b'1')
+        assert len(failures) == 1
 
     async def test_without_peers_the_failure_is_raised(self, clock):
         direct = conftest.MemoryStore()
@@ -288,8 +294,9 @@
     async def test_a_restarted_coordinator_continues_whatever_its_rank(
         self, store
     ):
-        # Guards against the wait by rank after all VMs lost power at once:
-        # no VM has heard of another yet, so that each of them ranks late.
+        # Guards against a wait by rank after all VMs have restarted at once:
+        # peers that were not polled yet count as preceding, so every rank is
+        # high.
         timing = leases.LeaseTiming(ttl_seconds=2.6, margin_seconds=0.4)
         await self.make_coordinator(store, timing)._keeper.acquire()
         restarted = self.make_coordinator(store, timing)
--- a/tests/cover/test_fuzz_inputs.py
+++ b/tests/cover/test_fuzz_inputs.py
@@ -298,7 +298,7 @@
 
 
 def _agrees(decoded, stored):
-    """Return whether each field of `stored` that is known was kept."""
+    """Return whether `decoded` has all known fields of `stored`, unchanged."""
     if not isinstance(decoded, dict):
         return type(decoded) is type(stored) and decoded == stored
     return isinstance(stored, dict) and all(
@@ -319,6 +319,7 @@
         return
     stored = json.loads(value)
     assert isinstance(stored['team'], str)
+    assert subtree.paths.keys() == stored.get('paths', {}).keys()
     assert _agrees(msgspec.to_builtins(subtree), stored)
 
 
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -276,11 +276,11 @@
 
 
 class TestScoringFromOneVm:
-    """The load: a coordinator that has a burst of samples scored.
+    """The load: the coordinator scores many samples at the same time.
 
     All scoring requests come from one VM, and one server of eight is in its
-    data centre. It got nearly all of them, queued them and refused the rest,
-    while the other servers were idle.
+    data centre. Guards against sending nearly all of them to that server,
+    which queues some and refuses others while the remaining ones are idle.
     """
 
     SLOTS = 6
@@ -290,7 +290,7 @@
         for number in range(8):
             data_center = 'dc-2' if number else 'dc-1'
             harness.report(f's{number}', data_center, slots=self.SLOTS)
-            # As after many responses that were not slow.
+            # A limit that has grown far beyond the slots of the server.
             harness[f's{number}'].limit._limit = 64.0
         return harness
 
