Add failing tests of samples sent after an unnoticed end of their batch

Cause: nothing bounds the age of what the coordinator knows of ended batches. A watch of up to 29 s tells nothing while it waits, and until it does, samples are started and scoring requests are sent. Evidence: three tests on virtual time, in which another process ends a batch while the coordinator's list and watch get no response.

--- /dev/null
+++ b/tests/cover/test_batches_ended.py
@@ -0,0 +1,187 @@
+import random
+
+import anyio
+import pytest
+
+from swiftjunction import backends
+from swiftjunction import batches
+from swiftjunction import errors
+from swiftjunction import routes
+from swiftjunction import telemetry
+from tests import conftest
+from tests.cover import test_batches_planning
+from tests.cover import test_batches_runner
+from tests import virtualtime
+
+# A trainer may rely on it that nothing of a batch reaches a server later than
+# this after the end of the batch was acknowledged.
+CANCEL_SECONDS = 3.0
+SAMPLE_SECONDS = 1.0
+SCORER = batches.ScoreRequest('score', 'h', '/p/score', b'')
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio', {'loop_factory': virtualtime.VirtualTimeLoop}
+
+
+class SilentStore(conftest.MemoryStore):
+    """A store whose calls hang for one process from a given time on.
+
+    Attributes
+    ----------
+    silent : bool
+        Whether calls that the runner makes get no response.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.silent = False
+
+    async def list(self, prefix):
+        if self.silent:
+            await anyio.sleep_forever()
+        return await super().list(prefix)
+
+    async def watch(self, prefix, revision, wait_seconds):
+        await anyio.sleep(wait_seconds)
+        if self.silent:
+            await anyio.sleep_forever()
+        return await super().list(prefix)
+
+
+class RecordingClient:
+    """Generates samples of one event, and records when each was sent."""
+
+    def __init__(self):
+        self.sent_at = []
+
+    async def generate(self, server, host, sample, after_number, check=None):
+        if check is not None:
+            check()
+        self.sent_at.append(anyio.current_time())
+        await anyio.sleep(SAMPLE_SECONDS)
+        yield backends.StreamEvent(0, 'text', 1, b'')
+
+
+class BusyForwarder:
+    """Refuses each call as not run, and records when each was made."""
+
+    def __init__(self):
+        self.called_at = []
+
+    async def forward(self, call):
+        self.called_at.append(anyio.current_time())
+        raise errors.NotRun('busy', step='route', retry_after_seconds=0.5)
+
+
+class QueueingForwarder:
+    """Sends each call after a wait for a server, and records when."""
+
+    def __init__(self, wait_seconds):
+        self.wait_seconds = wait_seconds
+        self.sent_at = []
+
+    async def forward(self, call):
+        await anyio.sleep(self.wait_seconds)
+        check = getattr(call.service_call, 'check', None)
+        if check is not None:
+            check()
+        self.sent_at.append(anyio.current_time())
+        return backends.ServiceResponse(200, [], b'', 'signature')
+
+
+def make_scorer(forwarder):
+    route = routes.Route(
+        'r',
+        'h',
+        '/p/',
+        routes.RouteKind.IDEMPOTENT,
+        (routes.ServiceShare('plain'),),
+    )
+    active_routes = routes.ActiveRoutes()
+    active_routes.update(
+        routes.RouteTable(1, [route], routes.ConnectionLimits())
+    )
+    return batches.RoutedScorer(active_routes, forwarder, random.Random(1))
+
+
+class Scene:
+    """A runner of one batch that another process ends.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+        Sends the scoring requests; None for samples without any.
+    """
+
+    def __init__(self, sample_count, forwarder=None):
+        self.store = SilentStore()
+        self.client = RecordingClient()
+        pool = test_batches_planning.EnginePool(count=1, slots=1)
+        metrics = telemetry.Metrics()
+        self.archive = batches.BatchArchive(self.store)
+        self.runner = test_batches_runner.make_runner(
+            self.store,
+            self.archive,
+            pool.registry,
+            batches.SampleRunner(self.client, make_scorer(forwarder), metrics),
+        )
+        self.batch = batches.Batch(
+            batch_id='b',
+            route='r',
+            host='h',
+            service='s',
+            total=sample_count,
+            model='m',
+            samples=[
+                batches.Sample(
+                    f'i{index}',
+                    '/x',
+                    [],
+                    b'',
+                    group='g',
+                    scorer=None if forwarder is None else SCORER,
+                )
+                for index in range(sample_count)
+            ],
+        )
+
+    async def end_unnoticed(self, after_seconds):
+        """Run the batch, end it unnoticed, and return when that was."""
+        ended_at = 0.0
+        async with anyio.create_task_group() as tasks:
+            await self.archive.create(self.batch)
+            tasks.start_soon(self.runner.run)
+            await anyio.sleep(after_seconds)
+            self.store.silent = True
+            await self.archive.end('b')
+            ended_at = anyio.current_time()
+            await anyio.sleep(20.0)
+            tasks.cancel_scope.cancel()
+        return ended_at
+
+
+@pytest.mark.anyio
+class TestEndThatTheCoordinatorHasNotHeardOf:
+    async def test_no_sample_reaches_an_engine_three_seconds_later(self):
+        scene = Scene(sample_count=20)
+        ended_at = await scene.end_unnoticed(after_seconds=4.5)
+        assert len(scene.client.sent_at) >= 4
+        assert scene.client.sent_at[-1] - ended_at <= CANCEL_SECONDS
+
+    async def test_no_scoring_request_is_repeated_three_seconds_later(self):
+        forwarder = BusyForwarder()
+        scene = Scene(sample_count=1, forwarder=forwarder)
+        ended_at = await scene.end_unnoticed(after_seconds=4.5)
+        assert len(forwarder.called_at) >= 4
+        assert forwarder.called_at[-1] - ended_at <= CANCEL_SECONDS
+
+    async def test_no_scoring_request_that_waited_is_sent_later(self):
+        forwarder = QueueingForwarder(wait_seconds=5.0)
+        scene = Scene(sample_count=1, forwarder=forwarder)
+        ended_at = await scene.end_unnoticed(after_seconds=2.0)
+        assert all(
+            sent_at - ended_at <= CANCEL_SECONDS
+            for sent_at in forwarder.sent_at
+        )
