Send no samples while ended batches may be unknown

Cause: a decision on stale knowledge. Any VM may acknowledge the end of a batch; the coordinator learnt of it from a watch of up to 29 s, and nothing told it how old its knowledge was. Silence of a late or lost watch looked the same as no news, so that samples went on being started, and scoring requests repeated or sent after a wait for a server. Change: each watch of the batches waits for at most a third of bounds.cancel_ms, and each response confirms what was known when it was requested, on a clock that also counts suspensions. Samples start, and samples and scoring requests are sent, only while that is less than three quarters of the bound ago; it is checked again when the connection is open. While no VM has the store, no end can be acknowledged, and samples go on. Ends take effect before the confirmation that covers them, and a deleted batch counts as ended.

--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -1,6 +1,7 @@
 """Client of the plain services."""
 
 import abc
+import collections.abc
 import urllib.parse
 
 import httpx
@@ -27,6 +28,9 @@
     host : str
         The host that the caller requested; empty if the service's protocol
         does not use it.
+    check : callable, optional
+        Called just before the first byte is sent. If it raises, the request
+        is not sent.
     """
 
     request_id: str
@@ -37,6 +41,7 @@
     headers: list[tuple[str, str]]
     timeout_seconds: float
     host: str = ''
+    check: collections.abc.Callable[[], None] | None = None
 
 
 class ServiceResponse(msgspec.Struct, frozen=True):
@@ -112,6 +117,7 @@
                     ('x-timeout-seconds', f'{call.timeout_seconds:.3f}'),
                 ],
                 timeout_seconds=call.timeout_seconds,
+                check=call.check,
             )
             try:
                 body = await _read_body(response, peer)
--- a/src/swiftjunction/batches/__init__.py
+++ b/src/swiftjunction/batches/__init__.py
@@ -14,6 +14,7 @@
 from swiftjunction.batches._batch import Result
 from swiftjunction.batches._batch import Sample
 from swiftjunction.batches._batch import ScoreRequest
+from swiftjunction.batches._confirmation import EndConfirmation
 from swiftjunction.batches._engine_client import EngineReport
 from swiftjunction.batches._engine_client import SampleEngineClient
 from swiftjunction.batches._engine_client import VersionOrder
@@ -46,6 +47,7 @@
     'BatchArchive',
     'BatchRunner',
     'BatchSummary',
+    'EndConfirmation',
     'EngineAllocator',
     'EngineRegistry',
     'EngineReport',
--- /dev/null
+++ b/src/swiftjunction/batches/_confirmation.py
@@ -0,0 +1,90 @@
+"""How recently this process knew of all batches that have ended.
+
+The end of a batch may be acknowledged by any process. Until the process that
+runs the batch knows of it, its samples would go on reaching servers. A watch
+that receives nothing does not tell a quiet store from a late response, so
+each response confirms what was known when it was requested, and no more.
+"""
+
+import collections.abc
+import math
+
+from swiftjunction import leases
+
+# Fraction of the bound that remains after the last check, for the request to
+# reach its server.
+SEND_MARGIN_FRACTION = 0.25
+# So many watches fit into the bound, so that a late one leaves time for
+# another.
+WATCHES_PER_BOUND = 3
+
+
+def is_never_unreachable() -> bool:
+    """Return False, for a store that counts as reachable at all times."""
+    return False
+
+
+class EndConfirmation:
+    """Tracks when all ended batches were last known.
+
+    Parameters
+    ----------
+    cancel_seconds : float
+        How long after the acknowledged end of a batch its samples may still
+        reach a server, in seconds.
+    is_store_unreachable : callable
+        Returns whether no process is known that reaches the object store.
+        Meanwhile no end can be acknowledged.
+    clock : callable
+        Returns seconds; also counts the time for which the VM is suspended.
+
+    Attributes
+    ----------
+    max_age_seconds : float
+        The age from which on a confirmation is outdated.
+    watch_seconds : float
+        The longest time to wait for changes before the next confirmation.
+    """
+
+    __slots__ = (
+        '_confirmed_at',
+        '_is_store_unreachable',
+        'clock',
+        'max_age_seconds',
+        'watch_seconds',
+    )
+
+    def __init__(
+        self,
+        cancel_seconds: float,
+        is_store_unreachable: collections.abc.Callable[
+            [], bool
+        ] = is_never_unreachable,
+        clock: collections.abc.Callable[[], float] = leases.read_boot_clock,
+    ) -> None:
+        self.clock = clock
+        self.max_age_seconds = cancel_seconds * (1 - SEND_MARGIN_FRACTION)
+        self.watch_seconds = cancel_seconds / WATCHES_PER_BOUND
+        self._is_store_unreachable = is_store_unreachable
+        self._confirmed_at = -math.inf
+
+    def reset(self) -> None:
+        """Forget the last confirmation."""
+        self._confirmed_at = -math.inf
+
+    def record(self, asked_at: float) -> None:
+        """Record that all ends before `asked_at` are known.
+
+        Parameters
+        ----------
+        asked_at : float
+            Time on `clock`, in seconds.
+        """
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+
+    def is_recent(self) -> bool:
+        """Return whether the last confirmation is recent enough to send."""
+        now = self.clock()
+        if self._is_store_unreachable():
+            self.record(now)
+        return now - self._confirmed_at <= self.max_age_seconds
--- a/src/swiftjunction/batches/_engine_client.py
+++ b/src/swiftjunction/batches/_engine_client.py
@@ -64,6 +64,7 @@
         host: str,
         sample: _batch.Sample,
         after_number: int,
+        check: collections.abc.Callable[[], None],
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         """Generate a sample and yield its events up to the last one.
 
@@ -72,6 +73,9 @@
         after_number : int
             Number of the last event already received, after which to resume;
             -1 to start at the beginning.
+        check : callable
+            Called just before the first byte is sent. If it raises, the
+            sample is not sent.
 
         Raises
         ------
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from swiftjunction.batches import _batch
+from swiftjunction.batches import _confirmation
+from swiftjunction import errors
 
 # Limits the texts in one response to a reader, counted in characters.
 MAX_PAGE_BYTES = 700_000
@@ -118,6 +120,14 @@
 
     It stays in memory for some time after the batch has ended.
 
+    Parameters
+    ----------
+    blocks : sequence of list of Result
+        The stored results.
+    confirmation : EndConfirmation
+        Tracks when all ended batches were last known; without it, an end is
+        known at once.
+
     Attributes
     ----------
     resubmitted_groups : container of str
@@ -147,6 +157,7 @@
 
     __slots__ = (
         '_changed',
+        '_confirmation',
         'batch',
         'block_count',
         'ended',
@@ -167,8 +178,10 @@
         blocks: collections.abc.Sequence[list[_batch.Result]] = (),
         version: int = 0,
         resubmitted_groups: collections.abc.Container[str] = frozenset(),
+        confirmation: _confirmation.EndConfirmation | None = None,
     ) -> None:
         self.batch = batch
+        self._confirmation = confirmation
         self.version = version
         self.resubmitted_groups = resubmitted_groups
         self.first_seen_at = first_seen_at
@@ -231,6 +244,13 @@
             progress.cancel_scope.cancel()
         self._notify_readers()
 
+    def check_wanted(self) -> None:
+        """Raise ``NotRun`` unless the batch is known not to have ended."""
+        if self.ended:
+            raise errors.NotRun('the batch has ended', step='send')
+        if self._confirmation and not self._confirmation.is_recent():
+            raise errors.NotRun('the batch may have ended', step='send')
+
     def find_body(self, sample_id: str) -> bytes | None:
         """Return the request body of a pending sample; None for others."""
         progress = self.pending.get(sample_id)
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -12,12 +12,14 @@
 from swiftjunction.batches import _assignment
 from swiftjunction.batches import _batch
 from swiftjunction.batches import _checkpoints
+from swiftjunction.batches import _confirmation
 from swiftjunction.batches import _dispatch
 from swiftjunction.batches import _engines
 from swiftjunction.batches import _kept
 from swiftjunction.batches import _open
 from swiftjunction.batches import _retention
 from swiftjunction.batches import _sampling
+from swiftjunction.batches import _starting
 from swiftjunction.batches import _writing
 from swiftjunction import errors
 from swiftjunction import objectstore
@@ -26,9 +28,6 @@
 LOG = logging.getLogger(__name__)
 
 DISPATCH_INTERVAL_SECONDS = 0.1
-# While the event loop lags by more than this, no samples are started: more of
-# them would delay all running ones, and the handling of ended batches.
-MAX_LOOP_LAG_SECONDS = 0.2
 MIGRATION_INTERVAL_SECONDS = 0.25
 READ_RETRY_SECONDS = 0.5
 # For this long after this process became the coordinator, its predecessor may
@@ -61,6 +60,8 @@
     keep_seconds : float
         Minimum time for which results stay readable after the submission of a
         batch.
+    confirmation : EndConfirmation
+        Tracks when all ended batches were last known.
 
     Attributes
     ----------
@@ -73,14 +74,14 @@
         '_allocator',
         '_archive',
         '_checkpoints',
+        '_confirmation',
         '_dispatcher',
         '_ended',
-        '_lagging',
-        '_loop_lag',
         '_metrics',
         '_retention',
         '_sample_runner',
         '_seen_groups',
+        '_start_gate',
         '_started_at',
         '_stopping',
         '_store',
@@ -99,14 +100,15 @@
         metrics: telemetry.Metrics,
         loop_lag: backends.LoopLag,
         keep_seconds: float,
+        confirmation: _confirmation.EndConfirmation,
     ) -> None:
         self._store = store
         self._archive = archive
         self._sample_runner = sample_runner
         self._allocator = allocator
         self._metrics = metrics
-        self._loop_lag = loop_lag
-        self._lagging = False
+        self._confirmation = confirmation
+        self._start_gate = _starting.StartGate(loop_lag, confirmation)
         self._dispatcher = _dispatch.Dispatcher(engines)
         self._seen_groups: dict[str, None] = {}
         self._ended: dict[str, None] = {}
@@ -125,28 +127,35 @@
         self._started_at = anyio.current_time()
         self._stopping = False
         self.batches.clear()
+        self._confirmation.reset()
         self._writer.flushing = False
         await self._checkpoints.restore()
         async with anyio.create_task_group() as tasks:
-
-            def handle_change(found: objectstore.Object) -> None:
-                tasks.start_soon(self._handle_change, found)
-
-            listener = objectstore.CallbackListener(
-                handle_change, self._handle_deletion
-            )
-            tasks.start_soon(
-                objectstore.follow,
-                self._store,
-                _archive.BATCH_PREFIX,
-                listener,
-            )
+            tasks.start_soon(self._follow_batches, tasks)
             tasks.start_soon(self._writer.run)
             tasks.start_soon(self._migrate_from_slow_engines)
             tasks.start_soon(self._checkpoints.run)
             tasks.start_soon(self._retention.run)
             await self._dispatch_samples(tasks)
 
+    async def _follow_batches(self, tasks: anyio.abc.TaskGroup) -> None:
+        def handle_change(found: objectstore.Object) -> None:
+            # Ends take effect here, before the confirmation that covers them.
+            if not self._end_if_ended(found):
+                tasks.start_soon(self._open_stored, found)
+
+        await objectstore.follow(
+            self._store,
+            _archive.BATCH_PREFIX,
+            objectstore.CallbackListener(
+                handle_change,
+                self._handle_deletion,
+                self._confirmation.record,
+            ),
+            watch_seconds=self._confirmation.watch_seconds,
+            clock=self._confirmation.clock,
+        )
+
     async def stop(self, timeout_seconds: float) -> None:
         """Cancel the running samples, and write their progress and results.
 
@@ -173,24 +182,31 @@
             )
             await self._writer.flush()
 
-    async def _handle_change(self, found: objectstore.Object) -> None:
-        """Open or end a batch that is new or has changed."""
-        batch_id = found.key.removeprefix(_archive.BATCH_PREFIX)
-        known = self.batches.get(batch_id)
+    def _end_if_ended(self, found: objectstore.Object) -> bool:
+        """End a batch if its object says so; return whether it does."""
         try:
             batch = objectstore.decode_value(found, _batch.Batch)
-            if batch.ended:
-                self.end(batch_id)
-            elif known is None:
-                await self.open(await self._archive.resolve_parts(found))
         except errors.ObjectBroken as error:
             LOG.error('stored batch could not be decoded: %s', error)
-        except errors.PlatformError as error:
-            LOG.warning(
-                'batch %s could not be read, retrying: %s', batch_id, error
-            )
-            await anyio.sleep(READ_RETRY_SECONDS)
-            await self._handle_change(found)
+            return True
+        if batch.ended:
+            self.end(found.key.removeprefix(_archive.BATCH_PREFIX))
+        return batch.ended
+
+    async def _open_stored(self, found: objectstore.Object) -> None:
+        """Open a batch that is new or was listed again."""
+        batch_id = found.key.removeprefix(_archive.BATCH_PREFIX)
+        while batch_id not in self.batches:
+            try:
+                await self.open(await self._archive.resolve_parts(found))
+            except errors.ObjectBroken as error:
+                LOG.error('stored batch could not be decoded: %s', error)
+                return
+            except errors.PlatformError as error:
+                LOG.warning(
+                    'batch %s could not be read, retrying: %s', batch_id, error
+                )
+                await anyio.sleep(READ_RETRY_SECONDS)
 
     async def open(self, stored: _archive.StoredBatch) -> _open.OpenBatch:
         """Begin to run a batch, or continue it after its stored results."""
@@ -209,6 +225,7 @@
             stored.version,
             {sample.group for sample in batch.samples}
             & self._seen_groups.keys(),
+            self._confirmation,
         )
         self.batches[batch.batch_id] = open_batch
         for sample in batch.samples:
@@ -303,6 +320,7 @@
 
     def _handle_deletion(self, key: str) -> None:
         batch_id = key.removeprefix(_archive.BATCH_PREFIX)
+        self.end(batch_id)
         self.batches.pop(batch_id, None)
         self._retention.forget(batch_id)
 
@@ -315,7 +333,7 @@
 
     async def _dispatch_samples(self, tasks: anyio.abc.TaskGroup) -> None:
         while True:
-            if self._may_start():
+            if self._start_gate.may_start() and not self._stopping:
                 for attempt in self._dispatcher.reserve_attempts(
                     self._list_open()
                 ):
@@ -324,26 +342,6 @@
                 await self._wake.wait()
             self._wake = anyio.Event()
 
-    def _may_start(self) -> bool:
-        """Return whether to start waiting samples now."""
-        self._update_lagging()
-        return not (self._stopping or self._lagging)
-
-    def _update_lagging(self) -> None:
-        """Update whether the event loop lags too much, and log changes."""
-        lag_seconds = self._loop_lag.average_seconds
-        lagging = lag_seconds > MAX_LOOP_LAG_SECONDS
-        if lagging == self._lagging:
-            return
-        self._lagging = lagging
-        extra = {'lag_seconds': round(lag_seconds, 3)}
-        if lagging:
-            LOG.warning('event loop lags; starting no samples', extra=extra)
-        else:
-            LOG.info(
-                'event loop keeps up again; starting samples', extra=extra
-            )
-
     async def _migrate_from_slow_engines(self) -> None:
         while True:
             await anyio.sleep(MIGRATION_INTERVAL_SECONDS)
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -70,7 +70,7 @@
         started_at = anyio.current_time()
         resumed_after = progress.last_number
         try:
-            await self._read_events(batch, progress, engine)
+            await self._read_events(open_batch, progress, engine)
         except errors.BackendError as error:
             self._handle_failure(progress, engine, error)
             outcome = type(error).__name__
@@ -78,6 +78,9 @@
             LOG.info('sample starts over: %s', error)
             progress.reset()
             outcome = 'stale'
+        except errors.NotRun as error:
+            LOG.info('sample not sent: %s', error)
+            outcome = 'not_sent'
         else:
             engine.record_success()
             progress.complete = True
@@ -100,12 +103,17 @@
 
     async def _read_events(
         self,
-        batch: _batch.Batch,
+        open_batch: _open.OpenBatch,
         progress: _open.SampleProgress,
         engine: _engines.EngineState,
     ) -> None:
+        batch = open_batch.batch
         events = self._client.generate(
-            engine.server, batch.host, progress.sample, progress.last_number
+            engine.server,
+            batch.host,
+            progress.sample,
+            progress.last_number,
+            open_batch.check_wanted,
         )
         timeout_seconds = FIRST_EVENT_TIMEOUT_SECONDS
         last_event_at = 0.0
@@ -171,13 +179,13 @@
         SampleFailed
             If the scorer failed as often as its route allows.
         NotRun
-            If the batch ended before there was a score.
+            If the batch ended, or may have ended, before there was a score.
         """
         sample = progress.sample
         score = ''
         if sample.scorer is not None:
             score = await self._scorer.score(
-                sample.scorer, lambda: not open_batch.ended
+                sample.scorer, open_batch.check_wanted
             )
         return _batch.Result(
             sample.sample_id,
--- a/src/swiftjunction/batches/_scoring.py
+++ b/src/swiftjunction/batches/_scoring.py
@@ -35,14 +35,15 @@
     async def score(
         self,
         request: _batch.ScoreRequest,
-        is_wanted: collections.abc.Callable[[], bool],
+        check_wanted: collections.abc.Callable[[], None],
     ) -> str:
         """Have a sample scored; return the signature of the scorer's response.
 
         Parameters
         ----------
-        is_wanted : callable
-            Returns whether the score is still needed.
+        check_wanted : callable
+            Raises ``NotRun`` if the score is no longer needed. Called before
+            each attempt, and again just before the attempt is sent.
 
         Raises
         ------
@@ -82,13 +83,14 @@
     async def score(
         self,
         request: _batch.ScoreRequest,
-        is_wanted: collections.abc.Callable[[], bool],
+        check_wanted: collections.abc.Callable[[], None],
     ) -> str:
         failures = 0
-        while is_wanted():
+        while True:
+            check_wanted()
             try:
                 route = self._find_route(request)
-                response = await self._call(request, route)
+                response = await self._call(request, route, check_wanted)
             except errors.RequestError as error:
                 LOG.info(
                     'score request failed, retrying: %s',
@@ -114,7 +116,6 @@
                 raise errors.SampleFailed(
                     f'the scorer failed {failures} times', step='score'
                 )
-        raise errors.NotRun('the score is no longer needed', step='score')
 
     def _find_route(self, request: _batch.ScoreRequest) -> routes.Route:
         table = self._active_routes.table
@@ -128,7 +129,10 @@
         return route
 
     async def _call(
-        self, request: _batch.ScoreRequest, route: routes.Route
+        self,
+        request: _batch.ScoreRequest,
+        route: routes.Route,
+        check_wanted: collections.abc.Callable[[], None],
     ) -> backends.ServiceResponse:
         path, _, query = request.path.partition('?')
         call = requests.ForwardedCall(
@@ -146,6 +150,7 @@
                 headers=[],
                 timeout_seconds=0.0,
                 host=request.host,
+                check=check_wanted,
             ),
             deadline=anyio.current_time() + SCORE_TIMEOUT_SECONDS,
             idempotent=True,
--- a/src/swiftjunction/objectstore/_following.py
+++ b/src/swiftjunction/objectstore/_following.py
@@ -3,6 +3,7 @@
 import abc
 import collections.abc
 import logging
+import time
 
 import anyio
 
@@ -42,6 +43,13 @@
     def mark_stale(self) -> None:
         """Note that changes may be missing until the next list."""
 
+    def confirm(self, asked_at: float) -> None:
+        """Note that all changes before `asked_at` have been delivered.
+
+        Called after each list and watch, with the time just before the
+        request, on the clock that `follow` was given.
+        """
+
 
 class CallbackListener(Listener):
     """Calls one function for each object and another for each deletion.
@@ -52,15 +60,19 @@
         Called with each object that was listed, added or changed.
     on_remove : callable, optional
         Called with the key of each object that was removed.
+    on_confirm : callable, optional
+        Called with each time before which all changes have been delivered.
     """
 
     def __init__(
         self,
         on_change: collections.abc.Callable[[_objects.Object], None],
         on_remove: collections.abc.Callable[[str], None] | None = None,
+        on_confirm: collections.abc.Callable[[float], None] | None = None,
     ) -> None:
         self._on_change = on_change
         self._on_remove = on_remove
+        self._on_confirm = on_confirm
         self._keys: set[str] = set()
 
     def replace(self, objects: list[_objects.Object]) -> None:
@@ -79,12 +91,18 @@
         if self._on_remove is not None:
             self._on_remove(key)
 
+    def confirm(self, asked_at: float) -> None:
+        if self._on_confirm is not None:
+            self._on_confirm(asked_at)
+
 
 async def follow(
     store: _objects.ObjectStore,
     prefix: str,
     listener: Listener,
     coalesce_seconds: float = 0.0,
+    watch_seconds: float = WATCH_SECONDS,
+    clock: collections.abc.Callable[[], float] = time.monotonic,
 ) -> None:
     """Notify `listener` of the objects under `prefix` until cancelled.
 
@@ -93,17 +111,23 @@
     coalesce_seconds : float
         Pause after a change before the next watch, so that one call returns
         several successive changes.
+    watch_seconds : float
+        Longest wait of a watch. A shorter one confirms more often that no
+        change is missing.
+    clock : callable
+        Returns the time in seconds with which changes are confirmed.
     """
     revision = -1
     retry_seconds = 0.0
     while True:
         try:
             listed = revision < 0
+            asked_at = clock()
             if listed:
                 found = await store.list(prefix)
                 listener.replace(found.changed)
             else:
-                found = await store.watch(prefix, revision, WATCH_SECONDS)
+                found = await store.watch(prefix, revision, watch_seconds)
                 _notify(listener, found)
             if retry_seconds:
                 LOG.info(
@@ -114,6 +138,7 @@
             revision = max(revision, found.revision)
             if found.changed or found.deleted or listed:
                 listener.mark_current(revision)
+            listener.confirm(asked_at)
             if found.changed or found.deleted:
                 await anyio.sleep(coalesce_seconds)
         except errors.HistoryLost as error:
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -145,6 +145,9 @@
             self._metrics,
             self._directory.loop_lag,
             settings.keep_seconds,
+            batches.EndConfirmation(
+                settings.cancel_seconds, self._is_store_out_of_reach
+            ),
         )
         self._control_loops = coordination.ControlLoops(
             self._runner,
@@ -331,6 +334,16 @@
             self._store.reaches_directly() or self._members.list_relays()
         )
 
+    def _is_store_out_of_reach(self) -> bool:
+        """Return whether the store seems to be unreachable for all VMs.
+
+        A VM that reaches no peer either cannot tell.
+        """
+        return self._is_store_unreachable() and (
+            not self._members.list_peers()
+            or any(self._members.list_statuses())
+        )
+
     def _list_relays(self) -> list[objectstore.ObjectStore]:
         return [
             coordination.PeerStore(
--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -32,6 +32,9 @@
     keep_seconds : float
         How long the results of a batch stay available after its submission,
         in seconds.
+    cancel_seconds : float
+        How long after the acknowledged end of a batch its samples may still
+        reach a server, in seconds.
     checks_fencing : bool
         Whether engines refuse orders with old fencing tokens.
     processor_cores : float
@@ -51,6 +54,7 @@
     grace_seconds: float = 8.0
     max_address_seconds: float = 5.0
     keep_seconds: float = 120.0
+    cancel_seconds: float = 3.0
     checks_fencing: bool = False
     processor_cores: float = 1.0
 
@@ -101,6 +105,8 @@
         grace_seconds=reader.read_number('bounds.grace_s', 8.0),
         max_address_seconds=reader.read_number('bounds.ttl_max_s', 5.0),
         keep_seconds=reader.read_number('bounds.status_s', 120.0),
+        cancel_seconds=reader.read_number('bounds.cancel_ms', 3000.0)
+        / _names.MS_PER_SECOND,
         checks_fencing=reader.read_text('bounds.require_fencing', '')
         == 'true',
         # The VM gets this share of a core that is so many times as fast.
--- a/src/swiftjunction/platform/_store.py
+++ b/src/swiftjunction/platform/_store.py
@@ -14,7 +14,8 @@
 
 PEER_NAME = 'platform store'
 CALL_TIMEOUT_SECONDS = 0.7
-# Time by which the timeout of a watch exceeds its wait time.
+# Time by which the timeout of a watch exceeds its wait time. A short watch
+# has less, as it is for a recent response.
 WATCH_MARGIN_SECONDS = 2.0
 
 
@@ -105,7 +106,10 @@
             'GET',
             f'{_build_path(kind)}?watch={revision}&wait_ms={wait_ms}',
             'watch',
-            timeout_seconds=wait_seconds + WATCH_MARGIN_SECONDS,
+            timeout_seconds=wait_seconds
+            + max(
+                min(WATCH_MARGIN_SECONDS, wait_seconds), CALL_TIMEOUT_SECONDS
+            ),
         )
         response = _decode_json(body, _WatchResponse)
         newest: dict[str, objectstore.Object] = {}
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -143,6 +143,7 @@
             call.body,
             timeout_seconds,
             call.host,
+            check=call.check,
         )
 
     async def is_crashed(self, server: backends.BackendServer) -> bool:
@@ -163,6 +164,7 @@
         host: str,
         sample: batches.Sample,
         after_number: int,
+        check: collections.abc.Callable[[], None],
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         headers = [
             *sample.headers,
@@ -178,6 +180,7 @@
             sample.body,
             STREAM_TIMEOUT_SECONDS,
             host,
+            check=check,
         )
         try:
             _responses.check_request_id(response, server, sample.sample_id)
@@ -290,10 +293,11 @@
         timeout_seconds: float,
         host: str = '',
         peers: web.PeerClients | None = None,
+        check: collections.abc.Callable[[], None] | None = None,
     ) -> httpx.Response:
         """Send a request that any other server instance must refuse."""
 
-        def check_live() -> None:
+        def check_before_send() -> None:
             # The server may have started to leave while connecting.
             if not server.is_live():
                 raise errors.BackendRefused(
@@ -301,6 +305,8 @@
                     step='send',
                     peer=server.name,
                 )
+            if check is not None:
+                check()
 
         peer = (peers or self._peers).get_direct(server.address)
         with backends.translate_errors('call', server.name):
@@ -315,7 +321,7 @@
                 timeout_seconds=timeout_seconds,
                 host=host,
                 connect_seconds=CONNECT_TIMEOUT_SECONDS,
-                check=check_live,
+                check=check_before_send,
             )
 
 
--- a/tests/cover/test_batches_runner.py
+++ b/tests/cover/test_batches_runner.py
@@ -31,6 +31,7 @@
 
 
 KEEP_SECONDS = 100.0
+CANCEL_SECONDS = 3.0
 
 
 class RecordingSampleRunner:
@@ -44,7 +45,13 @@
         await anyio.sleep_forever()
 
 
-def make_runner(store, archive, engines=None, sample_runner=None):
+def make_runner(
+    store,
+    archive,
+    engines=None,
+    sample_runner=None,
+    is_store_away=lambda: False,
+):
     table = membership.RecordTable()
     engines = engines or batches.EngineRegistry(
         backends.Directory(table), lambda: 0.0
@@ -58,6 +65,9 @@
         telemetry.Metrics(),
         backends.LoopLag(),
         KEEP_SECONDS,
+        batches.EndConfirmation(
+            CANCEL_SECONDS, is_store_away, anyio.current_time
+        ),
     )
 
 
@@ -110,13 +120,13 @@
             model='m',
         )
     )
-    runner._loop_lag.average_seconds = 1.0
+    runner._start_gate._loop_lag.average_seconds = 1.0
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(runner.run)
         await anyio.sleep(0.3)
         assert 'b' in runner.batches
         assert sample_runner.started == []
-        runner._loop_lag.average_seconds = 0.0
+        runner._start_gate._loop_lag.average_seconds = 0.0
         await anyio.sleep(0.3)
         assert sorted(sample_runner.started) == ['a', 'b', 'c', 'd']
         tasks.cancel_scope.cancel()
--- a/tests/cover/test_objectstore_following.py
+++ b/tests/cover/test_objectstore_following.py
@@ -1,3 +1,5 @@
+import time
+
 import anyio
 import pytest
 
@@ -81,3 +83,23 @@
 
         store.list = list_then_clear
         assert await follow(store) == ['k/a', '-k/a']
+
+    async def test_a_late_response_confirms_only_what_was_asked_for(self):
+        confirmed = []
+        listener = objectstore.CallbackListener(
+            lambda found: None, on_confirm=confirmed.append
+        )
+        store = conftest.MemoryStore()
+
+        async def watch_late(prefix, revision, wait_seconds):
+            assert wait_seconds == 0.2
+            await anyio.sleep(wait_seconds)
+            return objectstore.ChangeSet(revision, [], [])
+
+        store.watch = watch_late
+        started_at = time.monotonic()
+        with anyio.move_on_after(0.5):
+            await objectstore.follow(store, 'k/', listener, watch_seconds=0.2)
+        assert [at - started_at for at in confirmed] == pytest.approx(
+            [0.0, 0.0, 0.2], abs=0.05
+        )
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -200,7 +200,10 @@
         return _settings.read_settings(path)
 
     def test_unknown_keys_are_ignored(self, tmp_path):
-        settings = self.read(tmp_path, 'bounds.lease_ms=2500')
+        settings = self.read(
+            tmp_path, 'bounds.lease_ms=2500\nbounds.cancel_ms=2000'
+        )
+        assert settings.cancel_seconds == 2.0
         assert settings.name == 'vm-1'
         assert settings.peer_port == 7000
         assert settings.lease_seconds == 2.5
