Check in the soak that nothing of an ended batch is sent for long

Its trainer ended batches when all results were read, and nothing looked at what servers got afterwards. Change: the trainer ends a quarter of its batches early; the links to servers record when each request was sent to them, before they hold anything back, and nothing of a batch may be sent later than 3 s after its acknowledged end, by any VM, frozen or cut off.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,10 +2,13 @@
 
 import collections
 import collections.abc
+import math
 
 from soak import testbed
 from swiftjunction import standins
 
+# Nothing of a batch is sent to a server later after the acknowledged end.
+CANCEL_SECONDS = 3.0
 # A VM returns these statuses only for requests that have not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -109,6 +112,28 @@
             )
 
 
+def check_ended_batches(
+    invariants: Invariants,
+    readers: collections.abc.Iterable['BatchReader'],
+    deployment: testbed.SoakDeployment,
+) -> None:
+    """Check that nothing of an ended batch is sent to servers for long."""
+    last_arrivals: dict[str, float] = {}
+    for link in deployment.links.values():
+        for request_id, arrived_at in link.arrivals:
+            last_arrivals[request_id] = max(
+                arrived_at, last_arrivals.get(request_id, 0.0)
+            )
+    for reader in readers:
+        for request_id in reader.list_request_ids():
+            late_seconds = last_arrivals.get(request_id, 0.0) - reader.ended_at
+            invariants.check(
+                'nothing of an ended batch is sent to a server',
+                late_seconds <= CANCEL_SECONDS,
+                (reader.batch_id, request_id, late_seconds),
+            )
+
+
 class BatchReader:
     """Reads the results of a batch, and checks that they are consistent.
 
@@ -127,6 +152,9 @@
     ----------
     results : list of dict
         Results read so far, in their order.
+    ended_at : float
+        When the end of the batch was acknowledged, on the clock of the event
+        loop in seconds; infinity before that.
     """
 
     def __init__(
@@ -142,6 +170,12 @@
         self._sample_ids = {item['id'] for item in body['items']}
         self.batch_id = batch_id
         self.results: list[dict] = []
+        self.ended_at = math.inf
+
+    def list_request_ids(self) -> list[str]:
+        """Return the ids of the samples and of their scoring requests."""
+        scorer_ids = [item['scorer']['id'] for item in self._body['items']]
+        return [*self._sample_ids, *scorer_ids]
 
     @property
     def is_complete(self) -> bool:
--- a/soak/links.py
+++ b/soak/links.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import enum
+import re
 import socket
 import struct
 
@@ -10,6 +11,9 @@
 
 CHUNK_BYTES = 65_536
 HOLD_CHECK_INTERVAL_SECONDS = 0.02
+REQUEST_ID_PATTERN = re.compile(
+    rb'\r\nswiftjunction-attempt-id: *([^\r]+)', re.IGNORECASE
+)
 # Value of SO_LINGER with which closing a socket resets the connection.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -54,12 +58,16 @@
         Delay of each chunk of data if the mode is ``DELAYED``.
     address : str
         Address of the proxy as ``ip:port``.
+    arrivals : list of (str, float)
+        Id of each request, and when the client sent it to the proxy, on the
+        clock of the event loop in seconds.
     """
 
     def __init__(self, target: str) -> None:
         self.target = target
         self.mode = LinkMode.OPEN
         self.delay_seconds = 0.1
+        self.arrivals: list[tuple[str, float]] = []
         self._sockets: set[anyio.abc.SocketStream] = set()
         self._server = socket.socket()
         self._server.bind(('127.0.0.1', 0))
@@ -117,11 +125,20 @@
         try:
             while True:
                 data = await source.receive(CHUNK_BYTES)
+                if not is_response:
+                    self._record_arrivals(data)
                 await self._apply_mode(is_response)
                 await sink.send(data)
         except (anyio.EndOfStream, OSError, anyio.BrokenResourceError):
             tasks.cancel_scope.cancel()
 
+    def _record_arrivals(self, data: bytes) -> None:
+        now = anyio.current_time()
+        self.arrivals += [
+            (request_id.decode(), now)
+            for request_id in REQUEST_ID_PATTERN.findall(data)
+        ]
+
     async def _apply_mode(self, is_response: bool) -> None:
         if self.mode is LinkMode.DELAYED:
             await anyio.sleep(self.delay_seconds)
--- a/soak/load.py
+++ b/soak/load.py
@@ -17,6 +17,9 @@
 # Every VM must find an accepted batch after this time.
 BATCH_VISIBLE_SECONDS = 1.0
 STEP_TIMEOUT_SECONDS = 8.0
+# A trainer ends this fraction of its batches early.
+EARLY_END_FRACTION = 0.25
+MAX_EARLY_END_SECONDS = 0.5
 GROUP_COUNT = 4
 GROUP_SIZE = 3
 MEAN_CONFIG_INTERVAL_SECONDS = 2.5
@@ -145,16 +148,22 @@
             await self._submit_batch(reader.batch_id, body)
             self.readers.append(reader)
             accepted_at = anyio.current_time()
-            with anyio.move_on_after(STEP_TIMEOUT_SECONDS):
+            with anyio.move_on_after(self._draw_step_seconds()):
                 while not reader.is_complete:
                     await self._read_batch(reader, accepted_at)
                     await anyio.sleep(POLL_INTERVAL_SECONDS)
             if reader.is_complete:
                 self.completed_steps += 1
             await self._end_batch(reader.batch_id)
+            reader.ended_at = anyio.current_time()
             version += 1
             self._deployment.set_target_version(version)
 
+    def _draw_step_seconds(self) -> float:
+        if self._rng.random() < EARLY_END_FRACTION:
+            return self._rng.uniform(0.0, MAX_EARLY_END_SECONDS)
+        return STEP_TIMEOUT_SECONDS
+
     def _make_batch(self, min_version: int) -> dict:
         prefix = self._make_id('s')
         return {
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -97,6 +97,7 @@
         deployment.stop()
     checks.check_runs(invariants, workload.outcomes, deployment)
     checks.check_fencing_tokens(invariants, deployment)
+    checks.check_ended_batches(invariants, workload.readers, deployment)
     return Report(
         seed,
         seconds,
