Show how old the coordinator's knowledge of ended batches is

Cause: logs and metrics could not tell the incident's hypotheses apart: a coordinator that acts on old knowledge, two coordinators, and a request that is sent long after the decision looked alike. Change: the gauge swiftjunction_ended_batches_age_seconds, 0 where a VM does not coordinate. With `became the coordinator`, `no longer the coordinator` and `batch ended` it tells them apart. Result: the platform's processes and the tests of ended batches pass.

--- a/src/swiftjunction/batches/_confirmation.py
+++ b/src/swiftjunction/batches/_confirmation.py
@@ -84,7 +84,11 @@
 
     def is_recent(self) -> bool:
         """Return whether the last confirmation is recent enough to send."""
-        now = self.clock()
         if self._is_store_unreachable():
-            self.record(now)
-        return now - self._confirmed_at <= self.max_age_seconds
+            self.record(self.clock())
+        return self.age_seconds <= self.max_age_seconds
+
+    @property
+    def age_seconds(self) -> float:
+        """Return the age of the last confirmation; infinity without one."""
+        return self.clock() - self._confirmed_at
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -130,6 +130,9 @@
         self._archive = batches.BatchArchive(self._store)
         engines = batches.EngineRegistry(self._directory, time.monotonic)
         allocator = batches.EngineAllocator()
+        end_confirmation = batches.EndConfirmation(
+            settings.cancel_seconds, self._is_store_out_of_reach
+        )
         self._runner = batches.BatchRunner(
             self._store,
             self._archive,
@@ -145,9 +148,7 @@
             self._metrics,
             self._directory.loop_lag,
             settings.keep_seconds,
-            batches.EndConfirmation(
-                settings.cancel_seconds, self._is_store_out_of_reach
-            ),
+            end_confirmation,
         )
         self._control_loops = coordination.ControlLoops(
             self._runner,
@@ -208,6 +209,14 @@
             'event_loop_lag_seconds',
             lambda: self._directory.loop_lag.average_seconds,
         )
+        self._metrics.add_gauge(
+            'ended_batches_age_seconds',
+            lambda: (
+                end_confirmation.age_seconds
+                if self._control_loops.is_running
+                else 0.0
+            ),
+        )
         self._dump = self._build_dump()
 
     async def run(self) -> None:
