Count the failures of a scorer over interrupted confirmations

Where confirmations come and go, a scorer that always fails was never given up. With a store whose watches are answered a second late, a scorer of three attempts got 30 calls in 60 s. Change: only the end of the batch ends the attempt; while that is unknown, the call is repeated later, like one that was refused. Both have error types of their own. Result: 3 calls; the test failed before with 30.

--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -244,12 +244,22 @@
             progress.cancel_scope.cancel()
         self._notify_readers()
 
-    def check_wanted(self) -> None:
-        """Raise ``NotRun`` unless the batch is known not to have ended."""
+    def check_may_send(self) -> None:
+        """Check whether a request of the batch may be sent to a server now.
+
+        Raises
+        ------
+        BatchEnded
+            If the batch has ended.
+        EndUnconfirmed
+            If it may have ended.
+        """
         if self.ended:
-            raise errors.NotRun('the batch has ended', step='send')
+            raise errors.BatchEnded('the batch has ended', step='send')
         if self._confirmation and not self._confirmation.is_recent():
-            raise errors.NotRun('the batch may have ended', step='send')
+            raise errors.EndUnconfirmed(
+                'the batch may have ended', step='send'
+            )
 
     def find_body(self, sample_id: str) -> bytes | None:
         """Return the request body of a pending sample; None for others."""
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -376,7 +376,7 @@
             self.wake()
             if complete:
                 return await self._sample_runner.score(open_batch, progress)
-        except errors.NotRun as error:
+        except errors.BatchEnded as error:
             LOG.info('sample not scored: %s', error)
             return None
         except (errors.SampleRefused, errors.SampleFailed) as error:
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -113,7 +113,7 @@
             batch.host,
             progress.sample,
             progress.last_number,
-            open_batch.check_wanted,
+            open_batch.check_may_send,
         )
         timeout_seconds = FIRST_EVENT_TIMEOUT_SECONDS
         last_event_at = 0.0
@@ -178,14 +178,14 @@
         ------
         SampleFailed
             If the scorer failed as often as its route allows.
-        NotRun
-            If the batch ended, or may have ended, before there was a score.
+        BatchEnded
+            If the batch ended before there was a score.
         """
         sample = progress.sample
         score = ''
         if sample.scorer is not None:
             score = await self._scorer.score(
-                sample.scorer, open_batch.check_wanted
+                sample.scorer, open_batch.check_may_send
             )
         return _batch.Result(
             sample.sample_id,
--- a/src/swiftjunction/batches/_scoring.py
+++ b/src/swiftjunction/batches/_scoring.py
@@ -35,21 +35,23 @@
     async def score(
         self,
         request: _batch.ScoreRequest,
-        check_wanted: collections.abc.Callable[[], None],
+        check_may_send: collections.abc.Callable[[], None],
     ) -> str:
         """Have a sample scored; return the signature of the scorer's response.
 
         Parameters
         ----------
-        check_wanted : callable
-            Raises ``NotRun`` if the score is no longer needed. Called before
-            each attempt, and again just before the attempt is sent.
+        check_may_send : callable
+            Raises ``BatchEnded`` if the score is no longer needed, and
+            ``EndUnconfirmed`` if that is unknown, in which case the call is
+            repeated later. Called before each attempt, and again just before
+            it is sent.
 
         Raises
         ------
         SampleFailed
             If the scorer failed as often as its route allows.
-        NotRun
+        BatchEnded
             If the score is no longer needed. Unlike elsewhere, the scorer may
             have run the request.
         """
@@ -83,14 +85,16 @@
     async def score(
         self,
         request: _batch.ScoreRequest,
-        check_wanted: collections.abc.Callable[[], None],
+        check_may_send: collections.abc.Callable[[], None],
     ) -> str:
         failures = 0
         while True:
-            check_wanted()
             try:
+                check_may_send()
                 route = self._find_route(request)
-                response = await self._call(request, route, check_wanted)
+                response = await self._call(request, route, check_may_send)
+            except errors.BatchEnded:
+                raise
             except errors.RequestError as error:
                 LOG.info(
                     'score request failed, retrying: %s',
@@ -132,7 +136,7 @@
         self,
         request: _batch.ScoreRequest,
         route: routes.Route,
-        check_wanted: collections.abc.Callable[[], None],
+        check_may_send: collections.abc.Callable[[], None],
     ) -> backends.ServiceResponse:
         path, _, query = request.path.partition('?')
         call = requests.ForwardedCall(
@@ -150,7 +154,7 @@
                 headers=[],
                 timeout_seconds=0.0,
                 host=request.host,
-                check=check_wanted,
+                check=check_may_send,
             ),
             deadline=anyio.current_time() + SCORE_TIMEOUT_SECONDS,
             idempotent=True,
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -227,6 +227,14 @@
     """Every eligible backend server is at its limit; retry later."""
 
 
+class BatchEnded(NotRun):
+    """The batch has ended, so nothing more of it is sent to servers."""
+
+
+class EndUnconfirmed(NotRun):
+    """The batch may have ended, so nothing of it is sent for now."""
+
+
 class PoisonRefused(RequestError):
     """The request has crashed several backend servers; do not retry it."""
 
--- a/tests/cover/test_batches_ended.py
+++ b/tests/cover/test_batches_ended.py
@@ -17,6 +17,7 @@
 # this after the end of the batch was acknowledged.
 CANCEL_SECONDS = 3.0
 SAMPLE_SECONDS = 1.0
+SCORER_ATTEMPTS = 3
 SCORER = batches.ScoreRequest('score', 'h', '/p/score', b'')
 
 
@@ -98,6 +99,7 @@
         '/p/',
         routes.RouteKind.IDEMPOTENT,
         (routes.ServiceShare('plain'),),
+        max_attempts=SCORER_ATTEMPTS,
     )
     active_routes = routes.ActiveRoutes()
     active_routes.update(
@@ -115,9 +117,9 @@
         Sends the scoring requests; None for samples without any.
     """
 
-    def __init__(self, sample_count, forwarder=None):
+    def __init__(self, sample_count, forwarder=None, store=None):
         self.is_store_away = False
-        self.store = SilentStore()
+        self.store = store or SilentStore()
         self.client = RecordingClient()
         pool = test_batches_planning.EnginePool(count=1, slots=1)
         metrics = telemetry.Metrics()
@@ -222,3 +224,36 @@
     assert confirmation.is_recent()
     clock.now += CANCEL_SECONDS
     assert not confirmation.is_recent()
+
+
+class FailingForwarder:
+    """Answers each call with 500 after a second, and counts the calls."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def forward(self, call):
+        call.service_call.check()
+        self.calls += 1
+        await anyio.sleep(1.0)
+        return backends.ServiceResponse(500, [], b'', '')
+
+
+class LateStore(SilentStore):
+    """A store whose watches are answered a second late."""
+
+    async def watch(self, prefix, revision, wait_seconds):
+        await anyio.sleep(wait_seconds + 1.0)
+        return await super().list(prefix)
+
+
+@pytest.mark.anyio
+async def test_a_scorer_that_fails_is_given_up_although_the_store_is_late():
+    forwarder = FailingForwarder()
+    scene = Scene(sample_count=1, forwarder=forwarder, store=LateStore())
+    async with anyio.create_task_group() as tasks:
+        await scene.archive.create(scene.batch)
+        tasks.start_soon(scene.runner.run)
+        await anyio.sleep(60.0)
+        tasks.cancel_scope.cancel()
+    assert forwarder.calls == SCORER_ATTEMPTS
