Watch the batches in shorter steps, so that a late store stops no samples

Cause: a response confirms what was known when its watch was requested, so that with watches of 1 s the confirmation is up to 2 s old before the next one arrives, of 2.25 s that are allowed. A store that is an eighth of a second late stopped samples that nothing stood against. Change: a watch waits for a sixth of bounds.cancel_ms, not a third: two calls a second of the one VM that coordinates. Result: no pause in these three cases.

--- a/src/swiftjunction/batches/_confirmation.py
+++ b/src/swiftjunction/batches/_confirmation.py
@@ -14,9 +14,10 @@
 # Fraction of the bound that remains after the last check, for the request to
 # reach its server.
 SEND_MARGIN_FRACTION = 0.25
-# So many watches fit into the bound, so that a late one leaves time for
-# another.
-WATCHES_PER_BOUND = 3
+# So many watches fit into the bound. A response confirms what was known when
+# it was requested, so the confirmation is as old as two of them, with their
+# delays, before the next one arrives.
+WATCHES_PER_BOUND = 6
 
 
 def is_never_unreachable() -> bool:
--- a/tests/cover/test_batches_ended.py
+++ b/tests/cover/test_batches_ended.py
@@ -6,6 +6,7 @@
 from swiftjunction import backends
 from swiftjunction import batches
 from swiftjunction import errors
+from swiftjunction import objectstore
 from swiftjunction import routes
 from swiftjunction import telemetry
 from tests import conftest
@@ -257,3 +258,57 @@
         await anyio.sleep(60.0)
         tasks.cancel_scope.cancel()
     assert forwarder.calls == SCORER_ATTEMPTS
+
+
+class SlowStore(conftest.MemoryStore):
+    """Answers late; one watch fails after it has waited twice as long."""
+
+    def __init__(self, late_seconds, failing_watch):
+        super().__init__()
+        self._late_seconds = late_seconds
+        self._failing_watch = failing_watch
+        self._watches = 0
+
+    async def list(self, prefix):
+        await anyio.sleep(self._late_seconds)
+        return await super().list(prefix)
+
+    async def watch(self, prefix, revision, wait_seconds):
+        self._watches += 1
+        if self._watches == self._failing_watch:
+            await anyio.sleep(2 * wait_seconds)
+            raise errors.PlatformUnavailable('silent', step='watch')
+        await anyio.sleep(wait_seconds + self._late_seconds)
+        return objectstore.ChangeSet(revision, [], [])
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ('late_seconds', 'failing_watch'), [(0.15, 0), (0.5, 0), (0.01, 4)]
+)
+async def test_a_late_store_or_one_silent_watch_stops_no_samples(
+    late_seconds, failing_watch
+):
+    confirmation = batches.EndConfirmation(
+        CANCEL_SECONDS, clock=anyio.current_time
+    )
+    listener = objectstore.CallbackListener(
+        lambda found: None, on_confirm=confirmation.record
+    )
+    paused = 0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            lambda: objectstore.follow(
+                SlowStore(late_seconds, failing_watch),
+                'batches/',
+                listener,
+                watch_seconds=confirmation.watch_seconds,
+                clock=anyio.current_time,
+            )
+        )
+        await anyio.sleep(1.0)
+        for _ in range(1000):
+            await anyio.sleep(0.02)
+            paused += not confirmation.is_recent()
+        tasks.cancel_scope.cancel()
+    assert paused == 0
