Check again before the body of a sample or scoring request is sent

The body is written in a later pass of the event loop, which may come a second later in a process that lags, and with it the request is complete. With a lag of 1 s after the check, a whole request arrived 1.0 s after it. Change: the check runs again before the first byte of the body; if it fails, the connection is closed, and the server never has the whole request. Only for samples and scoring requests: a server that leaves is still checked once, as a request whose head has left may not be called unsent.

--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -29,8 +29,8 @@
         The host that the caller requested; empty if the service's protocol
         does not use it.
     check : callable, optional
-        Called just before the first byte is sent. If it raises, the request
-        is not sent.
+        Called just before the head is sent, and just before the body is. If
+        it raises, the server does not get the whole request.
     """
 
     request_id: str
@@ -118,6 +118,7 @@
                 ],
                 timeout_seconds=call.timeout_seconds,
                 check=call.check,
+                check_body=call.check,
             )
             try:
                 body = await _read_body(response, peer)
--- a/src/swiftjunction/batches/_engine_client.py
+++ b/src/swiftjunction/batches/_engine_client.py
@@ -74,8 +74,8 @@
             Number of the last event already received, after which to resume;
             -1 to start at the beginning.
         check : callable
-            Called just before the first byte is sent. If it raises, the
-            sample is not sent.
+            Called just before the head is sent, and just before the body is.
+            If it raises, the engine does not get the whole request.
 
         Raises
         ------
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -322,6 +322,7 @@
                 host=host,
                 connect_seconds=CONNECT_TIMEOUT_SECONDS,
                 check=check_before_send,
+                check_body=check,
             )
 
 
--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -8,8 +8,10 @@
 from swiftjunction.web import _transport
 
 CONNECT_TIMEOUT_SECONDS = 2.0
-# The trace event of httpcore just before the first byte of a request is sent.
+# The trace events of httpcore just before the first byte of a request is sent,
+# and just before the first byte of its body. Other tasks may run in between.
 REQUEST_START_EVENT = 'http11.send_request_headers.started'
+BODY_START_EVENT = 'http11.send_request_body.started'
 
 # Errors that are raised only before the first byte of a request is sent.
 UNSENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
@@ -46,14 +48,17 @@
 
 def _make_trace_extension(
     check: collections.abc.Callable[[], None] | None,
+    check_body: collections.abc.Callable[[], None] | None,
 ) -> dict[str, object]:
-    """Return the httpx extension that calls `check` before sending."""
-    if check is None:
+    """Return the httpx extension that calls the checks before sending."""
+    checks = {REQUEST_START_EVENT: check, BODY_START_EVENT: check_body}
+    if not any(checks.values()):
         return {}
 
     async def trace(event: str, info: dict[str, object]) -> None:
-        if event == REQUEST_START_EVENT:
-            check()
+        check_now = checks.get(event)
+        if check_now is not None:
+            check_now()
 
     return {'trace': trace}
 
@@ -89,6 +94,7 @@
         host: str = '',
         connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
         check: collections.abc.Callable[[], None] | None = None,
+        check_body: collections.abc.Callable[[], None] | None = None,
     ) -> httpx.Response:
         """Send a request and return the response, which must be closed.
 
@@ -107,6 +113,10 @@
         check : callable
             Called once a connection is open, just before the first byte is
             sent. If it raises, the request is not sent.
+        check_body : callable
+            Called just before the first byte of the body is sent. If it
+            raises, the server gets a request without its body, and the
+            connection is closed.
         """
         framing_headers = [('host', host or self._host)]
         if content:
@@ -128,7 +138,7 @@
                     'write': timeout_seconds,
                     'pool': timeout_seconds,
                 },
-                **_make_trace_extension(check),
+                **_make_trace_extension(check, check_body),
             },
         )
         return await self._transport.handle_async_request(request)
--- a/tests/cover/test_platform_sending.py
+++ b/tests/cover/test_platform_sending.py
@@ -1,3 +1,9 @@
+import asyncio
+import contextlib
+import socket
+import threading
+import time
+
 import anyio
 import pytest
 
@@ -62,3 +68,71 @@
         assert listener.received == b''
         tasks.cancel_scope.cancel()
     await tcp.aclose()
+
+
+class ThreadReceiver:
+    """Receives in a thread, which a busy event loop does not delay.
+
+    Attributes
+    ----------
+    received_at : float
+        Monotonic time of the last byte, in seconds; 0 before the first one.
+    """
+
+    def __init__(self):
+        self.received_at = 0.0
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.port = self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        connection, _ = self._listener.accept()
+        with connection, contextlib.suppress(OSError):
+            while connection.recv(65536):
+                self.received_at = time.monotonic()
+
+    def close(self):
+        """Wait until the connection is closed."""
+        self._thread.join(5)
+        self._listener.close()
+
+
+class LaggingServer(backends.BackendServer):
+    """The event loop lags for once after a connection to it is open."""
+
+    def __init__(self, port):
+        super().__init__(
+            backends.ServerReport('e', f'127.0.0.1:{port}', 's', 'dc')
+        )
+        self._lag_seconds = LAG_SECONDS
+
+    def is_live(self):
+        asyncio.get_running_loop().call_soon(time.sleep, self._lag_seconds)
+        self._lag_seconds = 0.0
+        return super().is_live()
+
+
+LAG_SECONDS = 1.0
+VALID_SECONDS = 0.5
+
+
+async def test_no_body_is_sent_after_a_lag_that_outlasts_the_check():
+    receiver = ThreadReceiver()
+    peers = web.PeerClients()
+    started_at = time.monotonic()
+
+    def check():
+        if time.monotonic() - started_at > VALID_SECONDS:
+            raise errors.EndUnconfirmed('the batch may have ended', step='x')
+
+    sample = batches.Sample('i', '/x', [], b'x' * 2000, group='g')
+    events = _workers.WorkerClient(peers).generate(
+        LaggingServer(receiver.port), 'h', sample, -1, check
+    )
+    with anyio.move_on_after(2.0), contextlib.suppress(errors.EndUnconfirmed):
+        await anext(events)
+    await events.aclose()
+    await peers.close()
+    receiver.close()
+    assert receiver.received_at - started_at <= VALID_SECONDS
