Neither warn nor migrate while a new coordinator awaits its first list

Cause: a coordinator that began logged that ended batches may be unknown, though nothing was wrong, and one that may start no samples went on cancelling running ones on slow engines, which could then not continue elsewhere. Change: the first confirmation is awaited without a warning; samples migrate only while samples may be started. Result: both tests pass.

--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -128,6 +128,7 @@
         self._stopping = False
         self.batches.clear()
         self._confirmation.reset()
+        self._start_gate.reset()
         self._writer.flushing = False
         await self._checkpoints.restore()
         async with anyio.create_task_group() as tasks:
@@ -345,6 +346,8 @@
     async def _migrate_from_slow_engines(self) -> None:
         while True:
             await anyio.sleep(MIGRATION_INTERVAL_SECONDS)
+            if not self._start_gate.may_start():
+                continue
             self._dispatcher.migrate_from_slow_engines(self._list_open())
 
     async def _run_attempt(self, attempt: _dispatch.SampleAttempt) -> None:
--- a/src/swiftjunction/batches/_starting.py
+++ b/src/swiftjunction/batches/_starting.py
@@ -33,7 +33,14 @@
         self._loop_lag = loop_lag
         self._confirmation = confirmation
         self._lagging = False
-        self._confirmed = True
+        self._confirmed = False
+
+    def reset(self) -> None:
+        """Expect a first confirmation, as this process begins to run batches.
+
+        The lack of one is not logged.
+        """
+        self._confirmed = False
 
     def may_start(self) -> bool:
         """Return whether samples may be started now."""
@@ -61,7 +68,7 @@
             return
         self._confirmed = confirmed
         if confirmed:
-            LOG.info('ended batches are known again; starting samples')
+            LOG.info('ended batches are known; starting samples')
         else:
             LOG.warning(
                 'ended batches may be unknown; starting no samples',
--- a/tests/cover/test_batches_ended.py
+++ b/tests/cover/test_batches_ended.py
@@ -1,3 +1,4 @@
+import logging
 import random
 
 import anyio
@@ -5,6 +6,7 @@
 
 from swiftjunction import backends
 from swiftjunction import batches
+from swiftjunction.batches import _dispatch
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction import routes
@@ -302,3 +304,33 @@
             paused += not confirmation.is_recent()
         tasks.cancel_scope.cancel()
     assert paused == 0
+
+
+@pytest.mark.anyio
+async def test_a_new_coordinator_does_not_warn_that_ends_may_be_unknown(
+    caplog,
+):
+    caplog.set_level(logging.INFO)
+    store = SlowStore(late_seconds=0.3, failing_watch=0)
+    runner = test_batches_runner.make_runner(
+        store, batches.BatchArchive(store)
+    )
+    with anyio.move_on_after(1.5):
+        await runner.run()
+    messages = [record.message for record in caplog.records]
+    assert 'ended batches are known; starting samples' in messages
+    assert 'ended batches may be unknown; starting no samples' not in messages
+
+
+@pytest.mark.anyio
+async def test_no_sample_is_migrated_while_none_may_be_started(monkeypatch):
+    scene = Scene(sample_count=1)
+    migrated_at = []
+    monkeypatch.setattr(
+        _dispatch.Dispatcher,
+        'migrate_from_slow_engines',
+        lambda self, open_batches: migrated_at.append(anyio.current_time()),
+    )
+    ended_at = await scene.end_unnoticed(after_seconds=4.5)
+    assert migrated_at[0] < ended_at
+    assert migrated_at[-1] - ended_at <= CANCEL_SECONDS
