Check the lease when an order is sent, not only when it is decided

In a process that lags, the order could reach the engine when another VM had the lease already. What callers saw: nothing. Change: the lease is checked again on the open connection, before the head and before the body. One that has expired only delays the order: it may still be renewed.

--- a/src/swiftjunction/batches/_engine_client.py
+++ b/src/swiftjunction/batches/_engine_client.py
@@ -97,10 +97,19 @@
 
     @abc.abstractmethod
     async def send_order(
-        self, server: backends.BackendServer, order: VersionOrder
+        self,
+        server: backends.BackendServer,
+        order: VersionOrder,
+        check: collections.abc.Callable[[], None],
     ) -> bool:
         """Send an order; return whether the engine has that version already.
 
+        Parameters
+        ----------
+        check : callable
+            Called just before the head is sent, and just before the body is.
+            If it raises, the engine does not get the whole order.
+
         Raises
         ------
         LeaseLost
--- a/src/swiftjunction/batches/_rollout.py
+++ b/src/swiftjunction/batches/_rollout.py
@@ -252,6 +252,17 @@
             engine.orders,
             keeps_running=not self._needs_idle_engine(model),
         )
+
+        def check_lease() -> None:
+            try:
+                lease.check()
+            except errors.LeaseLost as error:
+                raise errors.BackendUnreachable(
+                    f'the version order was not sent: {error}',
+                    step='order',
+                    peer=engine.server.name,
+                ) from error
+
         try:
             lease.check(CALL_TIMEOUT_SECONDS)
         except errors.LeaseLost as error:
@@ -265,7 +276,7 @@
         self._metrics.count('orders')
         try:
             already_loaded = await self._client.send_order(
-                engine.server, order
+                engine.server, order, check_lease
             )
         except errors.BackendRefused as error:
             # The number of accepted orders was wrong; the next report
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -215,7 +215,10 @@
         )
 
     async def send_order(
-        self, server: backends.BackendServer, order: batches.VersionOrder
+        self,
+        server: backends.BackendServer,
+        order: batches.VersionOrder,
+        check: collections.abc.Callable[[], None],
     ) -> bool:
         content = msgspec.json.encode(
             {
@@ -229,7 +232,7 @@
             }
         )
         status, _ = await self._send_control_request(
-            server, 'POST', _names.ORDER_PATH, content
+            server, 'POST', _names.ORDER_PATH, content, check
         )
         match status:
             case http.HTTPStatus.ACCEPTED:
@@ -262,6 +265,7 @@
         method: str,
         path: str,
         content: bytes = b'',
+        check: collections.abc.Callable[[], None] | None = None,
     ) -> tuple[int, bytes]:
         headers = [('content-type', 'application/json')] if content else []
         with anyio.move_on_after(CONTROL_TIMEOUT_SECONDS):
@@ -273,6 +277,7 @@
                 content,
                 CONTROL_TIMEOUT_SECONDS,
                 peers=self._control_peers,
+                check=check,
             )
             try:
                 body = await _responses.read_body(response, server)
--- a/tests/cover/test_batches_rollout.py
+++ b/tests/cover/test_batches_rollout.py
@@ -18,7 +18,7 @@
 
     def check(self, needed_seconds=0.0):
         self.checks += 1
-        # The rollout checks once per iteration and once more per order.
+        # The rollout checks once per iteration, and more often per order.
         if self.checks > 1 and self.expirations:
             self.expirations -= 1
             raise errors.LeaseLost('the lease has expired', step='check')
@@ -34,13 +34,14 @@
         self.fenced = fenced
         self.orders = []
 
-    def generate(self, server, host, sample, after_number):
+    def generate(self, server, host, sample, after_number, check):
         raise NotImplementedError
 
     async def read_report(self, server):
         return batches.EngineReport({'m': 1}, busy=False, orders=0)
 
-    async def send_order(self, server, order):
+    async def send_order(self, server, order, check):
+        check()
         if self.fenced:
             raise errors.LeaseLost(
                 'the engine has seen a higher fencing token', step='order'
@@ -80,3 +81,19 @@
                 FakeEngineClient(fenced=True), ExpiringLease(expirations=0)
             )
         assert caught.group_contains(errors.LeaseLost)
+
+    async def test_lease_that_expires_while_connecting_only_delays_the_order(
+        self,
+    ):
+        class LeaseThatExpiresWhileConnecting(ExpiringLease):
+            def check(self, needed_seconds=0.0):
+                # Only the check on the open connection asks for no time.
+                if not needed_seconds and self.expirations:
+                    self.expirations -= 1
+                    raise errors.LeaseLost('expired', step='check')
+
+        client = FakeEngineClient()
+        lease = LeaseThatExpiresWhileConnecting(expirations=1)
+        await run_rollout(client, lease, seconds=1.5)
+        assert client.orders
+        assert lease.expirations == 0
--- a/tests/cover/test_platform_sending.py
+++ b/tests/cover/test_platform_sending.py
@@ -136,3 +136,20 @@
     await peers.close()
     receiver.close()
     assert receiver.received_at - started_at <= VALID_SECONDS
+
+
+async def test_no_order_is_sent_after_a_lag_that_outlasts_its_lease():
+    receiver = ThreadReceiver()
+    started_at = time.monotonic()
+
+    def check():
+        if time.monotonic() - started_at > VALID_SECONDS:
+            raise errors.BackendUnreachable('lease expired', step='order')
+
+    order = batches.VersionOrder('m', 2, 'holder', 1, 0)
+    with pytest.raises(errors.BackendUnreachable):
+        await _workers.WorkerClient(web.PeerClients()).send_order(
+            LaggingServer(receiver.port), order, check
+        )
+    receiver.close()
+    assert receiver.received_at - started_at <= VALID_SECONDS
