Ask peers whether the store is away, and go on with samples meanwhile

Cause: with no exception at all, samples stop for some three seconds in each outage of the store, in which nobody can acknowledge an end. What callers saw: nothing yet, that was not landed. Change: when a confirmation is late, the coordinator calls the store itself and through three peers; while none of them reaches it, and a peer answers, that counts as a confirmation of the time before the calls.

--- a/src/swiftjunction/batches/_confirmation.py
+++ b/src/swiftjunction/batches/_confirmation.py
@@ -6,6 +6,7 @@
 each response confirms what was known when it was requested, and no more.
 """
 
+import abc
 import collections.abc
 import math
 
@@ -14,12 +15,24 @@
 # Fraction of the bound that remains after the last check, for the request to
 # reach its server.
 SEND_MARGIN_FRACTION = 0.25
+# From this fraction of its maximum age on, a confirmation is late.
+LATE_FRACTION = 0.5
 # So many watches fit into the bound. A response confirms what was known when
 # it was requested, so the confirmation is as old as two of them, with their
 # delays, before the next one arrives.
 WATCHES_PER_BOUND = 6
 
 
+class StoreOutages(abc.ABC):
+    """Finds out whether the object store is away for all processes."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    async def is_store_away(self) -> bool:
+        """Return whether no process seems to reach the object store."""
+
+
 class EndConfirmation:
     """Tracks when all ended batches were last known.
 
@@ -63,6 +76,8 @@
     def record(self, asked_at: float) -> None:
         """Record that all ends before `asked_at` are known.
 
+        While the object store is away, none can be acknowledged.
+
         Parameters
         ----------
         asked_at : float
@@ -74,6 +89,10 @@
         """Return whether the last confirmation is recent enough to send."""
         return self.age_seconds <= self.max_age_seconds
 
+    def is_late(self) -> bool:
+        """Return whether the next confirmation should have come by now."""
+        return self.age_seconds > self.max_age_seconds * LATE_FRACTION
+
     @property
     def age_seconds(self) -> float:
         """Return the age of the last confirmation; infinity without one."""
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -30,6 +30,7 @@
 DISPATCH_INTERVAL_SECONDS = 0.1
 MIGRATION_INTERVAL_SECONDS = 0.25
 READ_RETRY_SECONDS = 0.5
+OUTAGE_CHECK_INTERVAL_SECONDS = 0.25
 # For this long after this process became the coordinator, its predecessor may
 # still write results, which this process does not have in memory.
 HANDOVER_SECONDS = 6.0
@@ -62,6 +63,8 @@
         batch.
     confirmation : EndConfirmation
         Tracks when all ended batches were last known.
+    outages : StoreOutages
+        Asked whether the object store is away when a confirmation is late.
 
     Attributes
     ----------
@@ -78,6 +81,7 @@
         '_dispatcher',
         '_ended',
         '_metrics',
+        '_outages',
         '_retention',
         '_sample_runner',
         '_seen_groups',
@@ -101,6 +105,7 @@
         loop_lag: backends.LoopLag,
         keep_seconds: float,
         confirmation: _confirmation.EndConfirmation,
+        outages: _confirmation.StoreOutages,
     ) -> None:
         self._store = store
         self._archive = archive
@@ -108,6 +113,7 @@
         self._allocator = allocator
         self._metrics = metrics
         self._confirmation = confirmation
+        self._outages = outages
         self._start_gate = _starting.StartGate(loop_lag, confirmation)
         self._dispatcher = _dispatch.Dispatcher(engines)
         self._seen_groups: dict[str, None] = {}
@@ -133,6 +139,7 @@
         await self._checkpoints.restore()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow_batches, tasks)
+            tasks.start_soon(self._detect_outages)
             tasks.start_soon(self._writer.run)
             tasks.start_soon(self._migrate_from_slow_engines)
             tasks.start_soon(self._checkpoints.run)
@@ -157,6 +164,16 @@
             clock=self._confirmation.clock,
         )
 
+    async def _detect_outages(self) -> None:
+        """Keep samples running while no end can be acknowledged."""
+        while True:
+            await anyio.sleep(OUTAGE_CHECK_INTERVAL_SECONDS)
+            if not self._confirmation.is_late():
+                continue
+            asked_at = self._confirmation.clock()
+            if await self._outages.is_store_away():
+                self._confirmation.record(asked_at)
+
     async def stop(self, timeout_seconds: float) -> None:
         """Cancel the running samples, and write their progress and results.
 
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -12,6 +12,7 @@
 from swiftjunction.coordination._members import MEMBER_PREFIX
 from swiftjunction.coordination._members import MemberStatus
 from swiftjunction.coordination._members import MemberTable
+from swiftjunction.coordination._outages import OutageProbe
 from swiftjunction.coordination._peer import PeerBatchAccess
 from swiftjunction.coordination._peer import PeerClient
 from swiftjunction.coordination._peer import PeerStore
@@ -34,6 +35,7 @@
     'Member',
     'MemberStatus',
     'MemberTable',
+    'OutageProbe',
     'PeerApp',
     'PeerBatchAccess',
     'PeerClient',
--- a/src/swiftjunction/coordination/_peer.py
+++ b/src/swiftjunction/coordination/_peer.py
@@ -67,7 +67,7 @@
                 timeout_seconds=timeout_seconds,
             )
         except web.UNSENT_ERRORS as error:
-            raise errors.PlatformUnavailable(
+            raise errors.PeerUnreachable(
                 f'cannot connect to the peer: {error or type(error).__name__}',
                 step='peer',
                 peer=self._address,
@@ -159,7 +159,7 @@
                 wait_seconds + 2 * WAIT_MARGIN_SECONDS,
             )
         except errors.WriteUncertain as error:
-            raise errors.PlatformUnavailable(
+            raise errors.PeerUnreachable(
                 error.message, step=error.step, peer=error.peer
             ) from error
 
--- a/src/swiftjunction/coordination/_relaying.py
+++ b/src/swiftjunction/coordination/_relaying.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from swiftjunction.coordination import _outages
 from swiftjunction import errors
 from swiftjunction import objectstore
 
@@ -17,9 +18,6 @@
 DIRECT_RETRY_SECONDS = 1.5
 MAX_RELAYS_TRIED = 2
 MAX_RELAYED_WATCH_SECONDS = 4.0
-# No such object ever exists, but any response shows that the store is
-# reachable.
-PROBE_KEY = 'members/-'
 
 Result = typing.TypeVar('Result')
 Operation = collections.abc.Callable[
@@ -128,7 +126,9 @@
         if self._clock() < self._direct_retry_at:
             return False
         try:
-            await self._call_directly(lambda store: store.read(PROBE_KEY))
+            await self._call_directly(
+                lambda store: store.read(_outages.PROBE_KEY)
+            )
         except errors.ObjectMissing:
             return True
         except errors.PlatformError as error:
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -101,6 +101,10 @@
     """
 
 
+class PeerUnreachable(PlatformUnavailable):
+    """The peer through which the platform was called did not answer."""
+
+
 class WriteUncertain(PlatformError):
     """The response to a write was lost; read the object to see its effect."""
 
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -147,6 +147,9 @@
             self._directory.loop_lag,
             settings.keep_seconds,
             end_confirmation,
+            coordination.OutageProbe(
+                self._direct, self._clients, self._members, rng
+            ),
         )
         self._control_loops = coordination.ControlLoops(
             self._runner,
--- a/tests/cover/test_batches_ended.py
+++ b/tests/cover/test_batches_ended.py
@@ -122,6 +122,7 @@
 
     def __init__(self, sample_count, forwarder=None, store=None):
         self.store = store or SilentStore()
+        self.outages = test_batches_runner.FakeOutages()
         self.client = RecordingClient()
         pool = test_batches_planning.EnginePool(count=1, slots=1)
         metrics = telemetry.Metrics()
@@ -131,6 +132,7 @@
             self.archive,
             pool.registry,
             batches.SampleRunner(self.client, make_scorer(forwarder), metrics),
+            self.outages,
         )
         self.batch = batches.Batch(
             batch_id='b',
@@ -210,6 +212,34 @@
     assert anyio.current_time() - scene.client.sent_at[-1] <= SAMPLE_SECONDS
 
 
+@pytest.mark.anyio
+class TestStoreThatIsAwayForAllVms:
+    async def run(self, scene, away_seconds, then_seconds):
+        """Run the batch; return when the store came back."""
+        async with anyio.create_task_group() as tasks:
+            await scene.archive.create(scene.batch)
+            tasks.start_soon(scene.runner.run)
+            await anyio.sleep(1.5)
+            scene.store.silent = scene.outages.is_away = True
+            await anyio.sleep(away_seconds)
+            scene.outages.is_away = False
+            back_at = anyio.current_time()
+            await anyio.sleep(then_seconds)
+            tasks.cancel_scope.cancel()
+        return back_at
+
+    async def test_samples_go_on_as_no_end_can_be_acknowledged(self):
+        scene = Scene(sample_count=30)
+        back_at = await self.run(scene, away_seconds=10.0, then_seconds=0.0)
+        assert back_at - scene.client.sent_at[-1] <= SAMPLE_SECONDS
+        assert len(scene.client.sent_at) >= 11
+
+    async def test_no_sample_is_sent_long_after_it_is_back(self):
+        scene = Scene(sample_count=30)
+        back_at = await self.run(scene, away_seconds=5.0, then_seconds=10.0)
+        assert scene.client.sent_at[-1] - back_at <= CANCEL_SECONDS
+
+
 def test_a_vm_that_was_suspended_needs_another_confirmation():
     clock = conftest.FakeClock()
     confirmation = batches.EndConfirmation(CANCEL_SECONDS, clock=clock)
--- a/tests/cover/test_batches_runner.py
+++ b/tests/cover/test_batches_runner.py
@@ -34,6 +34,16 @@
 CANCEL_SECONDS = 3.0
 
 
+class FakeOutages(batches.StoreOutages):
+    """Says whether the store is away, as the test sets it."""
+
+    def __init__(self):
+        self.is_away = False
+
+    async def is_store_away(self):
+        return self.is_away
+
+
 class RecordingSampleRunner:
     """Records the samples that are started; none of them ends."""
 
@@ -50,6 +60,7 @@
     archive,
     engines=None,
     sample_runner=None,
+    outages=None,
 ):
     table = membership.RecordTable()
     engines = engines or batches.EngineRegistry(
@@ -65,6 +76,7 @@
         backends.LoopLag(),
         KEEP_SECONDS,
         batches.EndConfirmation(CANCEL_SECONDS, anyio.current_time),
+        outages or FakeOutages(),
     )
 
 
