Send isolated requests on the platform

Cause: a request that runs in isolation reserves its server, and a reserved server is not live. Just before sending, the platform's client refused any server that is not live as shutting down, and so the one that was reserved for the request. In an own deployment the clients have no such check. What callers saw: a request that was running on a server as it crashed got no server for the 60 s of suspicion. Change: the check before sending asks whether the server accepts requests, not whether others may be routed to it. A server that leaves is refused as before. A live request that crashes its server thus runs once more, in isolation, and is refused after its second crash, as docs/design/claims-and-suspects.md says.

--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -191,17 +191,20 @@
             return max(mean_seconds, now - timer.started_at)
         return mean_seconds
 
+    def accepts_requests(self) -> bool:
+        """Return whether its report and responses show that it is live.
+
+        The request that it is reserved for may still be sent to it.
+        """
+        return self.report.state == 'live' and not self.leaving
+
     def is_live(self) -> bool:
         """Return whether new requests may be routed to the server.
 
         They may not if its report or a response shows that it accepts none,
         or if this process has reserved it. An ejected server is still live.
         """
-        return (
-            self.report.state == 'live'
-            and not self.leaving
-            and not self.reserved
-        )
+        return self.accepts_requests() and not self.reserved
 
     def is_available(self) -> bool:
         """Return whether the server is live and not ejected."""
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -298,8 +298,9 @@
         """Send a request that any other server instance must refuse."""
 
         def check_before_send() -> None:
-            # The server may have started to leave while connecting.
-            if not server.is_live():
+            # The server may have started to leave while connecting. It may be
+            # reserved for this request.
+            if not server.accepts_requests():
                 raise errors.BackendRefused(
                     'the server is shutting down',
                     step='send',
