Never refuse a scoring request for crashes of servers under it

Cause: the forwarder of scoring requests has the suspects of live requests. A scoring request that was running on servers as they crashed counted as one that crashes servers: in isolation after the first crash, refused for an hour after the second. The scorer slept for that hour and repeated it. Crashes under a live request with the same path and body counted as well, and the other way round. Change: a deferred request has no fingerprint, is never a suspect, and no crash is recorded for it. Live requests are refused as before.

--- a/src/swiftjunction/batches/_scoring.py
+++ b/src/swiftjunction/batches/_scoring.py
@@ -159,5 +159,6 @@
                 route.objective_seconds * ATTEMPT_TIMEOUT_FACTOR,
                 MIN_ATTEMPT_TIMEOUT_SECONDS,
             ),
+            deferred=True,
         )
         return await self._forwarder.forward(call)
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -42,6 +42,9 @@
     attempt_seconds : float
         Timeout of each attempt of an idempotent request, in seconds. An
         attempt that no other one can follow may last until the deadline.
+    deferred : bool
+        Whether it scores a sample. Crashes of servers do not make such a
+        request a suspect.
     """
 
     path: str
@@ -52,10 +55,16 @@
     idempotency_key: str = ''
     max_attempts: int = MAX_SERVICE_ATTEMPTS
     attempt_seconds: float = math.inf
+    deferred: bool = False
 
     @property
     def fingerprint(self) -> str:
-        """Return an identifier that retries of the same request share."""
+        """Return an identifier that retries of the same request share.
+
+        Deferred requests have none.
+        """
+        if self.deferred:
+            return _suspects.NO_FINGERPRINT
         return _suspects.make_fingerprint(
             self.path,
             self.service_call.method,
--- a/src/swiftjunction/requests/_suspects.py
+++ b/src/swiftjunction/requests/_suspects.py
@@ -6,6 +6,10 @@
 the same server or another one, every process refuses the request. A suspect
 that completes in isolation is cleared. A request that only shared the server
 with the one that crashed it thus runs once more, in isolation.
+
+Deferred requests, which are samples and their scoring requests, are never
+suspects: they do not crash servers, and must be completed however many
+servers crash while they run.
 """
 
 import collections.abc
@@ -25,6 +29,8 @@
 SUSPICION_SECONDS = 60.0
 # How long each crash counts towards a refusal.
 REFUSAL_SECONDS = 3600.0
+# Instead of a fingerprint, for requests that are never suspects.
+NO_FINGERPRINT = ''
 
 
 class _Crash(msgspec.Struct, frozen=True, array_like=True):
@@ -120,9 +126,13 @@
 
         Parameters
         ----------
+        fingerprint : str
+            With ``NO_FINGERPRINT``, nothing is recorded.
         started_unix : float
             What :meth:`now` returned before the attempt.
         """
+        if fingerprint == NO_FINGERPRINT:
+            return
         history = self._histories.get(fingerprint, {}).get(self._name)
         crashes = list(history.crashes) if history is not None else []
         crashes.append(_Crash(server, started_unix, self._clock()))
