Never refuse a sample of a step for crashes of engines under it

Cause: samples and live completions share the suspects. A sample that was running on engines as they crashed counted as one that crashes engines: in isolation after the first crash, refused for an hour after the second. The producer repeated it every 5 s, with its slot held. The fingerprint has the path, the prompt, the length and the seed, so that sample 0 of a step equals a completion of a caller with seed 0. Change: a sample is a deferred generation, without a fingerprint, as scoring requests on the platform are. Live completions are refused as before.

--- a/src/swiftjunction/requests/_call.py
+++ b/src/swiftjunction/requests/_call.py
@@ -25,6 +25,9 @@
     is_whole : bool
         Whether the completion is delivered only when it is complete, so that
         it can be generated again from the start.
+    deferred : bool
+        Whether it is a sample of a step. Crashes of engines do not make such
+        a generation a suspect.
     """
 
     request_id: str
@@ -37,6 +40,7 @@
     priority: int = 0
     idempotent: bool = True
     is_whole: bool = False
+    deferred: bool = False
 
     @property
     def model(self) -> str:
@@ -63,7 +67,12 @@
 
     @property
     def fingerprint(self) -> str:
-        """Return an identifier that retries of the same request share."""
+        """Return an identifier that retries of the same request share.
+
+        Deferred generations have none.
+        """
+        if self.deferred:
+            return _suspects.NO_FINGERPRINT
         return _suspects.make_fingerprint(
             self.path, self.prompt, str(self.max_tokens), str(self.seed)
         )
--- a/src/swiftjunction/steps/_production.py
+++ b/src/swiftjunction/steps/_production.py
@@ -281,6 +281,7 @@
             seed=task.index,
             priority=job.priority,
             is_whole=True,
+            deferred=True,
         )
         chunks: list[backends.Chunk] = []
         async with contextlib.aclosing(
