Never refuse scoring requests of steps for crashes of scorers under them

Cause: as for samples: the scoring requests of a step share the suspects of the process, and were refused for an hour after two crashes of scorers that ran them. The producer repeated them every 5 s, each with one of the 16 places for scoring requests, so that 16 of them held up all other scores. What callers saw: a complete sample that is never scored or delivered. Evidence: two tests on virtual time, each failing before: after five crashes, and after one crash of the only scorer. Change: the scoring request of a step is a deferred one. Result: the two tests pass.

--- a/src/swiftjunction/steps/_production.py
+++ b/src/swiftjunction/steps/_production.py
@@ -318,6 +318,7 @@
             ),
             deadline=anyio.current_time() + (settings.timeout_seconds or 30),
             idempotent=True,
+            deferred=True,
         )
         response = await self._forwarder.forward(call)
         try:
--- a/tests/cover/test_steps_production.py
+++ b/tests/cover/test_steps_production.py
@@ -53,10 +53,27 @@
         pass
 
 
+class UnluckyScorers(backends.ServiceTransport):
+    """Scorers that crash, each on the first request, as often as set."""
+
+    def __init__(self, crashes):
+        self.crashes = crashes
+
+    async def call(self, server, call):
+        await anyio.sleep(0.1)
+        if self.crashes:
+            self.crashes -= 1
+            raise errors.AnswerBroken('reset', step='call', peer=server.name)
+        return backends.ServiceResponse(200, [], b'{"index":0,"score":0.5}')
+
+    async def is_crashed(self, server):
+        return True
+
+
 class Scene:
     """A process that produces samples beside live requests."""
 
-    def __init__(self, engines, server_count=4):
+    def __init__(self, engines, scorers=None, server_count=4):
         table = membership.RecordTable()
         directory = backends.Directory(table, anyio.current_time)
         history = weights.VersionHistory('m')
@@ -67,7 +84,8 @@
             paths={
                 'team/m': configuration.PathSettings(
                     model='m', freshness_versions=1
-                )
+                ),
+                'team/score': configuration.PathSettings(service='score'),
             },
         )
         table.put('config/team', msgspec.json.encode(subtree))
@@ -77,23 +95,34 @@
                     f'e{index}', 'h:1', 'm', 'dc', weight_version=1
                 )
             )
+            directory.update(
+                backends.ServerReport(f's{index}', 'h:1', 'score', 'dc')
+            )
         tree = configuration.Tree(table)
         self.path_settings = tree.resolve('team/m')
         version_tracker = weights.VersionTracker(table)
+        router = routing.Router(directory, 'dc', random.Random(1))
+        budget = requests.RetryBudget()
+        suspects = requests.SuspectTracker(table, 'p', anyio.current_time)
         self.generator = requests.CompletionGenerator(
-            routing.Router(directory, 'dc', random.Random(1)),
-            engines,
-            version_tracker,
-            requests.RetryBudget(),
-            requests.SuspectTracker(table, 'p', anyio.current_time),
+            router, engines, version_tracker, budget, suspects
         )
         self.producer = steps.Producer(
-            tree, self.generator, None, version_tracker, 8, random.Random(1)
+            tree,
+            self.generator,
+            requests.Forwarder(router, scorers, None, budget, suspects),
+            version_tracker,
+            8,
+            random.Random(1),
         )
 
-    async def produce(self):
+    async def produce(self, scorer=''):
         spec = steps.StepSpec(
-            'trainer', 'step', 'team/m', [steps.Group(PROMPT, 1, MAX_TOKENS)]
+            'trainer',
+            'step',
+            'team/m',
+            [steps.Group(PROMPT, 1, MAX_TOKENS)],
+            scorer=scorer,
         )
         (task,) = spec.iter_tasks()
         with anyio.fail_after(STEP_SECONDS):
@@ -101,7 +130,7 @@
             sample = await self.producer.produce(
                 spec, task, slot, urgent=False
             )
-        return sample.text
+        return sample
 
     async def send_live(self):
         """Send the live request that equals the sample."""
@@ -119,25 +148,39 @@
 async def test_a_sample_is_produced_after_two_engines_crashed_under_it():
     # Guards against a refusal for an hour as a request that crashes servers.
     scene = Scene(UnluckyEngines(crashes=3))
-    assert await scene.produce() == 'text '
+    assert (await scene.produce()).text == 'text '
 
 
 async def test_a_sample_is_produced_on_the_only_engine_after_it_crashed():
     # Guards against a wait for a second engine, to run in isolation.
     scene = Scene(UnluckyEngines(crashes=1), server_count=1)
-    assert await scene.produce() == 'text '
+    assert (await scene.produce()).text == 'text '
 
 
 async def test_a_sample_is_produced_though_an_equal_live_request_is_refused():
     scene = Scene(UnluckyEngines(crashes=2))
     with pytest.raises(errors.PoisonRefused):
         await scene.send_live()
-    assert await scene.produce() == 'text '
+    assert (await scene.produce()).text == 'text '
     with pytest.raises(errors.PoisonRefused):
         await scene.send_live()
 
 
 async def test_a_live_request_is_not_refused_for_crashes_under_a_sample():
     scene = Scene(UnluckyEngines(crashes=2))
-    assert await scene.produce() == 'text '
+    assert (await scene.produce()).text == 'text '
     assert await scene.send_live() == 'text '
+
+
+async def test_a_sample_is_scored_after_two_scorers_crashed_under_it():
+    # Guards against a refusal for an hour as a request that crashes servers.
+    scene = Scene(UnluckyEngines(crashes=0), UnluckyScorers(crashes=5))
+    assert (await scene.produce('team/score')).score == 0.5
+
+
+async def test_a_sample_is_scored_by_the_only_scorer_after_it_crashed():
+    # Guards against a wait for a second scorer, to run in isolation.
+    scene = Scene(
+        UnluckyEngines(crashes=0), UnluckyScorers(crashes=1), server_count=1
+    )
+    assert (await scene.produce('team/score')).score == 0.5
