Bound the backoff of an engine that fails for long

Cause: the backoff was computed as a power of two of all failures in a row, as a float, and only then bounded. From the 1,025th on that raises OverflowError, which nothing between there and the task group of the batch runner catches. Samples of all batches would have stopped at the coordinator, as an engine stays listed while it fails, for example while the store is away. Change: the backoff doubles up to its bound, and failures are not counted.

--- a/src/swiftjunction/batches/_engines.py
+++ b/src/swiftjunction/batches/_engines.py
@@ -32,10 +32,10 @@
 
     __slots__ = (
         '_clock',
-        '_failures',
         '_load_deadlines',
         '_observed_versions',
         '_backoff_ends_at',
+        '_backoff_seconds',
         'expected_tokens',
         'orders',
         'server',
@@ -46,7 +46,7 @@
         self.orders = -1
         self.expected_tokens = 0.0
         self._clock = clock
-        self._failures = 0
+        self._backoff_seconds = 0.0
         self._backoff_ends_at = 0.0
         self._observed_versions: dict[str, int] = {}
         self._load_deadlines: dict[str, float] = {}
@@ -86,16 +86,15 @@
 
     def record_failure(self) -> None:
         """Send the engine no new samples until its backoff ends."""
-        self._failures += 1
-        backoff_seconds = min(
-            MIN_BACKOFF_SECONDS * 2 ** (self._failures - 1),
+        self._backoff_seconds = min(
+            max(self._backoff_seconds * 2, MIN_BACKOFF_SECONDS),
             MAX_BACKOFF_SECONDS,
         )
-        self._backoff_ends_at = self._clock() + backoff_seconds
+        self._backoff_ends_at = self._clock() + self._backoff_seconds
 
     def record_success(self) -> None:
         """Reset the backoff."""
-        self._failures = 0
+        self._backoff_seconds = 0.0
         self._backoff_ends_at = 0.0
 
     def can_run(self, model: str, min_version: int) -> bool:
