Repeat a refused scoring request after two seconds at most

Cause: a call refused by the queue of a service names the time at which that queue may be empty, up to 30 s, from the rate at which requests started while servers were down. The scorer waited for all of it, also when they were back. Evidence: the test failed, with a refusal of 30 s. Change: the delay is at most 2 s. Result: the test passes.

--- a/src/swiftjunction/batches/_scoring.py
+++ b/src/swiftjunction/batches/_scoring.py
@@ -24,6 +24,10 @@
 ATTEMPT_TIMEOUT_FACTOR = 3.0
 MIN_ATTEMPT_TIMEOUT_SECONDS = 0.5
 MIN_RETRY_DELAY_SECONDS = 0.25
+# A refusal names the time at which the queue may be empty, which is meant for
+# callers. A step waits for its last score, and servers that are back have room
+# long before that.
+MAX_RETRY_DELAY_SECONDS = 2.0
 
 
 class SampleScorer(abc.ABC):
@@ -97,9 +101,7 @@
                     error,
                     extra={'request_id': request.request_id},
                 )
-                await anyio.sleep(
-                    max(error.retry_after_seconds, MIN_RETRY_DELAY_SECONDS)
-                )
+                await anyio.sleep(_choose_retry_delay(error))
                 continue
             if response.is_success and response.signature:
                 return response.signature
@@ -162,3 +164,11 @@
             deferred=True,
         )
         return await self._forwarder.forward(call)
+
+
+def _choose_retry_delay(error: errors.RequestError) -> float:
+    """Return the delay before a refused call is repeated, in seconds."""
+    return min(
+        max(error.retry_after_seconds, MIN_RETRY_DELAY_SECONDS),
+        MAX_RETRY_DELAY_SECONDS,
+    )
--- a/tests/cover/test_batches_scoring.py
+++ b/tests/cover/test_batches_scoring.py
@@ -50,6 +50,41 @@
         return True
 
 
+class BusyForwarder:
+    """Refuses calls until a given time, as a queue of callers would."""
+
+    def __init__(self, busy_until):
+        self.busy_until = busy_until
+
+    async def forward(self, call):
+        if anyio.current_time() < self.busy_until:
+            raise errors.ServersBusy(
+                'the queue is long', step='route', retry_after_seconds=30.0
+            )
+        return backends.ServiceResponse(200, [], b'', 'signature')
+
+
+def make_scorer(forwarder):
+    route = routes.Route(
+        'r',
+        'h',
+        '/p/',
+        routes.RouteKind.IDEMPOTENT,
+        (routes.ServiceShare('plain'),),
+        max_attempts=4,
+    )
+    active_routes = routes.ActiveRoutes()
+    active_routes.update(
+        routes.RouteTable(1, [route], routes.ConnectionLimits())
+    )
+    return batches.RoutedScorer(active_routes, forwarder, random.Random(1))
+
+
+async def score(scorer):
+    with anyio.fail_after(STEP_SECONDS):
+        return await scorer.score(SCORE_REQUEST, lambda: None)
+
+
 class Scene:
     """A scorer whose requests share servers and suspects with live ones."""
 
@@ -71,25 +106,10 @@
             )
             for _ in range(2)
         )
-        route = routes.Route(
-            'r',
-            'h',
-            '/p/',
-            routes.RouteKind.IDEMPOTENT,
-            (routes.ServiceShare('plain'),),
-            max_attempts=4,
-        )
-        active_routes = routes.ActiveRoutes()
-        active_routes.update(
-            routes.RouteTable(1, [route], routes.ConnectionLimits())
-        )
-        self.scorer = batches.RoutedScorer(
-            active_routes, scoring, random.Random(1)
-        )
+        self.scorer = make_scorer(scoring)
 
     async def score(self):
-        with anyio.fail_after(STEP_SECONDS):
-            return await self.scorer.score(SCORE_REQUEST, lambda: None)
+        return await score(self.scorer)
 
     async def send_live(self):
         """Send the live request that equals the scoring request."""
@@ -131,3 +151,9 @@
     scene = Scene(UnluckyService(crashes=3))
     assert await scene.score() == 'signature'
     assert (await scene.send_live()).status == 200
+
+
+async def test_a_refused_sample_is_scored_soon_after_the_scorers_have_room():
+    # Guards against a wait for the estimated end of a queue of callers.
+    scorer = make_scorer(BusyForwarder(busy_until=3.0))
+    assert await score(scorer) == 'signature'
