Log the end of a sample's run also if it was cancelled

Cause: the line 'sample attempt ended' was written only on the ways that go on with the sample, so not for a run that is cancelled as its batch ends, nor for one that the engine refuses for good. What callers saw: nothing; whoever reads the logs could not tell a sample that ran until its batch ended from one that was never placed again. Two tests, both failing before. Change: the line is written and the run counted at every end.

--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -69,36 +69,38 @@
             progress.reset()
         started_at = anyio.current_time()
         resumed_after = progress.last_number
+        outcome = 'cancelled'
         try:
             await self._read_events(open_batch, progress, engine)
         except errors.BackendError as error:
-            self._handle_failure(progress, engine, error)
             outcome = type(error).__name__
+            self._handle_failure(progress, engine, error)
         except errors.StaleWeights as error:
+            outcome = 'stale'
             LOG.info('sample starts over: %s', error)
             progress.reset()
-            outcome = 'stale'
         except errors.NotRun as error:
-            LOG.info('sample not sent: %s', error)
             outcome = 'not_sent'
+            LOG.info('sample not sent: %s', error)
         else:
+            outcome = 'whole'
             engine.record_success()
             progress.complete = True
-            outcome = 'whole'
-        self._metrics.count('sample_attempts', outcome=outcome)
-        LOG.info(
-            'sample attempt ended',
-            extra={
-                'request_id': progress.sample.sample_id,
-                'batch': batch.batch_id,
-                'server': engine.server.name,
-                'resumed_after': resumed_after,
-                'last_event': progress.last_number,
-                'versions': list(progress.versions),
-                'outcome': outcome,
-                'seconds': round(anyio.current_time() - started_at, 3),
-            },
-        )
+        finally:
+            self._metrics.count('sample_attempts', outcome=outcome)
+            LOG.info(
+                'sample attempt ended',
+                extra={
+                    'request_id': progress.sample.sample_id,
+                    'batch': batch.batch_id,
+                    'server': engine.server.name,
+                    'resumed_after': resumed_after,
+                    'last_event': progress.last_number,
+                    'versions': list(progress.versions),
+                    'outcome': outcome,
+                    'seconds': round(anyio.current_time() - started_at, 3),
+                },
+            )
         return outcome == 'whole'
 
     async def _read_events(
--- /dev/null
+++ b/tests/cover/test_batches_sampling.py
@@ -0,0 +1,71 @@
+import logging
+
+import anyio
+import pytest
+
+from swiftjunction import backends
+from swiftjunction import batches
+from swiftjunction import errors
+from swiftjunction import telemetry
+from tests.cover import test_batches_planning
+
+pytestmark = pytest.mark.anyio
+
+
+class ScriptedClient:
+    """Sends one event, then waits, or raises the given error."""
+
+    def __init__(self, error=None):
+        self.error = error
+        self.sent = anyio.Event()
+
+    async def generate(self, server, host, sample, after_number, check):
+        yield backends.StreamEvent(0, 'text', 1, b'')
+        self.sent.set()
+        if self.error is not None:
+            raise self.error
+        await anyio.sleep_forever()
+
+
+class Scene:
+    """An attempt to generate one sample, and what is logged of its end."""
+
+    def __init__(self, client, caplog):
+        caplog.set_level(logging.INFO)
+        self.caplog = caplog
+        self.runner = batches.SampleRunner(client, None, telemetry.Metrics())
+        self.open_batch = test_batches_planning.make_open_batch(
+            [test_batches_planning.make_sample('i', 'g')]
+        )
+        self.engine = test_batches_planning.EnginePool().get_engine('e0')
+
+    async def generate(self):
+        progress = self.open_batch.pending['i']
+        await self.runner.generate(self.open_batch, progress, self.engine)
+
+    def list_outcomes(self):
+        return [
+            (record.request_id, record.outcome, record.last_event)
+            for record in self.caplog.records
+            if record.message == 'sample attempt ended'
+        ]
+
+
+async def test_the_end_of_an_attempt_that_was_cancelled_is_logged(caplog):
+    # Guards against logs in which a running sample looks like a forgotten one.
+    client = ScriptedClient()
+    scene = Scene(client, caplog)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.generate)
+        await client.sent.wait()
+        tasks.cancel_scope.cancel()
+    assert scene.list_outcomes() == [('i', 'cancelled', 0)]
+
+
+async def test_the_end_of_an_attempt_that_was_refused_is_logged(caplog):
+    scene = Scene(
+        ScriptedClient(errors.SampleRefused('never', step='generate')), caplog
+    )
+    with pytest.raises(errors.SampleRefused):
+        await scene.generate()
+    assert scene.list_outcomes() == [('i', 'SampleRefused', 0)]
