--- a/src/swiftjunction/steps/_production.py
+++ b/src/swiftjunction/steps/_production.py
@@ -281,6 +281,7 @@
             seed=task.index,
             priority=job.priority,
             is_whole=True,
+            deferred=True,
         )
         chunks: list[backends.Chunk] = []
         async with contextlib.aclosing(
@@ -317,6 +318,7 @@
             ),
             deadline=anyio.current_time() + (settings.timeout_seconds or 30),
             idempotent=True,
+            deferred=True,
         )
         response = await self._forwarder.forward(call)
         try:
--- a/tests/cover/test_platform_sending.py
+++ b/tests/cover/test_platform_sending.py
@@ -107,10 +107,10 @@
         )
         self._lag_seconds = LAG_SECONDS
 
-    def is_live(self):
+    def accepts_requests(self):
         asyncio.get_running_loop().call_soon(time.sleep, self._lag_seconds)
         self._lag_seconds = 0.0
-        return super().is_live()
+        return super().accepts_requests()
 
 
 LAG_SECONDS = 1.0
