List no results under an expired coordinator's lease

Cause: a coordinator runs on while its lease has expired, so that batches go on when nobody reaches the store. It wrote results then, too, though another VM may have taken the lease and read the batch already. Change: results are written only while the lease is valid; samples go on, and their results are written once it is renewed.

--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -22,6 +22,7 @@
 from swiftjunction.batches import _starting
 from swiftjunction.batches import _writing
 from swiftjunction import errors
+from swiftjunction import leases
 from swiftjunction import objectstore
 from swiftjunction import telemetry
 
@@ -77,6 +78,7 @@
         '_confirmation',
         '_dispatcher',
         '_ended',
+        '_lease',
         '_metrics',
         '_retention',
         '_sample_runner',
@@ -116,14 +118,26 @@
         self._stopping = False
         self._wake = anyio.Event()
         self.batches: dict[str, _open.OpenBatch] = {}
-        self._writer = _writing.ResultWriter(archive, self.batches)
+        self._lease: leases.Lease | None = None
+        self._writer = _writing.ResultWriter(
+            archive, self.batches, self._is_lease_valid
+        )
         self._checkpoints = _checkpoints.CheckpointManager(
             archive, self.batches
         )
         self._retention = _retention.Retention(archive, keep_seconds)
 
-    async def run(self) -> None:
-        """Run batches until cancelled."""
+    async def run(self, lease: leases.Lease | None = None) -> None:
+        """Run batches until cancelled.
+
+        Parameters
+        ----------
+        lease : Lease
+            The coordinator's lease. While it has expired, samples go on, but
+            no results are written, as another process may run the batches.
+            Without one, no other process ever does.
+        """
+        self._lease = lease
         self._started_at = anyio.current_time()
         self._stopping = False
         self.batches.clear()
@@ -279,6 +293,9 @@
         running_seconds = anyio.current_time() - self._started_at
         return open_batch.ended or running_seconds < HANDOVER_SECONDS
 
+    def _is_lease_valid(self) -> bool:
+        return self._lease is None or self._lease.remaining_seconds() > 0
+
     def needs_single_version(self, model: str) -> bool:
         """Return whether an open batch of a model needs a single version."""
         return any(
--- a/src/swiftjunction/batches/_writing.py
+++ b/src/swiftjunction/batches/_writing.py
@@ -1,5 +1,6 @@
 """Writes results to the object store, from which on readers see them."""
 
+import collections.abc
 import logging
 
 import anyio
@@ -52,6 +53,8 @@
         Writes the results.
     open_batches : dict of str to OpenBatch
         The batches in memory, by id.
+    may_write : callable
+        Returns whether no other process can be the coordinator.
 
     Attributes
     ----------
@@ -59,15 +62,17 @@
         Whether to write the results of open batches without delay.
     """
 
-    __slots__ = ('_archive', '_batches', 'flushing')
+    __slots__ = ('_archive', '_batches', '_may_write', 'flushing')
 
     def __init__(
         self,
         archive: _archive.BatchArchive,
         open_batches: dict[str, _open.OpenBatch],
+        may_write: collections.abc.Callable[[], bool],
     ) -> None:
         self._archive = archive
         self._batches = open_batches
+        self._may_write = may_write
         self.flushing = False
 
     async def flush(self) -> None:
@@ -96,9 +101,12 @@
                 if open_batch.ended:
                     if now - open_batch.written_at > ENDED_IN_MEMORY_SECONDS:
                         del self._batches[batch_id]
-                elif should_write(open_batch, now) or self._must_flush(
-                    open_batch
+                elif self._may_write() and (
+                    should_write(open_batch, now)
+                    or self._must_flush(open_batch)
                 ):
+                    # A successor may have read the batch already, and would
+                    # not have what is written after that in memory.
                     open_batch.writing = True
                     tasks.start_soon(self._write_results, open_batch)
 
--- a/src/swiftjunction/coordination/_duty.py
+++ b/src/swiftjunction/coordination/_duty.py
@@ -91,7 +91,7 @@
         self.is_running = True
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._runner.run)
+                tasks.start_soon(self._runner.run, lease)
                 tasks.start_soon(
                     self._rollout.run,
                     self._list_services,
