Read results of other writers before an empty page is returned

Cause: what a coordinator's predecessor, its successor or a write of unknown outcome added to a batch was not in its memory. It asked the store for 6 s after it took over, and then forgot what it had learnt: nothing was added to memory. Change: stored blocks are merged into memory for a reader that finds nothing, once after the handover, and while the lease has expired, a write has failed, the batch has ended, or the reader continues beyond the memory. A block that is read while it is written is added once. Result: the new tests pass, and all tests/cover/test_batches_*.py.

--- a/src/swiftjunction/batches/_access.py
+++ b/src/swiftjunction/batches/_access.py
@@ -116,9 +116,12 @@
                 batch_id, position, wait_seconds
             )
         page = await open_batch.read(position, wait_seconds)
-        if page.results or not self._runner.may_lack_results(open_batch):
+        if page.results or not self._runner.may_lack_results(
+            open_batch, position
+        ):
             return page
-        return await self._archive_access.read_results(batch_id, position, 0)
+        await self._runner.read_stored_results(open_batch)
+        return await open_batch.read(position, 0)
 
     async def read_body(self, batch_id: str, sample_id: str) -> bytes | None:
         open_batch = await self._find(batch_id)
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -148,6 +148,11 @@
     first_seen_at : float
         When this process first saw the batch, on the event loop's clock in
         seconds. It is never before the submission.
+    blocks_read_at : float
+        When the stored blocks were last read, on the event loop's clock in
+        seconds. Blocks that other processes created later may be missing.
+    write_uncertain : bool
+        Whether it is unknown if the last write of results took effect.
     writing : bool
         Whether a write of results is in progress.
     written_at : float
@@ -160,6 +165,7 @@
         '_confirmation',
         'batch',
         'block_count',
+        'blocks_read_at',
         'ended',
         'first_seen_at',
         'pending',
@@ -167,6 +173,7 @@
         'resubmitted_groups',
         'unwritten',
         'version',
+        'write_uncertain',
         'writing',
         'written_at',
     )
@@ -192,7 +199,9 @@
             for sample in batch.samples
         }
         self.block_count = 0
+        self.blocks_read_at = first_seen_at
         self.ended = batch.ended
+        self.write_uncertain = False
         self.writing = False
         self.written_at = first_seen_at
         self._changed = anyio.Event()
@@ -230,6 +239,16 @@
         ]
         self._notify_readers()
 
+    def merge_blocks(
+        self, blocks: collections.abc.Sequence[list[_batch.Result]]
+    ) -> None:
+        """Add those of all stored blocks that are not in memory yet.
+
+        Blocks never change, so those in memory need no comparison.
+        """
+        for block in blocks[self.block_count :]:
+            self.add_block(block)
+
     def add_result(self, result: _batch.Result) -> None:
         """Add the result of a pending sample to those to write."""
         if result.sample_id in self.pending and not any(
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -225,6 +225,7 @@
     async def open(self, stored: _archive.StoredBatch) -> _open.OpenBatch:
         """Begin to run a batch, or continue it after its stored results."""
         batch = stored.batch
+        asked_at = anyio.current_time()
         blocks = await self._archive.read_results(batch.batch_id)
         known = self.batches.get(batch.batch_id)
         if known is not None:
@@ -241,6 +242,7 @@
             & self._seen_groups.keys(),
             self._confirmation,
         )
+        open_batch.blocks_read_at = asked_at
         self.batches[batch.batch_id] = open_batch
         for sample in batch.samples:
             self._remember(self._seen_groups, sample.group)
@@ -283,15 +285,34 @@
             for batch_id, open_batch in self.batches.items()
         ]
 
-    def may_lack_results(self, open_batch: _open.OpenBatch) -> bool:
+    def may_lack_results(
+        self, open_batch: _open.OpenBatch, position: int
+    ) -> bool:
         """Return whether the object store may hold more results of a batch.
 
-        The previous coordinator may have written them after this process had
-        read the batch. Or the batch ended before the outcome of a write was
-        known, and is not read again.
+        Parameters
+        ----------
+        position : int
+            Where a reader continues. Beyond the results in memory, another
+            process has returned the ones before it.
         """
-        running_seconds = anyio.current_time() - self._started_at
-        return open_batch.ended or running_seconds < HANDOVER_SECONDS
+        return (
+            open_batch.ended
+            or open_batch.write_uncertain
+            or position > len(open_batch.results)
+            # The previous coordinator may have written after that read.
+            or open_batch.blocks_read_at - self._started_at < HANDOVER_SECONDS
+            # The next coordinator may have written.
+            or not self._is_lease_valid()
+        )
+
+    async def read_stored_results(self, open_batch: _open.OpenBatch) -> None:
+        """Add the results that only the object store has."""
+        asked_at = anyio.current_time()
+        open_batch.merge_blocks(
+            await self._archive.read_results(open_batch.batch.batch_id)
+        )
+        open_batch.blocks_read_at = max(open_batch.blocks_read_at, asked_at)
 
     def _is_lease_valid(self) -> bool:
         return self._lease is None or self._lease.remaining_seconds() > 0
--- a/src/swiftjunction/batches/_writing.py
+++ b/src/swiftjunction/batches/_writing.py
@@ -120,9 +120,13 @@
     async def _write_results(self, open_batch: _open.OpenBatch) -> None:
         batch_id = open_batch.batch.batch_id
         block = list(open_batch.unwritten)
+        number = open_batch.block_count
         try:
-            await self._archive.append(batch_id, open_batch.block_count, block)
-            open_batch.add_block(block)
+            await self._archive.append(batch_id, number, block)
+            # A reader may have read the block from the store already.
+            if open_batch.block_count == number:
+                open_batch.add_block(block)
+            open_batch.write_uncertain = False
             LOG.info(
                 'results written',
                 extra={
@@ -135,6 +139,8 @@
         except errors.RevisionConflict:
             await self._reload_results(open_batch)
         except errors.PlatformError as error:
+            # Also if the write itself succeeded and its confirmation failed.
+            open_batch.write_uncertain = True
             LOG.warning(
                 'results could not be written, retrying: %s',
                 error,
@@ -156,5 +162,5 @@
         except errors.PlatformError as error:
             LOG.warning('results could not be read: %s', error)
             return
-        for block in blocks[open_batch.block_count :]:
-            open_batch.add_block(block)
+        open_batch.merge_blocks(blocks)
+        open_batch.write_uncertain = False
--- a/tests/cover/test_batches_reading.py
+++ b/tests/cover/test_batches_reading.py
@@ -10,6 +10,7 @@
 import pytest
 
 from swiftjunction import batches
+from swiftjunction import errors
 from swiftjunction import leases
 from tests import conftest
 from tests.cover import test_batches_planning
@@ -18,6 +19,8 @@
 
 LEASE_SECONDS = 10.0
 WRITE_SECONDS = 0.3
+# Much longer than a predecessor takes to stop.
+HANDOVER_SECONDS = 30.0
 
 
 @pytest.fixture
@@ -38,6 +41,18 @@
     return QuietStore()
 
 
+class UncertainArchive(batches.BatchArchive):
+    """Stores one block, cannot confirm that, and takes no more."""
+
+    stored = False
+
+    async def append(self, batch_id, number, results):
+        if not self.stored:
+            self.stored = True
+            await super().append(batch_id, number, results)
+        raise errors.PlatformUnavailable('store is away', step='append')
+
+
 class Coordinator:
     """One process that coordinates; its clock stands still."""
 
@@ -104,6 +119,12 @@
     return [result.sample_id for block in blocks for result in block]
 
 
+async def append(archive, number, sample_id):
+    await archive.append(
+        'b', number, [batches.Result(sample_id, complete=True)]
+    )
+
+
 @pytest.mark.anyio
 class TestWritesOfAFormerCoordinator:
     async def test_nothing_is_listed_while_the_lease_has_expired(self, store):
@@ -129,3 +150,90 @@
             await anyio.sleep(WRITE_SECONDS)
             assert await list_stored(archive) == ['i']
             assert await coordinator.list_ids() == ['i']
+
+
+@pytest.mark.anyio
+class TestReadsOfResultsOnTheStoreAlone:
+    async def test_a_coordinator_whose_lease_expired_asks_the_store(
+        self, store
+    ):
+        archive = await create_batch(store)
+        coordinator = Coordinator(store)
+        async with coordinator.run():
+            await anyio.sleep(HANDOVER_SECONDS)
+            coordinator.expire_lease()
+            await append(archive, 0, 'i')
+            assert await coordinator.list_ids() == ['i']
+
+    async def test_a_block_written_during_the_handover_is_found_later(
+        self, store
+    ):
+        archive = await create_batch(store)
+        coordinator = Coordinator(store)
+        async with coordinator.run():
+            await append(archive, 0, 'i')
+            await anyio.sleep(HANDOVER_SECONDS)
+            assert await coordinator.list_ids() == ['i']
+
+    async def test_it_is_found_behind_results_in_memory(self, store):
+        archive = await create_batch(store)
+        await append(archive, 0, 'i')
+        coordinator = Coordinator(store)
+        async with coordinator.run():
+            await append(archive, 1, 'j')
+            await anyio.sleep(HANDOVER_SECONDS)
+            assert await coordinator.list_ids(1) == ['j']
+            assert await coordinator.list_ids() == ['i', 'j']
+
+    async def test_a_position_that_another_vm_returned_is_looked_up(
+        self, store
+    ):
+        archive = await create_batch(store)
+        coordinator = Coordinator(store)
+        async with coordinator.run():
+            await anyio.sleep(HANDOVER_SECONDS)
+            assert await coordinator.list_ids() == []
+            await append(archive, 0, 'i')
+            await append(archive, 1, 'j')
+            assert await coordinator.list_ids(1) == ['j']
+            assert await coordinator.list_ids() == ['i', 'j']
+
+    async def test_a_block_whose_write_is_uncertain_is_looked_up(self, store):
+        await create_batch(store)
+        coordinator = Coordinator(store, UncertainArchive)
+        async with coordinator.run():
+            await anyio.sleep(HANDOVER_SECONDS)
+            assert await coordinator.list_ids() == []
+            coordinator.runner._writer.flushing = True
+            coordinator.complete('i')
+            await anyio.sleep(WRITE_SECONDS)
+            assert await coordinator.list_ids() == ['i']
+
+    async def test_a_block_read_while_it_is_written_is_added_once(self, store):
+        class SlowArchive(batches.BatchArchive):
+            async def append(self, batch_id, number, results):
+                await super().append(batch_id, number, results)
+                await anyio.sleep(WRITE_SECONDS)
+
+        await create_batch(store)
+        coordinator = Coordinator(store, SlowArchive)
+        async with coordinator.run():
+            coordinator.runner._writer.flushing = True
+            coordinator.complete('i')
+            await anyio.sleep(0.15)
+            assert await coordinator.list_ids() == ['i']
+            await anyio.sleep(WRITE_SECONDS)
+            assert await coordinator.list_ids() == ['i']
+            coordinator.complete('j')
+            await anyio.sleep(0.1 + WRITE_SECONDS)
+            assert await coordinator.list_ids() == ['i', 'j']
+
+    async def test_the_store_is_asked_once_after_the_handover(self, store):
+        await create_batch(store)
+        coordinator = Coordinator(store)
+        async with coordinator.run():
+            await anyio.sleep(HANDOVER_SECONDS)
+            coordinator.archive.reads = 0
+            for _ in range(5):
+                assert await coordinator.list_ids() == []
+            assert coordinator.archive.reads <= 1
