--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -22,6 +22,7 @@
 from swiftjunction.batches import _starting
 from swiftjunction.batches import _writing
 from swiftjunction import errors
+from swiftjunction import leases
 from swiftjunction import objectstore
 from swiftjunction import telemetry
 
@@ -80,6 +81,7 @@
         '_confirmation',
         '_dispatcher',
         '_ended',
+        '_lease',
         '_metrics',
         '_outages',
         '_retention',
@@ -122,14 +124,26 @@
         self._stopping = False
         self._wake = anyio.Event()
         self.batches: dict[str, _open.OpenBatch] = {}
-        self._writer = _writing.ResultWriter(archive, self.batches)
+        self._lease: leases.Lease | None = None
+        self._writer = _writing.ResultWriter(
+            archive, self.batches, self._is_lease_valid
+        )
         self._checkpoints = _checkpoints.CheckpointManager(
             archive, self.batches
         )
         self._retention = _retention.Retention(archive, keep_seconds)
 
-    async def run(self) -> None:
-        """Run batches until cancelled."""
+    async def run(self, lease: leases.Lease | None = None) -> None:
+        """Run batches until cancelled.
+
+        Parameters
+        ----------
+        lease : Lease
+            The coordinator's lease. While it has expired, samples go on, but
+            no results are written, as another process may run the batches.
+            Without one, no other process ever does.
+        """
+        self._lease = lease
         self._started_at = anyio.current_time()
         self._stopping = False
         self.batches.clear()
@@ -229,6 +243,7 @@
     async def open(self, stored: _archive.StoredBatch) -> _open.OpenBatch:
         """Begin to run a batch, or continue it after its stored results."""
         batch = stored.batch
+        asked_at = anyio.current_time()
         blocks = await self._archive.read_results(batch.batch_id)
         known = self.batches.get(batch.batch_id)
         if known is not None:
@@ -245,6 +260,7 @@
             & self._seen_groups.keys(),
             self._confirmation,
         )
+        open_batch.blocks_read_at = asked_at
         self.batches[batch.batch_id] = open_batch
         for sample in batch.samples:
             self._remember(self._seen_groups, sample.group)
@@ -287,15 +303,37 @@
             for batch_id, open_batch in self.batches.items()
         ]
 
-    def may_lack_results(self, open_batch: _open.OpenBatch) -> bool:
+    def may_lack_results(
+        self, open_batch: _open.OpenBatch, position: int
+    ) -> bool:
         """Return whether the object store may hold more results of a batch.
 
-        The previous coordinator may have written them after this process had
-        read the batch. Or the batch ended before the outcome of a write was
-        known, and is not read again.
+        Parameters
+        ----------
+        position : int
+            Where a reader continues. Beyond the results in memory, another
+            process has returned the ones before it.
         """
-        running_seconds = anyio.current_time() - self._started_at
-        return open_batch.ended or running_seconds < HANDOVER_SECONDS
+        return (
+            open_batch.ended
+            or open_batch.write_uncertain
+            or position > len(open_batch.results)
+            # The previous coordinator may have written after that read.
+            or open_batch.blocks_read_at - self._started_at < HANDOVER_SECONDS
+            # The next coordinator may have written.
+            or not self._is_lease_valid()
+        )
+
+    async def read_stored_results(self, open_batch: _open.OpenBatch) -> None:
+        """Add the results that only the object store has."""
+        asked_at = anyio.current_time()
+        open_batch.merge_blocks(
+            await self._archive.read_results(open_batch.batch.batch_id)
+        )
+        open_batch.blocks_read_at = max(open_batch.blocks_read_at, asked_at)
+
+    def _is_lease_valid(self) -> bool:
+        return self._lease is None or self._lease.remaining_seconds() > 0
 
     def needs_single_version(self, model: str) -> bool:
         """Return whether an open batch of a model needs a single version."""
