Keep a server's announcement that it leaves for its instance

Cause: the announcement was a flag of the BackendServer object. A report that went from down to live cleared it, and a server that was removed and listed again got a new object. It was also read only from responses whose body arrived complete. What callers saw: requests sent to a server that had said that it accepts no new ones. Change: the directory keeps announcements by name and start time; objects of the same instance share them.

--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from swiftjunction.backends import _lateness
+from swiftjunction.backends import _leaving
 from swiftjunction.backends import _limit
 from swiftjunction.backends import _server
 from swiftjunction import links
@@ -30,6 +31,8 @@
     ----------
     loop_lag : LoopLag
         The lag of the event loop; its ``run`` must run in a task.
+    leaving_servers : LeavingServers
+        The instances that announced that they are leaving.
     latency_tolerance : float
         The ratio of mean latency to baseline above which a server's
         concurrency limit falls. A change applies to servers added later.
@@ -41,6 +44,7 @@
         '_listeners',
         '_servers',
         'latency_tolerance',
+        'leaving_servers',
         'loop_lag',
     )
 
@@ -51,6 +55,7 @@
     ) -> None:
         self._clock = clock
         self.loop_lag = _lateness.LoopLag()
+        self.leaving_servers = _leaving.LeavingServers(clock)
         self.latency_tolerance = _limit.LIVE_LATENCY_TOLERANCE
         self._listeners: list[Listener] = []
         self._servers: dict[str, _server.BackendServer] = {}
@@ -71,7 +76,10 @@
         server = self._servers.get(report.name)
         if server is not None and server.report.service != report.service:
             self._by_service[server.report.service].pop(report.name, None)
+        self.leaving_servers.update_listed(report)
         if server is None or _is_restart(server.report, report):
+            if server is not None:
+                server.listed = False
             server = self._add(report)
         server.update_report(report)
         self._by_service.setdefault(report.service, {})[report.name] = server
@@ -82,6 +90,8 @@
         server = self._servers.pop(name, None)
         if server is not None:
             server.mark_leaving()
+            server.listed = False
+            self.leaving_servers.update_unlisted(server.report)
             self._by_service[server.report.service].pop(name, None)
 
     def _add(self, report: _server.ServerReport) -> _server.BackendServer:
@@ -91,6 +101,7 @@
             lambda: self._notify(server.report.service),
             self.latency_tolerance,
             self.loop_lag,
+            self.leaving_servers,
         )
         self._servers[report.name] = server
         return server
--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -167,6 +167,7 @@
         step, peer = 'generate', server.name
         with _http.translate_errors(step, peer):
             response = await request
+        _http.update_from_headers(response, server, request_id, step)
         try:
             _check_response(response, server, step)
             source = httpx_sse.EventSource(response)
@@ -292,7 +293,6 @@
 def _check_response(
     response: httpx.Response, server: _server.BackendServer, step: str
 ) -> None:
-    _http.update_from_headers(response, server)
     _http.check_refusal(response, step, server.name)
     if response.status_code == httpx.codes.NOT_FOUND:
         raise errors.ServerCrashed(
--- a/src/swiftjunction/backends/_http.py
+++ b/src/swiftjunction/backends/_http.py
@@ -44,11 +44,14 @@
 
 
 def update_from_headers(
-    response: httpx.Response, server: _server.BackendServer
+    response: httpx.Response,
+    server: _server.BackendServer,
+    request_id: str = '',
+    source: str = 'call',
 ) -> None:
     """Update the state of a server from the headers of any response."""
     if response.headers.get('x-leaving'):
-        server.mark_leaving()
+        server.record_leaving(request_id, source)
     load = read_load(response.headers)
     if load is not None:
         server.load = load
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -8,6 +8,7 @@
 
 from swiftjunction.backends import _health
 from swiftjunction.backends import _lateness
+from swiftjunction.backends import _leaving
 from swiftjunction.backends import _limit
 
 LATENCY_SMOOTHING_FACTOR = 0.2
@@ -80,6 +81,8 @@
         The latency tolerance of its concurrency limit.
     loop_lag : LoopLag
         The lag of this process's event loop.
+    leaving_servers : LeavingServers
+        The instances that announced that they are leaving.
 
     Attributes
     ----------
@@ -95,8 +98,10 @@
         The version that it last reported, or a later one that a response
         showed.
     leaving : bool
-        Whether it accepts no new requests, as a response showed or because it
-        was removed.
+        Whether it accepts no new requests, because it was removed or its
+        address belongs to another server.
+    listed : bool
+        Whether the directory still has this server.
     reserved : bool
         Whether it is reserved for an isolated request, which shares its
         server with no other request of this process.
@@ -106,6 +111,7 @@
         '_clock',
         '_latency_at',
         '_latency_seconds',
+        '_leaving_servers',
         '_load',
         '_load_at',
         '_loop_lag',
@@ -115,6 +121,7 @@
         'in_flight',
         'leaving',
         'limit',
+        'listed',
         'report',
         'reserved',
         'weight_version',
@@ -127,6 +134,7 @@
         on_release: collections.abc.Callable[[], None] | None = None,
         latency_tolerance: float = _limit.LIVE_LATENCY_TOLERANCE,
         loop_lag: _lateness.LoopLag | None = None,
+        leaving_servers: _leaving.LeavingServers | None = None,
     ) -> None:
         self.report = report
         self.health = _health.Health(clock)
@@ -134,7 +142,13 @@
         self.in_flight = 0
         self.weight_version = report.weight_version
         self.leaving = False
+        self.listed = True
         self.reserved = False
+        self._leaving_servers = (
+            _leaving.LeavingServers(clock)
+            if leaving_servers is None
+            else leaving_servers
+        )
         self._clock = clock
         self._on_release = on_release
         self._loop_lag = loop_lag or _lateness.LoopLag()
@@ -201,6 +215,7 @@
             self.report.state == 'live'
             and not self.leaving
             and not self.reserved
+            and not self._leaving_servers.contains(self.report)
         )
 
     def is_available(self) -> bool:
@@ -283,6 +298,23 @@
         """Mark the server as no longer accepting new requests."""
         self.leaving = True
 
+    def record_leaving(self, request_id: str, source: str) -> None:
+        """Record that a response announced that the server is leaving.
+
+        Unlike :meth:`mark_leaving`, this holds for the instance of the server,
+        whatever is reported of it from now on.
+
+        Parameters
+        ----------
+        request_id : str
+            The id of the request; empty if it has none.
+        source : str
+            The kind of the request.
+        """
+        self._leaving_servers.record(
+            self.report, request_id, source, self.listed
+        )
+
     @contextlib.contextmanager
     def reserve(self) -> collections.abc.Iterator[None]:
         """Route no other request of this process to the server."""
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -119,11 +119,11 @@
                 timeout_seconds=call.timeout_seconds,
                 check=call.check,
             )
+            _http.update_from_headers(response, server, call.request_id, step)
             try:
                 body = await _read_body(response, peer)
             finally:
                 await response.aclose()
-        _http.update_from_headers(response, server)
         _http.check_refusal(response, step, peer)
         self._check_request_id(response, call, peer)
         return ServiceResponse(
