Read on the platform that a server is leaving in each of its responses

Cause: the platform's path read no header of that kind, only what is listed. A server sends `Server-Leaving: 1` in all its responses, also while it is still listed as ready, or while the store is away. A request sent more than drain_ms after a VM passed such a response on would have reached that server. Change: _send records it from the headers, before anything else of a response is checked. Each value but 0 announces it: avoiding a server that stays costs capacity, using one that leaves costs requests. A 421 of another instance says nothing of this one. The instance is not live from then on, so that no choice takes it, and the check just before the first byte refuses to send.

--- a/src/swiftjunction/platform/_names.py
+++ b/src/swiftjunction/platform/_names.py
@@ -12,6 +12,7 @@
 TOKEN_USAGE_HEADER = 'swiftjunction-token-usage'
 LAST_EVENT_ID_HEADER = 'last-event-id'
 RETRY_AFTER_HEADER = 'retry-after'
+SERVER_LEAVING_HEADER = 'server-leaving'
 
 READY_PATH = '/ready'
 RESOLVE_PATH = '/resolve'
--- a/src/swiftjunction/platform/_responses.py
+++ b/src/swiftjunction/platform/_responses.py
@@ -13,6 +13,10 @@
 # Statuses that mean the request was not run, if the response confirms it with
 # the not-executed header.
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
+# Any other value of the leaving header announces that the server leaves: to
+# avoid a server that stays costs capacity, and to use one that leaves costs
+# requests.
+STAYING_VALUE = '0'
 
 
 def build_response_error(
@@ -22,6 +26,42 @@
     return errors.AnswerBroken(message, step='call', peer=server.name)
 
 
+def record_leaving(
+    response: httpx.Response,
+    server: backends.BackendServer,
+    request_id: str,
+    source: str,
+) -> None:
+    """Record whether a response announces that its server is leaving.
+
+    The headers suffice, also if the response turns out to be invalid.
+
+    Parameters
+    ----------
+    request_id : str
+        The id of the request; empty if it has none.
+    source : str
+        The kind of the request, for the log.
+    """
+    values = response.headers.get_list(
+        _names.SERVER_LEAVING_HEADER, split_commas=True
+    )
+    if all(value.strip() == STAYING_VALUE for value in values):
+        return
+    if not _is_from_another(response, server):
+        server.record_leaving(request_id, source)
+
+
+def _is_from_another(
+    response: httpx.Response, server: backends.BackendServer
+) -> bool:
+    """Return whether another server refused a request to its address."""
+    return (
+        response.status_code == http.HTTPStatus.MISDIRECTED_REQUEST
+        and response.headers.get(_names.INSTANCE_ID_HEADER) != server.name
+    )
+
+
 def check_request_id(
     response: httpx.Response, server: backends.BackendServer, request_id: str
 ) -> None:
@@ -60,7 +100,7 @@
     """
     status = response.status_code
     if status == http.HTTPStatus.MISDIRECTED_REQUEST:
-        if response.headers.get(_names.INSTANCE_ID_HEADER) != server.name:
+        if _is_from_another(response, server):
             server.mark_leaving()
         raise errors.BackendRefused(
             'the address belongs to another server',
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -63,7 +63,9 @@
     async def call(
         self, server: backends.BackendServer, call: backends.ServiceCall
     ) -> backends.ServiceResponse:
-        response = await self._send_call(server, call, call.timeout_seconds)
+        response = await self._send_call(
+            server, call, call.timeout_seconds, 'call'
+        )
         try:
             _responses.check_request_id(response, server, call.request_id)
             _responses.check_executed(response, server)
@@ -93,6 +95,7 @@
             server,
             msgspec.structs.replace(call, headers=headers),
             STREAM_TIMEOUT_SECONDS,
+            'stream',
         )
         try:
             _responses.check_request_id(response, server, call.request_id)
@@ -129,6 +132,7 @@
         server: backends.BackendServer,
         call: backends.ServiceCall,
         timeout_seconds: float,
+        source: str,
     ) -> httpx.Response:
         remaining_ms = int(call.timeout_seconds * _names.MS_PER_SECOND)
         return await self._send(
@@ -144,6 +148,8 @@
             timeout_seconds,
             call.host,
             check=call.check,
+            request_id=call.request_id,
+            source=source,
         )
 
     async def is_crashed(self, server: backends.BackendServer) -> bool:
@@ -181,6 +187,8 @@
             STREAM_TIMEOUT_SECONDS,
             host,
             check=check,
+            request_id=sample.sample_id,
+            source='sample',
         )
         try:
             _responses.check_request_id(response, server, sample.sample_id)
@@ -273,6 +281,7 @@
                 content,
                 CONTROL_TIMEOUT_SECONDS,
                 peers=self._control_peers,
+                source=path.removeprefix('/'),
             )
             try:
                 body = await _responses.read_body(response, server)
@@ -294,8 +303,13 @@
         host: str = '',
         peers: web.PeerClients | None = None,
         check: collections.abc.Callable[[], None] | None = None,
+        request_id: str = '',
+        source: str = '',
     ) -> httpx.Response:
-        """Send a request that any other server instance must refuse."""
+        """Send a request that any other server instance must refuse.
+
+        Every response that a server sends is received here.
+        """
 
         def check_before_send() -> None:
             # The server may have started to leave while connecting.
@@ -310,7 +324,7 @@
 
         peer = (peers or self._peers).get_direct(server.address)
         with backends.translate_errors('call', server.name):
-            return await peer.send(
+            response = await peer.send(
                 method,
                 target,
                 headers=[
@@ -323,6 +337,8 @@
                 connect_seconds=CONNECT_TIMEOUT_SECONDS,
                 check=check_before_send,
             )
+        _responses.record_leaving(response, server, request_id, source)
+        return response
 
 
 async def _read_events(
