Refuse queued requests at once when the last server announces that it leaves

Cause: a queue of requests was woken by reports and by the ends of requests, not by an announcement, and looks by itself only every 0.25 s. What callers saw: requests that can no longer be served waited for up to 0.25 s before they were refused. Evidence: the test, whose requests wait for a server with one slot: none of 5 was refused when the server announced that it leaves. Change: the directory tells its listeners of the first announcement of an instance, as it does of a report.

--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -60,6 +60,10 @@
         self._listeners: list[Listener] = []
         self._servers: dict[str, _server.BackendServer] = {}
         self._by_service: dict[str, dict[str, _server.BackendServer]] = {}
+        # Requests that wait for the server need not wait any longer.
+        self.leaving_servers.listen(
+            lambda report, _: self._notify(report.service)
+        )
         table.listen(SERVER_PREFIX, self._apply_record)
 
     def _apply_record(self, record: links.Record) -> None:
--- a/src/swiftjunction/backends/_leaving.py
+++ b/src/swiftjunction/backends/_leaving.py
@@ -21,11 +21,9 @@
 UNDATED_RETENTION_SECONDS = 60.0
 MAX_ANNOUNCEMENTS = 8192
 
-Listener = collections.abc.Callable[[str], None]
-
 
 class Report(typing.Protocol):
-    """The fields of a server report that identify the instance."""
+    """The fields of a server report that are used here."""
 
     @property
     def name(self) -> str:
@@ -43,6 +41,13 @@
     def state(self) -> str:
         """Return the reported state."""
 
+    @property
+    def service(self) -> str:
+        """Return the model or plain service that it serves."""
+
+
+Listener = collections.abc.Callable[[Report, str], None]
+
 
 class _Announcement(msgspec.Struct):
     """An announcement of one instance.
@@ -94,7 +99,11 @@
         return self._count
 
     def listen(self, listener: Listener) -> None:
-        """Call `listener` with the source of each first announcement."""
+        """Call `listener` for the first announcement of each instance.
+
+        It is called with the report on the instance and with the kind of the
+        request whose response announced it.
+        """
         self._listeners.append(listener)
 
     def contains(self, report: Report) -> bool:
@@ -140,7 +149,7 @@
             },
         )
         for listener in self._listeners:
-            listener(source)
+            listener(report, source)
 
     def _add(self, report: Report, listed: bool) -> None:
         self._remove_expired()
--- a/tests/cover/test_platform_leaving.py
+++ b/tests/cover/test_platform_leaving.py
@@ -546,6 +546,28 @@
         assert anyio.current_time() - started_at < MAX_REFUSAL_SECONDS
         assert caught.value.retry_after_seconds > 0
 
+    async def test_queued_callers_are_refused_at_once_if_all_servers_leave(
+        self,
+    ):
+        vm = Vm('a', slots=1)
+        refused = []
+
+        async def forward(request_id):
+            try:
+                await vm.forward(request_id)
+            except errors.NotRun:
+                refused.append(request_id)
+
+        async with anyio.create_task_group() as tasks:
+            with vm.directory.get('a').track():
+                for number in range(5):
+                    tasks.start_soon(forward, f'r{number}')
+                await anyio.wait_all_tasks_blocked()
+                await vm.announce('a')
+                await anyio.wait_all_tasks_blocked()
+                assert len(refused) == 5
+        assert len(vm.servers.sent) == 1
+
     async def test_service_resumes_with_the_first_new_server(self):
         vm = Vm('a')
         await vm.announce('a')
