Let the platform's stand-in servers announce in responses that they leave

Cause: no stand-in of the platform sent the header, so that only decisions without a network were tested. What callers saw: nothing. Evidence: six tests run the whole edge program before the stand-ins. Two may not change: another instance, or the same id with a later start, at the same address gets requests at once. Change: the fault `leaving` adds the header to all responses of both stand-ins. The test deployment registers servers with their start time, as the platform does.

--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -6,9 +6,11 @@
 import anyio
 import msgspec
 import starlette.applications
+import starlette.middleware
 import starlette.requests
 import starlette.responses
 import starlette.routing
+import starlette.types
 
 from swiftjunction.standins import _faults
 from swiftjunction import web
@@ -21,6 +23,50 @@
 EVENT_INTERVAL_SECONDS = 0.005
 VERSION_LOAD_SECONDS = 0.05
 METHODS = ['GET', 'POST', 'PUT', 'DELETE']
+LEAVING_HEADER = (b'server-leaving', b'1')
+
+
+class LeavingMiddleware:
+    """Adds the leaving header to all responses while a fault is set.
+
+    Parameters
+    ----------
+    app : ASGIApp
+        The application that responds.
+    faults : FaultSwitches
+        Its fault ``leaving`` makes the server leave.
+    """
+
+    def __init__(
+        self, app: starlette.types.ASGIApp, faults: _faults.FaultSwitches
+    ) -> None:
+        self._app = app
+        self._faults = faults
+
+    async def __call__(
+        self,
+        scope: starlette.types.Scope,
+        receive: starlette.types.Receive,
+        send: starlette.types.Send,
+    ) -> None:
+        """Serve one request."""
+
+        async def send_marked(message: starlette.types.Message) -> None:
+            is_start = message['type'] == 'http.response.start'
+            if is_start and self._faults.get('leaving'):
+                message = {
+                    **message,
+                    'headers': [*message['headers'], LEAVING_HEADER],
+                }
+            await send(message)
+
+        await self._app(scope, receive, send_marked)
+
+
+def _make_middleware(
+    faults: _faults.FaultSwitches,
+) -> list[starlette.middleware.Middleware]:
+    return [starlette.middleware.Middleware(LeavingMiddleware, faults=faults)]
 
 
 class PlatformServiceStandin:
@@ -37,6 +83,7 @@
         ``unsigned``: the response has no signature.
         ``foreign``: the response has the id of another request.
         ``unnamed``: the response has no request id.
+        ``leaving``: not a number; if set, all responses announce it.
     runs : list of (str, str)
         Id and target of each executed request.
     headers : list of dict
@@ -53,6 +100,7 @@
             'unsigned',
             'foreign',
             'unnamed',
+            'leaving',
         )
         self.runs: list[tuple[str, str]] = []
         self.headers: list[dict[str, str]] = []
@@ -64,7 +112,8 @@
                 starlette.routing.Route(
                     '/{path:path}', self._serve, methods=METHODS
                 )
-            ]
+            ],
+            middleware=_make_middleware(self.faults),
         )
 
     async def _serve(self, request: Request) -> Response:
@@ -107,6 +156,7 @@
         ``lost_orders``: orders that are applied without a response.
         ``late_orders``: orders that are applied after a delay, without a
         response.
+        ``leaving``: not a number; if set, all responses announce it.
     versions : dict of str to int
         Active version of each model.
     runs : list of (str, int)
@@ -141,6 +191,7 @@
             'stall',
             'lost_orders',
             'late_orders',
+            'leaving',
         )
         self.versions = dict(versions)
         self.runs: list[tuple[str, int]] = []
@@ -159,7 +210,8 @@
                 route('/report', self._get_report),
                 route('/order', self._receive_order, methods=['POST']),
                 route('/{path:path}', self._generate, methods=['POST']),
-            ]
+            ],
+            middleware=_make_middleware(self.faults),
         )
 
     async def _get_report(self, request: Request) -> Response:
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -225,6 +225,132 @@
                 assert response.status_code == 200
 
 
+@pytest.mark.anyio
+class TestLeavingServers:
+    async def announce(self, deployment):
+        """Call p1 until it has announced that it is leaving."""
+        deployment.plain['p1'].faults.set('leaving', 1)
+        while not deployment.plain['p1'].runs:
+            await self.call(deployment)
+        deployment.plain['p1'].runs.clear()
+
+    async def call(self, deployment, count=1):
+        """Send calls at the same time, which uses all available servers."""
+        statuses = []
+
+        async def send():
+            response = await deployment.send_request(
+                'vm-1', 'POST', '/plain/a', headers=call('r')
+            )
+            statuses.append(response.status_code)
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(send)
+        assert statuses == [200] * count
+
+    async def test_nothing_that_is_listed_undoes_an_announcement(
+        self, deployment
+    ):
+        plain = deployment.plain['p1']
+        async with deployment.run():
+            await self.announce(deployment)
+            await self.call(deployment, 10)
+            for state in ('draining', 'ready'):
+                deployment.register_server('p1', plain, state=state)
+                await anyio.sleep(0.6)
+            await self.call(deployment, 10)
+            deployment.store.remove('servers', 'p1')
+            await anyio.sleep(1.5)
+            deployment.register_server('p1', plain)
+            await anyio.sleep(0.6)
+            await self.call(deployment, 10)
+        assert not plain.runs
+
+    async def test_an_entry_that_lapses_while_the_store_is_away_undoes_nothing(
+        self, deployment
+    ):
+        plain = deployment.plain['p1']
+        async with deployment.run():
+            await self.announce(deployment)
+            deployment.store.faults.set('down', 1)
+            deployment.store.remove('servers', 'p1')
+            await anyio.sleep(2.0)
+            await self.call(deployment, 10)
+            deployment.store.faults.set('down', 0)
+            deployment.store.compact_history()
+            await anyio.sleep(5.0)
+            assert (
+                'p1' not in deployment.programs['vm-1']._directory.summarize()
+            )
+            deployment.register_server('p1', plain)
+            await anyio.sleep(1.0)
+            await self.call(deployment, 10)
+        assert not plain.runs
+
+    @pytest.mark.parametrize('name', ['p1', 'p3'])
+    async def test_another_instance_at_the_same_address_gets_requests_at_once(
+        self, deployment, name
+    ):
+        plain = deployment.plain['p1']
+        async with deployment.run():
+            await self.announce(deployment)
+            plain.faults.set('leaving', 0)
+            plain.name = name
+            deployment.store.remove('servers', 'p1')
+            deployment.addresses[name] = deployment.addresses['p1']
+            deployment.register_server(name, plain, born=2)
+            with anyio.fail_after(2):
+                while not plain.runs:
+                    await self.call(deployment, 8)
+
+    async def test_streams_and_samples_avoid_an_engine_that_announced_it(
+        self, deployment
+    ):
+        engine = deployment.engines['e1']
+        headers = {'swiftjunction-model': platform_deployment.MODEL}
+        async with deployment.run():
+            engine.faults.set('leaving', 1)
+            while not engine.runs:
+                response = await deployment.send_request(
+                    'vm-1', 'POST', '/streams/a', headers=call('s') | headers
+                )
+                assert response.status_code == 200
+            engine.runs.clear()
+            for _ in range(6):
+                await deployment.send_request(
+                    'vm-1', 'POST', '/streams/a', headers=call('s') | headers
+                )
+            await deployment.submit(
+                'vm-1', 'b1', platform_deployment.make_batch()
+            )
+            results = await deployment.wait_for_results('vm-1', 'b1', 4)
+        assert {result['state'] for result in results} == {'completed'}
+        assert not engine.runs
+
+    async def test_callers_are_refused_at_once_and_a_new_server_serves_them(
+        self, deployment
+    ):
+        async with deployment.run():
+            for plain in deployment.plain.values():
+                plain.faults.set('leaving', 1)
+            statuses = []
+            for _ in range(3):
+                started_at = anyio.current_time()
+                response = await deployment.send_request(
+                    'vm-1', 'POST', '/plain/a', headers=call('r')
+                )
+                statuses.append(response.status_code)
+            assert statuses == [200, 200, 503]
+            assert anyio.current_time() - started_at < 0.5
+            assert float(response.headers['retry-after']) > 0
+            deployment.start_server(
+                'p3', standins.PlatformServiceStandin('p3')
+            )
+            await anyio.sleep(0.6)
+            await self.call(deployment, 3)
+
+
 @pytest.mark.anyio
 class TestAddresses:
     async def test_all_live_vms_are_resolved(self, deployment):
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -171,6 +171,7 @@
             'state': 'ready',
             'cold_left_ms': 0,
             'sequence': 1,
+            'born': 1,
         }
         if isinstance(server, standins.PlatformEngineStandin):
             server_object['service'] = ENGINES
