Let servers of the soak leave, and check what reaches them afterwards

Cause: servers of the soak were listed as draining and ready again, which no server of the platform does, and announced nothing. What callers saw: nothing. Change: a server that leaves sends the header for 6 s, is listed as draining or still as ready, then exits and starts again, with a later start time. Stand-ins count their starts and record what reaches each one. The check: a request that its caller sent more than 2 s after a VM had passed an announcement on does not reach that run of the server from that VM, unless the VM restarted or was frozen since. Samples and scoring requests are not checked, as no caller sees which VM sent them.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,10 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+# Longest time after an announcement for which its server may get requests.
+DRAIN_SECONDS = 2.0
+
+
 class Invariants:
     """Counts the checks of invariants, and records violations.
 
@@ -45,13 +49,20 @@
         Name of the VM that was called.
     status : int
         Status of the response; 0 if there was no complete response.
+    leaving_run : str
+        The run of the server whose response announced that it is leaving;
+        empty if none did.
+    epoch : tuple of int
+        The starts and freezes of the VM when the request was sent.
     started_at, ended_at : float
         Times on the clock of the event loop in seconds.
     """
 
     __slots__ = (
         'ended_at',
+        'epoch',
         'kind',
+        'leaving_run',
         'request_id',
         'started_at',
         'status',
@@ -63,6 +74,8 @@
         self.kind = kind
         self.vm = vm
         self.status = 0
+        self.leaving_run = ''
+        self.epoch = (0, 0)
         self.started_at = 0.0
         self.ended_at = 0.0
 
@@ -93,6 +106,37 @@
             )
 
 
+def check_leaving(
+    invariants: Invariants,
+    outcomes: collections.abc.Sequence[Outcome],
+    deployment: testbed.SoakDeployment,
+) -> None:
+    """Check that no VM sends requests to servers that it knows to leave.
+
+    A VM has passed a response on before its caller has read it. A restart or
+    a freeze of the VM since then excuses it.
+    """
+    known_since: dict[tuple[str, tuple[int, int]], dict[str, float]] = {}
+    for outcome in sorted(outcomes, key=lambda o: o.ended_at):
+        if outcome.leaving_run:
+            runs = known_since.setdefault((outcome.vm, outcome.epoch), {})
+            runs.setdefault(outcome.leaving_run, outcome.ended_at)
+    for outcome in outcomes:
+        reached = {
+            run
+            for server in deployment.servers.values()
+            for run in server.server_runs.arrivals.get(outcome.request_id, ())
+        }
+        runs = known_since.get((outcome.vm, outcome.epoch), {})
+        for run, since in runs.items():
+            if outcome.started_at > since + DRAIN_SECONDS:
+                invariants.check(
+                    'no request reaches a server that is known to leave',
+                    run not in reached,
+                    (outcome.vm, outcome.request_id, run),
+                )
+
+
 def check_fencing_tokens(
     invariants: Invariants, deployment: testbed.SoakDeployment
 ) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,7 +16,9 @@
 RESTART_DELAY_SECONDS = 0.4
 # The registration of a crashed server expires after this time.
 REGISTRATION_EXPIRY_SECONDS = 1.5
-DRAIN_SECONDS = 2.0
+# A server that leaves serves for longer than DRAIN_SECONDS.
+LEAVE_SECONDS = checks.DRAIN_SECONDS + 4.0
+SERVER_START_SECONDS = 0.3
 LINK_MODES = (
     links.LinkMode.DELAYED,
     links.LinkMode.SILENT,
@@ -70,6 +72,7 @@
             'history': self._compact_history,
             'crash server': self._crash_server,
             'drain server': self._drain_server,
+            'leave unlisted': self._leave_unlisted,
             'bad answers': self._inject_response_fault,
             'bad orders': self._inject_order_fault,
         }
@@ -139,7 +142,7 @@
         if vm is None:
             return 'no VM is free'
         self._busy.add(vm.name)
-        vm.signal(signal.SIGSTOP)
+        vm.freeze()
         await anyio.sleep(self._draw_seconds(4.0))
         vm.signal(signal.SIGCONT)
         self._busy.discard(vm.name)
@@ -221,25 +224,43 @@
         if name in self._busy:
             return f'{name} is busy'
         self._busy.add(name)
-        server = {**self._deployment.plain, **self._deployment.engines}[name]
         down_seconds = self._draw_seconds(3.0)
-        server.faults.set('crashed', down_seconds)
+        self._deployment.servers[name].faults.set('crashed', down_seconds)
         await anyio.sleep(min(down_seconds, REGISTRATION_EXPIRY_SECONDS))
         if down_seconds > REGISTRATION_EXPIRY_SECONDS:
             self._deployment.store.remove('servers', name)
             await anyio.sleep(down_seconds - REGISTRATION_EXPIRY_SECONDS)
-        self._deployment.register_server(name)
+        self._deployment.restart_server(name)
         self._busy.discard(name)
         return f'{name} for {down_seconds:.2f} s'
 
     async def _drain_server(self) -> str:
+        return await self._leave('draining')
+
+    async def _leave_unlisted(self) -> str:
+        """Let a server announce its leave only in its responses."""
+        return await self._leave('ready')
+
+    async def _leave(self, state: str) -> str:
+        """Let a server leave, exit and start again.
+
+        Parameters
+        ----------
+        state : str
+            The state that is listed of it meanwhile.
+        """
         name = self._rng.choice(sorted(self._deployment.links))
         if name in self._busy:
             return f'{name} is busy'
         self._busy.add(name)
-        self._deployment.register_server(name, 'draining')
-        await anyio.sleep(DRAIN_SECONDS)
-        self._deployment.register_server(name)
+        server = self._deployment.servers[name]
+        server.faults.set('leaving', 1)
+        self._deployment.register_server(name, state)
+        await anyio.sleep(LEAVE_SECONDS)
+        server.faults.set('crashed', SERVER_START_SECONDS)
+        self._deployment.store.remove('servers', name)
+        await anyio.sleep(SERVER_START_SECONDS)
+        self._deployment.restart_server(name)
         self._busy.discard(name)
         return name
 
--- a/soak/load.py
+++ b/soak/load.py
@@ -84,6 +84,7 @@
         kind = self._rng.choice(['plain', 'plain', 'once', 'streams'])
         outcome = checks.Outcome(self._make_id('r'), kind, vm.name)
         outcome.started_at = anyio.current_time()
+        outcome.epoch = vm.epoch
         self.outcomes.append(outcome)
         content = outcome.request_id.encode()
         try:
@@ -97,6 +98,7 @@
         finally:
             outcome.ended_at = anyio.current_time()
         outcome.status = response.status_code
+        outcome.leaving_run = response.headers.get('x-standin-run', '')
         if response.status_code == 200:
             self._check_response(outcome, response)
         return True
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -96,6 +96,7 @@
     finally:
         deployment.stop()
     checks.check_runs(invariants, workload.outcomes, deployment)
+    checks.check_leaving(invariants, workload.outcomes, deployment)
     checks.check_fencing_tokens(invariants, deployment)
     return Report(
         seed,
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -100,6 +100,8 @@
         Link to the store.
     start_count : int
         Number of times that the process was started.
+    freeze_count : int
+        Number of times that the process was frozen.
     ends_expected : bool
         Whether the run ended the process on purpose.
     """
@@ -113,6 +115,7 @@
         self.store_link = links.LinkProxy(store)
         self.process: subprocess.Popen[bytes] | None = None
         self.start_count = 0
+        self.freeze_count = 0
         self.ends_expected = False
         self._folder = folder
         self._settings = folder / f'{self.name}.conf'
@@ -163,6 +166,16 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def freeze(self) -> None:
+        """Stop the process until it gets SIGCONT."""
+        self.freeze_count += 1
+        self.signal(signal.SIGSTOP)
+
+    @property
+    def epoch(self) -> tuple[int, int]:
+        """Return a value that changes at each start and each freeze."""
+        return self.start_count, self.freeze_count
+
     def kill(self) -> None:
         """Kill the process, and wait for its end."""
         self.ends_expected = True
@@ -214,7 +227,7 @@
 
     Attributes
     ----------
-    plain, engines : dict
+    plain, engines, servers : dict
         Backend servers by name.
     links : dict of str to LinkProxy
         Links to the backend servers by their name.
@@ -244,6 +257,10 @@
             )
             for name in ('e1', 'e2', 'e3')
         }
+        self.servers: dict[
+            str,
+            standins.PlatformServiceStandin | standins.PlatformEngineStandin,
+        ] = {**self.plain, **self.engines}
         self.links: dict[str, links.LinkProxy] = {}
         self.config_version = 1
         self.config_written_at = 0.0
@@ -258,7 +275,7 @@
         """Start the store, the backend servers and the VMs."""
         tasks.start_soon(standins.serve, self._listener, self.store)
         self.write_config(1)
-        for name, server in {**self.plain, **self.engines}.items():
+        for name, server in self.servers.items():
             listener = web.open_listener('127.0.0.1', 0)
             tasks.start_soon(standins.serve, listener, server)
             self.links[name] = links.LinkProxy(listener.address)
@@ -290,6 +307,7 @@
             'state': state,
             'cold_left_ms': 0,
             'sequence': 1,
+            'born': self.servers[name].server_runs.count,
         }
         if name in self.engines:
             versions = self.engines[name].versions
@@ -300,6 +318,12 @@
             ]
         self.store.put('servers', name, registration)
 
+    def restart_server(self, name: str) -> None:
+        """Register the next run of a server, which is not leaving."""
+        self.servers[name].faults.set('leaving', 0)
+        self.servers[name].server_runs.count += 1
+        self.register_server(name)
+
     def is_config_due(self) -> bool:
         """Tell whether all VMs must have applied the newest configuration.
 
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -6,6 +6,7 @@
 import anyio
 import msgspec
 import starlette.applications
+import starlette.datastructures
 import starlette.middleware
 import starlette.requests
 import starlette.responses
@@ -24,6 +25,34 @@
 VERSION_LOAD_SECONDS = 0.05
 METHODS = ['GET', 'POST', 'PUT', 'DELETE']
 LEAVING_HEADER = (b'server-leaving', b'1')
+# Names the run of the stand-in, so that a test can tell which one responded.
+RUN_HEADER = b'x-standin-run'
+
+
+class ServerRuns:
+    """Counts the starts of a stand-in, and records what reaches each run.
+
+    Attributes
+    ----------
+    count : int
+        Number of starts; a test increments it when it restarts the server.
+    arrivals : dict of str to list of str
+        For each request id, the runs that received the request.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self.count = 1
+        self.arrivals: dict[str, list[str]] = {}
+
+    @property
+    def current(self) -> str:
+        """Return the name of the current run."""
+        return f'{self._name}.{self.count}'
+
+    def record(self, request_id: str) -> None:
+        """Record a request that reaches the current run."""
+        self.arrivals.setdefault(request_id, []).append(self.current)
 
 
 class LeavingMiddleware:
@@ -35,13 +64,19 @@
         The application that responds.
     faults : FaultSwitches
         Its fault ``leaving`` makes the server leave.
+    server_runs : ServerRuns
+        Records the requests.
     """
 
     def __init__(
-        self, app: starlette.types.ASGIApp, faults: _faults.FaultSwitches
+        self,
+        app: starlette.types.ASGIApp,
+        faults: _faults.FaultSwitches,
+        server_runs: ServerRuns,
     ) -> None:
         self._app = app
         self._faults = faults
+        self._server_runs = server_runs
 
     async def __call__(
         self,
@@ -50,13 +85,23 @@
         send: starlette.types.Send,
     ) -> None:
         """Serve one request."""
+        if scope['type'] != 'http':
+            await self._app(scope, receive, send)
+            return
+        headers = starlette.datastructures.Headers(scope=scope)
+        self._server_runs.record(headers.get('swiftjunction-attempt-id', ''))
 
         async def send_marked(message: starlette.types.Message) -> None:
             is_start = message['type'] == 'http.response.start'
             if is_start and self._faults.get('leaving'):
+                run = self._server_runs.current.encode()
                 message = {
                     **message,
-                    'headers': [*message['headers'], LEAVING_HEADER],
+                    'headers': [
+                        *message['headers'],
+                        LEAVING_HEADER,
+                        (RUN_HEADER, run),
+                    ],
                 }
             await send(message)
 
@@ -64,9 +109,13 @@
 
 
 def _make_middleware(
-    faults: _faults.FaultSwitches,
+    faults: _faults.FaultSwitches, server_runs: ServerRuns
 ) -> list[starlette.middleware.Middleware]:
-    return [starlette.middleware.Middleware(LeavingMiddleware, faults=faults)]
+    return [
+        starlette.middleware.Middleware(
+            LeavingMiddleware, faults=faults, server_runs=server_runs
+        )
+    ]
 
 
 class PlatformServiceStandin:
@@ -84,6 +133,8 @@
         ``foreign``: the response has the id of another request.
         ``unnamed``: the response has no request id.
         ``leaving``: not a number; if set, all responses announce it.
+    server_runs : ServerRuns
+        The starts of the server, and the requests that reached each run.
     runs : list of (str, str)
         Id and target of each executed request.
     headers : list of dict
@@ -102,6 +153,7 @@
             'unnamed',
             'leaving',
         )
+        self.server_runs = ServerRuns(name)
         self.runs: list[tuple[str, str]] = []
         self.headers: list[dict[str, str]] = []
 
@@ -113,7 +165,7 @@
                     '/{path:path}', self._serve, methods=METHODS
                 )
             ],
-            middleware=_make_middleware(self.faults),
+            middleware=_make_middleware(self.faults, self.server_runs),
         )
 
     async def _serve(self, request: Request) -> Response:
@@ -159,6 +211,8 @@
         ``leaving``: not a number; if set, all responses announce it.
     versions : dict of str to int
         Active version of each model.
+    server_runs : ServerRuns
+        The starts of the server, and the requests that reached each run.
     runs : list of (str, int)
         Id of each executed sample, and the event after which it resumed; -1
         if it started from the beginning.
@@ -194,6 +248,7 @@
             'leaving',
         )
         self.versions = dict(versions)
+        self.server_runs = ServerRuns(name)
         self.runs: list[tuple[str, int]] = []
         self.orders: list[dict[str, typing.Any]] = []
         self.refused_orders = 0
@@ -211,7 +266,7 @@
                 route('/order', self._receive_order, methods=['POST']),
                 route('/{path:path}', self._generate, methods=['POST']),
             ],
-            middleware=_make_middleware(self.faults),
+            middleware=_make_middleware(self.faults, self.server_runs),
         )
 
     async def _get_report(self, request: Request) -> Response:
