Count announcements of leaving servers, and explain a server by its id

Cause: docs/OPERATIONS.md says `explain SERVER`, which found only lines whose message has the id; that of an announcement has it in a field. What callers saw: nothing. Evidence: the test of `explain` on a server found none of its three lines before; the counter is checked in a test that runs the edge program. Change: `explain` selects by the field server as well.

--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -154,6 +154,7 @@
                 'failures': server.health.failures,
                 'ejected_seconds': round(server.health.ejected_seconds, 1),
                 'available': server.is_available(),
+                'leaving': self.leaving_servers.contains(server.report),
             }
             for name, server in self._servers.items()
         }
--- a/src/swiftjunction/commands/_explain.py
+++ b/src/swiftjunction/commands/_explain.py
@@ -14,15 +14,17 @@
 
 
 class ExplainCommand(cleo.commands.command.Command):
-    """Prints the log lines of a request, a sample or a batch in order."""
+    """Prints the log lines of a request, a batch or a server in order."""
 
     name = 'explain'
     description = (
-        'Prints the log lines of a request or a batch in order of time.'
+        'Prints the log lines of a request, a batch or a server in order of '
+        'time.'
     )
     arguments = [
         cleo.helpers.argument(
-            'id', 'Identifier of the request, the sample or the batch.'
+            'id',
+            'Identifier of the request, the sample, the batch or the server.',
         ),
         cleo.helpers.argument(
             'files',
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -208,6 +208,11 @@
             'event_loop_lag_seconds',
             lambda: self._directory.loop_lag.average_seconds,
         )
+        self._directory.leaving_servers.listen(
+            lambda _, source: self._metrics.count(
+                'leaving_servers', source=source
+            )
+        )
         self._dump = self._build_dump()
 
     async def run(self) -> None:
--- a/src/swiftjunction/telemetry/_stories.py
+++ b/src/swiftjunction/telemetry/_stories.py
@@ -8,8 +8,8 @@
 
 LogLine = dict[str, typing.Any]
 
-# Fields that identify the request or the batch of a line.
-ID_FIELDS = ('request_id', 'batch')
+# Fields that identify the request, the batch or the server of a line.
+ID_FIELDS = ('request_id', 'batch', 'server')
 # Fields that are not formatted as ``name=value``: some come first in the line,
 # the others are left out.
 UNLABELLED_FIELDS = frozenset(
@@ -40,7 +40,7 @@
 def select_lines(
     lines: collections.abc.Iterable[LogLine], wanted: str
 ) -> list[LogLine]:
-    """Return the lines about a request or a batch, sorted by time.
+    """Return the lines about a request, batch or server, sorted by time.
 
     These are lines with `wanted` as an identifier or within the message.
     """
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -344,6 +344,11 @@
             assert statuses == [200, 200, 503]
             assert anyio.current_time() - started_at < 0.5
             assert float(response.headers['retry-after']) > 0
+            metrics = deployment.programs['vm-1']._metrics.render().decode()
+            assert (
+                'swiftjunction_leaving_servers_total{source="call"} 2.0'
+                in metrics
+            )
             deployment.start_server(
                 'p3', standins.PlatformServiceStandin('p3')
             )
--- a/tests/cover/test_telemetry_stories.py
+++ b/tests/cover/test_telemetry_stories.py
@@ -38,6 +38,16 @@
     assert telemetry.format_line(line) == '10:03 v sample given up batch=b1'
 
 
+def test_the_lines_of_a_server_include_its_announcement_to_leave():
+    announced = make_line(
+        '10:04', 'server announced that it is leaving', server='s1', born=7
+    )
+    selected = telemetry.select_lines(
+        telemetry.parse_lines([announced, *LINES]), 's1'
+    )
+    assert [line['time'] for line in selected] == ['10:01', '10:01', '10:04']
+
+
 @pytest.mark.parametrize(('wanted', 'code'), [('r1', 0), ('nothing', 1)])
 def test_the_explain_command_reads_files(
     tmp_path, monkeypatch, capsys, wanted, code
