--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -218,6 +218,11 @@
                 else 0.0
             ),
         )
+        self._directory.leaving_servers.listen(
+            lambda _, source: self._metrics.count(
+                'leaving_servers', source=source
+            )
+        )
         self._dump = self._build_dump()
 
     async def run(self) -> None:
