Keep an announcement to leave if an outdated list has an earlier start

Cause: each other start time of the same id counted as a restart, so that a report of an earlier start, from a list that is out of date, forgot it. Evidence: the test failed on the code before: an earlier start and then the one that had announced its leave were listed, and both were used. Change: only a later start ends an announcement.

--- a/src/swiftjunction/backends/_leaving.py
+++ b/src/swiftjunction/backends/_leaving.py
@@ -66,16 +66,18 @@
     confirmed: bool
 
     def concerns(self, report: Report) -> bool:
-        """Return whether a report may be one of the same instance."""
+        """Return whether a report is one of this instance or an earlier one.
+
+        A report of an earlier start is outdated, and a request that follows
+        it may reach this instance.
+        """
         if self.born_ms and report.born_ms:
-            return self.born_ms == report.born_ms
+            return report.born_ms <= self.born_ms
         return self.address == report.address
 
     def is_outlived(self, report: Report) -> bool:
-        """Return whether a report shows that another instance started."""
-        return bool(
-            self.born_ms and report.born_ms and self.born_ms != report.born_ms
-        )
+        """Return whether a report shows that a later instance started."""
+        return bool(self.born_ms) and report.born_ms > self.born_ms
 
 
 class LeavingServers:
--- a/tests/cover/test_platform_leaving.py
+++ b/tests/cover/test_platform_leaving.py
@@ -509,6 +509,15 @@
         assert vm.list_eligible() == ['a']
         await vm.forward('r')
 
+    async def test_an_outdated_list_with_an_earlier_start_keeps_it(self):
+        vm = Vm('b')
+        vm.list_server('a', born=7)
+        await vm.announce()
+        vm.list_server('a', born=6)
+        assert vm.list_eligible() == ['b']
+        vm.list_server('a', born=7)
+        assert vm.list_eligible() == ['b']
+
     async def test_a_late_response_of_the_old_instance_spares_the_new_one(
         self,
     ):
