Stop coordinating once a peer names a newer coordinator

Cause: a coordinator learnt that it had lost its lease only from a renewal. One that does not reach the store, or is refused there, runs on meanwhile, though its peers name the newer one twice a second. Evidence: in the logs of the store answers two renewals of e-1 with 429 at 19.1 and 20.0 s, c-1 takes the lease at 20.737 s, and e-1 learns so at 27.805 s. Two new tests, in which renewals are refused and a peer names a newer coordinator, failed before. Change: the highest fencing token that peers report is compared each 0.1 s. Result: the new tests pass, and tests/cover/test_coord*.py.

--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -14,6 +14,7 @@
 
 COORDINATOR_CHECK_INTERVAL_SECONDS = 0.3
 CONVERGENCE_CHECK_INTERVAL_SECONDS = 0.02
+SUCCESSOR_CHECK_INTERVAL_SECONDS = 0.1
 # A candidate waits for this long times its rank before it tries to acquire the
 # lease, so that candidates try in the order of their ranks.
 DELAY_PER_RANK_SECONDS = 0.6
@@ -164,6 +165,7 @@
             with anyio.CancelScope() as self._coordinate_scope:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._run_task, lease)
+                    tasks.start_soon(self._stop_once_replaced, lease)
                     await self._renew(lease)
                     tasks.cancel_scope.cancel()
         finally:
@@ -184,6 +186,24 @@
             # higher fencing token.
             self._coordinate_scope.cancel()
 
+    async def _stop_once_replaced(self, lease: leases.Lease) -> None:
+        """Stop coordinating once a peer knows of a newer coordinator.
+
+        A VM that cannot reach the store, or is slow, learns so from its peers
+        much earlier than from a renewal.
+        """
+        while True:
+            await anyio.sleep(SUCCESSOR_CHECK_INTERVAL_SECONDS)
+            name, fencing_token = self._members.newest_coordinator
+            if fencing_token > lease.fencing_token:
+                LOG.warning(
+                    "lost the coordinator's lease: %s holds it now",
+                    name,
+                    extra={'fencing_token': fencing_token},
+                )
+                self._coordinate_scope.cancel()
+                return
+
     async def _renew(self, lease: leases.Lease) -> None:
         """Renew the lease until it is lost."""
         renewed = True
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -357,6 +357,71 @@
         assert (await other.acquire()).fencing_token > lease.fencing_token
 
 
+@pytest.mark.anyio
+class TestReplacedCoordinator:
+    """A coordinator that cannot renew its lease, which another VM has taken.
+
+    Guards against seconds in which two VMs run all batches, while peers have
+    already named the newer one.
+    """
+
+    async def coordinate(self, store, make_statuses):
+        """Return whether it still coordinates after peers have answered."""
+        timing = leases.LeaseTiming(
+            ttl_seconds=2.6,
+            margin_seconds=0.4,
+            renew_interval_seconds=0.1,
+            retry_interval_seconds=0.1,
+        )
+        keeper = leases.LeaseKeeper(
+            store, 'l', 'vm-1', timing=timing, reclaims_own_lease=True
+        )
+        await keeper.acquire()
+        members = coordination.MemberTable(make_member('vm-1'))
+        members.apply_entry(make_entry(make_member('vm-2')))
+        coordinator = coordination.Coordinator(
+            keeper, timing, members, IdleTask()
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(coordinator.run)
+            await anyio.sleep(0.05)
+            store.faults = ['refuse'] * 100
+            for status in make_statuses(coordinator.lease.fencing_token):
+                members.record_status(status)
+            await anyio.sleep(0.7)
+            coordinates = coordinator.lease is not None
+            tasks.cancel_scope.cancel()
+        return coordinates
+
+    async def test_it_stops_once_a_peer_names_a_newer_one(self, store):
+        assert not await self.coordinate(
+            store,
+            lambda token: [
+                make_status(
+                    'vm-2', coordinator='vm-3', coordinator_token=token + 1
+                )
+            ],
+        )
+
+    async def test_it_stops_once_a_peer_coordinates_itself(self, store):
+        assert not await self.coordinate(
+            store, lambda token: [make_status('vm-2', fencing_token=token + 1)]
+        )
+
+    async def test_it_goes_on_where_peers_name_itself_or_an_older_one(
+        self, store
+    ):
+        assert await self.coordinate(
+            store,
+            lambda token: [
+                make_status(
+                    'vm-2', coordinator='vm-1', coordinator_token=token
+                ),
+                make_status('vm-2', fencing_token=token - 1),
+            ],
+        )
+
+
 @pytest.mark.anyio
 class TestHolderThatStoppedRenewing:
     """How soon another VM acquires a lease that is no longer renewed."""
