Look up results whose write has no response yet

Cause: a block is on the store before its writer has the response, and VMs that read the store return it then. The coordinator answered from memory until the response came, which takes seconds where the store or its own VM is slow. Evidence: a new test failed before: the block was stored, its write had not returned, and the coordinator returned an empty page. Change: a write counts as uncertain from its start until it is confirmed, and a reader that finds nothing meanwhile makes the coordinator read the store. Result: the new test passes, and all tests/cover/test_batches_*.py.

--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -152,7 +152,8 @@
         When the stored blocks were last read, on the event loop's clock in
         seconds. Blocks that other processes created later may be missing.
     write_uncertain : bool
-        Whether it is unknown if the last write of results took effect.
+        Whether it is unknown if the last write of results took effect, also
+        while it is in progress.
     writing : bool
         Whether a write of results is in progress.
     written_at : float
--- a/src/swiftjunction/batches/_writing.py
+++ b/src/swiftjunction/batches/_writing.py
@@ -121,6 +121,9 @@
         batch_id = open_batch.batch.batch_id
         block = list(open_batch.unwritten)
         number = open_batch.block_count
+        # Readers of the store may see the block before its write returns, and
+        # also if the write fails for this process.
+        open_batch.write_uncertain = True
         try:
             await self._archive.append(batch_id, number, block)
             # A reader may have read the block from the store already.
@@ -139,8 +142,6 @@
         except errors.RevisionConflict:
             await self._reload_results(open_batch)
         except errors.PlatformError as error:
-            # Also if the write itself succeeded and its confirmation failed.
-            open_batch.write_uncertain = True
             LOG.warning(
                 'results could not be written, retrying: %s',
                 error,
--- a/tests/cover/test_batches_reading.py
+++ b/tests/cover/test_batches_reading.py
@@ -53,6 +53,14 @@
         raise errors.PlatformUnavailable('store is away', step='append')
 
 
+class SlowArchive(batches.BatchArchive):
+    """An archive that stores a block at once, and responds late."""
+
+    async def append(self, batch_id, number, results):
+        await super().append(batch_id, number, results)
+        await anyio.sleep(WRITE_SECONDS)
+
+
 class Coordinator:
     """One process that coordinates; its clock stands still."""
 
@@ -209,12 +217,20 @@
             await anyio.sleep(WRITE_SECONDS)
             assert await coordinator.list_ids() == ['i']
 
-    async def test_a_block_read_while_it_is_written_is_added_once(self, store):
-        class SlowArchive(batches.BatchArchive):
-            async def append(self, batch_id, number, results):
-                await super().append(batch_id, number, results)
-                await anyio.sleep(WRITE_SECONDS)
+    async def test_a_block_whose_write_has_no_response_yet_is_looked_up(
+        self, store
+    ):
+        await create_batch(store)
+        coordinator = Coordinator(store, SlowArchive)
+        async with coordinator.run():
+            await anyio.sleep(HANDOVER_SECONDS)
+            assert await coordinator.list_ids() == []
+            coordinator.runner._writer.flushing = True
+            coordinator.complete('i')
+            await anyio.sleep(WRITE_SECONDS / 2)
+            assert await coordinator.list_ids() == ['i']
 
+    async def test_a_block_read_while_it_is_written_is_added_once(self, store):
         await create_batch(store)
         coordinator = Coordinator(store, SlowArchive)
         async with coordinator.run():
