--- a/tests/cover/test_coordination_outages.py
+++ b/tests/cover/test_coordination_outages.py
@@ -1,11 +1,13 @@
 import random
 
+import anyio
 import httpx
 import msgspec
 import pytest
 
 from swiftjunction import coordination
 from swiftjunction.coordination import _members
+from swiftjunction.coordination import _messages
 from swiftjunction import errors
 from swiftjunction import objectstore
 from tests import conftest
@@ -78,3 +80,42 @@
 
 async def test_a_vm_without_peers_relies_on_its_own_call():
     assert await is_store_away(refuse_connection, peers=0)
+
+
+async def test_a_peer_that_cannot_relay_no_longer_reports_the_store(clock):
+    direct = conftest.MemoryStore()
+    direct.faults = ['refuse']
+    store = coordination.FailoverStore(direct, lambda: [], clock)
+    # As the edge process wires them.
+    app = coordination.PeerApp(
+        lambda: None, direct, None, lambda: None
+    ).build()
+    call = _messages.StoreCall('list', 'batches/')
+    async with httpx.AsyncClient(
+        transport=httpx.ASGITransport(app), base_url='http://peer'
+    ) as client:
+        response = await client.post(
+            _messages.STORE_PATH, content=msgspec.msgpack.encode(call)
+        )
+    assert not response.is_success
+    assert not store.reaches_directly()
+
+
+async def test_a_copy_with_a_silent_watch_does_not_count_as_current():
+    class SilentWatchStore(conftest.MemoryStore):
+        async def watch(self, prefix, revision, wait_seconds):
+            await anyio.sleep_forever()
+
+    members = coordination.MemberTable(
+        coordination.Member('vm', '10.0.0.1:1', '', 'dc', 'r', 'run')
+    )
+    sync = coordination.FeedSync(SilentWatchStore(), None, members)
+    feed = sync.add(
+        'servers/', objectstore.CallbackListener(lambda found: None)
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(sync.run, feed, lambda: True)
+        await anyio.sleep(3.5)
+        ages = sync.list_ages()
+        tasks.cancel_scope.cancel()
+    assert ages['servers/'] > 2.5
--- a/tests/cover/test_platform_sending.py
+++ b/tests/cover/test_platform_sending.py
@@ -153,3 +153,80 @@
         )
     receiver.close()
     assert receiver.received_at - started_at <= VALID_SECONDS
+
+
+class SlowReceiver:
+    """Reads nothing for a while after a connection is open.
+
+    Attributes
+    ----------
+    complete_at : float or None
+        Monotonic time at which it had read a whole request.
+    was_reset : bool
+        Whether the connection was reset.
+    """
+
+    def __init__(self, size, pause_seconds):
+        self._size = size
+        self._pause_seconds = pause_seconds
+        self.complete_at = None
+        self.was_reset = False
+        self.done = anyio.Event()
+
+    async def handle(self, stream):
+        await anyio.sleep(self._pause_seconds)
+        received = 0
+        try:
+            async with stream:
+                async for data in stream:
+                    received += len(data)
+                    if received >= self._size and self.complete_at is None:
+                        self.complete_at = time.monotonic()
+        except anyio.BrokenResourceError:
+            self.was_reset = True
+        self.done.set()
+
+
+async def send_and_cancel(receiver, body, seconds):
+    """Send a sample, cancel it, and return when it was last checked."""
+    checked_at = []
+    peers = web.PeerClients()
+    tcp = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = tcp.extra(anyio.abc.SocketAttribute.local_port)
+    server = backends.BackendServer(
+        backends.ServerReport('e', f'127.0.0.1:{port}', 's', 'dc')
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(tcp.serve, receiver.handle)
+        events = _workers.WorkerClient(peers).generate(
+            server,
+            'h',
+            batches.Sample('i', '/x', [], body, group='g'),
+            -1,
+            lambda: checked_at.append(time.monotonic()),
+        )
+        with anyio.move_on_after(seconds):
+            await anext(events)
+        await events.aclose()
+        with anyio.move_on_after(5):
+            await receiver.done.wait()
+        tasks.cancel_scope.cancel()
+    await tcp.aclose()
+    await peers.close()
+    return checked_at[-1]
+
+
+async def test_a_long_body_is_not_sent_on_to_a_server_that_reads_late():
+    size = 16_000_000
+    receiver = SlowReceiver(size, pause_seconds=3 * VALID_SECONDS)
+    checked_at = await send_and_cancel(receiver, b'x' * size, seconds=4.0)
+    assert receiver.complete_at is None or (
+        receiver.complete_at - checked_at <= VALID_SECONDS
+    )
+
+
+async def test_the_connection_of_a_cancelled_sample_is_reset():
+    # As bytes that are held up on the way are dropped only by a reset.
+    receiver = SlowReceiver(size=2000, pause_seconds=1.0)
+    await send_and_cancel(receiver, b'x' * 2000, seconds=0.5)
+    assert receiver.was_reset
