Bound the bytes of informational heads before a response

Cause: httpcore reads informational heads (status 1xx) one after another without a count; h11 bounds a single head only, at 100 KB. Evidence: the six tests with informational heads failed on the code before, for a lookup, a stream, a sample, a report, an order and a fetch. Those with an endless status line, header line, header lines and bytes that are no HTTP passed before, and stay as guards. Change: the connections of our HTTP clients count the bytes of all heads that follow a request, and fail at 128 KB. Result: the tests pass, and those of both contracts, TLS and sending.

--- /dev/null
+++ b/src/swiftjunction/web/_heads.py
@@ -0,0 +1,93 @@
+"""Bounds the bytes of a response's head.
+
+httpcore bounds a single head, but reads any number of informational ones
+(status 1xx) before the response.
+"""
+
+import collections.abc
+import ssl
+import typing
+
+import httpcore
+
+# A sound head has some KB, with an informational one or two before it. h11
+# itself cuts off a single head at 100 KB.
+MAX_HEAD_BYTES = 128 * 1024
+
+SocketOptions = collections.abc.Iterable[httpcore.SOCKET_OPTION]
+
+
+class HeadBoundBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections that bound the bytes of the heads they receive."""
+
+    def __init__(self) -> None:
+        self._backend = httpcore.AnyIOBackend()
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: SocketOptions | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        return HeadBoundStream(
+            await self._backend.connect_tcp(
+                host, port, timeout, local_address, socket_options
+            )
+        )
+
+    async def sleep(self, seconds: float) -> None:
+        await self._backend.sleep(seconds)
+
+
+class HeadBoundStream(httpcore.AsyncNetworkStream):
+    """A connection that receives at most ``MAX_HEAD_BYTES`` for a head.
+
+    Parameters
+    ----------
+    stream : AsyncNetworkStream
+        The connection itself.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self._awaits_head = True
+        self._head_bytes = 0
+
+    def end_head(self) -> None:
+        """Stop counting, as the head of the response is complete."""
+        self._awaits_head = False
+
+    async def read(
+        self, max_bytes: int, timeout: float | None = None
+    ) -> bytes:
+        if self._awaits_head and self._head_bytes > MAX_HEAD_BYTES:
+            raise httpcore.RemoteProtocolError(
+                f'response head exceeds {MAX_HEAD_BYTES} bytes'
+            )
+        data = await self._stream.read(max_bytes, timeout)
+        self._head_bytes += len(data)
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        # The next response follows.
+        self._awaits_head = True
+        self._head_bytes = 0
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        return HeadBoundStream(
+            await self._stream.start_tls(ssl_context, server_hostname, timeout)
+        )
+
+    def get_extra_info(self, info: str) -> typing.Any:
+        return self._stream.get_extra_info(info)
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -11,8 +11,11 @@
 import socket
 import ssl
 
+import httpcore
 import httpx
 
+from swiftjunction.web import _heads
+
 MAX_CONNECTIONS_PER_SERVER = 1024
 MAX_IDLE_CONNECTIONS = 64
 IDLE_EXPIRY_SECONDS = 60.0
@@ -59,7 +62,7 @@
 
     def __init__(self, context: ssl.SSLContext | None = None) -> None:
         self._context = context
-        self._idle: list[httpx.AsyncHTTPTransport] = []
+        self._idle: list[_Connection] = []
         self._in_use = 0
 
     async def handle_async_request(
@@ -84,24 +87,18 @@
             self._in_use -= 1
             await connection.aclose()
             raise
+        network_stream = response.extensions['network_stream']
+        if isinstance(network_stream, _heads.HeadBoundStream):
+            network_stream.end_head()
         assert isinstance(response.stream, httpx.AsyncByteStream)
         response.stream = _PooledStream(response.stream, connection, self)
         response.request = request
         return response
 
-    def _connect(self) -> httpx.AsyncHTTPTransport:
-        return httpx.AsyncHTTPTransport(
-            verify=self._context or load_ssl_context(),
-            trust_env=False,
-            socket_options=SOCKET_OPTIONS,
-            limits=httpx.Limits(
-                max_connections=1,
-                max_keepalive_connections=1,
-                keepalive_expiry=IDLE_EXPIRY_SECONDS,
-            ),
-        )
+    def _connect(self) -> '_Connection':
+        return _Connection(self._context or load_ssl_context())
 
-    async def release(self, connection: httpx.AsyncHTTPTransport) -> None:
+    async def release(self, connection: '_Connection') -> None:
         """Make the connection of a closed response available again."""
         self._in_use -= 1
         if len(self._idle) < MAX_IDLE_CONNECTIONS:
@@ -115,11 +112,26 @@
             await self._idle.pop().aclose()
 
 
+class _Connection(httpx.AsyncHTTPTransport):
+    """A pool of a single connection, which bounds heads."""
+
+    def __init__(self, context: ssl.SSLContext) -> None:
+        # The base class only makes its pool, without a network backend.
+        self._pool = httpcore.AsyncConnectionPool(
+            ssl_context=context,
+            max_connections=1,
+            max_keepalive_connections=1,
+            keepalive_expiry=IDLE_EXPIRY_SECONDS,
+            socket_options=SOCKET_OPTIONS,
+            network_backend=_heads.HeadBoundBackend(),
+        )
+
+
 class _PooledStream(httpx.AsyncByteStream):
     def __init__(
         self,
         stream: httpx.AsyncByteStream,
-        connection: httpx.AsyncHTTPTransport,
+        connection: '_Connection',
         transport: LifoTransport,
     ) -> None:
         self._stream = stream
