Bound the time of a response's head in total

Cause: the read timeout of httpx starts again with each byte received. A head that dribbles held the calls that have no deadline around them: those to the store, to peers and to engines of an own deployment. Lookups and samples have one. Evidence: the three tests, with a status line, header lines and informational heads a byte or line at a time, did not end within 5 s before; their timeouts are 0.2 s. Change: a head has the timeouts of connecting, writing and reading together, then the read fails as timed out and the connection is closed.

--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -8,9 +8,11 @@
 
 import collections.abc
 import functools
+import math
 import socket
 import ssl
 
+import anyio
 import httpcore
 import httpx
 
@@ -74,6 +76,9 @@
         ------
         httpx.PoolTimeout
             If all connections to the server are in use.
+        httpx.ReadTimeout
+            Also if the head dribbles in for longer than the timeouts of the
+            connection, the request and a read together.
         """
         if self._in_use >= MAX_CONNECTIONS_PER_SERVER:
             raise httpx.PoolTimeout(
@@ -82,7 +87,7 @@
         connection = self._idle.pop() if self._idle else self._connect()
         self._in_use += 1
         try:
-            response = await connection.handle_async_request(request)
+            response = await self._send(connection, request)
         except BaseException:
             self._in_use -= 1
             await connection.aclose()
@@ -95,6 +100,19 @@
         response.request = request
         return response
 
+    async def _send(
+        self, connection: '_Connection', request: httpx.Request
+    ) -> httpx.Response:
+        # The read timeout starts again with each byte.
+        timeouts = request.extensions['timeout']
+        seconds = [timeouts[name] for name in ('connect', 'write', 'read')]
+        head_seconds = math.inf if None in seconds else sum(seconds)
+        with anyio.move_on_after(head_seconds):
+            return await connection.handle_async_request(request)
+        raise httpx.ReadTimeout(
+            f'no complete head within {head_seconds:.3f} s', request=request
+        )
+
     def _connect(self) -> '_Connection':
         return _Connection(self._context or load_ssl_context())
 
--- a/tests/cover/test_endless_heads.py
+++ b/tests/cover/test_endless_heads.py
@@ -71,6 +71,20 @@
             await server.closed.wait()
 
 
+@pytest.mark.parametrize('head', endless_server.SLOW_HEADS)
+async def test_a_dribbling_head_ends_by_its_time_in_total(peers, head):
+    server = endless_server.EndlessServer(
+        *endless_server.SLOW_HEADS[head], pause_seconds=0.02
+    )
+    async with server.run():
+        with anyio.fail_after(5):
+            with pytest.raises(httpx.ReadTimeout):
+                await peers.get_direct(server.address).send(
+                    'GET', '/', timeout_seconds=0.2, connect_seconds=0.2
+                )
+            await server.closed.wait()
+
+
 async def test_a_head_as_long_as_a_sound_one_arrives(peers):
     # Two informational heads come before it.
     start = endless_server.SLOW_HEADS['informational_heads'][1] * 2 + (
