Bound the bodies that our HTTP clients receive, in bytes and time

Cause: `fetch`, which calls the platform's store and peers, joins a body whole whatever its length, as do the clients of an own deployment. The read timeout starts again with each byte. Evidence: six tests, for both clients with a body without a length, one in chunks and one that dribbles, did not end within 10 and 3 s before. Chunk sizes and trailers without end were already cut off by h11, and stay as guards. Change: each body has 32 MB and the longer of its read timeout and 5 s, or fails and its connection is closed. Event streams last, and stay without this bound. Result: the tests pass, as does one of a slow body that ends in time.

--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -16,6 +16,7 @@
 import httpcore
 import httpx
 
+from swiftjunction.web import _bodies
 from swiftjunction.web import _heads
 
 MAX_CONNECTIONS_PER_SERVER = 1024
@@ -95,9 +96,8 @@
         network_stream = response.extensions['network_stream']
         if isinstance(network_stream, _heads.HeadBoundStream):
             network_stream.end_head()
-        assert isinstance(response.stream, httpx.AsyncByteStream)
-        response.stream = _PooledStream(response.stream, connection, self)
         response.request = request
+        response.stream = _PooledStream(response, connection, self)
         return response
 
     async def _send(
@@ -148,16 +148,18 @@
 class _PooledStream(httpx.AsyncByteStream):
     def __init__(
         self,
-        stream: httpx.AsyncByteStream,
+        response: httpx.Response,
         connection: '_Connection',
         transport: LifoTransport,
     ) -> None:
-        self._stream = stream
+        assert isinstance(response.stream, httpx.AsyncByteStream)
+        self._stream = response.stream
+        self._bounded = _bodies.bound_body(response.stream, response)
         self._connection = connection
         self._transport: LifoTransport | None = transport
 
     def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        return aiter(self._stream)
+        return self._bounded
 
     async def aclose(self) -> None:
         transport, self._transport = self._transport, None
