Bound the memory of incomplete bodies from backend servers

Cause: the body of a lookup was joined from its chunks up to 32 MB on the platform and 16 MB in an own deployment, for each request on its own.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -1,5 +1,6 @@
 """State of the backend servers, and the clients that call them."""
 
+from swiftjunction.backends._bodies import read_body
 from swiftjunction.backends._directory import Directory
 from swiftjunction.backends._directory import SERVER_PREFIX
 from swiftjunction.backends._engine import Chunk
@@ -52,6 +53,7 @@
     'StreamEvent',
     'StreamPosition',
     'StreamTransport',
+    'read_body',
     'read_load',
     'translate_errors',
 ]
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -7,6 +7,7 @@
 import httpx
 import msgspec
 
+from swiftjunction.backends import _bodies
 from swiftjunction.backends import _http
 from swiftjunction.backends import _server
 from swiftjunction import errors
@@ -15,7 +16,6 @@
 PROBE_TIMEOUT_SECONDS = 1.0
 # Reserved characters that are not percent-encoded in a path or query.
 UNQUOTED_CHARS = "/:@!$&'()*+,;=~"
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class ServiceCall(msgspec.Struct, frozen=True):
@@ -120,7 +120,7 @@
                 check=call.check,
             )
             try:
-                body = await _read_body(response, peer)
+                body = await _bodies.read_body(response, peer)
             finally:
                 await response.aclose()
         _http.update_from_headers(response, server)
@@ -159,18 +159,3 @@
     if query:
         target += '?' + urllib.parse.quote(query, safe=UNQUOTED_CHARS + '?%')
     return target
-
-
-async def _read_body(response: httpx.Response, peer: str) -> bytes:
-    parts = []
-    size = 0
-    async for part in response.aiter_raw():
-        size += len(part)
-        if size > MAX_RESPONSE_BYTES:
-            raise errors.AnswerBroken(
-                f'response body exceeds {MAX_RESPONSE_BYTES} bytes',
-                step='call',
-                peer=peer,
-            )
-        parts.append(part)
-    return b''.join(parts)
--- a/src/swiftjunction/platform/_responses.py
+++ b/src/swiftjunction/platform/_responses.py
@@ -9,7 +9,6 @@
 from swiftjunction import errors
 from swiftjunction.platform import _names
 
-MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 # Statuses that mean the request was not run, if the response confirms it with
 # the not-executed header.
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
@@ -129,25 +128,3 @@
     with backends.translate_errors('read', server.name):
         async for chunk in response.aiter_raw():
             yield chunk
-
-
-async def read_body(
-    response: httpx.Response, server: backends.BackendServer
-) -> bytes:
-    """Return the complete body.
-
-    Raises
-    ------
-    AnswerBroken
-        If the body ends early or is over ``MAX_RESPONSE_BYTES``.
-    """
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in read_chunks(response, server):
-        size += len(chunk)
-        if size > MAX_RESPONSE_BYTES:
-            raise build_response_error(
-                f'response exceeds {MAX_RESPONSE_BYTES} bytes', server
-            )
-        chunks.append(chunk)
-    return b''.join(chunks)
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -68,7 +68,7 @@
             _responses.check_request_id(response, server, call.request_id)
             _responses.check_executed(response, server)
             _responses.check_signature(response, server)
-            body = await _responses.read_body(response, server)
+            body = await backends.read_body(response, server.name)
         finally:
             await response.aclose()
         return backends.ServiceResponse(
@@ -115,7 +115,7 @@
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         try:
             if not _responses.is_event_stream(response):
-                body = await _responses.read_body(response, server)
+                body = await backends.read_body(response, server.name)
                 yield backends.StreamEvent(backends.NO_EVENT, '', frame=body)
                 return
             async for event in _read_events(response, server):
@@ -275,7 +275,7 @@
                 peers=self._control_peers,
             )
             try:
-                body = await _responses.read_body(response, server)
+                body = await backends.read_body(response, server.name)
             finally:
                 await response.aclose()
             return response.status_code, body
