Bound the text of a sample

Cause: a sample's events were kept however many came, as long as each came in time. Evidence: two tests, of events with 1 and 10,000 bytes, did not end within 10 s before.

--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -10,6 +10,7 @@
 from swiftjunction.batches import _batch
 from swiftjunction.batches import _engine_client
 from swiftjunction.batches import _engines
+from swiftjunction.batches import _length
 from swiftjunction.batches import _open
 from swiftjunction.batches import _scoring
 from swiftjunction import errors
@@ -117,6 +118,7 @@
         )
         timeout_seconds = FIRST_EVENT_TIMEOUT_SECONDS
         last_event_at = 0.0
+        length = _length.TextLength(progress.sample, progress.events)
         async with contextlib.aclosing(events):
             while True:
                 event = await self._read_event(events, engine, timeout_seconds)
@@ -124,6 +126,7 @@
                     return
                 engine.record_version(batch.model, event.version)
                 _check_version(batch, progress, event)
+                _check_length(length, progress, event, engine)
                 progress.events.append(event.data)
                 progress.last_number = event.number
                 if event.version not in progress.versions:
@@ -217,3 +220,18 @@
             f'{event.version} within a sample that needs a single version',
             step='generate',
         )
+
+
+def _check_length(
+    length: _length.TextLength,
+    progress: _open.SampleProgress,
+    event: backends.StreamEvent,
+    engine: _engines.EngineState,
+) -> None:
+    """Raise ``AnswerBroken`` if the text has become too long."""
+    try:
+        length.add(event.data, engine.server.name)
+    except errors.AnswerBroken:
+        # No engine could continue it.
+        progress.reset()
+        raise
--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -41,6 +41,11 @@
 class EndlessServer:
     """Answers each request with `start`, then with `part` without end.
 
+    Parameters
+    ----------
+    part : bytes or callable
+        The part, or a function that returns the next one.
+
     Attributes
     ----------
     address : str
@@ -74,6 +79,9 @@
             backends.ServerReport(name, self.address, 's', 'dc')
         )
 
+    def _make_part(self):
+        return self._part() if callable(self._part) else self._part
+
     async def _handle(self, stream):
         try:
             async with stream:
@@ -82,7 +90,7 @@
                 self.requests += 1
                 await stream.send(self._start)
                 while True:
-                    await stream.send(self._part)
+                    await stream.send(self._make_part())
                     await anyio.sleep(self._pause_seconds)
         except (
             anyio.EndOfStream,
