Bound the event streams of an own deployment's engines

Cause: lines of completions and of status streams were collected without a limit; comments, repeated chunks and a line that dribbles restarted the read timeout; tokens were not counted against those requested. Evidence: twelve tests failed on the code before: an endless line, data lines, comments, slow comments and a slow line, for a completion and a status stream, and runs of chunks with more tokens and with the same one. Those of orders and cancellations with endless bodies passed, and stay as guards. Change: an event has 256 KB. The next one, of a chunk with new tokens or of a status, has the time that the call had left at its start, or 4 s for a status. Chunks beyond the requested tokens, and text without tokens, break the stream. Result: the tests pass, and both contracts and the tests of orders.

--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -138,7 +138,7 @@
             ],
             timeout_seconds=call.timeout_seconds,
         )
-        async for chunk in self._read_chunks(server, call.request_id, request):
+        async for chunk in self._read_chunks(server, call, request):
             yield chunk
 
     async def resume(
@@ -153,13 +153,13 @@
             f'/v1/completions/{call.request_id}?offset={offset}',
             timeout_seconds=call.timeout_seconds,
         )
-        async for chunk in self._read_chunks(server, call.request_id, request):
+        async for chunk in self._read_chunks(server, call, request):
             yield chunk
 
     async def _read_chunks(
         self,
         server: _server.BackendServer,
-        request_id: str,
+        call: EngineCall,
         request: collections.abc.Coroutine[
             typing.Any, typing.Any, httpx.Response
         ],
@@ -169,17 +169,23 @@
             response = await request
         try:
             _check_response(response, server, step)
+            bounded = web.bound_events(response, call.timeout_seconds)
             source = httpx_sse.EventSource(response)
             with (
                 self._pacing.count_stream(),
                 _http.translate_errors(step, peer),
             ):
                 started_at = read_at = anyio.current_time()
+                # Chunks that repeat known tokens are no progress.
+                end = 0
                 events = source.aiter_sse()
                 async for event in events:
                     if event.data == '[DONE]':
                         break
-                    chunk = _decode_chunk(event.data, request_id, peer)
+                    chunk = _decode_chunk(event.data, call, peer)
+                    if chunk.offset + chunk.tokens > end:
+                        end = chunk.offset + chunk.tokens
+                        bounded.record_event()
                     if chunk.finish_reason:
                         await _read_to_end(events)
                         yield chunk
@@ -269,7 +275,11 @@
                 '/events',
                 timeout=_orders.STATUS_TIMEOUT_SECONDS,
             ) as source:
+                bounded = web.bound_events(
+                    source.response, _orders.STATUS_TIMEOUT_SECONDS
+                )
                 async for event in source.aiter_sse():
+                    bounded.record_event()
                     if event.event == 'status':
                         yield _orders.decode_status(event.data, address)
 
@@ -315,20 +325,30 @@
         )
 
 
-def _decode_chunk(data: str, request_id: str, peer: str) -> Chunk:
+def _decode_chunk(data: str, call: EngineCall, peer: str) -> Chunk:
     try:
         wire = _chunk_decoder.decode(data)
     except msgspec.MsgspecError as error:
         raise errors.AnswerBroken(
             f'invalid chunk: {error}', step='generate', peer=peer
         ) from error
-    if not wire.choices or wire.id != request_id:
+    if not wire.choices or wire.id != call.request_id:
         raise errors.AnswerBroken(
             f'chunk has no choices or another request id: {wire.id!r}',
             step='generate',
             peer=peer,
         )
+    if wire.offset + wire.tokens > call.max_tokens or wire.tokens < 0:
+        raise errors.AnswerBroken(
+            f'chunk exceeds the {call.max_tokens} tokens requested',
+            step='generate',
+            peer=peer,
+        )
     choice: typing.Any = wire.choices[0]
+    if choice.text and not wire.tokens:
+        raise errors.AnswerBroken(
+            'chunk has text without tokens', step='generate', peer=peer
+        )
     return Chunk(
         choice.text,
         wire.offset,
--- a/src/swiftjunction/platform/_events.py
+++ b/src/swiftjunction/platform/_events.py
@@ -7,10 +7,9 @@
 from swiftjunction import backends
 from swiftjunction import errors
 from swiftjunction.platform import _names
+from swiftjunction import web
 
 EVENT_SEPARATOR = b'\n\n'
-# A sound event has the text of a few tokens, at times of some hundred.
-MAX_EVENT_BYTES = 256 * 1024
 
 
 class EventParser:
@@ -42,7 +41,7 @@
         Raises
         ------
         AnswerBroken
-            If an event is invalid, or over ``MAX_EVENT_BYTES`` without its
+            If an event is invalid, or over ``web.MAX_EVENT_BYTES`` without its
             end.
         """
         # A separator may begin with the last byte received before.
@@ -59,9 +58,9 @@
             if event is not None:
                 yield event
         del self._buffer[:begin]
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        if len(self._buffer) > web.MAX_EVENT_BYTES:
             raise errors.AnswerBroken(
-                f'event exceeds {MAX_EVENT_BYTES} bytes',
+                f'event exceeds {web.MAX_EVENT_BYTES} bytes',
                 step='generate',
                 peer=self._peer,
             )
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -1,10 +1,14 @@
 """HTTP servers on hypercorn and HTTP clients on httpx."""
 
+from swiftjunction.web._bodies import MAX_BODY_EXTENSION
+from swiftjunction.web._bodies import MAX_SHORT_BODY_BYTES
 from swiftjunction.web._clients import create_client
 from swiftjunction.web._clients import DirectClient
 from swiftjunction.web._clients import PeerClients
 from swiftjunction.web._clients import REQUEST_START_EVENT
 from swiftjunction.web._clients import UNSENT_ERRORS
+from swiftjunction.web._event_streams import bound_events
+from swiftjunction.web._event_streams import MAX_EVENT_BYTES
 from swiftjunction.web._listeners import bind_datagram_socket
 from swiftjunction.web._listeners import bind_socket
 from swiftjunction.web._listeners import HttpListener
@@ -23,6 +27,9 @@
     'DirectClient',
     'EXCEPTION_HANDLERS',
     'HttpListener',
+    'MAX_BODY_EXTENSION',
+    'MAX_EVENT_BYTES',
+    'MAX_SHORT_BODY_BYTES',
     'PeerClients',
     'REQUEST_START_EVENT',
     'TlsContexts',
@@ -30,6 +37,7 @@
     'UNSENT_ERRORS',
     'bind_datagram_socket',
     'bind_socket',
+    'bound_events',
     'create_client',
     'create_client_context',
     'describe_error',
