Bound health checks and cancellations in total time

Cause: their timeouts applied to each read, and their bodies had the general bound of 32 MB and 5 s. Change: each has its timeout (2, 1 and 2 s) in total, and 64 KB of body, as do orders. Result: the tests pass, and those of the contracts, poison and orders.

--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -213,7 +213,19 @@
         url = f'/v1/completions/{request_id}'
         client = self._peers.get(server.address)
         with _http.translate_errors('cancel', server.name):
-            await client.delete(url, timeout=CANCEL_TIMEOUT_SECONDS)
+            try:
+                with anyio.fail_after(CANCEL_TIMEOUT_SECONDS):
+                    await client.delete(
+                        url,
+                        timeout=CANCEL_TIMEOUT_SECONDS,
+                        extensions=web.SHORT_BODY,
+                    )
+            except TimeoutError as error:
+                raise errors.AnswerBroken(
+                    'timed out waiting for the end of the response',
+                    step='cancel',
+                    peer=server.name,
+                ) from error
 
     async def send_order(
         self,
@@ -249,7 +261,7 @@
                 '/orders',
                 content=msgspec.json.encode(order),
                 timeout=ORDER_TIMEOUT_SECONDS,
-                extensions={'trace': trace},
+                extensions={'trace': trace, **web.SHORT_BODY},
             )
         if response.status_code == 409:
             raise errors.BackendRefused(
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -4,6 +4,7 @@
 import collections.abc
 import urllib.parse
 
+import anyio
 import httpx
 import msgspec
 
@@ -133,7 +134,12 @@
     async def is_crashed(self, server: _server.BackendServer) -> bool:
         client = self._peers.get(server.address)
         try:
-            await client.get('/health', timeout=PROBE_TIMEOUT_SECONDS)
+            with anyio.move_on_after(PROBE_TIMEOUT_SECONDS):
+                await client.get(
+                    '/health',
+                    timeout=PROBE_TIMEOUT_SECONDS,
+                    extensions=web.SHORT_BODY,
+                )
         except httpx.ConnectError:
             return True
         except httpx.HTTPError:
--- a/src/swiftjunction/daemons/_servers.py
+++ b/src/swiftjunction/daemons/_servers.py
@@ -184,14 +184,24 @@
     async def _poll_service(self, vm: objectstore.Vm) -> None:
         while self._tree.has_service(vm.service):
             try:
-                response = await self._backend_clients.get(vm.address).get(
-                    '/health',
-                    timeout=HEALTH_CHECK_TIMEOUT_SECONDS,
-                )
+                # The timeout of the client applies to each read.
+                with anyio.fail_after(HEALTH_CHECK_TIMEOUT_SECONDS):
+                    response = await self._backend_clients.get(vm.address).get(
+                        '/health',
+                        timeout=HEALTH_CHECK_TIMEOUT_SECONDS,
+                        extensions=web.SHORT_BODY,
+                    )
                 leaving = bool(response.json().get('leaving'))
-            except (httpx.HTTPError, ValueError, AttributeError) as error:
+            except (
+                httpx.HTTPError,
+                TimeoutError,
+                ValueError,
+                AttributeError,
+            ) as error:
                 raise errors.AnswerBroken(
-                    f'health check failed: {error}', step='watch', peer=vm.name
+                    f'health check failed: {error or type(error).__name__}',
+                    step='watch',
+                    peer=vm.name,
                 ) from error
             self._write_report(vm, 'leaving' if leaving else 'live')
             await anyio.sleep(HEALTH_CHECK_INTERVAL_SECONDS)
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -1,7 +1,6 @@
 """HTTP servers on hypercorn and HTTP clients on httpx."""
 
-from swiftjunction.web._bodies import MAX_BODY_EXTENSION
-from swiftjunction.web._bodies import MAX_SHORT_BODY_BYTES
+from swiftjunction.web._bodies import SHORT_BODY
 from swiftjunction.web._clients import create_client
 from swiftjunction.web._clients import DirectClient
 from swiftjunction.web._clients import PeerClients
@@ -27,11 +26,10 @@
     'DirectClient',
     'EXCEPTION_HANDLERS',
     'HttpListener',
-    'MAX_BODY_EXTENSION',
     'MAX_EVENT_BYTES',
-    'MAX_SHORT_BODY_BYTES',
     'PeerClients',
     'REQUEST_START_EVENT',
+    'SHORT_BODY',
     'TlsContexts',
     'TlsFiles',
     'UNSENT_ERRORS',
--- a/src/swiftjunction/web/_bodies.py
+++ b/src/swiftjunction/web/_bodies.py
@@ -14,8 +14,9 @@
 # The key of the request extension that holds another bound than
 # `MAX_BODY_BYTES`, in bytes.
 MAX_BODY_EXTENSION = 'max_body_bytes'
-# For responses that say little or nothing: health, reports, orders.
-MAX_SHORT_BODY_BYTES = 256 * 1024
+# For responses that say little or nothing: health, orders, cancellations.
+MAX_SHORT_BODY_BYTES = 64 * 1024
+SHORT_BODY = {MAX_BODY_EXTENSION: MAX_SHORT_BODY_BYTES}
 
 
 def bound_body(
--- a/tests/cover/test_endless_engines.py
+++ b/tests/cover/test_endless_engines.py
@@ -101,3 +101,8 @@
 async def test_a_cancellation_with_an_answer_without_end_ends(engines, body):
     server = endless_server.EndlessServer(*endless_server.BODIES[body])
     await check_cut_off(engines, server, cancel)
+
+
+async def test_a_cancellation_with_a_dribbling_answer_ends(engines):
+    server = endless_server.EndlessServer(*endless_server.SLOW_BODY, 0.02)
+    await check_cut_off(engines, server, cancel, seconds=4)
