Keep no connection on which bytes followed the response

Cause: httpcore keeps a connection whose response is complete, with whatever came behind it in the same read; h11 takes that for the next response. Evidence: the test with a second answer in the same segment failed on the code before: the second call got it without being sent. Those of bytes without end behind an answer, and of lookups and streams that another server answers after one without end, passed before, and stay as guards. Change: a connection with bytes beyond the response is closed, not kept. Result: the tests pass, and those of TLS, services and the platform's path.

--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -11,6 +11,7 @@
 import math
 import socket
 import ssl
+import typing
 
 import anyio
 import httpcore
@@ -119,7 +120,10 @@
     async def release(self, connection: '_Connection') -> None:
         """Make the connection of a closed response available again."""
         self._in_use -= 1
-        if len(self._idle) < MAX_IDLE_CONNECTIONS:
+        if (
+            len(self._idle) < MAX_IDLE_CONNECTIONS
+            and not connection.has_surplus()
+        ):
             self._idle.append(connection)
         else:
             await connection.aclose()
@@ -144,6 +148,19 @@
             network_backend=_heads.HeadBoundBackend(),
         )
 
+    def has_surplus(self) -> bool:
+        """Return whether bytes were received after the last response.
+
+        They would be taken for the response to the next request.
+        """
+        # httpcore does not check this itself, and has no method for it.
+        connections: list[typing.Any] = [*self._pool.connections]
+        return any(
+            connection._connection._h11_state.trailing_data[0]
+            for connection in connections
+            if connection._connection is not None
+        )
+
 
 class _PooledStream(httpx.AsyncByteStream):
     def __init__(
