--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -138,7 +138,7 @@
             ],
             timeout_seconds=call.timeout_seconds,
         )
-        async for chunk in self._read_chunks(server, call.request_id, request):
+        async for chunk in self._read_chunks(server, call, request):
             yield chunk
 
     async def resume(
@@ -153,13 +153,13 @@
             f'/v1/completions/{call.request_id}?offset={offset}',
             timeout_seconds=call.timeout_seconds,
         )
-        async for chunk in self._read_chunks(server, call.request_id, request):
+        async for chunk in self._read_chunks(server, call, request):
             yield chunk
 
     async def _read_chunks(
         self,
         server: _server.BackendServer,
-        request_id: str,
+        call: EngineCall,
         request: collections.abc.Coroutine[
             typing.Any, typing.Any, httpx.Response
         ],
@@ -167,20 +167,26 @@
         step, peer = 'generate', server.name
         with _http.translate_errors(step, peer):
             response = await request
-        _http.update_from_headers(response, server, request_id, step)
+        _http.update_from_headers(response, server, call.request_id, step)
         try:
             _check_response(response, server, step)
+            bounded = web.bound_events(response, call.timeout_seconds)
             source = httpx_sse.EventSource(response)
             with (
                 self._pacing.count_stream(),
                 _http.translate_errors(step, peer),
             ):
                 started_at = read_at = anyio.current_time()
+                # Chunks that repeat known tokens are no progress.
+                end = 0
                 events = source.aiter_sse()
                 async for event in events:
                     if event.data == '[DONE]':
                         break
-                    chunk = _decode_chunk(event.data, request_id, peer)
+                    chunk = _decode_chunk(event.data, call, peer)
+                    if chunk.offset + chunk.tokens > end:
+                        end = chunk.offset + chunk.tokens
+                        bounded.record_event()
                     if chunk.finish_reason:
                         await _read_to_end(events)
                         yield chunk
@@ -208,7 +214,19 @@
         url = f'/v1/completions/{request_id}'
         client = self._peers.get(server.address)
         with _http.translate_errors('cancel', server.name):
-            await client.delete(url, timeout=CANCEL_TIMEOUT_SECONDS)
+            try:
+                with anyio.fail_after(CANCEL_TIMEOUT_SECONDS):
+                    await client.delete(
+                        url,
+                        timeout=CANCEL_TIMEOUT_SECONDS,
+                        extensions=web.SHORT_BODY,
+                    )
+            except TimeoutError as error:
+                raise errors.AnswerBroken(
+                    'timed out waiting for the end of the response',
+                    step='cancel',
+                    peer=server.name,
+                ) from error
 
     async def send_order(
         self,
@@ -244,7 +262,7 @@
                 '/orders',
                 content=msgspec.json.encode(order),
                 timeout=ORDER_TIMEOUT_SECONDS,
-                extensions={'trace': trace},
+                extensions={'trace': trace, **web.SHORT_BODY},
             )
         if response.status_code == 409:
             raise errors.BackendRefused(
@@ -270,7 +288,11 @@
                 '/events',
                 timeout=_orders.STATUS_TIMEOUT_SECONDS,
             ) as source:
+                bounded = web.bound_events(
+                    source.response, _orders.STATUS_TIMEOUT_SECONDS
+                )
                 async for event in source.aiter_sse():
+                    bounded.record_event()
                     if event.event == 'status':
                         yield _orders.decode_status(event.data, address)
 
@@ -315,20 +337,30 @@
         )
 
 
-def _decode_chunk(data: str, request_id: str, peer: str) -> Chunk:
+def _decode_chunk(data: str, call: EngineCall, peer: str) -> Chunk:
     try:
         wire = _chunk_decoder.decode(data)
     except msgspec.MsgspecError as error:
         raise errors.AnswerBroken(
             f'invalid chunk: {error}', step='generate', peer=peer
         ) from error
-    if not wire.choices or wire.id != request_id:
+    if not wire.choices or wire.id != call.request_id:
         raise errors.AnswerBroken(
             f'chunk has no choices or another request id: {wire.id!r}',
             step='generate',
             peer=peer,
         )
+    if wire.offset + wire.tokens > call.max_tokens or wire.tokens < 0:
+        raise errors.AnswerBroken(
+            f'chunk exceeds the {call.max_tokens} tokens requested',
+            step='generate',
+            peer=peer,
+        )
     choice: typing.Any = wire.choices[0]
+    if choice.text and not wire.tokens:
+        raise errors.AnswerBroken(
+            'chunk has text without tokens', step='generate', peer=peer
+        )
     return Chunk(
         choice.text,
         wire.offset,
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -8,11 +8,18 @@
 
 import collections.abc
 import functools
+import math
 import socket
 import ssl
+import typing
 
+import anyio
+import httpcore
 import httpx
 
+from swiftjunction.web import _bodies
+from swiftjunction.web import _heads
+
 MAX_CONNECTIONS_PER_SERVER = 1024
 MAX_IDLE_CONNECTIONS = 64
 IDLE_EXPIRY_SECONDS = 60.0
@@ -59,7 +66,7 @@
 
     def __init__(self, context: ssl.SSLContext | None = None) -> None:
         self._context = context
-        self._idle: list[httpx.AsyncHTTPTransport] = []
+        self._idle: list[_Connection] = []
         self._in_use = 0
 
     async def handle_async_request(
@@ -71,6 +78,9 @@
         ------
         httpx.PoolTimeout
             If all connections to the server are in use.
+        httpx.ReadTimeout
+            Also if the head dribbles in for longer than the timeouts of the
+            connection, the request and a read together.
         """
         if self._in_use >= MAX_CONNECTIONS_PER_SERVER:
             raise httpx.PoolTimeout(
@@ -79,32 +89,41 @@
         connection = self._idle.pop() if self._idle else self._connect()
         self._in_use += 1
         try:
-            response = await connection.handle_async_request(request)
+            response = await self._send(connection, request)
         except BaseException:
             self._in_use -= 1
             await connection.aclose()
             raise
-        assert isinstance(response.stream, httpx.AsyncByteStream)
-        response.stream = _PooledStream(response.stream, connection, self)
+        network_stream = response.extensions['network_stream']
+        if isinstance(network_stream, _heads.HeadBoundStream):
+            network_stream.end_head()
         response.request = request
+        response.stream = _PooledStream(response, connection, self)
         return response
 
-    def _connect(self) -> httpx.AsyncHTTPTransport:
-        return httpx.AsyncHTTPTransport(
-            verify=self._context or load_ssl_context(),
-            trust_env=False,
-            socket_options=SOCKET_OPTIONS,
-            limits=httpx.Limits(
-                max_connections=1,
-                max_keepalive_connections=1,
-                keepalive_expiry=IDLE_EXPIRY_SECONDS,
-            ),
+    async def _send(
+        self, connection: '_Connection', request: httpx.Request
+    ) -> httpx.Response:
+        # The read timeout starts again with each byte.
+        timeouts = request.extensions['timeout']
+        seconds = [timeouts[name] for name in ('connect', 'write', 'read')]
+        head_seconds = math.inf if None in seconds else sum(seconds)
+        with anyio.move_on_after(head_seconds):
+            return await connection.handle_async_request(request)
+        raise httpx.ReadTimeout(
+            f'no complete head within {head_seconds:.3f} s', request=request
         )
 
-    async def release(self, connection: httpx.AsyncHTTPTransport) -> None:
+    def _connect(self) -> '_Connection':
+        return _Connection(self._context or load_ssl_context())
+
+    async def release(self, connection: '_Connection') -> None:
         """Make the connection of a closed response available again."""
         self._in_use -= 1
-        if len(self._idle) < MAX_IDLE_CONNECTIONS:
+        if (
+            len(self._idle) < MAX_IDLE_CONNECTIONS
+            and not connection.has_surplus()
+        ):
             self._idle.append(connection)
         else:
             await connection.aclose()
@@ -115,19 +134,49 @@
             await self._idle.pop().aclose()
 
 
+class _Connection(httpx.AsyncHTTPTransport):
+    """A pool of a single connection, which bounds heads."""
+
+    def __init__(self, context: ssl.SSLContext) -> None:
+        # The base class only makes its pool, without a network backend.
+        self._pool = httpcore.AsyncConnectionPool(
+            ssl_context=context,
+            max_connections=1,
+            max_keepalive_connections=1,
+            keepalive_expiry=IDLE_EXPIRY_SECONDS,
+            socket_options=SOCKET_OPTIONS,
+            network_backend=_heads.HeadBoundBackend(),
+        )
+
+    def has_surplus(self) -> bool:
+        """Return whether bytes were received after the last response.
+
+        They would be taken for the response to the next request.
+        """
+        # httpcore does not check this itself, and has no method for it.
+        connections: list[typing.Any] = [*self._pool.connections]
+        return any(
+            connection._connection._h11_state.trailing_data[0]
+            for connection in connections
+            if connection._connection is not None
+        )
+
+
 class _PooledStream(httpx.AsyncByteStream):
     def __init__(
         self,
-        stream: httpx.AsyncByteStream,
-        connection: httpx.AsyncHTTPTransport,
+        response: httpx.Response,
+        connection: '_Connection',
         transport: LifoTransport,
     ) -> None:
-        self._stream = stream
+        assert isinstance(response.stream, httpx.AsyncByteStream)
+        self._stream = response.stream
+        self._bounded = _bodies.bound_body(response.stream, response)
         self._connection = connection
         self._transport: LifoTransport | None = transport
 
     def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        return aiter(self._stream)
+        return self._bounded
 
     async def aclose(self) -> None:
         transport, self._transport = self._transport, None
