Let all incomplete bodies share 2 MB

Cause: with 4 MB, and 128 KB of each body beside them, ten bodies without end took more resident memory than the 10 MB that a VM may need for them; the tests count allocations alone. Change: 2 MB and 64 KB; the longest sound body known, a page of a list, has 1 MB. A longer one than 2.1 MB is no longer passed on. Tests of a body of 1 MB, and of a list without end from the store and through a peer, which passed before.

--- a/src/swiftjunction/backends/_bodies.py
+++ b/src/swiftjunction/backends/_bodies.py
@@ -12,10 +12,10 @@
 
 # The usual response has a few KB. As many bodies of this size as there are
 # requests may be read at once.
-FREE_BODY_BYTES = 128 * 1024
+FREE_BODY_BYTES = 64 * 1024
 # What all bodies together may hold beyond their free parts, and so what one
-# may. A page of results or of a list, the longest known, has 1 MB.
-SHARED_BODY_BYTES = 4 * 1024 * 1024
+# may. The longest sound one known, a page of a list, has 1 MB.
+SHARED_BODY_BYTES = 2 * 1024 * 1024
 
 
 class BodyMemory:
--- a/tests/cover/test_endless_bodies.py
+++ b/tests/cover/test_endless_bodies.py
@@ -4,6 +4,9 @@
 import httpx
 import pytest
 
+from swiftjunction.coordination import _peer
+from swiftjunction import errors
+from swiftjunction.platform import _store
 from swiftjunction import web
 from swiftjunction.web import _bodies
 from tests import endless_server
@@ -65,3 +68,23 @@
     server = endless_server.EndlessServer(start, b'x', 0.03)
     async with server.run():
         await ask(peers, server.address)
+
+
+async def read_from_store(peers, address):
+    await _store.PlatformStore(peers, address).list('servers/')
+
+
+async def read_through_peer(peers, address):
+    await _peer.PeerStore(_peer.PeerClient(peers, address)).list('servers/')
+
+
+@pytest.mark.parametrize('read', [read_from_store, read_through_peer])
+async def test_a_list_without_end_counts_as_an_unavailable_store(peers, read):
+    server = endless_server.EndlessServer(
+        *endless_server.BODIES['without_length']
+    )
+    async with server.run():
+        with anyio.fail_after(10):
+            with pytest.raises(errors.PlatformUnavailable):
+                await read(peers, server.address)
+            await server.closed.wait()
--- a/tests/cover/test_endless_memory.py
+++ b/tests/cover/test_endless_memory.py
@@ -112,3 +112,18 @@
         tasks.cancel_scope.cancel()
     assert len(response.body) == 100_000
     await peers.close()
+
+
+async def test_a_body_of_a_megabyte_arrives():
+    peers = web.PeerClients()
+    size = 1 << 20
+    sound = endless_server.EndlessServer(
+        endless_server.HEAD + b'Content-Length: %d\r\n\r\n' % size,
+        b'x' * size,
+    )
+    async with sound.run():
+        response = await _workers.WorkerClient(peers).call(
+            sound.make_backend(), CALL
+        )
+    assert len(response.body) == size
+    await peers.close()
