Give the tests of dribbling health checks time on a loaded machine

Cause: their limits of 1.65 and 2 s of wall time left little beyond the bounds. Change: limits of 3.15 and 4 s; without the bounds the answers last 5 s or more.

--- a/tests/cover/test_endless_health.py
+++ b/tests/cover/test_endless_health.py
@@ -71,14 +71,14 @@
     server = endless_server.EndlessServer(*SLOW_ANSWERS[answer], 0.02)
     async with server.run():
         # The first check comes after at most 0.25 s.
-        with anyio.fail_after(0.25 + 0.4 + 1.0):
+        with anyio.fail_after(0.25 + 0.4 + 2.5):
             await wait_until_down(peers, server)
 
 
 async def test_the_check_for_a_crash_ends_although_the_answer_dribbles(peers):
     server = endless_server.EndlessServer(*endless_server.SLOW_BODY, 0.02)
     async with server.run():
-        with anyio.fail_after(2):
+        with anyio.fail_after(4):
             client = backends.ServiceClient(peers)
             assert not await client.is_crashed(server.make_backend())
             await server.closed.wait()
