Let soak runs of one seed use loopback networks of their own

Cause: a run took its loopback network from its seed, and test_soak always has seed 1. Two checkouts that ran it at once shared ports, and requests of one run reached the servers of the other. Evidence: one id arrived as both /once/r2 and /plain/r2; once the other run had ended, the test passed. Change: a run reserves its network by a socket, and takes the next one that is free.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+import socket
 
 import anyio
 import cleo.commands.command
@@ -21,9 +22,11 @@
 RECOVERY_TIMEOUT_SECONDS = 12.0
 # The workload continues for this time after the last fault.
 QUIET_SECONDS = 3.0
-# Seeds that differ by less than this use different loopback addresses, so
-# that their runs can share a machine.
+# Number of loopback networks. Runs that share a machine use different ones.
 NETWORK_COUNT = 250
+# A run listens here, in its network, for as long as it uses the network.
+RESERVATION_HOST = 254
+RESERVATION_PORT = 8160
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -81,7 +84,7 @@
     folder.mkdir(parents=True, exist_ok=True)
     rng = random.Random(seed)
     invariants = checks.Invariants()
-    network = 1 + seed % NETWORK_COUNT
+    network, reservation = reserve_network(seed)
     deployment = testbed.SoakDeployment(folder, vms, network, rng)
     workload = load.Workload(deployment, invariants, random.Random(seed + 1))
     injector = faults.FaultInjector(deployment, invariants, rng)
@@ -95,6 +98,7 @@
             tasks.cancel_scope.cancel()
     finally:
         deployment.stop()
+        reservation.close()
     checks.check_runs(invariants, workload.outcomes, deployment)
     checks.check_leaving(invariants, workload.outcomes, deployment)
     checks.check_fencing_tokens(invariants, deployment)
@@ -112,6 +116,30 @@
     )
 
 
+def reserve_network(seed: int) -> tuple[int, socket.socket]:
+    """Return the number of a loopback network that no other run uses.
+
+    Returns
+    -------
+    int, socket
+        The second byte of the network's addresses, and the socket that
+        reserves it until it is closed.
+    """
+    for offset in range(NETWORK_COUNT):
+        network = 1 + (seed + offset) % NETWORK_COUNT
+        reservation = socket.socket()
+        try:
+            reservation.bind(
+                (f'127.{network}.0.{RESERVATION_HOST}', RESERVATION_PORT)
+            )
+        except OSError:
+            reservation.close()
+            continue
+        reservation.listen()
+        return network, reservation
+    raise RuntimeError('all loopback networks are in use')
+
+
 async def _wait_until_served(workload: load.Workload) -> None:
     with anyio.fail_after(START_TIMEOUT_SECONDS):
         while True:
