--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -215,7 +215,13 @@
             await self._writer.flush()
 
     def _end_if_ended(self, found: objectstore.Object) -> bool:
-        """End a batch if its object says so; return whether it does."""
+        """End a batch if its object says so.
+
+        Returns
+        -------
+        bool
+            Whether there is nothing to open: it has ended, or is broken.
+        """
         try:
             batch = objectstore.decode_value(found, _batch.Batch)
         except errors.ObjectBroken as error:
