--- a/tests/cover/test_platform_sending.py
+++ b/tests/cover/test_platform_sending.py
@@ -15,6 +15,10 @@
 
 pytestmark = pytest.mark.anyio
 
+LAG_SECONDS = 1.0
+# For how long a check allows to send.
+VALID_SECONDS = 0.5
+
 
 class Listener:
     """Accepts connections, and records what it receives."""
@@ -113,10 +117,6 @@
         return super().accepts_requests()
 
 
-LAG_SECONDS = 1.0
-VALID_SECONDS = 0.5
-
-
 async def test_no_body_is_sent_after_a_lag_that_outlasts_the_check():
     receiver = ThreadReceiver()
     peers = web.PeerClients()
