Reword six comments, and order the constants of the soak's checks

Cause: the whole diff, read as a newcomer would: 'sound' and 'dribble' are no terms of the field, and a constant stood apart from the others.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,12 +9,10 @@
 
 # Nothing of a batch is sent to a server later after the acknowledged end.
 CANCEL_SECONDS = 3.0
-# A VM returns these statuses only for requests that have not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
-
 # Longest time after an announcement for which its server may get requests.
 DRAIN_SECONDS = 2.0
+# A VM returns these statuses only for requests that have not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class Invariants:
--- a/src/swiftjunction/backends/_bodies.py
+++ b/src/swiftjunction/backends/_bodies.py
@@ -14,7 +14,7 @@
 # requests may be read at once.
 FREE_BODY_BYTES = 64 * 1024
 # What all bodies together may hold beyond their free parts, and so what one
-# may. The longest sound one known, a page of a list, has 1 MB.
+# may. The longest valid one known, a page of a list, has 1 MB.
 SHARED_BODY_BYTES = 2 * 1024 * 1024
 
 
--- a/src/swiftjunction/batches/_length.py
+++ b/src/swiftjunction/batches/_length.py
@@ -34,7 +34,7 @@
         Raises
         ------
         AnswerBroken
-            If the text is too long to be sound.
+            If the text is longer than a valid one can be.
         """
         self._events += 1
         self._event_bytes += len(data.encode())
--- a/src/swiftjunction/web/_bodies.py
+++ b/src/swiftjunction/web/_bodies.py
@@ -32,7 +32,7 @@
     httpx.RemoteProtocolError
         While iterating, if there are too many bytes.
     httpx.ReadTimeout
-        While iterating, if the body dribbles in for too long.
+        While iterating, if the body takes too long in total.
     """
     content_type = response.headers.get('content-type', '')
     if content_type.startswith('text/event-stream'):
--- a/src/swiftjunction/web/_event_streams.py
+++ b/src/swiftjunction/web/_event_streams.py
@@ -5,7 +5,7 @@
 
 import httpx
 
-# A sound event has the text of a few tokens, at times of some hundred.
+# A valid event has the text of a few tokens, at times of some hundred.
 MAX_EVENT_BYTES = 256 * 1024
 EVENT_ENDS = (b'\n\n', b'\r\n\r\n', b'\r\r')
 # A separator may be split over two reads.
--- a/src/swiftjunction/web/_heads.py
+++ b/src/swiftjunction/web/_heads.py
@@ -10,7 +10,7 @@
 
 import httpcore
 
-# A sound head has some KB, with an informational one or two before it. h11
+# A valid head has some KB, with an informational one or two before it. h11
 # itself cuts off a single head at 100 KB.
 MAX_HEAD_BYTES = 128 * 1024
 
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -79,7 +79,7 @@
         httpx.PoolTimeout
             If all connections to the server are in use.
         httpx.ReadTimeout
-            Also if the head dribbles in for longer than the timeouts of the
+            Also if the head takes longer in total than the timeouts of the
             connection, the request and a read together.
         """
         if self._in_use >= MAX_CONNECTIONS_PER_SERVER:
