Wait for the first sample in the test of resubmitted groups

Cause: the test gave the samples 0.1 s to start. Change: the test waits for the first run, for 10 s at most, and then the same 0.1 s. All it asserts stays, also that a sample has run before.

--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -615,6 +615,9 @@
                 engine.faults.set('cut', 10)
             batch = platform_deployment.make_batch()
             await deployment.submit('vm-1', 'b1', batch)
+            with anyio.fail_after(10):
+                while not any(e.runs for e in deployment.engines.values()):
+                    await anyio.sleep(0.01)
             await anyio.sleep(0.1)
             for engine in deployment.engines.values():
                 engine.faults.set('shed', 10_000)
