--- a/soak/runs.py
+++ b/soak/runs.py
@@ -189,7 +189,9 @@
     for vm in deployment.vms:
         exit_code = await vm.terminate()
         invariants.check(
-            'a graceful shutdown exits with 0 in time', exit_code == 0, vm.name
+            'a graceful shutdown exits with 0 in time',
+            exit_code == 0,
+            (vm.name, exit_code),
         )
 
 
