Split the batch runner and the stand-in of the servers by their jobs

Names stood for pictures: a gate, a store that is away. Change: running one attempt, the remembered names and the confirmation during outages have modules or functions of their own; a batch summarizes itself; the announcement of a leave by stand-ins is apart. StartGate is StartCondition, StoreOutages is OutageDetector. `sample given up` and `sample not scored` are logged under swiftjunction.batches._attempts. A reason that spoke of steps and servers that are back, in _scoring.py, is one about refusals and scores now.

--- a/src/swiftjunction/batches/__init__.py
+++ b/src/swiftjunction/batches/__init__.py
@@ -15,7 +15,7 @@
 from swiftjunction.batches._batch import Sample
 from swiftjunction.batches._batch import ScoreRequest
 from swiftjunction.batches._confirmation import EndConfirmation
-from swiftjunction.batches._confirmation import StoreOutages
+from swiftjunction.batches._confirmation import OutageDetector
 from swiftjunction.batches._engine_client import EngineReport
 from swiftjunction.batches._engine_client import SampleEngineClient
 from swiftjunction.batches._engine_client import VersionOrder
@@ -69,7 +69,7 @@
     'SampleRunner',
     'SampleScorer',
     'ScoreRequest',
-    'StoreOutages',
+    'OutageDetector',
     'StoredBatch',
     'VersionOrder',
     'VersionRollout',
--- a/src/swiftjunction/batches/_confirmation.py
+++ b/src/swiftjunction/batches/_confirmation.py
@@ -10,6 +10,8 @@
 import collections.abc
 import math
 
+import anyio
+
 from swiftjunction import leases
 
 # Fraction of the bound that remains after the last check, for the request to
@@ -17,19 +19,20 @@
 SEND_MARGIN_FRACTION = 0.25
 # From this fraction of its maximum age on, a confirmation is late.
 LATE_FRACTION = 0.5
-# So many watches fit into the bound. A response confirms what was known when
-# it was requested, so the confirmation is as old as two of them, with their
-# delays, before the next one arrives.
+OUTAGE_CHECK_INTERVAL_SECONDS = 0.25
+# Number of watches that the bound covers. A response confirms what was known
+# when its watch began, so a confirmation reaches the age of two watches with
+# their delays before the next response arrives.
 WATCHES_PER_BOUND = 6
 
 
-class StoreOutages(abc.ABC):
-    """Finds out whether the object store is away for all processes."""
+class OutageDetector(abc.ABC):
+    """Finds out whether the object store is unavailable to all processes."""
 
     __slots__ = ()
 
     @abc.abstractmethod
-    async def is_store_away(self) -> bool:
+    async def is_store_unavailable(self) -> bool:
         """Return whether no process seems to reach the object store."""
 
 
@@ -76,7 +79,7 @@
     def record(self, asked_at: float) -> None:
         """Record that all ends before `asked_at` are known.
 
-        While the object store is away, none can be acknowledged.
+        While the object store is unavailable, no end can be acknowledged.
 
         Parameters
         ----------
@@ -97,3 +100,19 @@
     def age_seconds(self) -> float:
         """Return the age of the last confirmation; infinity without one."""
         return self.clock() - self._confirmed_at
+
+
+async def confirm_during_outages(
+    confirmation: EndConfirmation, detector: OutageDetector
+) -> None:
+    """Confirm while the object store is unavailable, until cancelled.
+
+    No end can be acknowledged meanwhile, so samples need not wait.
+    """
+    while True:
+        await anyio.sleep(OUTAGE_CHECK_INTERVAL_SECONDS)
+        if not confirmation.is_late():
+            continue
+        asked_at = confirmation.clock()
+        if await detector.is_store_unavailable():
+            confirmation.record(asked_at)
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -310,6 +310,20 @@
             if sample_id not in finished
         }
 
+    def summarize(self) -> dict[str, object]:
+        """Return the progress of the batch, for the state dump."""
+        return {
+            'batch': self.batch.batch_id,
+            'model': self.batch.model,
+            'step': self.batch.step,
+            'listed': len(self.results),
+            'total': self.batch.total,
+            'running': sum(p.running for p in self.pending.values()),
+            'whole_groups': self.count_complete_groups(),
+            'wanted_groups': self.batch.wanted_groups,
+            'ended': self.ended,
+        }
+
     def has_wanted_groups(self) -> bool:
         """Return whether as many groups are complete as the trainer wants."""
         wanted = self.batch.wanted_groups
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -10,6 +10,7 @@
 from swiftjunction import backends
 from swiftjunction.batches import _archive
 from swiftjunction.batches import _assignment
+from swiftjunction.batches import _attempts
 from swiftjunction.batches import _batch
 from swiftjunction.batches import _checkpoints
 from swiftjunction.batches import _confirmation
@@ -17,6 +18,7 @@
 from swiftjunction.batches import _engines
 from swiftjunction.batches import _kept
 from swiftjunction.batches import _open
+from swiftjunction.batches import _recent_names
 from swiftjunction.batches import _retention
 from swiftjunction.batches import _sampling
 from swiftjunction.batches import _starting
@@ -31,13 +33,9 @@
 DISPATCH_INTERVAL_SECONDS = 0.1
 MIGRATION_INTERVAL_SECONDS = 0.25
 READ_RETRY_SECONDS = 0.5
-OUTAGE_CHECK_INTERVAL_SECONDS = 0.25
 # For this long after this process became the coordinator, its predecessor may
 # still write results, which this process does not have in memory.
 HANDOVER_SECONDS = 6.0
-# Maximum number of remembered group names, and of remembered ended batches, of
-# all trainers together.
-MAX_REMEMBERED_NAMES = 16_384
 
 
 class BatchRunner:
@@ -64,8 +62,9 @@
         batch.
     confirmation : EndConfirmation
         Tracks when all ended batches were last known.
-    outages : StoreOutages
-        Asked whether the object store is away when a confirmation is late.
+    outages : OutageDetector
+        Asked whether the object store is unavailable when a confirmation is
+        late.
 
     Attributes
     ----------
@@ -77,17 +76,16 @@
     __slots__ = (
         '_allocator',
         '_archive',
+        '_attempt_runner',
         '_checkpoints',
         '_confirmation',
         '_dispatcher',
         '_ended',
         '_lease',
-        '_metrics',
         '_outages',
         '_retention',
-        '_sample_runner',
         '_seen_groups',
-        '_start_gate',
+        '_start_condition',
         '_started_at',
         '_stopping',
         '_store',
@@ -107,22 +105,25 @@
         loop_lag: backends.LoopLag,
         keep_seconds: float,
         confirmation: _confirmation.EndConfirmation,
-        outages: _confirmation.StoreOutages,
+        outages: _confirmation.OutageDetector,
     ) -> None:
         self._store = store
         self._archive = archive
-        self._sample_runner = sample_runner
         self._allocator = allocator
-        self._metrics = metrics
         self._confirmation = confirmation
         self._outages = outages
-        self._start_gate = _starting.StartGate(loop_lag, confirmation)
+        self._start_condition = _starting.StartCondition(
+            loop_lag, confirmation
+        )
         self._dispatcher = _dispatch.Dispatcher(engines)
-        self._seen_groups: dict[str, None] = {}
-        self._ended: dict[str, None] = {}
+        self._seen_groups = _recent_names.RecentNames()
+        self._ended = _recent_names.RecentNames()
         self._started_at = -math.inf
         self._stopping = False
         self._wake = anyio.Event()
+        self._attempt_runner = _attempts.AttemptRunner(
+            sample_runner, metrics, self.wake
+        )
         self.batches: dict[str, _open.OpenBatch] = {}
         self._lease: leases.Lease | None = None
         self._writer = _writing.ResultWriter(
@@ -148,12 +149,16 @@
         self._stopping = False
         self.batches.clear()
         self._confirmation.reset()
-        self._start_gate.reset()
+        self._start_condition.reset()
         self._writer.flushing = False
         await self._checkpoints.restore()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow_batches, tasks)
-            tasks.start_soon(self._detect_outages)
+            tasks.start_soon(
+                _confirmation.confirm_during_outages,
+                self._confirmation,
+                self._outages,
+            )
             tasks.start_soon(self._writer.run)
             tasks.start_soon(self._migrate_from_slow_engines)
             tasks.start_soon(self._checkpoints.run)
@@ -178,16 +183,6 @@
             clock=self._confirmation.clock,
         )
 
-    async def _detect_outages(self) -> None:
-        """Keep samples running while no end can be acknowledged."""
-        while True:
-            await anyio.sleep(OUTAGE_CHECK_INTERVAL_SECONDS)
-            if not self._confirmation.is_late():
-                continue
-            asked_at = self._confirmation.clock()
-            if await self._outages.is_store_away():
-                self._confirmation.record(asked_at)
-
     async def stop(self, timeout_seconds: float) -> None:
         """Cancel the running samples, and write their progress and results.
 
@@ -262,14 +257,17 @@
             anyio.current_time(),
             blocks,
             stored.version,
-            {sample.group for sample in batch.samples}
-            & self._seen_groups.keys(),
+            {
+                sample.group
+                for sample in batch.samples
+                if sample.group in self._seen_groups
+            },
             self._confirmation,
         )
         open_batch.blocks_read_at = asked_at
         self.batches[batch.batch_id] = open_batch
         for sample in batch.samples:
-            self._remember(self._seen_groups, sample.group)
+            self._seen_groups.add(sample.group)
         restored = sum(
             self._checkpoints.cache.restore(progress, batch)
             for progress in open_batch.pending.values()
@@ -294,20 +292,7 @@
 
     def summarize(self) -> list[dict[str, object]]:
         """Return the progress of each batch, for the state dump."""
-        return [
-            {
-                'batch': batch_id,
-                'model': open_batch.batch.model,
-                'step': open_batch.batch.step,
-                'listed': len(open_batch.results),
-                'total': open_batch.batch.total,
-                'running': sum(p.running for p in open_batch.pending.values()),
-                'whole_groups': open_batch.count_complete_groups(),
-                'wanted_groups': open_batch.batch.wanted_groups,
-                'ended': open_batch.ended,
-            }
-            for batch_id, open_batch in self.batches.items()
-        ]
+        return [open_batch.summarize() for open_batch in self.batches.values()]
 
     def may_lack_results(
         self, open_batch: _open.OpenBatch, position: int
@@ -349,15 +334,9 @@
             if not open_batch.ended
         )
 
-    def _remember(self, names: dict[str, None], name: str) -> None:
-        """Add a name, dropping the oldest one if there are too many."""
-        if len(names) >= MAX_REMEMBERED_NAMES:
-            names.pop(next(iter(names)))
-        names[name] = None
-
     def end(self, batch_id: str) -> None:
         """Stop running a batch that has ended in the object store."""
-        self._remember(self._ended, batch_id)
+        self._ended.add(batch_id)
         open_batch = self.batches.get(batch_id)
         self._retention.record_ended(
             batch_id,
@@ -395,11 +374,11 @@
 
     async def _dispatch_samples(self, tasks: anyio.abc.TaskGroup) -> None:
         while True:
-            if self._start_gate.may_start() and not self._stopping:
+            if self._start_condition.may_start() and not self._stopping:
                 for attempt in self._dispatcher.reserve_attempts(
                     self._list_open()
                 ):
-                    tasks.start_soon(self._run_attempt, attempt)
+                    tasks.start_soon(self._attempt_runner.run, attempt)
             with anyio.move_on_after(DISPATCH_INTERVAL_SECONDS):
                 await self._wake.wait()
             self._wake = anyio.Event()
@@ -407,61 +386,6 @@
     async def _migrate_from_slow_engines(self) -> None:
         while True:
             await anyio.sleep(MIGRATION_INTERVAL_SECONDS)
-            if not self._start_gate.may_start():
+            if not self._start_condition.may_start():
                 continue
             self._dispatcher.migrate_from_slow_engines(self._list_open())
-
-    async def _run_attempt(self, attempt: _dispatch.SampleAttempt) -> None:
-        with anyio.CancelScope() as attempt.progress.cancel_scope:
-            try:
-                result = await self._produce_result(attempt)
-                if result is not None:
-                    attempt.open_batch.add_result(result)
-                    outcome = 'complete' if result.complete else 'given_up'
-                    self._metrics.count('samples', outcome=outcome)
-            finally:
-                attempt.end()
-                self.wake()
-
-    async def _produce_result(
-        self, attempt: _dispatch.SampleAttempt
-    ) -> _batch.Result | None:
-        """Return the result; None if the sample needs another attempt."""
-        open_batch, progress = attempt.open_batch, attempt.progress
-        try:
-            complete = progress.complete
-            if not complete:
-                progress.engine = attempt.engine.server.name
-                complete = await self._sample_runner.generate(
-                    open_batch, progress, attempt.engine
-                )
-                progress.engine = ''
-            attempt.slot.close()
-            self.wake()
-            if complete:
-                return await self._sample_runner.score(open_batch, progress)
-        except errors.BatchEnded as error:
-            LOG.info('sample not scored: %s', error)
-            return None
-        except (errors.SampleRefused, errors.SampleFailed) as error:
-            return self._give_up(open_batch, progress, error)
-        if progress.failures >= open_batch.batch.max_attempts:
-            return self._give_up(open_batch, progress, None)
-        return None
-
-    def _give_up(
-        self,
-        open_batch: _open.OpenBatch,
-        progress: _open.SampleProgress,
-        error: errors.SwiftjunctionError | None,
-    ) -> _batch.Result:
-        LOG.warning(
-            'sample given up',
-            extra={
-                'request_id': progress.sample.sample_id,
-                'batch': open_batch.batch.batch_id,
-                'failures': progress.failures,
-                'reason': str(error or 'failed max_attempts times'),
-            },
-        )
-        return _batch.Result(progress.sample.sample_id, complete=False)
--- a/src/swiftjunction/batches/_scoring.py
+++ b/src/swiftjunction/batches/_scoring.py
@@ -24,9 +24,8 @@
 ATTEMPT_TIMEOUT_FACTOR = 3.0
 MIN_ATTEMPT_TIMEOUT_SECONDS = 0.5
 MIN_RETRY_DELAY_SECONDS = 0.25
-# A refusal names the time at which the queue may be empty, which is meant for
-# callers. A step waits for its last score, and servers that are back have room
-# long before that.
+# The retry delay of a refusal is the expected time until the queue is empty,
+# which spreads the retries of callers. A sample is incomplete until its score.
 MAX_RETRY_DELAY_SECONDS = 2.0
 
 
--- a/src/swiftjunction/batches/_starting.py
+++ b/src/swiftjunction/batches/_starting.py
@@ -12,7 +12,7 @@
 MAX_LOOP_LAG_SECONDS = 0.2
 
 
-class StartGate:
+class StartCondition:
     """Whether samples may be started now; logs each change.
 
     Parameters
--- a/src/swiftjunction/batches/_writing.py
+++ b/src/swiftjunction/batches/_writing.py
@@ -54,7 +54,9 @@
     open_batches : dict of str to OpenBatch
         The batches in memory, by id.
     may_write : callable
-        Returns whether no other process can be the coordinator.
+        Returns whether no other process can be the coordinator. A successor
+        may have read a batch already, and would not have what is written
+        after that in memory.
 
     Attributes
     ----------
@@ -105,8 +107,6 @@
                     should_write(open_batch, now)
                     or self._must_flush(open_batch)
                 ):
-                    # A successor may have read the batch already, and would
-                    # not have what is written after that in memory.
                     open_batch.writing = True
                     tasks.start_soon(self._write_results, open_batch)
 
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -6,14 +6,12 @@
 import anyio
 import msgspec
 import starlette.applications
-import starlette.datastructures
-import starlette.middleware
 import starlette.requests
 import starlette.responses
 import starlette.routing
-import starlette.types
 
 from swiftjunction.standins import _faults
+from swiftjunction.standins import _leaving
 from swiftjunction import web
 
 Request = starlette.requests.Request
@@ -24,98 +22,6 @@
 EVENT_INTERVAL_SECONDS = 0.005
 VERSION_LOAD_SECONDS = 0.05
 METHODS = ['GET', 'POST', 'PUT', 'DELETE']
-LEAVING_HEADER = (b'server-leaving', b'1')
-# Names the run of the stand-in, so that a test can tell which one responded.
-RUN_HEADER = b'x-standin-run'
-
-
-class ServerRuns:
-    """Counts the starts of a stand-in, and records what reaches each run.
-
-    Attributes
-    ----------
-    count : int
-        Number of starts; a test increments it when it restarts the server.
-    arrivals : dict of str to list of str
-        For each request id, the runs that received the request.
-    """
-
-    def __init__(self, name: str) -> None:
-        self._name = name
-        self.count = 1
-        self.arrivals: dict[str, list[str]] = {}
-
-    @property
-    def current(self) -> str:
-        """Return the name of the current run."""
-        return f'{self._name}.{self.count}'
-
-    def record(self, request_id: str) -> None:
-        """Record a request that reaches the current run."""
-        self.arrivals.setdefault(request_id, []).append(self.current)
-
-
-class LeavingMiddleware:
-    """Adds the leaving header to all responses while a fault is set.
-
-    Parameters
-    ----------
-    app : ASGIApp
-        The application that responds.
-    faults : FaultSwitches
-        Its fault ``leaving`` makes the server leave.
-    server_runs : ServerRuns
-        Records the requests.
-    """
-
-    def __init__(
-        self,
-        app: starlette.types.ASGIApp,
-        faults: _faults.FaultSwitches,
-        server_runs: ServerRuns,
-    ) -> None:
-        self._app = app
-        self._faults = faults
-        self._server_runs = server_runs
-
-    async def __call__(
-        self,
-        scope: starlette.types.Scope,
-        receive: starlette.types.Receive,
-        send: starlette.types.Send,
-    ) -> None:
-        """Serve one request."""
-        if scope['type'] != 'http':
-            await self._app(scope, receive, send)
-            return
-        headers = starlette.datastructures.Headers(scope=scope)
-        self._server_runs.record(headers.get('swiftjunction-attempt-id', ''))
-
-        async def send_marked(message: starlette.types.Message) -> None:
-            is_start = message['type'] == 'http.response.start'
-            if is_start and self._faults.get('leaving'):
-                run = self._server_runs.current.encode()
-                message = {
-                    **message,
-                    'headers': [
-                        *message['headers'],
-                        LEAVING_HEADER,
-                        (RUN_HEADER, run),
-                    ],
-                }
-            await send(message)
-
-        await self._app(scope, receive, send_marked)
-
-
-def _make_middleware(
-    faults: _faults.FaultSwitches, server_runs: ServerRuns
-) -> list[starlette.middleware.Middleware]:
-    return [
-        starlette.middleware.Middleware(
-            LeavingMiddleware, faults=faults, server_runs=server_runs
-        )
-    ]
 
 
 class PlatformServiceStandin:
@@ -153,7 +59,7 @@
             'unnamed',
             'leaving',
         )
-        self.server_runs = ServerRuns(name)
+        self.server_runs = _leaving.ServerRuns(name)
         self.runs: list[tuple[str, str]] = []
         self.headers: list[dict[str, str]] = []
 
@@ -165,7 +71,7 @@
                     '/{path:path}', self._serve, methods=METHODS
                 )
             ],
-            middleware=_make_middleware(self.faults, self.server_runs),
+            middleware=_leaving.make_middleware(self.faults, self.server_runs),
         )
 
     async def _serve(self, request: Request) -> Response:
@@ -248,7 +154,7 @@
             'leaving',
         )
         self.versions = dict(versions)
-        self.server_runs = ServerRuns(name)
+        self.server_runs = _leaving.ServerRuns(name)
         self.runs: list[tuple[str, int]] = []
         self.orders: list[dict[str, typing.Any]] = []
         self.refused_orders = 0
@@ -266,7 +172,7 @@
                 route('/order', self._receive_order, methods=['POST']),
                 route('/{path:path}', self._generate, methods=['POST']),
             ],
-            middleware=_make_middleware(self.faults, self.server_runs),
+            middleware=_leaving.make_middleware(self.faults, self.server_runs),
         )
 
     async def _get_report(self, request: Request) -> Response:
