--- a/src/swiftjunction/backends/_leaving.py
+++ b/src/swiftjunction/backends/_leaving.py
@@ -148,7 +148,7 @@
             'server announced that it is leaving',
             extra={
                 'server': report.name,
-                'born': report.born_ms,
+                'born_ms': report.born_ms,
                 'request_id': request_id,
                 'source': source,
             },
--- a/src/swiftjunction/coordination/_outages.py
+++ b/src/swiftjunction/coordination/_outages.py
@@ -1,4 +1,4 @@
-"""Finds out whether the object store is away for other VMs, too."""
+"""Finds out whether the object store is unavailable to other VMs as well."""
 
 import random
 
@@ -11,8 +11,8 @@
 from swiftjunction import objectstore
 from swiftjunction import web
 
-# So many peers stand for all VMs. The store may turn some VMs away and serve
-# others, so one is not enough.
+# Number of peers that are asked. The store may reject the calls of some VMs
+# only, so one is not enough.
 MAX_PEERS_ASKED = 3
 PROBE_TIMEOUT_SECONDS = 1.0
 # No such object ever exists, but any response shows that the store is
@@ -20,7 +20,7 @@
 PROBE_KEY = 'members/-'
 
 
-class OutageProbe(batches.StoreOutages):
+class OutageProbe(batches.OutageDetector):
     """Calls the object store directly and through some peers.
 
     Parameters
@@ -49,7 +49,7 @@
         self._members = members
         self._rng = rng
 
-    async def is_store_away(self) -> bool:
+    async def is_store_unavailable(self) -> bool:
         """Return whether neither this VM nor the peers asked reach the store.
 
         False if there are peers, but none answered: others may reach it.
--- a/src/swiftjunction/web/_bodies.py
+++ b/src/swiftjunction/web/_bodies.py
@@ -14,7 +14,7 @@
 # The key of the request extension that holds another bound than
 # `MAX_BODY_BYTES`, in bytes.
 MAX_BODY_EXTENSION = 'max_body_bytes'
-# For responses that say little or nothing: health, orders, cancellations.
+# For responses with a short body or none: health, orders, cancellations.
 MAX_SHORT_BODY_BYTES = 64 * 1024
 SHORT_BODY = {MAX_BODY_EXTENSION: MAX_SHORT_BODY_BYTES}
 
@@ -24,8 +24,8 @@
 ) -> collections.abc.AsyncIterator[bytes]:
     """Return an iterator over `body` that fails if it is too long or slow.
 
-    An event stream is not bounded, as it may last. Who reads it bounds its
-    events and their times.
+    An event stream is not bounded, as it has no fixed length. Its reader
+    bounds its events and the time between them.
 
     Raises
     ------
--- a/tests/cover/test_batches_runner.py
+++ b/tests/cover/test_batches_runner.py
@@ -34,13 +34,13 @@
 CANCEL_SECONDS = 3.0
 
 
-class FakeOutages(batches.StoreOutages):
+class FakeOutages(batches.OutageDetector):
     """Says whether the store is away, as the test sets it."""
 
     def __init__(self):
         self.is_away = False
 
-    async def is_store_away(self):
+    async def is_store_unavailable(self):
         return self.is_away
 
 
@@ -129,13 +129,13 @@
             model='m',
         )
     )
-    runner._start_gate._loop_lag.average_seconds = 1.0
+    runner._start_condition._loop_lag.average_seconds = 1.0
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(runner.run)
         await anyio.sleep(0.3)
         assert 'b' in runner.batches
         assert sample_runner.started == []
-        runner._start_gate._loop_lag.average_seconds = 0.0
+        runner._start_condition._loop_lag.average_seconds = 0.0
         await anyio.sleep(0.3)
         assert sorted(sample_runner.started) == ['a', 'b', 'c', 'd']
         tasks.cancel_scope.cancel()
--- a/tests/cover/test_coordination_outages.py
+++ b/tests/cover/test_coordination_outages.py
@@ -27,7 +27,7 @@
     raise httpx.ConnectError('refused')
 
 
-async def is_store_away(
+async def is_store_unavailable(
     handle, direct_error=errors.PlatformUnavailable, peers=2, reached=True
 ):
     """Ask a VM with peers that answer by `handle`."""
@@ -56,30 +56,30 @@
     probe = coordination.OutageProbe(
         Direct(), conftest.FakePeerClients(handle), members, random.Random(1)
     )
-    return await probe.is_store_away()
+    return await probe.is_store_unavailable()
 
 
 async def test_the_store_is_away_if_no_vm_asked_reaches_it():
-    assert await is_store_away(answer('PlatformUnavailable'))
+    assert await is_store_unavailable(answer('PlatformUnavailable'))
 
 
 async def test_it_is_not_away_if_a_peer_reaches_it():
-    assert not await is_store_away(answer('ObjectMissing'))
+    assert not await is_store_unavailable(answer('ObjectMissing'))
 
 
 async def test_it_is_not_away_if_this_vm_reaches_it():
-    assert not await is_store_away(
+    assert not await is_store_unavailable(
         answer('PlatformUnavailable'), errors.ObjectMissing
     )
 
 
 async def test_peers_that_do_not_answer_do_not_show_an_outage():
-    assert not await is_store_away(refuse_connection)
-    assert not await is_store_away(refuse_connection, reached=False)
+    assert not await is_store_unavailable(refuse_connection)
+    assert not await is_store_unavailable(refuse_connection, reached=False)
 
 
 async def test_a_vm_without_peers_relies_on_its_own_call():
-    assert await is_store_away(refuse_connection, peers=0)
+    assert await is_store_unavailable(refuse_connection, peers=0)
 
 
 async def test_a_peer_that_cannot_relay_no_longer_reports_the_store(clock):
--- a/tests/cover/test_endless_bodies.py
+++ b/tests/cover/test_endless_bodies.py
@@ -49,7 +49,7 @@
 
 
 @CLIENTS
-async def test_a_dribbling_body_of_the_store_or_a_peer_is_cut_off(
+async def test_a_slow_body_of_the_store_or_a_peer_is_cut_off(
     peers, ask, monkeypatch
 ):
     monkeypatch.setattr(_bodies, 'MIN_BODY_SECONDS', 0.5)
--- a/tests/cover/test_endless_engines.py
+++ b/tests/cover/test_endless_engines.py
@@ -103,6 +103,6 @@
     await check_cut_off(engines, server, cancel)
 
 
-async def test_a_cancellation_with_a_dribbling_answer_ends(engines):
+async def test_a_cancellation_with_a_slow_answer_ends(engines):
     server = endless_server.EndlessServer(*endless_server.SLOW_BODY, 0.02)
     await check_cut_off(engines, server, cancel, seconds=4)
--- a/tests/cover/test_endless_heads.py
+++ b/tests/cover/test_endless_heads.py
@@ -73,7 +73,7 @@
 
 
 @pytest.mark.parametrize('head', endless_server.SLOW_HEADS)
-async def test_a_dribbling_head_ends_by_its_time_in_total(peers, head):
+async def test_a_slow_head_ends_by_its_time_in_total(peers, head):
     server = endless_server.EndlessServer(
         *endless_server.SLOW_HEADS[head], pause_seconds=0.02
     )
@@ -86,7 +86,7 @@
             await server.closed.wait()
 
 
-async def test_a_head_as_long_as_a_sound_one_arrives(peers):
+async def test_a_head_as_long_as_a_valid_one_arrives(peers):
     # Two informational heads come before it.
     start = endless_server.SLOW_HEADS['informational_heads'][1] * 2 + (
         endless_server.HEAD + b'x-a: %s\r\n' % (b'x' * 60_000)
--- a/tests/cover/test_endless_health.py
+++ b/tests/cover/test_endless_health.py
@@ -64,7 +64,7 @@
 
 
 @pytest.mark.parametrize('answer', SLOW_ANSWERS)
-async def test_a_server_whose_health_dribbles_is_down_in_time(
+async def test_a_server_whose_health_is_slow_is_down_in_time(
     peers, answer, monkeypatch
 ):
     monkeypatch.setattr(_servers, 'HEALTH_CHECK_TIMEOUT_SECONDS', 0.4)
@@ -75,7 +75,7 @@
             await wait_until_down(peers, server)
 
 
-async def test_the_check_for_a_crash_ends_although_the_answer_dribbles(peers):
+async def test_the_check_for_a_crash_ends_although_the_answer_is_slow(peers):
     server = endless_server.EndlessServer(*endless_server.SLOW_BODY, 0.02)
     async with server.run():
         with anyio.fail_after(4):
--- a/tests/cover/test_endless_memory.py
+++ b/tests/cover/test_endless_memory.py
@@ -95,19 +95,19 @@
 
 async def test_a_large_body_arrives_while_others_have_no_end():
     peers = web.PeerClients()
-    sound = endless_server.EndlessServer(
+    valid = endless_server.EndlessServer(
         endless_server.HEAD + b'Content-Length: 100000\r\n\r\n',
         b'x' * 100_000,
     )
     async with (
         run_servers(endless_server.BODIES['without_length']) as servers,
-        sound.run(),
+        valid.run(),
         anyio.create_task_group() as tasks,
     ):
         for server in servers:
             tasks.start_soon(fail_call, peers, server)
         response = await _workers.WorkerClient(peers).call(
-            sound.make_backend(), CALL
+            valid.make_backend(), CALL
         )
         tasks.cancel_scope.cancel()
     assert len(response.body) == 100_000
@@ -117,13 +117,13 @@
 async def test_a_body_of_a_megabyte_arrives():
     peers = web.PeerClients()
     size = 1 << 20
-    sound = endless_server.EndlessServer(
+    valid = endless_server.EndlessServer(
         endless_server.HEAD + b'Content-Length: %d\r\n\r\n' % size,
         b'x' * size,
     )
-    async with sound.run():
+    async with valid.run():
         response = await _workers.WorkerClient(peers).call(
-            sound.make_backend(), CALL
+            valid.make_backend(), CALL
         )
     assert len(response.body) == size
     await peers.close()
--- a/tests/cover/test_endless_retries.py
+++ b/tests/cover/test_endless_retries.py
@@ -41,15 +41,15 @@
 
 
 class TwoServers:
-    """A server without end, and a sound one that is tried after it."""
+    """A server without end, and a valid one that is tried after it."""
 
-    def __init__(self, endless, sound):
+    def __init__(self, endless, valid):
         self.peers = web.PeerClients()
         self.client = _workers.WorkerClient(self.peers)
         self.router = test_requests_forwarding.FirstRouter([])
         self.router.servers = [
             endless.make_backend('endless'),
-            sound.make_backend('sound'),
+            valid.make_backend('valid'),
         ]
         self.budget = requests.RetryBudget()
         self.suspects = requests.SuspectTracker(membership.RecordTable(), 'vm')
@@ -69,10 +69,10 @@
 
 
 async def run_servers(endless, sound_answer, ask):
-    # The sound server ends its answer, and sends nothing more.
-    sound = endless_server.EndlessServer(sound_answer, b'', 0.05)
-    async with endless.run(), sound.run():
-        servers = TwoServers(endless, sound)
+    # The valid server ends its answer, and sends nothing more.
+    valid = endless_server.EndlessServer(sound_answer, b'', 0.05)
+    async with endless.run(), valid.run():
+        servers = TwoServers(endless, valid)
         with anyio.fail_after(5):
             answer = await ask(servers)
             await endless.closed.wait()
@@ -91,7 +91,7 @@
 
 
 @pytest.mark.parametrize('answer', SLOW_ANSWERS)
-async def test_another_server_answers_after_one_that_dribbles(answer):
+async def test_another_server_answers_after_one_that_is_slow(answer):
     endless = endless_server.EndlessServer(*SLOW_ANSWERS[answer], 0.02)
     response = await run_servers(endless, SOUND_ANSWER, TwoServers.forward)
     # Before the deadline, so the first attempt ended at its own timeout.
--- a/tests/cover/test_platform_leaving.py
+++ b/tests/cover/test_platform_leaving.py
@@ -606,7 +606,7 @@
     ]
     assert len(lines) == 1
     line = vars(lines[0])
-    assert (line['server'], line['born'], line['request_id']) == (
+    assert (line['server'], line['born_ms'], line['request_id']) == (
         'a',
         1,
         'r0',
