Log each server crash that counts against a request

What callers saw: nothing; no decision changes. Result: test_each_crash_is_logged_with_the_fingerprint_and_reported.

--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -119,6 +119,7 @@
         router = routing.Router(self._directory, settings.data_center, rng)
         claims = requests.ClaimStore(self._store, settings.name)
         suspects = requests.SuspectTracker(record_table, settings.name)
+        self._suspects = suspects
 
         def make_forwarder() -> requests.Forwarder:
             # Each forwarder has its own retry budget, so that retries of
@@ -223,6 +224,7 @@
                 'leaving_servers', source=source
             )
         )
+        suspects.listen(lambda: self._metrics.count('server_crashes'))
         self._dump = self._build_dump()
 
     async def run(self) -> None:
@@ -390,6 +392,7 @@
         dump.add('feeds', self._feed_sync.summarize)
         dump.add('configuration', self._active_routes.summarize)
         dump.add('servers', self._directory.summarize)
+        dump.add('suspects', self._suspects.summarize)
         dump.add('batches', self._runner.summarize)
         dump.add('admission', self._admission.summarize)
         dump.add('metrics', self._metrics.summarize)
--- a/src/swiftjunction/requests/_suspects.py
+++ b/src/swiftjunction/requests/_suspects.py
@@ -13,6 +13,7 @@
 """
 
 import collections.abc
+import logging
 import math
 import time
 
@@ -23,6 +24,8 @@
 from swiftjunction import links
 from swiftjunction import membership
 
+LOG = logging.getLogger(__name__)
+
 CRASH_PREFIX = 'crash/'
 REFUSED_AFTER_CRASHES = 2
 # How long one crash makes a request a suspect.
@@ -96,7 +99,7 @@
         Returns Unix time in seconds.
     """
 
-    __slots__ = ('_clock', '_name', '_histories', '_table')
+    __slots__ = ('_clock', '_name', '_histories', '_listeners', '_table')
 
     def __init__(
         self,
@@ -108,6 +111,7 @@
         self._name = name
         self._clock = clock
         self._histories: dict[str, dict[str, _CrashHistory]] = {}
+        self._listeners: list[collections.abc.Callable[[], None]] = []
         table.listen(CRASH_PREFIX, self._apply_record)
 
     def _apply_record(self, record: links.Record) -> None:
@@ -119,6 +123,10 @@
         """Return Unix time in seconds."""
         return self._clock()
 
+    def listen(self, listener: collections.abc.Callable[[], None]) -> None:
+        """Call `listener` at each crash that this process records."""
+        self._listeners.append(listener)
+
     def record_crash(
         self, fingerprint: str, server: str, started_unix: float
     ) -> None:
@@ -137,6 +145,16 @@
         crashes = list(history.crashes) if history is not None else []
         crashes.append(_Crash(server, started_unix, self._clock()))
         self._write(fingerprint, _CrashHistory(crashes))
+        LOG.warning(
+            'server crashed while it ran the request',
+            extra={
+                'server': server,
+                'fingerprint': fingerprint,
+                'crashes': self.count_crashes(fingerprint),
+            },
+        )
+        for listener in self._listeners:
+            listener()
 
     def clear(self, fingerprint: str) -> None:
         """Record that the request completed while it ran in isolation.
--- a/tests/cover/test_requests_suspects.py
+++ b/tests/cover/test_requests_suspects.py
@@ -50,6 +50,20 @@
     assert not suspects.must_isolate('f')
 
 
+def test_each_crash_is_logged_with_the_fingerprint_and_reported(clock, caplog):
+    (suspects,) = make_trackers(clock, 'a')
+    reported = []
+    suspects.listen(lambda: reported.append(clock.now))
+    suspects.record_crash('f', 'engine-1', clock.now)
+    (line,) = caplog.records
+    assert (line.server, line.fingerprint, line.crashes) == (
+        'engine-1',
+        'f',
+        1,
+    )
+    assert reported == [clock.now]
+
+
 def test_suspicion_expires(clock):
     (suspects,) = make_trackers(clock, 'a')
     suspects.record_crash('f', 'engine-1', clock.now)
