Add failing tests of requests that go on ending servers

Cause: four ways. No VM knows the crashes that another one saw; a new process knows none; a retry is not checked; and a server that fell silent, and whose instance ended since, does not count, nor does one whose check was cut off.

--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -22,6 +22,8 @@
 EVENT_INTERVAL_SECONDS = 0.005
 VERSION_LOAD_SECONDS = 0.05
 METHODS = ['GET', 'POST', 'PUT', 'DELETE']
+# Bytes of a body that crashes a server with the fault ``poison``.
+POISON_MARKER = b'POISON'
 
 
 class PlatformServiceStandin:
@@ -32,6 +34,8 @@
     faults : FaultSwitches
         Each value is a number of requests, but for ``crashed``: seconds for
         which connections are refused.
+        ``poison``: seconds for which a request with `POISON_MARKER` in its
+        body makes the server crash.
         ``shed``: refused with 503 and not executed.
         ``fail``: executed, but fail with 500.
         ``silent``: executed without a response.
@@ -51,6 +55,7 @@
         self.name = name
         self.faults = _faults.FaultSwitches(
             'crashed',
+            'poison',
             'shed',
             'fail',
             'silent',
@@ -81,6 +86,7 @@
         request_id = request.headers.get('swiftjunction-attempt-id', '')
         self.runs.append((request_id, _format_target(request)))
         self.headers.append(dict(request.headers))
+        await _crash_if_poisoned(request, self.faults)
         if self.faults.consume('silent'):
             await anyio.sleep(UNANSWERED_SECONDS)
         fails = self.faults.consume('fail')
@@ -106,9 +112,12 @@
     faults : FaultSwitches
         Each value is a number of requests, but for ``crashed``: seconds for
         which connections are refused.
+        ``poison``: seconds for which a request with `POISON_MARKER` in its
+        body makes the engine crash.
         ``shed``: samples that are refused with 503 and not executed.
         ``fail``: samples that fail with 500.
         ``never``: samples that fail with 422.
+        ``silent``: samples that are executed without a response.
         ``cut``: streams that break off in the middle of an event.
         ``stall``: streams that hang after half of the events.
         ``lost_orders``: orders that are applied without a response.
@@ -144,9 +153,11 @@
         self._event_interval_seconds = event_interval_seconds
         self.faults = _faults.FaultSwitches(
             'crashed',
+            'poison',
             'shed',
             'fail',
             'never',
+            'silent',
             'cut',
             'stall',
             'lost_orders',
@@ -227,6 +238,9 @@
         request_id = request.headers['swiftjunction-attempt-id']
         after = int(request.headers.get('last-event-id', '-1'))
         self.runs.append((request_id, after))
+        await _crash_if_poisoned(request, self.faults)
+        if self.faults.consume('silent'):
+            await anyio.sleep(UNANSWERED_SECONDS)
         if self.faults.consume('fail'):
             return Response(
                 status_code=500, headers=_make_signature_headers(request_id)
@@ -293,6 +307,15 @@
     return _make_refusal() if faults.consume('shed') else None
 
 
+async def _crash_if_poisoned(
+    request: Request, faults: _faults.FaultSwitches
+) -> None:
+    crash_seconds = faults.get('poison')
+    if crash_seconds and POISON_MARKER in await request.body():
+        faults.set('crashed', crash_seconds)
+        await anyio.sleep(UNANSWERED_SECONDS)
+
+
 def _make_refusal() -> Response:
     return Response(
         status_code=503, headers={'swiftjunction-not-executed': '1'}
--- a/tests/cover/test_requests_forwarding.py
+++ b/tests/cover/test_requests_forwarding.py
@@ -1,4 +1,5 @@
 import anyio
+import msgspec
 import pytest
 
 from swiftjunction import backends
@@ -103,6 +104,26 @@
         assert service.called == ['a']
 
 
+class UncheckableService(SlowService):
+    """A check of any of its servers gets no response."""
+
+    async def is_crashed(self, server):
+        await anyio.sleep_forever()
+
+
+@pytest.mark.anyio
+async def test_the_check_of_a_silent_server_leaves_time_for_a_retry():
+    service = UncheckableService(10.0)
+    call = msgspec.structs.replace(
+        make_call(max_attempts=2),
+        deadline=anyio.current_time() + 2.0,
+        attempt_seconds=1.0,
+    )
+    with anyio.fail_after(3.0), pytest.raises(errors.OutcomeUnknown):
+        await make_forwarder(service).forward(call)
+    assert service.called == ['a', 'b']
+
+
 class CrashingService(SlowService, backends.StreamTransport):
     """Crashes every server that starts the request."""
 
