Check before each retry whether a request may still be sent

Cause: the forwarder asked once, as a request began, whether it had ended servers, and then sent it to as many servers as its route allows. Class: a decision that is kept while what it rests on changes. Streams and generations asked before each attempt already. Evidence: test_a_retry_is_not_sent_after_two_crashes: one request ended four servers, now two. Change: each attempt asks; if the answer is no, the caller gets what the attempt before led to, as that one may have run.

--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -139,7 +139,6 @@
         return response
 
     async def _run(self, call: ForwardedCall) -> backends.ServiceResponse:
-        isolated = self._suspects.must_isolate(call.fingerprint)
         excluded: set[str] = set()
         may_have_run = False
         last_error: errors.BackendError | None = None
@@ -148,13 +147,15 @@
                 break
             may_retry = attempts_left > 0 and self._budget.can_withdraw()
             try:
+                # Earlier attempts of this call may have crashed servers.
+                isolated = self._suspects.must_isolate(call.fingerprint)
                 response = await self._attempt(
                     call, excluded, isolated, may_retry
                 )
                 if isolated:
                     self._suspects.clear(call.fingerprint)
                 return response
-            except errors.NotRun:
+            except (errors.NotRun, errors.PoisonRefused):
                 if last_error is None:
                     raise
                 break
