Let an isolated request wait for an idle server

Cause: a request that was under one crash runs alone on its server from then on; where each server had a request of this VM, it was refused at once as if there were no server. With the check before each retry, that would fail the retries of all sound requests that were on the crashed server of a busy VM. Change: it waits for an idle server as others wait for capacity. Those with capacity do not queue behind it. It is still never sent to the last server. Result: test_an_isolated_request_waits_for_an_idle_server; it fails before.

--- a/src/swiftjunction/routing/_router.py
+++ b/src/swiftjunction/routing/_router.py
@@ -107,6 +107,8 @@
                 step='route',
             )
         with_capacity = filter_with_capacity(eligible, request.max_load)
+        if request.isolated:
+            with_capacity = filter_idle(with_capacity)
         candidates = spill_over(with_capacity, self._data_center)
         if not candidates:
             raise errors.ServersBusy(
@@ -123,7 +125,7 @@
         fresh = filter_fresh(live, request.min_version)
         if request.isolated:
             available = (s for s in fresh if s.is_available())
-            return filter_idle(
+            return filter_expendable(
                 filter_not_excluded(available, request.excluded)
             )
         return filter_not_excluded(limit_ejections(fresh), request.excluded)
@@ -187,17 +189,23 @@
     return (s for s in servers if s.name not in excluded)
 
 
-def filter_idle(
+def filter_expendable(
     servers: Servers,
 ) -> collections.abc.Iterator[backends.BackendServer]:
-    """Yield servers without requests of this process, for an isolated one.
+    """Yield the servers, or none if only one is left.
 
-    Yields none if only one of `servers` is left: a request that may crash it
-    could take the service down.
+    A request that may crash the last one could take the service down.
     """
     available = list(servers)
     if len(available) > 1:
-        yield from (server for server in available if not server.in_flight)
+        yield from available
+
+
+def filter_idle(
+    servers: Servers,
+) -> collections.abc.Iterator[backends.BackendServer]:
+    """Yield the servers without requests of this process."""
+    return (server for server in servers if not server.in_flight)
 
 
 def spill_over(
--- a/src/swiftjunction/routing/_waiting.py
+++ b/src/swiftjunction/routing/_waiting.py
@@ -60,10 +60,11 @@
 
 
 class _Waiter:
-    __slots__ = ('event', 'sort_key')
+    __slots__ = ('event', 'isolated', 'sort_key')
 
-    def __init__(self, sort_key: tuple[int, int]) -> None:
+    def __init__(self, sort_key: tuple[int, int], isolated: bool) -> None:
         self.sort_key = sort_key
+        self.isolated = isolated
         self.event = anyio.Event()
 
 
@@ -93,7 +94,7 @@
             the expected wait is longer than that.
         """
         limits = WAIT_LIMITS[request.request_class]
-        if not self._count_ahead(limits):
+        if not self._must_queue(limits):
             try:
                 return self._choose_and_record_start(choose)
             except errors.ServersBusy:
@@ -102,7 +103,7 @@
         max_wait_seconds = self._bound_wait(limits, request.deadline - now)
         if self._estimate_wait(limits) > max_wait_seconds:
             raise self._refuse(request, 'would exceed its maximum wait')
-        waiter = self._enqueue(limits)
+        waiter = self._enqueue(limits, request.isolated)
         try:
             return await self._wait(
                 waiter, choose, request, now + max_wait_seconds
@@ -154,12 +155,12 @@
             self._start_rate.record(anyio.current_time())
         return chosen
 
-    def _enqueue(self, limits: WaitLimits) -> _Waiter:
+    def _enqueue(self, limits: WaitLimits, isolated: bool) -> _Waiter:
         if not self._waiters:
             self._nonempty_since = anyio.current_time()
             self._start_rate.reset(self._nonempty_since)
         self._sequence += 1
-        waiter = _Waiter((limits.rank, self._sequence))
+        waiter = _Waiter((limits.rank, self._sequence), isolated)
         bisect.insort(self._waiters, waiter, key=lambda w: w.sort_key)
         return waiter
 
@@ -180,6 +181,12 @@
             self._waiters, (limits.rank + 1, 0), key=lambda w: w.sort_key
         )
 
+    def _must_queue(self, limits: WaitLimits) -> bool:
+        # An isolated request waits for an idle server, while others have
+        # capacity.
+        ahead = self._waiters[: self._count_ahead(limits)]
+        return any(not waiter.isolated for waiter in ahead)
+
     def _bound_wait(
         self, limits: WaitLimits, remaining_seconds: float
     ) -> float:
--- a/tests/cover/test_routing_waiting.py
+++ b/tests/cover/test_routing_waiting.py
@@ -18,12 +18,15 @@
         server.in_flight -= 1
 
 
-async def acquire(harness, request_class='live', seconds=5.0, excluded=()):
+async def acquire(
+    harness, request_class='live', seconds=5.0, excluded=(), isolated=False
+):
     return await harness.router.acquire(
         routing.RoutingRequest(
             'demo',
             'fit',
             excluded=frozenset(excluded),
+            isolated=isolated,
             request_class=request_class,
             deadline=anyio.current_time() + seconds,
         ),
@@ -131,6 +134,33 @@
     assert served == ['s0', 's1']
 
 
+async def test_an_isolated_request_waits_for_an_idle_server(clock):
+    harness = test_routing.RouterHarness(clock, 'dc-1', 'dc-1')
+    for server in harness.directory.select('fit'):
+        server.in_flight = 1
+    acquired = []
+
+    async def run():
+        acquired.append(await acquire(harness, isolated=True))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        await anyio.wait_all_tasks_blocked()
+        assert not acquired
+        # Others have capacity, and do not queue behind it.
+        with anyio.fail_after(0.1):
+            await acquire(harness)
+        release(harness['s1'])
+    assert acquired == [harness['s1']]
+
+
+async def test_an_isolated_request_is_not_sent_to_the_last_server(clock):
+    harness = test_routing.RouterHarness(clock, 'dc-1')
+    with pytest.raises(errors.NotRun) as caught:
+        await acquire(harness, isolated=True)
+    assert not isinstance(caught.value, errors.ServersBusy)
+
+
 async def test_a_service_with_no_server_is_refused_at_once(clock):
     harness = test_routing.RouterHarness(clock)
     with pytest.raises(errors.NotRun) as caught:
