Count, clear and forget crashes in a way that all processes can share

Cause: crashes were made to be known to one VM. Shared as they were, two crashes of servers for other reasons within an hour would make all VMs refuse a request that many callers repeat, though it completed in between: only the process that had recorded a crash could clear it, and attempts that overlapped counted each. A restarted process overwrote what it had recorded, or was ignored for its lower version, and nothing was ever forgotten. What callers saw: nothing of the platform yet; in own deployments a refusal of a sound request for up to an hour. Change: a board carries a history of each process and request. A request that completes in isolation clears all crashes known there, for all processes; an attempt that began before a counted one had ended does not count, nor does one run of a server twice; histories of a run before are merged; what no longer counts is forgotten, and 1,024 requests are kept.

--- a/bench/routing_load.py
+++ b/bench/routing_load.py
@@ -158,7 +158,9 @@
             self.client,
             version_tracker,
             requests.RetryBudget(),
-            requests.SuspectTracker(self.table, name, clock),
+            requests.SuspectTracker(
+                requests.RecordBoard(self.table), name, clock
+            ),
         )
         for engine in engines:
             self.report(engine, 'live')
--- a/bench/swap.py
+++ b/bench/swap.py
@@ -55,7 +55,9 @@
         backends.EngineClient(rollout.backend_clients),
         rollout.version_tracker,
         requests.RetryBudget(),
-        requests.SuspectTracker(rollout.table, rollout.name),
+        requests.SuspectTracker(
+            requests.RecordBoard(rollout.table), rollout.name
+        ),
     )
     settings = configuration.PathSettings(
         model='fit',
--- a/src/swiftjunction/daemons/_handlers.py
+++ b/src/swiftjunction/daemons/_handlers.py
@@ -29,7 +29,9 @@
             daemon.directory, daemon.config.vm.data_center, daemon.rng
         )
         retry_budget = requests.RetryBudget()
-        suspects = requests.SuspectTracker(daemon.table, daemon.name)
+        suspects = requests.SuspectTracker(
+            requests.RecordBoard(daemon.table), daemon.name
+        )
         self.generator = requests.CompletionGenerator(
             router,
             backends.EngineClient(daemon.backend_clients),
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -118,7 +118,9 @@
         workers = _workers.WorkerClient(self._clients)
         router = routing.Router(self._directory, settings.data_center, rng)
         claims = requests.ClaimStore(self._store, settings.name)
-        suspects = requests.SuspectTracker(record_table, settings.name)
+        suspects = requests.SuspectTracker(
+            requests.RecordBoard(record_table), settings.name
+        )
         self._suspects = suspects
 
         def make_forwarder() -> requests.Forwarder:
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -11,6 +11,11 @@
 from swiftjunction.requests._budget import RetryBudget
 from swiftjunction.requests._call import GenerationCall
 from swiftjunction.requests._claims import ClaimStore
+from swiftjunction.requests._crashes import CrashBoard
+from swiftjunction.requests._crashes import CrashHistory
+from swiftjunction.requests._crashes import EMPTY_HISTORY
+from swiftjunction.requests._crashes import HistoryListener
+from swiftjunction.requests._crashes import RecordBoard
 from swiftjunction.requests._forwarding import ForwardedCall
 from swiftjunction.requests._forwarding import Forwarder
 from swiftjunction.requests._generation import CompletionGenerator
@@ -30,13 +35,18 @@
     'AdmissionController',
     'ClaimStore',
     'CompletionGenerator',
+    'CrashBoard',
+    'CrashHistory',
+    'EMPTY_HISTORY',
     'EntryApp',
     'EntrySelector',
     'ForwardedCall',
     'Forwarder',
     'GenerationCall',
+    'HistoryListener',
     'OVERLOAD_CHECK_INTERVAL_SECONDS',
     'OverloadDetector',
+    'RecordBoard',
     'RelayedStream',
     'RelayedStreamResponse',
     'RetryBudget',
--- a/src/swiftjunction/requests/_suspects.py
+++ b/src/swiftjunction/requests/_suspects.py
@@ -14,50 +14,26 @@
 
 import collections.abc
 import logging
-import math
 import time
 
-import msgspec
 import xxhash
 
 from swiftjunction import errors
-from swiftjunction import links
-from swiftjunction import membership
+from swiftjunction.requests import _crashes
 
 LOG = logging.getLogger(__name__)
 
-CRASH_PREFIX = 'crash/'
 REFUSED_AFTER_CRASHES = 2
 # How long one crash makes a request a suspect.
 SUSPICION_SECONDS = 60.0
 # How long each crash counts towards a refusal.
 REFUSAL_SECONDS = 3600.0
+# Requests whose crashes this process remembers; the oldest ones go first.
+MAX_REQUESTS = 1024
 # Instead of a fingerprint, for requests that are never suspects.
 NO_FINGERPRINT = ''
 
 
-class _Crash(msgspec.Struct, frozen=True, array_like=True):
-    """An attempt of a request that ended in a crash of its server.
-
-    Attributes
-    ----------
-    server : str
-        Name of the server.
-    began, ended : float
-        Unix time of the start and the end of the attempt, in seconds.
-    """
-
-    server: str
-    began: float
-    ended: float
-
-
-class _CrashHistory(msgspec.Struct, frozen=True, array_like=True):
-    """The crashes that one process saw since it last cleared the request."""
-
-    crashes: list[_Crash]
-
-
 def make_fingerprint(*parts: str | bytes) -> str:
     """Return an identifier that retries of the same request share."""
     digest = xxhash.xxh3_128()
@@ -68,56 +44,62 @@
     return digest.hexdigest()
 
 
-def _count_distinct(crashes: list[_Crash]) -> int:
-    """Count the distinct crashes.
-
-    Attempts that overlapped on one server ended in the same crash. `crashes`
-    are in the order of their ends.
-    """
-    ended_by_server: dict[str, float] = {}
-    count = 0
-    for crash in crashes:
-        if crash.began >= ended_by_server.get(crash.server, -math.inf):
-            count += 1
-        ended_by_server[crash.server] = crash.ended
-    return count
-
-
 class SuspectTracker:
     """Tracks the crashes that requests were involved in, on all processes.
 
-    Each process writes its own record for each fingerprint, so that processes
-    do not overwrite each other's records.
-
     Parameters
     ----------
-    table : RecordTable
-        The shared records.
+    board : CrashBoard
+        Carries the crashes to other processes.
     name : str
         Name of this process.
     clock : callable
         Returns Unix time in seconds.
     """
 
-    __slots__ = ('_clock', '_name', '_histories', '_listeners', '_table')
+    __slots__ = ('_board', '_clock', '_histories', '_listeners', '_name')
 
     def __init__(
         self,
-        table: membership.RecordTable,
+        board: _crashes.CrashBoard,
         name: str,
         clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
-        self._table = table
+        self._board = board
         self._name = name
         self._clock = clock
-        self._histories: dict[str, dict[str, _CrashHistory]] = {}
+        # By fingerprint and process.
+        self._histories: dict[str, dict[str, _crashes.CrashHistory]] = {}
         self._listeners: list[collections.abc.Callable[[], None]] = []
-        table.listen(CRASH_PREFIX, self._apply_record)
+        board.listen(self._apply)
+
+    def _apply(
+        self, process: str, fingerprint: str, history: _crashes.CrashHistory
+    ) -> None:
+        if process != self._name:
+            self._store(process, fingerprint, history)
+            return
+        own = self._get_own(fingerprint)
+        merged = history.merge(own)
+        self._store(process, fingerprint, merged)
+        if merged != history:
+            self._board.publish(process, fingerprint, merged)
+
+    def _store(
+        self, process: str, fingerprint: str, history: _crashes.CrashHistory
+    ) -> None:
+        if history != _crashes.EMPTY_HISTORY:
+            self._histories.setdefault(fingerprint, {})[process] = history
+            return
+        histories = self._histories.get(fingerprint, {})
+        histories.pop(process, None)
+        if not histories:
+            self._histories.pop(fingerprint, None)
 
-    def _apply_record(self, record: links.Record) -> None:
-        _, fingerprint, process = record.key.split('/', 2)
-        history = msgspec.msgpack.decode(record.value, type=_CrashHistory)
-        self._histories.setdefault(fingerprint, {})[process] = history
+    def _get_own(self, fingerprint: str) -> _crashes.CrashHistory:
+        return self._histories.get(fingerprint, {}).get(
+            self._name, _crashes.EMPTY_HISTORY
+        )
 
     def now(self) -> float:
         """Return Unix time in seconds."""
@@ -128,7 +110,11 @@
         self._listeners.append(listener)
 
     def record_crash(
-        self, fingerprint: str, server: str, started_unix: float
+        self,
+        fingerprint: str,
+        server: str,
+        started_unix: float,
+        born_ms: int = 0,
     ) -> None:
         """Record that `server` crashed while it ran the request.
 
@@ -138,13 +124,13 @@
             With ``NO_FINGERPRINT``, nothing is recorded.
         started_unix : float
             What :meth:`now` returned before the attempt.
+        born_ms : int
+            The start of the server in Unix milliseconds; 0 if not known.
         """
         if fingerprint == NO_FINGERPRINT:
             return
-        history = self._histories.get(fingerprint, {}).get(self._name)
-        crashes = list(history.crashes) if history is not None else []
-        crashes.append(_Crash(server, started_unix, self._clock()))
-        self._write(fingerprint, _CrashHistory(crashes))
+        crash = _crashes.Crash(server, started_unix, self._clock(), born_ms)
+        self._publish(fingerprint, _crashes.CrashHistory((crash,)))
         LOG.warning(
             'server crashed while it ran the request',
             extra={
@@ -159,31 +145,61 @@
     def clear(self, fingerprint: str) -> None:
         """Record that the request completed while it ran in isolation.
 
-        This clears only the crashes that this process recorded. Crashes that
-        other processes recorded still count.
+        The crashes that are known here no longer count for any process.
         """
-        history = self._histories.get(fingerprint, {}).get(self._name)
-        if history is not None and history.crashes:
-            self._write(fingerprint, _CrashHistory([]))
+        crashes = self._list_crashes(fingerprint)
+        if crashes:
+            self._publish(
+                fingerprint, _crashes.CrashHistory((), tuple(crashes))
+            )
 
-    def count_crashes(self, fingerprint: str) -> int:
-        """Return the number of crashes that still count for the request."""
+    def _publish(self, fingerprint: str, added: _crashes.CrashHistory) -> None:
+        self.forget_expired()
+        history = self._get_own(fingerprint).merge(added)
+        self._store(self._name, fingerprint, history)
+        self._board.publish(self._name, fingerprint, history)
+
+    def forget_expired(self) -> None:
+        """Forget crashes of this process that no longer count."""
+        since = self._clock() - REFUSAL_SECONDS
+        own = [
+            (fingerprint, histories[self._name])
+            for fingerprint, histories in self._histories.items()
+            if self._name in histories
+        ]
+        kept = {f: history.select_since(since) for f, history in own}
+        by_age = sorted(kept, key=lambda f: _find_end(kept[f]), reverse=True)
+        for fingerprint in by_age[MAX_REQUESTS - 1 :]:
+            kept[fingerprint] = _crashes.EMPTY_HISTORY
+        for fingerprint, history in own:
+            if kept[fingerprint] != history:
+                self._store(self._name, fingerprint, kept[fingerprint])
+                self._board.publish(self._name, fingerprint, kept[fingerprint])
+
+    def _list_crashes(self, fingerprint: str) -> list[_crashes.Crash]:
+        """Return the crashes of all processes that still count."""
         histories = self._histories.get(fingerprint)
         if not histories:
+            return []
+        since = self._clock() - REFUSAL_SECONDS
+        cleared = {c for h in histories.values() for c in h.cleared}
+        return [
+            crash
+            for history in histories.values()
+            for crash in history.crashes
+            if crash.ended > since and crash not in cleared
+        ]
+
+    def count_crashes(self, fingerprint: str) -> int:
+        """Return the number of crashes that still count for the request."""
+        crashes = self._list_crashes(fingerprint)
+        if not crashes:
             return 0
-        now = self._clock()
-        crashes = sorted(
-            (
-                crash
-                for history in histories.values()
-                for crash in history.crashes
-                if now - crash.ended < REFUSAL_SECONDS
-            ),
-            key=lambda crash: crash.ended,
-        )
-        count = _count_distinct(crashes)
-        if count < REFUSED_AFTER_CRASHES and (
-            not crashes or now - crashes[-1].ended > SUSPICION_SECONDS
+        count = _crashes.count_distinct(crashes)
+        newest = max(crash.ended for crash in crashes)
+        if (
+            count < REFUSED_AFTER_CRASHES
+            and self._clock() - newest > SUSPICION_SECONDS
         ):
             return 0
         return count
@@ -206,10 +222,6 @@
             )
         return count > 0
 
-    def _write(self, fingerprint: str, history: _CrashHistory) -> None:
-        key = f'{CRASH_PREFIX}{fingerprint}/{self._name}'
-        self._table.put(key, msgspec.msgpack.encode(history))
-
     def summarize(self) -> dict[str, int]:
         """Return the number of crashes of each suspect, for the state dump."""
         return {
@@ -217,3 +229,9 @@
             for fingerprint in self._histories
             if (count := self.count_crashes(fingerprint))
         }
+
+
+def _find_end(history: _crashes.CrashHistory) -> float:
+    """Return the Unix time of the newest crash in a history, in seconds."""
+    crashes = (*history.crashes, *history.cleared)
+    return max((crash.ended for crash in crashes), default=0.0)
--- a/tests/cover/test_batches_scoring.py
+++ b/tests/cover/test_batches_scoring.py
@@ -98,7 +98,9 @@
             )
         router = routing.Router(self.directory, 'dc', random.Random(1))
         suspects = requests.SuspectTracker(
-            membership.RecordTable(), 'vm', anyio.current_time
+            requests.RecordBoard(membership.RecordTable()),
+            'vm',
+            anyio.current_time,
         )
         self.live, scoring = (
             requests.Forwarder(
--- a/tests/cover/test_endless_retries.py
+++ b/tests/cover/test_endless_retries.py
@@ -52,7 +52,9 @@
             valid.make_backend('valid'),
         ]
         self.budget = requests.RetryBudget()
-        self.suspects = requests.SuspectTracker(membership.RecordTable(), 'vm')
+        self.suspects = requests.SuspectTracker(
+            requests.RecordBoard(membership.RecordTable()), 'vm'
+        )
 
     async def forward(self):
         forwarder = requests.Forwarder(
--- a/tests/cover/test_fuzz_inputs.py
+++ b/tests/cover/test_fuzz_inputs.py
@@ -74,7 +74,7 @@
     configuration.KeyRing(table)
     backends.Directory(table)
     weights.VersionTracker(table)
-    requests.SuspectTracker(table, 'v1/entry')
+    requests.SuspectTracker(requests.RecordBoard(table), 'v1/entry')
     membership.Announcement(table, PROCESS)
     return table
 
--- a/tests/cover/test_platform_leaving.py
+++ b/tests/cover/test_platform_leaving.py
@@ -130,7 +130,9 @@
         self.router = routing.Router(
             self.directory, 'dc', random.Random('leaving')
         )
-        suspects = requests.SuspectTracker(membership.RecordTable(), 'vm')
+        suspects = requests.SuspectTracker(
+            requests.RecordBoard(membership.RecordTable()), 'vm'
+        )
         self.forwarder = requests.Forwarder(
             self.router, self.workers, None, requests.RetryBudget(), suspects
         )
--- a/tests/cover/test_requests_forwarding.py
+++ b/tests/cover/test_requests_forwarding.py
@@ -57,7 +57,9 @@
         service,
         None,
         budget or requests.RetryBudget(),
-        requests.SuspectTracker(membership.RecordTable(), 'vm'),
+        requests.SuspectTracker(
+            requests.RecordBoard(membership.RecordTable()), 'vm'
+        ),
     )
 
 
@@ -143,7 +145,9 @@
         service,
         service,
         requests.RetryBudget(),
-        requests.SuspectTracker(membership.RecordTable(), 'vm'),
+        requests.SuspectTracker(
+            requests.RecordBoard(membership.RecordTable()), 'vm'
+        ),
     )
     for expected in (errors.RequestError, errors.PoisonRefused):
         with pytest.raises(expected):
--- a/tests/cover/test_steps_production.py
+++ b/tests/cover/test_steps_production.py
@@ -103,7 +103,9 @@
         version_tracker = weights.VersionTracker(table)
         router = routing.Router(directory, 'dc', random.Random(1))
         budget = requests.RetryBudget()
-        suspects = requests.SuspectTracker(table, 'p', anyio.current_time)
+        suspects = requests.SuspectTracker(
+            requests.RecordBoard(table), 'p', anyio.current_time
+        )
         self.generator = requests.CompletionGenerator(
             router, engines, version_tracker, budget, suspects
         )
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -156,7 +156,9 @@
         version_tracker = weights.VersionTracker(self.table)
         router = routing.Router(self.directory, '', random.Random(1))
         budget = requests.RetryBudget()
-        suspects = requests.SuspectTracker(self.table, 'entry')
+        suspects = requests.SuspectTracker(
+            requests.RecordBoard(self.table), 'entry'
+        )
         entry_app = requests.EntryApp(
             configuration.Tree(self.table),
             requests.AdmissionController(1000),
