Share the crashes that a request caused with all VMs

Cause: on the platform the crashes were in a table of the process, which nobody else reads and which ends with it. Class: knowledge that must hold for all processes is kept by the one that learned it. Own deployments share such records; the platform's program made the table and connected it to nothing. Evidence: four tests of two VMs, of an outage and of a restart: a third server ran the request before, none now. Change: each VM writes its crashes to an object of its own on the store; all VMs keep a copy of these objects, and a VM that starts anew reads them. Writes wait for the store; conflicts with the run before are merged.

--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -118,9 +118,10 @@
         workers = _workers.WorkerClient(self._clients)
         router = routing.Router(self._directory, settings.data_center, rng)
         claims = requests.ClaimStore(self._store, settings.name)
-        suspects = requests.SuspectTracker(
-            requests.RecordBoard(record_table), settings.name
+        self._crash_board = coordination.StoreCrashBoard(
+            self._store, self._feed_sync, self._members
         )
+        suspects = requests.SuspectTracker(self._crash_board, settings.name)
         self._suspects = suspects
 
         def make_forwarder() -> requests.Forwarder:
@@ -259,6 +260,7 @@
             for task in (
                 lambda: self._feeds.follow_routes(self._active_routes),
                 lambda: self._feeds.follow_servers(self._delayed_removal),
+                self._crash_board.run,
                 self._delayed_removal.run,
                 self._directory.loop_lag.run,
                 coordination.PeerMonitor(
--- /dev/null
+++ b/tests/cover/test_coordination_crashes.py
@@ -0,0 +1,111 @@
+import anyio
+import pytest
+
+from swiftjunction import coordination
+from swiftjunction import objectstore
+from swiftjunction import requests
+from tests import conftest
+
+pytestmark = pytest.mark.anyio
+
+OWN_KEY = 'crashes/vm-1'
+
+
+class Scene:
+    """The board and the suspects of one VM."""
+
+    def __init__(self, store, clock, name='vm-1'):
+        members = coordination.MemberTable(
+            coordination.Member(name, '10.0.0.1:1', '', 'dc', 'r', 'run')
+        )
+        self.sync = coordination.FeedSync(store, None, members)
+        self.board = coordination.StoreCrashBoard(
+            store, self.sync, members, clock
+        )
+        self.suspects = requests.SuspectTracker(self.board, name, clock)
+        self._clock = clock
+
+    def crash(self, server):
+        self._clock.now += 1
+        self.suspects.record_crash('f', server, self._clock.now)
+
+
+@pytest.fixture
+def slow_store(monkeypatch):
+    """A store whose watches take a while, as those of a real one do."""
+
+    class Store(conftest.MemoryStore):
+        async def watch(self, prefix, revision, wait_seconds):
+            await anyio.sleep(0.05)
+            return await super().watch(prefix, revision, wait_seconds)
+
+    return Store()
+
+
+async def run(scene, seconds=1.0):
+    with anyio.move_on_after(seconds):
+        await scene.board.run()
+
+
+async def test_a_vm_that_starts_anew_keeps_what_it_had_written(
+    slow_store, clock
+):
+    old = Scene(slow_store, clock)
+    old.crash('s1')
+    await run(old)
+    new = Scene(slow_store, clock)
+    # Before it has read its object.
+    new.crash('s2')
+    assert not new.board.is_loaded()
+    await run(new)
+    assert new.board.is_loaded()
+    assert new.suspects.count_crashes('f') == 2
+    third = Scene(slow_store, clock, 'vm-3')
+    await run(third)
+    assert third.suspects.count_crashes('f') == 2
+
+
+@pytest.mark.parametrize('fault', ['refuse', 'lose', 'drop', 'delay'])
+async def test_a_write_that_fails_is_repeated(slow_store, clock, fault):
+    scene = Scene(slow_store, clock)
+    scene.crash('s1')
+    create = slow_store.create
+
+    async def fail_once(key, value):
+        slow_store.faults = [fault]
+        slow_store.create = create
+        return await create(key, value)
+
+    slow_store.create = fail_once
+    await run(scene, 2.0)
+    other = Scene(slow_store, clock, 'vm-2')
+    await run(other)
+    assert other.suspects.count_crashes('f') == 1
+
+
+async def test_an_invalid_object_is_ignored(slow_store, clock):
+    slow_store.objects['crashes/vm-2'] = objectstore.Object(
+        'crashes/vm-2', 1, b'[1]'
+    )
+    scene = Scene(slow_store, clock)
+    await run(scene)
+    assert scene.board.is_loaded()
+
+
+async def test_objects_without_crashes_that_count_are_deleted(
+    slow_store, clock
+):
+    writer = Scene(slow_store, clock)
+    writer.crash('s1')
+    await run(writer)
+    other = Scene(slow_store, clock, 'vm-2')
+    await run(other)
+    await other.board.delete_expired()
+    assert OWN_KEY in slow_store.objects
+    clock.now += 7201
+    await other.board.delete_expired()
+    assert OWN_KEY not in slow_store.objects
+    # The next crash creates it again.
+    writer.crash('s2')
+    await run(writer, 1.5)
+    assert OWN_KEY in slow_store.objects
