Forward nothing before the crashes under requests are known

Cause: a VM that started served callers as soon as it had routes, whatever it knew of requests that crash servers. Class: a new process decides before it has learned what the one before knew. Evidence: test_a_vm_that_knows_no_crashes_yet_forwards_nothing, for lookups and streams: with a late list a third server ran the request. Change: until the list has been received, lookups and streams are answered 503 with a Retry-After, and the VM is not ready. Result: the two tests pass.

--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -31,6 +31,8 @@
 
 # How long callers may cache the addresses that they resolve.
 ADDRESS_TTL_SECONDS = 2.0
+# A VM that starts has received what it needs within about this time.
+START_RETRY_SECONDS = 0.3
 # Timeout of each attempt of an idempotent request, as a fraction of the time
 # allowed for the request; the next attempt goes to another server.
 ATTEMPT_TIMEOUT_FRACTION = 0.5
@@ -59,6 +61,8 @@
     get_state : callable
         Returns the state of the process: ``starting``, ``live`` or
         ``draining``.
+    knows_crashes : callable
+        Returns whether this VM has received the crashes that requests caused.
     rng : random.Random
         Selects the service of a split route.
     metrics : Metrics
@@ -75,6 +79,7 @@
         '_rng',
         '_settings',
         '_get_state',
+        '_knows_crashes',
         '_stream_relay',
     )
 
@@ -88,6 +93,7 @@
         batch_calls: _batch_calls.BatchCalls,
         members: coordination.MemberTable,
         get_state: collections.abc.Callable[[], str],
+        knows_crashes: collections.abc.Callable[[], bool],
         rng: random.Random,
         metrics: telemetry.Metrics,
     ) -> None:
@@ -99,6 +105,7 @@
         self._batch_calls = batch_calls
         self._members = members
         self._get_state = get_state
+        self._knows_crashes = knows_crashes
         self._rng = rng
         self._metrics = metrics
 
@@ -216,6 +223,12 @@
         request_id: str,
         route: routes.Route,
     ) -> Response:
+        if not self._knows_crashes():
+            raise errors.NotRun(
+                'this VM has not loaded the crashes of servers yet',
+                step='route',
+                retry_after_seconds=START_RETRY_SECONDS,
+            )
         arrived_at = anyio.current_time()
         body = await requests.read_body(request)
         remaining_seconds = _caller_http.compute_timeout(request, route)
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -206,6 +206,7 @@
             ),
             self._members,
             lambda: self._state,
+            self._crash_board.is_loaded,
             rng,
             self._metrics,
         )
@@ -311,7 +312,11 @@
         await anyio.sleep_until(drain_until)
 
     async def _become_ready(self) -> None:
-        while self._active_routes.table is None or not self._feeds.has_servers:
+        while not (
+            self._active_routes.table is not None
+            and self._feeds.has_servers
+            and self._crash_board.is_loaded()
+        ):
             await anyio.sleep(READY_CHECK_INTERVAL_SECONDS)
         if self._state == 'starting':
             self._state = 'live'
--- a/tests/cover/test_platform_crashes.py
+++ b/tests/cover/test_platform_crashes.py
@@ -6,6 +6,7 @@
 import httpx
 import pytest
 
+from swiftjunction.platform import _store
 from swiftjunction import standins
 from tests import platform_deployment
 
@@ -116,6 +117,33 @@
         assert len(deployment.list_runs()) == 2
 
 
+@pytest.mark.parametrize('route', ['once', 'streams-once'])
+async def test_a_vm_that_knows_no_crashes_yet_forwards_nothing(
+    deployment, route, monkeypatch
+):
+    original_list = _store.PlatformStore.list
+
+    async def list_late(store, prefix):
+        if prefix == 'crashes/':
+            await anyio.sleep(1.0)
+        return await original_list(store, prefix)
+
+    monkeypatch.setattr(_store.PlatformStore, 'list', list_late)
+    async with deployment.run():
+        deployment.set_all('poison', CRASH_SECONDS)
+        await deployment.send('vm-1', route)
+        await deployment.send('vm-1', route)
+        await anyio.sleep(0.5)
+        deployment.kill_vm('vm-1')
+        await anyio.sleep(0.2)
+        deployment.start_vm('vm-1')
+        await anyio.sleep(0.5)
+        assert await deployment.send('vm-1', route) == 503
+        await deployment.wait_until_ready('vm-1')
+        assert await deployment.send('vm-1', route) == 502
+        assert len(deployment.list_runs()) == 2
+
+
 async def test_a_retry_is_not_sent_after_two_crashes(deployment):
     async with deployment.run():
         deployment.set_all('poison', CRASH_SECONDS)
