Count servers that fell silent under a request and ended as crashed

Cause: the only proof of a crash was a refused connection right after a broken response. A server that falls silent is neither broken nor refusing; one that is back at once accepts; and the check was lost if the deadline or the caller ended the request meanwhile. Class: no evidence taken for evidence that nothing happened. What callers saw: a lookup at a server that has gone dark fails at its deadline and is sent to the next one, by any VM, without end. Forwarder and stream relay share the observer.

--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -15,6 +15,7 @@
 SERVER_PREFIX = 'server/'
 
 Listener = collections.abc.Callable[[str], None]
+EndListener = collections.abc.Callable[[_server.ServerReport], None]
 
 
 class Directory:
@@ -41,6 +42,7 @@
     __slots__ = (
         '_by_service',
         '_clock',
+        '_end_listeners',
         '_listeners',
         '_servers',
         'latency_tolerance',
@@ -58,6 +60,7 @@
         self.leaving_servers = _leaving.LeavingServers(clock)
         self.latency_tolerance = _limit.LIVE_LATENCY_TOLERANCE
         self._listeners: list[Listener] = []
+        self._end_listeners: list[EndListener] = []
         self._servers: dict[str, _server.BackendServer] = {}
         self._by_service: dict[str, dict[str, _server.BackendServer]] = {}
         # Requests that wait for the server need not wait any longer.
@@ -84,6 +87,7 @@
         if server is None or _is_restart(server.report, report):
             if server is not None:
                 server.listed = False
+                self._notify_end(server)
             server = self._add(report)
         server.update_report(report)
         self._by_service.setdefault(report.service, {})[report.name] = server
@@ -93,6 +97,8 @@
         """Remove a server from the directory."""
         server = self._servers.pop(name, None)
         if server is not None:
+            if server.accepts_requests():
+                self._notify_end(server)
             server.mark_leaving()
             server.listed = False
             self.leaving_servers.update_unlisted(server.report)
@@ -122,6 +128,18 @@
         """
         self._listeners.append(listener)
 
+    def listen_ends(self, listener: EndListener) -> None:
+        """Call `listener` with the last report on a server that has ended.
+
+        This is one that has started anew, or one that is no longer listed
+        though it had not been leaving.
+        """
+        self._end_listeners.append(listener)
+
+    def _notify_end(self, server: _server.BackendServer) -> None:
+        for listener in self._end_listeners:
+            listener(server.report)
+
     def get(self, name: str) -> _server.BackendServer | None:
         """Return the server with this name, if known."""
         return self._servers.get(name)
--- a/src/swiftjunction/daemons/_handlers.py
+++ b/src/swiftjunction/daemons/_handlers.py
@@ -45,6 +45,7 @@
             requests.ClaimStore(daemon.store, daemon.name),
             retry_budget,
             suspects,
+            daemon.directory,
         )
         daemon.dump.add('suspects', suspects.summarize)
         daemon.dump.add('waiting', router.count_waiting)
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -128,7 +128,12 @@
             # Each forwarder has its own retry budget, so that retries of
             # scoring requests do not exhaust that of live requests.
             return requests.Forwarder(
-                router, workers, claims, requests.RetryBudget(), suspects
+                router,
+                workers,
+                claims,
+                requests.RetryBudget(),
+                suspects,
+                self._directory,
             )
 
         self._archive = batches.BatchArchive(self._store)
@@ -194,7 +199,12 @@
             self._active_routes,
             make_forwarder(),
             requests.StreamRelay(
-                router, workers, workers, requests.RetryBudget(), suspects
+                router,
+                workers,
+                workers,
+                requests.RetryBudget(),
+                suspects,
+                self._directory,
             ),
             self._admission,
             _batch_calls.BatchCalls(
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -12,6 +12,7 @@
 from swiftjunction import errors
 from swiftjunction.requests import _budget
 from swiftjunction.requests import _claims
+from swiftjunction.requests import _evidence
 from swiftjunction.requests import _suspects
 from swiftjunction import routing
 
@@ -89,9 +90,18 @@
         Limits the retries of all requests together.
     suspects : SuspectTracker
         Tracks the requests that may crash servers.
+    directory : Directory, optional
+        Tells which servers have ended.
     """
 
-    __slots__ = ('_budget', '_claims', '_router', '_services', '_suspects')
+    __slots__ = (
+        '_budget',
+        '_claims',
+        '_observer',
+        '_router',
+        '_services',
+        '_suspects',
+    )
 
     def __init__(
         self,
@@ -100,7 +110,9 @@
         claims: _claims.ClaimStore,
         budget: _budget.RetryBudget,
         suspects: _suspects.SuspectTracker,
+        directory: backends.Directory | None = None,
     ) -> None:
+        self._observer = _evidence.CrashObserver(services, suspects, directory)
         self._suspects = suspects
         self._router = router
         self._services = services
@@ -198,33 +210,26 @@
             call.settings.policy or '',
         )
         excluded.add(server.name)
-        started_unix = self._suspects.now()
         latency_timer = server.start_latency_timer()
         # The attempt gets at least 1 ms, also if the deadline has passed.
         remaining_seconds = max(call.deadline - anyio.current_time(), 0.001)
         service_call = msgspec.structs.replace(
             call.service_call, timeout_seconds=remaining_seconds
         )
-        try:
-            with (
-                server.track(),
-                server.reserve() if isolated else contextlib.nullcontext(),
-            ):
-                response = await self._call_with_timeout(
-                    call, server, service_call, may_retry
-                )
-        except errors.BackendUnreachable:
-            server.record_failure()
-            raise
-        except errors.AnswerBroken:
-            server.record_failure()
-            if await self._services.is_crashed(server):
-                self._suspects.record_crash(
-                    call.fingerprint, server.name, started_unix
-                )
-            raise
-        finally:
-            latency_timer.stop()
+        async with self._observer.observe(call.fingerprint, server):
+            try:
+                with (
+                    server.track(),
+                    server.reserve() if isolated else contextlib.nullcontext(),
+                ):
+                    response = await self._call_with_timeout(
+                        call, server, service_call, may_retry
+                    )
+            except (errors.BackendUnreachable, errors.AnswerBroken):
+                server.record_failure()
+                raise
+            finally:
+                latency_timer.stop()
         server.record_success()
         LOG.info(
             'attempt received a response',
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -16,6 +16,7 @@
 from swiftjunction import backends
 from swiftjunction import errors
 from swiftjunction.requests import _budget
+from swiftjunction.requests import _evidence
 from swiftjunction.requests import _forwarding
 from swiftjunction.requests import _suspects
 from swiftjunction import routing
@@ -106,9 +107,11 @@
         Limits the retries of all requests together.
     suspects : SuspectTracker
         Tracks the requests that may crash servers.
+    directory : Directory, optional
+        Tells which servers have ended.
     """
 
-    __slots__ = ('_budget', '_router', '_services', '_streams', '_suspects')
+    __slots__ = ('_budget', '_observer', '_router', '_streams', '_suspects')
 
     def __init__(
         self,
@@ -117,10 +120,11 @@
         services: backends.ServiceTransport,
         budget: _budget.RetryBudget,
         suspects: _suspects.SuspectTracker,
+        directory: backends.Directory | None = None,
     ) -> None:
+        self._observer = _evidence.CrashObserver(services, suspects, directory)
         self._router = router
         self._streams = streams
-        self._services = services
         self._budget = budget
         self._suspects = suspects
 
@@ -207,40 +211,45 @@
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         server = await self._acquire_server(call, progress, isolated)
         progress.excluded.add(server.name)
-        started_unix = self._suspects.now()
+        async with self._observer.observe(call.fingerprint, server):
+            with (
+                server.track(),
+                server.reserve() if isolated else contextlib.nullcontext(),
+            ):
+                events = self._read_events(call, progress, server)
+                async with contextlib.aclosing(events):
+                    async for event in events:
+                        yield event
+        server.record_success()
+
+    async def _read_events(
+        self,
+        call: _forwarding.ForwardedCall,
+        progress: _StreamProgress,
+        server: backends.BackendServer,
+    ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
+        """Yield the events that were not relayed yet."""
         latency_timer = server.start_latency_timer()
-        with (
-            server.track(),
-            server.reserve() if isolated else contextlib.nullcontext(),
-        ):
-            try:
-                stream = await self._open_stream(call, server, progress)
-                if progress.first_stream is None:
-                    progress.first_stream = stream
-                async with contextlib.aclosing(stream.events) as events:
-                    while True:
-                        event = await self._read_event(
-                            call, server, events, progress
-                        )
-                        latency_timer.stop()
-                        if event is None:
-                            break
-                        if self._is_new(event, progress):
-                            progress.record_event(event)
-                            yield event
-            except errors.BackendUnreachable:
-                server.record_failure()
-                raise
-            except errors.AnswerBroken:
-                server.record_failure()
-                if await self._services.is_crashed(server):
-                    self._suspects.record_crash(
-                        call.fingerprint, server.name, started_unix
+        try:
+            stream = await self._open_stream(call, server, progress)
+            if progress.first_stream is None:
+                progress.first_stream = stream
+            async with contextlib.aclosing(stream.events) as events:
+                while True:
+                    event = await self._read_event(
+                        call, server, events, progress
                     )
-                raise
-            finally:
-                latency_timer.stop()
-        server.record_success()
+                    latency_timer.stop()
+                    if event is None:
+                        break
+                    if self._is_new(event, progress):
+                        progress.record_event(event)
+                        yield event
+        except (errors.BackendUnreachable, errors.AnswerBroken):
+            server.record_failure()
+            raise
+        finally:
+            latency_timer.stop()
 
     def _is_new(
         self, event: backends.StreamEvent, progress: _StreamProgress
--- a/src/swiftjunction/requests/_suspects.py
+++ b/src/swiftjunction/requests/_suspects.py
@@ -115,6 +115,7 @@
         server: str,
         started_unix: float,
         born_ms: int = 0,
+        ended_unix: float | None = None,
     ) -> None:
         """Record that `server` crashed while it ran the request.
 
@@ -126,10 +127,14 @@
             What :meth:`now` returned before the attempt.
         born_ms : int
             The start of the server in Unix milliseconds; 0 if not known.
+        ended_unix : float, optional
+            What :meth:`now` returned at the end of the attempt; by default,
+            what it returns now.
         """
         if fingerprint == NO_FINGERPRINT:
             return
-        crash = _crashes.Crash(server, started_unix, self._clock(), born_ms)
+        ended = self._clock() if ended_unix is None else ended_unix
+        crash = _crashes.Crash(server, started_unix, ended, born_ms)
         self._publish(fingerprint, _crashes.CrashHistory((crash,)))
         LOG.warning(
             'server crashed while it ran the request',
--- a/tests/cover/test_platform_crashes.py
+++ b/tests/cover/test_platform_crashes.py
@@ -37,6 +37,7 @@
             )
             for name in ('e1', 'e2', 'e3', 'e4', 'e5', 'e6')
         }
+        self.starts = 1
         self._sent = 0
 
     @property
@@ -157,7 +158,10 @@
 
 
 def restart(deployment, name):
-    deployment.register_server(name, deployment.servers[name], born=2)
+    deployment.starts += 1
+    deployment.register_server(
+        name, deployment.servers[name], born=deployment.starts
+    )
 
 
 def replace(deployment, name):
