--- a/src/swiftjunction/standins/_announcing.py
+++ b/src/swiftjunction/standins/_announcing.py
@@ -1,4 +1,6 @@
-"""Lets stand-ins of servers announce that they are leaving."""
+"""Lets stand-ins of servers announce their state in all responses."""
+
+import time
 
 import starlette.datastructures
 import starlette.middleware
@@ -7,6 +9,7 @@
 from swiftjunction.standins import _faults
 
 LEAVING_HEADER = (b'server-leaving', b'1')
+LIMIT_HEADER = b'server-limit'
 # Names the run of the stand-in, so that a test can tell which one responded.
 RUN_HEADER = b'x-standin-run'
 
@@ -20,12 +23,18 @@
         Number of starts; a test increments it when it restarts the server.
     arrivals : dict of str to list of str
         For each request id, the runs that received the request.
+    arrived_at : list of float
+        Monotonic times in seconds at which requests with an id arrived.
+    limited_at : float or None
+        When the server first named its limit.
     """
 
     def __init__(self, name: str) -> None:
         self._name = name
         self.count = 1
         self.arrivals: dict[str, list[str]] = {}
+        self.arrived_at: list[float] = []
+        self.limited_at: float | None = None
 
     @property
     def current(self) -> str:
@@ -35,17 +44,20 @@
     def record(self, request_id: str) -> None:
         """Record a request that reaches the current run."""
         self.arrivals.setdefault(request_id, []).append(self.current)
+        if request_id:
+            self.arrived_at.append(time.monotonic())
 
 
-class LeavingMiddleware:
-    """Adds the leaving header to all responses while a fault is set.
+class StateMiddleware:
+    """Adds headers that announce the server's state to all responses.
 
     Parameters
     ----------
     app : ASGIApp
         The application that responds.
     faults : FaultSwitches
-        Its fault ``leaving`` makes the server leave.
+        Its fault ``leaving`` makes the server leave, and ``limit`` is the
+        limit that the server names, in requests a second.
     server_runs : ServerRuns
         Records the requests.
     """
@@ -74,28 +86,32 @@
         self._server_runs.record(headers.get('swiftjunction-attempt-id', ''))
 
         async def send_marked(message: starlette.types.Message) -> None:
-            is_start = message['type'] == 'http.response.start'
-            if is_start and self._faults.get('leaving'):
-                run = self._server_runs.current.encode()
-                message = {
-                    **message,
-                    'headers': [
-                        *message['headers'],
-                        LEAVING_HEADER,
-                        (RUN_HEADER, run),
-                    ],
-                }
+            if message['type'] == 'http.response.start':
+                headers = [*message['headers'], *self._list_headers()]
+                message = {**message, 'headers': headers}
             await send(message)
 
         await self._app(scope, receive, send_marked)
 
+    def _list_headers(self) -> list[tuple[bytes, bytes]]:
+        headers = []
+        if self._faults.get('leaving'):
+            run = self._server_runs.current.encode()
+            headers += [LEAVING_HEADER, (RUN_HEADER, run)]
+        limit = self._faults.get('limit')
+        if limit:
+            headers.append((LIMIT_HEADER, f'{limit:g}'.encode()))
+            if self._server_runs.limited_at is None:
+                self._server_runs.limited_at = time.monotonic()
+        return headers
+
 
 def make_middleware(
     faults: _faults.FaultSwitches, server_runs: ServerRuns
 ) -> list[starlette.middleware.Middleware]:
-    """Return the middleware that lets a stand-in announce its leave."""
+    """Return the middleware that lets a stand-in announce its state."""
     return [
         starlette.middleware.Middleware(
-            LeavingMiddleware, faults=faults, server_runs=server_runs
+            StateMiddleware, faults=faults, server_runs=server_runs
         )
     ]
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -10,8 +10,8 @@
 import starlette.responses
 import starlette.routing
 
+from swiftjunction.standins import _announcing
 from swiftjunction.standins import _faults
-from swiftjunction.standins import _leaving
 from swiftjunction import web
 
 Request = starlette.requests.Request
@@ -43,6 +43,7 @@
         ``foreign``: the response has the id of another request.
         ``unnamed``: the response has no request id.
         ``leaving``: not a number; if set, all responses announce it.
+        ``limit``: requests a second that all responses name as the limit.
     server_runs : ServerRuns
         The starts of the server, and the requests that reached each run.
     runs : list of (str, str)
@@ -63,8 +64,9 @@
             'foreign',
             'unnamed',
             'leaving',
+            'limit',
         )
-        self.server_runs = _leaving.ServerRuns(name)
+        self.server_runs = _announcing.ServerRuns(name)
         self.runs: list[tuple[str, str]] = []
         self.headers: list[dict[str, str]] = []
 
@@ -76,7 +78,9 @@
                     '/{path:path}', self._serve, methods=METHODS
                 )
             ],
-            middleware=_leaving.make_middleware(self.faults, self.server_runs),
+            middleware=_announcing.make_middleware(
+                self.faults, self.server_runs
+            ),
         )
 
     async def _serve(self, request: Request) -> Response:
@@ -124,6 +128,7 @@
         ``late_orders``: orders that are applied after a delay, without a
         response.
         ``leaving``: not a number; if set, all responses announce it.
+        ``limit``: requests a second that all responses name as the limit.
     versions : dict of str to int
         Active version of each model.
     server_runs : ServerRuns
@@ -163,9 +168,10 @@
             'lost_orders',
             'late_orders',
             'leaving',
+            'limit',
         )
         self.versions = dict(versions)
-        self.server_runs = _leaving.ServerRuns(name)
+        self.server_runs = _announcing.ServerRuns(name)
         self.runs: list[tuple[str, int]] = []
         self.orders: list[dict[str, typing.Any]] = []
         self.refused_orders = 0
@@ -183,7 +189,9 @@
                 route('/order', self._receive_order, methods=['POST']),
                 route('/{path:path}', self._generate, methods=['POST']),
             ],
-            middleware=_leaving.make_middleware(self.faults, self.server_runs),
+            middleware=_announcing.make_middleware(
+                self.faults, self.server_runs
+            ),
         )
 
     async def _get_report(self, request: Request) -> Response:
