Keep to the request limits that servers name

Cause: nothing read Server-Limit. Class: a statement of a server that nobody listens to. Change: each response's head is read for the limit, which belongs to the run of the server. Requests to such a server need a permit, for lookups, streams, samples and scoring alike; the coordinator gives them at the rate of the limit. A VM that reaches none sends at an equal part of half the limit. Servers without permits are not chosen; if none is left, the request is refused at once with the time at which the next permit is due. Statuses carry the limits.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -16,6 +16,13 @@
 from swiftjunction.backends._orders import EngineStatus
 from swiftjunction.backends._orders import Order
 from swiftjunction.backends._orders import STATUS_INTERVAL_SECONDS
+from swiftjunction.backends._permits import Permit
+from swiftjunction.backends._permits import PermitBuckets
+from swiftjunction.backends._permits import PermitSource
+from swiftjunction.backends._permits import UnlimitedPermits
+from swiftjunction.backends._rates import RateStatement
+from swiftjunction.backends._rates import ServerRates
+from swiftjunction.backends._rates import UNLIMITED
 from swiftjunction.backends._server import BackendServer
 from swiftjunction.backends._server import ServerReport
 from swiftjunction.backends._service import ServiceCall
@@ -41,9 +48,14 @@
     'ORDER_TIMEOUT_SECONDS',
     'Order',
     'OrderSender',
+    'Permit',
+    'PermitBuckets',
+    'PermitSource',
+    'RateStatement',
     'SAMPLE_LATENCY_TOLERANCE',
     'SERVER_PREFIX',
     'STATUS_INTERVAL_SECONDS',
+    'ServerRates',
     'ServerReport',
     'ServiceCall',
     'ServiceClient',
@@ -53,6 +65,8 @@
     'StreamEvent',
     'StreamPosition',
     'StreamTransport',
+    'UNLIMITED',
+    'UnlimitedPermits',
     'read_body',
     'read_load',
     'translate_errors',
--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -8,6 +8,7 @@
 from swiftjunction.backends import _lateness
 from swiftjunction.backends import _leaving
 from swiftjunction.backends import _limit
+from swiftjunction.backends import _rates
 from swiftjunction.backends import _server
 from swiftjunction import links
 from swiftjunction import membership
@@ -34,6 +35,8 @@
         The lag of the event loop; its ``run`` must run in a task.
     leaving_servers : LeavingServers
         The instances that announced that they are leaving.
+    rates : ServerRates
+        The request limits that servers named.
     latency_tolerance : float
         The ratio of mean latency to baseline above which a server's
         concurrency limit falls. A change applies to servers added later.
@@ -48,6 +51,7 @@
         'latency_tolerance',
         'leaving_servers',
         'loop_lag',
+        'rates',
     )
 
     def __init__(
@@ -58,6 +62,7 @@
         self._clock = clock
         self.loop_lag = _lateness.LoopLag()
         self.leaving_servers = _leaving.LeavingServers(clock)
+        self.rates = _rates.ServerRates(clock)
         self.latency_tolerance = _limit.LIVE_LATENCY_TOLERANCE
         self._listeners: list[Listener] = []
         self._end_listeners: list[EndListener] = []
@@ -112,6 +117,7 @@
             self.latency_tolerance,
             self.loop_lag,
             self.leaving_servers,
+            self.rates,
         )
         self._servers[report.name] = server
         return server
@@ -169,6 +175,7 @@
                 'load': server.load,
                 'latency_seconds': round(server.latency_seconds, 4),
                 'limit': server.limit.requests,
+                'requests_per_second': self.rates.get(server.run),
                 'failures': server.health.failures,
                 'ejected_seconds': round(server.health.ejected_seconds, 1),
                 'available': server.is_available(),
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -10,6 +10,7 @@
 from swiftjunction.backends import _lateness
 from swiftjunction.backends import _leaving
 from swiftjunction.backends import _limit
+from swiftjunction.backends import _rates
 
 LATENCY_SMOOTHING_FACTOR = 0.2
 # A latency decays unless it is measured again, so a server that was slow is
@@ -83,6 +84,8 @@
         The lag of this process's event loop.
     leaving_servers : LeavingServers
         The instances that announced that they are leaving.
+    rates : ServerRates
+        The request limits that instances named.
 
     Attributes
     ----------
@@ -116,6 +119,7 @@
         '_load_at',
         '_loop_lag',
         '_on_release',
+        '_rates',
         '_timers',
         'health',
         'in_flight',
@@ -135,6 +139,7 @@
         latency_tolerance: float = _limit.LIVE_LATENCY_TOLERANCE,
         loop_lag: _lateness.LoopLag | None = None,
         leaving_servers: _leaving.LeavingServers | None = None,
+        rates: _rates.ServerRates | None = None,
     ) -> None:
         self.report = report
         self.health = _health.Health(clock)
@@ -149,6 +154,7 @@
             if leaving_servers is None
             else leaving_servers
         )
+        self._rates = _rates.ServerRates(clock) if rates is None else rates
         self._clock = clock
         self._on_release = on_release
         self._loop_lag = loop_lag or _lateness.LoopLag()
@@ -169,6 +175,11 @@
         """Return the address as ``ip:port``."""
         return self.report.address
 
+    @property
+    def run(self) -> tuple[str, int]:
+        """Return what identifies this run of the server."""
+        return self.report.name, self.report.born_ms
+
     @property
     def load(self) -> float:
         """Return the load that the last response reported.
@@ -260,6 +271,32 @@
         """
         self.weight_version = max(self.weight_version, version)
 
+    def is_rate_limited(self) -> bool:
+        """Return whether each request needs a permit."""
+        return self._rates.get(self.run) != _rates.UNLIMITED
+
+    def get_blocked_seconds(self) -> float:
+        """Return for how long no permit is to be had; 0 if one may be."""
+        return self._rates.get_blocked_seconds(self.run)
+
+    def read_rate_clock(self) -> float:
+        """Return the time at which a request is sent, for its response."""
+        return self._rates.now()
+
+    def record_rate_limit(
+        self, requests_per_second: float, sent_at: float
+    ) -> None:
+        """Record the request limit that a response named.
+
+        Parameters
+        ----------
+        requests_per_second : float
+            Infinity if the response named none.
+        sent_at : float
+            What :meth:`read_rate_clock` returned before the request.
+        """
+        self._rates.record(self.report, requests_per_second, sent_at)
+
     def start_latency_timer(self) -> 'LatencyTimer':
         """Start to measure the time to a response or to its first chunk."""
         timer = LatencyTimer(self, self._clock())
--- a/src/swiftjunction/batches/_engines.py
+++ b/src/swiftjunction/batches/_engines.py
@@ -101,6 +101,7 @@
         """Return whether the engine may be sent a sample of `model` now."""
         return (
             self.server.is_live()
+            and not self.server.get_blocked_seconds()
             and self._backoff_ends_at <= self._clock()
             and not self.is_loading(model)
             and self.get_version(model) >= min_version
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -34,16 +34,20 @@
         Scores complete samples.
     metrics : Metrics
         Counts attempts by outcome.
+    permits : PermitSource, optional
+        Permits for the engines that named a request limit.
     """
 
-    __slots__ = ('_client', '_metrics', '_scorer')
+    __slots__ = ('_client', '_metrics', '_permits', '_scorer')
 
     def __init__(
         self,
         client: _engine_client.SampleEngineClient,
         scorer: _scoring.SampleScorer,
         metrics: telemetry.Metrics,
+        permits: backends.PermitSource | None = None,
     ) -> None:
+        self._permits = permits or backends.UnlimitedPermits()
         self._client = client
         self._scorer = scorer
         self._metrics = metrics
@@ -72,6 +76,7 @@
         resumed_after = progress.last_number
         outcome = 'cancelled'
         try:
+            await self._permits.acquire(engine.server, 'samples')
             await self._read_events(open_batch, progress, engine)
         except errors.BackendError as error:
             outcome = type(error).__name__
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -17,6 +17,8 @@
 from swiftjunction.coordination._peer import PeerBatchAccess
 from swiftjunction.coordination._peer import PeerClient
 from swiftjunction.coordination._peer import PeerStore
+from swiftjunction.coordination._permits import PermitCall
+from swiftjunction.coordination._permits import SharedPermits
 from swiftjunction.coordination._polling import PeerPoller
 from swiftjunction.coordination._relaying import FailoverStore
 from swiftjunction.coordination._sharing import FeedSync
@@ -43,7 +45,9 @@
     'PeerMonitor',
     'PeerPoller',
     'PeerStore',
+    'PermitCall',
     'SharedFeed',
+    'SharedPermits',
     'StoreCrashBoard',
     'VmReport',
 ]
--- a/src/swiftjunction/coordination/_app.py
+++ b/src/swiftjunction/coordination/_app.py
@@ -13,6 +13,7 @@
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _messages
 from swiftjunction.coordination import _peer
+from swiftjunction.coordination import _permits
 from swiftjunction.coordination import _sharing
 from swiftjunction import errors
 from swiftjunction import objectstore
@@ -36,9 +37,17 @@
     get_batch_access : callable
         Returns access to the batches that this VM runs, or None if it runs
         no batches.
+    permits : SharedPermits, optional
+        Gives permits for servers with a request limit.
     """
 
-    __slots__ = ('_direct', '_feed_sync', '_get_batch_access', '_get_status')
+    __slots__ = (
+        '_direct',
+        '_feed_sync',
+        '_get_batch_access',
+        '_get_status',
+        '_permits',
+    )
 
     def __init__(
         self,
@@ -48,7 +57,9 @@
         get_batch_access: collections.abc.Callable[
             [], batches.BatchAccess | None
         ],
+        permits: _permits.SharedPermits | None = None,
     ) -> None:
+        self._permits = permits
         self._get_status = get_status
         self._direct = direct
         self._feed_sync = feed_sync
@@ -63,6 +74,7 @@
             _messages.RESULTS_PATH: self._read_results,
             _messages.SAMPLE_BODY_PATH: self._read_sample_body,
             _messages.END_BATCH_PATH: self._end_batch,
+            _messages.PERMIT_PATH: self._grant_permit,
         }
         return starlette.applications.Starlette(
             exception_handlers={
@@ -106,6 +118,14 @@
         await self._require_batch_access().end(call.batch_id)
         return _respond(None)
 
+    async def _grant_permit(self, request: Request) -> Response:
+        call = await _decode(request, _permits.PermitCall)
+        if self._permits is None:
+            raise errors.PlatformUnavailable(
+                'this VM gives no permits', step='permit'
+            )
+        return _respond(self._permits.grant(call))
+
     def _require_batch_access(self) -> batches.BatchAccess:
         access = self._get_batch_access()
         if access is None:
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from swiftjunction import backends
 from swiftjunction.coordination import _view
 from swiftjunction import errors
 from swiftjunction import membership
@@ -79,6 +80,8 @@
         is.
     coordinator_token : int
         That fencing token, or 0 if none is known.
+    rates : list of RateStatement
+        The request limits of servers that the VM knows.
     """
 
     name: str
@@ -92,6 +95,7 @@
     ages: dict[str, float] = {}
     coordinator: str = ''
     coordinator_token: int = 0
+    rates: list[backends.RateStatement] = []
 
 
 StatusSource = collections.abc.Callable[[], MemberStatus]
--- a/src/swiftjunction/coordination/_messages.py
+++ b/src/swiftjunction/coordination/_messages.py
@@ -11,6 +11,7 @@
 SAMPLE_BODY_PATH = '/peer/batches/body'
 OBJECTS_PATH = '/peer/objects'
 END_BATCH_PATH = '/peer/batches/end'
+PERMIT_PATH = '/peer/permits'
 
 
 class StoreCall(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -15,6 +15,7 @@
 import anyio.abc
 import msgspec
 
+from swiftjunction import backends
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _peer
 from swiftjunction.coordination import _sharing
@@ -70,6 +71,8 @@
         Receives the statuses too, to learn of newer copies.
     get_status : callable
         Returns this VM's status.
+    rates : ServerRates, optional
+        Receives the request limits that peers know.
     """
 
     __slots__ = (
@@ -77,6 +80,7 @@
         '_get_status',
         '_members',
         '_peers',
+        '_rates',
         '_round_number',
         '_send_lock',
         '_sock',
@@ -90,7 +94,9 @@
         members: _members.MemberTable,
         feed_sync: _sharing.FeedSync,
         get_status: _members.StatusSource,
+        rates: backends.ServerRates | None = None,
     ) -> None:
+        self._rates = rates
         self._sock = sock
         self._peers = peers
         self._members = members
@@ -169,6 +175,9 @@
     def _record_status(self, status: _members.MemberStatus) -> None:
         self._members.record_status(status)
         self._feed_sync.record_status(status)
+        if self._rates is not None:
+            for statement in status.rates:
+                self._rates.merge(statement)
 
     async def _send(
         self, udp: anyio.abc.UDPSocket, data: bytes, host: str, port: int
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -231,6 +231,10 @@
     """Every eligible backend server is at its limit; retry later."""
 
 
+class RateLimited(NotRun):
+    """Every eligible server takes only so many requests a second."""
+
+
 class BatchEnded(NotRun):
     """The batch has ended, so nothing more of it is sent to servers."""
 
--- a/src/swiftjunction/platform/_names.py
+++ b/src/swiftjunction/platform/_names.py
@@ -13,6 +13,7 @@
 LAST_EVENT_ID_HEADER = 'last-event-id'
 RETRY_AFTER_HEADER = 'retry-after'
 SERVER_LEAVING_HEADER = 'server-leaving'
+SERVER_LIMIT_HEADER = 'server-limit'
 
 READY_PATH = '/ready'
 RESOLVE_PATH = '/resolve'
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -116,7 +116,16 @@
             time.monotonic,
         )
         workers = _workers.WorkerClient(self._clients)
-        router = routing.Router(self._directory, settings.data_center, rng)
+        self._permits = coordination.SharedPermits(
+            self._directory.rates,
+            self._members,
+            self._clients,
+            self._is_coordinator,
+            rng,
+        )
+        router = routing.Router(
+            self._directory, settings.data_center, rng, self._permits
+        )
         claims = requests.ClaimStore(self._store, settings.name)
         self._crash_board = coordination.StoreCrashBoard(
             self._store, self._feed_sync, self._members
@@ -150,6 +159,7 @@
                     self._active_routes, make_forwarder(), rng
                 ),
                 self._metrics,
+                self._permits,
             ),
             allocator,
             self._metrics,
@@ -238,6 +248,9 @@
                 'leaving_servers', source=source
             )
         )
+        self._directory.rates.listen(
+            lambda _: self._metrics.count('rate_limited_servers')
+        )
         suspects.listen(lambda: self._metrics.count('server_crashes'))
         self._dump = self._build_dump()
 
@@ -253,6 +266,7 @@
             self._direct,
             self._feed_sync,
             self._find_runner,
+            self._permits,
         ).build()
         _inspection.InspectionEndpoints(self._metrics, self._dump).add_routes(
             peer_app
@@ -265,6 +279,7 @@
             self._members,
             self._feed_sync,
             self._build_status,
+            self._directory.rates,
         )
         LOG.info('started', extra={'front': self._settings.front})
         async with anyio.create_task_group() as tasks:
@@ -362,8 +377,13 @@
             self._feed_sync.list_revisions(),
             self._feed_sync.list_ages(),
             *self._members.newest_coordinator,
+            self._directory.rates.list_statements(),
         )
 
+    def _is_coordinator(self) -> bool:
+        lease = self._coordinator.lease
+        return lease is not None and lease.remaining_seconds() > 0
+
     def _is_store_unreachable(self) -> bool:
         """Return whether neither this VM nor a peer reaches the store."""
         return not (
--- a/src/swiftjunction/platform/_responses.py
+++ b/src/swiftjunction/platform/_responses.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import http
+import re
 
 import httpx
 
@@ -16,6 +17,9 @@
 # avoid a server that stays costs capacity, and to use one that leaves costs
 # requests.
 STAYING_VALUE = '0'
+# A longer one is no limit that a server means.
+MAX_LIMIT_CHARS = 64
+LIMIT_PATTERN = re.compile(r'\d+(\.\d*)?|\.\d+', re.ASCII)
 
 
 def build_response_error(
@@ -51,6 +55,45 @@
         server.record_leaving(request_id, source)
 
 
+def record_rate_limit(
+    response: httpx.Response,
+    server: backends.BackendServer,
+    request_id: str,
+    sent_at: float,
+) -> None:
+    """Record the request limit that a response names.
+
+    Invalid values say nothing. A response without a limit ends the one before
+    if it is that of the request: a report or an order need not name it.
+
+    Parameters
+    ----------
+    request_id : str
+        The id of the request; empty if it has none.
+    sent_at : float
+        The time at which the request was sent, on the server's clock of rates.
+    """
+    if _is_from_another(response, server):
+        return
+    values = response.headers.get_list(
+        _names.SERVER_LIMIT_HEADER, split_commas=True
+    )
+    limits = [float(v) for v in values if _is_limit(v)]
+    if limits:
+        server.record_rate_limit(min(limits), sent_at)
+    elif not values and request_id:
+        answered_id = response.headers.get(_names.ATTEMPT_ID_HEADER)
+        if answered_id == request_id:
+            server.record_rate_limit(backends.UNLIMITED, sent_at)
+
+
+def _is_limit(value: str) -> bool:
+    return (
+        len(value) <= MAX_LIMIT_CHARS
+        and LIMIT_PATTERN.fullmatch(value) is not None
+    )
+
+
 def _is_from_another(
     response: httpx.Response, server: backends.BackendServer
 ) -> bool:
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -329,6 +329,7 @@
                 check()
 
         peer = (peers or self._peers).get_direct(server.address)
+        sent_at = server.read_rate_clock()
         with backends.translate_errors('call', server.name):
             response = await peer.send(
                 method,
@@ -345,6 +346,7 @@
                 check_body=check,
             )
         _responses.record_leaving(response, server, request_id, source)
+        _responses.record_rate_limit(response, server, request_id, sent_at)
         return response
 
 
--- a/src/swiftjunction/routing/_router.py
+++ b/src/swiftjunction/routing/_router.py
@@ -3,6 +3,8 @@
 import collections.abc
 import random
 
+import anyio
+
 from swiftjunction import backends
 from swiftjunction import errors
 from swiftjunction.routing import _policy
@@ -28,16 +30,26 @@
         The data centre of this process.
     rng : random.Random
         The source of random choices of the policies.
+    permits : PermitSource, optional
+        Permits for the servers that named a request limit.
     """
 
-    __slots__ = ('_data_center', '_directory', '_policies', '_queues')
+    __slots__ = (
+        '_data_center',
+        '_directory',
+        '_permits',
+        '_policies',
+        '_queues',
+    )
 
     def __init__(
         self,
         directory: backends.Directory,
         data_center: str,
         rng: random.Random,
+        permits: backends.PermitSource | None = None,
     ) -> None:
+        self._permits = permits or backends.UnlimitedPermits()
         self._directory = directory
         self._data_center = data_center
         policies: list[_policy.Policy] = [
@@ -70,13 +82,35 @@
         ServersBusy
             If no server had capacity in time; at once if the expected wait
             is too long.
+        RateLimited
+            If the limits of all servers are used up, at once.
         """
         queue = self._queues.get(request.service)
         if queue is None:
             queue = self._queues[request.service] = _waiting.WaitQueue()
-        return await queue.acquire(
-            lambda: self.choose(request, policy), request
-        )
+        while True:
+            server = await queue.acquire(
+                lambda: self.choose(request, policy), request
+            )
+            if await self._acquire_permit(server, request):
+                return server
+
+    async def _acquire_permit(
+        self, server: BackendServer, request: _policy.RoutingRequest
+    ) -> bool:
+        """Return whether the chosen server may be used."""
+        if not server.is_rate_limited():
+            return True
+        try:
+            await self._permits.acquire(
+                server,
+                request.request_class,
+                request.deadline - anyio.current_time(),
+            )
+        except errors.RateLimited:
+            # The server is not chosen again before it may have a permit.
+            return False
+        return server.is_live()
 
     def has_live_server(self, service: str) -> bool:
         """Return whether any server of `service` is live, with any weights."""
@@ -99,6 +133,8 @@
             If no server is eligible for the request.
         ServersBusy
             If all eligible servers are at capacity.
+        RateLimited
+            If the limits of all eligible servers are used up.
         """
         eligible = list(self._select_eligible(request))
         if not eligible:
@@ -106,7 +142,8 @@
                 f'no server of {request.service} is eligible for the request',
                 step='route',
             )
-        with_capacity = filter_with_capacity(eligible, request.max_load)
+        permitted = filter_permitted(eligible)
+        with_capacity = filter_with_capacity(permitted, request.max_load)
         if request.isolated:
             with_capacity = filter_idle(with_capacity)
         candidates = spill_over(with_capacity, self._data_center)
@@ -156,6 +193,29 @@
     )
 
 
+def filter_permitted(
+    servers: collections.abc.Sequence[backends.BackendServer],
+) -> list[backends.BackendServer]:
+    """Return the servers whose request limit is not known to be used up.
+
+    Raises
+    ------
+    RateLimited
+        If there is none.
+    """
+    permitted = [s for s in servers if not s.get_blocked_seconds()]
+    if permitted:
+        return permitted
+    raise errors.RateLimited(
+        'the request limits of all eligible servers are used up',
+        step='route',
+        retry_after_seconds=max(
+            min(s.get_blocked_seconds() for s in servers),
+            _waiting.MIN_RETRY_AFTER_SECONDS,
+        ),
+    )
+
+
 def filter_with_capacity(
     servers: Servers, max_load: float
 ) -> collections.abc.Iterator[backends.BackendServer]:
--- a/tests/cover/test_platform_limits.py
+++ b/tests/cover/test_platform_limits.py
@@ -32,9 +32,13 @@
 
     async def flood(self, vm, route, per_second, seconds=FLOOD_SECONDS):
         """Send requests to one VM at a rate, without waiting for any."""
-        async with anyio.create_task_group() as tasks:
+        url = f'http://127.0.0.1:{self.ports[vm]["front"]}/{route}/x'
+        async with (
+            httpx.AsyncClient(trust_env=False, timeout=5) as client,
+            anyio.create_task_group() as tasks,
+        ):
             for _ in range(int(per_second * seconds)):
-                tasks.start_soon(self._send, vm, route)
+                tasks.start_soon(self._send, client, url)
                 await anyio.sleep(1 / per_second)
 
     def find_vm(self, coordinates):
@@ -44,17 +48,16 @@
                 return name
         raise AssertionError('no such VM')
 
-    async def _send(self, vm, route):
+    async def _send(self, client, url):
         self._sent += 1
         headers = {
+            'host': platform_deployment.HOST,
             'swiftjunction-attempt-id': f'r{self._sent}',
             'swiftjunction-deadline-ms': '1500',
             'swiftjunction-model': platform_deployment.MODEL,
         }
         try:
-            response = await self.send_request(
-                vm, 'POST', f'/{route}/x', headers=headers
-            )
+            response = await client.post(url, headers=headers)
         except httpx.HTTPError:
             return
         self.statuses.append(response.status_code)
