--- a/src/swiftjunction/backends/_permits.py
+++ b/src/swiftjunction/backends/_permits.py
@@ -10,9 +10,10 @@
 from swiftjunction.backends import _rates
 from swiftjunction.backends import _server
 
-# Requests beyond a steady flow that a bucket gives at once, as a time at the
-# rate of the limit.
-BURST_SECONDS = 0.5
+# What a bucket that was not used for a while gives at once, beyond the next
+# request of a steady flow: as much as in this time, and this many requests.
+BURST_SECONDS = 1.0
+BURST_REQUESTS = 2
 MAX_BUCKETS = 4096
 
 
@@ -68,11 +69,12 @@
         before.
         """
         now = self._clock()
+        burst_seconds = BURST_SECONDS + BURST_REQUESTS / requests_per_second
         due_at = self._due_at.pop(run, None)
         if due_at is None:
             delay_seconds = self._rng.random() if self._rng else 0.0
-            due_at = now + BURST_SECONDS + delay_seconds / requests_per_second
-        wait_seconds = max(due_at - BURST_SECONDS - now, 0.0)
+            due_at = now + burst_seconds + delay_seconds / requests_per_second
+        wait_seconds = max(due_at - burst_seconds - now, 0.0)
         granted = wait_seconds <= max_wait_seconds
         if granted:
             due_at = max(due_at, now) + 1 / requests_per_second
--- a/src/swiftjunction/batches/_dispatch.py
+++ b/src/swiftjunction/batches/_dispatch.py
@@ -37,11 +37,14 @@
         self.slot.enter_context(
             engine.reserve_slot(progress.sample.expected_tokens)
         )
+        if engine.server.is_rate_limited() and not progress.complete:
+            engine.awaiting_permit = progress.sample.sample_id
         progress.running = True
         progress.started_at = anyio.current_time()
 
     def end(self) -> None:
         """Release the slot, and allow another attempt."""
+        self.engine.end_permit_wait(self.progress.sample.sample_id)
         self.progress.engine = ''
         self.progress.running = False
         self.slot.close()
--- a/src/swiftjunction/batches/_engines.py
+++ b/src/swiftjunction/batches/_engines.py
@@ -28,6 +28,9 @@
         Number of orders that it has accepted; -1 if unknown.
     expected_tokens : float
         Sum of the expected tokens of the samples that it generates.
+    awaiting_permit : str
+        The sample that waits for a permit, as the engine named a limit; empty
+        if none does. Another one is sent when this one has got it.
     """
 
     __slots__ = (
@@ -36,6 +39,7 @@
         '_observed_versions',
         '_backoff_ends_at',
         '_backoff_seconds',
+        'awaiting_permit',
         'expected_tokens',
         'orders',
         'server',
@@ -45,6 +49,7 @@
         self.server = server
         self.orders = -1
         self.expected_tokens = 0.0
+        self.awaiting_permit = ''
         self._clock = clock
         self._backoff_seconds = 0.0
         self._backoff_ends_at = 0.0
@@ -101,6 +106,7 @@
         """Return whether the engine may be sent a sample of `model` now."""
         return (
             self.server.is_live()
+            and not self.awaiting_permit
             and not self.server.get_blocked_seconds()
             and self._backoff_ends_at <= self._clock()
             and not self.is_loading(model)
@@ -118,6 +124,11 @@
         finally:
             self.expected_tokens -= tokens
 
+    def end_permit_wait(self, sample_id: str) -> None:
+        """Let another sample wait for a permit, if this one did."""
+        if self.awaiting_permit == sample_id:
+            self.awaiting_permit = ''
+
     @property
     def slots(self) -> int:
         """Return the number of samples that it can generate concurrently."""
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -76,7 +76,7 @@
         resumed_after = progress.last_number
         outcome = 'cancelled'
         try:
-            await self._permits.acquire(engine.server, 'samples')
+            await self._acquire_permit(progress, engine)
             await self._read_events(open_batch, progress, engine)
         except errors.BackendError as error:
             outcome = type(error).__name__
@@ -109,6 +109,14 @@
             )
         return outcome == 'whole'
 
+    async def _acquire_permit(
+        self, progress: _open.SampleProgress, engine: _engines.EngineState
+    ) -> None:
+        try:
+            await self._permits.acquire(engine.server, 'samples')
+        finally:
+            engine.end_permit_wait(progress.sample.sample_id)
+
     async def _read_events(
         self,
         open_batch: _open.OpenBatch,
