Stop long bodies after a failed check, and reset cancelled requests

Cause: a request was checked before its head and before its body, but not while a long body goes to a server that reads slowly; and a cancelled request closed its connection in order, so that the system sent on what it held back. Class: a check whose result is used long after. The first one was wrong in a part: its server read into memory at once, as an event loop reads ahead, and with large buffers of the system even a thread got all of the body before the test looked. Its receiver now reads in a thread, with a small buffer; the bounds are as before, and a third test has a check that fails during the body. Change: bodies of over 64 KB are checked before each chunk; a connection that is closed during an exchange is reset.

--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -18,6 +18,10 @@
 
 Headers = collections.abc.Sequence[tuple[str, str]]
 
+# A server that reads slowly gets no more than this after a failed check, and
+# what the buffers of the system hold.
+BODY_CHUNK_BYTES = 64 * 1024
+
 
 def create_client(
     base_url: str = '',
@@ -63,6 +67,29 @@
     return {'trace': trace}
 
 
+class _CheckedBody(httpx.AsyncByteStream):
+    """A body that is checked before each chunk."""
+
+    def __init__(
+        self, content: bytes, check: collections.abc.Callable[[], None]
+    ) -> None:
+        self._content = content
+        self._check = check
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        for start in range(0, len(self._content), BODY_CHUNK_BYTES):
+            self._check()
+            yield self._content[start : start + BODY_CHUNK_BYTES]
+
+
+def _make_body(
+    content: bytes, check: collections.abc.Callable[[], None] | None
+) -> httpx.AsyncByteStream:
+    if check is None or len(content) <= BODY_CHUNK_BYTES:
+        return httpx.ByteStream(content)
+    return _CheckedBody(content, check)
+
+
 class DirectClient:
     """A lightweight HTTP client for the requests of callers to one server.
 
@@ -114,9 +141,9 @@
             Called once a connection is open, just before the first byte is
             sent. If it raises, the request is not sent.
         check_body : callable
-            Called just before the first byte of the body is sent. If it
-            raises, the server gets a request without its body, and the
-            connection is closed.
+            Called just before the first byte of the body is sent, and before
+            each further chunk of a long one. If it raises, the server gets no
+            more of the body, and the connection is reset.
         """
         framing_headers = [('host', host or self._host)]
         if content:
@@ -130,7 +157,7 @@
                 (name.encode('latin-1'), value.encode('latin-1'))
                 for name, value in [*framing_headers, *headers]
             ],
-            stream=httpx.ByteStream(content),
+            stream=_make_body(content, check_body),
             extensions={
                 'timeout': {
                     'connect': min(connect_seconds, timeout_seconds),
--- a/src/swiftjunction/web/_heads.py
+++ b/src/swiftjunction/web/_heads.py
@@ -1,11 +1,14 @@
-"""Bounds the bytes of a response's head.
+"""Connections that bound the heads of responses, and reset if cut short.
 
 httpcore bounds a single head, but reads any number of informational ones
 (status 1xx) before the response.
 """
 
 import collections.abc
+import contextlib
+import socket
 import ssl
+import struct
 import typing
 
 import httpcore
@@ -13,6 +16,8 @@
 # A valid head has some KB, with an informational one or two before it. h11
 # itself cuts off a single head at 100 KB.
 MAX_HEAD_BYTES = 128 * 1024
+# Lingering for no time makes the system reset a connection as it is closed.
+RESET_LINGER = struct.pack('ii', 1, 0)
 
 SocketOptions = collections.abc.Iterable[httpcore.SOCKET_OPTION]
 
@@ -44,6 +49,9 @@
 class HeadBoundStream(httpcore.AsyncNetworkStream):
     """A connection that receives at most ``MAX_HEAD_BYTES`` for a head.
 
+    If it is closed during an exchange, it is reset, so that the system does
+    not send on what the server has not yet read.
+
     Parameters
     ----------
     stream : AsyncNetworkStream
@@ -54,11 +62,16 @@
         self._stream = stream
         self._awaits_head = True
         self._head_bytes = 0
+        self._in_exchange = False
 
     def end_head(self) -> None:
         """Stop counting, as the head of the response is complete."""
         self._awaits_head = False
 
+    def end_exchange(self) -> None:
+        """Close in order from now on, as the response is complete."""
+        self._in_exchange = False
+
     async def read(
         self, max_bytes: int, timeout: float | None = None
     ) -> bytes:
@@ -74,11 +87,22 @@
         # The next response follows.
         self._awaits_head = True
         self._head_bytes = 0
+        self._in_exchange = True
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
+        if self._in_exchange:
+            self._set_reset()
         await self._stream.aclose()
 
+    def _set_reset(self) -> None:
+        raw_socket = self._stream.get_extra_info('socket')
+        # The connection may be closed already.
+        with contextlib.suppress(OSError):
+            raw_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER
+            )
+
     async def start_tls(
         self,
         ssl_context: ssl.SSLContext,
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -174,6 +174,7 @@
         self._bounded = _bodies.bound_body(response.stream, response)
         self._connection = connection
         self._transport: LifoTransport | None = transport
+        self._network_stream = response.extensions['network_stream']
 
     def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         return self._bounded
@@ -184,5 +185,7 @@
             return
         try:
             await self._stream.aclose()
+            if isinstance(self._network_stream, _heads.HeadBoundStream):
+                self._network_stream.end_exchange()
         finally:
             await transport.release(self._connection)
--- a/tests/cover/test_platform_sending.py
+++ b/tests/cover/test_platform_sending.py
@@ -18,6 +18,8 @@
 LAG_SECONDS = 1.0
 # For how long a check allows to send.
 VALID_SECONDS = 0.5
+# Receive buffer of a server that reads slowly.
+RECEIVE_BYTES = 64 * 1024
 
 
 class Listener:
@@ -158,6 +160,8 @@
 class SlowReceiver:
     """Reads nothing for a while after a connection is open.
 
+    It reads in a thread, as an event loop reads ahead of its tasks.
+
     Attributes
     ----------
     complete_at : float or None
@@ -171,47 +175,60 @@
         self._pause_seconds = pause_seconds
         self.complete_at = None
         self.was_reset = False
-        self.done = anyio.Event()
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        # What is in the buffers of the server's system has arrived there.
+        self._listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES
+        )
+        self.port = self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
 
-    async def handle(self, stream):
-        await anyio.sleep(self._pause_seconds)
+    def _run(self):
+        connection, _ = self._listener.accept()
+        time.sleep(self._pause_seconds)
         received = 0
         try:
-            async with stream:
-                async for data in stream:
+            with connection:
+                while data := connection.recv(65536):
                     received += len(data)
                     if received >= self._size and self.complete_at is None:
                         self.complete_at = time.monotonic()
-        except anyio.BrokenResourceError:
+        except ConnectionResetError:
             self.was_reset = True
-        self.done.set()
+
+    async def wait_closed(self):
+        """Wait until the connection is closed."""
+        await anyio.to_thread.run_sync(self._thread.join, 5)
+        self._listener.close()
 
 
-async def send_and_cancel(receiver, body, seconds):
+async def send_and_cancel(receiver, body, seconds, check=lambda: None):
     """Send a sample, cancel it, and return when it was last checked."""
     checked_at = []
+
+    def record_check():
+        check()
+        checked_at.append(time.monotonic())
+
     peers = web.PeerClients()
-    tcp = await anyio.create_tcp_listener(local_host='127.0.0.1')
-    port = tcp.extra(anyio.abc.SocketAttribute.local_port)
     server = backends.BackendServer(
-        backends.ServerReport('e', f'127.0.0.1:{port}', 's', 'dc')
+        backends.ServerReport('e', f'127.0.0.1:{receiver.port}', 's', 'dc')
     )
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(tcp.serve, receiver.handle)
-        events = _workers.WorkerClient(peers).generate(
-            server,
-            'h',
-            batches.Sample('i', '/x', [], body, group='g'),
-            -1,
-            lambda: checked_at.append(time.monotonic()),
-        )
-        with anyio.move_on_after(seconds):
-            await anext(events)
-        await events.aclose()
-        with anyio.move_on_after(5):
-            await receiver.done.wait()
-        tasks.cancel_scope.cancel()
-    await tcp.aclose()
+    events = _workers.WorkerClient(peers).generate(
+        server,
+        'h',
+        batches.Sample('i', '/x', [], body, group='g'),
+        -1,
+        record_check,
+    )
+    with (
+        anyio.move_on_after(seconds),
+        contextlib.suppress(errors.EndUnconfirmed),
+    ):
+        await anext(events)
+    await events.aclose()
+    await receiver.wait_closed()
     await peers.close()
     return checked_at[-1]
 
@@ -225,6 +242,20 @@
     )
 
 
+async def test_a_long_body_ends_with_a_reset_once_its_check_fails():
+    size = 16_000_000
+    receiver = SlowReceiver(size, pause_seconds=3 * VALID_SECONDS)
+    started_at = time.monotonic()
+
+    def check():
+        if time.monotonic() - started_at > VALID_SECONDS:
+            raise errors.EndUnconfirmed('the batch may have ended', step='x')
+
+    await send_and_cancel(receiver, b'x' * size, 4.0, check)
+    assert receiver.complete_at is None
+    assert receiver.was_reset
+
+
 async def test_the_connection_of_a_cancelled_sample_is_reset():
     # As bytes that are held up on the way are dropped only by a reset.
     receiver = SlowReceiver(size=2000, pause_seconds=1.0)
