Let failed relayed calls show that a VM does not reach the store

Cause: a VM answers calls of its peers with a client of its own, whose failures nobody recorded, so that it went on reporting that it reaches the store until a call of its own failed. Class: a report that does not use all that is known. Evidence: test_a_peer_that_cannot_relay_no_longer_reports_the_store. Change: the failover store gives out a client whose outcomes it records; the program and the test wire that one.

--- a/src/swiftjunction/coordination/_relaying.py
+++ b/src/swiftjunction/coordination/_relaying.py
@@ -40,6 +40,12 @@
         order in which to try them.
     clock : callable
         Returns monotonic time in seconds.
+
+    Attributes
+    ----------
+    direct : ObjectStore
+        Calls the store directly only, on behalf of peers. What becomes of its
+        calls, but for watches, shows too whether the store is reachable.
     """
 
     __slots__ = (
@@ -49,6 +55,7 @@
         '_direct_watches',
         '_list_relays',
         '_relayed_watches',
+        'direct',
     )
 
     def __init__(
@@ -67,6 +74,9 @@
         self._direct_watches: set[anyio.CancelScope] = set()
         # Cancelled when another call through a peer fails.
         self._relayed_watches: set[anyio.CancelScope] = set()
+        self.direct: objectstore.ObjectStore = _DirectStore(
+            direct, self._call_directly
+        )
 
     def reaches_directly(self) -> bool:
         """Return whether the store counts as directly reachable.
@@ -180,6 +190,52 @@
         self._direct_retry_at = 0.0
 
 
+class _DirectStore(objectstore.ObjectStore):
+    """Calls the object store directly, and has the outcomes recorded.
+
+    Parameters
+    ----------
+    direct : ObjectStore
+        Client that calls the object store directly.
+    call : callable
+        Carries out a call of that client, and records its outcome.
+    """
+
+    __slots__ = ('_call', '_direct')
+
+    def __init__(
+        self,
+        direct: objectstore.ObjectStore,
+        call: collections.abc.Callable[
+            [Operation[typing.Any]], collections.abc.Awaitable[typing.Any]
+        ],
+    ) -> None:
+        self._direct = direct
+        self._call = call
+
+    async def read(self, key: str) -> objectstore.Object:
+        return await self._call(lambda store: store.read(key))
+
+    async def list(self, prefix: str) -> objectstore.ChangeSet:
+        return await self._call(lambda store: store.list(prefix))
+
+    async def create(self, key: str, value: bytes) -> int:
+        return await self._call(lambda store: store.create(key, value))
+
+    async def update(self, key: str, value: bytes, version: int) -> int:
+        return await self._call(
+            lambda store: store.update(key, value, version)
+        )
+
+    async def delete(self, key: str, version: int) -> None:
+        await self._call(lambda store: store.delete(key, version))
+
+    async def watch(
+        self, prefix: str, revision: int, wait_seconds: float
+    ) -> objectstore.ChangeSet:
+        return await self._direct.watch(prefix, revision, wait_seconds)
+
+
 async def _watch_until_cancelled(
     scopes: set[anyio.CancelScope],
     watch: collections.abc.Callable[
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -263,7 +263,7 @@
         )
         peer_app = coordination.PeerApp(
             self._build_status,
-            self._direct,
+            self._store.direct,
             self._feed_sync,
             self._find_runner,
             self._permits,
--- a/tests/cover/test_coordination_outages.py
+++ b/tests/cover/test_coordination_outages.py
@@ -88,7 +88,7 @@
     store = coordination.FailoverStore(direct, lambda: [], clock)
     # As the edge process wires them.
     app = coordination.PeerApp(
-        lambda: None, direct, None, lambda: None
+        lambda: None, store.direct, None, lambda: None
     ).build()
     call = _messages.StoreCall('list', 'batches/')
     async with httpx.AsyncClient(
