Report how long changes may be missing from a VM's copy

Cause: a VM said that its copy was current while its watch had not failed, and a watch tells nothing while it waits. Class: no news taken for news that nothing happened. Change: statuses tell when a response last showed that a copy is complete, and apart from that, when its watch had not failed. As before, a VM watches itself if no watch is known for 2.5 s; now also if no watch has had a response in the time that one lasts at most, so that the silence of all watchers ends.

--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -73,8 +73,8 @@
     revisions : dict of str to int
         For each prefix, the revision up to which the VM has all changes.
     ages : dict of str to float
-        For each prefix, the seconds since the VM, or a peer that it copies
-        from, was last known to have all changes.
+        For each prefix, the seconds for which changes may be missing: those
+        since a response of the store showed that there were no others.
     coordinator : str
         The name of the VM with the highest fencing token known; empty if none
         is.
@@ -82,6 +82,9 @@
         That fencing token, or 0 if none is known.
     rates : list of RateStatement
         The request limits of servers that the VM knows.
+    watch_ages : dict of str to float
+        For each prefix, the seconds since the VM, or a peer that it copies
+        from, had a watch that had not failed.
     """
 
     name: str
@@ -96,6 +99,7 @@
     coordinator: str = ''
     coordinator_token: int = 0
     rates: list[backends.RateStatement] = []
+    watch_ages: dict[str, float] = {}
 
 
 StatusSource = collections.abc.Callable[[], MemberStatus]
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -29,9 +29,12 @@
 # `must_watch` is true or whose copy is too old. If packets of one of them are
 # silently dropped, another one still learns of changes.
 WATCHER_COUNT = 2
-# A VM whose copy has not been known to be current for this long watches the
-# store itself.
-MAX_AGE_SECONDS = 2.5
+# A VM watches the store itself if nobody that it copies from has had a watch
+# for this long.
+MAX_WATCH_AGE_SECONDS = 2.5
+# ... or if no watch has had a response for this long. One without changes gets
+# its response at its end.
+MAX_AGE_SECONDS = objectstore.WATCH_SECONDS + MAX_WATCH_AGE_SECONDS
 # Largest number of deletions that each feed remembers.
 MAX_DELETIONS = 1024
 
@@ -53,9 +56,12 @@
         before any objects have been received.
     is_watched : bool
         Whether this VM watches the prefix now, so that no change is missed.
-    current_at : float
-        When the copy was last known to have all changes, by this VM's watch
-        or by the status of a peer; monotonic time in seconds.
+    watched_at : float
+        When this VM, or a peer that it copies from, last had a watch that had
+        not failed; monotonic time in seconds.
+    complete_at : float
+        Up to when a response of the store shows that the copy has all changes;
+        monotonic time in seconds.
     """
 
     __slots__ = (
@@ -64,17 +70,19 @@
         '_min_since',
         '_newer_known',
         '_objects',
-        'current_at',
+        'complete_at',
         'is_watched',
         'prefix',
         'revision',
+        'watched_at',
     )
 
     def __init__(self, prefix: str, listener: objectstore.Listener) -> None:
         self.prefix = prefix
         self.revision = -1
         self.is_watched = False
-        self.current_at = -math.inf
+        self.watched_at = -math.inf
+        self.complete_at = -math.inf
         self._listener = listener
         self._newer_known = anyio.Event()
         self._objects: dict[str, objectstore.Object] = {}
@@ -121,6 +129,9 @@
     def mark_stale(self) -> None:
         self.is_watched = False
 
+    def confirm(self, asked_at: float) -> None:
+        self.complete_at = max(self.complete_at, asked_at)
+
     def copy_since(self, since: int) -> _messages.FeedCopy:
         """Return what a peer needs that has all changes up to `since`.
 
@@ -143,20 +154,23 @@
             since,
         )
 
-    def record_copy(self, revision: int, current_at: float) -> None:
+    def record_copy(
+        self, revision: int, watched_at: float, complete_at: float
+    ) -> None:
         """Record which copy of the objects a peer has.
 
         Parameters
         ----------
         revision : int
             The revision of that copy.
-        current_at : float
-            When that copy was last known to have all changes; monotonic time
-            in seconds.
+        watched_at, complete_at : float
+            The same of that copy as the attributes of this one.
         """
-        self.current_at = max(self.current_at, current_at)
+        self.watched_at = max(self.watched_at, watched_at)
         if revision > self.revision:
             self._newer_known.set()
+        else:
+            self.confirm(complete_at)
 
     async def wait_for_newer(self) -> None:
         """Wait until a peer with a newer copy is recorded."""
@@ -254,16 +268,28 @@
         }
 
     def list_ages(self) -> dict[str, float]:
-        """Return the seconds since each feed was current, for peers.
+        """Return the seconds since each feed was complete, for peers.
 
-        Feeds that were never known to be current are left out.
+        Feeds that were never known to be complete are left out.
+        """
+        now = self._clock()
+        return {
+            prefix: round(now - feed.complete_at, 3)
+            for prefix, feed in self._feeds.items()
+            if feed.complete_at > -math.inf
+        }
+
+    def list_watch_ages(self) -> dict[str, float]:
+        """Return the seconds since each feed was watched, for peers.
+
+        Feeds that were never known to be watched are left out.
         """
         now = self._clock()
         self._refresh_watched(now)
         return {
-            prefix: round(now - feed.current_at, 3)
+            prefix: round(now - feed.watched_at, 3)
             for prefix, feed in self._feeds.items()
-            if feed.current_at > -math.inf
+            if feed.watched_at > -math.inf
         }
 
     def record_status(self, status: _members.MemberStatus) -> None:
@@ -272,13 +298,14 @@
         for prefix, feed in self._feeds.items():
             feed.record_copy(
                 status.revisions.get(prefix, -1),
+                now - status.watch_ages.get(prefix, math.inf),
                 now - status.ages.get(prefix, math.inf),
             )
 
     def _refresh_watched(self, now: float) -> None:
         for feed in self._feeds.values():
             if feed.is_watched:
-                feed.current_at = now
+                feed.watched_at = now
 
     async def run(
         self,
@@ -312,12 +339,14 @@
         rank.
         """
         while feed.revision < 0:
+            asked_at = self._clock()
             try:
                 listed = await self._store.list(feed.prefix)
                 feed.apply_if_newer(
                     _messages.FeedCopy(listed.revision, listed.changed, [])
                 )
-                feed.current_at = self._clock()
+                feed.watched_at = self._clock()
+                feed.confirm(asked_at)
             except errors.PlatformError as error:
                 LOG.info(
                     'cannot list the objects under %s: %s', feed.prefix, error
@@ -340,6 +369,8 @@
                 feed.prefix,
                 feed,
                 coalesce_seconds,
+                objectstore.WATCH_SECONDS,
+                self._clock,
             )
             while must_watch() or self._should_watch(feed.prefix):
                 await anyio.sleep(WATCH_CHECK_INTERVAL_SECONDS)
@@ -355,7 +386,11 @@
             return True
         now = self._clock()
         self._refresh_watched(now)
-        return now - self._feeds[prefix].current_at > MAX_AGE_SECONDS
+        feed = self._feeds[prefix]
+        return (
+            now - feed.watched_at > MAX_WATCH_AGE_SECONDS
+            or now - feed.complete_at > MAX_AGE_SECONDS
+        )
 
     async def _copy_newer(self, feed: SharedFeed) -> None:
         while True:
--- a/src/swiftjunction/objectstore/__init__.py
+++ b/src/swiftjunction/objectstore/__init__.py
@@ -3,6 +3,7 @@
 from swiftjunction.objectstore._following import CallbackListener
 from swiftjunction.objectstore._following import follow
 from swiftjunction.objectstore._following import Listener
+from swiftjunction.objectstore._following import WATCH_SECONDS
 from swiftjunction.objectstore._objects import ChangeSet
 from swiftjunction.objectstore._objects import decode_value
 from swiftjunction.objectstore._objects import HttpObjectStore
@@ -24,6 +25,7 @@
     'ResilientObjectStore',
     'Vm',
     'VmList',
+    'WATCH_SECONDS',
     'create_or_confirm',
     'decode_value',
     'follow',
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -378,6 +378,7 @@
             self._feed_sync.list_ages(),
             *self._members.newest_coordinator,
             self._directory.rates.list_statements(),
+            self._feed_sync.list_watch_ages(),
         )
 
     def _is_coordinator(self) -> bool:
--- a/tests/cover/test_coordination_large.py
+++ b/tests/cover/test_coordination_large.py
@@ -50,6 +50,8 @@
             {},
             self.feed_sync.list_ages(),
             *self.members.newest_coordinator,
+            [],
+            self.feed_sync.list_watch_ages(),
         )
 
 
@@ -61,6 +63,8 @@
         names = [f'vm-{number:03d}' for number in range(size)]
         self.vms = {n: Vm(n, clock, i) for i, n in enumerate(names)}
         self.down = set()
+        # VMs whose watches get no response.
+        self.silent = set()
         self.polls_answered = collections.Counter()
         for vm in self.vms.values():
             for name in names:
@@ -81,6 +85,8 @@
     def _watch(self, vm):
         if vm.feed_sync._should_watch(PREFIX):
             vm.feed.mark_current(1)
+            if vm.name not in self.silent:
+                vm.feed.confirm(self.clock.now)
         elif vm.members.find_rank() > 1:
             vm.feed.mark_stale()
 
@@ -184,6 +190,22 @@
         deployment.run(rounds=10)
         assert deployment.count_watchers() == 2
 
+    def test_other_vms_watch_when_the_watches_are_silent(self, deployment):
+        deployment.run(rounds=10)
+        watchers = {
+            vm.name for vm in deployment.list_up() if vm.feed.is_watched
+        }
+        deployment.silent = watchers
+        deployment.run(rounds=50)
+        assert deployment.count_watchers() == 2
+        others = set()
+        for _ in range(20):
+            deployment.run()
+            others |= {
+                vm.name for vm in deployment.list_up() if vm.feed.is_watched
+            }
+        assert others - watchers
+
     def test_other_vms_watch_when_the_watchers_are_down(self, deployment):
         deployment.run(rounds=10)
         for vm in deployment.list_up():
