Let the soak crash servers by a request, and limit servers

Change: a caller sends a request that crashes its server, and after the last fault no VM may send it to another one once three have ended; servers name a limit, and what reaches them from VMs that had passed it on is counted as the users do. The stand-ins name their run in each response.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """Invariants, checked against what callers and servers observe."""
 
+import bisect
 import collections
 import collections.abc
 import math
@@ -11,6 +12,14 @@
 CANCEL_SECONDS = 3.0
 # Longest time after an announcement for which its server may get requests.
 DRAIN_SECONDS = 2.0
+# The rule on request limits: from this time after the first naming, in some
+# window at most this many times what the limit allows, and some requests more,
+# from VMs that had passed on a response with the limit some time before.
+LIMIT_CONTACT_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA_REQUESTS = 5
+LIMIT_KNOWN_SECONDS = 0.5
 # A VM returns these statuses only for requests that have not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -50,9 +59,12 @@
         Name of the VM that was called.
     status : int
         Status of the response; 0 if there was no complete response.
-    leaving_run : str
-        The run of the server whose response announced that it is leaving;
-        empty if none did.
+    run : str
+        The run of the server whose response was passed on; empty if none was.
+    is_leaving : bool
+        Whether that response announced that the server is leaving.
+    limit : float
+        The request limit that it named; infinity if none.
     epoch : tuple of int
         The starts and freezes of the VM when the request was sent.
     started_at, ended_at : float
@@ -63,8 +75,10 @@
         'ended_at',
         'epoch',
         'kind',
-        'leaving_run',
+        'is_leaving',
+        'limit',
         'request_id',
+        'run',
         'started_at',
         'status',
         'vm',
@@ -75,7 +89,9 @@
         self.kind = kind
         self.vm = vm
         self.status = 0
-        self.leaving_run = ''
+        self.run = ''
+        self.is_leaving = False
+        self.limit = math.inf
         self.epoch = (0, 0)
         self.started_at = 0.0
         self.ended_at = 0.0
@@ -119,15 +135,14 @@
     """
     known_since: dict[tuple[str, tuple[int, int]], dict[str, float]] = {}
     for outcome in sorted(outcomes, key=lambda o: o.ended_at):
-        if outcome.leaving_run:
+        if outcome.is_leaving:
             runs = known_since.setdefault((outcome.vm, outcome.epoch), {})
-            runs.setdefault(outcome.leaving_run, outcome.ended_at)
+            runs.setdefault(outcome.run, outcome.ended_at)
+    reached_by_id: dict[str, set[str]] = collections.defaultdict(set)
+    for arrival in _iter_arrivals(deployment):
+        reached_by_id[arrival.request_id].add(arrival.run)
     for outcome in outcomes:
-        reached = {
-            run
-            for server in deployment.servers.values()
-            for run in server.server_runs.arrivals.get(outcome.request_id, ())
-        }
+        reached = reached_by_id[outcome.request_id]
         runs = known_since.get((outcome.vm, outcome.epoch), {})
         for run, since in runs.items():
             if outcome.started_at > since + DRAIN_SECONDS:
@@ -138,6 +153,69 @@
                 )
 
 
+def _iter_arrivals(
+    deployment: testbed.SoakDeployment,
+) -> collections.abc.Iterator[standins.Arrival]:
+    for server in deployment.servers.values():
+        yield from server.server_runs.arrivals
+
+
+def check_limits(
+    invariants: Invariants,
+    outcomes: collections.abc.Sequence[Outcome],
+    deployment: testbed.SoakDeployment,
+) -> None:
+    """Check that VMs together keep to the request limit that a run named.
+
+    Each run names one limit at most, until it ends. Counted are the callers'
+    requests, from VMs that had passed on a response with the limit.
+    """
+    limits: dict[str, float] = {}
+    named_at: dict[str, float] = {}
+    known_since: dict[tuple[str, str, tuple[int, int]], float] = {}
+    for outcome in sorted(outcomes, key=lambda o: o.ended_at):
+        if outcome.limit < math.inf:
+            limits[outcome.run] = outcome.limit
+            named_at.setdefault(outcome.run, outcome.ended_at)
+            known_since.setdefault(
+                (outcome.run, outcome.vm, outcome.epoch), outcome.ended_at
+            )
+    by_id = {outcome.request_id: outcome for outcome in outcomes}
+    times: dict[str, list[float]] = {run: [] for run in limits}
+    for arrival in _iter_arrivals(deployment):
+        outcome = by_id.get(arrival.request_id)
+        if outcome is None or arrival.run not in limits:
+            continue
+        since = max(
+            named_at[arrival.run] + LIMIT_CONTACT_SECONDS,
+            known_since.get((arrival.run, outcome.vm, outcome.epoch), math.inf)
+            + LIMIT_KNOWN_SECONDS,
+        )
+        if arrival.at >= since:
+            times[arrival.run].append(arrival.at)
+    for run, limit in limits.items():
+        allowed = (
+            limit * LIMIT_WINDOW_SECONDS * LIMIT_FACTOR + LIMIT_EXTRA_REQUESTS
+        )
+        most = _count_most(times[run])
+        invariants.check(
+            'a server gets no more than the limit that it names',
+            most <= allowed,
+            (run, limit, most),
+        )
+
+
+def _count_most(times: list[float]) -> int:
+    """Return the most of these times in one window."""
+    return max(
+        (
+            bisect.bisect_right(times, start + LIMIT_WINDOW_SECONDS) - index
+            for index, start in enumerate(times)
+        ),
+        default=0,
+    )
+
+
 def check_fencing_tokens(
     invariants: Invariants, deployment: testbed.SoakDeployment
 ) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,8 @@
 # A server that leaves serves for longer than DRAIN_SECONDS.
 LEAVE_SECONDS = checks.DRAIN_SECONDS + 4.0
 SERVER_START_SECONDS = 0.3
+# For how long a server names its limit.
+LIMIT_SECONDS = checks.LIMIT_CONTACT_SECONDS + checks.LIMIT_WINDOW_SECONDS
 LINK_MODES = (
     links.LinkMode.DELAYED,
     links.LinkMode.SILENT,
@@ -73,6 +75,7 @@
             'crash server': self._crash_server,
             'drain server': self._drain_server,
             'leave unlisted': self._leave_unlisted,
+            'limit server': self._limit_server,
             'bad answers': self._inject_response_fault,
             'bad orders': self._inject_order_fault,
         }
@@ -264,6 +267,25 @@
         self._busy.discard(name)
         return name
 
+    async def _limit_server(self) -> str:
+        """Let a server name a request limit until it is restarted."""
+        name = self._rng.choice(sorted(self._deployment.links))
+        if name in self._busy:
+            return f'{name} is busy'
+        self._busy.add(name)
+        limit = self._rng.choice([0.5, 1.0, 3.0])
+        self._deployment.servers[name].faults.set('limit', limit)
+        await anyio.sleep(LIMIT_SECONDS)
+        self._deployment.servers[name].faults.set('limit', 0)
+        self._deployment.servers[name].faults.set(
+            'crashed', SERVER_START_SECONDS
+        )
+        self._deployment.store.remove('servers', name)
+        await anyio.sleep(SERVER_START_SECONDS)
+        self._deployment.restart_server(name)
+        self._busy.discard(name)
+        return f'{name} to {limit}'
+
     async def _inject_response_fault(self) -> str:
         name = self._rng.choice(sorted(self._deployment.links))
         if name in self._deployment.engines:
--- a/soak/links.py
+++ b/soak/links.py
@@ -85,9 +85,11 @@
         """Reset all current connections."""
         for stream in list(self._sockets):
             raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             with contextlib.suppress(OSError):
                 # The peer may have closed the connection already.
+                raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
                 raw.shutdown(socket.SHUT_RDWR)
 
     async def _serve(self, client: anyio.abc.SocketStream) -> None:
--- a/soak/load.py
+++ b/soak/load.py
@@ -24,6 +24,9 @@
 GROUP_SIZE = 3
 MEAN_CONFIG_INTERVAL_SECONDS = 2.5
 POLL_INTERVAL_SECONDS = 0.25
+MAX_CRASHER_SECONDS = 4.0
+# After this many no VM may send the request to a server.
+MAX_CRASHES = 3
 NOT_FOUND_STATUSES = frozenset({404, 410})
 
 
@@ -101,7 +104,9 @@
         finally:
             outcome.ended_at = anyio.current_time()
         outcome.status = response.status_code
-        outcome.leaving_run = response.headers.get('x-standin-run', '')
+        outcome.run = response.headers.get('x-standin-run', '')
+        outcome.is_leaving = 'server-leaving' in response.headers
+        outcome.limit = float(response.headers.get('server-limit', 'inf'))
         if response.status_code == 200:
             self._check_response(outcome, response)
         return True
@@ -139,6 +144,39 @@
         self._next_id += 1
         return f'{prefix}{self._next_id}'
 
+    async def run_crasher(self) -> None:
+        """Repeatedly send a request that crashes the server that runs it."""
+        while True:
+            await anyio.sleep(self._rng.uniform(0.5, MAX_CRASHER_SECONDS))
+            await self._send_crashing(self._rng.choice(self._deployment.vms))
+
+    async def _send_crashing(self, vm: testbed.SoakVm) -> int:
+        """Return the status; 0 if there was no response."""
+        url = f'http://{vm.front_address}/plain/crash'
+        try:
+            async with httpx.AsyncClient(trust_env=False, timeout=3) as client:
+                response = await client.post(
+                    url,
+                    content=standins.POISON_MARKER,
+                    headers=self._make_headers(self._make_id('x')),
+                )
+        except httpx.HTTPError:
+            return 0
+        return response.status_code
+
+    async def check_crashing_request(self) -> None:
+        """Check that all VMs refuse the request once it crashed enough."""
+        runs = self._deployment.count_poison_runs()
+        if runs < MAX_CRASHES:
+            return
+        for vm in self._deployment.vms:
+            status = await self._send_crashing(vm)
+            self._invariants.check(
+                'a request that crashed servers is refused by all VMs',
+                self._deployment.count_poison_runs() == runs,
+                (vm.name, status, runs),
+            )
+
     async def run_trainer(self) -> None:
         """Repeatedly run a step and then set a new target version."""
         version = 1
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -101,6 +101,7 @@
         reservation.close()
     checks.check_runs(invariants, workload.outcomes, deployment)
     checks.check_leaving(invariants, workload.outcomes, deployment)
+    checks.check_limits(invariants, workload.outcomes, deployment)
     checks.check_fencing_tokens(invariants, deployment)
     checks.check_ended_batches(invariants, workload.readers, deployment)
     return Report(
@@ -157,6 +158,7 @@
             tasks.start_soon(workload.run_caller, number % 2 == 0)
         tasks.start_soon(workload.run_trainer)
         tasks.start_soon(workload.run_operator)
+        tasks.start_soon(workload.run_crasher)
         await injector.run(seconds)
         await anyio.sleep(QUIET_SECONDS)
         tasks.cancel_scope.cancel()
@@ -181,6 +183,7 @@
     with anyio.fail_after(RECOVERY_TIMEOUT_SECONDS):
         await workload.reread_batches()
         await workload.check_config_propagation()
+        await workload.check_crashing_request()
 
 
 async def _stop_vms(
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -34,6 +34,9 @@
 EVENT_INTERVAL_SECONDS = 0.03
 CONFIG_PROPAGATION_SECONDS = 2.0
 FAULT_RECOVERY_SECONDS = 5.0
+# How long a server is down after the request that crashes servers.
+CRASH_SECONDS = 1.0
+CRASH_CHECK_SECONDS = 0.05
 
 
 def make_config(version: int) -> dict[str, object]:
@@ -262,6 +265,7 @@
             standins.PlatformServiceStandin | standins.PlatformEngineStandin,
         ] = {**self.plain, **self.engines}
         self.links: dict[str, links.LinkProxy] = {}
+        self._poison_runs = dict.fromkeys(self.servers, 0)
         self.config_version = 1
         self.config_written_at = 0.0
         self.faults_end_at = 0.0
@@ -281,6 +285,8 @@
             self.links[name] = links.LinkProxy(listener.address)
             tasks.start_soon(self.links[name].run)
             self.register_server(name)
+            server.faults.set('poison', CRASH_SECONDS)
+            tasks.start_soon(self.restart_crashed, name)
         for vm in self.vms:
             tasks.start_soon(vm.store_link.run)
             vm.write_settings()
@@ -296,6 +302,21 @@
         """Set the target version of the weights, as the trainer does."""
         self.store.put('versions', MODEL, {'model': MODEL, 'version': version})
 
+    async def restart_crashed(self, name: str) -> None:
+        """Start a server anew each time that a request has crashed it."""
+        server = self.servers[name]
+        while True:
+            await anyio.sleep(CRASH_CHECK_SECONDS)
+            runs = server.poison_runs
+            if runs > self._poison_runs[name]:
+                self._poison_runs[name] = runs
+                await anyio.sleep(CRASH_SECONDS)
+                self.restart_server(name)
+
+    def count_poison_runs(self) -> int:
+        """Return how often the request that crashes servers ran."""
+        return sum(server.poison_runs for server in self.servers.values())
+
     def register_server(self, name: str, state: str = 'ready') -> None:
         """Write the registration of a server, as the server itself does."""
         registration: dict[str, object] = {
@@ -321,6 +342,7 @@
     def restart_server(self, name: str) -> None:
         """Register the next run of a server, which is not leaving."""
         self.servers[name].faults.set('leaving', 0)
+        self.servers[name].faults.set('limit', 0)
         self.servers[name].server_runs.count += 1
         self.register_server(name)
 
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -3,6 +3,7 @@
 Only the tests, the demo and the benchmarks use them.
 """
 
+from swiftjunction.standins._announcing import Arrival
 from swiftjunction.standins._daemon import StandinDaemon
 from swiftjunction.standins._engine_app import EngineStandin
 from swiftjunction.standins._faults import FaultSwitches
@@ -12,6 +13,7 @@
 from swiftjunction.standins._platform_servers import make_platform_text
 from swiftjunction.standins._platform_servers import PlatformEngineStandin
 from swiftjunction.standins._platform_servers import PlatformServiceStandin
+from swiftjunction.standins._platform_servers import POISON_MARKER
 from swiftjunction.standins._platform_store import PlatformStoreStandin
 from swiftjunction.standins._ports import reserve_ports
 from swiftjunction.standins._schedule import FaultEvent
@@ -30,11 +32,13 @@
 from swiftjunction.standins._weights import WeightStoreStandin
 
 __all__ = [
+    'Arrival',
     'EngineStandin',
     'FaultEvent',
     'FaultSchedule',
     'FaultSwitches',
     'ObjectStoreStandin',
+    'POISON_MARKER',
     'PlatformEngineStandin',
     'PlatformServiceStandin',
     'PlatformStoreStandin',
--- a/src/swiftjunction/standins/_announcing.py
+++ b/src/swiftjunction/standins/_announcing.py
@@ -1,6 +1,7 @@
 """Lets stand-ins of servers announce their state in all responses."""
 
 import time
+import typing
 
 import starlette.datastructures
 import starlette.middleware
@@ -14,6 +15,22 @@
 RUN_HEADER = b'x-standin-run'
 
 
+class Arrival(typing.NamedTuple):
+    """A request that reached a stand-in.
+
+    Attributes
+    ----------
+    run : str
+        The run that received it.
+    at : float
+        Monotonic time in seconds.
+    """
+
+    request_id: str
+    run: str
+    at: float
+
+
 class ServerRuns:
     """Counts the starts of a stand-in, and records what reaches each run.
 
@@ -21,10 +38,8 @@
     ----------
     count : int
         Number of starts; a test increments it when it restarts the server.
-    arrivals : dict of str to list of str
-        For each request id, the runs that received the request.
-    arrived_at : list of float
-        Monotonic times in seconds at which requests with an id arrived.
+    arrivals : list of Arrival
+        All requests with an id, in their order.
     limited_at : float or None
         When the server first named its limit.
     """
@@ -32,8 +47,7 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self.count = 1
-        self.arrivals: dict[str, list[str]] = {}
-        self.arrived_at: list[float] = []
+        self.arrivals: list[Arrival] = []
         self.limited_at: float | None = None
 
     @property
@@ -43,9 +57,10 @@
 
     def record(self, request_id: str) -> None:
         """Record a request that reaches the current run."""
-        self.arrivals.setdefault(request_id, []).append(self.current)
         if request_id:
-            self.arrived_at.append(time.monotonic())
+            self.arrivals.append(
+                Arrival(request_id, self.current, time.monotonic())
+            )
 
 
 class StateMiddleware:
@@ -94,10 +109,9 @@
         await self._app(scope, receive, send_marked)
 
     def _list_headers(self) -> list[tuple[bytes, bytes]]:
-        headers = []
+        headers = [(RUN_HEADER, self._server_runs.current.encode())]
         if self._faults.get('leaving'):
-            run = self._server_runs.current.encode()
-            headers += [LEAVING_HEADER, (RUN_HEADER, run)]
+            headers.append(LEAVING_HEADER)
         limit = self._faults.get('limit')
         if limit:
             headers.append((LIMIT_HEADER, f'{limit:g}'.encode()))
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -50,6 +50,8 @@
         Id and target of each executed request.
     headers : list of dict
         Headers of each executed request.
+    poison_runs : int
+        Number of requests that made it crash.
     """
 
     def __init__(self, name: str) -> None:
@@ -69,6 +71,7 @@
         self.server_runs = _announcing.ServerRuns(name)
         self.runs: list[tuple[str, str]] = []
         self.headers: list[dict[str, str]] = []
+        self.poison_runs = 0
 
     def build_app(self) -> starlette.applications.Starlette:
         """Return the HTTP application."""
@@ -90,7 +93,9 @@
         request_id = request.headers.get('swiftjunction-attempt-id', '')
         self.runs.append((request_id, _format_target(request)))
         self.headers.append(dict(request.headers))
-        await _crash_if_poisoned(request, self.faults)
+        if await _is_poisoned(request, self.faults):
+            self.poison_runs += 1
+            await _crash(self.faults)
         if self.faults.consume('silent'):
             await anyio.sleep(UNANSWERED_SECONDS)
         fails = self.faults.consume('fail')
@@ -139,6 +144,8 @@
     generated : dict of str to set of (int, int)
         For each sample, the generated events with their versions. A sample
         may run more than once.
+    poison_runs : int
+        Number of requests that made it crash.
     orders : list of dict
         Bodies of the orders that changed a version.
     refused_orders : int
@@ -174,6 +181,7 @@
         self.server_runs = _announcing.ServerRuns(name)
         self.runs: list[tuple[str, int]] = []
         self.orders: list[dict[str, typing.Any]] = []
+        self.poison_runs = 0
         self.refused_orders = 0
         self.max_concurrent_samples = 0
         self._running_count = 0
@@ -246,7 +254,9 @@
         request_id = request.headers['swiftjunction-attempt-id']
         after = int(request.headers.get('last-event-id', '-1'))
         self.runs.append((request_id, after))
-        await _crash_if_poisoned(request, self.faults)
+        if await _is_poisoned(request, self.faults):
+            self.poison_runs += 1
+            await _crash(self.faults)
         if self.faults.consume('silent'):
             await anyio.sleep(UNANSWERED_SECONDS)
         if self.faults.consume('fail'):
@@ -315,13 +325,15 @@
     return _make_refusal() if faults.consume('shed') else None
 
 
-async def _crash_if_poisoned(
+async def _is_poisoned(
     request: Request, faults: _faults.FaultSwitches
-) -> None:
-    crash_seconds = faults.get('poison')
-    if crash_seconds and POISON_MARKER in await request.body():
-        faults.set('crashed', crash_seconds)
-        await anyio.sleep(UNANSWERED_SECONDS)
+) -> bool:
+    return faults.get('poison') > 0 and POISON_MARKER in await request.body()
+
+
+async def _crash(faults: _faults.FaultSwitches) -> None:
+    faults.set('crashed', faults.get('poison'))
+    await anyio.sleep(UNANSWERED_SECONDS)
 
 
 def _make_refusal() -> Response:
--- a/tests/cover/test_platform_limits.py
+++ b/tests/cover/test_platform_limits.py
@@ -73,7 +73,7 @@
 def count_most(server):
     """Return the most requests in a window since the limit is in force."""
     since = server.server_runs.limited_at + CONTACT_SECONDS
-    times = [t for t in server.server_runs.arrived_at if t >= since]
+    times = [a.at for a in server.server_runs.arrivals if a.at >= since]
     return max(
         (
             bisect.bisect_right(times, start + WINDOW_SECONDS) - index
@@ -95,7 +95,7 @@
     rates = []
     for server in servers:
         since = server.server_runs.limited_at + CONTACT_SECONDS
-        times = [t for t in server.server_runs.arrived_at if t >= since]
+        times = [a.at for a in server.server_runs.arrivals if a.at >= since]
         rates.append(len(times) / (now - since))
     return rates
 
