Let both clients of the store share their calls

Cause: the client that records outcomes for peers wrote the five calls of the failover store again. Change: a common base class, whose subclasses say how an operation is called.

--- a/src/swiftjunction/coordination/_relaying.py
+++ b/src/swiftjunction/coordination/_relaying.py
@@ -1,5 +1,6 @@
 """Object store client that calls through peers if direct calls fail."""
 
+import abc
 import collections.abc
 import logging
 import time
@@ -25,7 +26,34 @@
 ]
 
 
-class FailoverStore(objectstore.ObjectStore):
+class _CallingStore(objectstore.ObjectStore):
+    """Object store client whose calls, but for watches, take one path."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    async def _call(self, operation: Operation[Result]) -> Result:
+        """Carry out an operation on a client of the store."""
+
+    async def read(self, key: str) -> objectstore.Object:
+        return await self._call(lambda store: store.read(key))
+
+    async def list(self, prefix: str) -> objectstore.ChangeSet:
+        return await self._call(lambda store: store.list(prefix))
+
+    async def create(self, key: str, value: bytes) -> int:
+        return await self._call(lambda store: store.create(key, value))
+
+    async def update(self, key: str, value: bytes, version: int) -> int:
+        return await self._call(
+            lambda store: store.update(key, value, version)
+        )
+
+    async def delete(self, key: str, version: int) -> None:
+        await self._call(lambda store: store.delete(key, version))
+
+
+class FailoverStore(_CallingStore):
     """Calls the object store directly, or through a peer if that fails.
 
     A write whose response was lost is not repeated through a relay: the writer
@@ -87,23 +115,6 @@
         """
         return not self._direct_retry_at
 
-    async def read(self, key: str) -> objectstore.Object:
-        return await self._call(lambda store: store.read(key))
-
-    async def list(self, prefix: str) -> objectstore.ChangeSet:
-        return await self._call(lambda store: store.list(prefix))
-
-    async def create(self, key: str, value: bytes) -> int:
-        return await self._call(lambda store: store.create(key, value))
-
-    async def update(self, key: str, value: bytes, version: int) -> int:
-        return await self._call(
-            lambda store: store.update(key, value, version)
-        )
-
-    async def delete(self, key: str, version: int) -> None:
-        await self._call(lambda store: store.delete(key, version))
-
     async def watch(
         self, prefix: str, revision: int, wait_seconds: float
     ) -> objectstore.ChangeSet:
@@ -190,7 +201,7 @@
         self._direct_retry_at = 0.0
 
 
-class _DirectStore(objectstore.ObjectStore):
+class _DirectStore(_CallingStore):
     """Calls the object store directly, and has the outcomes recorded.
 
     Parameters
@@ -198,10 +209,10 @@
     direct : ObjectStore
         Client that calls the object store directly.
     call : callable
-        Carries out a call of that client, and records its outcome.
+        Carries out an operation on that client, and records its outcome.
     """
 
-    __slots__ = ('_call', '_direct')
+    __slots__ = ('_call_and_record', '_direct')
 
     def __init__(
         self,
@@ -211,24 +222,10 @@
         ],
     ) -> None:
         self._direct = direct
-        self._call = call
-
-    async def read(self, key: str) -> objectstore.Object:
-        return await self._call(lambda store: store.read(key))
+        self._call_and_record = call
 
-    async def list(self, prefix: str) -> objectstore.ChangeSet:
-        return await self._call(lambda store: store.list(prefix))
-
-    async def create(self, key: str, value: bytes) -> int:
-        return await self._call(lambda store: store.create(key, value))
-
-    async def update(self, key: str, value: bytes, version: int) -> int:
-        return await self._call(
-            lambda store: store.update(key, value, version)
-        )
-
-    async def delete(self, key: str, version: int) -> None:
-        await self._call(lambda store: store.delete(key, version))
+    async def _call(self, operation: Operation[Result]) -> Result:
+        return await self._call_and_record(operation)
 
     async def watch(
         self, prefix: str, revision: int, wait_seconds: float
