Log the end of a request limit as null

Cause: the line had an infinity, which is no JSON, so that explain left it out. What callers saw: nothing. Evidence: test_each_change_is_logged_in_valid_json fails before. Change: no limit is logged as null.

--- a/src/swiftjunction/backends/_rates.py
+++ b/src/swiftjunction/backends/_rates.py
@@ -169,8 +169,8 @@
             'server names another request limit',
             extra={
                 'server': run[0],
-                'requests_per_second': requests_per_second,
-                'former_requests_per_second': former,
+                'requests_per_second': _format_limit(requests_per_second),
+                'former_requests_per_second': _format_limit(former),
             },
         )
         if former == UNLIMITED:
@@ -225,3 +225,10 @@
         if limit is None or limit.requests_per_second == UNLIMITED:
             return 0.0
         return max(limit.blocked_until - self._clock(), 0.0)
+
+
+def _format_limit(requests_per_second: float) -> float | None:
+    """Return a limit for JSON, which has no infinity."""
+    if requests_per_second == UNLIMITED:
+        return None
+    return requests_per_second
--- a/tests/cover/test_backends_rates.py
+++ b/tests/cover/test_backends_rates.py
@@ -124,6 +124,18 @@
         rates.merge(backends.RateStatement(*RUN, 4.0, 1.0))
         assert rates.get(RUN) == math.inf
 
+    def test_each_change_is_logged_in_valid_json(self, clock, caplog):
+        caplog.set_level('INFO')
+        rates = backends.ServerRates(clock)
+        rates.merge(backends.RateStatement(*RUN, 4.0, 1.0))
+        rates.merge(backends.RateStatement(*RUN, 4.0, 0.5))
+        rates.merge(backends.RateStatement(*RUN, math.inf, 0.0))
+        named = [
+            (line.former_requests_per_second, line.requests_per_second)
+            for line in caplog.records
+        ]
+        assert named == [(None, 4.0), (4.0, None)]
+
     def test_knowledge_is_bounded(self, clock):
         rates = backends.ServerRates(clock)
         for index in range(5000):
