--- a/tests/cover/test_backends_leaving.py
+++ b/tests/cover/test_backends_leaving.py
@@ -6,6 +6,7 @@
 
 from swiftjunction import backends
 from swiftjunction.backends import _http
+from swiftjunction.backends import _leaving
 from swiftjunction import errors
 from swiftjunction import membership
 from swiftjunction import web
@@ -85,6 +86,28 @@
     assert len(servers.directory.leaving_servers) == 0
 
 
+def test_the_announcement_that_expires_first_is_forgotten_if_there_are_many(
+    monkeypatch,
+):
+    monkeypatch.setattr(_leaving, 'MAX_ANNOUNCEMENTS', 100)
+    clock = conftest.FakeClock()
+    leaving = _leaving.LeavingServers(clock)
+
+    def make_report(number):
+        return backends.ServerReport(
+            f's{number}', 'a:1', 's', 'dc', born_ms=number + 1
+        )
+
+    for number in range(110):
+        clock.now += 0.001
+        listed = number >= 20
+        leaving.record(make_report(number), 'r', 'call', listed)
+    assert len(leaving) == 100
+    assert not leaving.contains(make_report(0))
+    assert leaving.contains(make_report(15))
+    assert leaving.contains(make_report(109))
+
+
 def test_a_server_object_that_is_still_in_use_knows_of_the_leave():
     servers = Servers(born_ms=5)
     kept = servers.directory.get('a')
--- a/tests/cover/test_batches_planning.py
+++ b/tests/cover/test_batches_planning.py
@@ -172,6 +172,29 @@
             pool.update_server(name, state='leaving')
         assert await self.select(pool, open_batch, 'a') == 'e1'
 
+    async def test_rest_of_a_group_leaves_an_engine_that_announced_its_leave(
+        self, pool
+    ):
+        open_batch = make_open_batch(
+            [make_sample('a', 'g'), make_sample('b', 'g')]
+        )
+        selector = batches.EngineSelector()
+        first = await self.select(pool, open_batch, 'a', selector)
+        pool.get_engine(first).server.record_leaving('a', 'sample')
+        assert await self.select(pool, open_batch, 'b', selector) != first
+
+    async def test_engine_without_permits_gets_no_sample(self, pool):
+        open_batch = make_open_batch([make_sample('a', 'a')])
+        for name in ('e0', 'e1'):
+            server = pool.get_engine(name).server
+            server.record_rate_limit(2.0, pool.clock())
+            pool.directory.rates.block(server.run, 0.5)
+        assert await self.select(pool, open_batch, 'a') == 'e2'
+        pool.clock.now += 1
+        pool.get_engine('e0').awaiting_permit = 'another'
+        pool.get_engine('e2').mark_loading('m')
+        assert await self.select(pool, open_batch, 'a') == 'e1'
+
     async def test_failed_engine_gets_no_sample_during_its_backoff(self, pool):
         open_batch = make_open_batch([make_sample('a', 'a')])
         for name in ('e0', 'e1'):
