--- a/bench/routing_load.py
+++ b/bench/routing_load.py
@@ -159,7 +159,7 @@
             version_tracker,
             requests.RetryBudget(),
             requests.SuspectTracker(
-                requests.RecordBoard(self.table), name, clock
+                requests.RecordCrashRegistry(self.table), name, clock
             ),
         )
         for engine in engines:
--- a/bench/swap.py
+++ b/bench/swap.py
@@ -56,7 +56,7 @@
         rollout.version_tracker,
         requests.RetryBudget(),
         requests.SuspectTracker(
-            requests.RecordBoard(rollout.table), rollout.name
+            requests.RecordCrashRegistry(rollout.table), rollout.name
         ),
     )
     settings = configuration.PathSettings(
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -3,7 +3,7 @@
 from swiftjunction.coordination._app import PeerApp
 from swiftjunction.coordination._coordinator import Coordinator
 from swiftjunction.coordination._coordinator import CoordinatorTask
-from swiftjunction.coordination._crashes import StoreCrashBoard
+from swiftjunction.coordination._crashes import StoreCrashRegistry
 from swiftjunction.coordination._deployment import Catalog
 from swiftjunction.coordination._deployment import DeploymentReader
 from swiftjunction.coordination._deployment import VmReport
@@ -48,6 +48,6 @@
     'PermitCall',
     'SharedFeed',
     'SharedPermits',
-    'StoreCrashBoard',
+    'StoreCrashRegistry',
     'VmReport',
 ]
--- a/src/swiftjunction/coordination/_crashes.py
+++ b/src/swiftjunction/coordination/_crashes.py
@@ -38,8 +38,8 @@
     histories: Histories = {}
 
 
-class StoreCrashBoard(requests.CrashBoard):
-    """Board whose histories are objects of the store, one for each VM.
+class StoreCrashRegistry(requests.CrashRegistry):
+    """Registry whose histories are objects of the store, one for each VM.
 
     Parameters
     ----------
--- a/src/swiftjunction/daemons/_handlers.py
+++ b/src/swiftjunction/daemons/_handlers.py
@@ -30,7 +30,7 @@
         )
         retry_budget = requests.RetryBudget()
         suspects = requests.SuspectTracker(
-            requests.RecordBoard(daemon.table), daemon.name
+            requests.RecordCrashRegistry(daemon.table), daemon.name
         )
         self.generator = requests.CompletionGenerator(
             router,
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -127,10 +127,10 @@
             self._directory, settings.data_center, rng, self._permits
         )
         claims = requests.ClaimStore(self._store, settings.name)
-        self._crash_board = coordination.StoreCrashBoard(
+        self._crash_registry = coordination.StoreCrashRegistry(
             self._store, self._feed_sync, self._members
         )
-        suspects = requests.SuspectTracker(self._crash_board, settings.name)
+        suspects = requests.SuspectTracker(self._crash_registry, settings.name)
         self._suspects = suspects
 
         def make_forwarder() -> requests.Forwarder:
@@ -226,7 +226,7 @@
             ),
             self._members,
             lambda: self._state,
-            self._crash_board.is_loaded,
+            self._crash_registry.is_loaded,
             rng,
             self._metrics,
         )
@@ -286,7 +286,7 @@
             for task in (
                 lambda: self._feeds.follow_routes(self._active_routes),
                 lambda: self._feeds.follow_servers(self._delayed_removal),
-                self._crash_board.run,
+                self._crash_registry.run,
                 self._delayed_removal.run,
                 self._directory.loop_lag.run,
                 coordination.PeerMonitor(
@@ -340,7 +340,7 @@
         while not (
             self._active_routes.table is not None
             and self._feeds.has_servers
-            and self._crash_board.is_loaded()
+            and self._crash_registry.is_loaded()
         ):
             await anyio.sleep(READY_CHECK_INTERVAL_SECONDS)
         if self._state == 'starting':
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -11,11 +11,11 @@
 from swiftjunction.requests._budget import RetryBudget
 from swiftjunction.requests._call import GenerationCall
 from swiftjunction.requests._claims import ClaimStore
-from swiftjunction.requests._crashes import CrashBoard
 from swiftjunction.requests._crashes import CrashHistory
+from swiftjunction.requests._crashes import CrashRegistry
 from swiftjunction.requests._crashes import EMPTY_HISTORY
 from swiftjunction.requests._crashes import HistoryListener
-from swiftjunction.requests._crashes import RecordBoard
+from swiftjunction.requests._crashes import RecordCrashRegistry
 from swiftjunction.requests._forwarding import ForwardedCall
 from swiftjunction.requests._forwarding import Forwarder
 from swiftjunction.requests._generation import CompletionGenerator
@@ -35,8 +35,8 @@
     'AdmissionController',
     'ClaimStore',
     'CompletionGenerator',
-    'CrashBoard',
     'CrashHistory',
+    'CrashRegistry',
     'EMPTY_HISTORY',
     'EntryApp',
     'EntrySelector',
@@ -46,7 +46,7 @@
     'HistoryListener',
     'OVERLOAD_CHECK_INTERVAL_SECONDS',
     'OverloadDetector',
-    'RecordBoard',
+    'RecordCrashRegistry',
     'RelayedStream',
     'RelayedStreamResponse',
     'RetryBudget',
--- a/src/swiftjunction/requests/_crashes.py
+++ b/src/swiftjunction/requests/_crashes.py
@@ -1,7 +1,7 @@
 """The crashes of servers that ended attempts of a request.
 
-Each process keeps a history for each request, and publishes it on a board, so
-that processes do not overwrite each other's histories.
+Each process keeps a history for each request, and publishes it in a registry,
+so that processes do not overwrite each other's histories.
 """
 
 import abc
@@ -102,7 +102,7 @@
 HistoryListener = collections.abc.Callable[[str, str, CrashHistory], None]
 
 
-class CrashBoard(abc.ABC):
+class CrashRegistry(abc.ABC):
     """Carries the histories of each process to all others."""
 
     __slots__ = ()
@@ -130,8 +130,8 @@
         """
 
 
-class RecordBoard(CrashBoard):
-    """Board of own deployments: a record of each process and request.
+class RecordCrashRegistry(CrashRegistry):
+    """Registry of own deployments: a record of each process and request.
 
     Parameters
     ----------
--- a/src/swiftjunction/requests/_suspects.py
+++ b/src/swiftjunction/requests/_suspects.py
@@ -49,7 +49,7 @@
 
     Parameters
     ----------
-    board : CrashBoard
+    registry : CrashRegistry
         Carries the crashes to other processes.
     name : str
         Name of this process.
@@ -57,21 +57,21 @@
         Returns Unix time in seconds.
     """
 
-    __slots__ = ('_board', '_clock', '_histories', '_listeners', '_name')
+    __slots__ = ('_registry', '_clock', '_histories', '_listeners', '_name')
 
     def __init__(
         self,
-        board: _crashes.CrashBoard,
+        registry: _crashes.CrashRegistry,
         name: str,
         clock: collections.abc.Callable[[], float] = time.time,
     ) -> None:
-        self._board = board
+        self._registry = registry
         self._name = name
         self._clock = clock
         # By fingerprint and process.
         self._histories: dict[str, dict[str, _crashes.CrashHistory]] = {}
         self._listeners: list[collections.abc.Callable[[], None]] = []
-        board.listen(self._apply)
+        registry.listen(self._apply)
 
     def _apply(
         self, process: str, fingerprint: str, history: _crashes.CrashHistory
@@ -83,7 +83,7 @@
         merged = history.merge(own)
         self._store(process, fingerprint, merged)
         if merged != history:
-            self._board.publish(process, fingerprint, merged)
+            self._registry.publish(process, fingerprint, merged)
 
     def _store(
         self, process: str, fingerprint: str, history: _crashes.CrashHistory
@@ -162,7 +162,7 @@
         self.forget_expired()
         history = self._get_own(fingerprint).merge(added)
         self._store(self._name, fingerprint, history)
-        self._board.publish(self._name, fingerprint, history)
+        self._registry.publish(self._name, fingerprint, history)
 
     def forget_expired(self) -> None:
         """Forget crashes of this process that no longer count."""
@@ -179,7 +179,9 @@
         for fingerprint, history in own:
             if kept[fingerprint] != history:
                 self._store(self._name, fingerprint, kept[fingerprint])
-                self._board.publish(self._name, fingerprint, kept[fingerprint])
+                self._registry.publish(
+                    self._name, fingerprint, kept[fingerprint]
+                )
 
     def _list_crashes(self, fingerprint: str) -> list[_crashes.Crash]:
         """Return the crashes of all processes that still count."""
--- a/src/swiftjunction/routing/_router.py
+++ b/src/swiftjunction/routing/_router.py
@@ -162,7 +162,7 @@
         fresh = filter_fresh(live, request.min_version)
         if request.isolated:
             available = (s for s in fresh if s.is_available())
-            return filter_expendable(
+            return filter_unless_last(
                 filter_not_excluded(available, request.excluded)
             )
         return filter_not_excluded(limit_ejections(fresh), request.excluded)
@@ -249,7 +249,7 @@
     return (s for s in servers if s.name not in excluded)
 
 
-def filter_expendable(
+def filter_unless_last(
     servers: Servers,
 ) -> collections.abc.Iterator[backends.BackendServer]:
     """Yield the servers, or none if only one is left.
--- a/tests/cover/test_batches_scoring.py
+++ b/tests/cover/test_batches_scoring.py
@@ -98,7 +98,7 @@
             )
         router = routing.Router(self.directory, 'dc', random.Random(1))
         suspects = requests.SuspectTracker(
-            requests.RecordBoard(membership.RecordTable()),
+            requests.RecordCrashRegistry(membership.RecordTable()),
             'vm',
             anyio.current_time,
         )
--- a/tests/cover/test_coordination_crashes.py
+++ b/tests/cover/test_coordination_crashes.py
@@ -12,17 +12,17 @@
 
 
 class Scene:
-    """The board and the suspects of one VM."""
+    """The registry and the suspects of one VM."""
 
     def __init__(self, store, clock, name='vm-1'):
         members = coordination.MemberTable(
             coordination.Member(name, '10.0.0.1:1', '', 'dc', 'r', 'run')
         )
         self.sync = coordination.FeedSync(store, None, members)
-        self.board = coordination.StoreCrashBoard(
+        self.registry = coordination.StoreCrashRegistry(
             store, self.sync, members, clock
         )
-        self.suspects = requests.SuspectTracker(self.board, name, clock)
+        self.suspects = requests.SuspectTracker(self.registry, name, clock)
         self._clock = clock
 
     def crash(self, server):
@@ -44,7 +44,7 @@
 
 async def run(scene, seconds=1.0):
     with anyio.move_on_after(seconds):
-        await scene.board.run()
+        await scene.registry.run()
 
 
 async def test_a_vm_that_starts_anew_keeps_what_it_had_written(
@@ -56,9 +56,9 @@
     new = Scene(slow_store, clock)
     # Before it has read its object.
     new.crash('s2')
-    assert not new.board.is_loaded()
+    assert not new.registry.is_loaded()
     await run(new)
-    assert new.board.is_loaded()
+    assert new.registry.is_loaded()
     assert new.suspects.count_crashes('f') == 2
     third = Scene(slow_store, clock, 'vm-3')
     await run(third)
@@ -89,7 +89,7 @@
     )
     scene = Scene(slow_store, clock)
     await run(scene)
-    assert scene.board.is_loaded()
+    assert scene.registry.is_loaded()
 
 
 async def test_objects_without_crashes_that_count_are_deleted(
@@ -100,10 +100,10 @@
     await run(writer)
     other = Scene(slow_store, clock, 'vm-2')
     await run(other)
-    await other.board.delete_expired()
+    await other.registry.delete_expired()
     assert OWN_KEY in slow_store.objects
     clock.now += 7201
-    await other.board.delete_expired()
+    await other.registry.delete_expired()
     assert OWN_KEY not in slow_store.objects
     # The next crash creates it again.
     writer.crash('s2')
--- a/tests/cover/test_endless_retries.py
+++ b/tests/cover/test_endless_retries.py
@@ -53,7 +53,7 @@
         ]
         self.budget = requests.RetryBudget()
         self.suspects = requests.SuspectTracker(
-            requests.RecordBoard(membership.RecordTable()), 'vm'
+            requests.RecordCrashRegistry(membership.RecordTable()), 'vm'
         )
 
     async def forward(self):
--- a/tests/cover/test_fuzz_inputs.py
+++ b/tests/cover/test_fuzz_inputs.py
@@ -74,7 +74,7 @@
     configuration.KeyRing(table)
     backends.Directory(table)
     weights.VersionTracker(table)
-    requests.SuspectTracker(requests.RecordBoard(table), 'v1/entry')
+    requests.SuspectTracker(requests.RecordCrashRegistry(table), 'v1/entry')
     membership.Announcement(table, PROCESS)
     return table
 
--- a/tests/cover/test_platform_isolated.py
+++ b/tests/cover/test_platform_isolated.py
@@ -112,7 +112,7 @@
         _workers.WorkerClient(peers),
         None,
         requests.RetryBudget(),
-        requests.SuspectTracker(requests.RecordBoard(table), 'vm'),
+        requests.SuspectTracker(requests.RecordCrashRegistry(table), 'vm'),
     )
     async with anyio.create_task_group() as tasks:
         for index, server in enumerate(servers):
--- a/tests/cover/test_platform_leaving.py
+++ b/tests/cover/test_platform_leaving.py
@@ -131,7 +131,7 @@
             self.directory, 'dc', random.Random('leaving')
         )
         suspects = requests.SuspectTracker(
-            requests.RecordBoard(membership.RecordTable()), 'vm'
+            requests.RecordCrashRegistry(membership.RecordTable()), 'vm'
         )
         self.forwarder = requests.Forwarder(
             self.router, self.workers, None, requests.RetryBudget(), suspects
--- a/tests/cover/test_requests_evidence.py
+++ b/tests/cover/test_requests_evidence.py
@@ -31,7 +31,7 @@
         table = membership.RecordTable()
         self.directory = backends.Directory(table)
         self.suspects = requests.SuspectTracker(
-            requests.RecordBoard(table), 'vm', clock
+            requests.RecordCrashRegistry(table), 'vm', clock
         )
         self.observer = _evidence.CrashObserver(
             Services(crashed), self.suspects, self.directory
--- a/tests/cover/test_requests_forwarding.py
+++ b/tests/cover/test_requests_forwarding.py
@@ -58,7 +58,7 @@
         None,
         budget or requests.RetryBudget(),
         requests.SuspectTracker(
-            requests.RecordBoard(membership.RecordTable()), 'vm'
+            requests.RecordCrashRegistry(membership.RecordTable()), 'vm'
         ),
     )
 
@@ -146,7 +146,7 @@
         service,
         requests.RetryBudget(),
         requests.SuspectTracker(
-            requests.RecordBoard(membership.RecordTable()), 'vm'
+            requests.RecordCrashRegistry(membership.RecordTable()), 'vm'
         ),
     )
     for expected in (errors.RequestError, errors.PoisonRefused):
--- a/tests/cover/test_requests_suspects.py
+++ b/tests/cover/test_requests_suspects.py
@@ -8,7 +8,9 @@
 def make_trackers(clock, *names):
     table = membership.RecordTable()
     return [
-        requests.SuspectTracker(requests.RecordBoard(table), name, clock)
+        requests.SuspectTracker(
+            requests.RecordCrashRegistry(table), name, clock
+        )
         for name in names
     ]
 
@@ -111,12 +113,16 @@
 
 def test_a_restarted_process_keeps_the_crashes_it_had_recorded(clock):
     old_table = membership.RecordTable()
-    old = requests.SuspectTracker(requests.RecordBoard(old_table), 'a', clock)
+    old = requests.SuspectTracker(
+        requests.RecordCrashRegistry(old_table), 'a', clock
+    )
     for _ in range(2):
         clock.now += 1
         old.record_crash('f', 'engine-1', clock.now)
     table = membership.RecordTable()
-    new = requests.SuspectTracker(requests.RecordBoard(table), 'a', clock)
+    new = requests.SuspectTracker(
+        requests.RecordCrashRegistry(table), 'a', clock
+    )
     clock.now += 1
     new.record_crash('f', 'engine-2', clock.now)
     # The peers still have the record of the run before.
--- a/tests/cover/test_steps_production.py
+++ b/tests/cover/test_steps_production.py
@@ -104,7 +104,7 @@
         router = routing.Router(directory, 'dc', random.Random(1))
         budget = requests.RetryBudget()
         suspects = requests.SuspectTracker(
-            requests.RecordBoard(table), 'p', anyio.current_time
+            requests.RecordCrashRegistry(table), 'p', anyio.current_time
         )
         self.generator = requests.CompletionGenerator(
             router, engines, version_tracker, budget, suspects
--- a/tests/cover/test_weights_swap.py
+++ b/tests/cover/test_weights_swap.py
@@ -74,7 +74,7 @@
         engines,
         weights.VersionTracker(table),
         requests.RetryBudget(),
-        requests.SuspectTracker(requests.RecordBoard(table), 'a'),
+        requests.SuspectTracker(requests.RecordCrashRegistry(table), 'a'),
     )
     call = requests.GenerationCall(
         request_id='r1',
--- a/tests/stack.py
+++ b/tests/stack.py
@@ -157,7 +157,7 @@
         router = routing.Router(self.directory, '', random.Random(1))
         budget = requests.RetryBudget()
         suspects = requests.SuspectTracker(
-            requests.RecordBoard(self.table), 'entry'
+            requests.RecordCrashRegistry(self.table), 'entry'
         )
         entry_app = requests.EntryApp(
             configuration.Tree(self.table),
