--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -23,8 +23,8 @@
 from swiftjunction.backends._rates import RateStatement
 from swiftjunction.backends._rates import ServerRates
 from swiftjunction.backends._rates import UNLIMITED
+from swiftjunction.backends._report import ServerReport
 from swiftjunction.backends._server import BackendServer
-from swiftjunction.backends._server import ServerReport
 from swiftjunction.backends._service import ServiceCall
 from swiftjunction.backends._service import ServiceClient
 from swiftjunction.backends._service import ServiceResponse
--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -9,6 +9,7 @@
 from swiftjunction.backends import _leaving
 from swiftjunction.backends import _limit
 from swiftjunction.backends import _rates
+from swiftjunction.backends import _report
 from swiftjunction.backends import _server
 from swiftjunction import links
 from swiftjunction import membership
@@ -16,7 +17,7 @@
 SERVER_PREFIX = 'server/'
 
 Listener = collections.abc.Callable[[str], None]
-EndListener = collections.abc.Callable[[_server.ServerReport], None]
+EndListener = collections.abc.Callable[[_report.ServerReport], None]
 
 
 class Directory:
@@ -76,11 +77,11 @@
 
     def _apply_record(self, record: links.Record) -> None:
         report = msgspec.msgpack.decode(
-            record.value, type=_server.ServerReport
+            record.value, type=_report.ServerReport
         )
         self.update(report)
 
-    def update(self, report: _server.ServerReport) -> None:
+    def update(self, report: _report.ServerReport) -> None:
         """Add, update or remove a server according to its newest report."""
         if report.state == 'gone':
             self.remove(report.name)
@@ -109,7 +110,7 @@
             self.leaving_servers.update_unlisted(server.report)
             self._by_service[server.report.service].pop(name, None)
 
-    def _add(self, report: _server.ServerReport) -> _server.BackendServer:
+    def _add(self, report: _report.ServerReport) -> _server.BackendServer:
         server = _server.BackendServer(
             report,
             self._clock,
@@ -185,6 +186,6 @@
         }
 
 
-def _is_restart(old: _server.ServerReport, new: _server.ServerReport) -> bool:
+def _is_restart(old: _report.ServerReport, new: _report.ServerReport) -> bool:
     """Return whether a report shows that a server restarted or moved."""
     return old.address != new.address or old.born_ms != new.born_ms
--- a/src/swiftjunction/backends/_lapses.py
+++ b/src/swiftjunction/backends/_lapses.py
@@ -12,7 +12,7 @@
 import anyio
 
 from swiftjunction.backends import _directory
-from swiftjunction.backends import _server
+from swiftjunction.backends import _report
 
 LOG = logging.getLogger(__name__)
 
@@ -58,7 +58,7 @@
         self._unavailable_at = -OUTAGE_RECOVERY_SECONDS
         self._missing_since: dict[str, float] = {}
 
-    def record_listed(self, report: _server.ServerReport) -> None:
+    def record_listed(self, report: _report.ServerReport) -> None:
         """Update the directory from the report of a listed server."""
         self._missing_since.pop(report.name, None)
         self._directory.update(report)
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -4,13 +4,12 @@
 import contextlib
 import time
 
-import msgspec
-
 from swiftjunction.backends import _health
 from swiftjunction.backends import _lateness
 from swiftjunction.backends import _leaving
 from swiftjunction.backends import _limit
 from swiftjunction.backends import _rates
+from swiftjunction.backends import _report
 
 LATENCY_SMOOTHING_FACTOR = 0.2
 # A latency decays unless it is measured again, so a server that was slow is
@@ -19,51 +18,6 @@
 LOAD_HALF_LIFE_SECONDS = 2.0
 
 
-class ServerReport(msgspec.Struct, frozen=True):
-    """The reported state of a backend server.
-
-    A conductor process that monitors the server writes it to the replicated
-    records. If the platform lists the servers, it comes from that list.
-
-    Attributes
-    ----------
-    service : str
-        The model or plain service that it serves.
-    state : str
-        ``live``; ``leaving`` if it accepts no new requests; ``down`` if it
-        cannot be reached; ``gone`` if it is to be removed.
-    weight_version : int
-        The active version that an engine last reported; 0 if not known.
-    staged_version : int
-        The newest version that an engine can activate immediately.
-    load : float
-        The load of an engine, smoothed and rounded; 1 means at capacity.
-    listed_service : str
-        The service according to the platform's list of servers or VMs.
-    model_versions : dict of str to int
-        The weight version of each model, for an engine with several models.
-    slots : int
-        The number of requests that it runs concurrently; 0 if not known.
-    born_ms : int
-        The start time in Unix milliseconds; 0 if not known. A server of the
-        same name with another start time has lost its earlier state.
-    """
-
-    name: str
-    address: str
-    service: str
-    data_center: str
-    region: str = ''
-    state: str = 'live'
-    weight_version: int = 0
-    staged_version: int = 0
-    load: float = 0.0
-    listed_service: str = ''
-    model_versions: dict[str, int] = {}
-    slots: int = 0
-    born_ms: int = 0
-
-
 class BackendServer:
     """What this process knows of a backend server.
 
@@ -72,7 +26,7 @@
 
     Parameters
     ----------
-    report : ServerReport
+    report : _report.ServerReport
         The first report.
     clock : callable
         Returns monotonic time in seconds.
@@ -89,7 +43,7 @@
 
     Attributes
     ----------
-    report : ServerReport
+    report : _report.ServerReport
         The newest report.
     health : Health
         Its failures, ejection and slow start.
@@ -133,7 +87,7 @@
 
     def __init__(
         self,
-        report: ServerReport,
+        report: _report.ServerReport,
         clock: collections.abc.Callable[[], float] = time.monotonic,
         on_release: collections.abc.Callable[[], None] | None = None,
         latency_tolerance: float = _limit.LIVE_LATENCY_TOLERANCE,
@@ -254,7 +208,7 @@
         """Return whether one more request may be sent to the server."""
         return self.in_flight < self.max_in_flight
 
-    def update_report(self, report: ServerReport) -> None:
+    def update_report(self, report: _report.ServerReport) -> None:
         """Replace the report; begin a slow start if it is live again."""
         if report.state == 'live' and self.report.state != 'live':
             self.leaving = False
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -9,6 +9,7 @@
 from swiftjunction.coordination._deployment import VmReport
 from swiftjunction.coordination._duty import ControlLoops
 from swiftjunction.coordination._duty import DeploymentEvents
+from swiftjunction.coordination._feed import SharedFeed
 from swiftjunction.coordination._members import Member
 from swiftjunction.coordination._members import MEMBER_PREFIX
 from swiftjunction.coordination._members import MemberStatus
@@ -22,7 +23,6 @@
 from swiftjunction.coordination._polling import PeerPoller
 from swiftjunction.coordination._relaying import FailoverStore
 from swiftjunction.coordination._sharing import FeedSync
-from swiftjunction.coordination._sharing import SharedFeed
 from swiftjunction.coordination._watching import PeerMonitor
 
 __all__ = [
--- /dev/null
+++ b/src/swiftjunction/coordination/_feed.py
@@ -0,0 +1,163 @@
+"""One VM's copy of the stored objects under a prefix."""
+
+import math
+
+import anyio
+
+from swiftjunction.coordination import _messages
+from swiftjunction import objectstore
+
+# Largest number of deletions that each feed remembers.
+MAX_DELETIONS = 1024
+
+
+class SharedFeed(objectstore.Listener):
+    """This VM's copy of the objects under one prefix, called a feed.
+
+    Parameters
+    ----------
+    prefix : str
+        The common prefix of the objects' keys.
+    listener : Listener
+        Notified of each change.
+
+    Attributes
+    ----------
+    revision : int
+        The revision of the store up to which the copy has all changes; -1
+        before any objects have been received.
+    is_watched : bool
+        Whether this VM watches the prefix now, so that no change is missed.
+    watched_at : float
+        When this VM, or a peer that it copies from, last had a watch that had
+        not failed; monotonic time in seconds.
+    complete_at : float
+        Up to when a response of the store shows that the copy has all changes;
+        monotonic time in seconds.
+    """
+
+    __slots__ = (
+        '_deletions',
+        '_listener',
+        '_min_since',
+        '_newer_known',
+        '_objects',
+        'complete_at',
+        'is_watched',
+        'prefix',
+        'revision',
+        'watched_at',
+    )
+
+    def __init__(self, prefix: str, listener: objectstore.Listener) -> None:
+        self.prefix = prefix
+        self.revision = -1
+        self.is_watched = False
+        self.watched_at = -math.inf
+        self.complete_at = -math.inf
+        self._listener = listener
+        self._newer_known = anyio.Event()
+        self._objects: dict[str, objectstore.Object] = {}
+        # The objects deleted since the last list, each with a revision by
+        # which it was deleted; None until the next revision is known.
+        self._deletions: dict[str, int | None] = {}
+        # The oldest revision of a peer to which changes alone can be sent;
+        # None until the revision of the last list is known.
+        self._min_since: int | None = None
+
+    def replace(self, objects: list[objectstore.Object]) -> None:
+        self._objects = {found.key: found for found in objects}
+        self._deletions.clear()
+        self._min_since = None
+        self._listener.replace(objects)
+
+    def change(self, found: objectstore.Object) -> None:
+        self._objects[found.key] = found
+        self._deletions.pop(found.key, None)
+        self._listener.change(found)
+
+    def remove(self, key: str) -> None:
+        known = self._objects.pop(key, None) is not None
+        self._deletions[key] = None
+        if known:
+            self._listener.remove(key)
+
+    def mark_current(self, revision: int) -> None:
+        self._advance(revision)
+        self.is_watched = True
+
+    def _advance(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        if self._min_since is None:
+            self._min_since = self.revision
+        for key, deleted_by in self._deletions.items():
+            if deleted_by is None:
+                self._deletions[key] = self.revision
+        if len(self._deletions) > MAX_DELETIONS:
+            # Peers that have not received them get all objects instead.
+            self._min_since = self.revision
+            self._deletions.clear()
+
+    def mark_stale(self) -> None:
+        self.is_watched = False
+
+    def confirm(self, asked_at: float) -> None:
+        self.complete_at = max(self.complete_at, asked_at)
+
+    def copy_since(self, since: int) -> _messages.FeedCopy:
+        """Return what a peer needs that has all changes up to `since`.
+
+        All objects are sent to a peer whose copy is older than the last list.
+        A list may show changes that no watch has reported, also of objects
+        with an older revision.
+        """
+        if self._min_since is None or since < self._min_since:
+            return _messages.FeedCopy(
+                self.revision, list(self._objects.values()), []
+            )
+        return _messages.FeedCopy(
+            self.revision,
+            [o for o in self._objects.values() if o.version > since],
+            [
+                key
+                for key, deleted_by in self._deletions.items()
+                if deleted_by is None or deleted_by > since
+            ],
+            since,
+        )
+
+    def record_copy(
+        self, revision: int, watched_at: float, complete_at: float
+    ) -> None:
+        """Record which copy of the objects a peer has.
+
+        Parameters
+        ----------
+        revision : int
+            The revision of that copy.
+        watched_at, complete_at : float
+            The same of that copy as the attributes of this one.
+        """
+        self.watched_at = max(self.watched_at, watched_at)
+        if revision > self.revision:
+            self._newer_known.set()
+        else:
+            self.confirm(complete_at)
+
+    async def wait_for_newer(self) -> None:
+        """Wait until a peer with a newer copy is recorded."""
+        self._newer_known = anyio.Event()
+        await self._newer_known.wait()
+
+    def apply_if_newer(self, copy: _messages.FeedCopy) -> None:
+        """Replace or change the objects by a peer's copy if it is newer."""
+        if copy.revision <= self.revision:
+            return
+        if copy.since < 0:
+            self.replace(copy.changed)
+        else:
+            for found in copy.changed:
+                self.change(found)
+            for key in copy.deleted:
+                self.remove(key)
+        self._advance(copy.revision)
--- /dev/null
+++ b/src/swiftjunction/platform/_listening.py
@@ -0,0 +1,19 @@
+"""The listener of an edge VM for callers and the platform."""
+
+from swiftjunction.platform import _settings
+from swiftjunction import web
+
+# Longer than callers keep an idle connection open.
+KEEP_ALIVE_TIMEOUT_SECONDS = 75.0
+
+
+def open_listener(settings: _settings.EdgeSettings) -> web.HttpListener:
+    """Return a listener at all addresses that callers or the platform use."""
+    sockets = []
+    addresses = [settings.front, settings.readiness, settings.directory]
+    for address in filter(None, addresses):
+        ip, _, port = address.rpartition(':')
+        sockets.append(web.bind_socket(ip, int(port)))
+    return web.HttpListener(
+        *sockets, keep_alive_seconds=KEEP_ALIVE_TIMEOUT_SECONDS
+    )
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -13,13 +13,14 @@
 from swiftjunction import backends
 from swiftjunction import batches
 from swiftjunction import coordination
-from swiftjunction import leases
 from swiftjunction import membership
 from swiftjunction import objectstore
 from swiftjunction.platform import _batch_calls
+from swiftjunction.platform import _election
 from swiftjunction.platform import _feeds
 from swiftjunction.platform import _ingress
 from swiftjunction.platform import _inspection
+from swiftjunction.platform import _listening
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
 from swiftjunction.platform import _store
@@ -32,23 +33,11 @@
 
 LOG = logging.getLogger(__name__)
 
-LEASE_NAME = 'coordinator'
-# Duration of the lease as a fraction of ``lease_seconds``, the minimum time
-# between the orders of two successive lease holders.
-LEASE_TTL_FRACTION = 0.87
-LEASE_MARGIN_SECONDS = 0.4
-# With these times, a renewal whose response is lost is detected and repeated
-# through a peer before the lease expires.
-RENEW_INTERVAL_SECONDS = 0.9
-RENEW_TIMEOUT_SECONDS = 1.2
-RETRY_INTERVAL_SECONDS = 0.2
 MAX_IN_FLIGHT = 1000
 # Part of the grace period that remains, after the listener has closed, for
 # responses in progress.
 SHUTDOWN_RESERVE_SECONDS = 1.5
 READY_CHECK_INTERVAL_SECONDS = 0.1
-# Longer than callers keep an idle connection open.
-KEEP_ALIVE_TIMEOUT_SECONDS = 75.0
 METRICS_PORT = 9464
 
 
@@ -184,24 +173,8 @@
             self._list_batch_services,
             0.0 if settings.checks_fencing else settings.lease_seconds,
         )
-        timing = leases.LeaseTiming(
-            ttl_seconds=settings.lease_seconds * LEASE_TTL_FRACTION,
-            margin_seconds=LEASE_MARGIN_SECONDS,
-            renew_interval_seconds=RENEW_INTERVAL_SECONDS,
-            renew_timeout_seconds=RENEW_TIMEOUT_SECONDS,
-            retry_interval_seconds=RETRY_INTERVAL_SECONDS,
-        )
-        self._coordinator = coordination.Coordinator(
-            leases.LeaseKeeper(
-                self._store,
-                LEASE_NAME,
-                f'{settings.name}@{settings.ip}',
-                timing=timing,
-                reclaims_own_lease=True,
-            ),
-            timing,
-            self._members,
-            self._control_loops,
+        self._coordinator = _election.build_coordinator(
+            settings, self._store, self._members, self._control_loops
         )
         self._admission = requests.AdmissionController(MAX_IN_FLIGHT)
         self._ingress = _ingress.Ingress(
@@ -256,7 +229,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then resign, drain and stop."""
-        caller_listener = self._open_listener()
+        caller_listener = _listening.open_listener(self._settings)
         peer_listener = web.HttpListener(
             web.bind_socket(self._settings.ip, self._settings.peer_port),
             web.bind_socket(self._settings.ip, self._metrics_port),
@@ -310,20 +283,6 @@
             tasks.cancel_scope.cancel()
         LOG.info('stopped')
 
-    def _open_listener(self) -> web.HttpListener:
-        addresses = [
-            self._settings.front,
-            self._settings.readiness,
-            self._settings.directory,
-        ]
-        sockets = []
-        for address in filter(None, addresses):
-            ip, _, port = address.rpartition(':')
-            sockets.append(web.bind_socket(ip, int(port)))
-        return web.HttpListener(
-            *sockets, keep_alive_seconds=KEEP_ALIVE_TIMEOUT_SECONDS
-        )
-
     async def _drain(self) -> None:
         """Keep serving while callers may have this VM's address cached."""
         self._state = 'draining'
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -6,8 +6,8 @@
 
 from swiftjunction import backends
 from swiftjunction import coordination
+from swiftjunction.coordination import _feed
 from swiftjunction.coordination import _messages
-from swiftjunction.coordination import _sharing
 from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import membership
@@ -620,7 +620,7 @@
         feed, _ = self.make()
         feed.replace([])
         feed.mark_current(1)
-        for number in range(_sharing.MAX_DELETIONS + 1):
+        for number in range(_feed.MAX_DELETIONS + 1):
             feed.remove(f'k/{number}')
         feed.mark_current(2)
         assert feed.copy_since(1).since == -1
