--- a/src/swiftjunction/backends/_permits.py
+++ b/src/swiftjunction/backends/_permits.py
@@ -10,8 +10,7 @@
 from swiftjunction.backends import _rates
 from swiftjunction.backends import _server
 
-# What a bucket that was not used for a while gives at once, beyond the next
-# request of a steady flow: as much as in this time, and this many requests.
+# Size of a bucket: the permits of this time at the rate, and this many more.
 BURST_SECONDS = 1.0
 BURST_REQUESTS = 2
 MAX_BUCKETS = 4096
--- a/src/swiftjunction/backends/_rates.py
+++ b/src/swiftjunction/backends/_rates.py
@@ -1,7 +1,7 @@
 """Knowledge of the request rates that servers name as their limits.
 
-A server in need names in its responses how many requests a second it takes
-from all processes together. The limit is kept for the instance, which is one
+An overloaded server states a limit in its responses, in requests a second
+over all processes. The limit is kept for the instance, which is one
 run of the server, and holds until a later response names another one or none.
 """
 
@@ -15,8 +15,8 @@
 LOG = logging.getLogger(__name__)
 
 UNLIMITED = math.inf
-# What a server that named a very low limit still gets, so that it can say when
-# the limit ends.
+# Sent to a server in spite of a lower limit, as only a response shows that the
+# limit has ended.
 MIN_REQUESTS_PER_SECOND = 0.25
 # Statements of other processes arrive with an age that is off by the transit.
 AGE_ERROR_SECONDS = 0.1
@@ -214,7 +214,7 @@
         return [self.describe(run) for run in limited[-MAX_SHARED_STATEMENTS:]]
 
     def block(self, run: Run, seconds: float) -> None:
-        """Send a server nothing for a time, as it has no permit to give."""
+        """Send nothing to a server until its next permit is due."""
         limit = self._by_run.get(run)
         if limit is not None:
             limit.blocked_until = self._clock() + seconds
--- a/src/swiftjunction/platform/_responses.py
+++ b/src/swiftjunction/platform/_responses.py
@@ -17,7 +17,7 @@
 # avoid a server that stays costs capacity, and to use one that leaves costs
 # requests.
 STAYING_VALUE = '0'
-# A longer one is no limit that a server means.
+# Longer values are invalid.
 MAX_LIMIT_CHARS = 64
 LIMIT_PATTERN = re.compile(r'\d+(\.\d*)?|\.\d+', re.ASCII)
 
--- a/src/swiftjunction/requests/_crashes.py
+++ b/src/swiftjunction/requests/_crashes.py
@@ -80,7 +80,7 @@
 
 
 def count_distinct(crashes: collections.abc.Iterable[Crash]) -> int:
-    """Count the crashes that tell more than the ones before.
+    """Count the crashes that are independent evidence.
 
     An attempt that began before a counted one had ended does not count. It
     may have shared its server, or have been sent as nothing was known. Nor
--- a/src/swiftjunction/web/_heads.py
+++ b/src/swiftjunction/web/_heads.py
@@ -69,7 +69,7 @@
         self._awaits_head = False
 
     def end_exchange(self) -> None:
-        """Close in order from now on, as the response is complete."""
+        """Stop resetting on close, as the response is complete."""
         self._in_exchange = False
 
     async def read(
