--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -33,8 +33,9 @@
 # A VM watches the store itself if nobody that it copies from has had a watch
 # for this long.
 MAX_WATCH_AGE_SECONDS = 2.5
-# It also does so if its copy may lack changes for this long. A watch without changes
-# gets its response at its end, which shows what had happened before its start.
+# It also does so if its copy may lack changes for this long. A watch without
+# changes gets its response at its end, which shows what had happened before
+# its start.
 MAX_AGE_SECONDS = 2 * objectstore.WATCH_SECONDS + MAX_WATCH_AGE_SECONDS
 
 
