Give the process test loopback addresses of its own

Cause: the metrics port of the edge program is fixed (9464), so that two runs of tests/cover/test_platform_processes.py on one machine, from two checkouts or beside a soak, bind the same address and the second one fails to start. Change: each run reserves a loopback network, as the soak does; the deployment of the tests takes the address of its VMs. No check is changed.

--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -12,6 +12,7 @@
 import httpx
 import pytest
 
+from soak import runs
 from soak import testbed
 from tests import platform_deployment
 
@@ -31,7 +32,9 @@
     """A deployment that runs each VM in its own process."""
 
     def __init__(self, folder):
-        super().__init__(folder)
+        # The metrics port is fixed, so each run has addresses of its own.
+        network, self._reservation = runs.reserve_network(os.getpid())
+        super().__init__(folder, f'127.{network}.0.1')
         self.processes = {}
         self.logs = folder
 
@@ -50,6 +53,12 @@
                 },
             )
 
+    def close(self):
+        """Kill all processes and release the addresses."""
+        for process in self.processes.values():
+            process.kill()
+        self._reservation.close()
+
     async def stop_vm(self, name):
         """Stop a VM gracefully and return its exit code."""
         process = self.processes[name]
@@ -76,12 +85,13 @@
             )
             results = await deployment.wait_for_results('vm-1', 'b1', 4)
             async with httpx.AsyncClient(trust_env=False) as client:
-                metrics = await client.get('http://127.0.0.1:9464/metrics')
+                metrics = await client.get(
+                    f'http://{deployment.vm_ip}:9464/metrics'
+                )
             deployment.processes['vm-1'].send_signal(signal.SIGHUP)
             code = await deployment.stop_vm('vm-1')
     finally:
-        for process in deployment.processes.values():
-            process.kill()
+        deployment.close()
     assert response.status_code == 200
     assert accepted.status_code == 202
     assert {result['state'] for result in results} == {'completed'}
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -115,9 +115,12 @@
         Stand-in for the platform's store.
     plain, engines : dict
         Stand-ins for the servers, by name.
+    vm_ip : str
+        The address of all VMs.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, vm_ip='127.0.0.1'):
+        self.vm_ip = vm_ip
         self._folder = folder
         self._tasks = None
         self._clients = contextlib.AsyncExitStack()
@@ -190,12 +193,12 @@
         path = self._folder / f'{name}.conf'
         lines = [
             f'node_name={name}',
-            'ip=127.0.0.1',
+            f'ip={self.vm_ip}',
             'zone=dc-1',
             'region=r-1',
-            f'bind.front=127.0.0.1:{ports["front"]}',
-            f'bind.readiness=127.0.0.1:{ports["readiness"]}',
-            f'bind.directory=127.0.0.1:{ports["directory"]}',
+            f'bind.front={self.vm_ip}:{ports["front"]}',
+            f'bind.readiness={self.vm_ip}:{ports["readiness"]}',
+            f'bind.directory={self.vm_ip}:{ports["directory"]}',
             f'port_range={ports["peer"]},{ports["peer"]}',
             f'provider.address={self.store_address}',
             'bounds.grace_s=3',
@@ -224,7 +227,7 @@
     async def send_request(self, name, method, path, port='front', **options):
         """Send one request to a VM on a new connection."""
         headers = {'host': HOST, **options.pop('headers', {})}
-        url = f'http://127.0.0.1:{self.ports[name][port]}{path}'
+        url = f'http://{self.vm_ip}:{self.ports[name][port]}{path}'
         async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
             return await client.request(
                 method, url, headers=headers, **options
