--- a/tests/cover/test_platform_crashes.py
+++ b/tests/cover/test_platform_crashes.py
@@ -20,6 +20,8 @@
 # Longer than a removed server is kept.
 REMOVAL_SECONDS = 1.5
 BODY = b'POISON'
+# The rule counts what is sent after the third crash.
+MAX_CRASHES = 3
 
 
 class Deployment(platform_deployment.PlatformDeployment):
@@ -153,6 +155,22 @@
         assert len(deployment.list_runs()) == 2
 
 
+async def test_attempts_at_all_vms_crash_no_more_servers_than_allowed(
+    deployment,
+):
+    vms = ['vm-1', 'vm-2', 'vm-3']
+    async with deployment.run(vms):
+        deployment.set_all('poison', CRASH_SECONDS)
+        for vm in vms:
+            await deployment.send(vm, 'plain')
+        await anyio.sleep(SHARING_SECONDS)
+        crashed = len(deployment.list_runs())
+        for vm in vms:
+            await deployment.send(vm, 'plain')
+        assert crashed <= MAX_CRASHES
+        assert len(deployment.list_runs()) == crashed
+
+
 def remove(deployment, name):
     deployment.store.remove('servers', name)
 
