--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -323,7 +323,7 @@
             'service': PLAIN_SERVICE,
             'address': self.links[name].address,
             'zone': 'dc-0',
-            'version': 'v1',
+            'version': self.servers[name].software,
             'capacity': 8,
             'state': state,
             'cold_left_ms': 0,
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -23,6 +23,9 @@
 from swiftjunction.standins._service import ServiceStandin
 from swiftjunction.standins._settings import read_standin_settings
 from swiftjunction.standins._settings import StandinSettings
+from swiftjunction.standins._software import DEFAULT_SOFTWARE
+from swiftjunction.standins._software import find_software
+from swiftjunction.standins._software import list_event_data
 from swiftjunction.standins._texts import count_tokens
 from swiftjunction.standins._texts import make_completion_text
 from swiftjunction.standins._trainer import TrainerStandin
@@ -33,6 +36,7 @@
 
 __all__ = [
     'Arrival',
+    'DEFAULT_SOFTWARE',
     'EngineStandin',
     'FaultEvent',
     'FaultSchedule',
@@ -52,6 +56,8 @@
     'VmListStandin',
     'WeightStoreStandin',
     'count_tokens',
+    'find_software',
+    'list_event_data',
     'make_completion_text',
     'make_platform_text',
     'read_schedule',
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -12,6 +12,7 @@
 
 from swiftjunction.standins import _announcing
 from swiftjunction.standins import _faults
+from swiftjunction.standins import _software
 from swiftjunction import web
 
 Request = starlette.requests.Request
@@ -24,6 +25,8 @@
 METHODS = ['GET', 'POST', 'PUT', 'DELETE']
 # Bytes of a body that crashes a server with the fault ``poison``.
 POISON_MARKER = b'POISON'
+# Headers that name another engine whose memory a request reads or fills.
+MEMORY_HEADERS = ('kv-fetch', 'kv-from', 'swiftjunction-kv-backup')
 
 
 class PlatformServiceStandin:
@@ -44,6 +47,8 @@
         ``unnamed``: the response has no request id.
         ``leaving``: not a number; if set, all responses announce it.
         ``limit``: requests a second that all responses name as the limit.
+    software : str
+        Version of its software.
     server_runs : ServerRuns
         The starts of the server, and the requests that reached each run.
     runs : list of (str, str)
@@ -56,6 +61,7 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
+        self.software = _software.DEFAULT_SOFTWARE
         self.faults = _faults.FaultSwitches(
             'crashed',
             'poison',
@@ -136,6 +142,8 @@
         ``limit``: requests a second that all responses name as the limit.
     versions : dict of str to int
         Active version of each model.
+    software : str
+        Version of its software; a test that changes it restarts the engine.
     server_runs : ServerRuns
         The starts of the server, and the requests that reached each run.
     runs : list of (str, int)
@@ -144,6 +152,9 @@
     generated : dict of str to set of (int, int)
         For each sample, the generated events with their versions. A sample
         may run more than once.
+    memory_sources : list of (str, str)
+        Id of each request that read the memory of another engine, and what
+        it named.
     poison_runs : int
         Number of requests that made it crash.
     orders : list of dict
@@ -159,8 +170,11 @@
         name: str,
         versions: dict[str, int],
         event_interval_seconds: float = EVENT_INTERVAL_SECONDS,
+        software: str = _software.DEFAULT_SOFTWARE,
     ) -> None:
         self.name = name
+        self.software = software
+        self.memory_sources: list[tuple[str, str]] = []
         self.generated: dict[str, set[tuple[int, int]]] = {}
         self._event_interval_seconds = event_interval_seconds
         self.faults = _faults.FaultSwitches(
@@ -254,6 +268,10 @@
         request_id = request.headers['swiftjunction-attempt-id']
         after = int(request.headers.get('last-event-id', '-1'))
         self.runs.append((request_id, after))
+        for header in MEMORY_HEADERS:
+            if header in request.headers:
+                source = request.headers[header]
+                self.memory_sources.append((request_id, source))
         if await _is_poisoned(request, self.faults):
             self.poison_runs += 1
             await _crash(self.faults)
@@ -290,7 +308,10 @@
         try:
             for number in range(after + 1, EVENT_COUNT):
                 await anyio.sleep(self._event_interval_seconds)
-                event = f'id: {number}\ndata: {request_id} {number}\n\n'
+                data = _software.make_event_data(
+                    request_id, number, self.software
+                )
+                event = f'id: {number}\ndata: {data}\n\n'
                 generated.add((number, self.versions[model]))
                 if self.versions[model] != known_version:
                     # Another version became active during the run.
@@ -309,9 +330,14 @@
             self._running_count -= 1
 
 
-def make_platform_text(item_id: str) -> str:
+def make_platform_text(
+    item_id: str, software: str = _software.DEFAULT_SOFTWARE
+) -> str:
     """Return the complete text that :class:`PlatformEngineStandin` streams."""
-    return '\n'.join(f'{item_id} {number}' for number in range(EVENT_COUNT))
+    return '\n'.join(
+        _software.make_event_data(item_id, number, software)
+        for number in range(EVENT_COUNT)
+    )
 
 
 def _check_request(
--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -14,7 +14,9 @@
 
 from soak import runs
 from soak import testbed
+from swiftjunction import standins
 from tests import platform_deployment
+from tests.cover import test_platform_versions
 
 ROOT = pathlib.Path(__file__).parents[2]
 STOP_TIMEOUT_SECONDS = 10
@@ -152,3 +154,33 @@
         env={'PYTHONPATH': testbed.MODULE_PATH},
     )
     assert result.returncode == 0
+
+
+@pytest.mark.anyio
+async def test_no_text_holds_events_of_two_software_versions(tmp_path):
+    deployment = ProcessDeployment(tmp_path)
+    deployment.engines = {
+        name: standins.PlatformEngineStandin(
+            name, {platform_deployment.MODEL: 1}, software=software
+        )
+        for name, software in test_platform_versions.SOFTWARE.items()
+    }
+    try:
+        async with deployment.run():
+            for name in ('e1', 'e2'):
+                deployment.engines[name].faults.set('cut', 6)
+            await deployment.submit(
+                'vm-1', 'b1', platform_deployment.make_batch(groups=6)
+            )
+            results = await deployment.wait_for_results('vm-1', 'b1', 12)
+            for name in ('e1', 'e3'):
+                deployment.engines[name].faults.set('cut', 100)
+            streams = test_platform_versions.make_streams(deployment)
+            for stream in streams:
+                await stream.run('vm-1')
+            await deployment.stop_vm('vm-1')
+    finally:
+        deployment.close()
+    assert test_platform_versions.find_mixed(results) == []
+    assert all(stream.is_complete() for stream in streams)
+    assert [s.data for s in streams if len(s.software) != 1] == []
--- /dev/null
+++ b/tests/cover/test_platform_versions.py
@@ -0,0 +1,353 @@
+"""Streams and samples while engines of two software versions serve."""
+
+import contextlib
+
+import anyio
+import httpx
+import pytest
+
+from swiftjunction import standins
+from tests import platform_deployment
+
+pytestmark = pytest.mark.anyio
+
+MODEL = platform_deployment.MODEL
+SOFTWARE = {'e1': 'v1', 'e2': 'v1', 'e3': 'v2', 'e4': 'v2'}
+VMS = ('vm-1', 'vm-2', 'vm-3')
+# A stream is routed at random; of so many, some are on each engine.
+STREAM_COUNT = 12
+EVENT_COUNT = standins.make_platform_text('x').count('\n') + 1
+# A VM learns within this time that a server is no longer listed.
+LISTING_SECONDS = 1.5
+
+
+class Deployment(platform_deployment.PlatformDeployment):
+    """A deployment with two engines of each software version."""
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        self.engines = {
+            name: standins.PlatformEngineStandin(
+                name, {MODEL: 1}, software=software
+            )
+            for name, software in SOFTWARE.items()
+        }
+
+    def set_faults(self, name, value, engines=tuple(SOFTWARE)):
+        for engine in engines:
+            self.engines[engine].faults.set(name, value)
+
+    def remove_software(self, software):
+        """Remove the engines of a software version from the list."""
+        for name, engine in self.engines.items():
+            if engine.software == software:
+                self.store.remove('servers', name)
+
+    def count_runs(self):
+        return sum(len(engine.runs) for engine in self.engines.values())
+
+    def has_started(self, prefix):
+        return any(
+            request_id.startswith(prefix)
+            for engine in self.engines.values()
+            for request_id, _ in engine.runs
+        )
+
+    async def wait_for_runs(self, prefix):
+        with anyio.fail_after(10):
+            while not self.has_started(prefix):
+                await anyio.sleep(0.01)
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    return Deployment(tmp_path)
+
+
+class Stream:
+    """A caller's stream over all its attempts.
+
+    Attributes
+    ----------
+    first_id : str
+        Id of the attempt that brought the first event.
+    data : list of str
+        The data of all events received.
+    """
+
+    def __init__(self, deployment, name):
+        self.deployment = deployment
+        self.name = name
+        self.attempts = 0
+        self.first_id = ''
+        self.data = []
+
+    @property
+    def software(self):
+        return standins.find_software(self.data)
+
+    def make_headers(self):
+        headers = [
+            ('host', platform_deployment.HOST),
+            ('swiftjunction-attempt-id', f'{self.name}.{self.attempts}'),
+            ('swiftjunction-deadline-ms', '3000'),
+            ('swiftjunction-model', MODEL),
+        ]
+        if self.data:
+            headers += [
+                ('last-event-id', str(len(self.data) - 1)),
+                ('resumes', self.first_id),
+            ]
+        return headers
+
+    async def run(self, vm, events=EVENT_COUNT, headers=None):
+        """Make an attempt; return its status.
+
+        Parameters
+        ----------
+        events : int
+            The caller disconnects after so many events of the stream.
+        """
+        self.attempts += 1
+        port = self.deployment.ports[vm]['front']
+        url = f'http://{self.deployment.vm_ip}:{port}'
+        async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
+            async with client.stream(
+                'POST',
+                f'{url}/streams/a',
+                headers=headers or self.make_headers(),
+            ) as response:
+                if response.status_code == 200:
+                    await self._read(response, events)
+                return response.status_code
+
+    async def _read(self, response, events):
+        lines = response.aiter_lines()
+        async with contextlib.aclosing(lines):
+            async for line in lines:
+                for data in standins.list_event_data([line]):
+                    if not self.data:
+                        self.first_id = f'{self.name}.{self.attempts}'
+                    self.data.append(data)
+                if len(self.data) >= events:
+                    return
+
+    def is_complete(self):
+        """Return whether the events are those of one run, each once."""
+        numbers = [int(data.split(' ')[1]) for data in self.data]
+        return numbers == list(range(EVENT_COUNT))
+
+
+def make_streams(deployment):
+    return [Stream(deployment, f's{n}') for n in range(STREAM_COUNT)]
+
+
+def find_mixed(results):
+    """Return the results whose texts have events of two versions."""
+    return [
+        result
+        for result in results
+        if len(standins.find_software(result['text'].split('\n'))) != 1
+    ]
+
+
+class TestStreamsOfOneAnswer:
+    async def test_a_broken_stream_goes_on_at_its_software(self, deployment):
+        async with deployment.run():
+            deployment.set_faults('cut', 100, ['e1', 'e3'])
+            streams = make_streams(deployment)
+            for stream in streams:
+                await stream.run('vm-1')
+        assert all(stream.is_complete() for stream in streams)
+        assert [s.data for s in streams if len(s.software) != 1] == []
+
+    async def test_a_broken_stream_without_its_software_is_aborted(
+        self, deployment
+    ):
+        async with deployment.run():
+            deployment.store.remove('servers', 'e2')
+            deployment.store.remove('servers', 'e4')
+            await anyio.sleep(LISTING_SECONDS)
+            deployment.set_faults('cut', 100, ['e1'])
+            streams = make_streams(deployment)
+            aborted = 0
+            for stream in streams:
+                try:
+                    await stream.run('vm-1')
+                except httpx.RemoteProtocolError:
+                    aborted += 1
+        assert 0 < aborted < STREAM_COUNT
+        assert [s.data for s in streams if len(s.software) != 1] == []
+
+
+class TestResumedStreams:
+    async def check_resumes(self, deployment):
+        streams = make_streams(deployment)
+        for stream in streams:
+            assert await stream.run('vm-1', 2) == 200
+            assert await stream.run('vm-2', 4) == 200
+            assert await stream.run('vm-3') == 200
+        assert all(stream.is_complete() for stream in streams)
+        assert [s.data for s in streams if len(s.software) != 1] == []
+
+    async def test_a_resumed_stream_goes_on_at_its_software_at_any_vm(
+        self, deployment
+    ):
+        async with deployment.run(VMS):
+            await self.check_resumes(deployment)
+
+    async def test_resumed_streams_need_no_store(self, deployment):
+        async with deployment.run(VMS):
+            deployment.store.faults.set('down', 1)
+            await self.check_resumes(deployment)
+
+    async def test_a_resumed_stream_goes_on_after_its_vm_was_killed(
+        self, deployment
+    ):
+        async with deployment.run(VMS):
+            streams = make_streams(deployment)
+            for stream in streams:
+                assert await stream.run('vm-1', 1) == 200
+            deployment.kill_vm('vm-1')
+            statuses = [await stream.run('vm-2') for stream in streams]
+        assert statuses == [200] * STREAM_COUNT
+        assert [s.data for s in streams if len(s.software) != 1] == []
+
+    async def test_a_resumed_stream_without_its_software_is_not_run(
+        self, deployment
+    ):
+        async with deployment.run(VMS):
+            streams = make_streams(deployment)
+            for stream in streams:
+                assert await stream.run('vm-1', 2) == 200
+            deployment.remove_software('v1')
+            await anyio.sleep(LISTING_SECONDS)
+            runs = deployment.count_runs()
+            old = [s for s in streams if s.software == {'v1'}]
+            assert old
+            for stream in old:
+                with anyio.fail_after(0.5):
+                    assert await stream.run('vm-2') == 503
+            assert deployment.count_runs() == runs
+            fresh = Stream(deployment, 'fresh')
+            assert await fresh.run('vm-2') == 200
+
+    @pytest.mark.parametrize(
+        'names',
+        [
+            [],
+            ['unknown'],
+            [''],
+            ['x' * 10_000],
+            ['{own}', 'unknown'],
+            ['{own}, unknown'],
+        ],
+    )
+    async def test_a_stream_of_unknown_origin_is_not_run(
+        self, deployment, names
+    ):
+        async with deployment.run(VMS):
+            stream = Stream(deployment, 's')
+            assert await stream.run('vm-1', 2) == 200
+            runs = deployment.count_runs()
+            headers = [h for h in stream.make_headers() if h[0] != 'resumes']
+            headers += [
+                ('resumes', name.format(own=stream.first_id)) for name in names
+            ]
+            with anyio.fail_after(2):
+                assert await stream.run('vm-2', headers=headers) == 503
+            assert deployment.count_runs() == runs
+
+    async def test_an_engine_that_restarted_with_other_software_is_not_used(
+        self, deployment
+    ):
+        async with deployment.run(VMS):
+            streams = make_streams(deployment)
+            for stream in streams:
+                assert await stream.run('vm-1', 2) == 200
+            for name in ('e1', 'e2'):
+                engine = deployment.engines[name]
+                engine.software = 'v3'
+                deployment.register_server(name, engine, born=2)
+            await anyio.sleep(LISTING_SECONDS)
+            for stream in streams:
+                status = await stream.run('vm-2')
+                expected = 503 if stream.software == {'v1'} else 200
+                assert status == expected
+        assert [s.data for s in streams if len(s.software) != 1] == []
+
+
+class TestSamples:
+    async def test_a_broken_sample_goes_on_at_its_software(self, deployment):
+        async with deployment.run():
+            deployment.set_faults('cut', 3, ['e1', 'e2'])
+            await deployment.submit(
+                'vm-1', 'b1', platform_deployment.make_batch(groups=6)
+            )
+            results = await deployment.wait_for_results('vm-1', 'b1', 12)
+        assert find_mixed(results) == []
+
+    async def test_a_text_without_its_software_is_generated_again(
+        self, deployment
+    ):
+        async with deployment.run():
+            deployment.store.remove('servers', 'e2')
+            await anyio.sleep(LISTING_SECONDS)
+            deployment.set_faults('stall', 100, ['e1'])
+            await deployment.submit(
+                'vm-1', 'b1', platform_deployment.make_batch(groups=6)
+            )
+            await deployment.wait_for_runs('a')
+            await anyio.sleep(0.3)
+            deployment.store.remove('servers', 'e1')
+            results = await deployment.wait_for_results('vm-1', 'b1', 12)
+        assert find_mixed(results) == []
+
+    async def test_a_new_coordinator_goes_on_at_the_software_of_each_text(
+        self, deployment
+    ):
+        async with deployment.run(('vm-1', 'vm-2')):
+            await anyio.sleep(1.0)
+            deployment.set_faults('stall', 100)
+            await deployment.submit(
+                'vm-1', 'b1', platform_deployment.make_batch(groups=6)
+            )
+            await deployment.wait_for_runs('a')
+            await anyio.sleep(0.3)
+            deployment.set_faults('stall', 0)
+            lease = deployment.store.get('leases', 'coordinator')
+            name = lease['spec']['holder'].partition('@')[0]
+            other = 'vm-2' if name == 'vm-1' else 'vm-1'
+            deployment.store.remove('servers', 'e1')
+            deployment.programs[name]._stopping.set()
+            results = await deployment.wait_for_results(other, 'b1', 12)
+        assert find_mixed(results) == []
+
+    async def test_a_resubmitted_group_goes_on_at_the_software_of_each_text(
+        self, deployment
+    ):
+        async with deployment.run():
+            deployment.set_faults('stall', 100)
+            batch = platform_deployment.make_batch(groups=6)
+            await deployment.submit('vm-1', 'b1', batch)
+            await deployment.wait_for_runs('a')
+            await anyio.sleep(0.3)
+            await deployment.send_request('vm-1', 'DELETE', '/lots/b1')
+            deployment.store.remove('servers', 'e1')
+            await anyio.sleep(LISTING_SECONDS)
+            deployment.set_faults('stall', 0)
+            await deployment.submit('vm-1', 'b2', batch)
+            results = await deployment.wait_for_results('vm-1', 'b2', 12)
+        assert find_mixed(results) == []
+
+    async def test_no_request_reads_the_memory_of_another_engine(
+        self, deployment
+    ):
+        async with deployment.run():
+            deployment.set_faults('cut', 100, ['e1', 'e3'])
+            await deployment.submit(
+                'vm-1', 'b1', platform_deployment.make_batch(groups=6)
+            )
+            await deployment.wait_for_results('vm-1', 'b1', 12)
+        for engine in deployment.engines.values():
+            assert engine.memory_sources == []
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -169,7 +169,7 @@
             'service': SERVICE,
             'address': self.addresses[name],
             'zone': 'dc-1',
-            'version': 'v1',
+            'version': server.software,
             'capacity': 4,
             'state': 'ready',
             'cold_left_ms': 0,
