Let a stream that breaks go on only at the software that began it

What callers saw: one response with events of two software versions of a service (ORDER). Cause: nothing read the version in a server's entry, so that the relay resumed a broken stream at any server of the service. Change: the version is a part of a server's report; one rule, may_continue, says where a text may go on, and the router asks it. A changed version is another run of the server, and what waits to be sent to the former run is not sent: that it was, was the other way to mix versions. A text that waits for its version does not hold up requests that other servers may take.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -29,6 +29,8 @@
 from swiftjunction.backends._service import ServiceClient
 from swiftjunction.backends._service import ServiceResponse
 from swiftjunction.backends._service import ServiceTransport
+from swiftjunction.backends._software import may_continue
+from swiftjunction.backends._software import UNKNOWN_SOFTWARE
 from swiftjunction.backends._streams import NO_EVENT
 from swiftjunction.backends._streams import ServiceStream
 from swiftjunction.backends._streams import StreamEvent
@@ -65,8 +67,10 @@
     'StreamEvent',
     'StreamPosition',
     'StreamTransport',
+    'UNKNOWN_SOFTWARE',
     'UNLIMITED',
     'UnlimitedPermits',
+    'may_continue',
     'read_body',
     'read_load',
     'translate_errors',
--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -93,6 +93,8 @@
         if server is None or _is_restart(server.report, report):
             if server is not None:
                 server.listed = False
+                # What waits for the former run must not reach this one.
+                server.mark_leaving()
                 self._notify_end(server)
             server = self._add(report)
         server.update_report(report)
@@ -171,6 +173,7 @@
                 'address': server.address,
                 'service': server.report.service,
                 'state': server.report.state,
+                'software': server.software,
                 'weight_version': server.weight_version,
                 'in_flight': server.in_flight,
                 'load': server.load,
@@ -188,4 +191,8 @@
 
 def _is_restart(old: _report.ServerReport, new: _report.ServerReport) -> bool:
     """Return whether a report shows that a server restarted or moved."""
-    return old.address != new.address or old.born_ms != new.born_ms
+    return (
+        old.address != new.address
+        or old.born_ms != new.born_ms
+        or old.software != new.software
+    )
--- a/src/swiftjunction/backends/_report.py
+++ b/src/swiftjunction/backends/_report.py
@@ -31,6 +31,8 @@
     born_ms : int
         The start time in Unix milliseconds; 0 if not known. A server of the
         same name with another start time has lost its earlier state.
+    software : str
+        The version of its software; empty if not known.
     """
 
     name: str
@@ -46,3 +48,4 @@
     model_versions: dict[str, int] = {}
     slots: int = 0
     born_ms: int = 0
+    software: str = ''
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -134,6 +134,11 @@
         """Return what identifies this run of the server."""
         return self.report.name, self.report.born_ms
 
+    @property
+    def software(self) -> str:
+        """Return the version of its software; empty if not known."""
+        return self.report.software
+
     @property
     def load(self) -> float:
         """Return the load that the last response reported.
--- a/src/swiftjunction/platform/_schemas.py
+++ b/src/swiftjunction/platform/_schemas.py
@@ -30,6 +30,7 @@
     address: str
     zone: str
     state: str
+    version: str
     capacity: int = 0
     models: list[_Model] = []
     born: int = 0
@@ -108,6 +109,7 @@
         model_versions={model.name: model.version for model in server.models},
         slots=server.capacity,
         born_ms=server.born,
+        software=server.version,
     )
 
 
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -56,6 +56,9 @@
         The last event that was relayed.
     resumable : bool
         Whether another server may resume the stream.
+    software : str or None
+        The software version of the servers that wrote the events, and of each
+        server that may go on; None before the first event.
     first_stream : ServiceStream or None
         The stream of the first server that opened one.
     excluded : set of str
@@ -73,6 +76,7 @@
         'may_have_run',
         'position',
         'resumable',
+        'software',
     )
 
     def __init__(
@@ -80,13 +84,17 @@
     ) -> None:
         self.position = position
         self.resumable = resumable
+        self.software: str | None = None
         self.first_stream: backends.ServiceStream | None = None
         self.excluded: set[str] = set()
         self.may_have_run = False
         self.last_error: errors.BackendError | None = None
 
-    def record_event(self, event: backends.StreamEvent) -> None:
+    def record_event(
+        self, event: backends.StreamEvent, server: backends.BackendServer
+    ) -> None:
         self.position = backends.StreamPosition(event.number, event.version)
+        self.software = server.software
 
     def has_events(self) -> bool:
         return self.position.number > backends.NO_EVENT
@@ -243,7 +251,7 @@
                     if event is None:
                         break
                     if self._is_new(event, progress):
-                        progress.record_event(event)
+                        progress.record_event(event, server)
                         yield event
         except (errors.BackendUnreachable, errors.AnswerBroken):
             server.record_failure()
@@ -271,6 +279,7 @@
             excluded=frozenset(progress.excluded),
             isolated=isolated,
             request_class=call.settings.request_class or 'live',
+            software=progress.software,
             deadline=call.deadline,
         )
         try:
@@ -327,6 +336,7 @@
             extra={
                 'request_id': call.service_call.request_id,
                 'last_event': progress.position.number,
+                'software': progress.software,
             },
         )
 
--- a/src/swiftjunction/routing/_policy.py
+++ b/src/swiftjunction/routing/_policy.py
@@ -36,6 +36,9 @@
     max_load : float
         Servers whose reported load, decayed by its age, is this or more are
         not used; a load of 1 means that the server is at capacity.
+    software : str or None
+        The software version that wrote the text to go on with; None if there
+        is no text yet.
     deadline : float
         The time until which the request may wait for a server, in seconds
         on the event loop's clock.
@@ -49,11 +52,22 @@
     isolated: bool = msgspec.field(name='alone', default=False)
     request_class: str = 'live'
     max_load: float = math.inf
+    software: str | None = None
     deadline: float = math.inf
 
     def is_restricted(self) -> bool:
         """Return whether only some of the service's servers are eligible."""
-        return self.isolated or bool(self.excluded)
+        return (
+            self.isolated or self.software is not None or bool(self.excluded)
+        )
+
+    def holds_up_others(self) -> bool:
+        """Return whether requests behind it in the queue must wait for it.
+
+        It waits for an idle server, or for one of its software, while others
+        may have capacity.
+        """
+        return not self.isolated and self.software is None
 
 
 class Policy(abc.ABC):
--- a/src/swiftjunction/routing/_router.py
+++ b/src/swiftjunction/routing/_router.py
@@ -159,7 +159,8 @@
         self, request: _policy.RoutingRequest
     ) -> collections.abc.Iterator[backends.BackendServer]:
         live = filter_live(self._directory.select(request.service))
-        fresh = filter_fresh(live, request.min_version)
+        continuing = filter_software(live, request.software)
+        fresh = filter_fresh(continuing, request.min_version)
         if request.isolated:
             available = (s for s in fresh if s.is_available())
             return filter_unless_last(
@@ -242,6 +243,17 @@
     return (s for s in servers if s.weight_version >= min_version)
 
 
+def filter_software(
+    servers: Servers, software: str | None
+) -> collections.abc.Iterator[backends.BackendServer]:
+    """Yield the servers that may go on with a text; all if there is none."""
+    return (
+        server
+        for server in servers
+        if software is None or backends.may_continue(software, server)
+    )
+
+
 def filter_not_excluded(
     servers: Servers, excluded: frozenset[str]
 ) -> collections.abc.Iterator[backends.BackendServer]:
--- a/src/swiftjunction/routing/_waiting.py
+++ b/src/swiftjunction/routing/_waiting.py
@@ -60,11 +60,13 @@
 
 
 class _Waiter:
-    __slots__ = ('event', 'isolated', 'sort_key')
+    __slots__ = ('event', 'holds_up_others', 'sort_key')
 
-    def __init__(self, sort_key: tuple[int, int], isolated: bool) -> None:
+    def __init__(
+        self, sort_key: tuple[int, int], holds_up_others: bool
+    ) -> None:
         self.sort_key = sort_key
-        self.isolated = isolated
+        self.holds_up_others = holds_up_others
         self.event = anyio.Event()
 
 
@@ -103,7 +105,7 @@
         max_wait_seconds = self._bound_wait(limits, request.deadline - now)
         if self._estimate_wait(limits) > max_wait_seconds:
             raise self._refuse(request, 'would exceed its maximum wait')
-        waiter = self._enqueue(limits, request.isolated)
+        waiter = self._enqueue(limits, request.holds_up_others())
         try:
             return await self._wait(
                 waiter, choose, request, now + max_wait_seconds
@@ -155,12 +157,12 @@
             self._start_rate.record(anyio.current_time())
         return chosen
 
-    def _enqueue(self, limits: WaitLimits, isolated: bool) -> _Waiter:
+    def _enqueue(self, limits: WaitLimits, holds_up_others: bool) -> _Waiter:
         if not self._waiters:
             self._nonempty_since = anyio.current_time()
             self._start_rate.reset(self._nonempty_since)
         self._sequence += 1
-        waiter = _Waiter((limits.rank, self._sequence), isolated)
+        waiter = _Waiter((limits.rank, self._sequence), holds_up_others)
         bisect.insort(self._waiters, waiter, key=lambda w: w.sort_key)
         return waiter
 
@@ -182,10 +184,8 @@
         )
 
     def _must_queue(self, limits: WaitLimits) -> bool:
-        # An isolated request waits for an idle server, while others have
-        # capacity.
         ahead = self._waiters[: self._count_ahead(limits)]
-        return any(not waiter.isolated for waiter in ahead)
+        return any(waiter.holds_up_others for waiter in ahead)
 
     def _bound_wait(
         self, limits: WaitLimits, remaining_seconds: float
--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -15,8 +15,8 @@
 from soak import runs
 from soak import testbed
 from swiftjunction import standins
-from tests import platform_deployment
 from tests.cover import test_platform_versions
+from tests import platform_deployment
 
 ROOT = pathlib.Path(__file__).parents[2]
 STOP_TIMEOUT_SECONDS = 10
