Let a sample go on only at the software that began its text

A sample that broke, was cancelled, moved off a slow engine, was restored from a checkpoint or from the kept text of an incomplete group went on at any engine. The planner selects engines of it, and the sample runner asks the rule once more just before it sends: a text that may not go on is discarded there. If no engine of the version is live, the sample begins again at once; if all are busy, it waits as long as generating the text again would take. Parts of texts stored without a version begin again; complete texts stay. Samples without a text go to engines of versions that are not being withdrawn first. The log line of an attempt names the version, and discarded texts are counted.

--- a/src/swiftjunction/batches/_dispatch.py
+++ b/src/swiftjunction/batches/_dispatch.py
@@ -47,6 +47,7 @@
         self.engine.end_permit_wait(self.progress.sample.sample_id)
         self.progress.engine = ''
         self.progress.running = False
+        self.progress.ended_at = anyio.current_time()
         self.slot.close()
 
 
@@ -74,6 +75,7 @@
         before it requests the next one; its end releases the slot.
         """
         self._engines.remove_departed()
+        now = anyio.current_time()
         engines: dict[str, list[_engines.EngineState]] = {}
         unavailable: set[tuple[str, str, int]] = set()
         for open_batch, progress in _planning.prioritize_samples(batches):
@@ -86,10 +88,12 @@
                     batch.service
                 )
             engine = self._selector.select(
-                (open_batch, progress), engines[batch.service]
+                (open_batch, progress), engines[batch.service], now
             )
             if engine is None:
-                unavailable.add(requirement)
+                # One that waits for its software says nothing of others.
+                if not progress.needs_software():
+                    unavailable.add(requirement)
                 continue
             yield SampleAttempt(open_batch, progress, engine)
 
--- a/src/swiftjunction/batches/_engines.py
+++ b/src/swiftjunction/batches/_engines.py
@@ -188,3 +188,12 @@
         for name, seconds in latencies.items()
         if seconds > median_seconds * SLOW_FACTOR
     }
+
+
+def find_withdrawn_software(engines: list[EngineState]) -> set[str]:
+    """Return the software versions of which an engine is leaving."""
+    return {
+        engine.server.software
+        for engine in engines
+        if not engine.server.accepts_requests()
+    }
--- a/src/swiftjunction/batches/_kept.py
+++ b/src/swiftjunction/batches/_kept.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from swiftjunction import backends
 from swiftjunction.batches import _batch
 from swiftjunction.batches import _open
 
@@ -30,6 +31,9 @@
         The weight versions that generated the events.
     complete : bool
         Whether the newest event was the last one of the sample.
+    software : str
+        The software version of the engines that generated the events; empty
+        if not known.
     """
 
     sample_id: str = msgspec.field(name='item_id')
@@ -37,6 +41,7 @@
     last_number: int
     versions: list[int]
     complete: bool = msgspec.field(default=False, name='whole')
+    software: str = backends.UNKNOWN_SOFTWARE
 
     @property
     def size(self) -> int:
@@ -55,6 +60,7 @@
         progress.last_number,
         list(progress.versions),
         progress.complete,
+        progress.software or backends.UNKNOWN_SOFTWARE,
     )
 
 
@@ -111,7 +117,7 @@
         """Restore a sample from its snapshot; return whether it was used.
 
         A snapshot with weight versions that the batch does not allow is not
-        used.
+        used, nor a part of a text if the software that wrote it is not known.
         """
         snapshot = self._snapshots.get(progress.sample.sample_id)
         if snapshot is None:
@@ -120,7 +126,9 @@
         progress.last_number = snapshot.last_number
         progress.versions = list(snapshot.versions)
         progress.complete = snapshot.complete
-        if progress.can_resume(batch):
+        progress.software = snapshot.software
+        is_known = snapshot.software != backends.UNKNOWN_SOFTWARE
+        if progress.can_resume(batch) and (is_known or snapshot.complete):
             return True
         progress.reset()
         return False
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -5,6 +5,7 @@
 import anyio
 import msgspec
 
+from swiftjunction import backends
 from swiftjunction.batches import _batch
 from swiftjunction.batches import _confirmation
 from swiftjunction import errors
@@ -57,6 +58,9 @@
         Number of the newest event; -1 before the first one.
     versions : list of int
         The distinct weight versions that generated the events.
+    software : str or None
+        The software version of the engines that generated the events; None
+        without events.
     complete : bool
         Whether the newest event was the last one of the sample.
     failures : int
@@ -72,11 +76,14 @@
     started_at : float
         When its current or last attempt started, on the event loop's clock
         in seconds; 0 before the first attempt.
+    ended_at : float
+        When its last attempt ended, on the same clock; 0 before that.
     """
 
     __slots__ = (
         'cancel_scope',
         'complete',
+        'ended_at',
         'engine',
         'events',
         'failures',
@@ -84,6 +91,7 @@
         'last_number',
         'migrations',
         'running',
+        'software',
         'started_at',
         'versions',
     )
@@ -93,6 +101,7 @@
         self.events: list[str] = []
         self.last_number = -1
         self.versions: list[int] = []
+        self.software: str | None = None
         self.complete = False
         self.failures = 0
         self.running = False
@@ -100,11 +109,13 @@
         self.migrations = 0
         self.cancel_scope = anyio.CancelScope()
         self.started_at = 0.0
+        self.ended_at = 0.0
 
     def reset(self) -> None:
         """Discard the text so far."""
         self.events.clear()
         self.versions.clear()
+        self.software = None
         self.last_number = -1
         self.complete = False
 
@@ -114,6 +125,16 @@
             return False
         return all(version >= batch.min_version for version in self.versions)
 
+    def needs_software(self) -> bool:
+        """Return whether only some software versions may go on with it."""
+        return self.software is not None and not self.complete
+
+    def may_run_on(self, server: backends.BackendServer) -> bool:
+        """Return whether a server may go on with the text so far."""
+        if self.software is None or self.complete:
+            return True
+        return backends.may_continue(self.software, server)
+
 
 class OpenBatch:
     """A batch with its results in order and its pending samples.
--- a/src/swiftjunction/batches/_planning.py
+++ b/src/swiftjunction/batches/_planning.py
@@ -8,6 +8,7 @@
 
 import collections
 import collections.abc
+import statistics
 
 from swiftjunction.batches import _engines
 from swiftjunction.batches import _open
@@ -16,6 +17,8 @@
 # of its engine is measured.
 MIN_ATTEMPT_SECONDS = 0.5
 MAX_MIGRATIONS = 3
+# Assumed while no engine's latency is known.
+DEFAULT_EVENT_SECONDS = 0.02
 
 WaitingSample = tuple[_open.OpenBatch, _open.SampleProgress]
 
@@ -44,14 +47,25 @@
         self,
         waiting: WaitingSample,
         engines: list[_engines.EngineState],
+        now: float,
     ) -> _engines.EngineState | None:
-        """Return the engine for a sample; None if no engine can run it.
+        """Return the engine for a sample; None if it has to wait.
+
+        If it is of another software version than the text of the sample, that
+        text must be discarded.
 
         The engine with the fewest expected tokens is preferred: the longest
         samples determine how long a training step takes, and each other
         sample on the same engine slows them down. Among engines with equally
         many, the last engine of the group is preferred. Slow engines are
-        selected only if no other engine can run the sample.
+        selected only if no other engine can run the sample, and engines of a
+        software version that is being withdrawn only if none of another
+        version can: a text that is begun there may have to be begun again.
+
+        Parameters
+        ----------
+        now : float
+            Time of the event loop's clock in seconds.
         """
         open_batch, progress = waiting
         batch = open_batch.batch
@@ -60,14 +74,17 @@
             for engine in engines
             if engine.can_run(batch.model, batch.min_version)
         ]
+        free = _select_continuing(waiting, free, engines, now)
         if not free:
             return None
+        withdrawn = _engines.find_withdrawn_software(engines)
         slow = _engines.find_slow_engines(engines)
         previous = self._group_engines.get(progress.sample.group)
         chosen = min(
             free,
             key=lambda engine: (
                 engine.server.name in slow,
+                engine.server.software in withdrawn,
                 engine.expected_tokens,
                 engine.server.name != previous,
             ),
@@ -82,6 +99,51 @@
             self._group_engines.popitem(last=False)
 
 
+def _select_continuing(
+    waiting: WaitingSample,
+    free: list[_engines.EngineState],
+    engines: list[_engines.EngineState],
+    now: float,
+) -> list[_engines.EngineState]:
+    """Return the free engines to consider for a sample.
+
+    Those of the software version of its text, if there are any. If all of them
+    are busy, it waits for as long as it takes to generate the text again, so
+    that waiting never costs more than twice the better choice.
+    """
+    open_batch, progress = waiting
+    continuing = [e for e in free if progress.may_run_on(e.server)]
+    if continuing:
+        return continuing
+    is_served = any(
+        engine.server.is_live() and progress.may_run_on(engine.server)
+        for engine in engines
+    )
+    waited_seconds = now - max(progress.ended_at, open_batch.first_seen_at)
+    if is_served and waited_seconds < _estimate_text_seconds(
+        progress, engines
+    ):
+        return []
+    return free
+
+
+def _estimate_text_seconds(
+    progress: _open.SampleProgress, engines: list[_engines.EngineState]
+) -> float:
+    """Return how long it takes to generate the text so far again."""
+    latencies = [
+        engine.server.latency_seconds
+        for engine in engines
+        if engine.server.latency_seconds
+    ]
+    event_seconds = (
+        statistics.median_low(latencies)
+        if latencies
+        else DEFAULT_EVENT_SECONDS
+    )
+    return len(progress.events) * event_seconds
+
+
 def select_migrations(
     batches: collections.abc.Iterable[_open.OpenBatch],
     engines: list[_engines.EngineState],
@@ -116,6 +178,7 @@
                     engine.server.name
                     for engine in fast
                     if free_slots[engine.server.name] > 0
+                    and progress.may_run_on(engine.server)
                     and engine.can_run(
                         open_batch.batch.model, open_batch.batch.min_version
                     )
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -72,6 +72,8 @@
         batch = open_batch.batch
         if not progress.can_resume(batch):
             progress.reset()
+        if not progress.may_run_on(engine.server):
+            self._discard_text(progress, engine)
         started_at = anyio.current_time()
         resumed_after = progress.last_number
         outcome = 'cancelled'
@@ -103,12 +105,29 @@
                     'resumed_after': resumed_after,
                     'last_event': progress.last_number,
                     'versions': list(progress.versions),
+                    'software': engine.server.software,
                     'outcome': outcome,
                     'seconds': round(anyio.current_time() - started_at, 3),
                 },
             )
         return outcome == 'whole'
 
+    def _discard_text(
+        self, progress: _open.SampleProgress, engine: _engines.EngineState
+    ) -> None:
+        self._metrics.count('discarded_texts', reason='software')
+        LOG.info(
+            'sample starts over at another software version',
+            extra={
+                'request_id': progress.sample.sample_id,
+                'last_event': progress.last_number,
+                'software': progress.software,
+                'server': engine.server.name,
+                'server_software': engine.server.software,
+            },
+        )
+        progress.reset()
+
     async def _acquire_permit(
         self, progress: _open.SampleProgress, engine: _engines.EngineState
     ) -> None:
@@ -144,6 +163,7 @@
                 _check_length(length, progress, event, engine)
                 progress.events.append(event.data)
                 progress.last_number = event.number
+                progress.software = engine.server.software
                 if event.version not in progress.versions:
                     progress.versions.append(event.version)
                 now = anyio.current_time()
--- a/tests/cover/test_batches_kept.py
+++ b/tests/cover/test_batches_kept.py
@@ -20,6 +20,7 @@
 
 
 def make_snapshot(sample_id='a', versions=(3,), size=2, **fields):
+    fields.setdefault('software', 'v1')
     return batches.ProgressSnapshot(
         sample_id, ['x'] * size, size - 1, list(versions), **fields
     )
@@ -56,6 +57,16 @@
         )
         assert not restored
 
+    async def test_a_part_of_a_text_of_unknown_software_is_not_used(self):
+        restored, progress = restore(make_snapshot(software=''))
+        assert not restored
+        assert progress.events == []
+
+    async def test_a_complete_text_of_unknown_software_is_used(self):
+        restored, progress = restore(make_snapshot(software='', complete=True))
+        assert restored
+        assert progress.complete
+
     async def test_sample_without_a_snapshot_starts_at_the_beginning(self):
         restored, progress = restore(make_snapshot('other'))
         assert not restored
--- a/tests/cover/test_batches_planning.py
+++ b/tests/cover/test_batches_planning.py
@@ -150,7 +150,9 @@
     async def select(self, pool, open_batch, sample_id, selector=None):
         selector = selector or batches.EngineSelector()
         chosen = selector.select(
-            (open_batch, open_batch.pending[sample_id]), pool.list_engines()
+            (open_batch, open_batch.pending[sample_id]),
+            pool.list_engines(),
+            pool.clock(),
         )
         return None if chosen is None else chosen.server.name
 
@@ -311,6 +313,75 @@
         assert self.list_migrations(pool, open_batch) == []
 
 
+@pytest.mark.anyio
+class TestSoftware:
+    def make_pool(self, **software):
+        pool = EnginePool()
+        for name, version in software.items():
+            pool.update_server(name, software=version)
+        return pool
+
+    def make_text(self, software, events=10):
+        open_batch = make_open_batch([make_sample('a', 'a')])
+        progress = open_batch.pending['a']
+        progress.events = ['x'] * events
+        progress.last_number = events - 1
+        progress.software = software
+        return open_batch
+
+    def select(self, pool, open_batch, now):
+        chosen = batches.EngineSelector().select(
+            (open_batch, open_batch.pending['a']), pool.list_engines(), now
+        )
+        return None if chosen is None else chosen.server.name
+
+    async def test_a_text_waits_no_longer_than_generating_it_again_takes(self):
+        pool = self.make_pool(e0='v1', e1='v2', e2='v2')
+        pool.get_engine('e0').server.in_flight = 2
+        pool.get_engine('e1').server.record_latency(0.1)
+        open_batch = self.make_text('v1')
+        open_batch.pending['a'].ended_at = 5.0
+        assert self.select(pool, open_batch, 5.9) is None
+        assert self.select(pool, open_batch, 6.1) in ('e1', 'e2')
+        pool.get_engine('e0').server.in_flight = 1
+        assert self.select(pool, open_batch, 6.1) == 'e0'
+
+    @pytest.mark.parametrize('software', ['v3', ''])
+    async def test_a_text_whose_software_is_gone_does_not_wait(self, software):
+        pool = self.make_pool(e0='v1', e1='v2', e2='')
+        open_batch = self.make_text(software)
+        assert self.select(pool, open_batch, 0.0) is not None
+
+    async def test_a_complete_text_needs_no_engine_of_its_software(self):
+        pool = self.make_pool(e0='v1', e1='v1', e2='v1')
+        open_batch = self.make_text('v2')
+        open_batch.pending['a'].complete = True
+        assert self.select(pool, open_batch, 0.0) is not None
+
+    async def test_new_texts_avoid_software_that_is_being_withdrawn(self):
+        pool = self.make_pool(e0='v1', e1='v1', e2='v2')
+        pool.update_server('e0', software='v1', state='leaving')
+        open_batch = make_open_batch([make_sample('a', 'a')])
+        pool.get_engine('e2').expected_tokens = 1000.0
+        assert self.select(pool, open_batch, 0.0) == 'e2'
+        pool.get_engine('e2').server.in_flight = 2
+        assert self.select(pool, open_batch, 0.0) == 'e1'
+
+    async def test_a_sample_migrates_only_to_an_engine_of_its_software(self):
+        pool = self.make_pool(e0='v1', e1='v2', e2='v2')
+        for _ in range(20):
+            pool.get_engine('e0').server.record_latency(0.2)
+            pool.get_engine('e1').server.record_latency(0.02)
+            pool.get_engine('e2').server.record_latency(0.02)
+        open_batch = self.make_text('v1')
+        open_batch.pending['a'].engine = 'e0'
+        engines = pool.list_engines()
+        migrate = _planning.select_migrations
+        assert list(migrate([open_batch], engines, 9.0)) == []
+        open_batch.pending['a'].software = 'v2'
+        assert len(list(migrate([open_batch], engines, 9.0))) == 1
+
+
 class TestLoadSelection:
     def select(self, pool, target, limit):
         chosen = batches.select_engines(
--- a/tests/cover/test_batches_sampling.py
+++ b/tests/cover/test_batches_sampling.py
@@ -20,6 +20,7 @@
         self.sent = anyio.Event()
 
     async def generate(self, server, host, sample, after_number, check):
+        self.after_number = after_number
         yield backends.StreamEvent(0, 'text', 1, b'')
         self.sent.set()
         if self.error is not None:
@@ -69,3 +70,16 @@
     with pytest.raises(errors.SampleRefused):
         await scene.generate()
     assert scene.list_outcomes() == [('i', 'SampleRefused', 0)]
+
+
+async def test_a_text_of_another_software_is_never_continued(caplog):
+    client = ScriptedClient(errors.AnswerBroken('broken', step='generate'))
+    scene = Scene(client, caplog)
+    progress = scene.open_batch.pending['i']
+    progress.events = ['x', 'y']
+    progress.last_number = 1
+    progress.software = 'v0'
+    await scene.generate()
+    assert client.after_number == -1
+    assert progress.events == ['text']
+    assert progress.software == scene.engine.server.software
--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -173,8 +173,8 @@
                 'vm-1', 'b1', platform_deployment.make_batch(groups=6)
             )
             results = await deployment.wait_for_results('vm-1', 'b1', 12)
-            for name in ('e1', 'e3'):
-                deployment.engines[name].faults.set('cut', 100)
+            for name, count in (('e1', 100), ('e2', 0), ('e3', 100)):
+                deployment.engines[name].faults.set('cut', count)
             streams = test_platform_versions.make_streams(deployment)
             for stream in streams:
                 await stream.run('vm-1')
