--- a/soak/checks.py
+++ b/soak/checks.py
@@ -254,6 +254,17 @@
             )
 
 
+def make_expected_text(
+    text_id: str, data: collections.abc.Iterable[str]
+) -> str:
+    """Return the complete text of the software that wrote the first event.
+
+    A text that holds events of two software versions differs from it.
+    """
+    software = standins.find_software(list(data)[:1])
+    return standins.make_platform_text(text_id, *software)
+
+
 class BatchReader:
     """Reads the results of a batch, and checks that they are consistent.
 
@@ -342,8 +353,9 @@
     def _check_text(self, result: dict) -> None:
         sample_id = result['id']
         self._invariants.check(
-            'a text is complete',
-            result['text'] == standins.make_platform_text(sample_id),
+            'a text is complete, of one software version',
+            result['text']
+            == make_expected_text(sample_id, result['text'].split('\n')),
             (self.batch_id, result),
         )
         self._invariants.check(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -76,6 +76,7 @@
             'drain server': self._drain_server,
             'leave unlisted': self._leave_unlisted,
             'limit server': self._limit_server,
+            'release engine': self._release_engine,
             'bad answers': self._inject_response_fault,
             'bad orders': self._inject_order_fault,
         }
@@ -231,7 +232,7 @@
         self._deployment.servers[name].faults.set('crashed', down_seconds)
         await anyio.sleep(min(down_seconds, REGISTRATION_EXPIRY_SECONDS))
         if down_seconds > REGISTRATION_EXPIRY_SECONDS:
-            self._deployment.store.remove('servers', name)
+            self._deployment.unregister_server(name)
             await anyio.sleep(down_seconds - REGISTRATION_EXPIRY_SECONDS)
         self._deployment.restart_server(name)
         self._busy.discard(name)
@@ -261,12 +262,29 @@
         self._deployment.register_server(name, state)
         await anyio.sleep(LEAVE_SECONDS)
         server.faults.set('crashed', SERVER_START_SECONDS)
-        self._deployment.store.remove('servers', name)
+        self._deployment.unregister_server(name)
         await anyio.sleep(SERVER_START_SECONDS)
         self._deployment.restart_server(name)
         self._busy.discard(name)
         return name
 
+    async def _release_engine(self) -> str:
+        """Drain an engine, and replace it by one of other software."""
+        name = self._rng.choice(sorted(self._deployment.engines))
+        if name in self._busy:
+            return f'{name} is busy'
+        self._busy.add(name)
+        self._deployment.register_server(name, 'draining')
+        await anyio.sleep(LEAVE_SECONDS)
+        self._deployment.servers[name].faults.set(
+            'crashed', SERVER_START_SECONDS
+        )
+        self._deployment.unregister_server(name)
+        await anyio.sleep(SERVER_START_SECONDS)
+        self._deployment.replace_engine(name)
+        self._busy.discard(name)
+        return f'{name} to {self._deployment.engines[name].software}'
+
     async def _limit_server(self) -> str:
         """Let a server name a request limit until it is restarted."""
         name = self._rng.choice(sorted(self._deployment.links))
@@ -280,7 +298,7 @@
         self._deployment.servers[name].faults.set(
             'crashed', SERVER_START_SECONDS
         )
-        self._deployment.store.remove('servers', name)
+        self._deployment.unregister_server(name)
         await anyio.sleep(SERVER_START_SECONDS)
         self._deployment.restart_server(name)
         self._busy.discard(name)
--- a/soak/load.py
+++ b/soak/load.py
@@ -9,11 +9,11 @@
 import httpx
 
 from soak import checks
+from soak import streams
 from soak import testbed
 from swiftjunction import standins
 
 CALL_PAUSE_SECONDS = 0.05
-REQUEST_DEADLINE_MS = 2000
 # Every VM must find an accepted batch after this time.
 BATCH_VISIBLE_SECONDS = 1.0
 STEP_TIMEOUT_SECONDS = 8.0
@@ -50,6 +50,8 @@
         Readers of all submitted batches.
     completed_steps : int
         Number of steps whose results were all read.
+    stream_caller : StreamCaller
+        A caller that resumes its streams.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self._rng = rng
         self._next_id = 0
         self.outcomes: list[checks.Outcome] = []
+        self.stream_caller = streams.StreamCaller(deployment, invariants, rng)
         self.readers: list[checks.BatchReader] = []
         self.completed_steps = 0
 
@@ -97,7 +100,7 @@
             response = await client.post(
                 f'http://{vm.front_address}/{kind}/{outcome.request_id}',
                 content=content,
-                headers=self._make_headers(outcome.request_id),
+                headers=testbed.make_headers(outcome.request_id),
             )
         except httpx.HTTPError:
             return False
@@ -111,26 +114,14 @@
             self._check_response(outcome, response)
         return True
 
-    def _make_headers(self, request_id: str) -> dict[str, str]:
-        return {
-            'host': testbed.HOST,
-            'swiftjunction-attempt-id': request_id,
-            'swiftjunction-deadline-ms': str(REQUEST_DEADLINE_MS),
-            'swiftjunction-model': testbed.MODEL,
-        }
-
     def _check_response(
         self, outcome: checks.Outcome, response: httpx.Response
     ) -> None:
         request_id = outcome.request_id
         if outcome.kind == 'streams':
-            expected = standins.make_platform_text(request_id)
-            lines = response.text.splitlines()
-            text = '\n'.join(
-                line.removeprefix('data: ')
-                for line in lines
-                if line.startswith('data: ')
-            )
+            data = standins.list_event_data(response.text.splitlines())
+            text = '\n'.join(data)
+            expected = checks.make_expected_text(request_id, data)
         else:
             expected, text = request_id, response.text
         signature = response.headers.get('swiftjunction-response-signature')
@@ -158,7 +149,7 @@
                 response = await client.post(
                     url,
                     content=standins.POISON_MARKER,
-                    headers=self._make_headers(self._make_id('x')),
+                    headers=testbed.make_headers(self._make_id('x')),
                 )
         except httpx.HTTPError:
             return 0
@@ -377,7 +368,7 @@
         try:
             async with httpx.AsyncClient(trust_env=False, timeout=2) as client:
                 response = await client.post(
-                    url, headers=self._make_headers(request_id)
+                    url, headers=testbed.make_headers(request_id)
                 )
         except httpx.HTTPError:
             return 0
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -16,6 +16,7 @@
 from swiftjunction.commands import _application
 
 CALLER_COUNT = 4
+STREAM_CALLER_COUNT = 3
 START_TIMEOUT_SECONDS = 20.0
 POLL_INTERVAL_SECONDS = 0.2
 # The deployment must recover from the last fault within this time.
@@ -99,9 +100,10 @@
     finally:
         deployment.stop()
         reservation.close()
-    checks.check_runs(invariants, workload.outcomes, deployment)
-    checks.check_leaving(invariants, workload.outcomes, deployment)
-    checks.check_limits(invariants, workload.outcomes, deployment)
+    outcomes = [*workload.outcomes, *workload.stream_caller.outcomes]
+    checks.check_runs(invariants, outcomes, deployment)
+    checks.check_leaving(invariants, outcomes, deployment)
+    checks.check_limits(invariants, outcomes, deployment)
     checks.check_fencing_tokens(invariants, deployment)
     checks.check_ended_batches(invariants, workload.readers, deployment)
     return Report(
@@ -159,6 +161,8 @@
         tasks.start_soon(workload.run_trainer)
         tasks.start_soon(workload.run_operator)
         tasks.start_soon(workload.run_crasher)
+        for _ in range(STREAM_CALLER_COUNT):
+            tasks.start_soon(workload.stream_caller.run)
         await injector.run(seconds)
         await anyio.sleep(QUIET_SECONDS)
         tasks.cancel_scope.cancel()
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -25,6 +25,9 @@
 MODEL = 'model-a'
 PLAIN_SERVICE = 'plain'
 ENGINE_SERVICE = 'engines'
+# Software versions of the engines, which serve side by side.
+ENGINE_SOFTWARE = {'e1': 'v1', 'e2': 'v1', 'e3': 'v2', 'e4': 'v2'}
+REQUEST_DEADLINE_MS = 2000
 FRONT_PORT = 8161
 READINESS_PORT = 8167
 DIRECTORY_PORT = 8164
@@ -39,6 +42,16 @@
 CRASH_CHECK_SECONDS = 0.05
 
 
+def make_headers(request_id: str) -> dict[str, str]:
+    """Return the headers of a request from a caller."""
+    return {
+        'host': HOST,
+        'swiftjunction-attempt-id': request_id,
+        'swiftjunction-deadline-ms': str(REQUEST_DEADLINE_MS),
+        'swiftjunction-model': MODEL,
+    }
+
+
 def make_config(version: int) -> dict[str, object]:
     """Return a configuration whose routes depend on its version.
 
@@ -256,9 +269,9 @@
         }
         self.engines = {
             name: standins.PlatformEngineStandin(
-                name, {MODEL: 1}, EVENT_INTERVAL_SECONDS
+                name, {MODEL: 1}, EVENT_INTERVAL_SECONDS, software
             )
-            for name in ('e1', 'e2', 'e3')
+            for name, software in ENGINE_SOFTWARE.items()
         }
         self.servers: dict[
             str,
@@ -337,7 +350,19 @@
                 {'name': model, 'version': version, 'adapters': []}
                 for model, version in versions.items()
             ]
-        self.store.put('servers', name, registration)
+        self.store.put('servers', self.servers[name].name, registration)
+
+    def unregister_server(self, name: str) -> None:
+        """Remove the registration of a server."""
+        self.store.remove('servers', self.servers[name].name)
+
+    def replace_engine(self, name: str) -> None:
+        """Register an engine of the other software, with an id of its own."""
+        engine = self.engines[name]
+        versions = sorted(set(ENGINE_SOFTWARE.values()) - {engine.software})
+        engine.software = versions[0]
+        engine.name = f'{name}-{engine.server_runs.count + 1}'
+        self.restart_server(name)
 
     def restart_server(self, name: str) -> None:
         """Register the next run of a server, which is not leaving."""
