Split the state and the resuming of streams from their relay

Change: the state of a relayed stream and the resuming of streams are modules of their own; the socket for datagrams is opened beside the listener; the member table asks its own is_unreachable. Result: linter, types, and the tests of streams, coordination, requests, leaving servers and processes pass.

--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -231,9 +231,7 @@
     def select_peers(self) -> list[Member]:
         """Return the peers to poll in this round."""
         unreachable = {
-            name
-            for name, failures in self._failures.items()
-            if _is_unreachable(failures)
+            name for name in self._failures if self.is_unreachable(name)
         }
         selected = self._poll_selector.select(
             self._rank_members(), unreachable, self._newest_coordinator[0]
@@ -293,9 +291,7 @@
         """Yield the recent statuses of reachable peers."""
         oldest = self._clock() - MAX_STATUS_AGE_SECONDS
         for name, received in self._statuses.items():
-            if received.at > oldest and not _is_unreachable(
-                self._failures.get(name, 0)
-            ):
+            if received.at > oldest and not self.is_unreachable(name):
                 yield received.status
 
     def is_unreachable(self, name: str) -> bool:
--- a/src/swiftjunction/platform/_listening.py
+++ b/src/swiftjunction/platform/_listening.py
@@ -1,5 +1,6 @@
-"""The listener of an edge VM for callers and the platform."""
+"""Sockets of an edge VM for callers, the platform and peers."""
 
+from swiftjunction import coordination
 from swiftjunction.platform import _settings
 from swiftjunction import web
 
@@ -17,3 +18,12 @@
     return web.HttpListener(
         *sockets, keep_alive_seconds=KEEP_ALIVE_TIMEOUT_SECONDS
     )
+
+
+def open_datagrams(
+    settings: _settings.EdgeSettings,
+) -> coordination.PeerDatagrams:
+    """Return the datagrams at the address for peers."""
+    return coordination.PeerDatagrams(
+        web.bind_datagram_socket(settings.ip, settings.peer_port)
+    )
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -205,7 +205,6 @@
             rng,
             self._metrics,
         )
-
         self._metrics.add_gauge(
             'event_loop_lag_seconds',
             lambda: self._directory.loop_lag.average_seconds,
@@ -246,11 +245,7 @@
         _inspection.InspectionEndpoints(self._metrics, self._dump).add_routes(
             peer_app
         )
-        datagrams = coordination.PeerDatagrams(
-            web.bind_datagram_socket(
-                self._settings.ip, self._settings.peer_port
-            )
-        )
+        datagrams = _listening.open_datagrams(self._settings)
         self._origins.connect(datagrams)
         poller = coordination.PeerPoller(
             datagrams,
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -19,6 +19,8 @@
 from swiftjunction.requests import _evidence
 from swiftjunction.requests import _forwarding
 from swiftjunction.requests import _origins
+from swiftjunction.requests import _resuming
+from swiftjunction.requests import _stream_progress
 from swiftjunction.requests import _suspects
 from swiftjunction import routing
 
@@ -48,71 +50,6 @@
     rest: collections.abc.AsyncGenerator[backends.StreamEvent, None]
 
 
-class _StreamProgress:
-    """State of a stream across its attempts.
-
-    Attributes
-    ----------
-    position : StreamPosition
-        The last event that was relayed.
-    resumable : bool
-        Whether another server may resume the stream.
-    software : str or None
-        The software version of the servers that wrote the events, and of each
-        server that may go on; None before the first event.
-    first_request_id : str
-        Id of the caller's attempt that brought the first event.
-    is_recorded : bool
-        Whether the origin of the stream has been recorded in this attempt.
-    first_stream : ServiceStream or None
-        The stream of the first server that opened one.
-    excluded : set of str
-        Names of the servers that were tried.
-    may_have_run : bool
-        Whether any server may have run the request.
-    last_error : BackendError or None
-        Why the last attempt failed.
-    """
-
-    __slots__ = (
-        'excluded',
-        'first_request_id',
-        'first_stream',
-        'is_recorded',
-        'last_error',
-        'may_have_run',
-        'position',
-        'resumable',
-        'software',
-    )
-
-    def __init__(
-        self,
-        position: backends.StreamPosition,
-        resumable: bool,
-        first_request_id: str,
-        software: str | None,
-    ) -> None:
-        self.position = position
-        self.resumable = resumable
-        self.first_request_id = first_request_id
-        self.software = software
-        self.is_recorded = False
-        self.first_stream: backends.ServiceStream | None = None
-        self.excluded: set[str] = set()
-        self.may_have_run = False
-        self.last_error: errors.BackendError | None = None
-
-    def record_event(
-        self, event: backends.StreamEvent, server: backends.BackendServer
-    ) -> None:
-        self.position = backends.StreamPosition(event.number, event.version)
-        self.software = server.software
-
-    def has_events(self) -> bool:
-        return self.position.number > backends.NO_EVENT
-
-
 class StreamRelay:
     """Relays event streams, resuming them on other servers.
 
@@ -137,7 +74,7 @@
     __slots__ = (
         '_budget',
         '_observer',
-        '_origins',
+        '_resumer',
         '_router',
         '_streams',
         '_suspects',
@@ -153,7 +90,9 @@
         directory: backends.Directory | None = None,
         origins: _origins.OriginRegistry | None = None,
     ) -> None:
-        self._origins = origins or _origins.LocalOrigins()
+        self._resumer = _resuming.StreamResumer(
+            origins or _origins.LocalOrigins()
+        )
         self._observer = _evidence.CrashObserver(services, suspects, directory)
         self._router = router
         self._streams = streams
@@ -195,24 +134,15 @@
         # Refuses the request here if it must not run at all.
         self._suspects.must_isolate(call.fingerprint)
         if resume is None:
-            progress = _StreamProgress(
+            progress = _stream_progress.StreamProgress(
                 backends.StreamPosition(),
                 resumable,
                 call.service_call.request_id,
-                None,
             )
         else:
-            origin = await self._find_origin(call, resume)
-            progress = _StreamProgress(
-                backends.StreamPosition(resume.after_number),
-                resumable,
-                resume.first_request_id,
-                origin.software,
+            call, progress = await self._resumer.resume(
+                call, resumable, resume
             )
-            settings = msgspec.structs.replace(
-                call.settings, service=origin.service
-            )
-            call = msgspec.structs.replace(call, settings=settings)
         events = self._run(call, progress)
         first = await anext(events, None)
         assert progress.first_stream is not None
@@ -223,44 +153,10 @@
             events,
         )
 
-    async def _find_origin(
-        self, call: _forwarding.ForwardedCall, resume: _origins.ResumePoint
-    ) -> _origins.StreamOrigin:
-        origin = await self._origins.find(resume.first_request_id)
-        if origin is None:
-            reason = 'it is not known where the stream began'
-        elif origin.service not in resume.services:
-            reason = f'the route no longer allows {origin.service}'
-        else:
-            LOG.info(
-                'stream is resumed',
-                extra={
-                    'request_id': call.service_call.request_id,
-                    'resumes': resume.first_request_id,
-                    'last_event': resume.after_number,
-                    'software': origin.software,
-                },
-            )
-            return origin
-        raise _build_resume_error(reason)
-
-    async def _record_origin(
+    async def _run(
         self,
         call: _forwarding.ForwardedCall,
-        progress: _StreamProgress,
-        server: backends.BackendServer,
-    ) -> None:
-        progress.is_recorded = True
-        await self._origins.record(
-            progress.first_request_id,
-            _origins.StreamOrigin(
-                call.settings.service or '', server.software
-            ),
-            _get_remaining_seconds(call) + _origins.EXTRA_LIFETIME_SECONDS,
-        )
-
-    async def _run(
-        self, call: _forwarding.ForwardedCall, progress: _StreamProgress
+        progress: _stream_progress.StreamProgress,
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         for _ in range(call.max_attempts):
             if not self._try_withdraw_attempt(progress):
@@ -281,7 +177,9 @@
                     break
         raise _build_request_error(progress)
 
-    def _try_withdraw_attempt(self, progress: _StreamProgress) -> bool:
+    def _try_withdraw_attempt(
+        self, progress: _stream_progress.StreamProgress
+    ) -> bool:
         # Resuming a stream produces only the missing events, which adds little
         # load. Starting again adds more, and needs the retry budget.
         return (
@@ -293,7 +191,7 @@
     async def _attempt(
         self,
         call: _forwarding.ForwardedCall,
-        progress: _StreamProgress,
+        progress: _stream_progress.StreamProgress,
         isolated: bool,
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         server = await self._acquire_server(call, progress, isolated)
@@ -312,7 +210,7 @@
     async def _read_events(
         self,
         call: _forwarding.ForwardedCall,
-        progress: _StreamProgress,
+        progress: _stream_progress.StreamProgress,
         server: backends.BackendServer,
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         """Yield the events that were not relayed yet."""
@@ -329,9 +227,10 @@
                     latency_timer.stop()
                     if event is None:
                         break
-                    if self._is_new(event, progress):
-                        if _must_record(event, progress):
-                            await self._record_origin(call, progress, server)
+                    if progress.is_new(event):
+                        await self._resumer.record(
+                            call, progress, server, event
+                        )
                         progress.record_event(event, server)
                         yield event
         except (errors.BackendUnreachable, errors.AnswerBroken):
@@ -340,18 +239,10 @@
         finally:
             latency_timer.stop()
 
-    def _is_new(
-        self, event: backends.StreamEvent, progress: _StreamProgress
-    ) -> bool:
-        return (
-            event.number == backends.NO_EVENT
-            or event.number > progress.position.number
-        )
-
     async def _acquire_server(
         self,
         call: _forwarding.ForwardedCall,
-        progress: _StreamProgress,
+        progress: _stream_progress.StreamProgress,
         isolated: bool,
     ) -> backends.BackendServer:
         request = routing.RoutingRequest(
@@ -372,7 +263,9 @@
                 if progress.software is not None and type(error) is (
                     errors.NotRun
                 ):
-                    raise _build_resume_error(error.message) from error
+                    raise _resuming.build_resume_error(
+                        error.message
+                    ) from error
                 raise
             # NotRun would be wrong if an earlier attempt may have run.
             LOG.info('no other server for the stream: %s', error)
@@ -382,7 +275,7 @@
         self,
         call: _forwarding.ForwardedCall,
         server: backends.BackendServer,
-        progress: _StreamProgress,
+        progress: _stream_progress.StreamProgress,
     ) -> backends.ServiceStream:
         remaining_seconds = _get_remaining_seconds(call)
         service_call = msgspec.structs.replace(
@@ -400,7 +293,7 @@
         call: _forwarding.ForwardedCall,
         server: backends.BackendServer,
         events: collections.abc.AsyncGenerator[backends.StreamEvent, None],
-        progress: _StreamProgress,
+        progress: _stream_progress.StreamProgress,
     ) -> backends.StreamEvent | None:
         timeout_seconds = _get_event_timeout(call, progress)
         with anyio.move_on_after(timeout_seconds):
@@ -410,7 +303,7 @@
     def _record_failure(
         self,
         call: _forwarding.ForwardedCall,
-        progress: _StreamProgress,
+        progress: _stream_progress.StreamProgress,
         error: errors.BackendError,
     ) -> None:
         progress.last_error = error
@@ -426,31 +319,12 @@
         )
 
 
-def _must_record(
-    event: backends.StreamEvent, progress: _StreamProgress
-) -> bool:
-    return (
-        progress.resumable
-        and not progress.is_recorded
-        and event.number != backends.NO_EVENT
-    )
-
-
-def _build_resume_error(reason: str) -> errors.StreamNotResumable:
-    # The caller may start the stream anew at once.
-    return errors.StreamNotResumable(
-        f'the stream cannot be resumed: {reason}',
-        step='resume',
-        retry_after_seconds=0.0,
-    )
-
-
 def _get_remaining_seconds(call: _forwarding.ForwardedCall) -> float:
     return max(call.deadline - anyio.current_time(), 0.0)
 
 
 def _get_event_timeout(
-    call: _forwarding.ForwardedCall, progress: _StreamProgress
+    call: _forwarding.ForwardedCall, progress: _stream_progress.StreamProgress
 ) -> float:
     """Return how long to wait for the next event, in seconds.
 
@@ -481,7 +355,9 @@
     )
 
 
-def _build_request_error(progress: _StreamProgress) -> errors.RequestError:
+def _build_request_error(
+    progress: _stream_progress.StreamProgress,
+) -> errors.RequestError:
     error = progress.last_error
     assert error is not None
     error_type = (
--- /dev/null
+++ b/src/swiftjunction/requests/_stream_progress.py
@@ -0,0 +1,85 @@
+"""The state of a relayed stream across its attempts."""
+
+from swiftjunction import backends
+from swiftjunction import errors
+
+
+class StreamProgress:
+    """State of a stream across its attempts.
+
+    Parameters
+    ----------
+    position : StreamPosition
+        The last event that the caller has.
+    resumable : bool
+        Whether another server may resume the stream.
+    first_request_id : str
+        Id of the caller's attempt that brings, or brought, the first event.
+    software : str, optional
+        The software version that wrote the events that the caller has.
+
+    Attributes
+    ----------
+    position : StreamPosition
+        The last event that was relayed.
+    software : str or None
+        The software version of the servers that wrote the events, and of each
+        server that may go on; None before the first event.
+    is_recorded : bool
+        Whether the origin of the stream has been recorded.
+    first_stream : ServiceStream or None
+        The stream of the first server that opened one.
+    excluded : set of str
+        Names of the servers that were tried.
+    may_have_run : bool
+        Whether any server may have run the request.
+    last_error : BackendError or None
+        Why the last attempt failed.
+    """
+
+    __slots__ = (
+        'excluded',
+        'first_request_id',
+        'first_stream',
+        'is_recorded',
+        'last_error',
+        'may_have_run',
+        'position',
+        'resumable',
+        'software',
+    )
+
+    def __init__(
+        self,
+        position: backends.StreamPosition,
+        resumable: bool,
+        first_request_id: str,
+        software: str | None = None,
+    ) -> None:
+        self.position = position
+        self.resumable = resumable
+        self.first_request_id = first_request_id
+        self.software = software
+        self.is_recorded = False
+        self.first_stream: backends.ServiceStream | None = None
+        self.excluded: set[str] = set()
+        self.may_have_run = False
+        self.last_error: errors.BackendError | None = None
+
+    def record_event(
+        self, event: backends.StreamEvent, server: backends.BackendServer
+    ) -> None:
+        """Record an event that is relayed now."""
+        self.position = backends.StreamPosition(event.number, event.version)
+        self.software = server.software
+
+    def has_events(self) -> bool:
+        """Return whether the caller has any events."""
+        return self.position.number > backends.NO_EVENT
+
+    def is_new(self, event: backends.StreamEvent) -> bool:
+        """Return whether an event was not relayed yet."""
+        return (
+            event.number == backends.NO_EVENT
+            or event.number > self.position.number
+        )
