--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -76,6 +76,7 @@
             self._discard_text(progress, engine)
         started_at = anyio.current_time()
         resumed_after = progress.last_number
+        resumed_software = progress.software
         outcome = 'cancelled'
         try:
             await self._acquire_permit(progress, engine)
@@ -103,6 +104,7 @@
                     'batch': batch.batch_id,
                     'server': engine.server.name,
                     'resumed_after': resumed_after,
+                    'resumed_software': resumed_software,
                     'last_event': progress.last_number,
                     'versions': list(progress.versions),
                     'software': engine.server.software,
--- a/tests/cover/test_telemetry_stories.py
+++ b/tests/cover/test_telemetry_stories.py
@@ -48,6 +48,16 @@
     assert [line['time'] for line in selected] == ['10:01', '10:01', '10:04']
 
 
+def test_the_lines_of_a_stream_include_the_attempts_that_resumed_it():
+    resumed = make_line(
+        '10:05', 'stream is resumed', request_id='r9', resumes='r1'
+    )
+    selected = telemetry.select_lines(
+        telemetry.parse_lines([resumed, *LINES]), 'r1'
+    )
+    assert selected[-1]['message'] == 'stream is resumed'
+
+
 @pytest.mark.parametrize(('wanted', 'code'), [('r1', 0), ('nothing', 1)])
 def test_the_explain_command_reads_files(
     tmp_path, monkeypatch, capsys, wanted, code
