Refuse to resume a stream at an invalid position

What callers saw: a Last-Event-Id that is no number was ignored, so that the stream began anew and repeated what the caller had (ORDER); one of thousands of digits raised an error in int(), and was answered 502. Change: such a stream is refused at once as not run, and numbers in headers and queries have 18 digits at most.

--- a/src/swiftjunction/platform/_caller_http.py
+++ b/src/swiftjunction/platform/_caller_http.py
@@ -19,6 +19,8 @@
 ReturnType = typing.TypeVar('ReturnType')
 
 DEFAULT_TIMEOUT_SECONDS = 30.0
+# Longer numbers are invalid; int() raises an error for very long ones.
+MAX_DIGITS = 18
 # Hop-by-hop headers, and headers that this process sets itself.
 UNFORWARDED_HEADERS = frozenset(
     {
@@ -55,7 +57,8 @@
 
 def parse_int(text: str, default: int) -> int:
     """Parse a decimal header or query value; `default` if it is not one."""
-    return int(text) if text.isdecimal() else default
+    is_valid = text.isdecimal() and len(text) <= MAX_DIGITS
+    return int(text) if is_valid else default
 
 
 def compute_timeout(request: Request, route: routes.Route) -> float:
@@ -76,16 +79,20 @@
 def parse_resume_point(
     request: Request, route: routes.Route
 ) -> requests.ResumePoint | None:
-    """Return from where the caller resumes a stream; None for a new one."""
-    after_number = parse_int(
-        request.headers.get(_names.LAST_EVENT_ID_HEADER, ''), backends.NO_EVENT
-    )
-    if after_number == backends.NO_EVENT:
+    """Return from where the caller resumes a stream; None for a new one.
+
+    With an invalid position it names no attempt, so that it is refused: a
+    stream from its beginning would repeat what the caller has.
+    """
+    position = request.headers.get(_names.LAST_EVENT_ID_HEADER, '')
+    if not position:
         return None
+    after_number = parse_int(position, backends.NO_EVENT)
     first_ids = request.headers.getlist(_names.RESUMES_HEADER)
+    is_valid = after_number != backends.NO_EVENT and len(first_ids) == 1
     return requests.ResumePoint(
         after_number,
-        first_ids[0] if len(first_ids) == 1 else '',
+        first_ids[0] if is_valid else '',
         frozenset(share.service for share in route.shares),
     )
 
--- a/tests/cover/test_platform_versions.py
+++ b/tests/cover/test_platform_versions.py
@@ -261,6 +261,21 @@
                 assert await stream.run('vm-2', headers=headers) == 503
             assert deployment.count_runs() == runs
 
+    @pytest.mark.parametrize('position', ['x', '-1', '9' * 5000])
+    async def test_a_stream_of_an_invalid_position_is_not_run(
+        self, deployment, position
+    ):
+        async with deployment.run():
+            stream = Stream(deployment, 's')
+            assert await stream.run('vm-1', 2) == 200
+            runs = deployment.count_runs()
+            headers = [
+                (name, position if name == 'last-event-id' else value)
+                for name, value in stream.make_headers()
+            ]
+            assert await stream.run('vm-1', headers=headers) == 503
+            assert deployment.count_runs() == runs
+
     async def test_an_engine_that_restarted_with_other_software_is_not_used(
         self, deployment
     ):
