Stop servers of the soak in one place

Three faults ended a server by the same four lines; one method does it now. No fault behaves otherwise.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -261,13 +261,18 @@
         server.faults.set('leaving', 1)
         self._deployment.register_server(name, state)
         await anyio.sleep(LEAVE_SECONDS)
-        server.faults.set('crashed', SERVER_START_SECONDS)
-        self._deployment.unregister_server(name)
-        await anyio.sleep(SERVER_START_SECONDS)
+        await self._stop_server(name)
         self._deployment.restart_server(name)
         self._busy.discard(name)
         return name
 
+    async def _stop_server(self, name: str) -> None:
+        """Let a server end, and wait until it may start again."""
+        server = self._deployment.servers[name]
+        server.faults.set('crashed', SERVER_START_SECONDS)
+        self._deployment.unregister_server(name)
+        await anyio.sleep(SERVER_START_SECONDS)
+
     async def _release_engine(self) -> str:
         """Drain an engine, and replace it by one of other software."""
         name = self._rng.choice(sorted(self._deployment.engines))
@@ -276,11 +281,7 @@
         self._busy.add(name)
         self._deployment.register_server(name, 'draining')
         await anyio.sleep(LEAVE_SECONDS)
-        self._deployment.servers[name].faults.set(
-            'crashed', SERVER_START_SECONDS
-        )
-        self._deployment.unregister_server(name)
-        await anyio.sleep(SERVER_START_SECONDS)
+        await self._stop_server(name)
         self._deployment.replace_engine(name)
         self._busy.discard(name)
         return f'{name} to {self._deployment.engines[name].software}'
@@ -295,11 +296,7 @@
         self._deployment.servers[name].faults.set('limit', limit)
         await anyio.sleep(LIMIT_SECONDS)
         self._deployment.servers[name].faults.set('limit', 0)
-        self._deployment.servers[name].faults.set(
-            'crashed', SERVER_START_SECONDS
-        )
-        self._deployment.unregister_server(name)
-        await anyio.sleep(SERVER_START_SECONDS)
+        await self._stop_server(name)
         self._deployment.restart_server(name)
         self._busy.discard(name)
         return f'{name} to {limit}'
