Bound the wait of a sample for the software that began its text

Cause, by reading: a text of several hundred events on slow engines could wait for its software for longer than the 5 s for which a sample may be at no engine while others have room (LOST). Change: it waits for 2.5 s at most, half of that. Evidence and result: a new test of a text of 1,000 events failed before (it waited for 100 s) and passes.

--- a/src/swiftjunction/batches/_planning.py
+++ b/src/swiftjunction/batches/_planning.py
@@ -17,6 +17,9 @@
 # of its engine is measured.
 MIN_ATTEMPT_SECONDS = 0.5
 MAX_MIGRATIONS = 3
+# Longest wait for an engine of the software that began a text. A sample whose
+# step is due may be at no engine for 5 s, while others have room.
+MAX_SOFTWARE_WAIT_SECONDS = 2.5
 # Assumed while no engine's latency is known.
 DEFAULT_EVENT_SECONDS = 0.02
 
@@ -109,7 +112,8 @@
 
     Those of the software version of its text, if there are any. If all of them
     are busy, it waits for as long as it takes to generate the text again, so
-    that waiting never costs more than twice the better choice.
+    that waiting never costs more than twice the better choice, and for
+    ``MAX_SOFTWARE_WAIT_SECONDS`` at most.
     """
     open_batch, progress = waiting
     continuing = [e for e in free if progress.may_run_on(e.server)]
@@ -120,11 +124,10 @@
         for engine in engines
     )
     waited_seconds = now - max(progress.ended_at, open_batch.first_seen_at)
-    if is_served and waited_seconds < _estimate_text_seconds(
-        progress, engines
-    ):
-        return []
-    return free
+    max_wait_seconds = min(
+        _estimate_text_seconds(progress, engines), MAX_SOFTWARE_WAIT_SECONDS
+    )
+    return [] if is_served and waited_seconds < max_wait_seconds else free
 
 
 def _estimate_text_seconds(
--- a/tests/cover/test_batches_planning.py
+++ b/tests/cover/test_batches_planning.py
@@ -346,6 +346,14 @@
         pool.get_engine('e0').server.in_flight = 1
         assert self.select(pool, open_batch, 6.1) == 'e0'
 
+    async def test_a_long_text_does_not_wait_until_its_step_is_late(self):
+        pool = self.make_pool(e0='v1', e1='v2', e2='v2')
+        pool.get_engine('e0').server.in_flight = 2
+        pool.get_engine('e1').server.record_latency(0.1)
+        open_batch = self.make_text('v1', events=1000)
+        assert self.select(pool, open_batch, 2.4) is None
+        assert self.select(pool, open_batch, 2.6) in ('e1', 'e2')
+
     @pytest.mark.parametrize('software', ['v3', ''])
     async def test_a_text_whose_software_is_gone_does_not_wait(self, software):
         pool = self.make_pool(e0='v1', e1='v2', e2='')
