Ignore a datagram whose sender has no valid address

Change: such a datagram is logged and ignored. Evidence and result: the new test failed before, with the process's task group ended, and passes.

--- a/src/swiftjunction/coordination/_datagrams.py
+++ b/src/swiftjunction/coordination/_datagrams.py
@@ -61,10 +61,11 @@
             async for data, (host, port) in udp:
                 try:
                     message = decoder.decode(data)
-                except msgspec.MsgspecError as error:
+                    handler = self._handlers[type(message)]
+                    await handler(message, f'{host}:{port}')
+                except (msgspec.MsgspecError, ValueError) as error:
+                    # A sender may also claim an address that has no answer.
                     LOG.warning('ignoring an invalid datagram: %s', error)
-                    continue
-                await self._handlers[type(message)](message, f'{host}:{port}')
 
     async def send(self, message: msgspec.Struct, address: str) -> None:
         """Send a message to ``ip:port``, once the socket is open.
--- a/tests/cover/test_coordination_origins.py
+++ b/tests/cover/test_coordination_origins.py
@@ -150,6 +150,24 @@
         assert a.sent == []
 
 
+async def test_a_datagram_that_cannot_be_answered_is_ignored(monkeypatch):
+    a, b = Vm('a'), Vm('b')
+    async with run_vms(a, b):
+        with monkeypatch.context() as patch:
+            patch.setattr(
+                coordination.SharedOrigins,
+                '_reply',
+                lambda origins, message, sender: send_nowhere(origins),
+            )
+            assert await a.origins.find('unknown') is None
+        await a.origins.record('r', ORIGIN, LIFETIME_SECONDS)
+        assert b.knows('r')
+
+
+async def send_nowhere(origins):
+    await origins._datagrams.send(None, '127.0.0.1:0')
+
+
 class TestTable:
     async def test_origins_are_bounded_in_number_the_oldest_go_first(self):
         table = requests.OriginTable(max_origins=3)
