Judge that most streams go on after two of five VMs were killed

LOST's new line: of streams that callers resume, at least half of the share of new ones that begin must go on.

--- a/tests/cover/test_platform_versions.py
+++ b/tests/cover/test_platform_versions.py
@@ -17,6 +17,8 @@
 # A stream is routed at random; of so many, some are on each engine.
 STREAM_COUNT = 12
 EVENT_COUNT = standins.make_platform_text('x').count('\n') + 1
+# Of the share of new streams that begin, streams must go on at this share.
+MIN_RESUMED_SHARE = 0.5
 # VMs that start have heard of each other within this time.
 MEMBERS_SECONDS = 1.0
 # A VM learns within this time that a server is no longer listed.
@@ -216,6 +218,27 @@
         assert statuses == [200] * STREAM_COUNT
         assert [s.data for s in streams if len(s.software) != 1] == []
 
+    async def test_most_streams_go_on_after_two_of_five_vms_were_killed(
+        self, deployment
+    ):
+        vms = [*VMS, 'vm-4', 'vm-5']
+        async with deployment.run(vms):
+            await anyio.sleep(MEMBERS_SECONDS)
+            streams = make_streams(deployment)
+            for number, stream in enumerate(streams):
+                assert await stream.run(vms[number % 2], 1) == 200
+            deployment.kill_vm('vm-1')
+            deployment.kill_vm('vm-2')
+            begun = resumed = 0
+            for number, stream in enumerate(streams):
+                vm = vms[2 + number % 3]
+                resumed += await stream.run(vm) == 200
+                fresh = Stream(deployment, f'fresh{number}')
+                begun += await fresh.run(vm) == 200
+        assert begun > 0
+        assert resumed >= begun * MIN_RESUMED_SHARE
+        assert [s.data for s in streams if len(s.software) != 1] == []
+
     async def test_a_resumed_stream_without_its_software_is_not_run(
         self, deployment
     ):
