Keep what a VM wrote of crashes when it starts anew

What callers saw: a request that three servers had crashed under, and that all VMs refused, was sent to three servers each by three of four VMs (BUDGET). Cause: each VM writes the crashes that it saw as one object. A VM that starts anew read its object and used it, but did not keep it for its next write, so that its next crash, under another request, replaced the whole object, and all others forgot the rest. The new test failed before. Change: what is read of the own object is a part of what is written next.

--- a/src/swiftjunction/coordination/_crashes.py
+++ b/src/swiftjunction/coordination/_crashes.py
@@ -154,7 +154,10 @@
     def _apply_own(self, found: objectstore.Object) -> None:
         stored = objectstore.decode_value(found, _StoredHistories)
         self._version = found.version
+        own = self._known[self._members.own.name]
         for fingerprint, history in stored.histories.items():
+            # The next write replaces the whole object.
+            own.setdefault(fingerprint, history)
             self._notify(self._members.own.name, fingerprint, history)
 
     def _apply_object(self, found: objectstore.Object) -> None:
--- a/tests/cover/test_coordination_crashes.py
+++ b/tests/cover/test_coordination_crashes.py
@@ -25,9 +25,9 @@
         self.suspects = requests.SuspectTracker(self.registry, name, clock)
         self._clock = clock
 
-    def crash(self, server):
+    def crash(self, server, fingerprint='f'):
         self._clock.now += 1
-        self.suspects.record_crash('f', server, self._clock.now)
+        self.suspects.record_crash(fingerprint, server, self._clock.now)
 
 
 @pytest.fixture
@@ -65,6 +65,27 @@
     assert third.suspects.count_crashes('f') == 2
 
 
+async def test_a_vm_that_starts_anew_does_not_overwrite_other_requests(
+    slow_store, clock
+):
+    old = Scene(slow_store, clock)
+    old.crash('s1')
+    old.crash('s2')
+    await run(old)
+    other = Scene(slow_store, clock, 'vm-3')
+    new = Scene(slow_store, clock)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(other.registry.run)
+        tasks.start_soon(new.registry.run)
+        await anyio.sleep(0.5)
+        assert other.suspects.count_crashes('f') == 2
+        new.crash('s3', 'g')
+        await anyio.sleep(0.5)
+        assert other.suspects.count_crashes('g') == 1
+        assert other.suspects.count_crashes('f') == 2
+        tasks.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize('fault', ['refuse', 'lose', 'drop', 'delay'])
 async def test_a_write_that_fails_is_repeated(slow_store, clock, fault):
     scene = Scene(slow_store, clock)
