--- a/src/swiftjunction/batches/_dispatch.py
+++ b/src/swiftjunction/batches/_dispatch.py
@@ -91,7 +91,7 @@
                 (open_batch, progress), engines[batch.service], now
             )
             if engine is None:
-                # One that waits for its software says nothing of others.
+                # Other samples may use engines of other software.
                 if not progress.needs_software():
                     unavailable.add(requirement)
                 continue
--- a/src/swiftjunction/batches/_planning.py
+++ b/src/swiftjunction/batches/_planning.py
@@ -17,8 +17,8 @@
 # of its engine is measured.
 MIN_ATTEMPT_SECONDS = 0.5
 MAX_MIGRATIONS = 3
-# Longest wait for an engine of the software that began a text. A sample whose
-# step is due may be at no engine for 5 s, while others have room.
+# Longest wait for an engine of the software that began a text, while engines
+# of other software are free. It keeps a sample from making its step late.
 MAX_SOFTWARE_WAIT_SECONDS = 2.5
 # Assumed while no engine's latency is known.
 DEFAULT_EVENT_SECONDS = 0.02
--- a/src/swiftjunction/coordination/_datagrams.py
+++ b/src/swiftjunction/coordination/_datagrams.py
@@ -64,7 +64,7 @@
                     handler = self._handlers[type(message)]
                     await handler(message, f'{host}:{port}')
                 except (msgspec.MsgspecError, ValueError) as error:
-                    # A sender may also claim an address that has no answer.
+                    # The handler cannot reply to an invalid sender address.
                     LOG.warning('ignoring an invalid datagram: %s', error)
 
     async def send(self, message: msgspec.Struct, address: str) -> None:
