Show which services a VM does not reach

The logs had the error of each attempt, but not whether one server was gone, all were, or the VM itself was cut off, nor since when; a request that hangs on a kept connection looked like a slow server.

Reachability checks the servers of a service when a connection takes over 0.1 s or a server from which something is awaited is silent for 0.25 s: one server first, then up to eight. If none accepts a connection, the service is cut off, until two checks in a row reach one. A check that took too long says nothing, as then the event loop was late. A VM that awaits nothing checks nothing. The start and the end are logged; there is a gauge, and the state dump has the services.

Nothing depends on it yet. Ten tests of the checks, without a network.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -23,6 +23,8 @@
 from swiftjunction.backends._rates import RateStatement
 from swiftjunction.backends._rates import ServerRates
 from swiftjunction.backends._rates import UNLIMITED
+from swiftjunction.backends._reachability import Exchange
+from swiftjunction.backends._reachability import Reachability
 from swiftjunction.backends._report import ServerReport
 from swiftjunction.backends._server import BackendServer
 from swiftjunction.backends._service import ServiceCall
@@ -45,6 +47,7 @@
     'EngineCall',
     'EngineClient',
     'EngineStatus',
+    'Exchange',
     'LoopLag',
     'NO_EVENT',
     'ORDER_TIMEOUT_SECONDS',
@@ -57,6 +60,7 @@
     'SAMPLE_LATENCY_TOLERANCE',
     'SERVER_PREFIX',
     'STATUS_INTERVAL_SECONDS',
+    'Reachability',
     'ServerRates',
     'ServerReport',
     'ServiceCall',
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -104,7 +104,8 @@
             self._is_store_unreachable,
             time.monotonic,
         )
-        workers = _workers.WorkerClient(self._clients)
+        self._reachability = backends.Reachability(self._directory.select, rng)
+        workers = _workers.WorkerClient(self._clients, self._reachability)
         self._permits = coordination.SharedPermits(
             self._directory.rates,
             self._members,
@@ -217,6 +218,10 @@
                 else 0.0
             ),
         )
+        self._metrics.add_gauge(
+            'cut_off_services',
+            lambda: len(self._reachability.list_cut_off()),
+        )
         self._directory.leaving_servers.listen(
             lambda _, source: self._metrics.count(
                 'leaving_servers', source=source
@@ -264,6 +269,7 @@
                 self._crash_registry.run,
                 self._delayed_removal.run,
                 self._directory.loop_lag.run,
+                self._reachability.run,
                 coordination.PeerMonitor(
                     self._store, self._members, self._feed_sync, poller
                 ).run,
@@ -393,6 +399,7 @@
         dump.add('feeds', self._feed_sync.summarize)
         dump.add('configuration', self._active_routes.summarize)
         dump.add('servers', self._directory.summarize)
+        dump.add('reachability', self._reachability.summarize)
         dump.add('suspects', self._suspects.summarize)
         dump.add('batches', self._runner.summarize)
         dump.add('admission', self._admission.summarize)
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -49,12 +49,21 @@
     ----------
     peers : PeerClients
         HTTP clients of the process.
+    reachability : Reachability, optional
+        Learns from each request whether the service is reachable.
     """
 
-    __slots__ = ('_control_peers', '_peers')
+    __slots__ = ('_control_peers', '_peers', '_reachability')
 
-    def __init__(self, peers: web.PeerClients) -> None:
+    def __init__(
+        self,
+        peers: web.PeerClients,
+        reachability: backends.Reachability | None = None,
+    ) -> None:
         self._peers = peers
+        self._reachability = reachability or backends.Reachability(
+            lambda service: ()
+        )
         # Responses to control requests carry no request id. These requests use
         # connections of their own, because a server may send an unsolicited
         # second response on the connections of other requests.
@@ -63,16 +72,17 @@
     async def call(
         self, server: backends.BackendServer, call: backends.ServiceCall
     ) -> backends.ServiceResponse:
-        response = await self._send_call(
-            server, call, call.timeout_seconds, 'call'
-        )
-        try:
-            _responses.check_request_id(response, server, call.request_id)
-            _responses.check_executed(response, server)
-            _responses.check_signature(response, server)
-            body = await backends.read_body(response, server.name)
-        finally:
-            await response.aclose()
+        with self._reachability.track(server) as exchange:
+            response = await self._send_call(
+                server, call, call.timeout_seconds, 'call', exchange
+            )
+            try:
+                _responses.check_request_id(response, server, call.request_id)
+                _responses.check_executed(response, server)
+                _responses.check_signature(response, server)
+                body = await backends.read_body(response, server.name)
+            finally:
+                await response.aclose()
         return backends.ServiceResponse(
             response.status_code,
             response.headers.multi_items(),
@@ -91,12 +101,14 @@
         ]
         if position.number != backends.NO_EVENT:
             headers.append((_names.LAST_EVENT_ID_HEADER, str(position.number)))
-        response = await self._send_call(
-            server,
-            msgspec.structs.replace(call, headers=headers),
-            STREAM_TIMEOUT_SECONDS,
-            'stream',
-        )
+        with self._reachability.track(server) as exchange:
+            response = await self._send_call(
+                server,
+                msgspec.structs.replace(call, headers=headers),
+                STREAM_TIMEOUT_SECONDS,
+                'stream',
+                exchange,
+            )
         try:
             _responses.check_request_id(response, server, call.request_id)
             _responses.check_executed(response, server)
@@ -121,9 +133,11 @@
                 body = await backends.read_body(response, server.name)
                 yield backends.StreamEvent(backends.NO_EVENT, '', frame=body)
                 return
-            async for event in _read_events(response, server):
-                yield _events.insert_version(event, known_version)
-                known_version = event.version
+            with self._reachability.track(server) as exchange:
+                exchange.is_sent = True
+                async for event in _read_events(response, server, exchange):
+                    yield _events.insert_version(event, known_version)
+                    known_version = event.version
         finally:
             await response.aclose()
 
@@ -133,10 +147,12 @@
         call: backends.ServiceCall,
         timeout_seconds: float,
         source: str,
+        exchange: backends.Exchange,
     ) -> httpx.Response:
         remaining_ms = int(call.timeout_seconds * _names.MS_PER_SECOND)
         return await self._send(
             server,
+            exchange,
             call.method,
             f'{call.path}?{call.query}' if call.query else call.path,
             [
@@ -178,26 +194,28 @@
         ]
         if after_number >= 0:
             headers.append((_names.LAST_EVENT_ID_HEADER, str(after_number)))
-        response = await self._send(
-            server,
-            'POST',
-            sample.request_path,
-            headers,
-            sample.body,
-            STREAM_TIMEOUT_SECONDS,
-            host,
-            check=check,
-            request_id=sample.sample_id,
-            source='sample',
-        )
-        try:
-            _responses.check_request_id(response, server, sample.sample_id)
-            _responses.check_executed(response, server)
-            _responses.check_sample_status(response, server)
-            async for event in _read_events(response, server):
-                yield event
-        finally:
-            await response.aclose()
+        with self._reachability.track(server) as exchange:
+            response = await self._send(
+                server,
+                exchange,
+                'POST',
+                sample.request_path,
+                headers,
+                sample.body,
+                STREAM_TIMEOUT_SECONDS,
+                host,
+                check=check,
+                request_id=sample.sample_id,
+                source='sample',
+            )
+            try:
+                _responses.check_request_id(response, server, sample.sample_id)
+                _responses.check_executed(response, server)
+                _responses.check_sample_status(response, server)
+                async for event in _read_events(response, server, exchange):
+                    yield event
+            finally:
+                await response.aclose()
 
     async def read_report(
         self, server: backends.BackendServer
@@ -276,9 +294,13 @@
         check: collections.abc.Callable[[], None] | None = None,
     ) -> tuple[int, bytes]:
         headers = [('content-type', 'application/json')] if content else []
-        with anyio.move_on_after(CONTROL_TIMEOUT_SECONDS):
+        with (
+            anyio.move_on_after(CONTROL_TIMEOUT_SECONDS),
+            self._reachability.track(server) as exchange,
+        ):
             response = await self._send(
                 server,
+                exchange,
                 method,
                 path,
                 headers,
@@ -300,6 +322,7 @@
     async def _send(
         self,
         server: backends.BackendServer,
+        exchange: backends.Exchange,
         method: str,
         target: str,
         headers: list[tuple[str, str]],
@@ -327,6 +350,7 @@
                 )
             if check is not None:
                 check()
+            exchange.is_sent = True
 
         peer = (peers or self._peers).get_direct(server.address)
         sent_at = server.read_rate_clock()
@@ -345,19 +369,23 @@
                 check=check_before_send,
                 check_body=check,
             )
+        exchange.record_contact()
         _responses.record_leaving(response, server, request_id, source)
         _responses.record_rate_limit(response, server, request_id, sent_at)
         return response
 
 
 async def _read_events(
-    response: httpx.Response, server: backends.BackendServer
+    response: httpx.Response,
+    server: backends.BackendServer,
+    exchange: backends.Exchange,
 ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
     """Yield the events of a stream; ``AnswerBroken`` if it ends early."""
     parser = _events.EventParser(
         _responses.parse_weight_version(response), server.name
     )
     async for data in _responses.read_chunks(response, server):
+        exchange.record_contact()
         for event in parser.feed(data):
             yield event
     parser.check_complete()
--- /dev/null
+++ b/tests/cover/test_backends_reachability.py
@@ -0,0 +1,165 @@
+"""Whether a process reaches the servers of a service."""
+
+import random
+
+import anyio
+import pytest
+
+from swiftjunction import backends
+from swiftjunction.backends import _reachability
+
+pytestmark = pytest.mark.anyio
+
+SERVICE = 'engines'
+
+
+class Scene:
+    """Three servers, some of which accept connections."""
+
+    def __init__(self):
+        self.servers = [
+            backends.BackendServer(
+                backends.ServerReport(f'e{i}', f'10.0.0.{i}:1', SERVICE, 'dc')
+            )
+            for i in range(3)
+        ]
+        self.accepting = {server.address for server in self.servers}
+        self.hanging = False
+        self.connections = 0
+        self.changes = []
+        self.reachability = backends.Reachability(
+            self.select, random.Random(1), self.connect
+        )
+        self.reachability.listen(
+            lambda service, is_cut_off: self.changes.append(is_cut_off)
+        )
+
+    def select(self, service):
+        return self.servers if service == SERVICE else []
+
+    async def connect(self, address, timeout_seconds):
+        self.connections += 1
+        if address in self.accepting:
+            return True
+        if self.hanging:
+            await anyio.sleep(timeout_seconds)
+        return False
+
+    async def wait_until_cut_off(self, is_cut_off=True, seconds=3.0):
+        with anyio.fail_after(seconds):
+            while self.reachability.is_cut_off(SERVICE) is not is_cut_off:
+                await anyio.sleep(0.01)
+
+
+async def test_a_service_is_cut_off_if_no_server_accepts_a_connection():
+    scene = Scene()
+    scene.accepting.clear()
+    assert await scene.reachability.confirm(SERVICE)
+    assert scene.reachability.list_cut_off() == [SERVICE]
+
+
+async def test_one_server_that_accepts_a_connection_is_enough():
+    scene = Scene()
+    scene.accepting = {scene.servers[1].address}
+    assert not await scene.reachability.confirm(SERVICE)
+    assert scene.changes == []
+
+
+async def test_a_connection_that_hangs_is_noticed_within_a_second():
+    scene = Scene()
+    scene.accepting.clear()
+    scene.hanging = True
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.reachability.run)
+        with scene.reachability.track(scene.servers[0]):
+            await scene.wait_until_cut_off(seconds=1.0)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_stream_that_falls_silent_is_noticed_within_a_second():
+    scene = Scene()
+    scene.accepting.clear()
+    scene.hanging = True
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.reachability.run)
+        with scene.reachability.track(scene.servers[0]) as exchange:
+            exchange.is_sent = True
+            for _ in range(20):
+                exchange.record_contact()
+                await anyio.sleep(0.02)
+            assert scene.connections == 0
+            await scene.wait_until_cut_off(seconds=1.0)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_slow_server_is_not_a_cut():
+    scene = Scene()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.reachability.run)
+        with scene.reachability.track(scene.servers[0]) as exchange:
+            exchange.is_sent = True
+            await anyio.sleep(1.5)
+        tasks.cancel_scope.cancel()
+    assert scene.changes == []
+    assert 1 <= scene.connections <= 3
+
+
+async def test_a_request_that_connects_is_abandoned_and_a_sent_one_is_not():
+    scene = Scene()
+    scene.accepting.clear()
+    with (
+        scene.reachability.track(scene.servers[0]) as connecting,
+        scene.reachability.track(scene.servers[0]) as sent,
+        connecting.connect() as connecting_scope,
+        sent.connect() as sent_scope,
+    ):
+        sent.is_sent = True
+        with anyio.CancelScope(shield=True):
+            await scene.reachability.confirm(SERVICE)
+        assert connecting_scope.cancel_called
+        assert not sent_scope.cancel_called
+
+
+async def test_it_takes_two_checks_to_return():
+    scene = Scene()
+    accepting = set(scene.accepting)
+    scene.accepting.clear()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.reachability.run)
+        await scene.reachability.confirm(SERVICE)
+        scene.accepting = accepting
+        began = anyio.current_time()
+        await scene.wait_until_cut_off(False)
+        seconds = anyio.current_time() - began
+        tasks.cancel_scope.cancel()
+    assert scene.changes == [True, False]
+    assert seconds > _reachability.RECHECK_SECONDS / 2
+
+
+async def test_a_check_that_took_too_long_says_nothing(monkeypatch):
+    # The timeouts of a process that was frozen or slow expire all at once.
+    scene = Scene()
+    scene.accepting.clear()
+    scene.hanging = True
+    monkeypatch.setattr(_reachability, 'MAX_CHECK_SECONDS', 0.2)
+    assert not await scene.reachability.confirm(SERVICE)
+
+
+async def test_a_service_without_servers_is_not_cut_off():
+    scene = Scene()
+    scene.accepting.clear()
+    assert await scene.reachability.confirm(SERVICE)
+    scene.servers.clear()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.reachability.run)
+        await scene.wait_until_cut_off(False)
+        tasks.cancel_scope.cancel()
+
+
+async def test_an_idle_process_checks_nothing():
+    scene = Scene()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.reachability.run)
+        await anyio.sleep(0.3)
+        tasks.cancel_scope.cancel()
+    assert scene.connections == 0
