Send requests through a peer where a VM reaches no server

Callers of a VM that is cut off from all servers got 503 or nothing until the cut ended, though all other VMs had servers with room.

Cause: there was one path. A request went from the VM that its caller chose, or not at all; peers relayed calls of the object store, and no request. Class: a VM's links are taken for the state of what is behind them.

Each VM now serves tunnels to the listed servers. What surely was not sent goes through one at once, as soon as the service is known to be cut off, within the same attempt; what may have been sent is never sent again that way. The deadline that a server is told is computed as the request is sent, on each path. Failures of servers that were failures of the way to them are forgotten.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -16,6 +16,9 @@
 from swiftjunction.backends._orders import EngineStatus
 from swiftjunction.backends._orders import Order
 from swiftjunction.backends._orders import STATUS_INTERVAL_SECONDS
+from swiftjunction.backends._peer_paths import NoPeerPaths
+from swiftjunction.backends._peer_paths import PeerPath
+from swiftjunction.backends._peer_paths import PeerPaths
 from swiftjunction.backends._permits import Permit
 from swiftjunction.backends._permits import PermitBuckets
 from swiftjunction.backends._permits import PermitSource
@@ -50,9 +53,12 @@
     'Exchange',
     'LoopLag',
     'NO_EVENT',
+    'NoPeerPaths',
     'ORDER_TIMEOUT_SECONDS',
     'Order',
     'OrderSender',
+    'PeerPath',
+    'PeerPaths',
     'Permit',
     'PermitBuckets',
     'PermitSource',
--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -153,6 +153,13 @@
         """Return the server with this name, if known."""
         return self._servers.get(name)
 
+    def find_address(self, address: str) -> _server.BackendServer | None:
+        """Return the server that is listed at ``ip:port``, if one is."""
+        for server in self._servers.values():
+            if server.address == address:
+                return server
+        return None
+
     def select(
         self, service: str
     ) -> collections.abc.Iterator[_server.BackendServer]:
--- a/src/swiftjunction/backends/_health.py
+++ b/src/swiftjunction/backends/_health.py
@@ -45,6 +45,13 @@
         self.failures = 0
         self._ejected_until = 0.0
 
+    def forgive_failures(self) -> None:
+        """End an ejection that was due to the path to the server."""
+        if self.failures:
+            self.failures = 0
+            self._ejected_until = 0.0
+            self._started_at = self._clock()
+
     def record_failure(self) -> None:
         """Eject the server, for longer after each consecutive failure.
 
--- a/src/swiftjunction/backends/_reachability.py
+++ b/src/swiftjunction/backends/_reachability.py
@@ -14,6 +14,7 @@
 import anyio
 
 from swiftjunction.backends import _server
+from swiftjunction import errors
 
 LOG = logging.getLogger(__name__)
 
@@ -59,6 +60,8 @@
         Service of the server.
     is_sent : bool
         Whether its first byte may have been sent.
+    is_abandoned : bool
+        Whether its connection is given up; it must not be sent on it then.
     """
 
     __slots__ = (
@@ -66,6 +69,7 @@
         '_contacts',
         '_scope',
         'began',
+        'is_abandoned',
         'is_sent',
         'service',
     )
@@ -78,6 +82,7 @@
     ) -> None:
         self.service = service
         self.is_sent = False
+        self.is_abandoned = False
         self.began = clock()
         self._clock = clock
         self._contacts = contacts
@@ -100,9 +105,28 @@
             finally:
                 self._scope = None
 
+    def begin_sending(self, peer: str) -> None:
+        """Record that the first byte is sent next.
+
+        Raises
+        ------
+        PathAbandoned
+            If it must not be, as the connection has been given up.
+        """
+        if self.is_abandoned:
+            raise errors.PathAbandoned(
+                'this VM was found to be cut off', step='send', peer=peer
+            )
+        self.is_sent = True
+
+    def resume(self) -> None:
+        """Use another path, after the direct one was given up."""
+        self.is_abandoned = False
+
     def abandon(self) -> None:
         """Cancel the scope of :meth:`connect`, unless something was sent."""
         if self._scope is not None and not self.is_sent:
+            self.is_abandoned = True
             self._scope.cancel()
 
 
@@ -149,6 +173,7 @@
         '_rng',
         '_select_servers',
         '_services',
+        '_suspected',
         '_wake',
     )
 
@@ -168,6 +193,7 @@
         self._contacts: dict[str, float] = {}
         self._exchanges: dict[Exchange, None] = {}
         self._listeners: list[Listener] = []
+        self._suspected: set[str] = set()
         self._wake = anyio.Event()
 
     def listen(self, listener: Listener) -> None:
@@ -196,6 +222,11 @@
         finally:
             del self._exchanges[exchange]
 
+    def suspect(self, service: str) -> None:
+        """Have the service checked, as a connection to a server failed."""
+        self._suspected.add(service)
+        self._wake.set()
+
     async def confirm(self, service: str) -> bool:
         """Return whether the service is cut off, after a failed connection.
 
@@ -212,7 +243,9 @@
         """Check services that are silent or cut off, until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                if not self._exchanges and not self.list_cut_off():
+                if not (
+                    self._exchanges or self._suspected or self.list_cut_off()
+                ):
                     self._wake = anyio.Event()
                     await self._wake.wait()
                 for service in self._select_suspects():
@@ -227,7 +260,8 @@
     def _select_suspects(self) -> set[str]:
         """Return the services from which an awaited response is late."""
         now = self._clock()
-        suspects = set(self.list_cut_off())
+        suspects = self._suspected | set(self.list_cut_off())
+        self._suspected = set()
         for exchange in self._exchanges:
             heard_at = self._contacts.get(exchange.service, exchange.began)
             silent_seconds = now - max(heard_at, exchange.began)
@@ -327,6 +361,9 @@
             return
         state.is_cut_off = is_cut_off
         self._wake.set()
+        # The failures of these servers were failures of the path to them.
+        for server in self._select_servers(service):
+            server.forgive_failures()
         for listener in self._listeners:
             listener(service, is_cut_off)
         if is_cut_off:
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -296,6 +296,10 @@
         self.health.record_failure()
         self.limit.record_failure()
 
+    def forgive_failures(self) -> None:
+        """End an ejection, as the path to the server has failed, not it."""
+        self.health.forgive_failures()
+
     def mark_leaving(self) -> None:
         """Mark the server as no longer accepting new requests."""
         self.leaving = True
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -20,6 +20,7 @@
 from swiftjunction.coordination._peer import PeerBatchAccess
 from swiftjunction.coordination._peer import PeerClient
 from swiftjunction.coordination._peer import PeerStore
+from swiftjunction.coordination._peer_paths import TunnelPaths
 from swiftjunction.coordination._permits import PermitCall
 from swiftjunction.coordination._permits import SharedPermits
 from swiftjunction.coordination._polling import PeerPoller
@@ -53,5 +54,6 @@
     'SharedOrigins',
     'SharedPermits',
     'StoreCrashRegistry',
+    'TunnelPaths',
     'VmReport',
 ]
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -85,6 +85,11 @@
     watch_ages : dict of str to float
         For each prefix, the seconds since the VM, or a peer that it copies
         from, had a watch that had not failed.
+    tunnel_port : int
+        The port at which the VM serves tunnels to backend servers; 0 if it
+        serves none.
+    cut_off : list of str
+        The services of which the VM reaches no server.
     """
 
     name: str
@@ -100,6 +105,15 @@
     coordinator_token: int = 0
     rates: list[backends.RateStatement] = []
     watch_ages: dict[str, float] = {}
+    tunnel_port: int = 0
+    cut_off: list[str] = []
+
+
+class Tunnel(msgspec.Struct, frozen=True):
+    """A peer that serves tunnels, and its ``ip:port`` for them."""
+
+    member: Member
+    address: str
 
 
 StatusSource = collections.abc.Callable[[], MemberStatus]
@@ -337,6 +351,18 @@
             if status.reaches_store and status.name in self._members
         ]
 
+    def list_tunnels(self, service: str) -> list[Tunnel]:
+        """Return the peers that may reach a service and serve tunnels."""
+        return [
+            Tunnel(member, f'{_get_host(member)}:{status.tunnel_port}')
+            for status in self.list_statuses()
+            for member in [self._members.get(status.name)]
+            if member is not None
+            and status.tunnel_port
+            and status.state == 'live'
+            and service not in status.cut_off
+        ]
+
     def list_caller_addresses(self, own_state: str) -> list[str]:
         """Return the addresses of live VMs for callers, this VM's first.
 
@@ -395,6 +421,10 @@
         }
 
 
+def _get_host(member: Member) -> str:
+    return member.address.rpartition(':')[0]
+
+
 def encode_member(member: Member) -> bytes:
     """Return the stored value of a VM's entry."""
     return msgspec.json.encode(member)
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -149,6 +149,13 @@
     """
 
 
+class PathAbandoned(BackendUnreachable):
+    """The request was not sent, as this VM is cut off from the service.
+
+    Not met by users: the request goes on through another VM.
+    """
+
+
 class BackendRefused(BackendError):
     """The backend server refused the request without running it.
 
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -29,6 +29,7 @@
 from swiftjunction import routes
 from swiftjunction import routing
 from swiftjunction import telemetry
+from swiftjunction import tunnels
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -39,6 +40,10 @@
 SHUTDOWN_RESERVE_SECONDS = 1.5
 READY_CHECK_INTERVAL_SECONDS = 0.1
 METRICS_PORT = 9464
+FAILED_CONNECTIONS = (
+    tunnels.TunnelOutcome.REFUSED,
+    tunnels.TunnelOutcome.UNREACHABLE,
+)
 
 
 class EdgeProgram(batches.AccessList):
@@ -67,6 +72,7 @@
         self._metrics_port = metrics_port
         self._settings = settings
         self._state = 'starting'
+        self._tunnels: tunnels.TunnelServer | None = None
         self._stopping = anyio.Event()
         rng = random.Random()
         self._metrics = telemetry.Metrics()
@@ -105,7 +111,10 @@
             time.monotonic,
         )
         self._reachability = backends.Reachability(self._directory.select, rng)
-        workers = _workers.WorkerClient(self._clients, self._reachability)
+        self._peer_paths = coordination.TunnelPaths(self._members, rng)
+        workers = _workers.WorkerClient(
+            self._clients, self._reachability, self._peer_paths
+        )
         self._permits = coordination.SharedPermits(
             self._directory.rates,
             self._members,
@@ -250,6 +259,9 @@
         _inspection.InspectionEndpoints(self._metrics, self._dump).add_routes(
             peer_app
         )
+        self._tunnels = _listening.open_tunnels(
+            self._settings, self._is_server
+        )
         datagrams = _listening.open_datagrams(self._settings)
         self._origins.connect(datagrams)
         poller = coordination.PeerPoller(
@@ -281,6 +293,9 @@
             ):
                 tasks.start_soon(task)
             tasks.start_soon(peer_listener.serve, peer_app)
+            if self._tunnels is not None:
+                self._tunnels.listen(self._record_tunnel)
+                tasks.start_soon(self._tunnels.run)
             async with anyio.create_task_group() as caller_tasks:
                 caller_tasks.start_soon(
                     caller_listener.serve, _ingress.IngressApp(self._ingress)
@@ -346,12 +361,25 @@
             *self._members.newest_coordinator,
             self._directory.rates.list_statements(),
             self._feed_sync.list_watch_ages(),
+            self._tunnels.port if self._tunnels is not None else 0,
+            self._reachability.list_cut_off(),
         )
 
     def _is_coordinator(self) -> bool:
         lease = self._coordinator.lease
         return lease is not None and lease.remaining_seconds() > 0
 
+    def _is_server(self, address: str) -> bool:
+        return self._directory.find_address(address) is not None
+
+    def _record_tunnel(
+        self, address: str, outcome: tunnels.TunnelOutcome
+    ) -> None:
+        self._metrics.count('tunnels', outcome=outcome.value)
+        server = self._directory.find_address(address)
+        if server is not None and outcome in FAILED_CONNECTIONS:
+            self._reachability.suspect(server.report.service)
+
     def _is_store_unreachable(self) -> bool:
         """Return whether neither this VM nor a peer reaches the store."""
         return not (
--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -20,6 +20,9 @@
         serve it.
     peer_port : int
         Port for requests from other VMs.
+    last_port : int
+        Last port of those free for traffic between VMs, of which `peer_port`
+        is the first.
     store : str
         ``ip:port`` of the object store.
     lease_seconds : float
@@ -46,6 +49,7 @@
     data_center: str
     region: str
     peer_port: int
+    last_port: int
     store: str
     front: str = ''
     readiness: str = ''
@@ -90,12 +94,14 @@
             [f'{path}: cannot be read: {error.strerror}']
         ) from error
     reader = _KeyValueReader(path, text)
+    ports = reader.read_ports('port_range')
     settings = EdgeSettings(
         name=reader.read_text('node_name'),
         ip=reader.read_text('ip'),
         data_center=reader.read_text('zone'),
         region=reader.read_text('region'),
-        peer_port=reader.read_first_port('port_range'),
+        peer_port=ports[0],
+        last_port=ports[1],
         store=reader.read_text('provider.address'),
         front=reader.read_text('bind.front', ''),
         readiness=reader.read_text('bind.readiness', ''),
@@ -149,15 +155,18 @@
             )
             return default
 
-    def read_first_port(self, key: str) -> int:
+    def read_ports(self, key: str) -> tuple[int, int]:
+        """Return the first and the last port of a range; zeros if invalid."""
         value = self.read_text(key)
-        first = value.partition(',')[0]
-        if value and not first.isdecimal():
-            self._problems.append(
-                f'{self._path}: {key} = {value!r} must be two ports, joined '
-                'by a comma'
-            )
-        return int(first) if first.isdecimal() else 0
+        first, _, last = value.partition(',')
+        if not first.isdecimal():
+            if value:
+                self._problems.append(
+                    f'{self._path}: {key} = {value!r} must be two ports, '
+                    'joined by a comma'
+                )
+            return 0, 0
+        return int(first), int(last) if last.isdecimal() else int(first)
 
     def raise_problems(self) -> None:
         if self._problems:
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -3,6 +3,7 @@
 import collections.abc
 import http
 import logging
+import math
 
 import anyio
 import httpx
@@ -26,6 +27,12 @@
 STREAM_TIMEOUT_SECONDS = 30.0
 
 
+# Sends a request with a client, which determines the path.
+Send = collections.abc.Callable[
+    [web.DirectClient], collections.abc.Awaitable[httpx.Response]
+]
+
+
 class _Model(msgspec.Struct):
     name: str
     version: int
@@ -51,16 +58,20 @@
         HTTP clients of the process.
     reachability : Reachability, optional
         Learns from each request whether the service is reachable.
+    peer_paths : PeerPaths, optional
+        Lead to servers of services that this VM does not reach.
     """
 
-    __slots__ = ('_control_peers', '_peers', '_reachability')
+    __slots__ = ('_control_peers', '_peer_paths', '_peers', '_reachability')
 
     def __init__(
         self,
         peers: web.PeerClients,
         reachability: backends.Reachability | None = None,
+        peer_paths: backends.PeerPaths | None = None,
     ) -> None:
         self._peers = peers
+        self._peer_paths = peer_paths or backends.NoPeerPaths()
         self._reachability = reachability or backends.Reachability(
             lambda service: ()
         )
@@ -149,20 +160,16 @@
         source: str,
         exchange: backends.Exchange,
     ) -> httpx.Response:
-        remaining_ms = int(call.timeout_seconds * _names.MS_PER_SECOND)
         return await self._send(
             server,
             exchange,
             call.method,
             f'{call.path}?{call.query}' if call.query else call.path,
-            [
-                *call.headers,
-                (_names.ATTEMPT_ID_HEADER, call.request_id),
-                (_names.DEADLINE_MS_HEADER, str(max(remaining_ms, 1))),
-            ],
+            [*call.headers, (_names.ATTEMPT_ID_HEADER, call.request_id)],
             call.body,
             timeout_seconds,
             call.host,
+            deadline=anyio.current_time() + call.timeout_seconds,
             check=call.check,
             request_id=call.request_id,
             source=source,
@@ -333,6 +340,7 @@
         check: collections.abc.Callable[[], None] | None = None,
         request_id: str = '',
         source: str = '',
+        deadline: float = math.inf,
     ) -> httpx.Response:
         """Send a request that any other server instance must refuse.
 
@@ -350,16 +358,15 @@
                 )
             if check is not None:
                 check()
-            exchange.is_sent = True
+            exchange.begin_sending(server.name)
 
-        peer = (peers or self._peers).get_direct(server.address)
-        sent_at = server.read_rate_clock()
-        with backends.translate_errors('call', server.name):
-            response = await peer.send(
+        async def send(client: web.DirectClient) -> httpx.Response:
+            return await client.send(
                 method,
                 target,
                 headers=[
                     *headers,
+                    *_make_deadline_headers(deadline),
                     (_names.EXPECT_INSTANCE_HEADER, server.name),
                 ],
                 content=content,
@@ -369,11 +376,74 @@
                 check=check_before_send,
                 check_body=check,
             )
+
+        sent_at = server.read_rate_clock()
+        with backends.translate_errors('call', server.name):
+            if peers is not None:
+                response = await send(peers.get_direct(server.address))
+            else:
+                response = await self._send_on_any_path(
+                    server, exchange, request_id, send
+                )
         exchange.record_contact()
         _responses.record_leaving(response, server, request_id, source)
         _responses.record_rate_limit(response, server, request_id, sent_at)
         return response
 
+    async def _send_on_any_path(
+        self,
+        server: backends.BackendServer,
+        exchange: backends.Exchange,
+        request_id: str,
+        send: Send,
+    ) -> httpx.Response:
+        """Send a request directly, or through a peer if it cannot be sent."""
+        if not self._reachability.is_cut_off(server.report.service):
+            with exchange.connect():
+                try:
+                    return await send(self._peers.get_direct(server.address))
+                except (*web.UNSENT_ERRORS, errors.PathAbandoned):
+                    if not await self._reachability.confirm(
+                        server.report.service
+                    ):
+                        raise
+        for path in self._peer_paths.select(server):
+            LOG.info(
+                'sending the request through a peer',
+                extra={
+                    'request_id': request_id,
+                    'server': server.name,
+                    'via': path.peer,
+                },
+            )
+            try:
+                exchange.resume()
+                return await send(path.client)
+            except web.UNSENT_ERRORS as error:
+                LOG.info(
+                    'the peer does not connect to the server: %s',
+                    error,
+                    extra={'server': server.name, 'via': path.peer},
+                )
+                path.record_failure()
+        raise errors.BackendUnreachable(
+            'this VM is cut off from the service, and so are its peers',
+            step='call',
+            peer=server.name,
+        )
+
+
+def _make_deadline_headers(deadline: float) -> list[tuple[str, str]]:
+    """Return the header with what is left until a deadline, if there is one.
+
+    It is 1 ms at least, also if the deadline has passed.
+    """
+    if math.isinf(deadline):
+        return []
+    remaining_seconds = deadline - anyio.current_time()
+    remaining_ms = int(remaining_seconds * _names.MS_PER_SECOND)
+    return [(_names.DEADLINE_MS_HEADER, str(max(remaining_ms, 1)))]
+
 
 async def _read_events(
     response: httpx.Response,
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -8,6 +8,8 @@
 from swiftjunction.web._clients import UNSENT_ERRORS
 from swiftjunction.web._event_streams import bound_events
 from swiftjunction.web._event_streams import MAX_EVENT_BYTES
+from swiftjunction.web._heads import RESET_LINGER
+from swiftjunction.web._heads import SocketOptions
 from swiftjunction.web._listeners import bind_datagram_socket
 from swiftjunction.web._listeners import bind_socket
 from swiftjunction.web._listeners import HttpListener
@@ -21,6 +23,7 @@
 from swiftjunction.web._tls import create_client_context
 from swiftjunction.web._tls import TlsContexts
 from swiftjunction.web._tls import TlsFiles
+from swiftjunction.web._transport import SOCKET_OPTIONS
 
 __all__ = [
     'DirectClient',
@@ -29,7 +32,10 @@
     'MAX_EVENT_BYTES',
     'PeerClients',
     'REQUEST_START_EVENT',
+    'RESET_LINGER',
     'SHORT_BODY',
+    'SOCKET_OPTIONS',
+    'SocketOptions',
     'TlsContexts',
     'TlsFiles',
     'UNSENT_ERRORS',
--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -3,6 +3,7 @@
 import collections.abc
 import ssl
 
+import httpcore
 import httpx
 
 from swiftjunction.web import _transport
@@ -101,14 +102,20 @@
     ----------
     address : str
         ``ip:port`` of the server.
+    backend : AsyncNetworkBackend, optional
+        Opens the connections; by default, directly.
     """
 
     __slots__ = ('_host', '_transport', '_url')
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        backend: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
         self._url = httpx.URL(f'http://{address}')
         self._host = address
-        self._transport = _transport.LifoTransport()
+        self._transport = _transport.LifoTransport(backend=backend)
 
     async def send(
         self,
--- a/src/swiftjunction/web/_heads.py
+++ b/src/swiftjunction/web/_heads.py
@@ -23,10 +23,18 @@
 
 
 class HeadBoundBackend(httpcore.AsyncNetworkBackend):
-    """Opens connections that bound the bytes of the heads they receive."""
+    """Opens connections that bound the bytes of the heads they receive.
 
-    def __init__(self) -> None:
-        self._backend = httpcore.AnyIOBackend()
+    Parameters
+    ----------
+    backend : AsyncNetworkBackend, optional
+        Opens the connections; by default, directly.
+    """
+
+    def __init__(
+        self, backend: httpcore.AsyncNetworkBackend | None = None
+    ) -> None:
+        self._backend = backend or httpcore.AnyIOBackend()
 
     async def connect_tcp(
         self,
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -60,12 +60,19 @@
     context : ssl.SSLContext
         TLS context for https URLs; by default, one that trusts the CA
         certificates of the system.
+    backend : AsyncNetworkBackend, optional
+        Opens the connections; by default, directly.
     """
 
-    __slots__ = ('_context', '_idle', '_in_use')
+    __slots__ = ('_backend', '_context', '_idle', '_in_use')
 
-    def __init__(self, context: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        context: ssl.SSLContext | None = None,
+        backend: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
         self._context = context
+        self._backend = backend
         self._idle: list[_Connection] = []
         self._in_use = 0
 
@@ -115,7 +122,7 @@
         )
 
     def _connect(self) -> '_Connection':
-        return _Connection(self._context or load_ssl_context())
+        return _Connection(self._context or load_ssl_context(), self._backend)
 
     async def release(self, connection: '_Connection') -> None:
         """Make the connection of a closed response available again."""
@@ -137,7 +144,11 @@
 class _Connection(httpx.AsyncHTTPTransport):
     """A pool of a single connection, which bounds heads."""
 
-    def __init__(self, context: ssl.SSLContext) -> None:
+    def __init__(
+        self,
+        context: ssl.SSLContext,
+        backend: httpcore.AsyncNetworkBackend | None,
+    ) -> None:
         # The base class only makes its pool, without a network backend.
         self._pool = httpcore.AsyncConnectionPool(
             ssl_context=context,
@@ -145,7 +156,7 @@
             max_keepalive_connections=1,
             keepalive_expiry=IDLE_EXPIRY_SECONDS,
             socket_options=SOCKET_OPTIONS,
-            network_backend=_heads.HeadBoundBackend(),
+            network_backend=_heads.HeadBoundBackend(backend),
         )
 
     def has_surplus(self) -> bool:
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -15,6 +15,8 @@
 SERVICE = 'plain'
 ENGINES = 'engines'
 MODEL = 'model-a'
+# Ports after the one for peers of which one, that is free, serves tunnels.
+PEER_PORTS = 16
 
 
 def make_config(version=1, **timeouts):
@@ -199,7 +201,7 @@
             f'bind.front={self.vm_ip}:{ports["front"]}',
             f'bind.readiness={self.vm_ip}:{ports["readiness"]}',
             f'bind.directory={self.vm_ip}:{ports["directory"]}',
-            f'port_range={ports["peer"]},{ports["peer"]}',
+            f'port_range={ports["peer"]},{ports["peer"] + PEER_PORTS}',
             f'provider.address={self.store_address}',
             'bounds.grace_s=3',
             'bounds.require_fencing=true',
--- a/tests/stranded_deployment.py
+++ b/tests/stranded_deployment.py
@@ -71,9 +71,14 @@
         link = self._links.get((vm, address))
         if link is None:
             link = self._links[vm, address] = links.LinkProxy(address)
-            self._tasks.start_soon(link.run)
+            self._tasks.start_soon(self._run_link, link)
         return link.address
 
+    async def _run_link(self, link):
+        # Its own connections are those of no VM.
+        _current_vm.set('')
+        await link.run()
+
     async def _run_vm(self, program, scope):
         _current_vm.set(program._settings.name)
         await super()._run_vm(program, scope)
