Take a refused connection for a crash only if a peer's is refused too

A VM that is cut off, with connections reset and new ones refused, found each server that it asked to have crashed under the request. Two such requests were refused by all VMs for an hour, with 502.

Cause: a refused connection right after a broken response counted as a crash, though it may be refused on the way.

The VM now has a peer connect to that server, one of another data centre first. Only if that is refused as well, it counts; a peer that connects shows the opposite; without a peer that tells, the own evidence counts as before, unless the service is known to be cut off. It costs one message for each suspected crash, and fits into the time of the check.

--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -183,10 +183,20 @@
         except TimeoutError:
             return False
         except OSError:
-            return True
+            # Refused by the server, or on the way to it.
+            return await self._is_refused_by_peers(server)
         await stream.aclose()
         return False
 
+    async def _is_refused_by_peers(
+        self, server: backends.BackendServer
+    ) -> bool:
+        for path in self._peer_paths.select(server):
+            is_refused = await path.is_refused()
+            if is_refused is not None:
+                return is_refused
+        return not self._reachability.is_cut_off(server.report.service)
+
     async def generate(
         self,
         server: backends.BackendServer,
