Hand the duty of the coordinator to a VM that reaches engines

Cause: whether a VM may coordinate depended on the store alone. Class: a duty is bound to a part of what it needs.

A coordinator that does not reach the engines of a service now has peers connect to engines of all services that run batches, best rank first. If one of them reaches them, it stops in order, releases the lease and offers that peer the duty, which takes the lease at once. The released lease says for how long its next holder may send no orders, so that orders of two VMs stay bounds.lease_ms apart. A VM that takes the lease connects to engines first, and leaves it if it reaches none, unless nobody has coordinated for four seconds. Only a VM that does not reach all these services gives the duty up, only to one that does: two VMs that each reach a part do not pass it on.

--- a/src/swiftjunction/batches/_rollout.py
+++ b/src/swiftjunction/batches/_rollout.py
@@ -9,6 +9,7 @@
 
 import collections.abc
 import logging
+import math
 
 import anyio
 import anyio.abc
@@ -85,6 +86,9 @@
     ----------
     target_versions : dict of str to int
         The target version of each model.
+    last_order_at : float
+        When the last order was sent, on the clock of the event loop in
+        seconds; minus infinity if none was.
     """
 
     __slots__ = (
@@ -95,6 +99,7 @@
         '_metrics',
         '_needs_idle_engine',
         '_updating',
+        'last_order_at',
         'target_versions',
     )
 
@@ -115,6 +120,7 @@
         self._needs_idle_engine = needs_idle_engine
         self._updating: set[str] = set()
         self.target_versions: dict[str, int] = {}
+        self.last_order_at = -math.inf
 
     def set_target_version(self, model: str, version: int) -> None:
         """Set the target version of a model; a lower one is ignored."""
@@ -274,6 +280,7 @@
             )
             return False
         self._metrics.count('orders')
+        self.last_order_at = anyio.current_time()
         try:
             already_loaded = await self._client.send_order(
                 engine.server, order, check_lease
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -11,6 +11,8 @@
 from swiftjunction.coordination._duty import ControlLoops
 from swiftjunction.coordination._duty import DeploymentEvents
 from swiftjunction.coordination._feed import SharedFeed
+from swiftjunction.coordination._fitness import DutyFitness
+from swiftjunction.coordination._fitness import EngineFitness
 from swiftjunction.coordination._members import Member
 from swiftjunction.coordination._members import MEMBER_PREFIX
 from swiftjunction.coordination._members import MemberStatus
@@ -35,6 +37,8 @@
     'CoordinatorTask',
     'DeploymentEvents',
     'DeploymentReader',
+    'DutyFitness',
+    'EngineFitness',
     'FailoverStore',
     'FeedSync',
     'MEMBER_PREFIX',
--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -3,9 +3,13 @@
 import abc
 import collections.abc
 import logging
+import math
 
 import anyio
+import msgspec
 
+from swiftjunction.coordination import _datagrams
+from swiftjunction.coordination import _fitness
 from swiftjunction.coordination import _members
 from swiftjunction import errors
 from swiftjunction import leases
@@ -18,6 +22,10 @@
 # A candidate waits for this long times its rank before it tries to acquire the
 # lease, so that candidates try in the order of their ranks.
 DELAY_PER_RANK_SECONDS = 0.6
+# How long nobody has coordinated when a VM that is not fit to does.
+UNFIT_DELAY_SECONDS = 4.0
+# After this VM has found no successor, or has handed its duty over.
+HAND_OVER_PAUSE_SECONDS = 0.5
 # How long the task may take to stop when this VM shuts down.
 STOP_TIMEOUT_SECONDS = 1.0
 
@@ -41,6 +49,25 @@
     async def stop(self, timeout_seconds: float) -> None:
         """Start no new work, and leave unfinished work to the successor."""
 
+    def compute_settle_seconds(self) -> float:
+        """Return for how long a successor must leave some actions undone.
+
+        These are the ones that must not follow closely on this VM's.
+        """
+        return 0.0
+
+
+class DutyOffer(msgspec.Struct, frozen=True, tag='duty-offer'):
+    """Datagram that asks a peer to become the coordinator.
+
+    Attributes
+    ----------
+    fencing_token : int
+        That of the sender, which has released the lease.
+    """
+
+    fencing_token: int
+
 
 class Coordinator:
     """Runs the task while this VM is the coordinator.
@@ -57,16 +84,23 @@
         Holds the status of each peer and the rank of this VM.
     task : CoordinatorTask
         The work to run while this VM is the coordinator.
+    fitness : DutyFitness, optional
+        Tells whether this VM can do that work, or which peer can.
     """
 
     __slots__ = (
         '_coordinate_scope',
+        '_datagrams',
+        '_fitness',
+        '_invited',
         '_keeper',
         '_lease',
         '_members',
         '_stopping',
+        '_successor',
         '_task',
         '_timing',
+        '_vacant_since',
     )
 
     def __init__(
@@ -75,7 +109,16 @@
         timing: leases.LeaseTiming,
         members: _members.MemberTable,
         task: CoordinatorTask,
+        fitness: _fitness.DutyFitness | None = None,
     ) -> None:
+        self._fitness = fitness or _fitness.AlwaysFit()
+        self._datagrams: _datagrams.PeerDatagrams | None = None
+        # Set when a peer has offered the duty to this VM.
+        self._invited = anyio.Event()
+        # The peer to which this VM hands its duty over.
+        self._successor: _members.Member | None = None
+        # Since when no coordinator was known.
+        self._vacant_since = math.inf
         self._keeper = keeper
         self._timing = timing
         self._members = members
@@ -84,6 +127,16 @@
         self._coordinate_scope = anyio.CancelScope()
         self._stopping = False
 
+    def connect(self, datagrams: _datagrams.PeerDatagrams) -> None:
+        """Send and receive offers of the duty over `datagrams`."""
+        self._datagrams = datagrams
+        datagrams.listen(DutyOffer, self._handle_offer)
+
+    async def _handle_offer(self, offer: DutyOffer, sender: str) -> None:
+        if self._lease is None:
+            LOG.info('a peer offers the duty of the coordinator')
+            self._invited.set()
+
     @property
     def lease(self) -> leases.Lease | None:
         """Return the lease under which this VM coordinates, or None.
@@ -110,13 +163,22 @@
             if not self._members.has_converged():
                 await anyio.sleep(CONVERGENCE_CHECK_INTERVAL_SECONDS)
                 continue
-            if self._members.has_valid_coordinator():
-                await anyio.sleep(COORDINATOR_CHECK_INTERVAL_SECONDS)
+            if not self._invited.is_set() and self._has_coordinator():
+                with anyio.move_on_after(COORDINATOR_CHECK_INTERVAL_SECONDS):
+                    await self._invited.wait()
                 continue
             lease = await self._try_acquire()
             if lease is not None:
                 await self._coordinate(lease)
 
+    def _has_coordinator(self) -> bool:
+        now = anyio.current_time()
+        if self._members.has_valid_coordinator():
+            self._vacant_since = math.inf
+            return True
+        self._vacant_since = min(self._vacant_since, now)
+        return False
+
     async def resign(self) -> None:
         """Stop the task, release the lease and do not acquire it again."""
         self._stopping = True
@@ -131,14 +193,31 @@
             LOG.info("cannot release the coordinator's lease: %s", error)
 
     async def _try_acquire(self) -> leases.Lease | None:
-        await anyio.sleep(self._members.find_rank() * DELAY_PER_RANK_SECONDS)
-        if self._members.has_valid_coordinator() or self._stopping:
+        if self._invited.is_set():
+            self._invited = anyio.Event()
+        else:
+            rank = self._members.find_rank(skip_cut_off=True)
+            with anyio.move_on_after(rank * DELAY_PER_RANK_SECONDS):
+                await self._invited.wait()
+            if self._members.has_valid_coordinator():
+                return None
+        if self._stopping or not await self._may_acquire():
             return None
         lease = await self._attempt(self._keeper.acquire)
         if lease is None:
             await anyio.sleep(self._timing.retry_interval_seconds)
         return lease
 
+    async def _may_acquire(self) -> bool:
+        """Return whether this VM can coordinate, or must, as nobody can."""
+        if await self._fitness.confirm():
+            return True
+        vacant_seconds = anyio.current_time() - self._vacant_since
+        if vacant_seconds > UNFIT_DELAY_SECONDS:
+            return True
+        await anyio.sleep(COORDINATOR_CHECK_INTERVAL_SECONDS)
+        return False
+
     async def _attempt(
         self,
         call: collections.abc.Callable[
@@ -161,11 +240,14 @@
             extra={'fencing_token': lease.fencing_token},
         )
         self._lease = lease
+        self._successor = None
+        self._vacant_since = math.inf
         try:
             with anyio.CancelScope() as self._coordinate_scope:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._run_task, lease)
                     tasks.start_soon(self._stop_once_replaced, lease)
+                    tasks.start_soon(self._stop_once_unfit)
                     await self._renew(lease)
                     tasks.cancel_scope.cancel()
         finally:
@@ -174,6 +256,44 @@
                 'no longer the coordinator',
                 extra={'fencing_token': lease.fencing_token},
             )
+        if self._successor is not None and not self._stopping:
+            await self._hand_over(lease, self._successor)
+
+    async def _stop_once_unfit(self) -> None:
+        """Stop coordinating once a peer can, and this VM cannot."""
+        while True:
+            await anyio.sleep(SUCCESSOR_CHECK_INTERVAL_SECONDS)
+            if self._fitness.is_fit() or self._stopping:
+                continue
+            successor = await self._fitness.find_successor()
+            if successor is None or self._fitness.is_fit():
+                await anyio.sleep(HAND_OVER_PAUSE_SECONDS)
+                continue
+            LOG.warning(
+                'handing the duty of the coordinator over, as this VM reaches '
+                'no engine of a service',
+                extra={'peer': successor.name},
+            )
+            await self._task.stop(STOP_TIMEOUT_SECONDS)
+            self._successor = successor
+            self._coordinate_scope.cancel()
+            return
+
+    async def _hand_over(
+        self, lease: leases.Lease, successor: _members.Member
+    ) -> None:
+        settle_seconds = self._task.compute_settle_seconds()
+        try:
+            with anyio.move_on_after(self._timing.renew_timeout_seconds):
+                await self._keeper.release(settle_seconds)
+        except errors.PlatformError as error:
+            # It expires.
+            LOG.info("cannot release the coordinator's lease: %s", error)
+        if self._datagrams is not None:
+            await self._datagrams.send(
+                DutyOffer(lease.fencing_token), successor.address
+            )
+        await anyio.sleep(HAND_OVER_PAUSE_SECONDS)
 
     async def _run_task(self, lease: leases.Lease) -> None:
         try:
--- a/src/swiftjunction/coordination/_duty.py
+++ b/src/swiftjunction/coordination/_duty.py
@@ -56,6 +56,9 @@
     predecessor_order_seconds : float
         For how long after a change of coordinator, orders of the previous
         one may still reach engines.
+    order_gap_seconds : float
+        Time between the orders of two successive coordinators, if the first
+        one has handed its duty over.
 
     Attributes
     ----------
@@ -66,6 +69,7 @@
     __slots__ = (
         '_events',
         '_list_services',
+        '_order_gap_seconds',
         '_rollout',
         '_runner',
         '_predecessor_order_seconds',
@@ -79,12 +83,14 @@
         events: DeploymentEvents,
         list_services: collections.abc.Callable[[], set[str]],
         predecessor_order_seconds: float,
+        order_gap_seconds: float,
     ) -> None:
         self._runner = runner
         self._rollout = rollout
         self._events = events
         self._list_services = list_services
         self._predecessor_order_seconds = predecessor_order_seconds
+        self._order_gap_seconds = order_gap_seconds
         self.is_running = False
 
     async def run(self, lease: leases.Lease) -> None:
@@ -108,3 +114,7 @@
 
     async def stop(self, timeout_seconds: float) -> None:
         await self._runner.stop(timeout_seconds)
+
+    def compute_settle_seconds(self) -> float:
+        waited_seconds = anyio.current_time() - self._rollout.last_order_at
+        return max(self._order_gap_seconds - waited_seconds, 0.0)
--- /dev/null
+++ b/src/swiftjunction/coordination/_fitness.py
@@ -0,0 +1,130 @@
+"""Whether a VM reaches what the coordinator has to reach."""
+
+import abc
+import collections.abc
+
+from swiftjunction import backends
+from swiftjunction.coordination import _members
+from swiftjunction.coordination import _peer_paths
+from swiftjunction import tunnels
+
+# Peers, and servers of each service, that are asked for a successor.
+MAX_PEERS_ASKED = 3
+MAX_SERVERS_ASKED = 2
+
+
+class DutyFitness(abc.ABC):
+    """Tells whether this VM, or a peer, can do the coordinator's work."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def is_fit(self) -> bool:
+        """Return whether nothing shows that this VM cannot coordinate."""
+
+    @abc.abstractmethod
+    async def confirm(self) -> bool:
+        """Find out whether this VM can coordinate."""
+
+    @abc.abstractmethod
+    async def find_successor(self) -> _members.Member | None:
+        """Return a peer that was found to be able to coordinate, if any."""
+
+
+class AlwaysFit(DutyFitness):
+    """The fitness of VMs of which none can coordinate better than others."""
+
+    __slots__ = ()
+
+    def is_fit(self) -> bool:
+        return True
+
+    async def confirm(self) -> bool:
+        return True
+
+    async def find_successor(self) -> _members.Member | None:
+        return None
+
+
+class EngineFitness(DutyFitness):
+    """A VM is fit if it reaches engines of each service that runs batches.
+
+    Parameters
+    ----------
+    list_services : callable
+        Returns the names of these services.
+    directory : Directory
+        Lists the engines.
+    reachability : Reachability
+        Tells which services this VM reaches.
+    members : MemberTable
+        The peers, in the order in which they may coordinate.
+    """
+
+    __slots__ = (
+        '_directory',
+        '_list_services',
+        '_members',
+        '_reachability',
+    )
+
+    def __init__(
+        self,
+        list_services: collections.abc.Callable[[], set[str]],
+        directory: backends.Directory,
+        reachability: backends.Reachability,
+        members: _members.MemberTable,
+    ) -> None:
+        self._list_services = list_services
+        self._directory = directory
+        self._reachability = reachability
+        self._members = members
+
+    def is_fit(self) -> bool:
+        return not any(
+            map(self._reachability.is_cut_off, self._find_engines())
+        )
+
+    async def confirm(self) -> bool:
+        for service in self._find_engines():
+            if await self._reachability.confirm(service):
+                return False
+        return True
+
+    def _find_engines(self) -> dict[str, list[backends.BackendServer]]:
+        """Return the engines of each service that has any."""
+        engines = {
+            service: [
+                server
+                for server in self._directory.select(service)
+                if server.accepts_requests()
+            ]
+            for service in self._list_services()
+        }
+        return {service: found for service, found in engines.items() if found}
+
+    async def find_successor(self) -> _members.Member | None:
+        engines = self._find_engines()
+        for tunnel in self._members.list_duty_tunnels(engines)[
+            :MAX_PEERS_ASKED
+        ]:
+            reached = [
+                await self._reaches(tunnel, found)
+                for found in engines.values()
+            ]
+            if all(reached):
+                return tunnel.member
+        return None
+
+    async def _reaches(
+        self, tunnel: _members.Tunnel, servers: list[backends.BackendServer]
+    ) -> bool:
+        for server in servers[:MAX_SERVERS_ASKED]:
+            outcome = await tunnels.probe(
+                tunnel.address,
+                server.address,
+                _peer_paths.PROBE_TIMEOUT_SECONDS,
+            )
+            if outcome is tunnels.TunnelOutcome.CONNECTED:
+                return True
+        return False
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -363,6 +363,22 @@
             and service not in status.cut_off
         ]
 
+    def list_duty_tunnels(
+        self, services: collections.abc.Collection[str]
+    ) -> list[Tunnel]:
+        """Return the peers that may reach all services, by their rank."""
+        reaching = [
+            {t.member.name: t for t in self.list_tunnels(service)}
+            for service in services
+        ]
+        if not reaching:
+            return []
+        return [
+            reaching[0][name]
+            for name in self._rank_members()
+            if all(name in tunnels for tunnels in reaching)
+        ]
+
     def list_caller_addresses(self, own_state: str) -> list[str]:
         """Return the addresses of live VMs for callers, this VM's first.
 
@@ -384,18 +400,27 @@
         ]
         return addresses[:MAX_CALLER_ADDRESSES]
 
-    def find_rank(self) -> int:
+    def find_rank(self, skip_cut_off: bool = False) -> int:
         """Return this VM's rank among the candidates for coordinator.
 
         It is the number of candidates that precede this VM.
 
         In a large deployment, peers that were not polled count as candidates.
+
+        Parameters
+        ----------
+        skip_cut_off : bool
+            Whether VMs that reach no server of some service do not count.
         """
         ranking = self._rank_members()
         preceding = ranking[: ranking.index(self.own.name)]
         if not preceding:
             return 0
-        live = {s.name for s in self.list_statuses() if s.state == 'live'}
+        live = {
+            status.name
+            for status in self.list_statuses()
+            if status.state == 'live' and not (skip_cut_off and status.cut_off)
+        }
         if _view.is_full_mesh(len(self._members)):
             return len(live.intersection(preceding))
         polled = self._failures.keys() | self._statuses.keys()
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -32,12 +32,16 @@
         whether the write took effect.
     ttl_seconds : float
         How long the lease is valid after this write.
+    settle_seconds : float
+        For how long after a release the next holder takes no action that
+        must not follow closely on one of the former holder.
     """
 
     holder: str
     fencing_token: int = msgspec.field(name='token')
     nonce: str
     ttl_seconds: float
+    settle_seconds: float = 0.0
 
 
 class _PendingWrite(msgspec.Struct, frozen=True):
@@ -94,6 +98,7 @@
         '_observed_version',
         '_pending_writes',
         '_reclaims_own_lease',
+        '_settle_seconds',
         '_store',
         '_timing',
         '_version',
@@ -120,6 +125,8 @@
         self._version = 0
         self._observed_version = 0
         self._observed_at = 0.0
+        # Of the record that the lease was last acquired over.
+        self._settle_seconds = 0.0
         # Writes whose outcome is not known, by nonce.
         self._pending_writes: dict[str, _PendingWrite] = {}
         self.name = name
@@ -163,6 +170,7 @@
             raise errors.LeaseLost(
                 f'lease {self.name} is held by {record.holder}', step='take'
             )
+        self._settle_seconds = record.settle_seconds
         return await self._write(0, item.version)
 
     async def reclaim(self) -> _lease.Lease | None:
@@ -190,14 +198,23 @@
             return None
         return await self._write(0, item.version)
 
-    async def release(self) -> None:
-        """Release the lease, so that the next holder need not wait."""
+    async def release(self, settle_seconds: float = 0.0) -> None:
+        """Release the lease, so that the next holder need not wait.
+
+        Parameters
+        ----------
+        settle_seconds : float
+            For how long the next holder takes no action that must not follow
+            closely on one of this holder.
+        """
         if self.lease is None:
             return
         fencing_token = self.lease.fencing_token
         self.lease = None
         self._pending_writes.clear()
-        record = LeaseRecord('', fencing_token, uuid.uuid4().hex, 0.0)
+        record = LeaseRecord(
+            '', fencing_token, uuid.uuid4().hex, 0.0, settle_seconds
+        )
         await self._store.update(
             self._key, msgspec.json.encode(record), self._version
         )
@@ -362,5 +379,6 @@
                 self._clock,
                 has_predecessor,
                 self._timing.margin_seconds,
+                self._settle_seconds,
             )
         return self.lease
--- a/src/swiftjunction/leases/_lease.py
+++ b/src/swiftjunction/leases/_lease.py
@@ -74,6 +74,9 @@
         still be running.
     margin_seconds : float
         How long before the deadline the holder stops acting under the lease.
+    settle_seconds : float
+        For how long after this term began the previous holder wants no action
+        that must not follow closely on one of its own.
     """
 
     __slots__ = (
@@ -82,6 +85,7 @@
         '_deadline',
         '_has_predecessor',
         '_margin_seconds',
+        '_settle_seconds',
         'name',
         'fencing_token',
     )
@@ -94,6 +98,7 @@
         clock: Clock,
         has_predecessor: bool = False,
         margin_seconds: float = LEASE_MARGIN_SECONDS,
+        settle_seconds: float = 0.0,
     ) -> None:
         self.name = name
         self.fencing_token = fencing_token
@@ -102,6 +107,7 @@
         self._acquired_at = clock()
         self._has_predecessor = has_predecessor
         self._margin_seconds = margin_seconds
+        self._settle_seconds = settle_seconds
 
     def remaining_seconds(self) -> float:
         """Return for how long the holder may still act under the lease."""
@@ -133,9 +139,9 @@
         if not self._has_predecessor:
             return
         waited_seconds = self._clock() - self._acquired_at
-        if waited_seconds < longest_action_seconds * (
-            1 + MAX_CLOCK_RATE_ERROR
-        ):
+        if waited_seconds < max(
+            longest_action_seconds, self._settle_seconds
+        ) * (1 + MAX_CLOCK_RATE_ERROR):
             raise errors.LeaseLost(
                 f'actions under the previous term of lease {self.name} may '
                 'still be running',
--- a/src/swiftjunction/platform/_election.py
+++ b/src/swiftjunction/platform/_election.py
@@ -22,6 +22,7 @@
     store: objectstore.ObjectStore,
     members: coordination.MemberTable,
     task: coordination.CoordinatorTask,
+    fitness: coordination.DutyFitness,
 ) -> coordination.Coordinator:
     """Return what makes this VM a candidate for coordinator.
 
@@ -29,6 +30,8 @@
     ----------
     task : CoordinatorTask
         Runs while this VM coordinates.
+    fitness : DutyFitness
+        Tells whether this VM can coordinate.
     """
     timing = leases.LeaseTiming(
         ttl_seconds=settings.lease_seconds * LEASE_TTL_FRACTION,
@@ -48,4 +51,5 @@
         timing,
         members,
         task,
+        fitness,
     )
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -182,9 +182,19 @@
             self._feeds,
             self._list_batch_services,
             0.0 if settings.checks_fencing else settings.lease_seconds,
+            settings.lease_seconds,
         )
         self._coordinator = _election.build_coordinator(
-            settings, self._store, self._members, self._control_loops
+            settings,
+            self._store,
+            self._members,
+            self._control_loops,
+            coordination.EngineFitness(
+                self._list_batch_services,
+                self._directory,
+                self._reachability,
+                self._members,
+            ),
         )
         self._origins = coordination.SharedOrigins(self._members)
         self._admission = requests.AdmissionController(MAX_IN_FLIGHT)
@@ -264,6 +274,7 @@
         )
         datagrams = _listening.open_datagrams(self._settings)
         self._origins.connect(datagrams)
+        self._coordinator.connect(datagrams)
         poller = coordination.PeerPoller(
             datagrams,
             self._clients,
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -390,7 +390,7 @@
         sent_at = server.read_rate_clock()
         with backends.translate_errors('call', server.name):
             if peers is not None:
-                response = await send(peers.get_direct(server.address))
+                response = await self._send_directly(server, peers, send)
             else:
                 response = await self._send_on_any_path(
                     server, exchange, request_id, send
@@ -400,6 +400,18 @@
         _responses.record_rate_limit(response, server, request_id, sent_at)
         return response
 
+    async def _send_directly(
+        self,
+        server: backends.BackendServer,
+        peers: web.PeerClients,
+        send: Send,
+    ) -> httpx.Response:
+        try:
+            return await send(peers.get_direct(server.address))
+        except web.UNSENT_ERRORS:
+            self._reachability.suspect(server.report.service)
+            raise
+
     async def _send_on_any_path(
         self,
         server: backends.BackendServer,
