Leave out VMs that reach no server of a service from the address list

Callers were sent to VMs that are cut off, and reached servers from there only through a peer.

Cause: the list named all VMs that are live; nothing said which of them can serve.

--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -379,25 +379,38 @@
             if all(name in tunnels for tunnels in reaching)
         ]
 
-    def list_caller_addresses(self, own_state: str) -> list[str]:
+    def list_caller_addresses(
+        self, own_state: str, is_cut_off: bool = False
+    ) -> list[str]:
         """Return the addresses of live VMs for callers, this VM's first.
 
-        In a large deployment, these are this VM and the peers that it chose
-        at random, if any of them is live, so that callers spread over all
-        VMs.
+        VMs that reach no server of some service are left out, unless they are
+        more than half of all. In a large deployment, the others are this VM
+        and the peers that it chose at random, if any of them is live, so that
+        callers spread over all VMs.
+
+        Parameters
+        ----------
+        own_state : str
+            State of this VM.
+        is_cut_off : bool
+            Whether this VM reaches no server of some service.
         """
-        addresses = [self.own.front] if own_state == 'live' else []
-        live = [
-            status.name
+        live = {
+            status.name: bool(status.cut_off)
             for status in self.list_statuses()
             if status.state == 'live' and status.name in self._members
-        ]
+        }
         random_peers = [
             name for name in live if name in self._poll_selector.random_peers
         ]
-        addresses += [
-            self._members[name].front for name in random_peers or live
-        ]
+        listed = {name: live[name] for name in random_peers or live}
+        if own_state == 'live':
+            listed = {self.own.name: is_cut_off, **listed}
+        reaching = [name for name, is_cut in listed.items() if not is_cut]
+        if 2 * len(reaching) < len(listed):
+            reaching = list(listed)
+        addresses = [self._members[name].front for name in reaching]
         return addresses[:MAX_CALLER_ADDRESSES]
 
     def find_rank(self, skip_cut_off: bool = False) -> int:
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -61,6 +61,8 @@
     get_state : callable
         Returns the state of the process: ``starting``, ``live`` or
         ``draining``.
+    is_cut_off : callable
+        Returns whether this VM reaches no server of some service.
     knows_crashes : callable
         Returns whether this VM has received the crashes that requests caused.
     rng : random.Random
@@ -79,6 +81,7 @@
         '_rng',
         '_settings',
         '_get_state',
+        '_is_cut_off',
         '_knows_crashes',
         '_stream_relay',
     )
@@ -93,6 +96,7 @@
         batch_calls: _batch_calls.BatchCalls,
         members: coordination.MemberTable,
         get_state: collections.abc.Callable[[], str],
+        is_cut_off: collections.abc.Callable[[], bool],
         knows_crashes: collections.abc.Callable[[], bool],
         rng: random.Random,
         metrics: telemetry.Metrics,
@@ -105,6 +109,7 @@
         self._batch_calls = batch_calls
         self._members = members
         self._get_state = get_state
+        self._is_cut_off = is_cut_off
         self._knows_crashes = knows_crashes
         self._rng = rng
         self._metrics = metrics
@@ -131,7 +136,9 @@
         )
 
     def _handle_resolve(self) -> Response:
-        addresses = self._members.list_caller_addresses(self._get_state())
+        addresses = self._members.list_caller_addresses(
+            self._get_state(), self._is_cut_off()
+        )
         if not addresses:
             return Response(status_code=http.HTTPStatus.SERVICE_UNAVAILABLE)
         ttl_seconds = min(
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -221,6 +221,7 @@
             ),
             self._members,
             lambda: self._state,
+            lambda: bool(self._reachability.list_cut_off()),
             self._crash_registry.is_loaded,
             rng,
             self._metrics,
