Keep the origins of streams while all VMs are down

After a kill of all VMs at once, every stream that a caller took up again was refused: 0 of 12 went on, while new streams began at servers of both versions.

Cause: where a stream began was in the memory of three VMs, and such a kill takes all three. Class: copies that share what can take all of them.

Each VM now writes what it recorded, for itself and for peers, to an object of its own within half a second, and reads it before it is ready; until then it leaves peers' questions unanswered. A deployment without such streams writes nothing.

--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -28,6 +28,7 @@
 from swiftjunction.coordination._polling import PeerPoller
 from swiftjunction.coordination._relaying import FailoverStore
 from swiftjunction.coordination._sharing import FeedSync
+from swiftjunction.coordination._stored_origins import OriginArchive
 from swiftjunction.coordination._watching import PeerMonitor
 
 __all__ = [
@@ -45,6 +46,7 @@
     'Member',
     'MemberStatus',
     'MemberTable',
+    'OriginArchive',
     'OutageProbe',
     'PeerApp',
     'PeerBatchAccess',
--- a/src/swiftjunction/coordination/_origins.py
+++ b/src/swiftjunction/coordination/_origins.py
@@ -15,6 +15,7 @@
 
 from swiftjunction.coordination import _datagrams
 from swiftjunction.coordination import _members
+from swiftjunction.coordination import _stored_origins
 from swiftjunction import requests
 
 LOG = logging.getLogger(__name__)
@@ -109,9 +110,12 @@
     ----------
     members : MemberTable
         The peers.
+    archive : OriginArchive, optional
+        Keeps what this VM records while it is down.
     """
 
     __slots__ = (
+        '_archive',
         '_call_number',
         '_calls',
         '_datagrams',
@@ -120,8 +124,13 @@
         '_table',
     )
 
-    def __init__(self, members: _members.MemberTable) -> None:
+    def __init__(
+        self,
+        members: _members.MemberTable,
+        archive: _stored_origins.OriginArchive | None = None,
+    ) -> None:
         self._members = members
+        self._archive = archive
         self._table = requests.OriginTable()
         self._ring = _Ring(frozenset())
         self._datagrams: _datagrams.PeerDatagrams | None = None
@@ -136,6 +145,28 @@
         datagrams.listen(OriginQuery, self._handle_query)
         datagrams.listen(OriginAnswer, self._handle_answer)
 
+    def is_loaded(self) -> bool:
+        """Return whether all is known that this VM has recorded."""
+        return self._archive is None or self._archive.is_loaded
+
+    async def run(self) -> None:
+        """Keep what is recorded, until cancelled."""
+        if self._archive is not None:
+            await self._archive.run(self._table.add)
+
+    def _add(
+        self,
+        request_id: str,
+        origin: requests.StreamOrigin,
+        lifetime_seconds: float,
+    ) -> None:
+        self._table.add(request_id, origin, lifetime_seconds)
+        if (
+            self._archive is not None
+            and 0 < len(request_id) <= requests.MAX_REQUEST_ID_CHARS
+        ):
+            self._archive.add(request_id, origin, lifetime_seconds)
+
     async def record(
         self,
         request_id: str,
@@ -144,7 +175,7 @@
     ) -> None:
         if len(request_id) > requests.MAX_REQUEST_ID_CHARS:
             return
-        self._table.add(request_id, origin, lifetime_seconds)
+        self._add(request_id, origin, lifetime_seconds)
         peers = self._select_replicas(request_id)
         if not peers:
             return
@@ -202,7 +233,7 @@
                 return
 
     async def _handle_record(self, message: OriginRecord, sender: str) -> None:
-        self._table.add(
+        self._add(
             message.request_id,
             message.origin,
             min(message.lifetime_seconds, MAX_LIFETIME_SECONDS),
@@ -217,6 +248,9 @@
             call.ended.set()
 
     async def _handle_query(self, message: OriginQuery, sender: str) -> None:
+        if not self.is_loaded():
+            # It may have it; its sender asks others, too.
+            return
         origin = self._table.get(message.request_id)
         await self._reply(OriginAnswer(message.call_number, origin), sender)
 
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -196,7 +196,10 @@
                 self._members,
             ),
         )
-        self._origins = coordination.SharedOrigins(self._members)
+        self._origins = coordination.SharedOrigins(
+            self._members,
+            coordination.OriginArchive(self._store, self._members),
+        )
         self._admission = requests.AdmissionController(MAX_IN_FLIGHT)
         self._ingress = _ingress.Ingress(
             settings,
@@ -291,6 +294,7 @@
                 lambda: self._feeds.follow_routes(self._active_routes),
                 lambda: self._feeds.follow_servers(self._delayed_removal),
                 self._crash_registry.run,
+                self._origins.run,
                 self._delayed_removal.run,
                 self._directory.loop_lag.run,
                 self._reachability.run,
@@ -335,6 +339,7 @@
             self._active_routes.table is not None
             and self._feeds.has_servers
             and self._crash_registry.is_loaded()
+            and self._origins.is_loaded()
         ):
             await anyio.sleep(READY_CHECK_INTERVAL_SECONDS)
         if self._state == 'starting':
--- a/tests/cover/test_platform_versions.py
+++ b/tests/cover/test_platform_versions.py
@@ -21,6 +21,8 @@
 MIN_RESUMED_SHARE = 0.5
 # VMs that start have heard of each other within this time.
 MEMBERS_SECONDS = 1.0
+# What a VM recorded of streams is stored within this time.
+RECORDED_SECONDS = 1.0
 # A VM learns within this time that a server is no longer listed.
 LISTING_SECONDS = 1.5
 
@@ -239,6 +241,51 @@
         assert resumed >= begun * MIN_RESUMED_SHARE
         assert [s.data for s in streams if len(s.software) != 1] == []
 
+    async def begin_and_kill_all(self, deployment):
+        """Begin streams, then kill all VMs at once and start them anew."""
+        await anyio.sleep(MEMBERS_SECONDS)
+        streams = make_streams(deployment)
+        for number, stream in enumerate(streams):
+            assert await stream.run(VMS[number % len(VMS)], 1) == 200
+        await anyio.sleep(RECORDED_SECONDS)
+        for vm in VMS:
+            deployment.kill_vm(vm)
+        for vm in VMS:
+            deployment.start_vm(vm)
+        for vm in VMS:
+            await deployment.wait_until_ready(vm)
+        await anyio.sleep(MEMBERS_SECONDS)
+        return streams
+
+    async def test_most_streams_go_on_after_all_vms_were_killed(
+        self, deployment
+    ):
+        async with deployment.run(VMS):
+            streams = await self.begin_and_kill_all(deployment)
+            begun = resumed = 0
+            for number, stream in enumerate(streams):
+                # Callers go to other VMs than before.
+                vm = VMS[(number + 1) % len(VMS)]
+                resumed += await stream.run(vm) == 200
+                fresh = Stream(deployment, f'fresh{number}')
+                begun += await fresh.run(vm) == 200
+        assert begun > 0
+        assert resumed >= begun * MIN_RESUMED_SHARE
+        assert [s.data for s in streams if len(s.software) != 1] == []
+
+    async def test_streams_of_a_withdrawn_software_are_not_run_after_a_kill(
+        self, deployment
+    ):
+        async with deployment.run(VMS):
+            streams = await self.begin_and_kill_all(deployment)
+            deployment.remove_software('v1')
+            await anyio.sleep(LISTING_SECONDS)
+            for number, stream in enumerate(streams):
+                withdrawn = stream.software == {'v1'}
+                status = await stream.run(VMS[(number + 1) % len(VMS)])
+                assert status == (503 if withdrawn else 200)
+        assert [s.data for s in streams if len(s.software) != 1] == []
+
     async def test_a_resumed_stream_without_its_software_is_not_run(
         self, deployment
     ):
