Split paths and tunnels from the worker client and the edge program

No change of behaviour. The choice of a path decides, which the platform's folder does not: it moves to backends/_server_paths.py. The tunnels that a VM serves and the metrics of servers leave the edge program. Linter, types, and the tests of these parts ran: platform path, processes, stranded VMs, tunnels, crashes.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -30,6 +30,7 @@
 from swiftjunction.backends._reachability import Reachability
 from swiftjunction.backends._report import ServerReport
 from swiftjunction.backends._server import BackendServer
+from swiftjunction.backends._server_paths import ServerPaths
 from swiftjunction.backends._service import ServiceCall
 from swiftjunction.backends._service import ServiceClient
 from swiftjunction.backends._service import ServiceResponse
@@ -67,6 +68,7 @@
     'SERVER_PREFIX',
     'STATUS_INTERVAL_SECONDS',
     'Reachability',
+    'ServerPaths',
     'ServerRates',
     'ServerReport',
     'ServiceCall',
--- a/src/swiftjunction/platform/_inspection.py
+++ b/src/swiftjunction/platform/_inspection.py
@@ -4,6 +4,8 @@
 import starlette.requests
 import starlette.responses
 
+from swiftjunction import backends
+from swiftjunction import requests
 from swiftjunction import telemetry
 
 Request = starlette.requests.Request
@@ -45,3 +47,23 @@
 
     async def _serve_dump(self, request: Request) -> Response:
         return Response(self._dump.render(), media_type='application/json')
+
+
+def observe_servers(
+    metrics: telemetry.Metrics,
+    directory: backends.Directory,
+    reachability: backends.Reachability,
+    suspects: requests.SuspectTracker,
+) -> None:
+    """Add what this VM knows of backend servers to its metrics."""
+    metrics.add_gauge(
+        'event_loop_lag_seconds', lambda: directory.loop_lag.average_seconds
+    )
+    metrics.add_gauge(
+        'cut_off_services', lambda: len(reachability.list_cut_off())
+    )
+    directory.leaving_servers.listen(
+        lambda _, source: metrics.count('leaving_servers', source=source)
+    )
+    directory.rates.listen(lambda _: metrics.count('rate_limited_servers'))
+    suspects.listen(lambda: metrics.count('server_crashes'))
--- a/src/swiftjunction/platform/_listening.py
+++ b/src/swiftjunction/platform/_listening.py
@@ -1,10 +1,7 @@
 """Sockets of an edge VM for callers, the platform and peers."""
 
-import collections.abc
-
 from swiftjunction import coordination
 from swiftjunction.platform import _settings
-from swiftjunction import tunnels
 from swiftjunction import web
 
 # Longer than callers keep an idle connection open.
@@ -23,21 +20,6 @@
     )
 
 
-def open_tunnels(
-    settings: _settings.EdgeSettings,
-    is_server: collections.abc.Callable[[str], bool],
-) -> tunnels.TunnelServer | None:
-    """Return the tunnels for peers, on a port after the one for requests.
-
-    Parameters
-    ----------
-    is_server : callable
-        Returns whether a backend server is listed at an address.
-    """
-    ports = range(settings.peer_port + 1, settings.last_port + 1)
-    return tunnels.open_tunnel_server(settings.ip, ports, is_server)
-
-
 def open_datagrams(
     settings: _settings.EdgeSettings,
 ) -> coordination.PeerDatagrams:
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -24,12 +24,12 @@
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
 from swiftjunction.platform import _store
+from swiftjunction.platform import _tunneling
 from swiftjunction.platform import _workers
 from swiftjunction import requests
 from swiftjunction import routes
 from swiftjunction import routing
 from swiftjunction import telemetry
-from swiftjunction import tunnels
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -40,10 +40,6 @@
 SHUTDOWN_RESERVE_SECONDS = 1.5
 READY_CHECK_INTERVAL_SECONDS = 0.1
 METRICS_PORT = 9464
-FAILED_CONNECTIONS = (
-    tunnels.TunnelOutcome.REFUSED,
-    tunnels.TunnelOutcome.UNREACHABLE,
-)
 
 
 class EdgeProgram(batches.AccessList):
@@ -72,7 +68,6 @@
         self._metrics_port = metrics_port
         self._settings = settings
         self._state = 'starting'
-        self._tunnels: tunnels.TunnelServer | None = None
         self._stopping = anyio.Event()
         rng = random.Random()
         self._metrics = telemetry.Metrics()
@@ -111,9 +106,16 @@
             time.monotonic,
         )
         self._reachability = backends.Reachability(self._directory.select, rng)
-        self._peer_paths = coordination.TunnelPaths(self._members, rng)
         workers = _workers.WorkerClient(
-            self._clients, self._reachability, self._peer_paths
+            self._clients,
+            backends.ServerPaths(
+                self._clients,
+                self._reachability,
+                coordination.TunnelPaths(self._members, rng),
+            ),
+        )
+        self._tunnels = _tunneling.PeerTunnels(
+            settings, self._directory, self._reachability, self._metrics
         )
         self._permits = coordination.SharedPermits(
             self._directory.rates,
@@ -229,10 +231,6 @@
             rng,
             self._metrics,
         )
-        self._metrics.add_gauge(
-            'event_loop_lag_seconds',
-            lambda: self._directory.loop_lag.average_seconds,
-        )
         self._metrics.add_gauge(
             'ended_batches_age_seconds',
             lambda: (
@@ -241,19 +239,9 @@
                 else 0.0
             ),
         )
-        self._metrics.add_gauge(
-            'cut_off_services',
-            lambda: len(self._reachability.list_cut_off()),
-        )
-        self._directory.leaving_servers.listen(
-            lambda _, source: self._metrics.count(
-                'leaving_servers', source=source
-            )
-        )
-        self._directory.rates.listen(
-            lambda _: self._metrics.count('rate_limited_servers')
+        _inspection.observe_servers(
+            self._metrics, self._directory, self._reachability, suspects
         )
-        suspects.listen(lambda: self._metrics.count('server_crashes'))
         self._dump = self._build_dump()
 
     async def run(self) -> None:
@@ -273,9 +261,7 @@
         _inspection.InspectionEndpoints(self._metrics, self._dump).add_routes(
             peer_app
         )
-        self._tunnels = _listening.open_tunnels(
-            self._settings, self._is_server
-        )
+        self._tunnels.open()
         datagrams = _listening.open_datagrams(self._settings)
         self._origins.connect(datagrams)
         self._coordinator.connect(datagrams)
@@ -309,9 +295,7 @@
             ):
                 tasks.start_soon(task)
             tasks.start_soon(peer_listener.serve, peer_app)
-            if self._tunnels is not None:
-                self._tunnels.listen(self._record_tunnel)
-                tasks.start_soon(self._tunnels.run)
+            tasks.start_soon(self._tunnels.run)
             async with anyio.create_task_group() as caller_tasks:
                 caller_tasks.start_soon(
                     caller_listener.serve, _ingress.IngressApp(self._ingress)
@@ -378,7 +362,7 @@
             *self._members.newest_coordinator,
             self._directory.rates.list_statements(),
             self._feed_sync.list_watch_ages(),
-            self._tunnels.port if self._tunnels is not None else 0,
+            self._tunnels.port,
             self._reachability.list_cut_off(),
         )
 
@@ -386,17 +370,6 @@
         lease = self._coordinator.lease
         return lease is not None and lease.remaining_seconds() > 0
 
-    def _is_server(self, address: str) -> bool:
-        return self._directory.find_address(address) is not None
-
-    def _record_tunnel(
-        self, address: str, outcome: tunnels.TunnelOutcome
-    ) -> None:
-        self._metrics.count('tunnels', outcome=outcome.value)
-        server = self._directory.find_address(address)
-        if server is not None and outcome in FAILED_CONNECTIONS:
-            self._reachability.suspect(server.report.service)
-
     def _is_store_unreachable(self) -> bool:
         """Return whether neither this VM nor a peer reaches the store."""
         return not (
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -27,12 +27,6 @@
 STREAM_TIMEOUT_SECONDS = 30.0
 
 
-# Sends a request with a client, which determines the path.
-Send = collections.abc.Callable[
-    [web.DirectClient], collections.abc.Awaitable[httpx.Response]
-]
-
-
 class _Model(msgspec.Struct):
     name: str
     version: int
@@ -56,25 +50,18 @@
     ----------
     peers : PeerClients
         HTTP clients of the process.
-    reachability : Reachability, optional
-        Learns from each request whether the service is reachable.
-    peer_paths : PeerPaths, optional
-        Lead to servers of services that this VM does not reach.
+    paths : ServerPaths, optional
+        Chooses the path of each request; by default, the direct one.
     """
 
-    __slots__ = ('_control_peers', '_peer_paths', '_peers', '_reachability')
+    __slots__ = ('_control_peers', '_paths')
 
     def __init__(
         self,
         peers: web.PeerClients,
-        reachability: backends.Reachability | None = None,
-        peer_paths: backends.PeerPaths | None = None,
+        paths: backends.ServerPaths | None = None,
     ) -> None:
-        self._peers = peers
-        self._peer_paths = peer_paths or backends.NoPeerPaths()
-        self._reachability = reachability or backends.Reachability(
-            lambda service: ()
-        )
+        self._paths = paths or backends.ServerPaths(peers)
         # Responses to control requests carry no request id. These requests use
         # connections of their own, because a server may send an unsolicited
         # second response on the connections of other requests.
@@ -83,7 +70,7 @@
     async def call(
         self, server: backends.BackendServer, call: backends.ServiceCall
     ) -> backends.ServiceResponse:
-        with self._reachability.track(server) as exchange:
+        with self._paths.reachability.track(server) as exchange:
             response = await self._send_call(
                 server, call, call.timeout_seconds, 'call', exchange
             )
@@ -112,7 +99,7 @@
         ]
         if position.number != backends.NO_EVENT:
             headers.append((_names.LAST_EVENT_ID_HEADER, str(position.number)))
-        with self._reachability.track(server) as exchange:
+        with self._paths.reachability.track(server) as exchange:
             response = await self._send_call(
                 server,
                 msgspec.structs.replace(call, headers=headers),
@@ -144,7 +131,7 @@
                 body = await backends.read_body(response, server.name)
                 yield backends.StreamEvent(backends.NO_EVENT, '', frame=body)
                 return
-            with self._reachability.track(server) as exchange:
+            with self._paths.reachability.track(server) as exchange:
                 exchange.is_sent = True
                 async for event in _read_events(response, server, exchange):
                     yield _events.insert_version(event, known_version)
@@ -176,26 +163,7 @@
         )
 
     async def is_crashed(self, server: backends.BackendServer) -> bool:
-        host, _, port = server.address.rpartition(':')
-        try:
-            with anyio.fail_after(CONTROL_TIMEOUT_SECONDS):
-                stream = await anyio.connect_tcp(host, int(port))
-        except TimeoutError:
-            return False
-        except OSError:
-            # Refused by the server, or on the way to it.
-            return await self._is_refused_by_peers(server)
-        await stream.aclose()
-        return False
-
-    async def _is_refused_by_peers(
-        self, server: backends.BackendServer
-    ) -> bool:
-        for path in self._peer_paths.select(server):
-            is_refused = await path.is_refused()
-            if is_refused is not None:
-                return is_refused
-        return not self._reachability.is_cut_off(server.report.service)
+        return await self._paths.is_crashed(server)
 
     async def generate(
         self,
@@ -211,7 +179,7 @@
         ]
         if after_number >= 0:
             headers.append((_names.LAST_EVENT_ID_HEADER, str(after_number)))
-        with self._reachability.track(server) as exchange:
+        with self._paths.reachability.track(server) as exchange:
             response = await self._send(
                 server,
                 exchange,
@@ -313,7 +281,7 @@
         headers = [('content-type', 'application/json')] if content else []
         with (
             anyio.move_on_after(CONTROL_TIMEOUT_SECONDS),
-            self._reachability.track(server) as exchange,
+            self._paths.reachability.track(server) as exchange,
         ):
             response = await self._send(
                 server,
@@ -390,9 +358,9 @@
         sent_at = server.read_rate_clock()
         with backends.translate_errors('call', server.name):
             if peers is not None:
-                response = await self._send_directly(server, peers, send)
+                response = await self._paths.send_directly(server, peers, send)
             else:
-                response = await self._send_on_any_path(
+                response = await self._paths.send(
                     server, exchange, request_id, send
                 )
         exchange.record_contact()
@@ -400,60 +368,6 @@
         _responses.record_rate_limit(response, server, request_id, sent_at)
         return response
 
-    async def _send_directly(
-        self,
-        server: backends.BackendServer,
-        peers: web.PeerClients,
-        send: Send,
-    ) -> httpx.Response:
-        try:
-            return await send(peers.get_direct(server.address))
-        except web.UNSENT_ERRORS:
-            self._reachability.suspect(server.report.service)
-            raise
-
-    async def _send_on_any_path(
-        self,
-        server: backends.BackendServer,
-        exchange: backends.Exchange,
-        request_id: str,
-        send: Send,
-    ) -> httpx.Response:
-        """Send a request directly, or through a peer if it cannot be sent."""
-        if not self._reachability.is_cut_off(server.report.service):
-            with exchange.connect():
-                try:
-                    return await send(self._peers.get_direct(server.address))
-                except (*web.UNSENT_ERRORS, errors.PathAbandoned):
-                    if not await self._reachability.confirm(
-                        server.report.service
-                    ):
-                        raise
-        for path in self._peer_paths.select(server):
-            LOG.info(
-                'sending the request through a peer',
-                extra={
-                    'request_id': request_id,
-                    'server': server.name,
-                    'via': path.peer,
-                },
-            )
-            try:
-                exchange.resume()
-                return await send(path.client)
-            except web.UNSENT_ERRORS as error:
-                LOG.info(
-                    'the peer does not connect to the server: %s',
-                    error,
-                    extra={'server': server.name, 'via': path.peer},
-                )
-                path.record_failure()
-        raise errors.BackendUnreachable(
-            'this VM is cut off from the service, and so are its peers',
-            step='call',
-            peer=server.name,
-        )
-
 
 def _make_deadline_headers(deadline: float) -> list[tuple[str, str]]:
     """Return the header with what is left until a deadline, if there is one.
