Cut VMs off from servers in the soak

The soak impaired the link of a server for all VMs, never those of a VM to all servers, so that no run met the case. A VM's process now starts through soak/edge.py, with the options of deploy/system.toml; its new connections to all servers, or to those of the plain service, hang or are refused for up to 6 s while open ones live on. One to all VMs are cut at once. All checks of the soak hold for them as ever.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -69,6 +69,7 @@
             'hang up': self._rewrite_settings,
             'store link': self._impair_store_link,
             'server link': self._impair_server_link,
+            'strand VMs': self._strand_vms,
             'reset links': self._reset_links,
             'store': self._inject_store_fault,
             'history': self._compact_history,
@@ -194,6 +195,24 @@
         self._deployment.links[name].mode = links.LinkMode.OPEN
         return f'{name} {mode.value}'
 
+    async def _strand_vms(self) -> str:
+        """Cut some or all VMs off from all servers, or those of a service."""
+        vms = self._rng.sample(
+            self._deployment.vms,
+            self._rng.randint(1, len(self._deployment.vms)),
+        )
+        names = self._rng.choice(
+            [self._deployment.links, self._deployment.plain]
+        )
+        addresses = [self._deployment.links[name].address for name in names]
+        refuses = self._rng.random() < 0.5
+        for vm in vms:
+            vm.cut_off(addresses, refuses)
+        await anyio.sleep(self._draw_seconds(6.0))
+        for vm in vms:
+            vm.reconnect()
+        return f'{len(vms)} VMs, {"refused" if refuses else "hanging"}'
+
     async def _reset_links(self) -> str:
         all_links = [
             *(vm.store_link for vm in self._deployment.vms),
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -1,5 +1,6 @@
 """The deployment of a run: VM processes, stand-ins and proxied links."""
 
+import json
 import os
 import pathlib
 import random
@@ -12,6 +13,7 @@
 import anyio
 import anyio.abc
 
+from soak import edge
 from soak import links
 from swiftjunction import standins
 from swiftjunction import web
@@ -19,7 +21,7 @@
 ROOT = pathlib.Path(__file__).parents[1]
 # The roles run without site-packages (-S), so its folder is passed on.
 MODULE_PATH = os.pathsep.join(
-    [str(ROOT / 'src'), sysconfig.get_path('purelib')]
+    [str(ROOT / 'src'), str(ROOT), sysconfig.get_path('purelib')]
 )
 HOST = 'callers.example'
 MODEL = 'model-a'
@@ -135,6 +137,7 @@
         self.ends_expected = False
         self._folder = folder
         self._settings = folder / f'{self.name}.conf'
+        self._cut = folder / f'{self.name}.cut'
 
     @property
     def front_address(self) -> str:
@@ -162,6 +165,7 @@
         """Start the process of the role ``edge`` in ``deploy/system.toml``."""
         deployment = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         _, *arguments = deployment['roles']['edge']['run'].split(' ')
+        arguments[arguments.index(edge.EDGE_MODULE)] = edge.__name__
         self.start_count += 1
         self.ends_expected = False
         with (self._folder / f'{self.name}.log').open('ab') as log:
@@ -174,9 +178,22 @@
                     'PATH': os.environ['PATH'],
                     'PYTHONPATH': MODULE_PATH,
                     'SWIFTJUNCTION_NODE_FILE': str(self._settings),
+                    edge.CUT_FILE_VARIABLE: str(self._cut),
                 },
             )
 
+    def cut_off(self, addresses: list[str], refuses: bool) -> None:
+        """Cut new connections to servers until :meth:`reconnect`."""
+        content = json.dumps({'addresses': addresses, 'refuses': refuses})
+        # Written whole, as the process reads it at any time.
+        draft = self._cut.with_suffix('.draft')
+        draft.write_text(content)
+        draft.replace(self._cut)
+
+    def reconnect(self) -> None:
+        """Let the VM reach the servers again."""
+        self._cut.unlink(missing_ok=True)
+
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it still runs."""
         if self.process is not None and self.process.poll() is None:
