--- a/src/swiftjunction/coordination/_fitness.py
+++ b/src/swiftjunction/coordination/_fitness.py
@@ -3,13 +3,16 @@
 import abc
 import collections.abc
 
+import anyio
+
 from swiftjunction import backends
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _peer_paths
 from swiftjunction import tunnels
 
-# Peers, and servers of each service, that are asked for a successor.
-MAX_PEERS_ASKED = 3
+# Peers, and servers of each service, that are asked for a successor. Other
+# VMs of a data centre may be cut off as well.
+MAX_PEERS_ASKED = 6
 MAX_SERVERS_ASKED = 2
 
 
@@ -105,26 +108,32 @@
 
     async def find_successor(self) -> _members.Member | None:
         engines = self._find_engines()
-        for tunnel in self._members.list_duty_tunnels(engines)[
-            :MAX_PEERS_ASKED
-        ]:
-            reached = [
-                await self._reaches(tunnel, found)
-                for found in engines.values()
-            ]
-            if all(reached):
+        candidates = self._members.list_duty_tunnels(engines)
+        asked = candidates[:MAX_PEERS_ASKED]
+        unreached: set[str] = set()
+        # At the same time: a peer that is cut off itself is slow to say so.
+        async with anyio.create_task_group() as tasks:
+            for tunnel in asked:
+                for servers in engines.values():
+                    tasks.start_soon(_check_peer, tunnel, servers, unreached)
+        for tunnel in asked:
+            if tunnel.member.name not in unreached:
                 return tunnel.member
         return None
 
-    async def _reaches(
-        self, tunnel: _members.Tunnel, servers: list[backends.BackendServer]
-    ) -> bool:
-        for server in servers[:MAX_SERVERS_ASKED]:
-            outcome = await tunnels.probe(
-                tunnel.address,
-                server.address,
-                _peer_paths.PROBE_TIMEOUT_SECONDS,
-            )
-            if outcome is tunnels.TunnelOutcome.CONNECTED:
-                return True
-        return False
+
+async def _check_peer(
+    tunnel: _members.Tunnel,
+    servers: list[backends.BackendServer],
+    unreached: set[str],
+) -> None:
+    """Add a peer to `unreached` if it connects to none of the servers."""
+    for server in servers[:MAX_SERVERS_ASKED]:
+        outcome = await tunnels.probe(
+            tunnel.address,
+            server.address,
+            _peer_paths.PROBE_TIMEOUT_SECONDS,
+        )
+        if outcome is tunnels.TunnelOutcome.CONNECTED:
+            return
+    unreached.add(tunnel.member.name)
