Split entries and statuses of VMs, and access to batches, from longer modules

Messages of VMs about themselves are in coordination/_statuses.py, access to the coordinator's batches in coordination/_access.py.

--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -1,5 +1,6 @@
 """Membership, coordinator election and shared state of a deployment's VMs."""
 
+from swiftjunction.coordination._access import CoordinatorAccess
 from swiftjunction.coordination._app import PeerApp
 from swiftjunction.coordination._coordinator import Coordinator
 from swiftjunction.coordination._coordinator import CoordinatorTask
@@ -13,9 +14,6 @@
 from swiftjunction.coordination._feed import SharedFeed
 from swiftjunction.coordination._fitness import DutyFitness
 from swiftjunction.coordination._fitness import EngineFitness
-from swiftjunction.coordination._members import Member
-from swiftjunction.coordination._members import MEMBER_PREFIX
-from swiftjunction.coordination._members import MemberStatus
 from swiftjunction.coordination._members import MemberTable
 from swiftjunction.coordination._origins import SharedOrigins
 from swiftjunction.coordination._outages import OutageProbe
@@ -28,6 +26,9 @@
 from swiftjunction.coordination._polling import PeerPoller
 from swiftjunction.coordination._relaying import FailoverStore
 from swiftjunction.coordination._sharing import FeedSync
+from swiftjunction.coordination._statuses import Member
+from swiftjunction.coordination._statuses import MEMBER_PREFIX
+from swiftjunction.coordination._statuses import MemberStatus
 from swiftjunction.coordination._stored_origins import OriginArchive
 from swiftjunction.coordination._watching import PeerMonitor
 
@@ -35,6 +36,7 @@
     'Catalog',
     'ControlLoops',
     'Coordinator',
+    'CoordinatorAccess',
     'CoordinatorTask',
     'DeploymentEvents',
     'DeploymentReader',
--- a/src/swiftjunction/coordination/_app.py
+++ b/src/swiftjunction/coordination/_app.py
@@ -10,11 +10,11 @@
 import starlette.routing
 
 from swiftjunction import batches
-from swiftjunction.coordination import _members
 from swiftjunction.coordination import _messages
 from swiftjunction.coordination import _peer
 from swiftjunction.coordination import _permits
 from swiftjunction.coordination import _sharing
+from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import objectstore
 
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        get_status: collections.abc.Callable[[], _members.MemberStatus],
+        get_status: collections.abc.Callable[[], _statuses.MemberStatus],
         direct: objectstore.ObjectStore,
         feed_sync: _sharing.FeedSync,
         get_batch_access: collections.abc.Callable[
--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -11,6 +11,7 @@
 from swiftjunction.coordination import _datagrams
 from swiftjunction.coordination import _fitness
 from swiftjunction.coordination import _members
+from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import leases
 
@@ -116,7 +117,7 @@
         # Set when a peer has offered the duty to this VM.
         self._invited = anyio.Event()
         # The peer to which this VM hands its duty over.
-        self._successor: _members.Member | None = None
+        self._successor: _statuses.Member | None = None
         # Since when no coordinator was known.
         self._vacant_since = math.inf
         self._keeper = keeper
@@ -280,7 +281,7 @@
             return
 
     async def _hand_over(
-        self, lease: leases.Lease, successor: _members.Member
+        self, lease: leases.Lease, successor: _statuses.Member
     ) -> None:
         settle_seconds = self._task.compute_settle_seconds()
         try:
--- a/src/swiftjunction/coordination/_deployment.py
+++ b/src/swiftjunction/coordination/_deployment.py
@@ -6,8 +6,8 @@
 
 from swiftjunction import backends
 from swiftjunction import batches
-from swiftjunction.coordination import _members
 from swiftjunction.coordination import _peer
+from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import objectstore
@@ -49,8 +49,8 @@
         Why the VM's status could not be read; empty if it was.
     """
 
-    member: _members.Member
-    status: _members.MemberStatus | None
+    member: _statuses.Member
+    status: _statuses.MemberStatus | None
     problem: str = ''
 
 
@@ -76,15 +76,15 @@
 
     async def list_vms(self) -> list[VmReport]:
         """Return all registered VMs, sorted by name."""
-        found = await self._store.list(_members.MEMBER_PREFIX)
+        found = await self._store.list(_statuses.MEMBER_PREFIX)
         members = [
-            objectstore.decode_value(item, _members.Member)
+            objectstore.decode_value(item, _statuses.Member)
             for item in found.changed
         ]
         members.sort(key=lambda member: member.name)
         return [await self._poll(member) for member in members]
 
-    async def _poll(self, member: _members.Member) -> VmReport:
+    async def _poll(self, member: _statuses.Member) -> VmReport:
         client = _peer.PeerClient(self._peers, member.address)
         try:
             return VmReport(member, await _peer.fetch_status(client))
--- a/src/swiftjunction/coordination/_fitness.py
+++ b/src/swiftjunction/coordination/_fitness.py
@@ -8,6 +8,7 @@
 from swiftjunction import backends
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _peer_paths
+from swiftjunction.coordination import _statuses
 from swiftjunction import tunnels
 
 # Peers, and servers of each service, that are asked for a successor. Other
@@ -30,7 +31,7 @@
         """Find out whether this VM can coordinate."""
 
     @abc.abstractmethod
-    async def find_successor(self) -> _members.Member | None:
+    async def find_successor(self) -> _statuses.Member | None:
         """Return a peer that was found to be able to coordinate, if any."""
 
 
@@ -45,7 +46,7 @@
     async def confirm(self) -> bool:
         return True
 
-    async def find_successor(self) -> _members.Member | None:
+    async def find_successor(self) -> _statuses.Member | None:
         return None
 
 
@@ -106,7 +107,7 @@
         }
         return {service: found for service, found in engines.items() if found}
 
-    async def find_successor(self) -> _members.Member | None:
+    async def find_successor(self) -> _statuses.Member | None:
         engines = self._find_engines()
         candidates = self._members.list_duty_tunnels(engines)
         asked = candidates[:MAX_PEERS_ASKED]
@@ -123,7 +124,7 @@
 
 
 async def _check_peer(
-    tunnel: _members.Tunnel,
+    tunnel: _statuses.Tunnel,
     servers: list[backends.BackendServer],
     unreached: set[str],
 ) -> None:
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from swiftjunction import backends
+from swiftjunction.coordination import _statuses
 from swiftjunction.coordination import _view
 from swiftjunction import errors
 from swiftjunction import membership
@@ -15,7 +15,6 @@
 
 LOG = logging.getLogger(__name__)
 
-MEMBER_PREFIX = 'members/'
 # Maximum number of VM addresses given to a caller.
 MAX_CALLER_ADDRESSES = 64
 # Two, so that a single unanswered poll does not make a VM unreachable.
@@ -30,99 +29,10 @@
 CONVERGENCE_SECONDS = 0.6
 
 
-class Member(msgspec.Struct, frozen=True):
-    """The entry by which a VM registers itself in the object store.
-
-    Attributes
-    ----------
-    address : str
-        ``ip:port`` for peers.
-    front : str
-        ``ip:port`` for callers.
-    run : str
-        Identifies one run of the process; each start generates a new one.
-    processor_cores : float
-        Processor time that the VM provides, in cores.
-    """
-
-    name: str
-    address: str
-    front: str
-    data_center: str
-    region: str
-    run: str
-    processor_cores: float = 0.0
-
-
-class MemberStatus(msgspec.Struct, frozen=True):
-    """The status with which a VM answers the polls of its peers.
-
-    Attributes
-    ----------
-    state : str
-        ``starting``, ``live`` or ``draining``.
-    fencing_token : int
-        The fencing token of the lease under which the VM coordinates, or 0 if
-        it is not the coordinator.
-    lease_seconds : float
-        How long the VM may still act under that lease, in seconds.
-    lease_version : int
-        The version of the lease's object, or 0 without the lease.
-    reaches_store : bool
-        Whether the VM reaches the object store directly.
-    revisions : dict of str to int
-        For each prefix, the revision up to which the VM has all changes.
-    ages : dict of str to float
-        For each prefix, the seconds for which changes may be missing: those
-        since a response of the store showed that there were no others.
-    coordinator : str
-        The name of the VM with the highest fencing token known; empty if none
-        is.
-    coordinator_token : int
-        That fencing token, or 0 if none is known.
-    rates : list of RateStatement
-        The request limits of servers that the VM knows.
-    watch_ages : dict of str to float
-        For each prefix, the seconds since the VM, or a peer that it copies
-        from, had a watch that had not failed.
-    tunnel_port : int
-        The port at which the VM serves tunnels to backend servers; 0 if it
-        serves none.
-    cut_off : list of str
-        The services of which the VM reaches no server.
-    """
-
-    name: str
-    run: str
-    state: str
-    fencing_token: int = 0
-    lease_seconds: float = 0.0
-    lease_version: int = 0
-    reaches_store: bool = False
-    revisions: dict[str, int] = {}
-    ages: dict[str, float] = {}
-    coordinator: str = ''
-    coordinator_token: int = 0
-    rates: list[backends.RateStatement] = []
-    watch_ages: dict[str, float] = {}
-    tunnel_port: int = 0
-    cut_off: list[str] = []
-
-
-class Tunnel(msgspec.Struct, frozen=True):
-    """A peer that serves tunnels, and its ``ip:port`` for them."""
-
-    member: Member
-    address: str
-
-
-StatusSource = collections.abc.Callable[[], MemberStatus]
-
-
 class _ReceivedStatus(msgspec.Struct, frozen=True):
     """A peer's status, and when it arrived on the table's clock."""
 
-    status: MemberStatus
+    status: _statuses.MemberStatus
     at: float
 
 
@@ -135,7 +45,7 @@
 
     Parameters
     ----------
-    own : Member
+    own : _statuses.Member
         The entry of this VM.
     clock : callable
         Returns monotonic time in seconds.
@@ -158,13 +68,13 @@
 
     def __init__(
         self,
-        own: Member,
+        own: _statuses.Member,
         clock: collections.abc.Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
         self.own = own
         self._clock = clock
-        self._members: dict[str, Member] = {own.name: own}
+        self._members: dict[str, _statuses.Member] = {own.name: own}
         # All VMs by rank; computed on demand, empty after a change.
         self._ranking: list[str] = []
         self._statuses: dict[str, _ReceivedStatus] = {}
@@ -179,7 +89,7 @@
     def apply_entry(self, found: objectstore.Object) -> None:
         """Add or update a VM from its entry in the object store."""
         try:
-            member = objectstore.decode_value(found, Member)
+            member = objectstore.decode_value(found, _statuses.Member)
         except errors.ObjectBroken as error:
             LOG.warning('ignoring an invalid member entry: %s', error)
             return
@@ -196,7 +106,7 @@
 
     def remove_entry(self, key: str) -> None:
         """Remove a VM whose entry was deleted from the object store."""
-        name = key.removeprefix(MEMBER_PREFIX)
+        name = key.removeprefix(_statuses.MEMBER_PREFIX)
         if name == self.own.name:
             self._registered_at = None
         elif name in self._members:
@@ -242,7 +152,7 @@
             or self._clock() - self._registered_at > CONVERGENCE_SECONDS
         )
 
-    def select_peers(self) -> list[Member]:
+    def select_peers(self) -> list[_statuses.Member]:
         """Return the peers to poll in this round."""
         unreachable = {
             name for name in self._failures if self.is_unreachable(name)
@@ -252,7 +162,7 @@
         )
         return [self._members[n] for n in selected if n in self._members]
 
-    def record_status(self, status: MemberStatus) -> None:
+    def record_status(self, status: _statuses.MemberStatus) -> None:
         """Record the status with which a peer answered."""
         if _is_unreachable(self._failures.pop(status.name, 0)):
             LOG.info('peer is reachable again', extra={'peer': status.name})
@@ -297,11 +207,13 @@
                 'peer is unreachable', extra={'peer': name, 'refused': unsent}
             )
 
-    def list_peers(self) -> list[Member]:
+    def list_peers(self) -> list[_statuses.Member]:
         """Return all registered VMs except this one."""
         return [m for m in self._members.values() if m is not self.own]
 
-    def list_statuses(self) -> collections.abc.Iterator[MemberStatus]:
+    def list_statuses(
+        self,
+    ) -> collections.abc.Iterator[_statuses.MemberStatus]:
         """Yield the recent statuses of reachable peers."""
         oldest = self._clock() - MAX_STATUS_AGE_SECONDS
         for name, received in self._statuses.items():
@@ -312,11 +224,11 @@
         """Return whether the last polls of a peer were not answered."""
         return _is_unreachable(self._failures.get(name, 0))
 
-    def find(self, name: str) -> Member | None:
+    def find(self, name: str) -> _statuses.Member | None:
         """Return the entry of a VM, or None if it is not registered."""
         return self._members.get(name)
 
-    def find_reachable_coordinator(self) -> Member | None:
+    def find_reachable_coordinator(self) -> _statuses.Member | None:
         """Return the reachable peer that coordinates, or None.
 
         Its lease may have expired. Of several, the one with the highest
@@ -343,7 +255,7 @@
         versions = [r.status.lease_version for r in self._statuses.values()]
         return max(versions, default=0)
 
-    def list_relays(self) -> list[Member]:
+    def list_relays(self) -> list[_statuses.Member]:
         """Return the reachable peers that reach the object store directly."""
         return [
             self._members[status.name]
@@ -351,10 +263,10 @@
             if status.reaches_store and status.name in self._members
         ]
 
-    def list_tunnels(self, service: str) -> list[Tunnel]:
+    def list_tunnels(self, service: str) -> list[_statuses.Tunnel]:
         """Return the peers that may reach a service and serve tunnels."""
         return [
-            Tunnel(member, f'{_get_host(member)}:{status.tunnel_port}')
+            _statuses.Tunnel(member, f'{member.host}:{status.tunnel_port}')
             for status in self.list_statuses()
             for member in [self._members.get(status.name)]
             if member is not None
@@ -365,7 +277,7 @@
 
     def list_duty_tunnels(
         self, services: collections.abc.Collection[str]
-    ) -> list[Tunnel]:
+    ) -> list[_statuses.Tunnel]:
         """Return the peers that may reach all services, by their rank."""
         reaching = [
             {t.member.name: t for t in self.list_tunnels(service)}
@@ -457,12 +369,3 @@
                 status.name: status for status in self.list_statuses()
             },
         }
-
-
-def _get_host(member: Member) -> str:
-    return member.address.rpartition(':')[0]
-
-
-def encode_member(member: Member) -> bytes:
-    """Return the stored value of a VM's entry."""
-    return msgspec.json.encode(member)
--- a/src/swiftjunction/coordination/_origins.py
+++ b/src/swiftjunction/coordination/_origins.py
@@ -15,6 +15,7 @@
 
 from swiftjunction.coordination import _datagrams
 from swiftjunction.coordination import _members
+from swiftjunction.coordination import _statuses
 from swiftjunction.coordination import _stored_origins
 from swiftjunction import requests
 
@@ -89,7 +90,7 @@
 
     __slots__ = ('ended', 'origin', 'unanswered')
 
-    def __init__(self, peers: list[_members.Member]) -> None:
+    def __init__(self, peers: list[_statuses.Member]) -> None:
         self.unanswered = {peer.address for peer in peers}
         self.ended = anyio.Event()
         self.origin: requests.StreamOrigin | None = None
@@ -206,7 +207,7 @@
     def _is_valid_id(self, request_id: str) -> bool:
         return 0 < len(request_id) <= requests.MAX_REQUEST_ID_CHARS
 
-    def _begin_call(self, peers: list[_members.Member]) -> tuple[int, _Call]:
+    def _begin_call(self, peers: list[_statuses.Member]) -> tuple[int, _Call]:
         self._call_number += 1
         call = self._calls[self._call_number] = _Call(peers)
         return self._call_number, call
@@ -215,7 +216,7 @@
         self,
         message: msgspec.Struct,
         call: _Call,
-        peers: list[_members.Member],
+        peers: list[_statuses.Member],
         timeouts_seconds: collections.abc.Iterable[float],
     ) -> None:
         """Send a message until the call has ended, or time is up."""
@@ -263,7 +264,7 @@
         assert self._datagrams is not None
         await self._datagrams.send(message, sender)
 
-    def _select_replicas(self, request_id: str) -> list[_members.Member]:
+    def _select_replicas(self, request_id: str) -> list[_statuses.Member]:
         """Return the peers that record an origin.
 
         The first ones for the id, but one of another data centre if there is
@@ -277,7 +278,7 @@
 
     def _iter_peers(
         self, request_id: str
-    ) -> collections.abc.Iterator[_members.Member]:
+    ) -> collections.abc.Iterator[_statuses.Member]:
         """Yield the peers that may be reachable, the first for the id first.
 
         VMs with the same members have the same order.
--- a/src/swiftjunction/coordination/_peer.py
+++ b/src/swiftjunction/coordination/_peer.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from swiftjunction import batches
-from swiftjunction.coordination import _members
 from swiftjunction.coordination import _messages
+from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction import web
@@ -210,8 +210,8 @@
 
 async def fetch_status(
     peer: PeerClient, timeout_seconds: float = CALL_TIMEOUT_SECONDS
-) -> _members.MemberStatus:
+) -> _statuses.MemberStatus:
     """Return the status of a peer."""
     return await peer.call(
-        _messages.STATUS_PATH, None, _members.MemberStatus, timeout_seconds
+        _messages.STATUS_PATH, None, _statuses.MemberStatus, timeout_seconds
     )
--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -17,6 +17,7 @@
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _peer
 from swiftjunction.coordination import _sharing
+from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import web
 
@@ -47,7 +48,7 @@
     """Datagram that answers a :class:`StatusQuery`."""
 
     round_number: int
-    status: _members.MemberStatus
+    status: _statuses.MemberStatus
 
 
 class PeerPoller:
@@ -86,7 +87,7 @@
         peers: web.PeerClients,
         members: _members.MemberTable,
         feed_sync: _sharing.FeedSync,
-        get_status: _members.StatusSource,
+        get_status: _statuses.StatusSource,
         rates: backends.ServerRates | None = None,
     ) -> None:
         self._rates = rates
@@ -99,7 +100,7 @@
         self._get_status = get_status
         self._round_number = 0
         # The peers polled in this round that have not answered, by name.
-        self._unanswered: dict[str, _members.Member] = {}
+        self._unanswered: dict[str, _statuses.Member] = {}
 
     async def run(self) -> None:
         """Poll the selected peers in rounds, until cancelled."""
@@ -143,7 +144,7 @@
             self._unanswered.pop(reply.status.name, None)
             self._record_status(reply.status)
 
-    async def _poll_over_http(self, member: _members.Member) -> None:
+    async def _poll_over_http(self, member: _statuses.Member) -> None:
         client = _peer.PeerClient(self._peers, member.address)
         try:
             status = await _peer.fetch_status(client, HTTP_TIMEOUT_SECONDS)
@@ -156,7 +157,7 @@
             if status.name == member.name:
                 self._record_status(status)
 
-    def _record_status(self, status: _members.MemberStatus) -> None:
+    def _record_status(self, status: _statuses.MemberStatus) -> None:
         self._members.record_status(status)
         self._feed_sync.record_status(status)
         if self._rates is not None:
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -17,6 +17,7 @@
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _messages
 from swiftjunction.coordination import _peer
+from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction import web
@@ -142,7 +143,7 @@
             if feed.watched_at > -math.inf
         }
 
-    def record_status(self, status: _members.MemberStatus) -> None:
+    def record_status(self, status: _statuses.MemberStatus) -> None:
         """Record the copies that a peer has, according to its status."""
         now = self._clock()
         for prefix, feed in self._feeds.items():
--- /dev/null
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -0,0 +1,108 @@
+"""What VMs tell each other of themselves: their entries and statuses."""
+
+import collections.abc
+
+import msgspec
+
+from swiftjunction import backends
+
+MEMBER_PREFIX = 'members/'
+
+
+class Member(msgspec.Struct, frozen=True):
+    """The entry by which a VM registers itself in the object store.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port`` for peers.
+    front : str
+        ``ip:port`` for callers.
+    run : str
+        Identifies one run of the process; each start generates a new one.
+    processor_cores : float
+        Processor time that the VM provides, in cores.
+    """
+
+    name: str
+    address: str
+    front: str
+    data_center: str
+    region: str
+    run: str
+    processor_cores: float = 0.0
+
+    @property
+    def host(self) -> str:
+        """Return the IP address for peers."""
+        return self.address.rpartition(':')[0]
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """The status with which a VM answers the polls of its peers.
+
+    Attributes
+    ----------
+    state : str
+        ``starting``, ``live`` or ``draining``.
+    fencing_token : int
+        The fencing token of the lease under which the VM coordinates, or 0 if
+        it is not the coordinator.
+    lease_seconds : float
+        How long the VM may still act under that lease, in seconds.
+    lease_version : int
+        The version of the lease's object, or 0 without the lease.
+    reaches_store : bool
+        Whether the VM reaches the object store directly.
+    revisions : dict of str to int
+        For each prefix, the revision up to which the VM has all changes.
+    ages : dict of str to float
+        For each prefix, the seconds for which changes may be missing: those
+        since a response of the store showed that there were no others.
+    coordinator : str
+        The name of the VM with the highest fencing token known; empty if none
+        is.
+    coordinator_token : int
+        That fencing token, or 0 if none is known.
+    rates : list of RateStatement
+        The request limits of servers that the VM knows.
+    watch_ages : dict of str to float
+        For each prefix, the seconds since the VM, or a peer that it copies
+        from, had a watch that had not failed.
+    tunnel_port : int
+        The port at which the VM serves tunnels to backend servers; 0 if it
+        serves none.
+    cut_off : list of str
+        The services of which the VM reaches no server.
+    """
+
+    name: str
+    run: str
+    state: str
+    fencing_token: int = 0
+    lease_seconds: float = 0.0
+    lease_version: int = 0
+    reaches_store: bool = False
+    revisions: dict[str, int] = {}
+    ages: dict[str, float] = {}
+    coordinator: str = ''
+    coordinator_token: int = 0
+    rates: list[backends.RateStatement] = []
+    watch_ages: dict[str, float] = {}
+    tunnel_port: int = 0
+    cut_off: list[str] = []
+
+
+class Tunnel(msgspec.Struct, frozen=True):
+    """A peer that serves tunnels, and its ``ip:port`` for them."""
+
+    member: Member
+    address: str
+
+
+StatusSource = collections.abc.Callable[[], MemberStatus]
+
+
+def encode_member(member: Member) -> bytes:
+    """Return the stored value of a VM's entry."""
+    return msgspec.json.encode(member)
--- a/src/swiftjunction/coordination/_watching.py
+++ b/src/swiftjunction/coordination/_watching.py
@@ -7,6 +7,7 @@
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _polling
 from swiftjunction.coordination import _sharing
+from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import objectstore
 
@@ -46,7 +47,7 @@
         self._feed_sync = feed_sync
         self._poller = poller
         self._feed = feed_sync.add(
-            _members.MEMBER_PREFIX,
+            _statuses.MEMBER_PREFIX,
             objectstore.CallbackListener(
                 members.apply_entry, members.remove_entry
             ),
@@ -67,7 +68,7 @@
 
     async def _register(self) -> None:
         own = self._members.own
-        key = _members.MEMBER_PREFIX + own.name
+        key = _statuses.MEMBER_PREFIX + own.name
         while True:
             try:
                 await _write_entry(self._store, key, own)
@@ -86,7 +87,7 @@
         if not self._members.is_registered():
             await self._register()
         for name in self._members.list_expired():
-            key = _members.MEMBER_PREFIX + name
+            key = _statuses.MEMBER_PREFIX + name
             try:
                 found = await self._store.read(key)
                 await self._store.delete(key, found.version)
@@ -106,9 +107,9 @@
 
 
 async def _write_entry(
-    store: objectstore.ObjectStore, key: str, member: _members.Member
+    store: objectstore.ObjectStore, key: str, member: _statuses.Member
 ) -> None:
-    value = _members.encode_member(member)
+    value = _statuses.encode_member(member)
     try:
         await objectstore.create_or_confirm(store, key, value)
     except errors.RevisionConflict:
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -42,7 +42,7 @@
 METRICS_PORT = 9464
 
 
-class EdgeProgram(batches.AccessList):
+class EdgeProgram:
     """Creates, connects and runs the components of the edge process.
 
     Parameters
@@ -220,7 +220,14 @@
             _batch_calls.BatchCalls(
                 self._active_routes,
                 self._archive,
-                batches.FailoverAccess(self),
+                batches.FailoverAccess(
+                    coordination.CoordinatorAccess(
+                        self._find_runner,
+                        self._members,
+                        self._clients,
+                        self._archive,
+                    )
+                ),
                 rng,
                 self._metrics,
             ),
@@ -395,20 +402,6 @@
             return None
         return batches.RunnerAccess(self._runner, self._archive)
 
-    def list_accesses(self) -> list[batches.BatchAccess]:
-        accesses: list[batches.BatchAccess] = []
-        runner = self._find_runner()
-        coordinator = self._members.find_reachable_coordinator()
-        if runner is not None:
-            accesses.append(runner)
-        elif coordinator is not None:
-            accesses.append(
-                coordination.PeerBatchAccess(
-                    coordination.PeerClient(self._clients, coordinator.address)
-                )
-            )
-        return [*accesses, batches.ArchiveAccess(self._archive)]
-
     def _build_dump(self) -> telemetry.StateDump:
         dump = telemetry.StateDump()
         dump.add('status', self._build_status)
--- a/tests/cover/test_coordination_outages.py
+++ b/tests/cover/test_coordination_outages.py
@@ -6,9 +6,9 @@
 import pytest
 
 from swiftjunction import coordination
-from swiftjunction.coordination import _members
 from swiftjunction.coordination import _messages
 from swiftjunction.coordination import _sharing
+from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import objectstore
 from tests import conftest
@@ -42,7 +42,7 @@
         )
         members.apply_entry(
             objectstore.Object(
-                f'members/{peer.name}', 1, _members.encode_member(peer)
+                f'members/{peer.name}', 1, _statuses.encode_member(peer)
             )
         )
         if reached:
--- a/tests/cover/test_coordination_permits.py
+++ b/tests/cover/test_coordination_permits.py
@@ -8,8 +8,8 @@
 
 from swiftjunction import backends
 from swiftjunction import coordination
-from swiftjunction.coordination import _members
 from swiftjunction.coordination import _permits
+from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import membership
 from swiftjunction import objectstore
@@ -34,7 +34,7 @@
             )
             self.members.apply_entry(
                 objectstore.Object(
-                    f'members/{entry.name}', 1, _members.encode_member(entry)
+                    f'members/{entry.name}', 1, _statuses.encode_member(entry)
                 )
             )
         self.directory = backends.Directory(membership.RecordTable(), clock)
