Give each VM of the tests a port of its own for tunnels

A VM's tunnels took the first free port after the one for peers, which could be one that another VM of the same test had reserved, as ports are reserved without listening: that VM then was never ready. Seen twice, each time as test_a_stalled_peer_does_not_stall_callers ended in wait_until_ready, in runs of several test files. The next port is now held as well; 31 tests of tunnels and stranded VMs ran with it.

--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -3,20 +3,20 @@
 import base64
 import contextlib
 import json
+import socket
 
 import anyio
 import httpx
 
 from swiftjunction.platform import _program
 from swiftjunction import standins
+from swiftjunction.standins import _ports
 from swiftjunction import web
 
 HOST = 'callers.example'
 SERVICE = 'plain'
 ENGINES = 'engines'
 MODEL = 'model-a'
-# Ports after the one for peers of which one, that is free, serves tunnels.
-PEER_PORTS = 16
 
 
 def make_config(version=1, **timeouts):
@@ -108,6 +108,24 @@
     }
 
 
+# Hold the ports for tunnels until the process ends.
+_tunnel_ports = []
+
+
+def reserve_peer_port():
+    """Return a free port whose next one is free as well, for tunnels."""
+    while True:
+        (port,) = standins.reserve_ports(1)
+        with socket.socket() as probe:
+            try:
+                # Fails if any test holds it, unlike with SO_REUSEADDR.
+                probe.bind(('127.0.0.1', port + 1))
+            except (OSError, OverflowError):
+                continue
+        _tunnel_ports.append(_ports.hold_port('127.0.0.1', port + 1))
+        return port
+
+
 class PlatformDeployment:
     """A store, two plain servers, two engines and some VMs.
 
@@ -188,9 +206,10 @@
 
     def write_settings(self, name):
         """Write the settings file of a VM, as the platform does."""
-        names = ('front', 'readiness', 'directory', 'peer')
+        names = ('front', 'readiness', 'directory')
         reserved = standins.reserve_ports(len(names))
         ports = dict(zip(names, reserved, strict=True))
+        ports['peer'] = reserve_peer_port()
         self.ports[name] = ports
         path = self._folder / f'{name}.conf'
         lines = [
@@ -201,7 +220,7 @@
             f'bind.front={self.vm_ip}:{ports["front"]}',
             f'bind.readiness={self.vm_ip}:{ports["readiness"]}',
             f'bind.directory={self.vm_ip}:{ports["directory"]}',
-            f'port_range={ports["peer"]},{ports["peer"] + PEER_PORTS}',
+            f'port_range={ports["peer"]},{ports["peer"] + 1}',
             f'provider.address={self.store_address}',
             'bounds.grace_s=3',
             'bounds.require_fencing=true',
