Take an invalid address of a server for an unreachable one

From operators: one malformed message took a whole process down. An entry of a server with a port out of range made the check of its service raise an exception group that nothing handled, in a task of the process: shown with can_connect and with a tunnel's probe at 127.0.0.1:99999. Addresses are now parsed in one place, web.parse_address, and an invalid one is unreachable.

--- a/src/swiftjunction/backends/_reachability.py
+++ b/src/swiftjunction/backends/_reachability.py
@@ -15,6 +15,7 @@
 
 from swiftjunction.backends import _server
 from swiftjunction import errors
+from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
 
@@ -389,10 +390,10 @@
 
 async def can_connect(address: str, timeout_seconds: float) -> bool:
     """Return whether a server accepts a connection within the timeout."""
-    host, _, port = address.rpartition(':')
     with anyio.move_on_after(timeout_seconds):
         try:
-            stream = await anyio.connect_tcp(host, int(port))
+            host, port = web.parse_address(address)
+            stream = await anyio.connect_tcp(host, port)
         except (OSError, ValueError):
             return False
         await stream.aclose()
--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import contextlib
 import logging
 import math
 
@@ -291,9 +292,11 @@
             # It expires.
             LOG.info("cannot release the coordinator's lease: %s", error)
         if self._datagrams is not None:
-            await self._datagrams.send(
-                DutyOffer(lease.fencing_token), successor.address
-            )
+            # An invalid address is the peer's fault, which then gets no offer.
+            with contextlib.suppress(ValueError):
+                await self._datagrams.send(
+                    DutyOffer(lease.fencing_token), successor.address
+                )
         await anyio.sleep(HAND_OVER_PAUSE_SECONDS)
 
     async def _run_task(self, lease: leases.Lease) -> None:
--- a/src/swiftjunction/tunnels/_client.py
+++ b/src/swiftjunction/tunnels/_client.py
@@ -21,8 +21,7 @@
     """
 
     def __init__(self, tunnel_address: str) -> None:
-        self._host, _, port = tunnel_address.rpartition(':')
-        self._port = int(port)
+        self._address = tunnel_address
         self._backend = httpcore.AnyIOBackend()
 
     async def connect_tcp(
@@ -59,8 +58,12 @@
         httpcore.ConnectError
             If the peer does not answer as one that serves tunnels.
         """
+        try:
+            host, port = web.parse_address(self._address)
+        except ValueError as error:
+            raise httpcore.ConnectError(str(error)) from error
         stream = await self._backend.connect_tcp(
-            self._host, self._port, socket_options=socket_options
+            host, port, socket_options=socket_options
         )
         try:
             await stream.write(
--- a/src/swiftjunction/tunnels/_server.py
+++ b/src/swiftjunction/tunnels/_server.py
@@ -120,11 +120,11 @@
             return _messages.TunnelOutcome.UNKNOWN_SERVER, None
         if self._tunnels >= MAX_TUNNELS:
             return _messages.TunnelOutcome.BUSY, None
-        host, _, port = address.rpartition(':')
         try:
+            host, port = web.parse_address(address)
             with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
-                server = await anyio.connect_tcp(host, int(port))
-        except TimeoutError:
+                server = await anyio.connect_tcp(host, port)
+        except (TimeoutError, ValueError):
             return _messages.TunnelOutcome.UNREACHABLE, None
         except OSError as error:
             # anyio raises an OSError of its own from that of the system.
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP servers on hypercorn and HTTP clients on httpx."""
 
+from swiftjunction.web._addresses import parse_address
 from swiftjunction.web._bodies import SHORT_BODY
 from swiftjunction.web._clients import create_client
 from swiftjunction.web._clients import DirectClient
@@ -47,6 +48,7 @@
     'describe_error',
     'format_event',
     'open_listener',
+    'parse_address',
     'read_bearer_token',
     'respond_error',
     'respond_json',
--- a/tests/cover/test_backends_reachability.py
+++ b/tests/cover/test_backends_reachability.py
@@ -163,3 +163,11 @@
         await anyio.sleep(0.3)
         tasks.cancel_scope.cancel()
     assert scene.connections == 0
+
+
+@pytest.mark.parametrize(
+    'address', ['', 'x', '127.0.0.1:', '127.0.0.1:99999', '127.0.0.1:-1']
+)
+async def test_an_invalid_address_of_a_server_ends_no_check(address):
+    # Another writer may have stored the entry of the server.
+    assert not await _reachability.can_connect(address, 0.3)
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -246,3 +246,12 @@
         with pytest.raises(httpx.ConnectError):
             await client.fetch('GET', '/a')
         tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('address', ['', 'x', '127.0.0.1:99999'])
+async def test_an_invalid_address_of_a_peer_or_server_is_unreachable(address):
+    assert await tunnels.probe(address, '127.0.0.1:1', 0.3) is None
+    async with run_scene() as scene:
+        scene.listed.add(address)
+        outcome = await tunnels.probe(scene.tunnel, address, 1.0)
+    assert outcome is tunnels.TunnelOutcome.UNREACHABLE
