Avoid a peer for two seconds through which a request failed

A peer that is cut off itself, and awaits nothing, does not know it yet: requests that were sent through its open tunnels hung one after the other until their attempts timed out, and the same peer was chosen again. Any request through a peer that gets no response now makes other peers come first for two seconds, by when its status says so.

--- a/src/swiftjunction/backends/_peer_paths.py
+++ b/src/swiftjunction/backends/_peer_paths.py
@@ -32,7 +32,7 @@
 
     @abc.abstractmethod
     def record_failure(self) -> None:
-        """Record that the peer did not connect to the server."""
+        """Record that a request through the peer got no response."""
 
 
 class PeerPaths(abc.ABC):
--- a/src/swiftjunction/backends/_server_paths.py
+++ b/src/swiftjunction/backends/_server_paths.py
@@ -90,6 +90,10 @@
                     extra={'server': server.name, 'via': path.peer},
                 )
                 path.record_failure()
+            except BaseException:
+                # Also a timeout of the attempt: the peer may be cut off, too.
+                path.record_failure()
+                raise
         raise errors.BackendUnreachable(
             'this VM is cut off from the service, and so are its peers',
             step='call',
@@ -115,11 +119,11 @@
         If this VM's are, a peer's must be, too, unless no peer can tell: they
         may have been refused on the way to the server.
         """
-        host, _, port = server.address.rpartition(':')
         try:
+            host, port = web.parse_address(server.address)
             with anyio.fail_after(CHECK_TIMEOUT_SECONDS):
-                stream = await anyio.connect_tcp(host, int(port))
-        except TimeoutError:
+                stream = await anyio.connect_tcp(host, port)
+        except (TimeoutError, ValueError):
             return False
         except OSError:
             return await self._is_refused_by_peers(server)
--- a/src/swiftjunction/coordination/_peer_paths.py
+++ b/src/swiftjunction/coordination/_peer_paths.py
@@ -1,7 +1,9 @@
 """Paths to backend servers through peers that reach them."""
 
 import collections
+import collections.abc
 import random
+import time
 
 from swiftjunction import backends
 from swiftjunction.coordination import _members
@@ -12,6 +14,8 @@
 # Each has the idle connections to one server through one peer.
 MAX_CLIENTS = 512
 PROBE_TIMEOUT_SECONDS = 0.4
+# By then a peer that is cut off itself says so in its status.
+AVOIDANCE_SECONDS = 2.0
 
 
 class TunnelPath(backends.PeerPath):
@@ -46,7 +50,7 @@
         )
 
     def record_failure(self) -> None:
-        self._paths.forget_choice(self._server_address, self.peer)
+        self._paths.avoid(self.peer)
 
 
 class TunnelPaths(backends.PeerPaths):
@@ -58,15 +62,30 @@
         The peers, with the services that each one cannot reach.
     rng : random.Random
         Spreads the tunnels over the peers.
+    clock : callable
+        Returns monotonic time in seconds.
     """
 
-    __slots__ = ('_choices', '_clients', '_members', '_rng')
+    __slots__ = (
+        '_avoided_until',
+        '_choices',
+        '_clients',
+        '_clock',
+        '_members',
+        '_rng',
+    )
 
     def __init__(
-        self, members: _members.MemberTable, rng: random.Random
+        self,
+        members: _members.MemberTable,
+        rng: random.Random,
+        clock: collections.abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self._members = members
         self._rng = rng
+        self._clock = clock
+        # Peers through which a request failed, and until when to avoid them.
+        self._avoided_until: dict[str, float] = {}
         # The peer last chosen for the server at an address: connections
         # through it may be open.
         self._choices: dict[str, str] = {}
@@ -90,6 +109,7 @@
         # Peers of this data centre are more likely to be cut off as well.
         candidates.sort(
             key=lambda tunnel: (
+                self._is_avoided(tunnel.member.name),
                 tunnel.member.name != chosen,
                 tunnel.member.region != own.region,
                 tunnel.member.data_center == own.data_center,
@@ -104,10 +124,12 @@
             for tunnel in candidates[:MAX_PEERS_TRIED]
         ]
 
-    def forget_choice(self, server_address: str, peer: str) -> None:
-        """Choose another peer for a server, if this one was chosen."""
-        if self._choices.get(server_address) == peer:
-            del self._choices[server_address]
+    def avoid(self, peer: str) -> None:
+        """Choose other peers for a while, if there are any."""
+        self._avoided_until[peer] = self._clock() + AVOIDANCE_SECONDS
+
+    def _is_avoided(self, peer: str) -> bool:
+        return self._avoided_until.get(peer, 0.0) > self._clock()
 
     def get_client(
         self, tunnel_address: str, server_address: str
