Close a tunnel connection without a request quietly, and blame a peer only for it

Found by reading the diff. A connection to the port for tunnels that sent nothing for a second was logged as an unhandled error with a traceback, as a variable had no value yet: a wrong record, once for each such connection. The time for the request now covers reading it alone, and ends it without a line. test_a_connection_without_a_request_is_closed failed before.

A request that was refused before it was sent, as its batch had ended or its server was leaving, made its peer avoided for two seconds. Only a broken response or a cancelled attempt does now. What is known of avoided peers no longer grows with each peer that ever failed.

--- a/src/swiftjunction/backends/_server_paths.py
+++ b/src/swiftjunction/backends/_server_paths.py
@@ -90,8 +90,9 @@
                     extra={'server': server.name, 'via': path.peer},
                 )
                 path.record_failure()
-            except BaseException:
-                # Also a timeout of the attempt: the peer may be cut off, too.
+            except (httpx.HTTPError, anyio.get_cancelled_exc_class()):
+                # An attempt that times out is cancelled. The peer may have
+                # been cut off, too.
                 path.record_failure()
                 raise
         raise errors.BackendUnreachable(
--- a/src/swiftjunction/coordination/_peer_paths.py
+++ b/src/swiftjunction/coordination/_peer_paths.py
@@ -126,7 +126,13 @@
 
     def avoid(self, peer: str) -> None:
         """Choose other peers for a while, if there are any."""
-        self._avoided_until[peer] = self._clock() + AVOIDANCE_SECONDS
+        now = self._clock()
+        self._avoided_until = {
+            name: until
+            for name, until in self._avoided_until.items()
+            if until > now
+        }
+        self._avoided_until[peer] = now + AVOIDANCE_SECONDS
 
     def _is_avoided(self, peer: str) -> bool:
         return self._avoided_until.get(peer, 0.0) > self._clock()
@@ -145,5 +151,4 @@
         if len(self._clients) > MAX_CLIENTS:
             # Its idle connections are closed as they are collected.
             self._clients.popitem(last=False)
-            self._choices.clear()
         return client
--- a/src/swiftjunction/tunnels/_server.py
+++ b/src/swiftjunction/tunnels/_server.py
@@ -84,7 +84,8 @@
         async with peer:
             try:
                 await self._serve_tunnel(peer)
-            except (*BROKEN, anyio.EndOfStream, anyio.IncompleteRead):
+            except (*BROKEN, anyio.EndOfStream):
+                # A TimeoutError, too, is an OSError.
                 LOG.debug('a tunnel broke before it was open')
             except (msgspec.MsgspecError, ValueError) as error:
                 LOG.warning('ignoring an invalid tunnel request: %s', error)
@@ -94,15 +95,13 @@
 
     async def _serve_tunnel(self, peer: anyio.abc.SocketStream) -> None:
         _set_options(peer)
-        with anyio.move_on_after(REQUEST_TIMEOUT_SECONDS):
+        with anyio.fail_after(REQUEST_TIMEOUT_SECONDS):
             address = await _read_address(peer)
-            outcome, server = await self._connect(address)
-            for listener in self._listeners:
-                listener(address, outcome)
-            if server is None:
-                await _send_reply(peer, outcome)
-                return
+        outcome, server = await self._connect(address)
+        for listener in self._listeners:
+            listener(address, outcome)
         if server is None:
+            await _send_reply(peer, outcome)
             return
         self._tunnels += 1
         try:
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -255,3 +255,15 @@
         scene.listed.add(address)
         outcome = await tunnels.probe(scene.tunnel, address, 1.0)
     assert outcome is tunnels.TunnelOutcome.UNREACHABLE
+
+
+async def test_a_connection_without_a_request_is_closed(monkeypatch, caplog):
+    monkeypatch.setattr(
+        'swiftjunction.tunnels._server.REQUEST_TIMEOUT_SECONDS', 0.1
+    )
+    async with run_scene() as scene:
+        host, _, port = scene.tunnel.partition(':')
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            with anyio.fail_after(1.0), pytest.raises(anyio.EndOfStream):
+                await stream.receive()
+    assert 'unhandled error' not in caplog.text
