Use plain names, and split the status and exchanges from longer modules

Read as a newcomer would: the tests of VMs that are cut off are named so; failures of a path are cleared, not forgiven; the listener of cuts feeds a counter of its own, as a cut may be shorter than the interval at which a gauge is read. The edge program and backends/_reachability.py are shorter by _status.py and _exchange.py.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -69,7 +69,7 @@
             'hang up': self._rewrite_settings,
             'store link': self._impair_store_link,
             'server link': self._impair_server_link,
-            'strand VMs': self._strand_vms,
+            'cut VMs off': self._cut_vms_off,
             'reset links': self._reset_links,
             'store': self._inject_store_fault,
             'history': self._compact_history,
@@ -195,7 +195,7 @@
         self._deployment.links[name].mode = links.LinkMode.OPEN
         return f'{name} {mode.value}'
 
-    async def _strand_vms(self) -> str:
+    async def _cut_vms_off(self) -> str:
         """Cut some or all VMs off from all servers, or those of a service."""
         vms = self._rng.sample(
             self._deployment.vms,
--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -7,6 +7,7 @@
 from swiftjunction.backends._engine import EngineCall
 from swiftjunction.backends._engine import EngineClient
 from swiftjunction.backends._engine import ORDER_TIMEOUT_SECONDS
+from swiftjunction.backends._exchange import Exchange
 from swiftjunction.backends._http import read_load
 from swiftjunction.backends._http import translate_errors
 from swiftjunction.backends._lapses import DelayedRemoval
@@ -26,7 +27,6 @@
 from swiftjunction.backends._rates import RateStatement
 from swiftjunction.backends._rates import ServerRates
 from swiftjunction.backends._rates import UNLIMITED
-from swiftjunction.backends._reachability import Exchange
 from swiftjunction.backends._reachability import Reachability
 from swiftjunction.backends._report import ServerReport
 from swiftjunction.backends._server import BackendServer
--- a/src/swiftjunction/backends/_health.py
+++ b/src/swiftjunction/backends/_health.py
@@ -45,7 +45,7 @@
         self.failures = 0
         self._ejected_until = 0.0
 
-    def forgive_failures(self) -> None:
+    def clear_failures(self) -> None:
         """End an ejection that was due to the path to the server."""
         if self.failures:
             self.failures = 0
--- a/src/swiftjunction/backends/_reachability.py
+++ b/src/swiftjunction/backends/_reachability.py
@@ -13,8 +13,8 @@
 
 import anyio
 
+from swiftjunction.backends import _exchange
 from swiftjunction.backends import _server
-from swiftjunction import errors
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -49,86 +49,7 @@
 SelectServers = collections.abc.Callable[
     [str], collections.abc.Iterable[_server.BackendServer]
 ]
-Listener = collections.abc.Callable[[str, bool], None]
-
-
-class Exchange:
-    """A request that is sent to a server directly.
-
-    Attributes
-    ----------
-    service : str
-        Service of the server.
-    is_sent : bool
-        Whether its first byte may have been sent.
-    is_abandoned : bool
-        Whether its connection is given up; it must not be sent on it then.
-    """
-
-    __slots__ = (
-        '_clock',
-        '_contacts',
-        '_scope',
-        'began',
-        'is_abandoned',
-        'is_sent',
-        'service',
-    )
-
-    def __init__(
-        self,
-        service: str,
-        contacts: dict[str, float],
-        clock: collections.abc.Callable[[], float],
-    ) -> None:
-        self.service = service
-        self.is_sent = False
-        self.is_abandoned = False
-        self.began = clock()
-        self._clock = clock
-        self._contacts = contacts
-        self._scope: anyio.CancelScope | None = None
-
-    def record_contact(self) -> None:
-        """Record that the server has sent something."""
-        self._contacts[self.service] = self._clock()
-
-    @contextlib.contextmanager
-    def connect(self) -> collections.abc.Iterator[anyio.CancelScope]:
-        """Return a scope that is cancelled if the service is cut off.
-
-        It is not once `is_sent` is set.
-        """
-        with anyio.CancelScope() as scope:
-            self._scope = scope
-            try:
-                yield scope
-            finally:
-                self._scope = None
-
-    def begin_sending(self, peer: str) -> None:
-        """Record that the first byte is sent next.
-
-        Raises
-        ------
-        PathAbandoned
-            If it must not be, as the connection has been given up.
-        """
-        if self.is_abandoned:
-            raise errors.PathAbandoned(
-                'this VM was found to be cut off', step='send', peer=peer
-            )
-        self.is_sent = True
-
-    def resume(self) -> None:
-        """Use another path, after the direct one was given up."""
-        self.is_abandoned = False
-
-    def abandon(self) -> None:
-        """Cancel the scope of :meth:`connect`, unless something was sent."""
-        if self._scope is not None and not self.is_sent:
-            self.is_abandoned = True
-            self._scope.cancel()
+Listener = collections.abc.Callable[[str], None]
 
 
 class _Service:
@@ -192,13 +113,13 @@
         self._services: dict[str, _Service] = {}
         # When a server of the service last sent something.
         self._contacts: dict[str, float] = {}
-        self._exchanges: dict[Exchange, None] = {}
+        self._exchanges: dict[_exchange.Exchange, None] = {}
         self._listeners: list[Listener] = []
         self._suspected: set[str] = set()
         self._wake = anyio.Event()
 
     def listen(self, listener: Listener) -> None:
-        """Call `listener` with each service that is cut off, or no longer."""
+        """Call `listener` with each service that is found to be cut off."""
         self._listeners.append(listener)
 
     def is_cut_off(self, service: str) -> bool:
@@ -213,9 +134,11 @@
     @contextlib.contextmanager
     def track(
         self, server: _server.BackendServer
-    ) -> collections.abc.Iterator[Exchange]:
+    ) -> collections.abc.Iterator[_exchange.Exchange]:
         """Watch over a request that is sent directly within the context."""
-        exchange = Exchange(server.report.service, self._contacts, self._clock)
+        exchange = _exchange.Exchange(
+            server.report.service, self._contacts, self._clock
+        )
         self._exchanges[exchange] = None
         self._wake.set()
         try:
@@ -281,6 +204,7 @@
             if server.accepts_requests()
         ]
         if not servers:
+            # Nobody can tell, and there is nothing to reach.
             self._schedule(state, CHECK_PAUSE_SECONDS)
             self._set_cut_off(service, state, False)
             return
@@ -364,13 +288,14 @@
         self._wake.set()
         # The failures of these servers were failures of the path to them.
         for server in self._select_servers(service):
-            server.forgive_failures()
+            server.clear_failures()
+        if not is_cut_off:
+            return
         for listener in self._listeners:
-            listener(service, is_cut_off)
-        if is_cut_off:
-            for exchange in list(self._exchanges):
-                if exchange.service == service:
-                    exchange.abandon()
+            listener(service)
+        for exchange in list(self._exchanges):
+            if exchange.service == service:
+                exchange.abandon()
 
     def _schedule(self, state: _Service, seconds: float) -> None:
         state.next_check_at = self._clock() + seconds
--- a/src/swiftjunction/backends/_server.py
+++ b/src/swiftjunction/backends/_server.py
@@ -296,9 +296,9 @@
         self.health.record_failure()
         self.limit.record_failure()
 
-    def forgive_failures(self) -> None:
+    def clear_failures(self) -> None:
         """End an ejection, as the path to the server has failed, not it."""
-        self.health.forgive_failures()
+        self.health.clear_failures()
 
     def mark_leaving(self) -> None:
         """Mark the server as no longer accepting new requests."""
--- a/src/swiftjunction/backends/_server_paths.py
+++ b/src/swiftjunction/backends/_server_paths.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 
+from swiftjunction.backends import _exchange
 from swiftjunction.backends import _peer_paths
 from swiftjunction.backends import _reachability
 from swiftjunction.backends import _server
@@ -52,7 +53,7 @@
     async def send(
         self,
         server: _server.BackendServer,
-        exchange: _reachability.Exchange,
+        exchange: _exchange.Exchange,
         request_id: str,
         send: Send,
     ) -> httpx.Response:
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -1,6 +1,7 @@
 """Membership, coordinator election and shared state of a deployment's VMs."""
 
 from swiftjunction.coordination._access import CoordinatorAccess
+from swiftjunction.coordination._access import list_store_relays
 from swiftjunction.coordination._app import PeerApp
 from swiftjunction.coordination._coordinator import Coordinator
 from swiftjunction.coordination._coordinator import CoordinatorTask
@@ -64,4 +65,5 @@
     'StoreCrashRegistry',
     'TunnelPaths',
     'VmReport',
+    'list_store_relays',
 ]
--- a/src/swiftjunction/coordination/_access.py
+++ b/src/swiftjunction/coordination/_access.py
@@ -1,10 +1,11 @@
-"""Access to batches at the coordinator, wherever it runs."""
+"""Access through peers to batches and to the object store."""
 
 import collections.abc
 
 from swiftjunction import batches
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _peer
+from swiftjunction import objectstore
 from swiftjunction import web
 
 
@@ -47,3 +48,13 @@
             client = _peer.PeerClient(self._peers, coordinator.address)
             accesses.append(_peer.PeerBatchAccess(client))
         return [*accesses, batches.ArchiveAccess(self._archive)]
+
+
+def list_store_relays(
+    members: _members.MemberTable, peers: web.PeerClients
+) -> list[objectstore.ObjectStore]:
+    """Return clients of the object store through the peers that reach it."""
+    return [
+        _peer.PeerStore(_peer.PeerClient(peers, member.address))
+        for member in members.list_relays()
+    ]
--- a/src/swiftjunction/platform/_inspection.py
+++ b/src/swiftjunction/platform/_inspection.py
@@ -62,6 +62,8 @@
     metrics.add_gauge(
         'cut_off_services', lambda: len(reachability.list_cut_off())
     )
+    # A cut may be shorter than the interval at which the gauge is read.
+    reachability.listen(lambda _: metrics.count('service_cuts'))
     directory.leaving_servers.listen(
         lambda _, source: metrics.count('leaving_servers', source=source)
     )
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -14,7 +14,6 @@
 from swiftjunction import batches
 from swiftjunction import coordination
 from swiftjunction import membership
-from swiftjunction import objectstore
 from swiftjunction.platform import _batch_calls
 from swiftjunction.platform import _election
 from swiftjunction.platform import _feeds
@@ -23,6 +22,7 @@
 from swiftjunction.platform import _listening
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
+from swiftjunction.platform import _status
 from swiftjunction.platform import _store
 from swiftjunction.platform import _tunneling
 from swiftjunction.platform import _workers
@@ -86,7 +86,10 @@
         )
         self._direct = _store.PlatformStore(self._clients, settings.store)
         self._store = coordination.FailoverStore(
-            self._direct, self._list_relays
+            self._direct,
+            lambda: coordination.list_store_relays(
+                self._members, self._clients
+            ),
         )
         self._feed_sync = coordination.FeedSync(
             self._store, self._clients, self._members
@@ -198,6 +201,16 @@
                 self._members,
             ),
         )
+        self._status_source = _status.StatusSource(
+            self._members,
+            self._coordinator,
+            self._store,
+            self._feed_sync,
+            self._directory,
+            self._tunnels,
+            self._reachability,
+            lambda: self._state,
+        )
         self._origins = coordination.SharedOrigins(
             self._members,
             coordination.OriginArchive(self._store, self._members),
@@ -259,7 +272,7 @@
             web.bind_socket(self._settings.ip, self._metrics_port),
         )
         peer_app = coordination.PeerApp(
-            self._build_status,
+            self._status_source.build,
             self._store.direct,
             self._feed_sync,
             self._find_runner,
@@ -277,7 +290,7 @@
             self._clients,
             self._members,
             self._feed_sync,
-            self._build_status,
+            self._status_source.build,
             self._directory.rates,
         )
         LOG.info('started', extra={'front': self._settings.front})
@@ -351,28 +364,6 @@
                 else:
                     self._stopping.set()
 
-    def _build_status(self) -> coordination.MemberStatus:
-        lease = self._coordinator.lease
-        own = self._members.own
-        if lease is not None:
-            self._members.record_coordinator(own.name, lease.fencing_token)
-        return coordination.MemberStatus(
-            own.name,
-            own.run,
-            self._state,
-            lease.fencing_token if lease is not None else 0,
-            lease.remaining_seconds() if lease is not None else 0.0,
-            self._coordinator.lease_version,
-            self._store.reaches_directly(),
-            self._feed_sync.list_revisions(),
-            self._feed_sync.list_ages(),
-            *self._members.newest_coordinator,
-            self._directory.rates.list_statements(),
-            self._feed_sync.list_watch_ages(),
-            self._tunnels.port,
-            self._reachability.list_cut_off(),
-        )
-
     def _is_coordinator(self) -> bool:
         lease = self._coordinator.lease
         return lease is not None and lease.remaining_seconds() > 0
@@ -383,14 +374,6 @@
             self._store.reaches_directly() or self._members.list_relays()
         )
 
-    def _list_relays(self) -> list[objectstore.ObjectStore]:
-        return [
-            coordination.PeerStore(
-                coordination.PeerClient(self._clients, member.address)
-            )
-            for member in self._members.list_relays()
-        ]
-
     def _list_batch_services(self) -> set[str]:
         table = self._active_routes.table
         if table is None:
@@ -404,7 +387,7 @@
 
     def _build_dump(self) -> telemetry.StateDump:
         dump = telemetry.StateDump()
-        dump.add('status', self._build_status)
+        dump.add('status', self._status_source.build)
         dump.add('settings', lambda: self._settings)
         dump.add('members', self._members.summarize)
         dump.add('feeds', self._feed_sync.summarize)
--- /dev/null
+++ b/src/swiftjunction/platform/_status.py
@@ -0,0 +1,87 @@
+"""The status with which this VM answers the polls of its peers."""
+
+import collections.abc
+
+from swiftjunction import backends
+from swiftjunction import coordination
+from swiftjunction.platform import _tunneling
+
+
+class StatusSource:
+    """Builds this VM's status from its components.
+
+    Parameters
+    ----------
+    members : MemberTable
+        Names this VM, and the newest coordinator known.
+    coordinator : Coordinator
+        Tells whether this VM coordinates, and until when.
+    store : FailoverStore
+        Tells whether the object store is reachable directly.
+    feed_sync : FeedSync
+        The copies of stored objects, with their revisions and ages.
+    directory : Directory
+        The request limits of servers.
+    peer_tunnels : PeerTunnels
+        The tunnels that this VM serves.
+    reachability : Reachability
+        The services that this VM does not reach.
+    get_state : callable
+        Returns ``starting``, ``live`` or ``draining``.
+    """
+
+    __slots__ = (
+        '_coordinator',
+        '_directory',
+        '_feed_sync',
+        '_get_state',
+        '_members',
+        '_peer_tunnels',
+        '_reachability',
+        '_store',
+    )
+
+    def __init__(
+        self,
+        members: coordination.MemberTable,
+        coordinator: coordination.Coordinator,
+        store: coordination.FailoverStore,
+        feed_sync: coordination.FeedSync,
+        directory: backends.Directory,
+        peer_tunnels: _tunneling.PeerTunnels,
+        reachability: backends.Reachability,
+        get_state: collections.abc.Callable[[], str],
+    ) -> None:
+        self._members = members
+        self._coordinator = coordinator
+        self._store = store
+        self._feed_sync = feed_sync
+        self._directory = directory
+        self._peer_tunnels = peer_tunnels
+        self._reachability = reachability
+        self._get_state = get_state
+
+    def build(self) -> coordination.MemberStatus:
+        """Return the status now."""
+        lease = self._coordinator.lease
+        own = self._members.own
+        if lease is not None:
+            self._members.record_coordinator(own.name, lease.fencing_token)
+        coordinator, coordinator_token = self._members.newest_coordinator
+        return coordination.MemberStatus(
+            name=own.name,
+            run=own.run,
+            state=self._get_state(),
+            fencing_token=lease.fencing_token if lease is not None else 0,
+            lease_seconds=lease.remaining_seconds() if lease else 0.0,
+            lease_version=self._coordinator.lease_version,
+            reaches_store=self._store.reaches_directly(),
+            revisions=self._feed_sync.list_revisions(),
+            ages=self._feed_sync.list_ages(),
+            coordinator=coordinator,
+            coordinator_token=coordinator_token,
+            rates=self._directory.rates.list_statements(),
+            watch_ages=self._feed_sync.list_watch_ages(),
+            tunnel_port=self._peer_tunnels.port,
+            cut_off=self._reachability.list_cut_off(),
+        )
