--- a/tests/cover/test_cut_off_vms.py
+++ b/tests/cover/test_cut_off_vms.py
@@ -59,10 +59,10 @@
         assert await count_served(deployment, 'vm-1') == CALLERS_REQUESTS
         deployment.cut('vm-1', cut)
         await anyio.sleep(CONTACT_SECONDS)
-        cut_off = await count_served(deployment, 'vm-1')
+        served = await count_served(deployment, 'vm-1')
         others = await count_served(deployment, 'vm-2')
     assert others == CALLERS_REQUESTS
-    assert cut_off * 3 >= others * 2
+    assert served * 3 >= others * 2
 
 
 async def test_most_vms_without_servers_are_served_by_the_last_one(
@@ -86,13 +86,13 @@
     async with deployment.run(cut_off_deployment.VMS):
         deployment.cut('vm-1', cut)
         await anyio.sleep(CONTACT_SECONDS)
-        cut_off = await count_served(deployment, 'vm-1', '/once/a')
+        served = await count_served(deployment, 'vm-1', '/once/a')
         runs = [
             request_id
             for server in deployment.plain.values()
             for request_id, _ in server.runs
         ]
-    assert cut_off * 3 >= CALLERS_REQUESTS * 2
+    assert served * 3 >= CALLERS_REQUESTS * 2
     assert len(runs) == len(set(runs))
 
 
@@ -121,13 +121,13 @@
     deployment = cut_off_deployment.CutOffDeployment(tmp_path, monkeypatch)
     deployment.set_up_engines(event_seconds=0.05)
     async with deployment.run(cut_off_deployment.VMS):
-        cut_off = await deployment.wait_for_coordinator()
-        vm = next(v for v in cut_off_deployment.VMS if v != cut_off)
+        former = await deployment.wait_for_coordinator()
+        vm = next(v for v in cut_off_deployment.VMS if v != former)
         submitted = await deployment.submit(
             vm, 'b1', platform_deployment.make_batch()
         )
         await anyio.sleep(0.1)
-        deployment.cut(cut_off, cut)
+        deployment.cut(former, cut)
         results = await deployment.wait_for_results(vm, 'b1', 4, seconds=8)
     assert submitted.status_code == 202
     assert {result['state'] for result in results} == {'completed'}
@@ -138,9 +138,9 @@
 ):
     deployment = cut_off_deployment.CutOffDeployment(tmp_path, monkeypatch)
     async with deployment.run(cut_off_deployment.VMS):
-        cut_off = await deployment.wait_for_coordinator()
-        vm = next(v for v in cut_off_deployment.VMS if v != cut_off)
-        deployment.cut(cut_off, cut)
+        former = await deployment.wait_for_coordinator()
+        vm = next(v for v in cut_off_deployment.VMS if v != former)
+        deployment.cut(former, cut)
         deployment.store.put(
             'versions',
             platform_deployment.MODEL,
@@ -156,7 +156,7 @@
         batch = platform_deployment.make_batch(min_version=2)
         await deployment.submit(vm, 'b2', batch)
         results = await deployment.wait_for_results(vm, 'b2', 4)
-    assert coordinator not in (None, cut_off)
+    assert coordinator not in (None, former)
     assert {result['state'] for result in results} == {'completed'}
 
 
