Decode organisations, scaling limits and duty settings, and add a duty API client

The platform's path knew no key, organisation, usage report or server order: decode_routes read none of the fields, and the settings of the duty API and of revocation were ignored. This adds the interfaces that the parts share: the key table (digests only) and route flag, the limits of a service, the settings, the client of the duty API with its errors, a Duty that runs under the coordinator's lease, and a stand-in of that API that notes what a holder must never do. Nothing acts on them yet.

--- a/src/swiftjunction/backends/_report.py
+++ b/src/swiftjunction/backends/_report.py
@@ -33,6 +33,11 @@
         same name with another start time has lost its earlier state.
     software : str
         The version of its software; empty if not known.
+    is_spot : bool
+        Whether the platform may take it away at short notice.
+    leaves_seconds : float
+        The time until the platform takes it away, in seconds, when it was
+        reported; 0 if not known.
     """
 
     name: str
@@ -49,3 +54,5 @@
     slots: int = 0
     born_ms: int = 0
     software: str = ''
+    is_spot: bool = False
+    leaves_seconds: float = 0.0
--- a/src/swiftjunction/batches/_batch.py
+++ b/src/swiftjunction/batches/_batch.py
@@ -89,6 +89,9 @@
         the batch holds them.
     writer : str
         Unique for each write, to recognize a write whose response was lost.
+    organisation : str
+        The organisation that the batch belongs to; empty if it belongs to
+        none.
     """
 
     batch_id: str
@@ -108,6 +111,7 @@
     ended: bool = False
     parts: int = 0
     writer: str = ''
+    organisation: str = ''
 
 
 class Result(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -12,6 +12,7 @@
 from swiftjunction.coordination._deployment import VmReport
 from swiftjunction.coordination._duty import ControlLoops
 from swiftjunction.coordination._duty import DeploymentEvents
+from swiftjunction.coordination._duty import Duty
 from swiftjunction.coordination._feed import SharedFeed
 from swiftjunction.coordination._fitness import DutyFitness
 from swiftjunction.coordination._fitness import EngineFitness
@@ -41,6 +42,7 @@
     'CoordinatorTask',
     'DeploymentEvents',
     'DeploymentReader',
+    'Duty',
     'DutyFitness',
     'EngineFitness',
     'FailoverStore',
--- a/src/swiftjunction/coordination/_duty.py
+++ b/src/swiftjunction/coordination/_duty.py
@@ -40,6 +40,22 @@
         """
 
 
+class Duty(abc.ABC):
+    """Work that only the coordinator does, under its lease."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    async def run(self, lease: leases.Lease) -> None:
+        """Run until cancelled, also while the lease has expired.
+
+        Raises
+        ------
+        LeaseLost
+            If another VM is known to have become the coordinator.
+        """
+
+
 class ControlLoops(_coordinator.CoordinatorTask):
     """Runs batches, rolls out weight versions and acknowledges drains.
 
@@ -59,6 +75,8 @@
     order_gap_seconds : float
         Time between the orders of two successive coordinators, if the first
         one has handed its duty over.
+    duties : sequence of Duty
+        Further work of the coordinator.
 
     Attributes
     ----------
@@ -67,6 +85,7 @@
     """
 
     __slots__ = (
+        '_duties',
         '_events',
         '_list_services',
         '_order_gap_seconds',
@@ -84,7 +103,9 @@
         list_services: collections.abc.Callable[[], set[str]],
         predecessor_order_seconds: float,
         order_gap_seconds: float,
+        duties: collections.abc.Sequence[Duty] = (),
     ) -> None:
+        self._duties = duties
         self._runner = runner
         self._rollout = rollout
         self._events = events
@@ -109,6 +130,8 @@
                     self._rollout.set_target_version,
                 )
                 tasks.start_soon(self._events.acknowledge_drains)
+                for duty in self._duties:
+                    tasks.start_soon(duty.run, lease)
         finally:
             self.is_running = False
 
--- /dev/null
+++ b/src/swiftjunction/duties/__init__.py
@@ -0,0 +1,7 @@
+"""Calls to the platform that one VM at a time makes."""
+
+from swiftjunction.duties._api import DutyApi
+from swiftjunction.duties._api import ServerOrder
+from swiftjunction.duties._api import UsageReport
+
+__all__ = ['DutyApi', 'ServerOrder', 'UsageReport']
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -11,6 +11,7 @@
     'BackendUnreachable',
     'HistoryLost',
     'KeyRefused',
+    'KeyUnknown',
     'LeaseLost',
     'LinkError',
     'NotRun',
@@ -207,6 +208,12 @@
     status = 404
 
 
+class KeyUnknown(RequestInvalid):
+    """No organisation has the key of the request; send a valid one."""
+
+    status = 401
+
+
 class StepEnded(RequestError):
     """The trainer has acknowledged every sample of the step."""
 
--- /dev/null
+++ b/src/swiftjunction/organisations/__init__.py
@@ -0,0 +1,7 @@
+"""The organisations of callers, and the keys by which they are known."""
+
+from swiftjunction.organisations._confirmation import TableConfirmation
+from swiftjunction.organisations._keys import KeyTable
+from swiftjunction.organisations._keys import Organisation
+
+__all__ = ['KeyTable', 'Organisation', 'TableConfirmation']
--- /dev/null
+++ b/src/swiftjunction/organisations/_keys.py
@@ -0,0 +1,82 @@
+"""The organisations of a configuration, and their keys."""
+
+import collections.abc
+import hashlib
+import logging
+
+import msgspec
+
+LOG = logging.getLogger(__name__)
+
+KEY_DIGEST_BYTES = 16
+
+
+class Organisation(msgspec.Struct, frozen=True):
+    """An organisation whose callers share keys, priority and batches.
+
+    Attributes
+    ----------
+    rank : int or None
+        The priority of its requests, where 0 is the highest; None if the
+        routes decide.
+    """
+
+    name: str
+    rank: int | None = None
+
+
+class KeyTable:
+    """Finds the organisation of a key.
+
+    Only digests of the keys are kept, so that no dump or log shows a key. A
+    key of several organisations belongs to none of them, as it does not tell
+    whose request it is.
+
+    Parameters
+    ----------
+    organisations : iterable of (Organisation, iterable of str)
+        The organisations, each with its keys.
+    """
+
+    __slots__ = ('_by_digest', 'names')
+
+    def __init__(
+        self,
+        organisations: collections.abc.Iterable[
+            tuple[Organisation, collections.abc.Iterable[str]]
+        ],
+    ) -> None:
+        self.names: set[str] = set()
+        self._by_digest: dict[bytes, Organisation] = {}
+        ambiguous: set[bytes] = set()
+        for organisation, keys in organisations:
+            self.names.add(organisation.name)
+            for digest in {_compute_digest(key) for key in keys if key}:
+                if digest in self._by_digest:
+                    ambiguous.add(digest)
+                    LOG.error(
+                        'ignoring a key that several organisations have',
+                        extra={
+                            'organisations': [
+                                self._by_digest[digest].name,
+                                organisation.name,
+                            ]
+                        },
+                    )
+                self._by_digest[digest] = organisation
+        for digest in ambiguous:
+            del self._by_digest[digest]
+
+    def __len__(self) -> int:
+        """Return the number of keys."""
+        return len(self._by_digest)
+
+    def find(self, key: str) -> Organisation | None:
+        """Return the organisation that has `key`, or None."""
+        return self._by_digest.get(_compute_digest(key))
+
+
+def _compute_digest(key: str) -> bytes:
+    return hashlib.blake2b(
+        key.encode('utf-8', 'surrogateescape'), digest_size=KEY_DIGEST_BYTES
+    ).digest()
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -15,6 +15,7 @@
 from swiftjunction import coordination
 from swiftjunction import membership
 from swiftjunction.platform import _batch_calls
+from swiftjunction.platform import _duty_tasks
 from swiftjunction.platform import _election
 from swiftjunction.platform import _feeds
 from swiftjunction.platform import _ingress
@@ -188,6 +189,7 @@
             self._list_batch_services,
             0.0 if settings.checks_fencing else settings.lease_seconds,
             settings.lease_seconds,
+            _duty_tasks.build_duties(settings, self._clients),
         )
         self._coordinator = _election.build_coordinator(
             settings,
--- a/src/swiftjunction/platform/_schemas.py
+++ b/src/swiftjunction/platform/_schemas.py
@@ -7,8 +7,10 @@
 from swiftjunction import backends
 from swiftjunction import errors
 from swiftjunction import objectstore
+from swiftjunction import organisations
 from swiftjunction.platform import _names
 from swiftjunction import routes
+from swiftjunction import scaling
 
 SERVER_STATES = {'ready': 'live', 'draining': 'leaving'}
 ROUTE_KINDS = {
@@ -39,6 +41,9 @@
     capacity: int = 0
     models: list[_Model] = []
     born: int = 0
+    spot: bool = False
+    # Remaining time of a server that is to leave.
+    leaves_ms: float = 0.0
 
 
 class _ServiceShare(msgspec.Struct):
@@ -62,6 +67,26 @@
     single_version: bool = False
     due_ms: float = 0.0
     max_age_s: float = 0.0
+    public: bool = False
+
+
+class _Organisation(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Scaling(msgspec.Struct):
+    min: int = 0
+    max: int = 0
+    boot_time_s: float = 0.0
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
+
+
+class _Service(msgspec.Struct):
+    name: str
+    scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -73,6 +98,9 @@
     version: int
     routes: list[_Route]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Not given if requests carry no keys.
+    tenants: list[_Organisation] | None = None
+    services: list[_Service] = []
 
 
 class _ModelVersion(msgspec.Struct):
@@ -115,6 +143,8 @@
         slots=server.capacity,
         born_ms=server.born,
         software=server.version,
+        is_spot=server.spot,
+        leaves_seconds=server.leaves_ms / _names.MS_PER_SECOND,
     )
 
 
@@ -135,6 +165,37 @@
         config.version,
         [_convert_route(route) for route in config.routes],
         limits,
+        _convert_organisations(config),
+        [
+            _convert_scaling(service.name, service.scaling)
+            for service in config.services
+            if service.scaling is not None
+        ],
+    )
+
+
+def _convert_organisations(
+    config: _Config,
+) -> organisations.KeyTable | None:
+    if config.tenants is None:
+        return None
+    return organisations.KeyTable(
+        (
+            organisations.Organisation(found.name, found.priority),
+            found.api_keys,
+        )
+        for found in config.tenants
+    )
+
+
+def _convert_scaling(service: str, limits: _Scaling) -> scaling.ServiceScaling:
+    return scaling.ServiceScaling(
+        service=service,
+        min_servers=limits.min,
+        max_servers=limits.max,
+        boot_seconds=limits.boot_time_s,
+        spot_price=limits.spot_price,
+        prices=limits.zone_prices,
     )
 
 
@@ -160,6 +221,7 @@
         single_version=route.single_version,
         due_seconds=route.due_ms / _names.MS_PER_SECOND,
         max_age_seconds=route.max_age_s,
+        is_public=route.public,
     )
 
 
--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -42,6 +42,28 @@
         Whether engines refuse orders with old fencing tokens.
     processor_cores : float
         Processor time that this VM provides, in cores.
+    contact_seconds : float
+        How long a VM must have been without faults for time bounds to apply
+        to it, in seconds.
+    config_apply_seconds : float
+        Time from the acknowledgement of a configuration until it is in
+        effect, in seconds.
+    strict_revocation : bool
+        Whether each VM, in touch with the store or not, stops serving a
+        removed key within `revoke_seconds`.
+    revoke_seconds : float
+        Time from the acknowledgement of a configuration until keys that it
+        removes are no longer served, in seconds.
+    duty_api : str
+        ``ip:port`` of the platform's API for duties; empty if there is none.
+    duties : tuple of str
+        The duties that the platform asks for.
+    duties_per_second : float
+        Maximum rate of calls to that API, of all VMs together.
+    usage_window_seconds : float
+        Length of the windows of usage reports, in seconds.
+    usage_late_seconds : float
+        Time from the end of a window until its report is due, in seconds.
     """
 
     name: str
@@ -61,6 +83,15 @@
     cancel_seconds: float = 3.0
     checks_fencing: bool = False
     processor_cores: float = 1.0
+    contact_seconds: float = 3.0
+    config_apply_seconds: float = 2.0
+    strict_revocation: bool = False
+    revoke_seconds: float = 5.0
+    duty_api: str = ''
+    duties: tuple[str, ...] = ()
+    duties_per_second: float = 50.0
+    usage_window_seconds: float = 5.0
+    usage_late_seconds: float = 10.0
 
 
 def find_settings_file() -> pathlib.Path:
@@ -106,18 +137,28 @@
         front=reader.read_text('bind.front', ''),
         readiness=reader.read_text('bind.readiness', ''),
         directory=reader.read_text('bind.directory', ''),
-        lease_seconds=reader.read_number('bounds.lease_ms', 3000.0)
-        / _names.MS_PER_SECOND,
+        lease_seconds=reader.read_milliseconds('bounds.lease_ms', 3000.0),
         grace_seconds=reader.read_number('bounds.grace_s', 8.0),
         max_address_seconds=reader.read_number('bounds.ttl_max_s', 5.0),
         keep_seconds=reader.read_number('bounds.status_s', 120.0),
-        cancel_seconds=reader.read_number('bounds.cancel_ms', 3000.0)
-        / _names.MS_PER_SECOND,
+        cancel_seconds=reader.read_milliseconds('bounds.cancel_ms', 3000.0),
         checks_fencing=reader.read_text('bounds.require_fencing', '')
         == 'true',
         # The VM gets this share of a core that is so many times as fast.
         processor_cores=reader.read_number('limits.cpu_share', 1.0)
         * reader.read_number('limits.cpu_cores', 1.0),
+        contact_seconds=reader.read_milliseconds('bounds.contact_ms', 3000.0),
+        config_apply_seconds=reader.read_milliseconds(
+            'bounds.config_apply_ms', 2000.0
+        ),
+        strict_revocation=reader.read_text('bounds.strict_revoke', '')
+        == 'true',
+        revoke_seconds=reader.read_milliseconds('bounds.revoke_ms', 5000.0),
+        duty_api=reader.read_text('cloud_api.address', ''),
+        duties=reader.read_list('cloud_api.duties'),
+        duties_per_second=reader.read_number('cloud_api.duty_per_s', 50.0),
+        usage_window_seconds=reader.read_number('bounds.window_s', 5.0),
+        usage_late_seconds=reader.read_number('bounds.usage_late_s', 10.0),
     )
     reader.raise_problems()
     return settings
@@ -155,6 +196,15 @@
             )
             return default
 
+    def read_milliseconds(self, key: str, default_ms: float) -> float:
+        """Return a time in milliseconds, converted to seconds."""
+        return self.read_number(key, default_ms) / _names.MS_PER_SECOND
+
+    def read_list(self, key: str) -> tuple[str, ...]:
+        """Return the values that commas separate; none if it is missing."""
+        values = self._values.get(key, '').split(',')
+        return tuple(value.strip() for value in values if value.strip())
+
     def read_ports(self, key: str) -> tuple[int, int]:
         """Return the first and the last port of a range; zeros if invalid."""
         value = self.read_text(key)
--- a/src/swiftjunction/routes/_route.py
+++ b/src/swiftjunction/routes/_route.py
@@ -66,6 +66,9 @@
     max_age_seconds : float
         For batches: the age from which samples may be given up, in seconds; 0
         for never. It is stored with each batch, but has no effect.
+    is_public : bool
+        Whether its requests need no key, also where the configuration has
+        organisations.
     """
 
     name: str
@@ -81,6 +84,7 @@
     single_version: bool = False
     due_seconds: float = 0.0
     max_age_seconds: float = 0.0
+    is_public: bool = False
 
     def draw_service(self, rng: random.Random) -> str:
         """Return a random service, weighted by the shares.
--- a/src/swiftjunction/routes/_table.py
+++ b/src/swiftjunction/routes/_table.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
+from swiftjunction import organisations
 from swiftjunction.routes import _route
+from swiftjunction import scaling
 
 LOG = logging.getLogger(__name__)
 
@@ -43,17 +45,32 @@
         The routes of all hosts.
     limits : ConnectionLimits
         The limits that the configuration sets; not enforced.
+    keys : KeyTable, optional
+        The keys of organisations; None if requests carry no keys.
+    scalings : list of ServiceScaling
+        The limits of the services whose servers are ordered.
     """
 
-    __slots__ = ('_by_host', 'limits', 'routes', 'version')
+    __slots__ = (
+        '_by_host',
+        'keys',
+        'limits',
+        'routes',
+        'scalings',
+        'version',
+    )
 
     def __init__(
         self,
         version: int,
         routes: list[_route.Route],
         limits: ConnectionLimits,
+        keys: organisations.KeyTable | None = None,
+        scalings: collections.abc.Sequence[scaling.ServiceScaling] = (),
     ) -> None:
         self.version = version
+        self.keys = keys
+        self.scalings = list(scalings)
         self.routes = routes
         self.limits = limits
         self._by_host: dict[str, list[_route.Route]] = {}
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -5,6 +5,8 @@
 
 from swiftjunction.standins._announcing import Arrival
 from swiftjunction.standins._daemon import StandinDaemon
+from swiftjunction.standins._duty_api import DutyApiStandin
+from swiftjunction.standins._duty_api import DutyCall
 from swiftjunction.standins._engine_app import EngineStandin
 from swiftjunction.standins._faults import FaultSwitches
 from swiftjunction.standins._hosting import serve
@@ -37,6 +39,8 @@
 __all__ = [
     'Arrival',
     'DEFAULT_SOFTWARE',
+    'DutyApiStandin',
+    'DutyCall',
     'EngineStandin',
     'FaultEvent',
     'FaultSchedule',
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -157,6 +157,8 @@
         it named.
     poison_runs : int
         Number of requests that made it crash.
+    headers : list of dict
+        Headers of each executed sample.
     orders : list of dict
         Bodies of the orders that changed a version.
     refused_orders : int
@@ -194,6 +196,7 @@
         self.versions = dict(versions)
         self.server_runs = _announcing.ServerRuns(name)
         self.runs: list[tuple[str, int]] = []
+        self.headers: list[dict[str, str]] = []
         self.orders: list[dict[str, typing.Any]] = []
         self.poison_runs = 0
         self.refused_orders = 0
@@ -268,6 +271,7 @@
         request_id = request.headers['swiftjunction-attempt-id']
         after = int(request.headers.get('last-event-id', '-1'))
         self.runs.append((request_id, after))
+        self.headers.append(dict(request.headers))
         for header in MEMORY_HEADERS:
             if header in request.headers:
                 source = request.headers[header]
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -323,3 +323,42 @@
         entry = standin.get('k', 'a')
         assert entry['spec'] == {'x': 1}
         assert entry['status'] == {'state': 'done'}
+
+
+class TestOrganisations:
+    def decode(self, **changes):
+        config = {**platform_deployment.make_config(), **changes}
+        return _schemas.decode_routes(make_object('config/main', config))
+
+    def test_a_configuration_without_organisations_has_no_keys(self):
+        table = self.decode()
+        assert table.keys is None
+        assert table.scalings == []
+
+    def test_keys_priorities_and_public_routes_are_read(self):
+        config = platform_deployment.make_config()
+        config['routes'][0]['public'] = True
+        table = self.decode(
+            routes=config['routes'],
+            tenants=[
+                {'name': 'first', 'api_keys': ['k1', 'k2'], 'priority': 1},
+                {'name': 'second'},
+            ],
+        )
+        assert table.keys.names == {'first', 'second'}
+        assert table.keys.find('k2').rank == 1
+        assert [r.is_public for r in table.routes[:2]] == [True, False]
+
+    def test_the_limits_of_a_service_are_read(self):
+        limits = {
+            'min': 1,
+            'max': 12,
+            'boot_time_s': 4.0,
+            'spot_price': 0.22,
+            'zone_prices': {'dc-1': 0.85},
+        }
+        service = {'name': 'engines', 'scaling': limits}
+        (scaling,) = self.decode(services=[service]).scalings
+        assert (scaling.service, scaling.min_servers) == ('engines', 1)
+        assert (scaling.max_servers, scaling.boot_seconds) == (12, 4.0)
+        assert scaling.prices == {'dc-1': 0.85}
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -135,12 +135,25 @@
         Stand-in for the platform's store.
     plain, engines : dict
         Stand-ins for the servers, by name.
+    duty_api : DutyApiStandin
+        Stand-in for the platform's API for duties.
     vm_ip : str
         The address of all VMs.
+
+    Parameters
+    ----------
+    settings : sequence of str
+        Further lines of the settings file of each VM, in which
+        ``{duty_api}`` stands for the address of that API.
+    config : dict, optional
+        The first configuration.
     """
 
-    def __init__(self, folder, vm_ip='127.0.0.1'):
+    def __init__(self, folder, vm_ip='127.0.0.1', settings=(), config=None):
         self.vm_ip = vm_ip
+        self._extra_settings = settings
+        self._config = config or make_config()
+        self.duty_api = standins.DutyApiStandin()
         self._folder = folder
         self._tasks = None
         self._clients = contextlib.AsyncExitStack()
@@ -166,7 +179,10 @@
             listener = web.open_listener('127.0.0.1', 0)
             self.store_address = listener.address
             tasks.start_soon(standins.serve, listener, self.store)
-            self.store.put('config', 'main', make_config())
+            duty_listener = web.open_listener('127.0.0.1', 0)
+            self.duty_address = duty_listener.address
+            tasks.start_soon(standins.serve, duty_listener, self.duty_api)
+            self.store.put('config', 'main', self._config)
             for name, server in [*self.plain.items(), *self.engines.items()]:
                 self.start_server(name, server)
             for name in vms:
@@ -224,6 +240,10 @@
             f'provider.address={self.store_address}',
             'bounds.grace_s=3',
             'bounds.require_fencing=true',
+            *(
+                line.format(duty_api=self.duty_address)
+                for line in self._extra_settings
+            ),
         ]
         path.write_text('\n'.join(lines) + '\n')
         return path
