Keep serving after a datagram could not be handled

Cause: PeerDatagrams.run caught decoding errors and ValueError only, so any other exception of a handler, such as a KeyError, ended the task group of the whole process: all callers of that VM lost their requests. Change: such an error is logged with its traceback and the sender, and the next datagram is received. Evidence: tests/cover/test_coordination_datagrams.py; its first test failed before (KeyError ends the task group) and passes now, as does one with arbitrary bytes, which passed before.

--- a/src/swiftjunction/coordination/_datagrams.py
+++ b/src/swiftjunction/coordination/_datagrams.py
@@ -66,6 +66,12 @@
                 except (msgspec.MsgspecError, ValueError) as error:
                     # The handler cannot reply to an invalid sender address.
                     LOG.warning('ignoring an invalid datagram: %s', error)
+                except Exception:
+                    # Whoever sent it must not end this process.
+                    LOG.exception(
+                        'cannot handle a datagram',
+                        extra={'peer': f'{host}:{port}'},
+                    )
 
     async def send(self, message: msgspec.Struct, address: str) -> None:
         """Send a message to ``ip:port``, once the socket is open.
--- /dev/null
+++ b/tests/cover/test_coordination_datagrams.py
@@ -0,0 +1,66 @@
+"""Datagrams between VMs: one that cannot be handled ends nothing."""
+
+import socket
+
+import anyio
+import hypothesis
+import hypothesis.strategies as st
+import msgspec
+import pytest
+
+from swiftjunction import coordination
+from swiftjunction import web
+
+
+class Note(msgspec.Struct, frozen=True, tag='note'):
+    """A message of the test."""
+
+    text: str
+
+
+class Receiver:
+    """Receives notes over a socket of its own, and fails on some."""
+
+    def __init__(self):
+        self.sock = web.bind_datagram_socket('127.0.0.1', 0)
+        self.address = '{}:{}'.format(*self.sock.getsockname())
+        self.datagrams = coordination.PeerDatagrams(self.sock)
+        self.datagrams.listen(Note, self.receive)
+        self.received = []
+        self.has_received = anyio.Event()
+
+    async def receive(self, note, sender):
+        if note.text == 'unexpected':
+            raise KeyError(note.text)
+        self.received.append(note.text)
+        self.has_received.set()
+
+
+async def send_and_wait(*datagrams):
+    """Send datagrams to a receiver, and a last note; return its notes."""
+    receiver = Receiver()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(receiver.datagrams.run)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for data in (*datagrams, msgspec.msgpack.encode(Note('last'))):
+                sender.sendto(data, receiver.sock.getsockname())
+                await anyio.sleep(0)
+        with anyio.fail_after(2):
+            while 'last' not in receiver.received:
+                await receiver.has_received.wait()
+                receiver.has_received = anyio.Event()
+        tasks.cancel_scope.cancel()
+    return receiver.received
+
+
+@pytest.mark.anyio
+async def test_goes_on_after_a_handler_has_failed(caplog):
+    unexpected = msgspec.msgpack.encode(Note('unexpected'))
+    assert await send_and_wait(unexpected) == ['last']
+    assert 'unexpected' in caplog.text
+
+
+@hypothesis.given(st.lists(st.binary(max_size=200), max_size=20))
+@hypothesis.settings(max_examples=20, deadline=None)
+def test_goes_on_after_arbitrary_bytes(datagrams):
+    assert anyio.run(send_and_wait, *datagrams)[-1] == 'last'
