Check the keys of organisations, and tell servers the organisation

Requests of a configuration with organisations reached servers with their callers' keys and whatever organisation the caller named; nothing checked a key. Each request is checked on arrival and again just before its head is sent. The key and a named organisation are removed from requests and from items of batches; servers get the organisation's name with calls, streams and samples, not with scores. Batches belong to an organisation; the coordinator is asked for them on new paths, which the former build lacks. The class AssumedConfirmation takes the table for current: how old its proof is comes with another part, so that removed keys are not bounded yet at a VM cut off from the store.

The fakes of SampleEngineClient in three tests take the new argument.

--- a/src/swiftjunction/batches/_access.py
+++ b/src/swiftjunction/batches/_access.py
@@ -19,14 +19,21 @@
     """Interface for reading and ending batches.
 
     Each method raises ``ObjectMissing`` only if the batch does not exist, and
-    another ``PlatformError`` if that could not be determined.
+    another ``PlatformError`` if that could not be determined. For callers of
+    one organisation, the batches of others do not exist: `organisation` is its
+    name, empty for callers without one, and None if organisations do not
+    matter.
     """
 
     __slots__ = ()
 
     @abc.abstractmethod
     async def read_results(
-        self, batch_id: str, position: int, wait_seconds: float
+        self,
+        batch_id: str,
+        position: int,
+        wait_seconds: float,
+        organisation: str | None = None,
     ) -> _open.ResultPage:
         """Return results from `position` on.
 
@@ -37,7 +44,9 @@
         """
 
     @abc.abstractmethod
-    async def read_body(self, batch_id: str, sample_id: str) -> bytes | None:
+    async def read_body(
+        self, batch_id: str, sample_id: str, organisation: str | None = None
+    ) -> bytes | None:
         """Return the request body of a sample; None if it is not available.
 
         It is available at least while a batch has not ended and the sample
@@ -45,7 +54,9 @@
         """
 
     @abc.abstractmethod
-    async def end(self, batch_id: str) -> None:
+    async def end(
+        self, batch_id: str, organisation: str | None = None
+    ) -> None:
         """End a batch; this is idempotent."""
 
 
@@ -67,22 +78,30 @@
         self._archive = archive
 
     async def read_results(
-        self, batch_id: str, position: int, wait_seconds: float
+        self,
+        batch_id: str,
+        position: int,
+        wait_seconds: float,
+        organisation: str | None = None,
     ) -> _open.ResultPage:
-        stored = await self._archive.read(batch_id)
+        stored = await self._archive.read(batch_id, organisation)
         blocks = await self._archive.read_results(batch_id)
         results = [result for block in blocks for result in block]
         return _open.make_page(stored.batch.total, results, position)
 
-    async def read_body(self, batch_id: str, sample_id: str) -> bytes | None:
-        stored = await self._archive.read(batch_id)
+    async def read_body(
+        self, batch_id: str, sample_id: str, organisation: str | None = None
+    ) -> bytes | None:
+        stored = await self._archive.read(batch_id, organisation)
         for sample in stored.batch.samples:
             if sample.sample_id == sample_id:
                 return sample.body
         return None
 
-    async def end(self, batch_id: str) -> None:
-        await self._archive.end(batch_id)
+    async def end(
+        self, batch_id: str, organisation: str | None = None
+    ) -> None:
+        await self._archive.end(batch_id, organisation=organisation)
 
 
 class RunnerAccess(BatchAccess):
@@ -108,12 +127,16 @@
         self._archive_access = ArchiveAccess(archive)
 
     async def read_results(
-        self, batch_id: str, position: int, wait_seconds: float
+        self,
+        batch_id: str,
+        position: int,
+        wait_seconds: float,
+        organisation: str | None = None,
     ) -> _open.ResultPage:
-        open_batch = await self._find(batch_id)
+        open_batch = await self._find(batch_id, organisation)
         if open_batch is None:
             return await self._archive_access.read_results(
-                batch_id, position, wait_seconds
+                batch_id, position, wait_seconds, organisation
             )
         page = await open_batch.read(position, wait_seconds)
         if page.results or not self._runner.may_lack_results(
@@ -123,31 +146,44 @@
         await self._runner.read_stored_results(open_batch)
         return await open_batch.read(position, 0)
 
-    async def read_body(self, batch_id: str, sample_id: str) -> bytes | None:
-        open_batch = await self._find(batch_id)
+    async def read_body(
+        self, batch_id: str, sample_id: str, organisation: str | None = None
+    ) -> bytes | None:
+        open_batch = await self._find(batch_id, organisation)
         if open_batch is None:
-            return await self._archive_access.read_body(batch_id, sample_id)
+            return await self._archive_access.read_body(
+                batch_id, sample_id, organisation
+            )
         return open_batch.find_body(sample_id)
 
-    async def end(self, batch_id: str) -> None:
+    async def end(
+        self, batch_id: str, organisation: str | None = None
+    ) -> None:
         open_batch = self._runner.batches.get(batch_id)
         if open_batch is None:
-            await self._archive_access.end(batch_id)
-        elif not open_batch.ended:
-            known = _archive.StoredBatch(open_batch.batch, open_batch.version)
-            await self._archive.end(batch_id, known)
+            await self._archive_access.end(batch_id, organisation)
+        else:
+            _archive.check_access(open_batch.batch, organisation)
+            if not open_batch.ended:
+                known = _archive.StoredBatch(
+                    open_batch.batch, open_batch.version
+                )
+                await self._archive.end(batch_id, known, organisation)
         self._runner.end(batch_id)
 
-    async def _find(self, batch_id: str) -> _open.OpenBatch | None:
+    async def _find(
+        self, batch_id: str, organisation: str | None
+    ) -> _open.OpenBatch | None:
         """Return the batch, opening it if needed.
 
         None if it has ended and is no longer in memory.
         """
         open_batch = self._runner.batches.get(batch_id)
         if open_batch is not None:
+            _archive.check_access(open_batch.batch, organisation)
             return open_batch
         # The watch on the object store reports new batches with a delay.
-        stored = await self._archive.read(batch_id)
+        stored = await self._archive.read(batch_id, organisation)
         if stored.batch.ended:
             return None
         return await self._runner.open(stored)
@@ -168,21 +204,29 @@
         self._access_list = access_list
 
     async def read_results(
-        self, batch_id: str, position: int, wait_seconds: float
+        self,
+        batch_id: str,
+        position: int,
+        wait_seconds: float,
+        organisation: str | None = None,
     ) -> _open.ResultPage:
         return await self._try_each(
             lambda access: access.read_results(
-                batch_id, position, wait_seconds
+                batch_id, position, wait_seconds, organisation
             )
         )
 
-    async def read_body(self, batch_id: str, sample_id: str) -> bytes | None:
+    async def read_body(
+        self, batch_id: str, sample_id: str, organisation: str | None = None
+    ) -> bytes | None:
         return await self._try_each(
-            lambda access: access.read_body(batch_id, sample_id)
+            lambda access: access.read_body(batch_id, sample_id, organisation)
         )
 
-    async def end(self, batch_id: str) -> None:
-        await self._try_each(lambda access: access.end(batch_id))
+    async def end(
+        self, batch_id: str, organisation: str | None = None
+    ) -> None:
+        await self._try_each(lambda access: access.end(batch_id, organisation))
 
     async def _try_each(
         self,
--- a/src/swiftjunction/batches/_archive.py
+++ b/src/swiftjunction/batches/_archive.py
@@ -86,6 +86,8 @@
             If the batch was not stored and will not be.
         WriteUncertain
             If it is unknown whether the batch was stored.
+        RequestInvalid
+            If the batch with its id belongs to another organisation.
         """
         writer = uuid.uuid4().hex
         written = msgspec.structs.replace(batch, writer=writer)
@@ -96,6 +98,16 @@
             LOG.info(
                 'batch is already stored', extra={'batch': batch.batch_id}
             )
+            if batch.organisation:
+                await self._check_owner(batch)
+
+    async def _check_owner(self, batch: _batch.Batch) -> None:
+        found = await self._store.read(BATCH_PREFIX + batch.batch_id)
+        stored = objectstore.decode_value(found, _batch.Batch)
+        if not _batch.is_accessible(stored, batch.organisation):
+            raise errors.RequestInvalid(
+                'the id of the batch is in use', step='submit'
+            )
 
     async def _create_parts(self, batch: _batch.Batch) -> bytes:
         parts = list(_split_samples(batch.samples))
@@ -106,17 +118,25 @@
             msgspec.structs.replace(batch, samples=[], parts=len(parts))
         )
 
-    async def read(self, batch_id: str) -> StoredBatch:
+    async def read(
+        self, batch_id: str, organisation: str | None = None
+    ) -> StoredBatch:
         """Return a stored batch with its samples.
 
+        Parameters
+        ----------
+        organisation : str, optional
+            Who asks, see :class:`BatchAccess`.
+
         Raises
         ------
         ObjectMissing
-            If there is no such batch.
+            If there is no such batch for that organisation.
         """
-        return await self.resolve_parts(
-            await self._store.read(BATCH_PREFIX + batch_id)
-        )
+        found = await self._store.read(BATCH_PREFIX + batch_id)
+        batch = objectstore.decode_value(found, _batch.Batch)
+        check_access(batch, organisation)
+        return await self.resolve_parts(found)
 
     async def resolve_parts(self, found: objectstore.Object) -> StoredBatch:
         """Decode a batch, and read its samples if other objects hold them.
@@ -134,7 +154,10 @@
         return StoredBatch(batch, found.version)
 
     async def end(
-        self, batch_id: str, known: StoredBatch | None = None
+        self,
+        batch_id: str,
+        known: StoredBatch | None = None,
+        organisation: str | None = None,
     ) -> None:
         """Mark a batch as ended; its stored results remain.
 
@@ -142,11 +165,13 @@
         ----------
         known : StoredBatch
             The batch as it was last read; None to read it now.
+        organisation : str, optional
+            Who asks, see :class:`BatchAccess`.
 
         Raises
         ------
         ObjectMissing
-            If there is no such batch.
+            If there is no such batch for that organisation.
         PlatformError
             If the end may not have been stored; calling this again is safe.
         """
@@ -155,6 +180,7 @@
             batch = objectstore.decode_value(found, _batch.Batch)
             known = StoredBatch(batch, found.version)
         batch = known.batch
+        check_access(batch, organisation)
         if batch.ended:
             return
         ended = msgspec.structs.replace(
@@ -170,7 +196,7 @@
         except errors.RevisionConflict:
             # The known version is outdated: read the object again to find out
             # whether the batch has ended.
-            await self.end(batch_id)
+            await self.end(batch_id, organisation=organisation)
 
     async def append(
         self, batch_id: str, number: int, results: list[_batch.Result]
@@ -311,6 +337,14 @@
         return True
 
 
+def check_access(batch: _batch.Batch, organisation: str | None) -> None:
+    """Raise ``ObjectMissing`` if a batch is of another organisation."""
+    if not _batch.is_accessible(batch, organisation):
+        raise errors.ObjectMissing(
+            f'{BATCH_PREFIX}{batch.batch_id} does not exist', step='read'
+        )
+
+
 def _make_batch_prefix(batch_id: str) -> str:
     return f'batch-{batch_id}/'
 
--- a/src/swiftjunction/batches/_batch.py
+++ b/src/swiftjunction/batches/_batch.py
@@ -114,6 +114,17 @@
     organisation: str = ''
 
 
+def is_accessible(batch: Batch, organisation: str | None) -> bool:
+    """Return whether callers of an organisation may access a batch.
+
+    Parameters
+    ----------
+    organisation : str or None
+        Empty for callers without one; None if organisations do not matter.
+    """
+    return organisation is None or batch.organisation in ('', organisation)
+
+
 class Result(msgspec.Struct, frozen=True):
     """The outcome of one sample.
 
--- a/src/swiftjunction/batches/_engine_client.py
+++ b/src/swiftjunction/batches/_engine_client.py
@@ -65,6 +65,7 @@
         sample: _batch.Sample,
         after_number: int,
         check: collections.abc.Callable[[], None],
+        organisation: str = '',
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         """Generate a sample and yield its events up to the last one.
 
@@ -76,6 +77,9 @@
         check : callable
             Called just before the head is sent, and just before the body is.
             If it raises, the engine does not get the whole request.
+        organisation : str
+            The organisation of the batch, which the engine is told; empty if
+            it is told none.
 
         Raises
         ------
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -151,6 +151,7 @@
             progress.sample,
             progress.last_number,
             open_batch.check_may_send,
+            batch.organisation,
         )
         timeout_seconds = FIRST_EVENT_TIMEOUT_SECONDS
         last_event_at = 0.0
--- a/src/swiftjunction/coordination/_app.py
+++ b/src/swiftjunction/coordination/_app.py
@@ -74,6 +74,9 @@
             _messages.RESULTS_PATH: self._read_results,
             _messages.SAMPLE_BODY_PATH: self._read_sample_body,
             _messages.END_BATCH_PATH: self._end_batch,
+            _messages.OWN_RESULTS_PATH: self._read_results,
+            _messages.OWN_SAMPLE_BODY_PATH: self._read_sample_body,
+            _messages.OWN_END_BATCH_PATH: self._end_batch,
             _messages.PERMIT_PATH: self._grant_permit,
         }
         return starlette.applications.Starlette(
@@ -102,20 +105,22 @@
     async def _read_results(self, request: Request) -> Response:
         call = await _decode(request, _messages.BatchCall)
         page = await self._require_batch_access().read_results(
-            call.batch_id, call.position, call.wait_seconds
+            call.batch_id, call.position, call.wait_seconds, call.organisation
         )
         return _respond(page)
 
     async def _read_sample_body(self, request: Request) -> Response:
         call = await _decode(request, _messages.BatchCall)
         body = await self._require_batch_access().read_body(
-            call.batch_id, call.sample_id
+            call.batch_id, call.sample_id, call.organisation
         )
         return _respond(_messages.SampleBody(body))
 
     async def _end_batch(self, request: Request) -> Response:
         call = await _decode(request, _messages.BatchCall)
-        await self._require_batch_access().end(call.batch_id)
+        await self._require_batch_access().end(
+            call.batch_id, call.organisation
+        )
         return _respond(None)
 
     async def _grant_permit(self, request: Request) -> Response:
--- a/src/swiftjunction/coordination/_messages.py
+++ b/src/swiftjunction/coordination/_messages.py
@@ -12,6 +12,11 @@
 OBJECTS_PATH = '/peer/objects'
 END_BATCH_PATH = '/peer/batches/end'
 PERMIT_PATH = '/peer/permits'
+# Calls for callers of one organisation. The former build has no such paths,
+# so that it cannot ignore the organisation.
+OWN_RESULTS_PATH = '/peer/organisations/batches/read'
+OWN_SAMPLE_BODY_PATH = '/peer/organisations/batches/body'
+OWN_END_BATCH_PATH = '/peer/organisations/batches/end'
 
 
 class StoreCall(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -86,12 +91,16 @@
         The position of the first result to return; only for `RESULTS_PATH`.
     wait_seconds : float
         How long to wait for results; only for `RESULTS_PATH`.
+    organisation : str or None
+        The organisation of the caller, empty for none; None if organisations
+        do not matter.
     """
 
     batch_id: str
     sample_id: str = msgspec.field(default='', name='item_id')
     position: int = 0
     wait_seconds: float = 0.0
+    organisation: str | None = None
 
 
 class SampleBody(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/coordination/_peer.py
+++ b/src/swiftjunction/coordination/_peer.py
@@ -179,29 +179,50 @@
         self._peer = peer
 
     async def read_results(
-        self, batch_id: str, position: int, wait_seconds: float
+        self,
+        batch_id: str,
+        position: int,
+        wait_seconds: float,
+        organisation: str | None = None,
     ) -> batches.ResultPage:
         call = _messages.BatchCall(
-            batch_id, position=position, wait_seconds=wait_seconds
+            batch_id,
+            position=position,
+            wait_seconds=wait_seconds,
+            organisation=organisation,
         )
         return await self._peer.call(
-            _messages.RESULTS_PATH,
+            _messages.RESULTS_PATH
+            if organisation is None
+            else _messages.OWN_RESULTS_PATH,
             call,
             batches.ResultPage,
             wait_seconds + WAIT_MARGIN_SECONDS,
         )
 
-    async def read_body(self, batch_id: str, sample_id: str) -> bytes | None:
-        call = _messages.BatchCall(batch_id, sample_id)
+    async def read_body(
+        self, batch_id: str, sample_id: str, organisation: str | None = None
+    ) -> bytes | None:
+        call = _messages.BatchCall(
+            batch_id, sample_id, organisation=organisation
+        )
         response = await self._peer.call(
-            _messages.SAMPLE_BODY_PATH, call, _messages.SampleBody
+            _messages.SAMPLE_BODY_PATH
+            if organisation is None
+            else _messages.OWN_SAMPLE_BODY_PATH,
+            call,
+            _messages.SampleBody,
         )
         return response.body
 
-    async def end(self, batch_id: str) -> None:
-        call = _messages.BatchCall(batch_id)
+    async def end(
+        self, batch_id: str, organisation: str | None = None
+    ) -> None:
+        call = _messages.BatchCall(batch_id, organisation=organisation)
         await self._peer.call(
-            _messages.END_BATCH_PATH,
+            _messages.END_BATCH_PATH
+            if organisation is None
+            else _messages.OWN_END_BATCH_PATH,
             call,
             type(None),
             2 * CALL_TIMEOUT_SECONDS,
--- a/src/swiftjunction/organisations/_keys.py
+++ b/src/swiftjunction/organisations/_keys.py
@@ -3,12 +3,15 @@
 import collections.abc
 import hashlib
 import logging
+import re
 
 import msgspec
 
 LOG = logging.getLogger(__name__)
 
 KEY_DIGEST_BYTES = 16
+# Longer names, and others than these, do not fit into a header.
+NAME_PATTERN = re.compile(r'[!-~]([ -~]{0,253}[!-~])?')
 
 
 class Organisation(msgspec.Struct, frozen=True):
@@ -30,7 +33,8 @@
 
     Only digests of the keys are kept, so that no dump or log shows a key. A
     key of several organisations belongs to none of them, as it does not tell
-    whose request it is.
+    whose request it is. An organisation whose name no header can carry is
+    left out, as no server could be told whose request it gets.
 
     Parameters
     ----------
@@ -50,17 +54,21 @@
         self._by_digest: dict[bytes, Organisation] = {}
         ambiguous: set[bytes] = set()
         for organisation, keys in organisations:
+            if not is_sendable_name(organisation.name):
+                LOG.error(
+                    'ignoring an organisation whose name no header can carry',
+                    extra={'organisation': ascii(organisation.name)},
+                )
+                continue
             self.names.add(organisation.name)
             for digest in {_compute_digest(key) for key in keys if key}:
-                if digest in self._by_digest:
+                other = self._by_digest.get(digest)
+                if other is not None and other.name != organisation.name:
                     ambiguous.add(digest)
                     LOG.error(
                         'ignoring a key that several organisations have',
                         extra={
-                            'organisations': [
-                                self._by_digest[digest].name,
-                                organisation.name,
-                            ]
+                            'organisations': [other.name, organisation.name]
                         },
                     )
                 self._by_digest[digest] = organisation
@@ -76,6 +84,11 @@
         return self._by_digest.get(_compute_digest(key))
 
 
+def is_sendable_name(name: str) -> bool:
+    """Return whether a header can carry the name of an organisation."""
+    return NAME_PATTERN.fullmatch(name) is not None
+
+
 def _compute_digest(key: str) -> bytes:
     return hashlib.blake2b(
         key.encode('utf-8', 'surrogateescape'), digest_size=KEY_DIGEST_BYTES
--- a/src/swiftjunction/platform/_batch_calls.py
+++ b/src/swiftjunction/platform/_batch_calls.py
@@ -11,6 +11,7 @@
 from swiftjunction import errors
 from swiftjunction.platform import _batches
 from swiftjunction.platform import _caller_http
+from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
 from swiftjunction import requests
 from swiftjunction import routes
@@ -57,13 +58,42 @@
         self._rng = rng
         self._metrics = metrics
 
+    async def access(
+        self, request: Request, path: str, owner: str | None
+    ) -> Response:
+        """Handle a call about a stored batch.
+
+        Parameters
+        ----------
+        owner : str or None
+            The organisation of the caller, empty for none; None if the
+            configuration has no organisations.
+        """
+        if path.startswith(_names.BODIES_PATH_PREFIX):
+            batch_id = path.removeprefix(_names.BODIES_PATH_PREFIX)
+            sample_id = request.query_params.get('id', '')
+            return await self._read_body(batch_id, sample_id, owner)
+        batch_id = path.removeprefix(_names.RESULTS_PATH_PREFIX)
+        if request.method == 'DELETE':
+            return await self._end(batch_id, owner)
+        return await self._read_results(request, batch_id, owner)
+
     async def submit(
-        self, request: Request, request_id: str, route: routes.Route
+        self,
+        request: Request,
+        request_id: str,
+        route: routes.Route,
+        caller: _keys.Caller,
     ) -> Response:
         """Store a batch; respond with 202 once it is stored."""
         body = await requests.read_body(request)
         service = route.draw_service(self._rng)
-        batch = _batches.decode_submission(body, request_id, route, service)
+        batch = _batches.decode_submission(
+            body, request_id, route, service, caller
+        )
+        if caller.check is not None:
+            # The body may have taken long.
+            caller.check()
         with self._metrics.measure(service, 'submit'):
             await _caller_http.translate_store_errors(
                 self._archive.create(batch)
@@ -75,11 +105,14 @@
                 'route': route.name,
                 'configuration_version': self._active_routes.version,
                 'samples': batch.total,
+                'organisation': batch.organisation,
             },
         )
         return Response(status_code=http.HTTPStatus.ACCEPTED)
 
-    async def read_results(self, request: Request, batch_id: str) -> Response:
+    async def _read_results(
+        self, request: Request, batch_id: str, owner: str | None
+    ) -> Response:
         """Respond with the results from a position on."""
         position = _caller_http.parse_int(
             request.query_params.get('after', ''), 0
@@ -91,16 +124,18 @@
             wait_ms / _names.MS_PER_SECOND, MAX_RESULTS_WAIT_SECONDS
         )
         page = await _caller_http.translate_store_errors(
-            self._access.read_results(batch_id, position, wait_seconds)
+            self._access.read_results(batch_id, position, wait_seconds, owner)
         )
         return Response(
             _batches.encode_page(page), media_type='application/json'
         )
 
-    async def read_body(self, batch_id: str, sample_id: str) -> Response:
+    async def _read_body(
+        self, batch_id: str, sample_id: str, owner: str | None
+    ) -> Response:
         """Respond with the request body of an unfinished sample."""
         body = await _caller_http.translate_store_errors(
-            self._access.read_body(batch_id, sample_id)
+            self._access.read_body(batch_id, sample_id, owner)
         )
         if body is None:
             raise errors.RouteMissing(
@@ -109,8 +144,10 @@
             )
         return Response(body, media_type='application/octet-stream')
 
-    async def end(self, batch_id: str) -> Response:
+    async def _end(self, batch_id: str, owner: str | None) -> Response:
         """End a batch."""
-        await _caller_http.translate_store_errors(self._access.end(batch_id))
+        await _caller_http.translate_store_errors(
+            self._access.end(batch_id, owner)
+        )
         LOG.info('batch ended by caller', extra={'batch': batch_id})
         return Response(status_code=http.HTTPStatus.OK)
--- a/src/swiftjunction/platform/_batches.py
+++ b/src/swiftjunction/platform/_batches.py
@@ -7,6 +7,7 @@
 
 from swiftjunction import batches
 from swiftjunction import errors
+from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
 from swiftjunction import routes
 
@@ -52,10 +53,19 @@
 
 
 def decode_submission(
-    body: bytes, batch_id: str, route: routes.Route, service: str
+    body: bytes,
+    batch_id: str,
+    route: routes.Route,
+    service: str,
+    caller: _keys.Caller | None = None,
 ) -> batches.Batch:
     """Decode a batch submission.
 
+    Parameters
+    ----------
+    caller : Caller, optional
+        To whose organisation the batch belongs.
+
     Raises
     ------
     RequestInvalid
@@ -72,13 +82,17 @@
         raise errors.RequestInvalid(
             f'missing header {_names.ATTEMPT_ID_HEADER}', step='submit'
         )
+    caller = caller or _keys.Caller()
     return batches.Batch(
         batch_id=batch_id,
         route=route.name,
         host=route.host,
         service=service,
         total=len(submission.items),
-        samples=[_convert_item(item) for item in submission.items],
+        samples=[
+            _convert_item(item, caller.removed_headers)
+            for item in submission.items
+        ],
         model=submission.model,
         step=submission.step,
         min_version=submission.min_version,
@@ -87,10 +101,13 @@
         due_seconds=route.due_seconds,
         max_age_seconds=route.max_age_seconds,
         max_attempts=route.max_attempts,
+        organisation=caller.organisation,
     )
 
 
-def _convert_item(item: _Item) -> batches.Sample:
+def _convert_item(
+    item: _Item, removed_headers: frozenset[str]
+) -> batches.Sample:
     headers = {name.lower(): value for name, value in item.headers.items()}
     score_request = None
     if item.scorer is not None:
@@ -103,7 +120,11 @@
     return batches.Sample(
         sample_id=item.id,
         request_path=item.path,
-        headers=list(item.headers.items()),
+        headers=[
+            (name, value)
+            for name, value in item.headers.items()
+            if name.lower() not in removed_headers
+        ],
         body=_decode_body(item.body, item.id),
         group=item.group or item.id,
         tokens=item.tokens,
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -18,6 +18,7 @@
 from swiftjunction import errors
 from swiftjunction.platform import _batch_calls
 from swiftjunction.platform import _caller_http
+from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
 from swiftjunction.platform import _settings
 from swiftjunction import requests
@@ -56,6 +57,8 @@
         Limits the requests in flight.
     batch_calls : BatchCalls
         Handles the calls of trainers.
+    callers : CallerIdentification
+        Finds out which organisation sent a request.
     members : MemberTable
         Membership of the VMs.
     get_state : callable
@@ -75,6 +78,7 @@
         '_active_routes',
         '_admission',
         '_batch_calls',
+        '_callers',
         '_forwarder',
         '_members',
         '_metrics',
@@ -94,6 +98,7 @@
         stream_relay: requests.StreamRelay,
         admission: requests.AdmissionController,
         batch_calls: _batch_calls.BatchCalls,
+        callers: _keys.CallerIdentification,
         members: coordination.MemberTable,
         get_state: collections.abc.Callable[[], str],
         is_cut_off: collections.abc.Callable[[], bool],
@@ -107,6 +112,7 @@
         self._stream_relay = stream_relay
         self._admission = admission
         self._batch_calls = batch_calls
+        self._callers = callers
         self._members = members
         self._get_state = get_state
         self._is_cut_off = is_cut_off
@@ -192,22 +198,20 @@
     async def _dispatch(
         self, request: Request, path: str, request_id: str
     ) -> Response:
-        if path.startswith(_names.RESULTS_PATH_PREFIX):
-            batch_id = path.removeprefix(_names.RESULTS_PATH_PREFIX)
-            if request.method == 'DELETE':
-                return await self._batch_calls.end(batch_id)
-            return await self._batch_calls.read_results(request, batch_id)
-        if path.startswith(_names.BODIES_PATH_PREFIX):
-            return await self._batch_calls.read_body(
-                path.removeprefix(_names.BODIES_PATH_PREFIX),
-                request.query_params.get('id', ''),
+        if path.startswith(_names.BATCH_PATH_PREFIXES):
+            caller = await self._callers.identify_batch_caller(request)
+            return await self._batch_calls.access(
+                request, path, caller.batch_owner
             )
         route = self._find_route(request.headers.get('host', ''), path)
+        caller = await self._callers.identify(request, route)
         if route.kind is routes.RouteKind.BATCH and request.method == 'POST':
             if self._get_state() == 'draining':
                 raise errors.NotRun('this VM is shutting down', step='submit')
-            return await self._batch_calls.submit(request, request_id, route)
-        return await self._forward(request, path, request_id, route)
+            return await self._batch_calls.submit(
+                request, request_id, route, caller
+            )
+        return await self._forward(request, path, request_id, route, caller)
 
     def _find_route(self, host: str, path: str) -> routes.Route:
         table = self._active_routes.table
@@ -229,6 +233,7 @@
         path: str,
         request_id: str,
         route: routes.Route,
+        caller: _keys.Caller,
     ) -> Response:
         if not self._knows_crashes():
             raise errors.NotRun(
@@ -256,13 +261,17 @@
                     (name, value)
                     for name, value in request.headers.items()
                     if name not in _caller_http.UNFORWARDED_HEADERS
+                    and name not in caller.removed_headers
                 ],
                 timeout_seconds=0.0,
                 host=route.host,
+                organisation=caller.organisation,
+                check=caller.check,
             ),
             deadline=arrived_at + remaining_seconds,
             idempotent=idempotent,
             max_attempts=max(route.max_attempts, 1),
+            rank=route.rank if caller.rank is None else caller.rank,
             attempt_seconds=max(
                 remaining_seconds * ATTEMPT_TIMEOUT_FRACTION,
                 MIN_ATTEMPT_TIMEOUT_SECONDS,
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -20,6 +20,7 @@
 from swiftjunction.platform import _feeds
 from swiftjunction.platform import _ingress
 from swiftjunction.platform import _inspection
+from swiftjunction.platform import _keys
 from swiftjunction.platform import _listening
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
@@ -246,6 +247,12 @@
                 rng,
                 self._metrics,
             ),
+            _keys.CallerIdentification(
+                settings,
+                self._active_routes,
+                _keys.AssumedConfirmation(),
+                self._metrics,
+            ),
             self._members,
             lambda: self._state,
             lambda: bool(self._reachability.list_cut_off()),
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -14,6 +14,7 @@
 from swiftjunction import errors
 from swiftjunction.platform import _events
 from swiftjunction.platform import _names
+from swiftjunction.platform import _request_headers
 from swiftjunction.platform import _responses
 from swiftjunction import web
 
@@ -152,7 +153,11 @@
             exchange,
             call.method,
             f'{call.path}?{call.query}' if call.query else call.path,
-            [*call.headers, (_names.ATTEMPT_ID_HEADER, call.request_id)],
+            [
+                *call.headers,
+                (_names.ATTEMPT_ID_HEADER, call.request_id),
+                *_request_headers.make_organisation_headers(call.organisation),
+            ],
             call.body,
             timeout_seconds,
             call.host,
@@ -172,10 +177,12 @@
         sample: batches.Sample,
         after_number: int,
         check: collections.abc.Callable[[], None],
+        organisation: str = '',
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         headers = [
             *sample.headers,
             (_names.ATTEMPT_ID_HEADER, sample.sample_id),
+            *_request_headers.make_organisation_headers(organisation),
         ]
         if after_number >= 0:
             headers.append((_names.LAST_EVENT_ID_HEADER, str(after_number)))
@@ -344,7 +351,7 @@
                 target,
                 headers=[
                     *headers,
-                    *_make_deadline_headers(deadline),
+                    *_request_headers.make_deadline_headers(deadline),
                     (_names.EXPECT_INSTANCE_HEADER, server.name),
                 ],
                 content=content,
@@ -369,18 +376,6 @@
         return response
 
 
-def _make_deadline_headers(deadline: float) -> list[tuple[str, str]]:
-    """Return the header with what is left until a deadline, if there is one.
-
-    It is 1 ms at least, also if the deadline has passed.
-    """
-    if math.isinf(deadline):
-        return []
-    remaining_seconds = deadline - anyio.current_time()
-    remaining_ms = int(remaining_seconds * _names.MS_PER_SECOND)
-    return [(_names.DEADLINE_MS_HEADER, str(max(remaining_ms, 1)))]
-
-
 async def _read_events(
     response: httpx.Response,
     server: backends.BackendServer,
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -46,6 +46,9 @@
     deferred : bool
         Whether it scores a sample. Crashes of servers do not make such a
         request a suspect.
+    rank : int
+        Priority of the request, where 0 is the highest: that of the caller's
+        organisation, or of the route if the organisation has none.
     """
 
     path: str
@@ -57,6 +60,7 @@
     max_attempts: int = MAX_SERVICE_ATTEMPTS
     attempt_seconds: float = math.inf
     deferred: bool = False
+    rank: int = 0
 
     @property
     def fingerprint(self) -> str:
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -281,6 +281,9 @@
         service_call = msgspec.structs.replace(
             call.service_call, timeout_seconds=remaining_seconds
         )
+        if progress.first_stream is not None:
+            # A server has begun to run it: this only goes on with that.
+            service_call = msgspec.structs.replace(service_call, check=None)
         timeout_seconds = _get_event_timeout(call, progress)
         with anyio.move_on_after(timeout_seconds):
             return await self._streams.open_stream(
--- a/src/swiftjunction/routes/_table.py
+++ b/src/swiftjunction/routes/_table.py
@@ -84,6 +84,23 @@
                 return route
         return None
 
+    def has_keyed_batches(self, host: str) -> bool:
+        """Return whether calls about batches of a host need a key.
+
+        They name a batch and not its route. They need none if requests do
+        not, or if all routes of the host that take batches are public.
+        """
+        if self.keys is None:
+            return False
+        batch_routes = [
+            route
+            for route in self._by_host.get(host, [])
+            if route.kind is _route.RouteKind.BATCH
+        ]
+        return not batch_routes or not all(
+            route.is_public for route in batch_routes
+        )
+
     def list_services(self, kind: _route.RouteKind) -> set[str]:
         """Return the services of all routes of one kind."""
         return {
--- a/tests/cover/test_batches_ended.py
+++ b/tests/cover/test_batches_ended.py
@@ -60,7 +60,9 @@
     def __init__(self):
         self.sent_at = []
 
-    async def generate(self, server, host, sample, after_number, check=None):
+    async def generate(
+        self, server, host, sample, after_number, check=None, organisation=''
+    ):
         if check is not None:
             check()
         self.sent_at.append(anyio.current_time())
--- a/tests/cover/test_batches_rollout.py
+++ b/tests/cover/test_batches_rollout.py
@@ -34,7 +34,9 @@
         self.fenced = fenced
         self.orders = []
 
-    def generate(self, server, host, sample, after_number, check):
+    def generate(
+        self, server, host, sample, after_number, check, organisation=''
+    ):
         raise NotImplementedError
 
     async def read_report(self, server):
--- a/tests/cover/test_batches_sampling.py
+++ b/tests/cover/test_batches_sampling.py
@@ -19,7 +19,9 @@
         self.error = error
         self.sent = anyio.Event()
 
-    async def generate(self, server, host, sample, after_number, check):
+    async def generate(
+        self, server, host, sample, after_number, check, organisation
+    ):
         self.after_number = after_number
         yield backends.StreamEvent(0, 'text', 1, b'')
         self.sent.set()
