Confirm on each VM that its configuration is the newest

Strict revocation needs proof on each VM that no key was taken away which it still accepts. A feed no longer takes back an object that a late list shows older than a copy. All of this acts only with strict revocation and organisations in the configuration.

--- a/src/swiftjunction/commands/_fleet.py
+++ b/src/swiftjunction/commands/_fleet.py
@@ -104,6 +104,11 @@
             words.append(f'coordinates under {status.fencing_token}')
         if not status.reaches_store:
             words.append('does not reach the store')
+        if status.configuration_age_seconds is not None:
+            words.append(
+                'configuration confirmed '
+                f'{status.configuration_age_seconds:.1f} s ago'
+            )
         return f'{head} {", ".join(words)}'
 
 
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -3,6 +3,8 @@
 from swiftjunction.coordination._access import CoordinatorAccess
 from swiftjunction.coordination._access import list_store_relays
 from swiftjunction.coordination._app import PeerApp
+from swiftjunction.coordination._confirmer import ConfigurationConfirmer
+from swiftjunction.coordination._confirming import FeedConfirmation
 from swiftjunction.coordination._coordinator import Coordinator
 from swiftjunction.coordination._coordinator import CoordinatorTask
 from swiftjunction.coordination._crashes import StoreCrashRegistry
@@ -36,6 +38,7 @@
 
 __all__ = [
     'Catalog',
+    'ConfigurationConfirmer',
     'ControlLoops',
     'Coordinator',
     'CoordinatorAccess',
@@ -46,6 +49,7 @@
     'DutyFitness',
     'EngineFitness',
     'FailoverStore',
+    'FeedConfirmation',
     'FeedSync',
     'MEMBER_PREFIX',
     'Member',
--- a/src/swiftjunction/coordination/_feed.py
+++ b/src/swiftjunction/coordination/_feed.py
@@ -66,12 +66,26 @@
         self._min_since: int | None = None
 
     def replace(self, objects: list[objectstore.Object]) -> None:
-        self._objects = {found.key: found for found in objects}
+        self._objects = {
+            found.key: self._choose_newer(found) for found in objects
+        }
         self._deletions.clear()
         self._min_since = None
-        self._listener.replace(objects)
+        self._listener.replace(list(self._objects.values()))
+
+    def _choose_newer(self, found: objectstore.Object) -> objectstore.Object:
+        """Return the newer one of a received object and the known one.
+
+        A late response may show the objects as they were before a newer copy.
+        """
+        known = self._objects.get(found.key)
+        if known is None or known.version <= found.version:
+            return found
+        return known
 
     def change(self, found: objectstore.Object) -> None:
+        if self._choose_newer(found) is not found:
+            return
         self._objects[found.key] = found
         self._deletions.pop(found.key, None)
         self._listener.change(found)
@@ -126,6 +140,23 @@
             since,
         )
 
+    def find_difference(
+        self, listed: objectstore.ChangeSet
+    ) -> _messages.FeedCopy | None:
+        """Return what a list shows that this copy lacks; None if nothing."""
+        changed = [
+            found
+            for found in listed.changed
+            if self._choose_newer(found) is found
+            and self._objects.get(found.key) != found
+        ]
+        deleted = [*self._objects.keys() - {o.key for o in listed.changed}]
+        if self.revision >= 0 and not changed and not deleted:
+            return None
+        return _messages.FeedCopy(
+            listed.revision, changed, deleted, self.revision
+        )
+
     def record_copy(
         self, revision: int, watched_at: float, complete_at: float
     ) -> None:
--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -13,12 +13,14 @@
 import msgspec
 
 from swiftjunction import backends
+from swiftjunction.coordination import _confirming
 from swiftjunction.coordination import _datagrams
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _peer
 from swiftjunction.coordination import _sharing
 from swiftjunction.coordination import _statuses
 from swiftjunction import errors
+from swiftjunction import leases
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -30,6 +32,8 @@
 HTTP_TIMEOUT_SECONDS = _peer.CALL_TIMEOUT_SECONDS - DATAGRAM_TIMEOUT_SECONDS
 # Replies to older queries are ignored; a status describes the present.
 MAX_REPLY_AGE_ROUNDS = 1
+# Far more than there are rounds in a second.
+ROUND_NUMBERS_PER_SECOND = 1000
 
 
 class StatusQuery(msgspec.Struct, frozen=True, tag='query'):
@@ -68,9 +72,13 @@
         Returns this VM's status.
     rates : ServerRates, optional
         Receives the request limits that peers know.
+    confirmation : FeedConfirmation, optional
+        Receives what peers confirm.
     """
 
     __slots__ = (
+        '_asked_at',
+        '_confirmation',
         '_feed_sync',
         '_get_status',
         '_datagrams',
@@ -89,6 +97,7 @@
         feed_sync: _sharing.FeedSync,
         get_status: _statuses.StatusSource,
         rates: backends.ServerRates | None = None,
+        confirmation: _confirming.FeedConfirmation | None = None,
     ) -> None:
         self._rates = rates
         self._datagrams = datagrams
@@ -98,7 +107,13 @@
         self._members = members
         self._feed_sync = feed_sync
         self._get_status = get_status
-        self._round_number = 0
+        self._confirmation = confirmation
+        # The rounds of an earlier process had lower numbers.
+        self._round_number = int(
+            leases.read_boot_clock() * ROUND_NUMBERS_PER_SECOND
+        )
+        # When each of the last rounds began, on the confirmation's clock.
+        self._asked_at: dict[int, float] = {}
         # The peers polled in this round that have not answered, by name.
         self._unanswered: dict[str, _statuses.Member] = {}
 
@@ -116,6 +131,12 @@
 
     async def _send_queries(self) -> None:
         self._round_number += 1
+        asked_at = self._read_clock()
+        if asked_at is not None:
+            self._asked_at[self._round_number] = asked_at
+            self._asked_at.pop(
+                self._round_number - MAX_REPLY_AGE_ROUNDS - 1, None
+            )
         self._unanswered = {}
         query = StatusQuery(self._round_number)
         for member in self._members.select_peers():
@@ -142,10 +163,13 @@
         age_rounds = self._round_number - reply.round_number
         if age_rounds <= MAX_REPLY_AGE_ROUNDS:
             self._unanswered.pop(reply.status.name, None)
-            self._record_status(reply.status)
+            self._record_status(
+                reply.status, self._asked_at.get(reply.round_number)
+            )
 
     async def _poll_over_http(self, member: _statuses.Member) -> None:
         client = _peer.PeerClient(self._peers, member.address)
+        asked_at = self._read_clock()
         try:
             status = await _peer.fetch_status(client, HTTP_TIMEOUT_SECONDS)
         except errors.PlatformUnavailable:
@@ -155,11 +179,20 @@
             self._members.record_failure(member.name, unsent=False)
         else:
             if status.name == member.name:
-                self._record_status(status)
+                self._record_status(status, asked_at)
 
-    def _record_status(self, status: _statuses.MemberStatus) -> None:
+    def _read_clock(self) -> float | None:
+        if self._confirmation is None:
+            return None
+        return self._confirmation.clock()
+
+    def _record_status(
+        self, status: _statuses.MemberStatus, asked_at: float | None
+    ) -> None:
         self._members.record_status(status)
         self._feed_sync.record_status(status)
+        if self._confirmation is not None:
+            self._confirmation.record_status(status, asked_at)
         if self._rates is not None:
             for statement in status.rates:
                 self._rates.merge(statement)
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -98,6 +98,10 @@
             )
         return feed
 
+    def find(self, prefix: str) -> _feed.SharedFeed | None:
+        """Return the feed of a prefix, if it was added."""
+        return self._feeds.get(prefix)
+
     def is_seed(self) -> bool:
         """Return whether this VM is a seed, which many peers poll."""
         return self._members.is_seed()
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -74,6 +74,9 @@
         serves none.
     cut_off : list of str
         The services of which the VM reaches no server.
+    configuration_age_seconds : float or None
+        For how long its copy of the configuration may lack changes, on a
+        clock that counts time suspended; None if that is not known.
     """
 
     name: str
@@ -91,6 +94,7 @@
     watch_ages: dict[str, float] = {}
     tunnel_port: int = 0
     cut_off: list[str] = []
+    configuration_age_seconds: float | None = None
 
 
 class Tunnel(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/organisations/_confirmation.py
+++ b/src/swiftjunction/organisations/_confirmation.py
@@ -2,6 +2,12 @@
 
 import abc
 
+# What remains of the bound after the last check, for a watch that is answered
+# with news of a second ago, and for the request's way to its server.
+MARGIN_SECONDS = 1.0
+# Clocks of two VMs may differ in rate by this fraction.
+MAX_CLOCK_RATE_ERROR = 0.01
+
 
 class TableConfirmation(abc.ABC):
     """Tells how old the newest proof is that the table lacks no change."""
@@ -15,3 +21,17 @@
         Time during which this VM was suspended counts. It is infinite before
         the first proof.
         """
+
+
+def compute_max_age_seconds(revoke_seconds: float) -> float:
+    """Return the greatest age of the proof at which keys are served.
+
+    Parameters
+    ----------
+    revoke_seconds : float
+        Time from the acknowledgement of a configuration until keys that it
+        removes are no longer served, in seconds.
+    """
+    return max(
+        0.0, revoke_seconds * (1 - MAX_CLOCK_RATE_ERROR) - MARGIN_SECONDS
+    )
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -14,6 +14,7 @@
 from swiftjunction import batches
 from swiftjunction import coordination
 from swiftjunction import membership
+from swiftjunction import organisations
 from swiftjunction.platform import _batch_calls
 from swiftjunction.platform import _duty_tasks
 from swiftjunction.platform import _election
@@ -102,6 +103,17 @@
             lambda: self._coordinator.lease is not None,
         )
         self._active_routes = routes.ActiveRoutes()
+        self._confirmation = coordination.FeedConfirmation(self._feed_sync)
+        self._confirmer = coordination.ConfigurationConfirmer(
+            self._direct,
+            self._feed_sync,
+            self._members,
+            self._confirmation,
+            organisations.compute_max_age_seconds(settings.revoke_seconds),
+            self._must_confirm_keys,
+            self._store.reaches_directly,
+            rng,
+        )
         record_table = membership.RecordTable()
         self._directory = backends.Directory(record_table)
         self._delayed_removal = backends.DelayedRemoval(
@@ -211,6 +223,7 @@
             self._directory,
             self._tunnels,
             self._reachability,
+            self._confirmation,
             lambda: self._state,
         )
         self._origins = coordination.SharedOrigins(
@@ -261,6 +274,9 @@
                 else 0.0
             ),
         )
+        self._metrics.add_gauge(
+            'configuration_age_seconds', lambda: self._confirmer.age_seconds
+        )
         _inspection.observe_servers(
             self._metrics, self._directory, self._reachability, suspects
         )
@@ -294,6 +310,7 @@
             self._feed_sync,
             self._status_source.build,
             self._directory.rates,
+            self._confirmation,
         )
         LOG.info('started', extra={'front': self._settings.front})
         async with anyio.create_task_group() as tasks:
@@ -301,6 +318,7 @@
                 datagrams.run,
                 lambda: self._feeds.follow_routes(self._active_routes),
                 lambda: self._feeds.follow_servers(self._delayed_removal),
+                self._confirmer.run,
                 self._crash_registry.run,
                 self._origins.run,
                 self._delayed_removal.run,
@@ -370,6 +388,14 @@
         lease = self._coordinator.lease
         return lease is not None and lease.remaining_seconds() > 0
 
+    def _must_confirm_keys(self) -> bool:
+        table = self._active_routes.table
+        return (
+            self._settings.strict_revocation
+            and table is not None
+            and table.keys is not None
+        )
+
     def _is_store_unreachable(self) -> bool:
         """Return whether neither this VM nor a peer reaches the store."""
         return not (
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -26,11 +26,14 @@
         The tunnels that this VM serves.
     reachability : Reachability
         The services that this VM does not reach.
+    confirmation : FeedConfirmation
+        Tells for how long the configuration may lack changes.
     get_state : callable
         Returns ``starting``, ``live`` or ``draining``.
     """
 
     __slots__ = (
+        '_confirmation',
         '_coordinator',
         '_directory',
         '_feed_sync',
@@ -50,6 +53,7 @@
         directory: backends.Directory,
         peer_tunnels: _tunneling.PeerTunnels,
         reachability: backends.Reachability,
+        confirmation: coordination.FeedConfirmation,
         get_state: collections.abc.Callable[[], str],
     ) -> None:
         self._members = members
@@ -59,6 +63,7 @@
         self._directory = directory
         self._peer_tunnels = peer_tunnels
         self._reachability = reachability
+        self._confirmation = confirmation
         self._get_state = get_state
 
     def build(self) -> coordination.MemberStatus:
@@ -84,4 +89,5 @@
             watch_ages=self._feed_sync.list_watch_ages(),
             tunnel_port=self._peer_tunnels.port,
             cut_off=self._reachability.list_cut_off(),
+            configuration_age_seconds=self._confirmation.state_age(),
         )
