--- a/src/swiftjunction/platform/_keys.py
+++ b/src/swiftjunction/platform/_keys.py
@@ -50,15 +50,6 @@
         return self.organisation if self.removed_headers else None
 
 
-class AssumedConfirmation(organisations.TableConfirmation):
-    """Takes the table in effect for the newest one."""
-
-    __slots__ = ()
-
-    def compute_age_seconds(self) -> float:
-        return 0.0
-
-
 class CallerIdentification:
     """Finds out which organisation sent a request.
 
