--- a/src/swiftjunction/platform/_batch_calls.py
+++ b/src/swiftjunction/platform/_batch_calls.py
@@ -105,7 +105,6 @@
                 'route': route.name,
                 'configuration_version': self._active_routes.version,
                 'samples': batch.total,
-                'organisation': batch.organisation,
             },
         )
         return Response(status_code=http.HTTPStatus.ACCEPTED)
--- a/src/swiftjunction/routes/_table.py
+++ b/src/swiftjunction/routes/_table.py
@@ -168,9 +168,12 @@
     def summarize(self) -> dict[str, object]:
         """Return the active routes and recent versions, for the state dump."""
         now = self._clock()
+        keys = self.table.keys if self.table else None
         return {
             'version': self.version,
             'routes': self.table.routes if self.table else [],
+            'organisations': len(keys.names) if keys is not None else None,
+            'keys': len(keys) if keys is not None else None,
             'history': [
                 {'version': version, 'seconds_ago': round(now - at, 1)}
                 for version, at in reversed(self._history)
--- a/src/swiftjunction/telemetry/__init__.py
+++ b/src/swiftjunction/telemetry/__init__.py
@@ -4,6 +4,7 @@
 from swiftjunction.telemetry._dump import StateDump
 from swiftjunction.telemetry._logs import configure_logging
 from swiftjunction.telemetry._logs import ContextFilter
+from swiftjunction.telemetry._logs import set_organisation
 from swiftjunction.telemetry._logs import set_request_context
 from swiftjunction.telemetry._metrics import Metrics
 from swiftjunction.telemetry._stories import format_line
@@ -19,5 +20,6 @@
     'format_line',
     'parse_lines',
     'select_lines',
+    'set_organisation',
     'set_request_context',
 ]
--- a/src/swiftjunction/telemetry/_logs.py
+++ b/src/swiftjunction/telemetry/_logs.py
@@ -18,6 +18,7 @@
 # it.
 _request_id = contextvars.ContextVar('request_id', default='')
 _team = contextvars.ContextVar('team', default='')
+_organisation = contextvars.ContextVar('organisation', default='')
 
 
 def set_request_context(request_id: str, path: str) -> None:
@@ -27,14 +28,24 @@
     """
     _request_id.set(request_id)
     _team.set(path.split('/')[0])
+    _organisation.set('')
+
+
+def set_organisation(name: str) -> None:
+    """Add an organisation to the further log lines of the request."""
+    _organisation.set(name)
 
 
 class ContextFilter(logging.Filter):
-    """Adds the request, its team, and the step and peer of a logged error."""
+    """Adds the request, its sender, and the step and peer of an error."""
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Add the context to `record`; no record is rejected."""
-        for name, variable in (('request_id', _request_id), ('team', _team)):
+        for name, variable in (
+            ('request_id', _request_id),
+            ('team', _team),
+            ('organisation', _organisation),
+        ):
             if variable.get():
                 setattr(record, name, variable.get())
         values = list(record.args) if record.args else []
--- a/tests/cover/test_platform_keys.py
+++ b/tests/cover/test_platform_keys.py
@@ -7,6 +7,7 @@
 import httpx
 import pytest
 
+from swiftjunction import coordination
 from swiftjunction import organisations
 from tests import platform_deployment
 
@@ -408,3 +409,28 @@
             other = await deployment.submit_as(OTHER_KEY, 'b1')
         statuses = [first.status_code, again.status_code, other.status_code]
         assert statuses == [202, 202, 400]
+
+    async def test_are_checked_where_the_coordinator_is_of_the_former_build(
+        self, deployment, monkeypatch
+    ):
+        # The build without organisations has no such paths.
+        build = coordination.PeerApp.build
+
+        def build_former(app):
+            built = build(app)
+            built.router.routes = [
+                route
+                for route in built.router.routes
+                if not route.path.startswith('/peer/organisations/')
+            ]
+            return built
+
+        monkeypatch.setattr(coordination.PeerApp, 'build', build_former)
+        async with deployment.run(vms=('vm-1', 'vm-2')):
+            await deployment.submit_as(OLD_KEY, 'b1')
+            await deployment.wait_for_results_as(OLD_KEY, 'b1', 4)
+            for vm in ('vm-1', 'vm-2'):
+                own = await deployment.read_as(OLD_KEY, 'b1', vm)
+                other = await deployment.read_as(OTHER_KEY, 'b1', vm)
+                assert [own.status_code, other.status_code] == [200, 404]
+                assert len(own.json()['results']) == 4
