Take keys away in the soak, and judge both sides

The configurations of even seeds list two organisations, whose oldest key is replaced with each new configuration.

--- a/soak/load.py
+++ b/soak/load.py
@@ -9,6 +9,7 @@
 import httpx
 
 from soak import checks
+from soak import keys
 from soak import streams
 from soak import testbed
 from swiftjunction import standins
@@ -41,6 +42,8 @@
         Records the checks.
     rng : random.Random
         Source of randomness for requests and VMs.
+    ring : KeyRing
+        The keys of requests.
 
     Attributes
     ----------
@@ -59,13 +62,17 @@
         deployment: testbed.SoakDeployment,
         invariants: checks.Invariants,
         rng: random.Random,
+        ring: keys.KeyRing,
     ) -> None:
+        self._ring = ring
         self._deployment = deployment
         self._invariants = invariants
         self._rng = rng
         self._next_id = 0
         self.outcomes: list[checks.Outcome] = []
-        self.stream_caller = streams.StreamCaller(deployment, invariants, rng)
+        self.stream_caller = streams.StreamCaller(
+            deployment, invariants, rng, ring
+        )
         self.readers: list[checks.BatchReader] = []
         self.completed_steps = 0
 
@@ -100,7 +107,10 @@
             response = await client.post(
                 f'http://{vm.front_address}/{kind}/{outcome.request_id}',
                 content=content,
-                headers=testbed.make_headers(outcome.request_id),
+                headers={
+                    **testbed.make_headers(outcome.request_id),
+                    **self._ring.draw_headers(outcome.request_id),
+                },
             )
         except httpx.HTTPError:
             return False
@@ -149,7 +159,10 @@
                 response = await client.post(
                     url,
                     content=standins.POISON_MARKER,
-                    headers=testbed.make_headers(self._make_id('x')),
+                    headers={
+                        **testbed.make_headers(self._make_id('x')),
+                        **self._ring.make_headers(),
+                    },
                 )
         except httpx.HTTPError:
             return 0
@@ -293,7 +306,11 @@
     ) -> httpx.Response | None:
         """Send a request to a random VM; None if there is no response."""
         vm = self._rng.choice(self._deployment.vms)
-        headers = {'host': testbed.HOST, **options.pop('headers', {})}
+        headers = {
+            'host': testbed.HOST,
+            **self._ring.make_headers(),
+            **options.pop('headers', {}),
+        }
         url = f'http://{vm.front_address}{path}'
         try:
             async with httpx.AsyncClient(trust_env=False, timeout=4) as client:
@@ -368,7 +385,11 @@
         try:
             async with httpx.AsyncClient(trust_env=False, timeout=2) as client:
                 response = await client.post(
-                    url, headers=testbed.make_headers(request_id)
+                    url,
+                    headers={
+                        **testbed.make_headers(request_id),
+                        **self._ring.make_headers(),
+                    },
                 )
         except httpx.HTTPError:
             return 0
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,6 +11,7 @@
 
 from soak import checks
 from soak import faults
+from soak import keys
 from soak import load
 from soak import testbed
 from swiftjunction.commands import _application
@@ -86,8 +87,20 @@
     rng = random.Random(seed)
     invariants = checks.Invariants()
     network, reservation = reserve_network(seed)
-    deployment = testbed.SoakDeployment(folder, vms, network, rng)
-    workload = load.Workload(deployment, invariants, random.Random(seed + 1))
+    ring = keys.KeyRing(random.Random(seed + 2))
+    # The configurations of every other seed have organisations.
+    organised = seed % 2 == 0
+    deployment = testbed.SoakDeployment(
+        folder,
+        vms,
+        network,
+        rng,
+        keys.SETTINGS if organised else (),
+        ring.rotate if organised else None,
+    )
+    workload = load.Workload(
+        deployment, invariants, random.Random(seed + 1), ring
+    )
     injector = faults.FaultInjector(deployment, invariants, rng)
     try:
         async with anyio.create_task_group() as tasks:
@@ -106,6 +119,7 @@
     checks.check_limits(invariants, outcomes, deployment)
     checks.check_fencing_tokens(invariants, deployment)
     checks.check_ended_batches(invariants, workload.readers, deployment)
+    keys.check_keys(invariants, outcomes, deployment, ring)
     return Report(
         seed,
         seconds,
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -7,6 +7,7 @@
 import httpx
 
 from soak import checks
+from soak import keys
 from soak import testbed
 from swiftjunction import standins
 
@@ -69,6 +70,8 @@
         Records the checks.
     rng : random.Random
         Source of randomness.
+    ring : KeyRing
+        The keys of requests.
 
     Attributes
     ----------
@@ -81,7 +84,9 @@
         deployment: testbed.SoakDeployment,
         invariants: checks.Invariants,
         rng: random.Random,
+        ring: keys.KeyRing,
     ) -> None:
+        self._ring = ring
         self._deployment = deployment
         self._invariants = invariants
         self._rng = rng
@@ -132,6 +137,7 @@
                 f'http://{vm.front_address}/streams/{stream.name}',
                 headers={
                     **testbed.make_headers(outcome.request_id),
+                    **self._ring.draw_headers(outcome.request_id),
                     **stream.make_headers(),
                 },
             ) as response,
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -1,5 +1,6 @@
 """The deployment of a run: VM processes, stand-ins and proxied links."""
 
+import collections.abc
 import json
 import os
 import pathlib
@@ -13,6 +14,7 @@
 import anyio
 import anyio.abc
 
+from soak import configs
 from soak import edge
 from soak import links
 from swiftjunction import standins
@@ -23,10 +25,10 @@
 MODULE_PATH = os.pathsep.join(
     [str(ROOT / 'src'), str(ROOT), sysconfig.get_path('purelib')]
 )
-HOST = 'callers.example'
-MODEL = 'model-a'
-PLAIN_SERVICE = 'plain'
-ENGINE_SERVICE = 'engines'
+HOST = configs.HOST
+MODEL = configs.MODEL
+PLAIN_SERVICE = configs.PLAIN_SERVICE
+ENGINE_SERVICE = configs.ENGINE_SERVICE
 # Software versions of the engines, which serve side by side.
 ENGINE_SOFTWARE = {'e1': 'v1', 'e2': 'v1', 'e3': 'v2', 'e4': 'v2'}
 REQUEST_DEADLINE_MS = 2000
@@ -54,50 +56,6 @@
     }
 
 
-def make_config(version: int) -> dict[str, object]:
-    """Return a configuration whose routes depend on its version.
-
-    Each version has the route ``/v{version}/``, which shows whether a VM has
-    applied it.
-    """
-
-    def make_route(
-        prefix: str, kind: str, service: str, **extra: object
-    ) -> object:
-        return {
-            'name': prefix.strip('/'),
-            'host': HOST,
-            'path_prefix': prefix,
-            'kind': kind,
-            'timeout_ms': 1500,
-            'slo_ms': 200,
-            'service': service,
-            'max_attempts': 3,
-            **extra,
-        }
-
-    return {
-        'version': version,
-        'routes': [
-            make_route('/plain/', 'safe', PLAIN_SERVICE),
-            make_route('/once/', 'unsafe', PLAIN_SERVICE),
-            make_route(f'/v{version}/', 'safe', PLAIN_SERVICE),
-            make_route(
-                '/streams/', 'streaming', ENGINE_SERVICE, resumable=True
-            ),
-            make_route(
-                '/samples/',
-                'rollout',
-                ENGINE_SERVICE,
-                due_ms=8000,
-                max_age_s=60,
-            ),
-        ],
-        'services': [],
-        'limits': {'idle_timeout_ms': 15000, 'max_body_bytes': 1 << 20},
-    }
-
-
 class SoakVm:
     """A VM: its settings file, its link to the store and its process.
 
@@ -111,6 +69,8 @@
         Folder for the settings file and the log.
     store : str
         Address of the store as ``ip:port``.
+    settings : sequence of str
+        Further lines of the settings file.
 
     Attributes
     ----------
@@ -125,8 +85,14 @@
     """
 
     def __init__(
-        self, network: int, number: int, folder: pathlib.Path, store: str
+        self,
+        network: int,
+        number: int,
+        folder: pathlib.Path,
+        store: str,
+        settings: collections.abc.Sequence[str] = (),
     ) -> None:
+        self._extra_settings = settings
         self.name = f'vm-{number}'
         # Each VM has its own loopback address, because the ports are fixed.
         self.ip = f'127.{network}.0.{number}'
@@ -158,6 +124,7 @@
             f'provider.address={self.store_link.address}',
             f'bounds.grace_s={SHUTDOWN_GRACE_SECONDS}',
             'bounds.require_fencing=true',
+            *self._extra_settings,
         ]
         self._settings.write_text('\n'.join(lines) + '\n')
 
@@ -257,6 +224,11 @@
         values do not share addresses and can run at the same time.
     rng : random.Random
         Source of randomness.
+    settings : sequence of str
+        Further lines of the settings of each VM.
+    list_organisations : callable, optional
+        Called for each new configuration; returns the organisations that it
+        lists.
 
     Attributes
     ----------
@@ -277,8 +249,11 @@
         vms: int,
         network: int,
         rng: random.Random,
+        settings: collections.abc.Sequence[str] = (),
+        list_organisations: collections.abc.Callable[[], object] | None = None,
     ) -> None:
         self.rng = rng
+        self._list_organisations = list_organisations
         self.store = standins.PlatformStoreStandin()
         self.plain = {
             name: standins.PlatformServiceStandin(name)
@@ -301,7 +276,7 @@
         self.faults_end_at = 0.0
         self._listener = web.open_listener('127.0.0.1', 0)
         self.vms = [
-            SoakVm(network, number, folder, self._listener.address)
+            SoakVm(network, number, folder, self._listener.address, settings)
             for number in range(1, vms + 1)
         ]
 
@@ -324,7 +299,10 @@
 
     def write_config(self, version: int) -> None:
         """Write a configuration to the store, as the operator does."""
-        self.store.put('config', 'main', make_config(version))
+        config = configs.make_config(version)
+        if self._list_organisations is not None:
+            config['tenants'] = self._list_organisations()
+        self.store.put('config', 'main', config)
         self.config_version = version
         self.config_written_at = anyio.current_time()
 
