Count usage on each VM and report each window once

No usage was reported: nothing counted requests by organisation. Each VM now counts, at the sending of a plain request or the first event of a stream, and tells the coordinator at once, in datagrams that are repeated until receipt. Times of windows come from time.time until the shared clock is there.

--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -26,6 +26,7 @@
 from swiftjunction.platform import _status
 from swiftjunction.platform import _store
 from swiftjunction.platform import _tunneling
+from swiftjunction.platform import _usage_reports
 from swiftjunction.platform import _workers
 from swiftjunction import requests
 from swiftjunction import routes
@@ -131,6 +132,15 @@
         router = routing.Router(
             self._directory, settings.data_center, rng, self._permits
         )
+        self._usage = _usage_reports.UsageReports(
+            settings,
+            self._store,
+            self._members,
+            self._clients,
+            self._metrics,
+            rng,
+            time.time,
+        )
         claims = requests.ClaimStore(self._store, settings.name)
         self._crash_registry = coordination.StoreCrashRegistry(
             self._store, self._feed_sync, self._members
@@ -148,6 +158,7 @@
                 requests.RetryBudget(),
                 suspects,
                 self._directory,
+                self._usage.runs,
             )
 
         self._archive = batches.BatchArchive(self._store)
@@ -189,7 +200,10 @@
             self._list_batch_services,
             0.0 if settings.checks_fencing else settings.lease_seconds,
             settings.lease_seconds,
-            _duty_tasks.build_duties(settings, self._clients),
+            [
+                *_duty_tasks.build_duties(settings, self._clients),
+                *self._usage.duties,
+            ],
         )
         self._coordinator = _election.build_coordinator(
             settings,
@@ -230,6 +244,7 @@
                 suspects,
                 self._directory,
                 self._origins,
+                self._usage.runs,
             ),
             self._admission,
             _batch_calls.BatchCalls(
@@ -287,6 +302,7 @@
         datagrams = _listening.open_datagrams(self._settings)
         self._origins.connect(datagrams)
         self._coordinator.connect(datagrams)
+        self._usage.connect(datagrams)
         poller = coordination.PeerPoller(
             datagrams,
             self._clients,
@@ -303,6 +319,7 @@
                 lambda: self._feeds.follow_servers(self._delayed_removal),
                 self._crash_registry.run,
                 self._origins.run,
+                self._usage.run,
                 self._delayed_removal.run,
                 self._directory.loop_lag.run,
                 self._reachability.run,
@@ -399,5 +416,6 @@
         dump.add('suspects', self._suspects.summarize)
         dump.add('batches', self._runner.summarize)
         dump.add('admission', self._admission.summarize)
+        dump.add('usage', self._usage.summarize)
         dump.add('metrics', self._metrics.summarize)
         return dump
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -30,6 +30,9 @@
 from swiftjunction.requests._parsing import read_body
 from swiftjunction.requests._relaying import RelayedStream
 from swiftjunction.requests._relaying import StreamRelay
+from swiftjunction.requests._runs import NoRunListener
+from swiftjunction.requests._runs import RequestRun
+from swiftjunction.requests._runs import RunListener
 from swiftjunction.requests._segments import build_segments
 from swiftjunction.requests._segments import Segment
 from swiftjunction.requests._streaming import RelayedStreamResponse
@@ -53,14 +56,17 @@
     'LocalOrigins',
     'MAX_REQUEST_ID_CHARS',
     'OVERLOAD_CHECK_INTERVAL_SECONDS',
+    'NoRunListener',
     'OriginRegistry',
     'OriginTable',
     'OverloadDetector',
     'RecordCrashRegistry',
     'RelayedStream',
     'RelayedStreamResponse',
+    'RequestRun',
     'ResumePoint',
     'RetryBudget',
+    'RunListener',
     'Segment',
     'StreamOrigin',
     'StreamRelay',
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -13,6 +13,7 @@
 from swiftjunction.requests import _budget
 from swiftjunction.requests import _claims
 from swiftjunction.requests import _evidence
+from swiftjunction.requests import _runs
 from swiftjunction.requests import _suspects
 from swiftjunction import routing
 
@@ -92,6 +93,8 @@
         Tracks the requests that may crash servers.
     directory : Directory, optional
         Tells which servers have ended.
+    runs : RunListener, optional
+        Counts the requests of organisations that began to run.
     """
 
     __slots__ = (
@@ -99,6 +102,7 @@
         '_claims',
         '_observer',
         '_router',
+        '_runs',
         '_services',
         '_suspects',
     )
@@ -111,7 +115,9 @@
         budget: _budget.RetryBudget,
         suspects: _suspects.SuspectTracker,
         directory: backends.Directory | None = None,
+        runs: _runs.RunListener | None = None,
     ) -> None:
+        self._runs = runs or _runs.NoRunListener()
         self._observer = _evidence.CrashObserver(services, suspects, directory)
         self._suspects = suspects
         self._router = router
@@ -151,6 +157,14 @@
         return response
 
     async def _run(self, call: ForwardedCall) -> backends.ServiceResponse:
+        with _runs.track_run(
+            self._runs, call.service_call.organisation
+        ) as run:
+            return await self._make_attempts(call, run)
+
+    async def _make_attempts(
+        self, call: ForwardedCall, run: _runs.RequestRun
+    ) -> backends.ServiceResponse:
         excluded: set[str] = set()
         may_have_run = False
         last_error: errors.BackendError | None = None
@@ -162,7 +176,7 @@
                 # Earlier attempts of this call may have crashed servers.
                 isolated = self._suspects.must_isolate(call.fingerprint)
                 response = await self._attempt(
-                    call, excluded, isolated, may_retry
+                    call, run, excluded, isolated, may_retry
                 )
                 if isolated:
                     self._suspects.clear(call.fingerprint)
@@ -178,6 +192,7 @@
                     extra={'request_id': call.service_call.request_id},
                 )
                 last_error = error
+                run.record_failure(error)
                 if isinstance(error, errors.AnswerBroken):
                     may_have_run = True
                     if not call.idempotent:
@@ -194,6 +209,7 @@
     async def _attempt(
         self,
         call: ForwardedCall,
+        run: _runs.RequestRun,
         excluded: set[str],
         isolated: bool,
         may_retry: bool,
@@ -214,7 +230,7 @@
         # The attempt gets at least 1 ms, also if the deadline has passed.
         remaining_seconds = max(call.deadline - anyio.current_time(), 0.001)
         service_call = msgspec.structs.replace(
-            call.service_call, timeout_seconds=remaining_seconds
+            run.watch(call.service_call), timeout_seconds=remaining_seconds
         )
         async with self._observer.observe(call.fingerprint, server):
             try:
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -20,6 +20,7 @@
 from swiftjunction.requests import _forwarding
 from swiftjunction.requests import _origins
 from swiftjunction.requests import _resuming
+from swiftjunction.requests import _runs
 from swiftjunction.requests import _stream_progress
 from swiftjunction.requests import _suspects
 from swiftjunction import routing
@@ -69,6 +70,8 @@
         Tells which servers have ended.
     origins : OriginRegistry, optional
         Knows where streams began; by default, those of this relay only.
+    runs : RunListener, optional
+        Counts the requests of organisations that began to run.
     """
 
     __slots__ = (
@@ -76,6 +79,7 @@
         '_observer',
         '_resumer',
         '_router',
+        '_runs',
         '_streams',
         '_suspects',
     )
@@ -89,7 +93,9 @@
         suspects: _suspects.SuspectTracker,
         directory: backends.Directory | None = None,
         origins: _origins.OriginRegistry | None = None,
+        runs: _runs.RunListener | None = None,
     ) -> None:
+        self._runs = runs or _runs.NoRunListener()
         self._resumer = _resuming.StreamResumer(
             origins or _origins.LocalOrigins()
         )
@@ -227,6 +233,7 @@
                     latency_timer.stop()
                     if event is None:
                         break
+                    self._count_run(call, progress)
                     if progress.is_new(event):
                         await self._resumer.record(
                             call, progress, server, event
@@ -239,6 +246,19 @@
         finally:
             latency_timer.stop()
 
+    def _count_run(
+        self,
+        call: _forwarding.ForwardedCall,
+        progress: _stream_progress.StreamProgress,
+    ) -> None:
+        """Count the request with the first event that it brings."""
+        if progress.is_counted:
+            return
+        progress.is_counted = True
+        organisation = call.service_call.organisation
+        with _runs.track_run(self._runs, organisation) as run:
+            run.record_start()
+
     async def _acquire_server(
         self,
         call: _forwarding.ForwardedCall,
--- a/src/swiftjunction/requests/_stream_progress.py
+++ b/src/swiftjunction/requests/_stream_progress.py
@@ -27,6 +27,8 @@
         server that may go on; None before the first event.
     is_recorded : bool
         Whether the origin of the stream has been recorded.
+    is_counted : bool
+        Whether the request has been counted as one that began to run.
     first_stream : ServiceStream or None
         The stream of the first server that opened one.
     excluded : set of str
@@ -41,6 +43,7 @@
         'excluded',
         'first_request_id',
         'first_stream',
+        'is_counted',
         'is_recorded',
         'last_error',
         'may_have_run',
@@ -60,6 +63,7 @@
         self.resumable = resumable
         self.first_request_id = first_request_id
         self.software = software
+        self.is_counted = False
         self.is_recorded = False
         self.first_stream: backends.ServiceStream | None = None
         self.excluded: set[str] = set()
