Order servers for services from measured demand

Nothing ordered servers, so that the limits of a service had no effect and a service never had more servers than at its start. The coordinator now counts servers and the work of open batches each second, decides in code that needs no network, records what it orders on the store, and orders it under its lease. Without a duty API or limits in the configuration it does nothing.

--- a/src/swiftjunction/duties/__init__.py
+++ b/src/swiftjunction/duties/__init__.py
@@ -3,5 +3,6 @@
 from swiftjunction.duties._api import DutyApi
 from swiftjunction.duties._api import ServerOrder
 from swiftjunction.duties._api import UsageReport
+from swiftjunction.duties._scaling import ScalingDuty
 
-__all__ = ['DutyApi', 'ServerOrder', 'UsageReport']
+__all__ = ['DutyApi', 'ScalingDuty', 'ServerOrder', 'UsageReport']
--- /dev/null
+++ b/src/swiftjunction/duties/_order_book.py
@@ -0,0 +1,170 @@
+"""The orders of one service, and which of them may be sent again."""
+
+import math
+
+import msgspec
+
+from swiftjunction import scaling
+
+# The longest time after which the platform may carry out an order that got
+# no response.
+LATE_SECONDS = 15.0
+# For how long an order is sent again until it gets a response.
+RETRY_SECONDS = 10.0
+RETRY_INTERVAL_SECONDS = 1.0
+# How long a subject is left alone after a refusal.
+REFUSAL_SECONDS = 5.0
+
+
+class _Order(msgspec.Struct):
+    """An order of one subject.
+
+    Attributes
+    ----------
+    first_at, sent_at : float
+        When it was sent first and last, or added if it has not been sent.
+    lost_at : float
+        When it was last sent without a response; minus infinity if never.
+    is_answered : bool
+        Whether it needs no response any more.
+    """
+
+    placement: scaling.Placement
+    first_at: float
+    sent_at: float
+    lost_at: float = -math.inf
+    is_sent: bool = False
+    is_answered: bool = False
+
+
+class OrderBook:
+    """The last orders of a service; all times are in seconds on one clock.
+
+    Parameters
+    ----------
+    record : ServiceRecord
+        What the former coordinator ordered. Each of its orders may still be
+        carried out.
+    now : float
+        The time at which the record was read.
+
+    Attributes
+    ----------
+    refused_until : dict of Subject to float
+        Until when no server is to be ordered for a subject.
+    """
+
+    __slots__ = ('_former', '_orders', 'refused_until')
+
+    def __init__(self, record: scaling.ServiceRecord, now: float) -> None:
+        self._orders = {
+            row.subject: _Order(
+                scaling.Placement(row.subject, row.servers, 0, row.reason),
+                now,
+                now,
+                lost_at=now,
+                is_answered=True,
+            )
+            for row in record.subjects
+            if row.ordered
+        }
+        # What a refused order replaced.
+        self._former: dict[scaling.Subject, _Order | None] = {}
+        self.refused_until: dict[scaling.Subject, float] = {}
+
+    def list_placed(
+        self, now: float
+    ) -> dict[scaling.Subject, scaling.PlacedOrder]:
+        """Return the last order of each subject, for the decision."""
+        return {
+            subject: scaling.PlacedOrder(
+                order.placement.servers,
+                order.sent_at,
+                not order.is_answered or now - order.lost_at < LATE_SECONDS,
+            )
+            for subject, order in self._orders.items()
+        }
+
+    def list_rows(self, supply: scaling.Supply) -> list[scaling.OrderRecord]:
+        """Return the number of servers of each subject, for the record."""
+        return [
+            self._make_row(subject, supply)
+            for subject in sorted(self._orders.keys() | supply.standing.keys())
+        ]
+
+    def _make_row(
+        self, subject: scaling.Subject, supply: scaling.Supply
+    ) -> scaling.OrderRecord:
+        order = self._orders.get(subject)
+        if order is None:
+            servers, reason = supply.standing.get(subject, 0), ''
+        else:
+            servers, reason = order.placement.servers, order.placement.reason
+        return scaling.OrderRecord(
+            subject.data_center,
+            subject.is_spot,
+            servers,
+            order is not None,
+            reason,
+        )
+
+    def add(self, placement: scaling.Placement, now: float) -> None:
+        """Add an order that is about to be sent."""
+        self._former[placement.subject] = self._orders.get(placement.subject)
+        self._orders[placement.subject] = _Order(placement, now, now)
+
+    def list_due(self, now: float) -> list[scaling.Placement]:
+        """Return the orders to send now, also again.
+
+        Those that got no response for long are given up.
+        """
+        due = []
+        for subject, order in list(self._orders.items()):
+            if order.is_answered:
+                continue
+            if now - order.first_at > RETRY_SECONDS:
+                self._give_up(subject, order)
+            elif (
+                not order.is_sent
+                or now - order.sent_at >= RETRY_INTERVAL_SECONDS
+            ):
+                due.append(order.placement)
+        return due
+
+    def _give_up(self, subject: scaling.Subject, order: _Order) -> None:
+        if math.isinf(order.lost_at):
+            # It was never carried out.
+            self._restore(subject)
+        else:
+            order.is_answered = True
+
+    def _restore(self, subject: scaling.Subject) -> None:
+        former = self._former.pop(subject, None)
+        if former is None:
+            del self._orders[subject]
+        else:
+            self._orders[subject] = former
+
+    def record_sent(self, subject: scaling.Subject, now: float) -> None:
+        """Record that an order is sent now."""
+        order = self._orders[subject]
+        order.sent_at = now
+        order.is_sent = True
+
+    def record_done(self, subject: scaling.Subject) -> None:
+        """Record that an order was carried out."""
+        self._orders[subject].is_answered = True
+
+    def record_lost(self, subject: scaling.Subject, now: float) -> None:
+        """Record that an order got no response, and may be carried out."""
+        self._orders[subject].lost_at = now
+
+    def record_refused(self, subject: scaling.Subject, now: float) -> None:
+        """Record that no servers can be had for a subject."""
+        self.refused_until[subject] = now + REFUSAL_SECONDS
+        order = self._orders[subject]
+        if math.isinf(order.lost_at):
+            self._restore(subject)
+        else:
+            # An earlier attempt may still be carried out.
+            order.is_answered = True
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -189,7 +189,15 @@
             self._list_batch_services,
             0.0 if settings.checks_fencing else settings.lease_seconds,
             settings.lease_seconds,
-            _duty_tasks.build_duties(settings, self._clients),
+            _duty_tasks.build_duties(
+                settings,
+                self._clients,
+                self._store,
+                self._active_routes,
+                self._directory,
+                self._runner,
+                self._metrics,
+            ),
         )
         self._coordinator = _election.build_coordinator(
             settings,
--- a/src/swiftjunction/scaling/__init__.py
+++ b/src/swiftjunction/scaling/__init__.py
@@ -1,5 +1,43 @@
 """Orders of servers for services whose number of servers may change."""
 
+from swiftjunction.scaling._decision import decide
+from swiftjunction.scaling._decision import Decision
+from swiftjunction.scaling._decision import find_problem
+from swiftjunction.scaling._decision import PlacedOrder
+from swiftjunction.scaling._decision import Placement
+from swiftjunction.scaling._decision import Situation
+from swiftjunction.scaling._demand import BatchWork
+from swiftjunction.scaling._demand import DemandTracker
+from swiftjunction.scaling._demand import Need
+from swiftjunction.scaling._demand import SampleWork
 from swiftjunction.scaling._limits import ServiceScaling
+from swiftjunction.scaling._record import OrderArchive
+from swiftjunction.scaling._record import OrderRecord
+from swiftjunction.scaling._record import SCALING_PREFIX
+from swiftjunction.scaling._record import ServiceRecord
+from swiftjunction.scaling._supply import ServerView
+from swiftjunction.scaling._supply import Subject
+from swiftjunction.scaling._supply import Supply
+from swiftjunction.scaling._supply import SupplyTracker
 
-__all__ = ['ServiceScaling']
+__all__ = [
+    'BatchWork',
+    'Decision',
+    'DemandTracker',
+    'Need',
+    'OrderArchive',
+    'OrderRecord',
+    'PlacedOrder',
+    'Placement',
+    'SCALING_PREFIX',
+    'SampleWork',
+    'ServerView',
+    'ServiceRecord',
+    'ServiceScaling',
+    'Situation',
+    'Subject',
+    'Supply',
+    'SupplyTracker',
+    'decide',
+    'find_problem',
+]
--- /dev/null
+++ b/src/swiftjunction/scaling/_record.py
@@ -0,0 +1,117 @@
+"""What was ordered last, on the object store for the next coordinator."""
+
+import uuid
+
+import msgspec
+
+from swiftjunction import errors
+from swiftjunction import objectstore
+from swiftjunction.scaling import _supply
+
+SCALING_PREFIX = 'scaling/'
+
+
+class OrderRecord(msgspec.Struct, frozen=True):
+    """The number of servers of one subject.
+
+    Attributes
+    ----------
+    ordered : bool
+        Whether that number was ordered, or is about to be; otherwise it was
+        found there.
+    reason : str
+        Why it was ordered; empty if it was not.
+    """
+
+    data_center: str
+    is_spot: bool
+    servers: int
+    ordered: bool = False
+    reason: str = ''
+
+    @property
+    def subject(self) -> _supply.Subject:
+        """Return the subject of the order."""
+        return _supply.Subject(self.data_center, self.is_spot)
+
+
+class ServiceRecord(msgspec.Struct, frozen=True):
+    """What was decided for one service.
+
+    Attributes
+    ----------
+    target : int
+        The number of servers aimed at.
+    fencing_token : int
+        That of the coordinator that wrote it.
+    nonce : str
+        Unique for each write, to recognize one whose response was lost.
+    """
+
+    service: str
+    target: int = 0
+    fencing_token: int = 0
+    subjects: list[OrderRecord] = []
+    nonce: str = ''
+
+
+class OrderArchive:
+    """Reads and writes the records of services.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Holds one object for each service.
+    """
+
+    __slots__ = ('_store',)
+
+    def __init__(self, store: objectstore.ObjectStore) -> None:
+        self._store = store
+
+    async def read(self, service: str) -> tuple[ServiceRecord, int]:
+        """Return the record of a service and its version, 0 if new.
+
+        A record that cannot be decoded is replaced by the next write.
+        """
+        try:
+            found = await self._store.read(SCALING_PREFIX + service)
+        except errors.ObjectMissing:
+            return ServiceRecord(service), 0
+        try:
+            record = objectstore.decode_value(found, ServiceRecord)
+        except errors.ObjectBroken:
+            record = ServiceRecord(service)
+        return record, found.version
+
+    async def write(self, record: ServiceRecord, version: int) -> int:
+        """Write a record on the condition that it is still at `version`.
+
+        Returns
+        -------
+        int
+            Its new version.
+
+        Raises
+        ------
+        RevisionConflict, WriteUncertain
+            If another process has written it, or may have.
+        """
+        key = SCALING_PREFIX + record.service
+        value = msgspec.json.encode(
+            msgspec.structs.replace(record, nonce=uuid.uuid4().hex)
+        )
+        if not version:
+            return await objectstore.create_or_confirm(self._store, key, value)
+        return await objectstore.update_or_confirm(
+            self._store, key, value, version
+        )
+
+    async def list(self) -> list[ServiceRecord]:
+        """Return the records of all services, sorted by service."""
+        found = await self._store.list(SCALING_PREFIX)
+        records = [
+            objectstore.decode_value(item, ServiceRecord)
+            for item in found.changed
+        ]
+        return sorted(records, key=lambda record: record.service)
