Record when an order of servers is no longer open

A successor took each recorded order for one without a response, and left its subject alone for 15 s, also after a refusal. The round after an answer now records it.

Tests: those of the duty in virtual time, and three with VMs and a stand-in of the API.

--- a/src/swiftjunction/duties/_order_book.py
+++ b/src/swiftjunction/duties/_order_book.py
@@ -36,6 +36,10 @@
     is_sent: bool = False
     is_answered: bool = False
 
+    def is_open(self, now: float) -> bool:
+        """Return whether the platform may still carry it out."""
+        return not self.is_answered or now - self.lost_at < LATE_SECONDS
+
 
 class OrderBook:
     """The last orders of a service; all times are in seconds on one clock.
@@ -43,8 +47,8 @@
     Parameters
     ----------
     record : ServiceRecord
-        What the former coordinator ordered. Each of its orders may still be
-        carried out.
+        What the former coordinator ordered. Those of its orders that were
+        open may still be carried out.
     now : float
         The time at which the record was read.
 
@@ -62,7 +66,7 @@
                 scaling.Placement(row.subject, row.servers, 0, row.reason),
                 now,
                 now,
-                lost_at=now,
+                lost_at=now if row.is_open else -math.inf,
                 is_answered=True,
             )
             for row in record.subjects
@@ -80,32 +84,37 @@
             subject: scaling.PlacedOrder(
                 order.placement.servers,
                 order.sent_at,
-                not order.is_answered or now - order.lost_at < LATE_SECONDS,
+                order.is_open(now),
             )
             for subject, order in self._orders.items()
         }
 
-    def list_rows(self, supply: scaling.Supply) -> list[scaling.OrderRecord]:
+    def list_rows(
+        self, supply: scaling.Supply, now: float
+    ) -> list[scaling.OrderRecord]:
         """Return the number of servers of each subject, for the record."""
         return [
-            self._make_row(subject, supply)
+            self._make_row(subject, supply, now)
             for subject in sorted(self._orders.keys() | supply.standing.keys())
         ]
 
     def _make_row(
-        self, subject: scaling.Subject, supply: scaling.Supply
+        self, subject: scaling.Subject, supply: scaling.Supply, now: float
     ) -> scaling.OrderRecord:
         order = self._orders.get(subject)
         if order is None:
-            servers, reason = supply.standing.get(subject, 0), ''
-        else:
-            servers, reason = order.placement.servers, order.placement.reason
+            return scaling.OrderRecord(
+                subject.data_center,
+                subject.is_spot,
+                supply.standing.get(subject, 0),
+            )
         return scaling.OrderRecord(
             subject.data_center,
             subject.is_spot,
-            servers,
-            order is not None,
-            reason,
+            order.placement.servers,
+            ordered=True,
+            is_open=order.is_open(now),
+            reason=order.placement.reason,
         )
 
     def add(self, placement: scaling.Placement, now: float) -> None:
--- a/src/swiftjunction/duties/_scaled_service.py
+++ b/src/swiftjunction/duties/_scaled_service.py
@@ -126,13 +126,15 @@
             if placement.change < 0:
                 self._decreased_at = now
 
-    def make_record(self, fencing_token: int) -> scaling.ServiceRecord:
+    def make_record(
+        self, fencing_token: int, now: float
+    ) -> scaling.ServiceRecord:
         """Return the record to write before orders are sent."""
         return scaling.ServiceRecord(
             self.name,
             self.target,
             fencing_token,
-            self.book.list_rows(self._supply),
+            self.book.list_rows(self._supply, now),
         )
 
     def describe(self) -> dict[str, object]:
--- a/src/swiftjunction/duties/_scaling.py
+++ b/src/swiftjunction/duties/_scaling.py
@@ -147,6 +147,12 @@
                 error,
                 extra={'service': limits.service},
             )
+        except Exception:
+            # Batches must go on.
+            LOG.exception(
+                'servers could not be ordered',
+                extra={'service': limits.service},
+            )
 
     async def _load(self, name: str) -> _scaled_service.ScaledService:
         """Return what is known of a service, read from the store if needed."""
@@ -199,7 +205,8 @@
         version = service.version or 0
         try:
             service.version = await self._archive.write(
-                service.make_record(fencing_token), version
+                service.make_record(fencing_token, anyio.current_time()),
+                version,
             )
         except (errors.RevisionConflict, errors.WriteUncertain):
             service.version = None
@@ -237,6 +244,9 @@
         except errors.LeaseLost as error:
             LOG.info('order of servers not sent: %s', error)
             return
+        if outcome in ('done', 'refused'):
+            # The next round records that it is no longer open.
+            service.is_recorded = False
         self._metrics.count(
             'server_orders', outcome=outcome, reason=placement.reason
         )
--- a/src/swiftjunction/scaling/_record.py
+++ b/src/swiftjunction/scaling/_record.py
@@ -19,6 +19,9 @@
     ordered : bool
         Whether that number was ordered, or is about to be; otherwise it was
         found there.
+    is_open : bool
+        Whether the order may still be carried out: it was about to be sent,
+        or has got no response yet.
     reason : str
         Why it was ordered; empty if it was not.
     """
@@ -27,6 +30,7 @@
     is_spot: bool
     servers: int
     ordered: bool = False
+    is_open: bool = False
     reason: str = ''
 
     @property
