--- a/src/swiftjunction/commands/_fleet.py
+++ b/src/swiftjunction/commands/_fleet.py
@@ -13,6 +13,7 @@
 from swiftjunction import coordination
 from swiftjunction import errors
 from swiftjunction.platform import catalog
+from swiftjunction import scaling
 from swiftjunction import web
 
 STORE_VARIABLE = 'SWIFTJUNCTION_STORE'
@@ -210,6 +211,48 @@
         )
 
 
+class FleetScalingCommand(_FleetCommand):
+    """Prints the servers of services that are ordered."""
+
+    name = 'fleet scaling'
+    description = (
+        'Shows for each service, data center and kind of server how many run, '
+        'are coming and are wanted, and why.'
+    )
+
+    async def collect(
+        self, clients: StoreClients
+    ) -> collections.abc.Iterable[scaling.SubjectState]:
+        servers = await clients.catalog.list_servers()
+        return [
+            state
+            for record in await clients.deployment.list_scaled_services()
+            for state in scaling.list_states(
+                record,
+                (
+                    scaling.ServerView(
+                        server.name,
+                        scaling.Subject(server.data_center, server.is_spot),
+                        server.state == 'live',
+                    )
+                    for server in servers
+                    if server.service == record.service
+                ),
+            )
+        ]
+
+    def format_row(self, row: scaling.SubjectState) -> str:
+        kind = 'spot' if row.is_spot else 'regular'
+        why = row.reason or 'found there'
+        if row.is_open:
+            why += ', no response yet'
+        return (
+            f'{row.service:<16} {row.data_center:<16} {kind:<8} '
+            f'{row.running} running, {row.leaving} leaving, '
+            f'{row.coming} coming, {row.wanted} wanted ({why})'
+        )
+
+
 COMMANDS = (
     FleetStatusCommand,
     FleetLeasesCommand,
@@ -217,4 +260,5 @@
     FleetServersCommand,
     FleetVersionsCommand,
     FleetRoutesCommand,
+    FleetScalingCommand,
 )
--- a/src/swiftjunction/coordination/_deployment.py
+++ b/src/swiftjunction/coordination/_deployment.py
@@ -12,6 +12,7 @@
 from swiftjunction import leases
 from swiftjunction import objectstore
 from swiftjunction import routes
+from swiftjunction import scaling
 from swiftjunction import web
 
 
@@ -60,7 +61,7 @@
     Parameters
     ----------
     store : ObjectStore
-        Holds the entries of VMs, leases and batches.
+        Holds the entries of VMs, leases, batches and orders of servers.
     peers : PeerClients
         HTTP clients for the VMs.
     """
@@ -98,3 +99,7 @@
     async def list_batches(self) -> list[batches.BatchSummary]:
         """Return the stored batches."""
         return await self._archive.list_batches()
+
+    async def list_scaled_services(self) -> list[scaling.ServiceRecord]:
+        """Return what was last ordered for each service, sorted by name."""
+        return await scaling.OrderArchive(self._store).list()
--- a/src/swiftjunction/scaling/__init__.py
+++ b/src/swiftjunction/scaling/__init__.py
@@ -11,10 +11,12 @@
 from swiftjunction.scaling._demand import Need
 from swiftjunction.scaling._demand import SampleWork
 from swiftjunction.scaling._limits import ServiceScaling
+from swiftjunction.scaling._record import list_states
 from swiftjunction.scaling._record import OrderArchive
 from swiftjunction.scaling._record import OrderRecord
 from swiftjunction.scaling._record import SCALING_PREFIX
 from swiftjunction.scaling._record import ServiceRecord
+from swiftjunction.scaling._record import SubjectState
 from swiftjunction.scaling._supply import ServerView
 from swiftjunction.scaling._supply import Subject
 from swiftjunction.scaling._supply import Supply
@@ -36,8 +38,10 @@
     'ServiceScaling',
     'Situation',
     'Subject',
+    'SubjectState',
     'Supply',
     'SupplyTracker',
     'decide',
     'find_problem',
+    'list_states',
 ]
--- a/src/swiftjunction/scaling/_record.py
+++ b/src/swiftjunction/scaling/_record.py
@@ -1,5 +1,7 @@
 """What was ordered last, on the object store for the next coordinator."""
 
+import collections
+import collections.abc
 import uuid
 
 import msgspec
@@ -119,3 +121,70 @@
             for item in found.changed
         ]
         return sorted(records, key=lambda record: record.service)
+
+
+class SubjectState(msgspec.Struct, frozen=True):
+    """The servers of one subject, for operators.
+
+    Attributes
+    ----------
+    running, leaving : int
+        The servers that are listed as live and as leaving.
+    coming : int
+        How many live ones fewer there are than wanted.
+    wanted : int
+        The number that was ordered last, or was found there.
+    reason : str
+        Why it was ordered; empty if it was not.
+    is_open : bool
+        Whether the order has no outcome yet.
+    """
+
+    service: str
+    data_center: str
+    is_spot: bool
+    running: int
+    leaving: int
+    coming: int
+    wanted: int
+    reason: str
+    is_open: bool
+
+
+def list_states(
+    record: ServiceRecord,
+    servers: collections.abc.Iterable[_supply.ServerView],
+) -> list[SubjectState]:
+    """Return the state of each subject of a service.
+
+    Parameters
+    ----------
+    servers : iterable of ServerView
+        The listed servers of the service.
+    """
+    running: collections.Counter[_supply.Subject] = collections.Counter()
+    leaving: collections.Counter[_supply.Subject] = collections.Counter()
+    for server in servers:
+        (running if server.is_live else leaving)[server.subject] += 1
+    rows = {row.subject: row for row in record.subjects}
+    for subject in running.keys() | leaving.keys():
+        rows.setdefault(
+            subject,
+            OrderRecord(
+                subject.data_center, subject.is_spot, running[subject]
+            ),
+        )
+    return [
+        SubjectState(
+            record.service,
+            subject.data_center,
+            subject.is_spot,
+            running[subject],
+            leaving[subject],
+            max(row.servers - running[subject], 0) if row.ordered else 0,
+            row.servers,
+            row.reason,
+            row.is_open,
+        )
+        for subject, row in sorted(rows.items())
+    ]
--- a/tests/cover/test_commands_fleet.py
+++ b/tests/cover/test_commands_fleet.py
@@ -74,6 +74,42 @@
         assert ' live' in lines[0]
         assert ' away: ' in lines[1]
 
+    async def test_scaling_shows_what_runs_is_coming_and_is_wanted(
+        self, deployment
+    ):
+        deployment.store.put(
+            'scaling',
+            platform_deployment.ENGINES,
+            {
+                'service': platform_deployment.ENGINES,
+                'target': 5,
+                'subjects': [
+                    {
+                        'data_center': 'dc-2',
+                        'is_spot': True,
+                        'servers': 3,
+                        'ordered': True,
+                        'is_open': True,
+                        'reason': 'late_steps',
+                    }
+                ],
+            },
+        )
+        async with deployment.run():
+            text = await run_command(deployment, 'fleet scaling')
+        found, ordered = [line.split(maxsplit=3) for line in text.splitlines()]
+        assert found[1:] == [
+            'dc-1',
+            'regular',
+            '2 running, 0 leaving, 0 coming, 2 wanted (found there)',
+        ]
+        assert ordered[1:] == [
+            'dc-2',
+            'spot',
+            '0 running, 0 leaving, 3 coming, 3 wanted '
+            '(late_steps, no response yet)',
+        ]
+
     async def test_an_empty_list_is_reported_as_such(self, deployment):
         async with deployment.run():
             assert (
