--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -21,6 +21,7 @@
 from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import leases
+from swiftjunction import routing
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -74,6 +75,8 @@
         Receives the request limits that peers know.
     confirmation : FeedConfirmation, optional
         Receives what peers confirm.
+    router : Router, optional
+        Receives the load of organisations at peers.
     """
 
     __slots__ = (
@@ -86,6 +89,7 @@
         '_peers',
         '_rates',
         '_round_number',
+        '_router',
         '_unanswered',
     )
 
@@ -98,7 +102,9 @@
         get_status: _statuses.StatusSource,
         rates: backends.ServerRates | None = None,
         confirmation: _confirming.FeedConfirmation | None = None,
+        router: routing.Router | None = None,
     ) -> None:
+        self._router = router
         self._rates = rates
         self._datagrams = datagrams
         datagrams.listen(StatusQuery, self._answer)
@@ -193,6 +199,8 @@
         self._feed_sync.record_status(status)
         if self._confirmation is not None:
             self._confirmation.record_status(status, asked_at)
+        if self._router is not None and status.flow_rates:
+            self._router.record_flow_rates(status.name, status.flow_rates)
         if self._rates is not None:
             for statement in status.rates:
                 self._rates.merge(statement)
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from swiftjunction import backends
+from swiftjunction import routing
 
 MEMBER_PREFIX = 'members/'
 
@@ -77,6 +78,9 @@
     configuration_age_seconds : float or None
         For how long its copy of the configuration may lack changes, on a
         clock that counts time suspended; None if that is not known.
+    flow_rates : dict of str to list of FlowRate
+        For each service whose requests had to wait lately, the load of
+        organisations at the VM.
     """
 
     name: str
@@ -95,6 +99,7 @@
     tunnel_port: int = 0
     cut_off: list[str] = []
     configuration_age_seconds: float | None = None
+    flow_rates: dict[str, list[routing.FlowRate]] = {}
 
 
 class Tunnel(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -145,6 +145,7 @@
         router = routing.Router(
             self._directory, settings.data_center, rng, self._permits
         )
+        self._router = router
         self._usage = _usage_reports.UsageReports(
             settings,
             self._store,
@@ -247,6 +248,7 @@
             self._tunnels,
             self._reachability,
             self._confirmation,
+            router,
             lambda: self._state,
         )
         self._origins = coordination.SharedOrigins(
@@ -342,6 +344,7 @@
             self._status_source.build,
             self._directory.rates,
             self._confirmation,
+            self._router,
         )
         LOG.info('started', extra={'front': self._settings.front})
         async with anyio.create_task_group() as tasks:
@@ -449,6 +452,7 @@
         dump.add('feeds', self._feed_sync.summarize)
         dump.add('configuration', self._active_routes.summarize)
         dump.add('servers', self._directory.summarize)
+        dump.add('shares', self._router.summarize_shares)
         dump.add('reachability', self._reachability.summarize)
         dump.add('suspects', self._suspects.summarize)
         dump.add('batches', self._runner.summarize)
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -5,6 +5,7 @@
 from swiftjunction import backends
 from swiftjunction import coordination
 from swiftjunction.platform import _tunneling
+from swiftjunction import routing
 
 
 class StatusSource:
@@ -28,6 +29,8 @@
         The services that this VM does not reach.
     confirmation : FeedConfirmation
         Tells for how long the configuration may lack changes.
+    router : Router
+        Tells the load of organisations whose requests had to wait.
     get_state : callable
         Returns ``starting``, ``live`` or ``draining``.
     """
@@ -41,6 +44,7 @@
         '_members',
         '_peer_tunnels',
         '_reachability',
+        '_router',
         '_store',
     )
 
@@ -54,6 +58,7 @@
         peer_tunnels: _tunneling.PeerTunnels,
         reachability: backends.Reachability,
         confirmation: coordination.FeedConfirmation,
+        router: routing.Router,
         get_state: collections.abc.Callable[[], str],
     ) -> None:
         self._members = members
@@ -64,6 +69,7 @@
         self._peer_tunnels = peer_tunnels
         self._reachability = reachability
         self._confirmation = confirmation
+        self._router = router
         self._get_state = get_state
 
     def build(self) -> coordination.MemberStatus:
@@ -90,4 +96,5 @@
             tunnel_port=self._peer_tunnels.port,
             cut_off=self._reachability.list_cut_off(),
             configuration_age_seconds=self._confirmation.state_age(),
+            flow_rates=self._router.list_flow_rates(),
         )
--- a/tests/cover/test_coordination_polling.py
+++ b/tests/cover/test_coordination_polling.py
@@ -10,6 +10,7 @@
 from swiftjunction.coordination import _polling
 from swiftjunction import errors
 from swiftjunction import objectstore
+from swiftjunction import routing
 from swiftjunction import standins
 from swiftjunction import web
 from tests.cover.test_coordination import make_entry
@@ -32,6 +33,20 @@
         return super().get_direct(address)
 
 
+class FakeRouter:
+    """The load of organisations that a VM tells, and that it was told."""
+
+    def __init__(self):
+        self.own = {}
+        self.told = {}
+
+    def list_flow_rates(self):
+        return self.own
+
+    def record_flow_rates(self, peer, rates):
+        self.told[peer] = rates
+
+
 class Vm:
     """A VM that polls one other and is polled by it.
 
@@ -54,6 +69,7 @@
         self.feed_sync = coordination.FeedSync(
             None, self.clients, self.members
         )
+        self.router = FakeRouter()
         self.feed = self.feed_sync.add(
             PREFIX, objectstore.CallbackListener(lambda found: None)
         )
@@ -67,7 +83,9 @@
     def make_status(self):
         status = make_status(self.name)
         return msgspec.structs.replace(
-            status, revisions={PREFIX: self.revision}
+            status,
+            revisions={PREFIX: self.revision},
+            flow_rates=self.router.list_flow_rates(),
         )
 
     async def run(self):
@@ -88,6 +106,7 @@
                     self.members,
                     self.feed_sync,
                     self.make_status,
+                    router=self.router,
                 )
                 tasks.start_soon(datagrams.run)
                 tasks.start_soon(poller.run)
@@ -197,3 +216,12 @@
         with web.bind_datagram_socket('127.0.0.1', a.port):
             with pytest.raises(errors.SettingsError):
                 web.bind_datagram_socket('127.0.0.1', a.port)
+
+
+async def test_peers_learn_the_load_of_organisations():
+    a, b = Vm('a'), Vm('b')
+    b.router.own = {'fit': [routing.FlowRate('first', 9.0, 3.0)]}
+    async with run_vms(a, b):
+        await wait_until(lambda: a.router.told)
+    assert a.router.told == {'b': b.router.own}
+    assert b.router.told == {}
