--- a/src/swiftjunction/organisations/_checking.py
+++ b/src/swiftjunction/organisations/_checking.py
@@ -5,13 +5,9 @@
 import msgspec
 
 from swiftjunction import errors
+from swiftjunction.organisations import _confirmation
 from swiftjunction.organisations import _keys
 
-# Longest time for which the store leaves a watch open that has missed
-# changes; its last answer may be that much older than it seems.
-WATCH_LAPSE_SECONDS = 1.0
-# Bound on the relative difference between the rates of two clocks.
-CLOCK_RATE_ERROR = 0.01
 # A VM in touch with the store has its next confirmation within about this
 # time.
 RETRY_SECONDS = 0.3
@@ -40,10 +36,7 @@
     @property
     def max_age_seconds(self) -> float:
         """Return the age of a confirmation up to which keys are served."""
-        return (
-            self.revoke_seconds * (1.0 - CLOCK_RATE_ERROR)
-            - WATCH_LAPSE_SECONDS
-        )
+        return _confirmation.compute_max_age_seconds(self.revoke_seconds)
 
 
 class InvalidKey(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/platform/_keys.py
+++ b/src/swiftjunction/platform/_keys.py
@@ -50,7 +50,10 @@
 
 
 class AssumedConfirmation(organisations.TableConfirmation):
-    """Takes the table in effect for the newest one."""
+    """Takes the table in effect for the newest one.
+
+    Without strict revocation, nothing confirms it.
+    """
 
     __slots__ = ()
 
