--- a/src/swiftjunction/platform/_keys.py
+++ b/src/swiftjunction/platform/_keys.py
@@ -16,6 +16,7 @@
 
 # Never passed on from callers where the configuration has organisations.
 CALLER_HEADERS = frozenset({_names.KEY_HEADER, _names.ORGANISATION_HEADER})
+# Takes up no header, where the configuration has no organisations.
 NO_HEADERS: frozenset[str] = frozenset()
 
 
@@ -49,18 +50,6 @@
         return self.organisation if self.removed_headers else None
 
 
-class AssumedConfirmation(organisations.TableConfirmation):
-    """Takes the table in effect for the newest one.
-
-    Without strict revocation, nothing confirms it.
-    """
-
-    __slots__ = ()
-
-    def compute_age_seconds(self) -> float:
-        return 0.0
-
-
 class CallerIdentification:
     """Finds out which organisation sent a request.
 
@@ -136,7 +125,6 @@
         found = await self._checker.identify(key)
         if found is None:
             return Caller()
-        telemetry.set_organisation(found.name)
 
         def check() -> None:
             self._checker.check(key, again=True)
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -263,9 +263,7 @@
             _keys.CallerIdentification(
                 settings,
                 self._active_routes,
-                self._confirmation
-                if settings.strict_revocation
-                else _keys.AssumedConfirmation(),
+                self._confirmation,
                 self._metrics,
             ),
             self._members,
@@ -399,11 +397,7 @@
 
     def _must_confirm_keys(self) -> bool:
         table = self._active_routes.table
-        return (
-            self._settings.strict_revocation
-            and table is not None
-            and table.keys is not None
-        )
+        return table is not None and table.keys is not None
 
     def _is_store_unreachable(self) -> bool:
         """Return whether neither this VM nor a peer reaches the store."""
