--- a/src/swiftjunction/commands/_fleet.py
+++ b/src/swiftjunction/commands/_fleet.py
@@ -105,8 +105,9 @@
         if not status.reaches_store:
             words.append('does not reach the store')
         if status.configuration_age_seconds is not None:
+            revision = status.revisions.get(coordination.CONFIG_PREFIX)
             words.append(
-                'configuration confirmed '
+                f'configuration at revision {revision}, confirmed '
                 f'{status.configuration_age_seconds:.1f} s ago'
             )
         return f'{head} {", ".join(words)}'
--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -4,6 +4,7 @@
 from swiftjunction.coordination._access import list_store_relays
 from swiftjunction.coordination._app import PeerApp
 from swiftjunction.coordination._confirmer import ConfigurationConfirmer
+from swiftjunction.coordination._confirming import CONFIG_PREFIX
 from swiftjunction.coordination._confirming import FeedConfirmation
 from swiftjunction.coordination._coordinator import Coordinator
 from swiftjunction.coordination._coordinator import CoordinatorTask
@@ -37,6 +38,7 @@
 from swiftjunction.coordination._watching import PeerMonitor
 
 __all__ = [
+    'CONFIG_PREFIX',
     'Catalog',
     'ConfigurationConfirmer',
     'ControlLoops',
