--- a/tests/cover/test_platform_keys.py
+++ b/tests/cover/test_platform_keys.py
@@ -9,6 +9,7 @@
 
 from swiftjunction import coordination
 from swiftjunction import organisations
+from swiftjunction.telemetry import _logs
 from tests import platform_deployment
 
 KEY = 'swiftjunction-credential'
@@ -60,6 +61,8 @@
 
     def start_vm(self, name):
         super().start_vm(name)
+        if self._extra_settings != STRICT:
+            return
         callers = self.programs[name]._ingress._callers
         callers._checker._confirmation = self.confirmation
 
@@ -273,6 +276,40 @@
         assert float(known.headers['retry-after']) < 1
         assert [served.status_code, public.status_code] == [200, 200]
 
+    @pytest.mark.parametrize('strict', ['true', 'false'])
+    async def test_are_told_apart_with_and_without_strict_revocation(
+        self, tmp_path, strict
+    ):
+        settings = [f'bounds.strict_revoke={strict}']
+        deployment = Deployment(tmp_path, settings=settings)
+        statuses = []
+        async with deployment.run():
+            for key in (OLD_KEY, 'wrong'):
+                with anyio.fail_after(5):
+                    while True:
+                        response = await deployment.call(key=key)
+                        if response.status_code != 503:
+                            break
+                        await anyio.sleep(0.1)
+                statuses.append(response.status_code)
+        assert statuses == [200, 401]
+
+    async def test_are_named_in_log_lines_by_their_organisation(
+        self, deployment, caplog
+    ):
+        caplog.set_level('INFO', logger='swiftjunction')
+        caplog.handler.addFilter(_logs.ContextFilter())
+        async with deployment.run():
+            await deployment.call()
+            await deployment.call('/open/a', key=None)
+        names = [
+            getattr(record, 'organisation', '')
+            for record in caplog.records
+            if record.message == 'request answered'
+        ]
+        assert names == ['first', '']
+        assert OLD_KEY not in str([vars(r) for r in caplog.records])
+
     async def test_with_wrong_keys_cause_no_calls_of_the_store(
         self, deployment
     ):
