Learn of all VMs from a peer after a restart without the store

A VM that restarted while it was cut off from the store knew no peers, so it received neither configuration nor confirmation, although peers polled it. It now copies the list of VMs from one that does. The new test failed before: the VM did not become ready within 10 s.

--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -86,6 +86,7 @@
         '_peers',
         '_rates',
         '_round_number',
+        '_unknown_peer',
         '_unanswered',
     )
 
@@ -114,6 +115,8 @@
         )
         # When each of the last rounds began, on the confirmation's clock.
         self._asked_at: dict[int, float] = {}
+        # The address of a peer that polls this VM, which knows no peers yet.
+        self._unknown_peer = ''
         # The peers polled in this round that have not answered, by name.
         self._unanswered: dict[str, _statuses.Member] = {}
 
@@ -122,6 +125,9 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 await self._send_queries()
+                if self._unknown_peer:
+                    tasks.start_soon(self._copy_members, self._unknown_peer)
+                    self._unknown_peer = ''
                 await anyio.sleep(DATAGRAM_TIMEOUT_SECONDS)
                 for member in self._unanswered.values():
                     tasks.start_soon(self._poll_over_http, member)
@@ -156,6 +162,22 @@
         reply = StatusReply(query.round_number, self._get_status())
         await self._datagrams.send(reply, sender)
 
+        if not self._members.list_peers():
+            self._unknown_peer = sender
+
+    async def _copy_members(self, address: str) -> None:
+        """Learn of all VMs from a peer, as the store does not tell them.
+
+        A VM that restarts without reaching the store knows no peer, but those
+        that knew it before still poll it.
+        """
+        feed = self._feed_sync.find(_statuses.MEMBER_PREFIX)
+        if feed is not None:
+            LOG.info(
+                'copying the list of VMs from a peer', extra={'peer': address}
+            )
+            await self._feed_sync.copy(feed, address)
+
     async def _receive_reply(self, reply: StatusReply, sender: str) -> None:
         self._handle_reply(reply)
 
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -265,9 +265,18 @@
 
     async def _copy_from(self, feed: _feed.SharedFeed, name: str) -> None:
         member = self._members.find(name)
-        if member is None:
-            return
-        client = _peer.PeerClient(self._peers, member.address)
+        if member is not None:
+            await self.copy(feed, member.address)
+
+    async def copy(self, feed: _feed.SharedFeed, address: str) -> None:
+        """Copy a feed from a peer if it has a newer one.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the peer.
+        """
+        client = _peer.PeerClient(self._peers, address)
         try:
             copy = await client.call(
                 _messages.OBJECTS_PATH,
--- a/tests/cover/test_confirmation_vms.py
+++ b/tests/cover/test_confirmation_vms.py
@@ -6,6 +6,7 @@
 
 from swiftjunction import coordination
 from swiftjunction import objectstore
+from swiftjunction.platform import _program
 from tests.cover import test_coordination
 from tests import platform_deployment
 
@@ -47,6 +48,16 @@
             ):
                 await anyio.sleep(0.02)
 
+    def restart_cut_off(self, vm):
+        """Run a VM anew, at the same addresses, without the store."""
+        path = self._folder / f'{vm}.conf'
+        text = path.read_text().replace(self.store_address, UNREACHABLE)
+        path.write_text(text)
+        program = _program.EdgeProgram(path, metrics_port=0)
+        self.programs[vm] = program
+        self.scopes[vm] = anyio.CancelScope()
+        self._tasks.start_soon(self._run_vm, program, self.scopes[vm])
+
     def cut(self, vm):
         self.programs[vm]._direct.address = UNREACHABLE
 
@@ -68,6 +79,17 @@
                 assert deployment.get_age(vm) < YOUNG_SECONDS + 1
 
 
+async def test_a_vm_that_restarts_cut_off_learns_all_from_its_peers(tmp_path):
+    deployment = Deployment(tmp_path)
+    async with deployment.run(VMS):
+        await deployment.wait_for_peers()
+        deployment.kill_vm('vm-2')
+        await anyio.sleep(0.5)
+        deployment.restart_cut_off('vm-2')
+        await deployment.wait_until_ready('vm-2')
+        await deployment.wait_for_ages(is_young, 'vm-2')
+
+
 async def test_confirmations_become_old_while_the_store_is_down(tmp_path):
     deployment = Deployment(tmp_path)
     async with deployment.run(VMS):
