Agree on a time of day among all VMs

Windows of usage reports need a time that all VMs share, while the time of day of some may be stepped. Each VM states its time of day, and the median of those that it knows, in its statuses; the shared time is the median over the medians, on the boot clock. Only VMs with the usage duty state times.

--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -3,6 +3,7 @@
 from swiftjunction.coordination._access import CoordinatorAccess
 from swiftjunction.coordination._access import list_store_relays
 from swiftjunction.coordination._app import PeerApp
+from swiftjunction.coordination._clock import SharedClock
 from swiftjunction.coordination._confirmer import ConfigurationConfirmer
 from swiftjunction.coordination._confirming import FeedConfirmation
 from swiftjunction.coordination._coordinator import Coordinator
@@ -65,6 +66,7 @@
     'PeerPoller',
     'PeerStore',
     'PermitCall',
+    'SharedClock',
     'SharedFeed',
     'SharedOrigins',
     'SharedPermits',
--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from swiftjunction import backends
+from swiftjunction.coordination import _clock
 from swiftjunction.coordination import _confirming
 from swiftjunction.coordination import _datagrams
 from swiftjunction.coordination import _members
@@ -74,10 +75,13 @@
         Receives the request limits that peers know.
     confirmation : FeedConfirmation, optional
         Receives what peers confirm.
+    clock : SharedClock, optional
+        Receives the times that peers state.
     """
 
     __slots__ = (
         '_asked_at',
+        '_clock',
         '_confirmation',
         '_feed_sync',
         '_get_status',
@@ -99,7 +103,9 @@
         get_status: _statuses.StatusSource,
         rates: backends.ServerRates | None = None,
         confirmation: _confirming.FeedConfirmation | None = None,
+        clock: _clock.SharedClock | None = None,
     ) -> None:
+        self._clock = clock
         self._rates = rates
         self._datagrams = datagrams
         datagrams.listen(StatusQuery, self._answer)
@@ -215,6 +221,8 @@
         self._feed_sync.record_status(status)
         if self._confirmation is not None:
             self._confirmation.record_status(status, asked_at)
+        if self._clock is not None:
+            self._clock.record_status(status, asked_at)
         if self._rates is not None:
             for statement in status.rates:
                 self._rates.merge(statement)
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -77,6 +77,11 @@
     configuration_age_seconds : float or None
         For how long its copy of the configuration may lack changes, on a
         clock that counts time suspended; None if that is not known.
+    time_of_day : float
+        The VM's time of day, in Unix seconds, which may be stepped; 0 if no
+        duty needs it.
+    median_time : float
+        The median of its time of day and those of the peers that it polls.
     """
 
     name: str
@@ -95,6 +100,8 @@
     tunnel_port: int = 0
     cut_off: list[str] = []
     configuration_age_seconds: float | None = None
+    time_of_day: float = 0.0
+    median_time: float = 0.0
 
 
 class Tunnel(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -22,6 +22,7 @@
 from swiftjunction.platform import _ingress
 from swiftjunction.platform import _inspection
 from swiftjunction.platform import _listening
+from swiftjunction.platform import _names
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
 from swiftjunction.platform import _status
@@ -114,6 +115,11 @@
             self._store.reaches_directly,
             rng,
         )
+        self._clock = (
+            coordination.SharedClock()
+            if _names.USAGE_DUTY in settings.duties
+            else None
+        )
         record_table = membership.RecordTable()
         self._directory = backends.Directory(record_table)
         self._delayed_removal = backends.DelayedRemoval(
@@ -224,6 +230,7 @@
             self._tunnels,
             self._reachability,
             self._confirmation,
+            self._clock,
             lambda: self._state,
         )
         self._origins = coordination.SharedOrigins(
@@ -311,6 +318,7 @@
             self._status_source.build,
             self._directory.rates,
             self._confirmation,
+            self._clock,
         )
         LOG.info('started', extra={'front': self._settings.front})
         async with anyio.create_task_group() as tasks:
@@ -420,6 +428,8 @@
         dump.add('members', self._members.summarize)
         dump.add('feeds', self._feed_sync.summarize)
         dump.add('configuration', self._active_routes.summarize)
+        if self._clock is not None:
+            dump.add('clock', self._clock.summarize)
         dump.add('servers', self._directory.summarize)
         dump.add('reachability', self._reachability.summarize)
         dump.add('suspects', self._suspects.summarize)
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -28,11 +28,14 @@
         The services that this VM does not reach.
     confirmation : FeedConfirmation
         Tells for how long the configuration may lack changes.
+    clock : SharedClock or None
+        Tells the time of day; None if no duty needs it.
     get_state : callable
         Returns ``starting``, ``live`` or ``draining``.
     """
 
     __slots__ = (
+        '_clock',
         '_confirmation',
         '_coordinator',
         '_directory',
@@ -54,6 +57,7 @@
         peer_tunnels: _tunneling.PeerTunnels,
         reachability: backends.Reachability,
         confirmation: coordination.FeedConfirmation,
+        clock: coordination.SharedClock | None,
         get_state: collections.abc.Callable[[], str],
     ) -> None:
         self._members = members
@@ -64,6 +68,7 @@
         self._peer_tunnels = peer_tunnels
         self._reachability = reachability
         self._confirmation = confirmation
+        self._clock = clock
         self._get_state = get_state
 
     def build(self) -> coordination.MemberStatus:
@@ -72,6 +77,9 @@
         own = self._members.own
         if lease is not None:
             self._members.record_coordinator(own.name, lease.fencing_token)
+        times = (0.0, 0.0)
+        if self._clock is not None:
+            times = self._clock.state_times()
         coordinator, coordinator_token = self._members.newest_coordinator
         return coordination.MemberStatus(
             name=own.name,
@@ -90,4 +98,6 @@
             tunnel_port=self._peer_tunnels.port,
             cut_off=self._reachability.list_cut_off(),
             configuration_age_seconds=self._confirmation.state_age(),
+            time_of_day=times[0],
+            median_time=times[1],
         )
