--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -23,6 +23,7 @@
 from swiftjunction.platform import _inspection
 from swiftjunction.platform import _keys
 from swiftjunction.platform import _listening
+from swiftjunction.platform import _names
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
 from swiftjunction.platform import _status
@@ -116,6 +117,11 @@
             self._store.reaches_directly,
             rng,
         )
+        self._clock = (
+            coordination.SharedClock()
+            if _names.USAGE_DUTY in settings.duties
+            else None
+        )
         record_table = membership.RecordTable()
         self._directory = backends.Directory(record_table)
         self._delayed_removal = backends.DelayedRemoval(
@@ -153,7 +159,7 @@
             self._clients,
             self._metrics,
             rng,
-            time.time,
+            (time.time if self._clock is None else self._clock.read_seconds),
         )
         claims = requests.ClaimStore(self._store, settings.name)
         self._crash_registry = coordination.StoreCrashRegistry(
@@ -249,6 +255,7 @@
             self._reachability,
             self._confirmation,
             router,
+            self._clock,
             lambda: self._state,
         )
         self._origins = coordination.SharedOrigins(
@@ -345,6 +352,7 @@
             self._directory.rates,
             self._confirmation,
             self._router,
+            self._clock,
         )
         LOG.info('started', extra={'front': self._settings.front})
         async with anyio.create_task_group() as tasks:
@@ -451,6 +459,8 @@
         dump.add('members', self._members.summarize)
         dump.add('feeds', self._feed_sync.summarize)
         dump.add('configuration', self._active_routes.summarize)
+        if self._clock is not None:
+            dump.add('clock', self._clock.summarize)
         dump.add('servers', self._directory.summarize)
         dump.add('shares', self._router.summarize_shares)
         dump.add('reachability', self._reachability.summarize)
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -31,11 +31,14 @@
         Tells for how long the configuration may lack changes.
     router : Router
         Tells the load of organisations whose requests had to wait.
+    clock : SharedClock or None
+        Tells the time of day; None if no duty needs it.
     get_state : callable
         Returns ``starting``, ``live`` or ``draining``.
     """
 
     __slots__ = (
+        '_clock',
         '_confirmation',
         '_coordinator',
         '_directory',
@@ -59,6 +62,7 @@
         reachability: backends.Reachability,
         confirmation: coordination.FeedConfirmation,
         router: routing.Router,
+        clock: coordination.SharedClock | None,
         get_state: collections.abc.Callable[[], str],
     ) -> None:
         self._members = members
@@ -70,6 +74,7 @@
         self._reachability = reachability
         self._confirmation = confirmation
         self._router = router
+        self._clock = clock
         self._get_state = get_state
 
     def build(self) -> coordination.MemberStatus:
@@ -78,6 +83,9 @@
         own = self._members.own
         if lease is not None:
             self._members.record_coordinator(own.name, lease.fencing_token)
+        times = (0.0, 0.0)
+        if self._clock is not None:
+            times = self._clock.state_times()
         coordinator, coordinator_token = self._members.newest_coordinator
         return coordination.MemberStatus(
             name=own.name,
@@ -97,4 +105,6 @@
             cut_off=self._reachability.list_cut_off(),
             configuration_age_seconds=self._confirmation.state_age(),
             flow_rates=self._router.list_flow_rates(),
+            time_of_day=times[0],
+            median_time=times[1],
         )
