Leave a data center alone where ordered servers never came

An order for a data center that does not exist gets no valid response. Its servers were counted as on their way, and ordered there again after that, so that the cheapest place was tried first for ever. It is now left alone until a minute after the order. What a decision is based on has a module of its own.

--- a/src/swiftjunction/scaling/__init__.py
+++ b/src/swiftjunction/scaling/__init__.py
@@ -1,11 +1,7 @@
 """Orders of servers for services whose number of servers may change."""
 
 from swiftjunction.scaling._decision import decide
-from swiftjunction.scaling._decision import Decision
 from swiftjunction.scaling._decision import find_problem
-from swiftjunction.scaling._decision import PlacedOrder
-from swiftjunction.scaling._decision import Placement
-from swiftjunction.scaling._decision import Situation
 from swiftjunction.scaling._demand import BatchWork
 from swiftjunction.scaling._demand import DemandTracker
 from swiftjunction.scaling._demand import Need
@@ -17,6 +13,10 @@
 from swiftjunction.scaling._record import SCALING_PREFIX
 from swiftjunction.scaling._record import ServiceRecord
 from swiftjunction.scaling._record import SubjectState
+from swiftjunction.scaling._situation import Decision
+from swiftjunction.scaling._situation import PlacedOrder
+from swiftjunction.scaling._situation import Placement
+from swiftjunction.scaling._situation import Situation
 from swiftjunction.scaling._supply import ServerView
 from swiftjunction.scaling._supply import Subject
 from swiftjunction.scaling._supply import Supply
--- a/src/swiftjunction/scaling/_decision.py
+++ b/src/swiftjunction/scaling/_decision.py
@@ -3,10 +3,8 @@
 import collections.abc
 import math
 
-import msgspec
-
-from swiftjunction.scaling import _demand
 from swiftjunction.scaling import _limits
+from swiftjunction.scaling import _situation
 from swiftjunction.scaling import _supply
 
 # Largest part of a service's servers that may be spot servers of one data
@@ -23,81 +21,8 @@
 TAKEN_SECONDS = 10.0
 # From the end of the boot time until a server must have been listed.
 LISTING_SECONDS = 6.0
-
-
-class PlacedOrder(msgspec.Struct, frozen=True):
-    """The last order of one subject.
-
-    Attributes
-    ----------
-    servers : int
-        The number of servers that was ordered.
-    at : float
-        When it was last sent, in seconds on the caller's clock.
-    is_open : bool
-        Whether the platform may still carry it out later than another one.
-    """
-
-    servers: int
-    at: float
-    is_open: bool = False
-
-
-class Situation(msgspec.Struct, frozen=True):
-    """All that a decision is based on.
-
-    Attributes
-    ----------
-    target : int
-        The servers that the service is to have, as decided before; 0 if
-        nothing has been decided yet.
-    orders : dict of Subject to PlacedOrder
-        The last order of each subject.
-    refused_until : dict of Subject to float
-        Until when no server is to be ordered for a subject.
-    decreased_at : float
-        When a server was last given up.
-    may_decrease : bool
-        Whether all demand for the service is known.
-    now : float
-        All times are in seconds on one clock.
-    """
-
-    limits: _limits.ServiceScaling
-    supply: _supply.Supply
-    need: _demand.Need
-    now: float
-    target: int = 0
-    orders: dict[_supply.Subject, PlacedOrder] = {}
-    refused_until: dict[_supply.Subject, float] = {}
-    decreased_at: float = _supply.NEVER
-    may_decrease: bool = False
-
-
-class Placement(msgspec.Struct, frozen=True):
-    """Servers to order for one subject.
-
-    Attributes
-    ----------
-    servers : int
-        The number of servers that it is to have.
-    change : int
-        How many more these are than before.
-    reason : str
-        ``replace``, ``late_steps``, ``too_few`` or ``little_to_do``.
-    """
-
-    subject: _supply.Subject
-    servers: int
-    change: int
-    reason: str
-
-
-class Decision(msgspec.Struct, frozen=True):
-    """The orders to send, and the number of servers they aim at."""
-
-    target: int
-    placements: list[Placement] = []
+# How long after an order whose servers did not come no more are ordered there.
+ABSENCE_SECONDS = 60.0
 
 
 def find_problem(limits: _limits.ServiceScaling) -> str:
@@ -111,14 +36,14 @@
     return ''
 
 
-def decide(situation: Situation) -> Decision:
+def decide(situation: _situation.Situation) -> _situation.Decision:
     """Return the orders for one service; none if its limits are invalid."""
     if find_problem(situation.limits):
-        return Decision(situation.target)
+        return _situation.Decision(situation.target)
     is_settled = situation.supply.observed_seconds >= _supply.SETTLE_SECONDS
     if not is_settled and not situation.target:
         # The list of servers may not be complete yet.
-        return Decision(situation.target)
+        return _situation.Decision(situation.target)
     return _Decider(situation).decide()
 
 
@@ -134,7 +59,7 @@
 
     __slots__ = ('_reasons', '_situation', '_start', 'expected')
 
-    def __init__(self, situation: Situation) -> None:
+    def __init__(self, situation: _situation.Situation) -> None:
         self._situation = situation
         listed = {
             _supply.Subject(data_center, is_spot)
@@ -149,12 +74,12 @@
         self.expected = dict(self._start)
         self._reasons: dict[_supply.Subject, str] = {}
 
-    def decide(self) -> Decision:
+    def decide(self) -> _situation.Decision:
         situation = self._situation
         most = situation.limits.max_servers * len(situation.limits.prices)
         kept = max(situation.target, min(situation.supply.settled, most))
         if self._is_list_at_fault(kept):
-            return Decision(kept)
+            return _situation.Decision(kept)
         target = max(kept, min(situation.need.servers, most))
         self._keep_minimum()
         missing = target - sum(self.expected.values())
@@ -165,7 +90,7 @@
                 self.expected[given_up] -= 1
                 self._reasons[given_up] = 'little_to_do'
                 target = sum(self.expected.values())
-        return Decision(target, self._list_placements())
+        return _situation.Decision(target, self._list_placements())
 
     def _count_expected(self, subject: _supply.Subject) -> int:
         """Return the servers of a subject, with those on their way."""
@@ -178,7 +103,9 @@
             return order.servers
         return max(present, order.servers)
 
-    def _find_order(self, subject: _supply.Subject) -> PlacedOrder | None:
+    def _find_order(
+        self, subject: _supply.Subject
+    ) -> _situation.PlacedOrder | None:
         """Return the last order, unless its servers were taken away since."""
         order = self._situation.orders.get(subject)
         taken_at = self._situation.supply.taken_at.get(subject)
@@ -186,7 +113,7 @@
             return None
         return order
 
-    def _is_on_its_way(self, order: PlacedOrder) -> bool:
+    def _is_on_its_way(self, order: _situation.PlacedOrder) -> bool:
         wait_seconds = self._situation.limits.boot_seconds + LISTING_SECONDS
         return self._situation.now - order.at < wait_seconds
 
@@ -273,6 +200,7 @@
             or self._is_busy(subject)
             or situation.now < refused_until
             or situation.now - taken_at < TAKEN_SECONDS
+            or self._is_in_vain(subject)
         ):
             return False
         if not subject.is_spot:
@@ -280,6 +208,17 @@
         most = MAX_SPOT_FRACTION * sum(self.expected.values())
         return limits.spot_price < 1.0 and self.expected[subject] + 1 <= most
 
+    def _is_in_vain(self, subject: _supply.Subject) -> bool:
+        """Return whether servers that were ordered lately did not come."""
+        order = self._find_order(subject)
+        live = self._situation.supply.live.get(subject, 0)
+        return (
+            order is not None
+            and live < order.servers
+            and not self._is_on_its_way(order)
+            and self._situation.now - order.at < ABSENCE_SECONDS
+        )
+
     def _count_ordered(self, data_center: str) -> int:
         """Return the servers of a data centre as the platform counts them."""
         return sum(
@@ -343,9 +282,9 @@
             and rest >= limits.min_servers
         )
 
-    def _list_placements(self) -> list[Placement]:
+    def _list_placements(self) -> list[_situation.Placement]:
         return [
-            Placement(
+            _situation.Placement(
                 subject,
                 self._get_number(subject),
                 servers - self._start[subject],
--- a/tests/cover/test_scaling_decision.py
+++ b/tests/cover/test_scaling_decision.py
@@ -113,6 +113,14 @@
     assert decide(servers=13, refused_until=refused)[0] == {regular('dc-1'): 5}
 
 
+def test_a_data_center_where_ordered_servers_never_came_is_left_alone():
+    # The platform does not know it, and says nothing of that.
+    orders = {spot('dc-1'): scaling.PlacedOrder(3, NOW - 12)}
+    assert decide(servers=13, orders=orders)[0] == {spot('dc-2'): 1}
+    orders = {spot('dc-1'): scaling.PlacedOrder(3, NOW - 61)}
+    assert spot('dc-1') in decide(servers=13, orders=orders)[0]
+
+
 def test_nothing_is_ordered_where_none_can_be_had_anywhere():
     refused = {
         subject: NOW + 1
