--- a/tests/cover/test_scaling_decision.py
+++ b/tests/cover/test_scaling_decision.py
@@ -83,7 +83,7 @@
 
 
 def test_an_order_that_is_open_is_followed_by_none_of_its_subject():
-    orders = {spot('dc-1'): scaling.PlacedOrder(1, NOW - 30, is_open=True)}
+    orders = {spot('dc-1'): scaling.PlacedOrder(1, NOW - 70, is_open=True)}
     placed, _ = decide(servers=18, orders=orders)
     assert spot('dc-1') not in placed
     assert placed
