--- a/src/swiftjunction/duties/_scaled_service.py
+++ b/src/swiftjunction/duties/_scaled_service.py
@@ -155,7 +155,8 @@
         report.name,
         scaling.Subject(report.data_center, report.is_spot),
         server.accepts_requests(),
-        report.is_spot or report.leaves_seconds > 0,
+        # Others may leave since a release replaces them.
+        report.is_spot,
     )
 
 
