Keep a server given up from being ordered again while it drains

A server that is given up is listed as before for seconds. Meanwhile what runs counted as what is intended, so that the target rose again and the server was replaced: one given up and one ordered by turns.

The model of the platform in the fuzz test now drains servers for 3 s; with it, the test failed before this change (4 orders in the last minute, 3 allowed).

--- a/src/swiftjunction/scaling/_decision.py
+++ b/src/swiftjunction/scaling/_decision.py
@@ -77,7 +77,9 @@
     def decide(self) -> _situation.Decision:
         situation = self._situation
         most = situation.limits.max_servers * len(situation.limits.prices)
-        kept = max(situation.target, min(situation.supply.settled, most))
+        kept = situation.target
+        if not any(map(self._is_shrinking, self.expected)):
+            kept = max(kept, min(situation.supply.settled, most))
         if self._is_list_at_fault(kept):
             return _situation.Decision(kept)
         target = max(kept, min(situation.need.servers, most))
@@ -113,6 +115,12 @@
             return None
         return order
 
+    def _is_shrinking(self, subject: _supply.Subject) -> bool:
+        """Return whether more servers run than were ordered last."""
+        order = self._find_order(subject)
+        live = self._situation.supply.live.get(subject, 0)
+        return order is not None and order.servers < live
+
     def _is_on_its_way(self, order: _situation.PlacedOrder) -> bool:
         wait_seconds = self._situation.limits.boot_seconds + LISTING_SECONDS
         return self._situation.now - order.at < wait_seconds
--- a/tests/cover/test_scaling_decision.py
+++ b/tests/cover/test_scaling_decision.py
@@ -201,6 +201,7 @@
         self.numbers = {regular(name): 4 for name in CENTERS}
         self.alive = {}
         self.leaving = []
+        self.draining = {}
         self.booting = []
         self.dry_until = -1.0
         self.dry_center = ''
@@ -208,14 +209,23 @@
         self._start(0.0, 0.0)
 
     def _start(self, now, boot_seconds):
-        counts = collections.Counter(self.alive.values())
+        counts = collections.Counter(
+            subject
+            for name, subject in self.alive.items()
+            if name not in self.draining
+        )
         counts.update(subject for _, subject in self.booting)
         for subject, number in self.numbers.items():
             for _ in range(number - counts[subject]):
                 self.booting.append((now + boot_seconds, subject))
-            names = [n for n, s in self.alive.items() if s == subject]
+            names = [
+                n
+                for n, s in self.alive.items()
+                if s == subject and n not in self.draining
+            ]
             for name in names[number:]:
-                del self.alive[name]
+                # It drains, and is listed as before for a while.
+                self.draining.setdefault(name, now + 3)
 
     def order(self, placement, now):
         subject = placement.subject
@@ -243,6 +253,10 @@
                 self.booting.remove((at, subject))
                 self._count += 1
                 self.alive[f'server-{self._count}'] = subject
+        for name, at in list(self.draining.items()):
+            if at <= now:
+                del self.draining[name]
+                self.alive.pop(name, None)
         views = [
             scaling.ServerView(n, s, n not in self.leaving, n in self.leaving)
             for n, s in self.alive.items()
