Keep the text of migrated and scored samples in checkpoints, twice as often

A checkpoint left out each sample whose current attempt was younger than 1.5 s, so each one that had just migrated to another engine with a text of seconds, and each one with a complete text that waited for its score or to be written.

Change: a text counts from its first event in this process, whichever attempt generated it, and also while no attempt runs. The interval is 0.75 s, as the longest sample repeats that much and its step is later by as much.

Evidence: the tests fail before.

--- a/src/swiftjunction/batches/_checkpoints.py
+++ b/src/swiftjunction/batches/_checkpoints.py
@@ -12,8 +12,13 @@
 
 LOG = logging.getLogger(__name__)
 
-# Limits the work that is repeated when another process takes over.
-CHECKPOINT_INTERVAL_SECONDS = 1.5
+# Limits the work that is repeated when another process takes over. A training
+# step ends with its longest sample, so that what that one repeats makes the
+# step later by as much.
+CHECKPOINT_INTERVAL_SECONDS = 0.75
+# A text that began more recently is not worth the bytes: generating it again
+# takes no longer.
+MIN_TEXT_SECONDS = 0.5
 
 
 class CheckpointManager:
@@ -58,16 +63,24 @@
         """Write checkpoints until cancelled."""
         while True:
             await anyio.sleep(CHECKPOINT_INTERVAL_SECONDS)
-            now = anyio.current_time()
-            await self.write(
-                progress
-                for open_batch in self._batches.values()
-                if not open_batch.ended
-                for progress in open_batch.pending.values()
-                if progress.engine
-                and progress.events
-                and now - progress.started_at > CHECKPOINT_INTERVAL_SECONDS
-            )
+            await self.write(self._select_texts(anyio.current_time()))
+
+    def _select_texts(
+        self, now: float
+    ) -> collections.abc.Iterator[_open.SampleProgress]:
+        """Yield the samples with text that takes time to generate again.
+
+        Which attempt generated it does not matter, nor whether one is running:
+        a sample that waits for another engine, for its score or to be written
+        has its text in this process only.
+        """
+        for open_batch in self._batches.values():
+            if open_batch.ended:
+                continue
+            for progress in open_batch.pending.values():
+                text_seconds = now - progress.text_began_at
+                if progress.events and text_seconds > MIN_TEXT_SECONDS:
+                    yield progress
 
     async def write(
         self, samples: collections.abc.Iterable[_open.SampleProgress]
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -78,6 +78,9 @@
         in seconds; 0 before the first attempt.
     ended_at : float
         When its last attempt ended, on the same clock; 0 before that.
+    text_began_at : float
+        When this process got the first event of the text so far, on the same
+        clock; 0 without one, and if the text was restored.
     """
 
     __slots__ = (
@@ -93,6 +96,7 @@
         'running',
         'software',
         'started_at',
+        'text_began_at',
         'versions',
     )
 
@@ -110,6 +114,7 @@
         self.cancel_scope = anyio.CancelScope()
         self.started_at = 0.0
         self.ended_at = 0.0
+        self.text_began_at = 0.0
 
     def reset(self) -> None:
         """Discard the text so far."""
@@ -118,6 +123,7 @@
         self.software = None
         self.last_number = -1
         self.complete = False
+        self.text_began_at = 0.0
 
     def can_resume(self, batch: _batch.Batch) -> bool:
         """Return whether `batch` allows the versions of the text so far."""
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -169,6 +169,8 @@
                 if event.version not in progress.versions:
                     progress.versions.append(event.version)
                 now = anyio.current_time()
+                if len(progress.events) == 1:
+                    progress.text_began_at = now
                 if last_event_at:
                     engine.server.record_latency(now - last_event_at)
                 last_event_at = now
--- a/tests/cover/test_batches_kept.py
+++ b/tests/cover/test_batches_kept.py
@@ -1,6 +1,8 @@
+import anyio
 import pytest
 
 from swiftjunction import batches
+from swiftjunction.batches import _checkpoints
 
 
 def make_batch(samples, **fields):
@@ -132,3 +134,47 @@
         snapshots = await archive.read_checkpoint()
         assert [s.sample_id for s in snapshots][:2] == ['8', '7']
         assert len(snapshots) == 5
+
+    async def write_next(self, store, prepare):
+        """Return the samples in the next checkpoint of a batch of three."""
+        open_batch = batches.OpenBatch(
+            make_batch([make_sample(name) for name in 'abc']), 0.0
+        )
+        for progress in open_batch.pending.values():
+            progress.events.append('x')
+            progress.text_began_at = anyio.current_time() - 9.0
+        prepare(open_batch)
+        manager = _checkpoints.CheckpointManager(
+            batches.BatchArchive(store), {'b': open_batch}
+        )
+        with anyio.move_on_after(
+            _checkpoints.CHECKPOINT_INTERVAL_SECONDS + 0.1
+        ):
+            await manager.run()
+        snapshots = await batches.BatchArchive(store).read_checkpoint()
+        return {snapshot.sample_id: snapshot for snapshot in snapshots}
+
+    async def test_a_text_outlives_the_migration_of_its_sample(self, store):
+        # Seen on trouble-3 of erdene-ulb-grown: texts of seconds were begun
+        # again after all VMs were killed, as their samples had just migrated.
+        def migrate(open_batch):
+            open_batch.pending['a'].engine = 'e'
+            open_batch.pending['a'].started_at = anyio.current_time()
+
+        assert 'a' in await self.write_next(store, migrate)
+
+    async def test_a_text_that_waits_for_its_score_is_written(self, store):
+        def complete(open_batch):
+            open_batch.pending['a'].complete = True
+            open_batch.pending['b'].complete = True
+            open_batch.add_result(batches.Result('b', complete=True))
+
+        written = await self.write_next(store, complete)
+        assert written['a'].complete
+        assert written['b'].complete
+
+    async def test_a_text_that_has_just_begun_is_not_written(self, store):
+        def begin(open_batch):
+            open_batch.pending['a'].text_began_at = anyio.current_time() + 0.6
+
+        assert sorted(await self.write_next(store, begin)) == ['b', 'c']
