Receive stop and reload signals before opening listeners

Cause: the edge program opened its listeners, and started the task that handles signals later.

Change: signals are queued from before the listeners on; platform/_signals.py acts on them once its task runs.

--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -3,7 +3,6 @@
 import logging
 import pathlib
 import random
-import signal
 import time
 import uuid
 
@@ -23,6 +22,7 @@
 from swiftjunction.platform import _listening
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
+from swiftjunction.platform import _signals
 from swiftjunction.platform import _status
 from swiftjunction.platform import _store
 from swiftjunction.platform import _tunneling
@@ -62,12 +62,11 @@
     def __init__(
         self, path: pathlib.Path, metrics_port: int = METRICS_PORT
     ) -> None:
-        settings = _settings.read_settings(path)
+        settings = self._settings = _settings.read_settings(path)
         self._settings_reloader = _reloading.SettingsReloader(
             path, self._apply_settings
         )
         self._metrics_port = metrics_port
-        self._settings = settings
         self._state = 'starting'
         self._stopping = anyio.Event()
         rng = random.Random()
@@ -102,8 +101,7 @@
             lambda: self._coordinator.lease is not None,
         )
         self._active_routes = routes.ActiveRoutes()
-        record_table = membership.RecordTable()
-        self._directory = backends.Directory(record_table)
+        self._directory = backends.Directory(membership.RecordTable())
         self._delayed_removal = backends.DelayedRemoval(
             self._directory,
             self._is_store_unreachable,
@@ -268,6 +266,11 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then resign, drain and stop."""
+        # Before anything can connect to this VM and find it running.
+        with _signals.receive() as signals:
+            await self._serve(signals)
+
+    async def _serve(self, signals: _signals.Signals) -> None:
         caller_listener = _listening.open_listener(self._settings)
         peer_listener = web.HttpListener(
             web.bind_socket(self._settings.ip, self._settings.peer_port),
@@ -312,7 +315,11 @@
                 self._coordinator.run,
                 self._become_ready,
                 self._settings_reloader.run,
-                self._handle_signals,
+                lambda: _signals.handle(
+                    signals,
+                    self._settings_reloader.reload,
+                    self._stopping.set,
+                ),
                 self._dump.write_on_signal,
             ):
                 tasks.start_soon(task)
@@ -356,16 +363,6 @@
         """Apply the store's address; other settings require a restart."""
         self._direct.address = settings.store
 
-    async def _handle_signals(self) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for signal_number in signals:
-                if signal_number == signal.SIGHUP:
-                    self._settings_reloader.reload()
-                else:
-                    self._stopping.set()
-
     def _is_coordinator(self) -> bool:
         lease = self._coordinator.lease
         return lease is not None and lease.remaining_seconds() > 0
