Migrate only samples that their step may wait for

Each cut stream costs a new connection.

Change: the longest eighth of what is pending may migrate after 0.5 s as before, any other sample after 1.5 s, and only from an engine that has been slow for 0.7 s. The decision moves to batches/_migration.py.

--- a/src/swiftjunction/batches/_dispatch.py
+++ b/src/swiftjunction/batches/_dispatch.py
@@ -1,5 +1,6 @@
 """Assigns samples to engines and migrates them away from slow engines."""
 
+import collections
 import collections.abc
 import contextlib
 import logging
@@ -7,6 +8,7 @@
 import anyio
 
 from swiftjunction.batches import _engines
+from swiftjunction.batches import _migration
 from swiftjunction.batches import _open
 from swiftjunction.batches import _planning
 
@@ -60,11 +62,14 @@
         Lists the engines of each service.
     """
 
-    __slots__ = ('_engines', '_selector')
+    __slots__ = ('_engines', '_selector', '_slow_engines')
 
     def __init__(self, engines: _engines.EngineRegistry) -> None:
         self._engines = engines
         self._selector = _planning.EngineSelector()
+        self._slow_engines: collections.defaultdict[
+            str, _engines.SlowEngines
+        ] = collections.defaultdict(_engines.SlowEngines)
 
     def reserve_attempts(
         self, batches: collections.abc.Iterable[_open.OpenBatch]
@@ -101,11 +106,14 @@
         self, batches: collections.abc.Collection[_open.OpenBatch]
     ) -> None:
         """Cancel attempts on slow engines whose samples can migrate."""
+        now = anyio.current_time()
         for service in {open_batch.batch.service for open_batch in batches}:
-            migrations = _planning.select_migrations(
+            engines = self._engines.list_engines(service)
+            migrations = _migration.select_migrations(
                 [b for b in batches if b.batch.service == service],
-                self._engines.list_engines(service),
-                anyio.current_time(),
+                engines,
+                now,
+                self._slow_engines[service].update(engines, now),
             )
             for progress in migrations:
                 LOG.info(
--- a/src/swiftjunction/batches/_engines.py
+++ b/src/swiftjunction/batches/_engines.py
@@ -15,6 +15,9 @@
 # An engine whose latency exceeds the median by this factor is slow and gets
 # samples last.
 SLOW_FACTOR = 1.7
+# Samples leave an engine that has been slow for this long. A shorter pause
+# costs them less than another connection, and prompts processed again.
+MIN_SLOW_SECONDS = 0.7
 
 Clock = collections.abc.Callable[[], float]
 
@@ -197,3 +200,35 @@
         for engine in engines
         if not engine.server.accepts_requests()
     }
+
+
+class SlowEngines:
+    """Tells which engines have been slow for some time."""
+
+    __slots__ = ('_slow_since',)
+
+    def __init__(self) -> None:
+        self._slow_since: dict[str, float] = {}
+
+    def update(self, engines: list[EngineState], now: float) -> set[str]:
+        """Return the engines that have been slow for `MIN_SLOW_SECONDS`.
+
+        Parameters
+        ----------
+        engines : list of EngineState
+            All engines of a service.
+        now : float
+            Time of a monotonic clock in seconds.
+        """
+        slow = find_slow_engines(engines)
+        for engine in engines:
+            name = engine.server.name
+            if name in slow:
+                self._slow_since.setdefault(name, now)
+            else:
+                self._slow_since.pop(name, None)
+        return {
+            name
+            for name in slow
+            if now - self._slow_since[name] >= MIN_SLOW_SECONDS
+        }
--- a/src/swiftjunction/batches/_planning.py
+++ b/src/swiftjunction/batches/_planning.py
@@ -13,10 +13,6 @@
 from swiftjunction.batches import _engines
 from swiftjunction.batches import _open
 
-# A sample runs at least this long before it is migrated, so that the latency
-# of its engine is measured.
-MIN_ATTEMPT_SECONDS = 0.5
-MAX_MIGRATIONS = 3
 # Longest wait for an engine of the software that began a text, while engines
 # of other software are free. It keeps a sample from making its step late.
 MAX_SOFTWARE_WAIT_SECONDS = 2.5
@@ -147,61 +143,6 @@
     return len(progress.events) * event_seconds
 
 
-def select_migrations(
-    batches: collections.abc.Iterable[_open.OpenBatch],
-    engines: list[_engines.EngineState],
-    now: float,
-) -> collections.abc.Iterator[_open.SampleProgress]:
-    """Yield the samples to migrate from slow engines to faster ones.
-
-    The new engine has to process the prompt and the text so far before it
-    resumes, which takes some milliseconds, while the rest of a long sample on
-    a slow engine takes seconds. No more samples are yielded than the faster
-    engines have free slots.
-
-    Parameters
-    ----------
-    now : float
-        Time of the event loop's clock in seconds.
-    """
-    slow = _engines.find_slow_engines(engines)
-    if not slow:
-        return
-    fast = [engine for engine in engines if engine.server.name not in slow]
-    free_slots = {
-        engine.server.name: engine.slots - engine.server.in_flight
-        for engine in fast
-    }
-    for open_batch in batches:
-        for progress in open_batch.pending.values():
-            if progress.engine not in slow or not can_migrate(progress, now):
-                continue
-            target = next(
-                (
-                    engine.server.name
-                    for engine in fast
-                    if free_slots[engine.server.name] > 0
-                    and progress.may_run_on(engine.server)
-                    and engine.can_run(
-                        open_batch.batch.model, open_batch.batch.min_version
-                    )
-                ),
-                None,
-            )
-            if target is not None:
-                free_slots[target] -= 1
-                yield progress
-
-
-def can_migrate(progress: _open.SampleProgress, now: float) -> bool:
-    """Return whether a running sample may be migrated to another engine."""
-    return (
-        progress.migrations < MAX_MIGRATIONS
-        and progress.last_number >= 0
-        and now - progress.started_at > MIN_ATTEMPT_SECONDS
-    )
-
-
 def prioritize_samples(
     batches: collections.abc.Iterable[_open.OpenBatch],
 ) -> collections.abc.Iterator[WaitingSample]:
--- a/tests/cover/test_batches_planning.py
+++ b/tests/cover/test_batches_planning.py
@@ -2,7 +2,7 @@
 
 from swiftjunction import backends
 from swiftjunction import batches
-from swiftjunction.batches import _planning
+from swiftjunction.batches import _migration
 from swiftjunction.batches import _rollout
 from swiftjunction import membership
 from tests import conftest
@@ -265,7 +265,7 @@
 @pytest.mark.anyio
 class TestMigration:
     def list_migrations(self, pool, open_batch, now=10.0):
-        migrations = _planning.select_migrations(
+        migrations = _migration.select_migrations(
             [open_batch], pool.list_engines(), now
         )
         return [progress.sample.sample_id for progress in migrations]
@@ -303,7 +303,7 @@
         pool, open_batch = self.make_pool_with_slow_engine()
         assert self.list_migrations(pool, open_batch, now=9.1) == []
         for progress in open_batch.pending.values():
-            progress.migrations = _planning.MAX_MIGRATIONS
+            progress.migrations = _migration.MAX_MIGRATIONS
         assert self.list_migrations(pool, open_batch) == []
 
     async def test_no_sample_migrates_to_an_engine_that_cannot_run_it(self):
@@ -384,7 +384,7 @@
         open_batch = self.make_text('v1')
         open_batch.pending['a'].engine = 'e0'
         engines = pool.list_engines()
-        migrate = _planning.select_migrations
+        migrate = _migration.select_migrations
         assert list(migrate([open_batch], engines, 9.0)) == []
         open_batch.pending['a'].software = 'v2'
         assert len(list(migrate([open_batch], engines, 9.0))) == 1
