Let the coordinator renew its expired lease first after an outage

Both it and the first candidate try every 0.2 s; the candidate got the lease, at 27.77 s. All runs were cut, the checkpoint was 4 s old, and some 100 connections to engines were opened anew. The new coordinator was then stopped by the restarts in turn, 2 s later, which cut all runs again.

Change: a candidate that knows a reachable peer that still coordinates first reads the lease's object, and, once that succeeds, leaves the peer 0.5 s. A peer that cannot renew is replaced after that.

Evidence: the test of the outage fails before.

--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -24,6 +24,10 @@
 # A candidate waits for this long times its rank before it tries to acquire the
 # lease, so that candidates try in the order of their ranks.
 DELAY_PER_RANK_SECONDS = 0.6
+# After an outage of the store, a candidate leaves the lease for this long to a
+# reachable peer that still coordinates: its samples run there. That peer tries
+# to renew its lease every `LeaseTiming.retry_interval_seconds`.
+HOLDER_ADVANCE_SECONDS = 0.5
 # How long nobody has coordinated when a VM that is not fit to does.
 UNFIT_DELAY_SECONDS = 4.0
 # After this VM has found no successor, or has handed its duty over.
@@ -203,6 +207,8 @@
                 await self._invited.wait()
             if self._members.has_valid_coordinator():
                 return None
+            if await self._leave_to_holder():
+                return None
         if self._stopping or not await self._may_acquire():
             return None
         lease = await self._attempt(self._keeper.acquire)
@@ -210,6 +216,29 @@
             await anyio.sleep(self._timing.retry_interval_seconds)
         return lease
 
+    async def _leave_to_holder(self) -> bool:
+        """Return whether the peer whose lease has expired goes on with it.
+
+        It is given time to renew the lease once the store can be reached. If
+        it has not by then, this VM may acquire the lease.
+        """
+        holder = self._members.find_reachable_coordinator()
+        if holder is None:
+            return False
+        try:
+            with anyio.fail_after(self._timing.renew_timeout_seconds):
+                await self._keeper.observe()
+        except (errors.PlatformError, TimeoutError):
+            await anyio.sleep(self._timing.retry_interval_seconds)
+            return True
+        LOG.info(
+            'the coordinator may renew its expired lease first',
+            extra={'peer': holder.name},
+        )
+        with anyio.move_on_after(HOLDER_ADVANCE_SECONDS):
+            await self._invited.wait()
+        return self._members.has_valid_coordinator()
+
     async def _may_acquire(self) -> bool:
         """Return whether this VM can coordinate, or must, as nobody can."""
         if await self._fitness.confirm():
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -147,6 +147,16 @@
             self._observed_version = version
             self._observed_at = self._clock()
 
+    async def observe(self) -> None:
+        """Read the lease's object, without acquiring the lease.
+
+        Raises
+        ------
+        PlatformError
+            If the store could not be reached, or holds no such object.
+        """
+        self.record_version((await self._store.read(self._key)).version)
+
     async def acquire(self) -> _lease.Lease:
         """Acquire the lease if it is free, or renew it if it is held here.
 
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -422,6 +422,101 @@
         )
 
 
+class AwayStore(conftest.MemoryStore):
+    """A store that cannot be reached while it is away."""
+
+    away = False
+
+    async def read(self, key):
+        self._check()
+        return await super().read(key)
+
+    async def update(self, key, value, version):
+        self._check()
+        return await super().update(key, value, version)
+
+    def _check(self):
+        if self.away:
+            raise errors.PlatformUnavailable('the store is away', step='read')
+
+
+@pytest.mark.anyio
+class TestOutage:
+    """A store that is away for longer than the coordinator's lease lasts.
+
+    Guards against a peer that takes the lease as the store comes back: all
+    samples that run are cut, and no checkpoint has their text. Seen on trouble-3
+    of erdene-ulb-grown.
+    """
+
+    TIMING = leases.LeaseTiming(
+        ttl_seconds=0.6,
+        margin_seconds=0.1,
+        renew_interval_seconds=0.2,
+        renew_timeout_seconds=0.2,
+        retry_interval_seconds=0.2,
+    )
+
+    def make_coordinator(self, store, name):
+        members = coordination.MemberTable(make_member(name))
+        for other in ('vm-1', 'vm-2'):
+            members.apply_entry(make_entry(make_member(other)))
+        keeper = leases.LeaseKeeper(
+            store, 'l', name, timing=self.TIMING, reclaims_own_lease=True
+        )
+        return members, coordination.Coordinator(
+            keeper, self.TIMING, members, IdleTask()
+        )
+
+    async def poll(self, coordinator, members):
+        """Report the coordinator's status to a peer again and again."""
+        while True:
+            lease = coordinator.lease
+            members.record_status(
+                make_status(
+                    'vm-1',
+                    fencing_token=lease.fencing_token if lease else 0,
+                    lease_seconds=lease.remaining_seconds() if lease else 0.0,
+                    lease_version=coordinator.lease_version,
+                )
+            )
+            await anyio.sleep(0.02)
+
+    @contextlib.asynccontextmanager
+    async def run(self, store):
+        _, holder = self.make_coordinator(store, 'vm-1')
+        members, candidate = self.make_coordinator(store, 'vm-2')
+        await holder._keeper.acquire()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(holder.run)
+            await anyio.sleep(0.05)
+            tasks.start_soon(self.poll, holder, members)
+            tasks.start_soon(candidate.run)
+            yield holder, candidate
+            tasks.cancel_scope.cancel()
+
+    async def test_the_coordinator_goes_on_after_it(self):
+        for pause_seconds in (1.1, 1.2):
+            store = AwayStore()
+            async with self.run(store) as (holder, candidate):
+                token = holder.lease.fencing_token
+                store.away = True
+                await anyio.sleep(pause_seconds)
+                store.away = False
+                await anyio.sleep(0.8)
+                assert candidate.lease is None
+                assert holder.lease.fencing_token == token
+
+    async def test_a_peer_takes_over_from_one_that_does_not_renew(self):
+        store = AwayStore()
+        async with self.run(store) as (holder, candidate):
+            holder._keeper._store = AwayStore()
+            holder._keeper._store.away = True
+            with anyio.fail_after(3):
+                while candidate.lease is None:
+                    await anyio.sleep(0.02)
+
+
 @pytest.mark.anyio
 class TestHolderThatStoppedRenewing:
     """How soon another VM acquires a lease that is no longer renewed."""
