--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -445,8 +445,8 @@
     """A store that is away for longer than the coordinator's lease lasts.
 
     Guards against a peer that takes the lease as the store comes back: all
-    samples that run are cut, and no checkpoint has their text. Seen on trouble-3
-    of erdene-ulb-grown.
+    samples that run are cut, and no checkpoint has their text. Seen on
+    trouble-3 of erdene-ulb-grown.
     """
 
     TIMING = leases.LeaseTiming(
