--- a/src/swiftjunction/coordination/_confirmer.py
+++ b/src/swiftjunction/coordination/_confirmer.py
@@ -97,6 +97,11 @@
             return 0.0
         return self._confirmation.compute_age_seconds()
 
+    @property
+    def is_recent(self) -> bool:
+        """Return whether keys can be checked, if there are any."""
+        return self.age_seconds <= self._max_age_seconds
+
     async def run(self) -> None:
         """Ask the store when that is due, until cancelled."""
         while True:
--- a/src/swiftjunction/platform/_inspection.py
+++ b/src/swiftjunction/platform/_inspection.py
@@ -1,5 +1,7 @@
 """HTTP endpoints for the metrics and the state of a process."""
 
+import collections.abc
+
 import starlette.applications
 import starlette.requests
 import starlette.responses
@@ -49,6 +51,18 @@
         return Response(self._dump.render(), media_type='application/json')
 
 
+def build_dump(
+    sources: collections.abc.Mapping[
+        str, collections.abc.Callable[[], object]
+    ],
+) -> telemetry.StateDump:
+    """Return a dump of the state that each source returns, by its name."""
+    dump = telemetry.StateDump()
+    for name, source in sources.items():
+        dump.add(name, source)
+    return dump
+
+
 def observe_servers(
     metrics: telemetry.Metrics,
     directory: backends.Directory,
