--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -42,9 +42,6 @@
         Whether engines refuse orders with old fencing tokens.
     processor_cores : float
         Processor time that this VM provides, in cores.
-    contact_seconds : float
-        How long a VM must have been without faults for time bounds to apply
-        to it, in seconds.
     config_apply_seconds : float
         Time from the acknowledgement of a configuration until it is in
         effect, in seconds.
@@ -83,7 +80,6 @@
     cancel_seconds: float = 3.0
     checks_fencing: bool = False
     processor_cores: float = 1.0
-    contact_seconds: float = 3.0
     config_apply_seconds: float = 2.0
     strict_revocation: bool = False
     revoke_seconds: float = 5.0
@@ -147,7 +143,6 @@
         # The VM gets this share of a core that is so many times as fast.
         processor_cores=reader.read_number('limits.cpu_share', 1.0)
         * reader.read_number('limits.cpu_cores', 1.0),
-        contact_seconds=reader.read_milliseconds('bounds.contact_ms', 3000.0),
         config_apply_seconds=reader.read_milliseconds(
             'bounds.config_apply_ms', 2000.0
         ),
