--- a/src/swiftjunction/commands/_fleet.py
+++ b/src/swiftjunction/commands/_fleet.py
@@ -106,7 +106,7 @@
             words.append('does not reach the store')
         if status.configuration_age_seconds is not None:
             words.append(
-                'configuration confirmed '
+                f'configuration {status.configuration_version} confirmed '
                 f'{status.configuration_age_seconds:.1f} s ago'
             )
         return f'{head} {", ".join(words)}'
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -74,6 +74,8 @@
         serves none.
     cut_off : list of str
         The services of which the VM reaches no server.
+    configuration_version : int
+        The version of the configuration in effect; -1 if that is not known.
     configuration_age_seconds : float or None
         For how long its copy of the configuration may lack changes, on a
         clock that counts time suspended; None if that is not known.
@@ -95,6 +97,7 @@
     tunnel_port: int = 0
     cut_off: list[str] = []
     configuration_age_seconds: float | None = None
+    configuration_version: int = -1
 
 
 class Tunnel(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/platform/_keys.py
+++ b/src/swiftjunction/platform/_keys.py
@@ -16,7 +16,6 @@
 
 # Never passed on from callers where the configuration has organisations.
 CALLER_HEADERS = frozenset({_names.KEY_HEADER, _names.ORGANISATION_HEADER})
-# Takes up no header, where the configuration has no organisations.
 NO_HEADERS: frozenset[str] = frozenset()
 
 
@@ -125,6 +124,7 @@
         found = await self._checker.identify(key)
         if found is None:
             return Caller()
+        telemetry.set_organisation(found.name)
 
         def check() -> None:
             self._checker.check(key, again=True)
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -224,6 +224,7 @@
             self._directory,
             self._tunnels,
             self._reachability,
+            self._active_routes,
             self._confirmation,
             lambda: self._state,
         )
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -5,6 +5,7 @@
 from swiftjunction import backends
 from swiftjunction import coordination
 from swiftjunction.platform import _tunneling
+from swiftjunction import routes
 
 
 class StatusSource:
@@ -26,6 +27,8 @@
         The tunnels that this VM serves.
     reachability : Reachability
         The services that this VM does not reach.
+    active_routes : ActiveRoutes
+        The configuration in effect.
     confirmation : FeedConfirmation
         Tells for how long the configuration may lack changes.
     get_state : callable
@@ -33,6 +36,7 @@
     """
 
     __slots__ = (
+        '_active_routes',
         '_confirmation',
         '_coordinator',
         '_directory',
@@ -53,6 +57,7 @@
         directory: backends.Directory,
         peer_tunnels: _tunneling.PeerTunnels,
         reachability: backends.Reachability,
+        active_routes: routes.ActiveRoutes,
         confirmation: coordination.FeedConfirmation,
         get_state: collections.abc.Callable[[], str],
     ) -> None:
@@ -63,6 +68,7 @@
         self._directory = directory
         self._peer_tunnels = peer_tunnels
         self._reachability = reachability
+        self._active_routes = active_routes
         self._confirmation = confirmation
         self._get_state = get_state
 
@@ -90,4 +96,5 @@
             tunnel_port=self._peer_tunnels.port,
             cut_off=self._reachability.list_cut_off(),
             configuration_age_seconds=self._confirmation.state_age(),
+            configuration_version=self._active_routes.version,
         )
--- a/tests/cover/test_commands_fleet.py
+++ b/tests/cover/test_commands_fleet.py
@@ -74,6 +74,21 @@
         assert ' live' in lines[0]
         assert ' away: ' in lines[1]
 
+    async def test_status_shows_how_old_the_keys_of_each_vm_may_be(
+        self, tmp_path
+    ):
+        config = {**platform_deployment.make_config(), 'tenants': []}
+        deployment = platform_deployment.PlatformDeployment(
+            tmp_path, config=config
+        )
+        async with deployment.run(('vm-1', 'vm-2')):
+            with anyio.fail_after(10):
+                status = ''
+                while status.count('configuration 1 confirmed') < 2:
+                    await anyio.sleep(0.1)
+                    status = await run_command(deployment, 'fleet status')
+        assert status.count(' s ago') == 2
+
     async def test_an_empty_list_is_reported_as_such(self, deployment):
         async with deployment.run():
             assert (
--- a/tests/cover/test_platform_keys.py
+++ b/tests/cover/test_platform_keys.py
@@ -9,6 +9,7 @@
 
 from swiftjunction import coordination
 from swiftjunction import organisations
+from swiftjunction.telemetry import _logs
 from tests import platform_deployment
 
 KEY = 'swiftjunction-credential'
@@ -293,6 +294,22 @@
                 statuses.append(response.status_code)
         assert statuses == [200, 401]
 
+    async def test_are_named_in_log_lines_by_their_organisation(
+        self, deployment, caplog
+    ):
+        caplog.set_level('INFO', logger='swiftjunction')
+        caplog.handler.addFilter(_logs.ContextFilter())
+        async with deployment.run():
+            await deployment.call()
+            await deployment.call('/open/a', key=None)
+        names = [
+            getattr(record, 'organisation', '')
+            for record in caplog.records
+            if record.message == 'request answered'
+        ]
+        assert names == ['first', '']
+        assert OLD_KEY not in str([vars(r) for r in caplog.records])
+
     async def test_with_wrong_keys_cause_no_calls_of_the_store(
         self, deployment
     ):
