--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -28,6 +28,7 @@
 from swiftjunction.platform import _status
 from swiftjunction.platform import _store
 from swiftjunction.platform import _tunneling
+from swiftjunction.platform import _usage_reports
 from swiftjunction.platform import _workers
 from swiftjunction import requests
 from swiftjunction import routes
@@ -144,6 +145,16 @@
         router = routing.Router(
             self._directory, settings.data_center, rng, self._permits
         )
+        self._router = router
+        self._usage = _usage_reports.UsageReports(
+            settings,
+            self._store,
+            self._members,
+            self._clients,
+            self._metrics,
+            rng,
+            time.time,
+        )
         claims = requests.ClaimStore(self._store, settings.name)
         self._crash_registry = coordination.StoreCrashRegistry(
             self._store, self._feed_sync, self._members
@@ -161,6 +172,7 @@
                 requests.RetryBudget(),
                 suspects,
                 self._directory,
+                self._usage.runs,
             )
 
         self._archive = batches.BatchArchive(self._store)
@@ -202,7 +214,18 @@
             self._list_batch_services,
             0.0 if settings.checks_fencing else settings.lease_seconds,
             settings.lease_seconds,
-            _duty_tasks.build_duties(settings, self._clients),
+            [
+                *_duty_tasks.build_duties(
+                    settings,
+                    self._clients,
+                    self._store,
+                    self._active_routes,
+                    self._directory,
+                    self._runner,
+                    self._metrics,
+                ),
+                *self._usage.duties,
+            ],
         )
         self._coordinator = _election.build_coordinator(
             settings,
@@ -226,6 +249,7 @@
             self._reachability,
             self._active_routes,
             self._confirmation,
+            router,
             lambda: self._state,
         )
         self._origins = coordination.SharedOrigins(
@@ -245,6 +269,7 @@
                 suspects,
                 self._directory,
                 self._origins,
+                self._usage.runs,
             ),
             self._admission,
             _batch_calls.BatchCalls(
@@ -311,6 +336,7 @@
         datagrams = _listening.open_datagrams(self._settings)
         self._origins.connect(datagrams)
         self._coordinator.connect(datagrams)
+        self._usage.connect(datagrams)
         poller = coordination.PeerPoller(
             datagrams,
             self._clients,
@@ -319,6 +345,7 @@
             self._status_source.build,
             self._directory.rates,
             self._confirmation,
+            self._router,
         )
         LOG.info('started', extra={'front': self._settings.front})
         async with anyio.create_task_group() as tasks:
@@ -329,6 +356,7 @@
                 self._confirmer.run,
                 self._crash_registry.run,
                 self._origins.run,
+                self._usage.run,
                 self._delayed_removal.run,
                 self._directory.loop_lag.run,
                 self._reachability.run,
@@ -425,9 +453,11 @@
         dump.add('feeds', self._feed_sync.summarize)
         dump.add('configuration', self._active_routes.summarize)
         dump.add('servers', self._directory.summarize)
+        dump.add('shares', self._router.summarize_shares)
         dump.add('reachability', self._reachability.summarize)
         dump.add('suspects', self._suspects.summarize)
         dump.add('batches', self._runner.summarize)
         dump.add('admission', self._admission.summarize)
+        dump.add('usage', self._usage.summarize)
         dump.add('metrics', self._metrics.summarize)
         return dump
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -6,6 +6,7 @@
 from swiftjunction import coordination
 from swiftjunction.platform import _tunneling
 from swiftjunction import routes
+from swiftjunction import routing
 
 
 class StatusSource:
@@ -31,6 +32,8 @@
         The configuration in effect.
     confirmation : FeedConfirmation
         Tells for how long the configuration may lack changes.
+    router : Router
+        Tells the load of organisations whose requests had to wait.
     get_state : callable
         Returns ``starting``, ``live`` or ``draining``.
     """
@@ -45,6 +48,7 @@
         '_members',
         '_peer_tunnels',
         '_reachability',
+        '_router',
         '_store',
     )
 
@@ -59,6 +63,7 @@
         reachability: backends.Reachability,
         active_routes: routes.ActiveRoutes,
         confirmation: coordination.FeedConfirmation,
+        router: routing.Router,
         get_state: collections.abc.Callable[[], str],
     ) -> None:
         self._members = members
@@ -70,6 +75,7 @@
         self._reachability = reachability
         self._active_routes = active_routes
         self._confirmation = confirmation
+        self._router = router
         self._get_state = get_state
 
     def build(self) -> coordination.MemberStatus:
@@ -97,4 +103,5 @@
             cut_off=self._reachability.list_cut_off(),
             configuration_age_seconds=self._confirmation.state_age(),
             configuration_version=self._active_routes.version,
+            flow_rates=self._router.list_flow_rates(),
         )
