--- a/tests/cover/test_platform_keys.py
+++ b/tests/cover/test_platform_keys.py
@@ -9,6 +9,7 @@
 
 from swiftjunction import coordination
 from swiftjunction import organisations
+from swiftjunction import requests
 from swiftjunction.telemetry import _logs
 from tests import platform_deployment
 
@@ -294,6 +295,22 @@
                 statuses.append(response.status_code)
         assert statuses == [200, 401]
 
+    @pytest.mark.parametrize(('key', 'rank'), [(OLD_KEY, 1), (OTHER_KEY, 2)])
+    async def test_have_the_rank_of_their_organisation_before_the_routes(
+        self, deployment, monkeypatch, key, rank
+    ):
+        ranks = []
+        forward = requests.Forwarder.forward
+
+        async def record(forwarder, call):
+            ranks.append(call.rank)
+            return await forward(forwarder, call)
+
+        monkeypatch.setattr(requests.Forwarder, 'forward', record)
+        async with deployment.run():
+            await deployment.call(key=key)
+        assert ranks == [rank]
+
     async def test_are_named_in_log_lines_by_their_organisation(
         self, deployment, caplog
     ):
