--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -75,6 +75,8 @@
         serves none.
     cut_off : list of str
         The services of which the VM reaches no server.
+    configuration_version : int
+        The version of the configuration in effect; -1 if that is not known.
     configuration_age_seconds : float or None
         For how long its copy of the configuration may lack changes, on a
         clock that counts time suspended; None if that is not known.
@@ -104,6 +106,7 @@
     tunnel_port: int = 0
     cut_off: list[str] = []
     configuration_age_seconds: float | None = None
+    configuration_version: int = -1
     flow_rates: dict[str, list[routing.FlowRate]] = {}
     time_of_day: float = 0.0
     median_time: float = 0.0
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -214,6 +214,7 @@
             self._directory,
             self._tunnels,
             self._reachability,
+            self._active_routes,
             self._confirmation,
             router,
             self._clock,
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -5,6 +5,7 @@
 from swiftjunction import backends
 from swiftjunction import coordination
 from swiftjunction.platform import _tunneling
+from swiftjunction import routes
 from swiftjunction import routing
 
 
@@ -27,6 +28,8 @@
         The tunnels that this VM serves.
     reachability : Reachability
         The services that this VM does not reach.
+    active_routes : ActiveRoutes
+        The configuration in effect.
     confirmation : FeedConfirmation
         Tells for how long the configuration may lack changes.
     router : Router
@@ -38,6 +41,7 @@
     """
 
     __slots__ = (
+        '_active_routes',
         '_clock',
         '_confirmation',
         '_coordinator',
@@ -60,6 +64,7 @@
         directory: backends.Directory,
         peer_tunnels: _tunneling.PeerTunnels,
         reachability: backends.Reachability,
+        active_routes: routes.ActiveRoutes,
         confirmation: coordination.FeedConfirmation,
         router: routing.Router,
         clock: coordination.SharedClock | None,
@@ -72,6 +77,7 @@
         self._directory = directory
         self._peer_tunnels = peer_tunnels
         self._reachability = reachability
+        self._active_routes = active_routes
         self._confirmation = confirmation
         self._router = router
         self._clock = clock
@@ -104,6 +110,7 @@
             tunnel_port=self._peer_tunnels.port,
             cut_off=self._reachability.list_cut_off(),
             configuration_age_seconds=self._confirmation.state_age(),
+            configuration_version=self._active_routes.version,
             flow_rates=self._router.list_flow_rates(),
             time_of_day=times[0],
             median_time=times[1],
