Count the first list of a VM as a confirmation

The requests by which a feed is followed now count, by the time before them on the boot clock. Only VMs that must confirm state an age, and a start no longer logs it as too old.

In the decision test a later request of one feed now cancels the one before, as in the code, where one task follows a feed.

--- a/src/swiftjunction/coordination/_confirmer.py
+++ b/src/swiftjunction/coordination/_confirmer.py
@@ -97,6 +97,12 @@
             return 0.0
         return self._confirmation.compute_age_seconds()
 
+    def state_age(self) -> float | None:
+        """Return the age for peers; None if unknown or none is required."""
+        if not self._is_required():
+            return None
+        return self._confirmation.state_age()
+
     async def run(self) -> None:
         """Ask the store when that is due, until cancelled."""
         while True:
@@ -112,14 +118,16 @@
             self._max_age_seconds, self._rng, self._confirmation.clock()
         )
         checks = 0
+        started_at = self._confirmation.clock()
         while self._is_required():
             if checks % CHECKS_PER_RANK == 0:
                 rank = self._find_rank()
             checks += 1
             age_seconds = self._confirmation.compute_age_seconds()
-            self._log_age(age_seconds)
-            feed = self._feed_sync.find(_confirming.CONFIG_PREFIX)
             now = self._confirmation.clock()
+            # At first, the confirmation is yet to come.
+            self._log_age(min(age_seconds, now - started_at))
+            feed = self._feed_sync.find(_confirming.CONFIG_PREFIX)
             if feed is not None and schedule.is_due(
                 now, rank, age_seconds, self._reaches_store()
             ):
--- a/src/swiftjunction/coordination/_confirming.py
+++ b/src/swiftjunction/coordination/_confirming.py
@@ -93,6 +93,9 @@
 
     def compute_age_seconds(self) -> float:
         self._settle_pending()
+        feed = self._feed_sync.find(self._prefix)
+        if feed is not None:
+            self.record(feed.answered_at)
         return self.clock() - self._confirmed_at
 
     def state_age(self) -> float | None:
--- a/src/swiftjunction/coordination/_feed.py
+++ b/src/swiftjunction/coordination/_feed.py
@@ -1,10 +1,12 @@
 """One VM's copy of the stored objects under a prefix."""
 
+import collections.abc
 import math
 
 import anyio
 
 from swiftjunction.coordination import _messages
+from swiftjunction import leases
 from swiftjunction import objectstore
 
 # Largest number of deletions that each feed remembers.
@@ -20,6 +22,8 @@
         The common prefix of the objects' keys.
     listener : Listener
         Notified of each change.
+    boot_clock : callable
+        Returns seconds; also counts the time for which the VM is suspended.
 
     Attributes
     ----------
@@ -34,14 +38,20 @@
     complete_at : float
         Up to when a response of the store shows that the copy has all changes;
         monotonic time in seconds.
+    answered_at : float
+        Just before the last request that the store has answered; in seconds
+        on `boot_clock`. The copy has all changes up to then.
     """
 
     __slots__ = (
+        '_boot_clock',
         '_deletions',
         '_listener',
         '_min_since',
         '_newer_known',
         '_objects',
+        '_requested_at',
+        'answered_at',
         'complete_at',
         'is_watched',
         'prefix',
@@ -49,7 +59,17 @@
         'watched_at',
     )
 
-    def __init__(self, prefix: str, listener: objectstore.Listener) -> None:
+    def __init__(
+        self,
+        prefix: str,
+        listener: objectstore.Listener,
+        boot_clock: collections.abc.Callable[
+            [], float
+        ] = leases.read_boot_clock,
+    ) -> None:
+        self._boot_clock = boot_clock
+        self._requested_at = -math.inf
+        self.answered_at = -math.inf
         self.prefix = prefix
         self.revision = -1
         self.is_watched = False
@@ -115,8 +135,12 @@
     def mark_stale(self) -> None:
         self.is_watched = False
 
+    def note_request(self) -> None:
+        self._requested_at = self._boot_clock()
+
     def confirm(self, asked_at: float) -> None:
         self.complete_at = max(self.complete_at, asked_at)
+        self.answered_at = max(self.answered_at, self._requested_at)
 
     def copy_since(self, since: int) -> _messages.FeedCopy:
         """Return what a peer needs that has all changes up to `since`.
@@ -173,7 +197,7 @@
         if revision > self.revision:
             self._newer_known.set()
         else:
-            self.confirm(complete_at)
+            self.complete_at = max(self.complete_at, complete_at)
 
     async def wait_for_newer(self) -> None:
         """Wait until a peer with a newer copy is recorded."""
--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -19,6 +19,7 @@
 from swiftjunction.coordination import _peer
 from swiftjunction.coordination import _statuses
 from swiftjunction import errors
+from swiftjunction import leases
 from swiftjunction import objectstore
 from swiftjunction import web
 
@@ -54,9 +55,18 @@
     clock : callable
         Returns monotonic time in seconds; the same clock as that of
         `members`.
+    boot_clock : callable
+        Returns seconds; also counts the time for which the VM is suspended.
     """
 
-    __slots__ = ('_clock', '_feeds', '_members', '_peers', '_store')
+    __slots__ = (
+        '_boot_clock',
+        '_clock',
+        '_feeds',
+        '_members',
+        '_peers',
+        '_store',
+    )
 
     def __init__(
         self,
@@ -64,7 +74,11 @@
         peers: web.PeerClients,
         members: _members.MemberTable,
         clock: collections.abc.Callable[[], float] = time.monotonic,
+        boot_clock: collections.abc.Callable[
+            [], float
+        ] = leases.read_boot_clock,
     ) -> None:
+        self._boot_clock = boot_clock
         self._store = store
         self._peers = peers
         self._members = members
@@ -78,7 +92,7 @@
 
         It receives no objects until :meth:`run` is called with it.
         """
-        feed = _feed.SharedFeed(prefix, listener)
+        feed = _feed.SharedFeed(prefix, listener, self._boot_clock)
         self._feeds[prefix] = feed
         return feed
 
@@ -194,6 +208,7 @@
         rank.
         """
         while feed.revision < 0:
+            feed.note_request()
             asked_at = self._clock()
             try:
                 listed = await self._store.list(feed.prefix)
--- a/src/swiftjunction/objectstore/_following.py
+++ b/src/swiftjunction/objectstore/_following.py
@@ -43,6 +43,9 @@
     def mark_stale(self) -> None:
         """Note that changes may be missing until the next list."""
 
+    def note_request(self) -> None:
+        """Note that the store is about to be asked, by a list or a watch."""
+
     def confirm(self, asked_at: float) -> None:
         """Note that all changes before `asked_at` have been delivered.
 
@@ -122,6 +125,7 @@
     while True:
         try:
             listed = revision < 0
+            listener.note_request()
             asked_at = clock()
             if listed:
                 found = await store.list(prefix)
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -229,7 +229,7 @@
             self._directory,
             self._tunnels,
             self._reachability,
-            self._confirmation,
+            self._confirmer,
             self._clock,
             lambda: self._state,
         )
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -26,7 +26,7 @@
         The tunnels that this VM serves.
     reachability : Reachability
         The services that this VM does not reach.
-    confirmation : FeedConfirmation
+    confirmer : ConfigurationConfirmer
         Tells for how long the configuration may lack changes.
     clock : SharedClock or None
         Tells the time of day; None if no duty needs it.
@@ -36,7 +36,7 @@
 
     __slots__ = (
         '_clock',
-        '_confirmation',
+        '_confirmer',
         '_coordinator',
         '_directory',
         '_feed_sync',
@@ -56,7 +56,7 @@
         directory: backends.Directory,
         peer_tunnels: _tunneling.PeerTunnels,
         reachability: backends.Reachability,
-        confirmation: coordination.FeedConfirmation,
+        confirmer: coordination.ConfigurationConfirmer,
         clock: coordination.SharedClock | None,
         get_state: collections.abc.Callable[[], str],
     ) -> None:
@@ -67,7 +67,7 @@
         self._directory = directory
         self._peer_tunnels = peer_tunnels
         self._reachability = reachability
-        self._confirmation = confirmation
+        self._confirmer = confirmer
         self._clock = clock
         self._get_state = get_state
 
@@ -97,7 +97,7 @@
             watch_ages=self._feed_sync.list_watch_ages(),
             tunnel_port=self._peer_tunnels.port,
             cut_off=self._reachability.list_cut_off(),
-            configuration_age_seconds=self._confirmation.state_age(),
+            configuration_age_seconds=self._confirmer.state_age(),
             time_of_day=times[0],
             median_time=times[1],
         )
--- a/tests/cover/test_confirmation_decision.py
+++ b/tests/cover/test_confirmation_decision.py
@@ -76,6 +76,7 @@
         self.offset = 17.0 * (1 + NAMES.index(name))
         self.suspended = 0.0
         self.version = -1
+        self.list_number = 0
         self.sent = []
         members = coordination.MemberTable(
             make_member(name), self.read_monotonic_clock
@@ -83,7 +84,11 @@
         for other in NAMES:
             members.apply_entry(make_entry(make_member(other)))
         feed_sync = coordination.FeedSync(
-            None, None, members, self.read_monotonic_clock
+            None,
+            None,
+            members,
+            self.read_monotonic_clock,
+            self.read_boot_clock,
         )
         self.feed = feed_sync.add(
             PREFIX, objectstore.CallbackListener(self.apply)
@@ -202,11 +207,19 @@
 
 
 def list_late(world, vm, other, pick):
+    vm.feed.note_request()
+    vm.list_number += 1
+    number = vm.list_number
+    asked_at = vm.read_monotonic_clock()
     found = world.answer(world.now, -1, 0)
 
     def finish(pick):
+        # The next request of a feed cancels the one before.
+        if number != vm.list_number:
+            return
         vm.feed.replace(found.changed)
         vm.feed.mark_current(found.revision)
+        vm.feed.confirm(asked_at)
 
     world.pending.append(finish)
 
