--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -215,7 +215,7 @@
             self._tunnels,
             self._reachability,
             self._active_routes,
-            self._confirmation,
+            self._confirmer,
             router,
             self._clock,
             lambda: self._state,
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -30,7 +30,7 @@
         The services that this VM does not reach.
     active_routes : ActiveRoutes
         The configuration in effect.
-    confirmation : FeedConfirmation
+    confirmer : ConfigurationConfirmer
         Tells for how long the configuration may lack changes.
     router : Router
         Tells the load of organisations whose requests had to wait.
@@ -43,7 +43,7 @@
     __slots__ = (
         '_active_routes',
         '_clock',
-        '_confirmation',
+        '_confirmer',
         '_coordinator',
         '_directory',
         '_feed_sync',
@@ -65,7 +65,7 @@
         peer_tunnels: _tunneling.PeerTunnels,
         reachability: backends.Reachability,
         active_routes: routes.ActiveRoutes,
-        confirmation: coordination.FeedConfirmation,
+        confirmer: coordination.ConfigurationConfirmer,
         router: routing.Router,
         clock: coordination.SharedClock | None,
         get_state: collections.abc.Callable[[], str],
@@ -78,8 +78,8 @@
         self._peer_tunnels = peer_tunnels
         self._reachability = reachability
         self._active_routes = active_routes
-        self._confirmation = confirmation
         self._router = router
+        self._confirmer = confirmer
         self._clock = clock
         self._get_state = get_state
 
@@ -109,9 +109,9 @@
             watch_ages=self._feed_sync.list_watch_ages(),
             tunnel_port=self._peer_tunnels.port,
             cut_off=self._reachability.list_cut_off(),
-            configuration_age_seconds=self._confirmation.state_age(),
             configuration_version=self._active_routes.version,
             flow_rates=self._router.list_flow_rates(),
+            configuration_age_seconds=self._confirmer.state_age(),
             time_of_day=times[0],
             median_time=times[1],
         )
--- a/tests/cover/test_commands_fleet.py
+++ b/tests/cover/test_commands_fleet.py
@@ -1,6 +1,5 @@
 import functools
 import json
-import re
 
 import anyio
 import cleo.testers.command_tester
