--- a/src/swiftjunction/scaling/_decision.py
+++ b/src/swiftjunction/scaling/_decision.py
@@ -84,8 +84,9 @@
             return _situation.Decision(kept)
         target = max(kept, min(situation.need.servers, most))
         self._keep_minimum()
-        missing = target - sum(self.expected.values())
-        self._add(missing, 'late_steps' if target > kept else 'replace')
+        total = sum(self.expected.values())
+        is_late = situation.need.servers > total
+        self._add(target - total, 'late_steps' if is_late else 'replace')
         if not self._reasons:
             given_up = self._find_surplus()
             if given_up is not None:
--- a/tests/cover/test_scaling_decision.py
+++ b/tests/cover/test_scaling_decision.py
@@ -74,6 +74,16 @@
     assert placed == {spot('dc-1'): 4, spot('dc-2'): 2}
 
 
+def test_an_order_names_its_reason():
+    reasons = {
+        servers: {
+            p.reason for p in decide(servers=servers, target=15)[1].placements
+        }
+        for servers in (0, 14)
+    }
+    assert reasons == {0: {'replace'}, 14: {'late_steps'}}
+
+
 def test_an_order_counts_what_is_on_its_way():
     orders = {spot('dc-1'): scaling.PlacedOrder(4, NOW - 3)}
     assert decide(servers=16, orders=orders)[0] == {}
