Take back that complete groups wait for a step's last one

What is ready is delivered at once: a trainer that uses groups as they come, or reads more often, gets nothing from the delay, and results that are in memory only are lost with their VM.

--- a/src/swiftjunction/batches/_writing.py
+++ b/src/swiftjunction/batches/_writing.py
@@ -16,14 +16,6 @@
 # Results that complete no group are delayed, to write more of them at once.
 MAX_WRITE_DELAY_SECONDS = 1.5
 MIN_WRITE_INTERVAL_SECONDS = 0.3
-# A trainer that got some results asks for more about a second later, but one
-# that waits gets them at once. So once half of the groups that it needs are
-# complete, others are written together with the last one, if that is complete
-# within this time.
-MAX_LAST_GROUPS_DELAY_SECONDS = 3.0
-# Time before the deadline of a batch from which complete groups are written
-# without that delay: it covers a write and the trainer's next read.
-DEADLINE_RESERVE_SECONDS = 2.0
 # An ended batch stays in memory for late readers.
 ENDED_IN_MEMORY_SECONDS = 20.0
 
@@ -32,12 +24,13 @@
     """Return whether to write the results of a batch now.
 
     Only complete groups count for a training step, so results are written when
-    they complete a group. Others are delayed to save writes, and so are those
-    that come shortly before the last group that the trainer waits for.
+    they complete a group. Others are delayed to save writes.
     """
     if not open_batch.unwritten or open_batch.writing:
         return False
     elapsed_seconds = now - open_batch.written_at
+    if elapsed_seconds > MAX_WRITE_DELAY_SECONDS:
+        return True
     unwritten = {result.sample_id for result in open_batch.unwritten}
     incomplete_groups = open_batch.list_incomplete_groups(unwritten)
     complete_groups = len(open_batch.list_groups()) - len(incomplete_groups)
@@ -46,26 +39,11 @@
     ):
         # These results complete what the trainer waits for.
         return True
-    if _expects_last_groups(open_batch, complete_groups, now):
-        return elapsed_seconds > MAX_LAST_GROUPS_DELAY_SECONDS
-    if elapsed_seconds > MAX_WRITE_DELAY_SECONDS:
-        return True
     return elapsed_seconds >= MIN_WRITE_INTERVAL_SECONDS and (
         complete_groups > open_batch.count_complete_groups()
     )
 
 
-def _expects_last_groups(
-    open_batch: _open.OpenBatch, complete_groups: int, now: float
-) -> bool:
-    """Return whether the last groups that the trainer needs may come soon."""
-    wanted = open_batch.batch.wanted_groups
-    return (
-        wanted / 2 <= complete_groups < wanted
-        and now < open_batch.deadline - DEADLINE_RESERVE_SECONDS
-    )
-
-
 class ResultWriter:
     """Writes results of open batches, and removes ended ones from memory.
 
