--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from swiftjunction import backends
+from swiftjunction.coordination import _clock
 from swiftjunction.coordination import _confirming
 from swiftjunction.coordination import _datagrams
 from swiftjunction.coordination import _members
@@ -77,10 +78,13 @@
         Receives what peers confirm.
     router : Router, optional
         Receives the load of organisations at peers.
+    clock : SharedClock, optional
+        Receives the times that peers state.
     """
 
     __slots__ = (
         '_asked_at',
+        '_clock',
         '_confirmation',
         '_feed_sync',
         '_get_status',
@@ -90,6 +94,7 @@
         '_rates',
         '_round_number',
         '_router',
+        '_unknown_peer',
         '_unanswered',
     )
 
@@ -103,8 +108,10 @@
         rates: backends.ServerRates | None = None,
         confirmation: _confirming.FeedConfirmation | None = None,
         router: routing.Router | None = None,
+        clock: _clock.SharedClock | None = None,
     ) -> None:
         self._router = router
+        self._clock = clock
         self._rates = rates
         self._datagrams = datagrams
         datagrams.listen(StatusQuery, self._answer)
@@ -120,6 +127,8 @@
         )
         # When each of the last rounds began, on the confirmation's clock.
         self._asked_at: dict[int, float] = {}
+        # The address of a peer that polls this VM, which knows no peers yet.
+        self._unknown_peer = ''
         # The peers polled in this round that have not answered, by name.
         self._unanswered: dict[str, _statuses.Member] = {}
 
@@ -128,6 +137,9 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 await self._send_queries()
+                if self._unknown_peer:
+                    tasks.start_soon(self._copy_members, self._unknown_peer)
+                    self._unknown_peer = ''
                 await anyio.sleep(DATAGRAM_TIMEOUT_SECONDS)
                 for member in self._unanswered.values():
                     tasks.start_soon(self._poll_over_http, member)
@@ -162,6 +174,22 @@
         reply = StatusReply(query.round_number, self._get_status())
         await self._datagrams.send(reply, sender)
 
+        if not self._members.list_peers():
+            self._unknown_peer = sender
+
+    async def _copy_members(self, address: str) -> None:
+        """Learn of all VMs from a peer, as the store does not tell them.
+
+        A VM that restarts without reaching the store knows no peer, but those
+        that knew it before still poll it.
+        """
+        feed = self._feed_sync.find(_statuses.MEMBER_PREFIX)
+        if feed is not None:
+            LOG.info(
+                'copying the list of VMs from a peer', extra={'peer': address}
+            )
+            await self._feed_sync.copy(feed, address)
+
     async def _receive_reply(self, reply: StatusReply, sender: str) -> None:
         self._handle_reply(reply)
 
@@ -201,6 +229,8 @@
             self._confirmation.record_status(status, asked_at)
         if self._router is not None and status.flow_rates:
             self._router.record_flow_rates(status.name, status.flow_rates)
+        if self._clock is not None:
+            self._clock.record_status(status, asked_at)
         if self._rates is not None:
             for statement in status.rates:
                 self._rates.merge(statement)
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -83,6 +83,11 @@
     flow_rates : dict of str to list of FlowRate
         For each service whose requests had to wait lately, the load of
         organisations at the VM.
+    time_of_day : float
+        The VM's time of day, in Unix seconds, which may be stepped; 0 if no
+        duty needs it.
+    median_time : float
+        The median of its time of day and those of the peers that it polls.
     """
 
     name: str
@@ -103,6 +108,8 @@
     configuration_age_seconds: float | None = None
     configuration_version: int = -1
     flow_rates: dict[str, list[routing.FlowRate]] = {}
+    time_of_day: float = 0.0
+    median_time: float = 0.0
 
 
 class Tunnel(msgspec.Struct, frozen=True):
