--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -5,7 +5,6 @@
 from swiftjunction.coordination._app import PeerApp
 from swiftjunction.coordination._clock import SharedClock
 from swiftjunction.coordination._confirmer import ConfigurationConfirmer
-from swiftjunction.coordination._confirming import CONFIG_PREFIX
 from swiftjunction.coordination._confirming import FeedConfirmation
 from swiftjunction.coordination._coordinator import Coordinator
 from swiftjunction.coordination._coordinator import CoordinatorTask
@@ -39,7 +38,6 @@
 from swiftjunction.coordination._watching import PeerMonitor
 
 __all__ = [
-    'CONFIG_PREFIX',
     'Catalog',
     'ConfigurationConfirmer',
     'ControlLoops',
