--- a/src/swiftjunction/commands/_fleet.py
+++ b/src/swiftjunction/commands/_fleet.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import datetime
 import os
 import typing
 
@@ -13,6 +14,7 @@
 from swiftjunction import coordination
 from swiftjunction import errors
 from swiftjunction.platform import catalog
+from swiftjunction import usage
 from swiftjunction import web
 
 STORE_VARIABLE = 'SWIFTJUNCTION_STORE'
@@ -21,10 +23,11 @@
 class StoreClients:
     """The clients through which commands read the platform's store."""
 
-    __slots__ = ('catalog', 'deployment')
+    __slots__ = ('catalog', 'deployment', 'store')
 
     def __init__(self, peers: web.PeerClients, address: str) -> None:
         store = catalog.open_store(peers, address)
+        self.store = store
         self.deployment = coordination.DeploymentReader(store, peers)
         self.catalog = catalog.PlatformCatalog(store)
 
@@ -210,6 +213,35 @@
         )
 
 
+class FleetUsageCommand(_FleetCommand):
+    """Prints the usage reports of the last windows."""
+
+    name = 'fleet usage'
+    description = 'Shows which windows of usage are open, fixed or sent.'
+
+    async def collect(
+        self, clients: StoreClients
+    ) -> collections.abc.Iterable[usage.WindowSummary]:
+        return await usage.list_windows(clients.store)
+
+    def format_row(self, row: usage.WindowSummary) -> str:
+        words = [
+            f'{row.window:<12} {row.state:<5} {row.requests} requests of '
+            f'{row.organisations} organisations'
+        ]
+        if row.fixed_unix:
+            words.append(f'fixed {_format_time(row.fixed_unix)}')
+            words.append(f'by {row.fixed_by}')
+        if row.sent_unix:
+            words.append(f'sent {_format_time(row.sent_unix)}')
+        return ', '.join(words)
+
+
+def _format_time(unix_seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(unix_seconds, datetime.UTC)
+    return moment.isoformat(timespec='seconds')
+
+
 COMMANDS = (
     FleetStatusCommand,
     FleetLeasesCommand,
@@ -217,4 +249,5 @@
     FleetServersCommand,
     FleetVersionsCommand,
     FleetRoutesCommand,
+    FleetUsageCommand,
 )
--- a/src/swiftjunction/usage/__init__.py
+++ b/src/swiftjunction/usage/__init__.py
@@ -10,6 +10,8 @@
 from swiftjunction.usage._messages import CountEntry
 from swiftjunction.usage._messages import UsageCounts
 from swiftjunction.usage._messages import UsageReceipt
+from swiftjunction.usage._summary import list_windows
+from swiftjunction.usage._summary import WindowSummary
 from swiftjunction.usage._windows import Clock
 from swiftjunction.usage._windows import Windows
 
@@ -25,5 +27,7 @@
     'UsageReceipt',
     'UsageReporter',
     'UsageState',
+    'WindowSummary',
     'Windows',
+    'list_windows',
 ]
--- a/src/swiftjunction/usage/_duty.py
+++ b/src/swiftjunction/usage/_duty.py
@@ -131,7 +131,8 @@
                 await anyio.sleep_until(may_send_at)
                 await self._send_reports(term, lease)
         finally:
-            self._term = None
+            if self._term is term:
+                self._term = None
 
     async def _load(self, term: _term.UsageTerm) -> None:
         while True:
