--- a/src/swiftjunction/usage/_duty.py
+++ b/src/swiftjunction/usage/_duty.py
@@ -14,6 +14,7 @@
 from swiftjunction import telemetry
 from swiftjunction.usage import _archive
 from swiftjunction.usage import _exchange
+from swiftjunction.usage import _ledger
 from swiftjunction.usage import _messages
 from swiftjunction.usage import _term
 from swiftjunction.usage import _windows
@@ -57,6 +58,7 @@
     __slots__ = (
         '_api',
         '_archive',
+        '_kept_records',
         '_last_call_at',
         '_lease_seconds',
         '_members',
@@ -87,6 +89,7 @@
         self._lease_seconds = lease_seconds
         self._settle_seconds = settle_seconds
         self._term: _term.UsageTerm | None = None
+        self._kept_records: list[_ledger.CountRecord] = []
         self._last_call_at = -math.inf
         metrics.add_gauge('usage_open_windows', self._count_open_windows)
 
@@ -117,8 +120,12 @@
 
     async def run(self, lease: leases.Lease) -> None:
         term = _term.UsageTerm(
-            lease.fencing_token, self._windows, self._members
+            lease.fencing_token,
+            self._windows,
+            self._members,
+            anyio.current_time(),
         )
+        term.ledger.merge(self._kept_records)
         may_send_at = (
             self._last_call_at + self._lease_seconds * CLOCK_RATE_MARGIN
         )
@@ -131,6 +138,8 @@
                 await anyio.sleep_until(may_send_at)
                 await self._send_reports(term, lease)
         finally:
+            # This VM may be the coordinator again before it has been told all.
+            self._kept_records = term.ledger.list_records()
             if self._term is term:
                 self._term = None
 
--- a/src/swiftjunction/usage/_term.py
+++ b/src/swiftjunction/usage/_term.py
@@ -10,6 +10,9 @@
 # When a window is fixed at the latest, as a fraction of the time until its
 # report is due. The rest is for a silent platform or a change of coordinator.
 FIX_FRACTION = 0.6
+# After a term began, how long VMs have to learn of it and to tell again what
+# is not fixed, also of windows that are overdue.
+GATHER_SECONDS = 1.5
 # A VM that is unreachable and silent for so long is not waited for.
 MAX_SILENCE_SECONDS = 20.0
 # Sent reports that the state names, for operators.
@@ -31,6 +34,8 @@
         Tells which windows have ended.
     members : MemberTable
         The VMs that count.
+    began_at : float
+        When the term began, in seconds on the event loop's clock.
 
     Attributes
     ----------
@@ -47,6 +52,7 @@
     """
 
     __slots__ = (
+        '_began_at',
         '_heard_at',
         '_members',
         '_report_versions',
@@ -64,7 +70,9 @@
         fencing_token: int,
         windows: _windows.Windows,
         members: coordination.MemberTable,
+        began_at: float,
     ) -> None:
+        self._began_at = began_at
         self.fencing_token = fencing_token
         self._windows = windows
         self._members = members
@@ -78,7 +86,7 @@
         self._heard_at: dict[str, float] = {}
 
     def note_heard(self, vm: str, now: float) -> None:
-        """Note that a VM has told something, in seconds of any clock."""
+        """Note that a VM has told something now, on the loop's clock."""
         self._heard_at[vm] = now
 
     def adopt(self, stored: _archive.StoredUsage) -> None:
@@ -98,22 +106,38 @@
             state.next_window,
             *(window + 1 for window in stored.reports),
         )
-        current = self._windows.current
         if next_window < 0:
-            next_window = current
+            next_window = self._find_first()
         # The windows of a long outage are not reported.
-        self.ledger.advance(max(next_window, current - MAX_OPEN_WINDOWS))
+        oldest = self._windows.current - MAX_OPEN_WINDOWS
+        self.ledger.advance(max(next_window, oldest))
         self.is_loaded = True
 
+    def _find_first(self) -> int:
+        """Return the first window to report, if none ever was.
+
+        VMs may have counted before one of them became the coordinator.
+        """
+        window = self._windows.current
+        while not self._is_overdue(window - 1):
+            window -= 1
+        return window
+
+    def _is_overdue(self, window: int) -> bool:
+        """Return whether a window must be fixed, complete or not."""
+        latest_seconds = FIX_FRACTION * self._windows.late_seconds
+        return self._windows.compute_age(window) >= latest_seconds
+
     def find_fixable(self, now: float) -> int | None:
         """Return the window to fix now, if there is one."""
         if not self.is_loaded:
             return None
         window = self.ledger.next_window
-        age_seconds = self._windows.compute_age(window)
-        if age_seconds <= 0:
+        if self._windows.compute_age(window) <= 0:
             return None
-        if age_seconds >= FIX_FRACTION * self._windows.late_seconds:
+        if self._is_overdue(window) and (
+            now - self._began_at >= GATHER_SECONDS
+        ):
             return window
         if any(self._iter_missing(window, now)):
             return None
