Ignore usage of windows that never come, and test clocks that are wrong

A VM whose clock is far ahead would fill the coordinator's state with windows that are never fixed. Tests: test_usage_reports.py, test_usage_random.py and test_usage_deployment.py, 31 passed.

--- a/src/swiftjunction/usage/_duty.py
+++ b/src/swiftjunction/usage/_duty.py
@@ -6,6 +6,7 @@
 import math
 
 import anyio
+import msgspec
 
 from swiftjunction import coordination
 from swiftjunction import duties
@@ -102,7 +103,8 @@
         term.note_heard(message.vm, anyio.current_time())
         self._metrics.count('usage_counts_merged', len(message.entries))
         late_count = term.ledger.record(
-            message, message.fencing_token == term.fencing_token
+            self._drop_distant(message),
+            message.fencing_token == term.fencing_token,
         )
         if late_count:
             self._metrics.count('usage_counts_late', late_count)
@@ -118,6 +120,19 @@
             term.ledger.next_window - 1 if term.is_loaded else -1,
         )
 
+    def _drop_distant(
+        self, message: _messages.UsageCounts
+    ) -> _messages.UsageCounts:
+        """Return a message without counts of windows that never come."""
+        latest = self._windows.current + _term.MAX_OPEN_WINDOWS
+        entries = [e for e in message.entries if e.window <= latest]
+        if len(entries) < len(message.entries):
+            LOG.warning(
+                'ignoring usage of distant windows',
+                extra={'peer': message.vm},
+            )
+        return msgspec.structs.replace(message, entries=entries)
+
     async def run(self, lease: leases.Lease) -> None:
         term = _term.UsageTerm(
             lease.fencing_token,
--- a/tests/cover/test_usage_reports.py
+++ b/tests/cover/test_usage_reports.py
@@ -273,6 +273,35 @@
     assert fleet.api.wrong == []
 
 
+@pytest.mark.parametrize('step_seconds', [2.0, -2.0])
+async def test_a_coordinator_whose_clock_is_wrong_still_hears_all_vms(
+    step_seconds,
+):
+    fleet = usage_fleet.UsageFleet(['a', 'b'])
+    async with fleet.run():
+        await anyio.sleep(1)
+        fleet.steps['a'] = step_seconds
+        await fleet.sleep_until_age(0, -0.1)
+        fleet.vms['b'].count()
+        await fleet.sleep_until_age(2, -0.1)
+        fleet.steps['a'] = 0.0
+        fleet.vms['b'].count()
+        await fleet.sleep_until_age(2, 4)
+    assert fleet.get_report(0) == fleet.get_report(2) == {'org': 1}
+    assert fleet.get_report(1) == {}
+    assert fleet.api.wrong == []
+
+
+async def test_counts_of_a_window_that_never_comes_are_not_kept():
+    fleet = usage_fleet.UsageFleet(['a', 'b'])
+    async with fleet.run():
+        fleet.steps['b'] = 1e9
+        fleet.vms['b'].count()
+        await anyio.sleep(2)
+        ledger = fleet.vms['a'].reporter._term.ledger
+        assert ledger.list_records() == []
+
+
 async def test_an_invalid_state_on_the_store_stops_no_reports():
     fleet = usage_fleet.UsageFleet(['a', 'b'])
     fleet.store._put('usage/state', b'{"next_window": "x"}')
--- a/tests/usage_fleet.py
+++ b/tests/usage_fleet.py
@@ -114,7 +114,9 @@
         self.windows = usage.Windows(
             WINDOW_SECONDS,
             LATE_SECONDS,
-            lambda: START_UNIX + anyio.current_time(),
+            lambda: (
+                START_UNIX + anyio.current_time() + fleet.steps.get(name, 0.0)
+            ),
         )
         self.counter = usage.UsageCounter(self.windows)
         self.reporter = usage.UsageReporter(
@@ -152,6 +154,8 @@
         Pairs of VMs of which the first does not reach the second.
     loss : float
         The share of messages that are lost.
+    steps : dict of str to float
+        By how many seconds the clock of a VM is wrong.
     """
 
     def __init__(self, names, settle_seconds=0.0, seed=1):
@@ -164,6 +168,7 @@
         self.vms = {}
         self.cut = set()
         self.loss = 0.0
+        self.steps = {}
         self.token = 0
         self.coordinator = None
         self.lease = None
