--- a/src/swiftjunction/usage/_duty.py
+++ b/src/swiftjunction/usage/_duty.py
@@ -6,6 +6,7 @@
 import math
 
 import anyio
+import msgspec
 
 from swiftjunction import coordination
 from swiftjunction import duties
@@ -14,6 +15,7 @@
 from swiftjunction import telemetry
 from swiftjunction.usage import _archive
 from swiftjunction.usage import _exchange
+from swiftjunction.usage import _ledger
 from swiftjunction.usage import _messages
 from swiftjunction.usage import _term
 from swiftjunction.usage import _windows
@@ -57,6 +59,7 @@
     __slots__ = (
         '_api',
         '_archive',
+        '_kept_records',
         '_last_call_at',
         '_lease_seconds',
         '_members',
@@ -87,6 +90,7 @@
         self._lease_seconds = lease_seconds
         self._settle_seconds = settle_seconds
         self._term: _term.UsageTerm | None = None
+        self._kept_records: list[_ledger.CountRecord] = []
         self._last_call_at = -math.inf
         metrics.add_gauge('usage_open_windows', self._count_open_windows)
 
@@ -99,7 +103,8 @@
         term.note_heard(message.vm, anyio.current_time())
         self._metrics.count('usage_counts_merged', len(message.entries))
         late_count = term.ledger.record(
-            message, message.fencing_token == term.fencing_token
+            self._drop_distant(message),
+            message.fencing_token == term.fencing_token,
         )
         if late_count:
             self._metrics.count('usage_counts_late', late_count)
@@ -115,10 +120,27 @@
             term.ledger.next_window - 1 if term.is_loaded else -1,
         )
 
+    def _drop_distant(
+        self, message: _messages.UsageCounts
+    ) -> _messages.UsageCounts:
+        """Return a message without counts of windows that never come."""
+        latest = self._windows.current + _term.MAX_OPEN_WINDOWS
+        entries = [e for e in message.entries if e.window <= latest]
+        if len(entries) < len(message.entries):
+            LOG.warning(
+                'ignoring usage of distant windows',
+                extra={'peer': message.vm},
+            )
+        return msgspec.structs.replace(message, entries=entries)
+
     async def run(self, lease: leases.Lease) -> None:
         term = _term.UsageTerm(
-            lease.fencing_token, self._windows, self._members
+            lease.fencing_token,
+            self._windows,
+            self._members,
+            anyio.current_time(),
         )
+        term.ledger.merge(self._kept_records)
         may_send_at = (
             self._last_call_at + self._lease_seconds * CLOCK_RATE_MARGIN
         )
@@ -131,7 +153,10 @@
                 await anyio.sleep_until(may_send_at)
                 await self._send_reports(term, lease)
         finally:
-            self._term = None
+            # This VM may be the coordinator again before it has been told all.
+            self._kept_records = term.ledger.list_records()
+            if self._term is term:
+                self._term = None
 
     async def _load(self, term: _term.UsageTerm) -> None:
         while True:
