--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -151,6 +151,7 @@
             progress.sample,
             progress.last_number,
             open_batch.check_may_send,
+            batch.organisation,
         )
         timeout_seconds = FIRST_EVENT_TIMEOUT_SECONDS
         last_event_at = 0.0
@@ -169,6 +170,8 @@
                 if event.version not in progress.versions:
                     progress.versions.append(event.version)
                 now = anyio.current_time()
+                if len(progress.events) == 1:
+                    progress.text_began_at = now
                 if last_event_at:
                     engine.server.record_latency(now - last_event_at)
                 last_event_at = now
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from swiftjunction import backends
+from swiftjunction import routing
 
 MEMBER_PREFIX = 'members/'
 
@@ -77,6 +78,9 @@
     configuration_age_seconds : float or None
         For how long its copy of the configuration may lack changes, on a
         clock that counts time suspended; None if that is not known.
+    flow_rates : dict of str to list of FlowRate
+        For each service whose requests had to wait lately, the load of
+        organisations at the VM.
     time_of_day : float
         The VM's time of day, in Unix seconds, which may be stepped; 0 if no
         duty needs it.
@@ -100,6 +104,7 @@
     tunnel_port: int = 0
     cut_off: list[str] = []
     configuration_age_seconds: float | None = None
+    flow_rates: dict[str, list[routing.FlowRate]] = {}
     time_of_day: float = 0.0
     median_time: float = 0.0
 
--- a/src/swiftjunction/organisations/_confirmation.py
+++ b/src/swiftjunction/organisations/_confirmation.py
@@ -2,8 +2,8 @@
 
 import abc
 
-# What remains of the bound after the last check, for a watch that is answered
-# with news of a second ago, and for the request's way to its server.
+# What remains of the bound after the last check: the store may leave a watch
+# without news for so long before it breaks it off.
 MARGIN_SECONDS = 1.0
 # Clocks of two VMs may differ in rate by this fraction.
 MAX_CLOCK_RATE_ERROR = 0.01
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -5,6 +5,7 @@
 from swiftjunction import backends
 from swiftjunction import coordination
 from swiftjunction.platform import _tunneling
+from swiftjunction import routing
 
 
 class StatusSource:
@@ -28,6 +29,8 @@
         The services that this VM does not reach.
     confirmer : ConfigurationConfirmer
         Tells for how long the configuration may lack changes.
+    router : Router
+        Tells the load of organisations whose requests had to wait.
     clock : SharedClock or None
         Tells the time of day; None if no duty needs it.
     get_state : callable
@@ -44,6 +47,7 @@
         '_members',
         '_peer_tunnels',
         '_reachability',
+        '_router',
         '_store',
     )
 
@@ -57,6 +61,7 @@
         peer_tunnels: _tunneling.PeerTunnels,
         reachability: backends.Reachability,
         confirmer: coordination.ConfigurationConfirmer,
+        router: routing.Router,
         clock: coordination.SharedClock | None,
         get_state: collections.abc.Callable[[], str],
     ) -> None:
@@ -68,6 +73,7 @@
         self._peer_tunnels = peer_tunnels
         self._reachability = reachability
         self._confirmer = confirmer
+        self._router = router
         self._clock = clock
         self._get_state = get_state
 
@@ -98,6 +104,7 @@
             tunnel_port=self._peer_tunnels.port,
             cut_off=self._reachability.list_cut_off(),
             configuration_age_seconds=self._confirmer.state_age(),
+            flow_rates=self._router.list_flow_rates(),
             time_of_day=times[0],
             median_time=times[1],
         )
--- a/tests/cover/test_commands_fleet.py
+++ b/tests/cover/test_commands_fleet.py
@@ -1,5 +1,6 @@
 import functools
 import json
+import re
 
 import anyio
 import cleo.testers.command_tester
@@ -74,6 +75,60 @@
         assert ' live' in lines[0]
         assert ' away: ' in lines[1]
 
+    async def test_scaling_shows_what_runs_is_coming_and_is_wanted(
+        self, deployment
+    ):
+        deployment.store.put(
+            'scaling',
+            platform_deployment.ENGINES,
+            {
+                'service': platform_deployment.ENGINES,
+                'target': 5,
+                'subjects': [
+                    {
+                        'data_center': 'dc-2',
+                        'is_spot': True,
+                        'servers': 3,
+                        'ordered': True,
+                        'is_open': True,
+                        'reason': 'late_steps',
+                    }
+                ],
+            },
+        )
+        async with deployment.run():
+            text = await run_command(deployment, 'fleet scaling')
+        found, ordered = [line.split(maxsplit=3) for line in text.splitlines()]
+        assert found[1:] == [
+            'dc-1',
+            'regular',
+            '2 running, 0 leaving, 0 coming, 2 wanted (found there)',
+        ]
+        assert ordered[1:] == [
+            'dc-2',
+            'spot',
+            '0 running, 0 leaving, 3 coming, 3 wanted '
+            '(late_steps, no response yet)',
+        ]
+
+    async def test_status_shows_how_old_the_keys_of_each_vm_may_be(
+        self, tmp_path
+    ):
+        config = {**platform_deployment.make_config(), 'tenants': []}
+        deployment = platform_deployment.PlatformDeployment(
+            tmp_path, config=config
+        )
+        async with deployment.run(('vm-1', 'vm-2')):
+            with anyio.fail_after(10):
+                status = ''
+                while status.count('configuration at revision') < 2:
+                    await anyio.sleep(0.1)
+                    status = await run_command(deployment, 'fleet status')
+        # Each VM has the revision of the store at its own first list.
+        revisions = re.findall(r'at revision (\d+), confirmed', status)
+        assert len(revisions) == 2
+        assert all(int(revision) > 0 for revision in revisions)
+
     async def test_an_empty_list_is_reported_as_such(self, deployment):
         async with deployment.run():
             assert (
