Clarify the orders of servers

Constants now say what they bound and why. The doc comment of compute_slots named the whole longest sample where the code subtracts half of it. _is_in_vain was figurative and is now _is_overdue; the end of an order stood twice in the order book. 'Data centre' is spelled as elsewhere, except in an error message that a test compares.

--- a/src/swiftjunction/commands/_fleet.py
+++ b/src/swiftjunction/commands/_fleet.py
@@ -224,7 +224,7 @@
 
     name = 'fleet scaling'
     description = (
-        'Shows for each service, data center and kind of server how many run, '
+        'Shows for each service, data centre and kind of server how many run, '
         'are coming and are wanted, and why.'
     )
 
--- a/src/swiftjunction/duties/_api.py
+++ b/src/swiftjunction/duties/_api.py
@@ -25,15 +25,17 @@
 
 
 class ServerOrder(msgspec.Struct, frozen=True):
-    """An order of servers; it replaces earlier ones of the same subject.
+    """An order of servers of one kind, for one service and data centre.
+
+    It replaces the earlier ones for the same kind, service and data centre.
 
     Attributes
     ----------
     servers : int
         The number of servers of this kind that the service is to have in the
-        data center.
+        data centre.
     is_spot : bool
-        Whether it is about spot servers, which are counted apart.
+        Whether it orders spot servers, which are a kind of their own.
     """
 
     service: str
--- a/src/swiftjunction/duties/_order_book.py
+++ b/src/swiftjunction/duties/_order_book.py
@@ -6,13 +6,13 @@
 
 from swiftjunction import scaling
 
-# The longest time after which the platform may carry out an order that got
-# no response.
+# The platform carries out an order that got no response within this time, or
+# never.
 LATE_SECONDS = 15.0
-# For how long an order is sent again until it gets a response.
+# An order that gets no response is sent again for this long.
 RETRY_SECONDS = 10.0
 RETRY_INTERVAL_SECONDS = 1.0
-# How long a subject is left alone after a refusal.
+# After a refusal, no servers are added for the subject for this long.
 REFUSAL_SECONDS = 5.0
 
 
@@ -24,9 +24,10 @@
     first_at, sent_at : float
         When it was sent first and last, or added if it has not been sent.
     lost_at : float
-        When it was last sent without a response; minus infinity if never.
+        When it was last found to have got no response; minus infinity if
+        never.
     is_answered : bool
-        Whether it needs no response any more.
+        Whether no response is awaited any more.
     """
 
     placement: scaling.Placement
@@ -72,7 +73,8 @@
             for row in record.subjects
             if row.ordered
         }
-        # What a refused order replaced.
+        # The orders that the present ones replaced, to restore if those are
+        # not carried out.
         self._former: dict[scaling.Subject, _Order | None] = {}
         self.refused_until: dict[scaling.Subject, float] = {}
 
@@ -123,9 +125,9 @@
         self._orders[placement.subject] = _Order(placement, now, now)
 
     def list_due(self, now: float) -> list[scaling.Placement]:
-        """Return the orders to send now, also again.
+        """Return the orders to send now, for the first time or again.
 
-        Those that got no response for long are given up.
+        Those that got no response for `RETRY_SECONDS` are given up.
         """
         due = []
         for subject, order in list(self._orders.items()):
@@ -142,7 +144,7 @@
 
     def _give_up(self, subject: scaling.Subject, order: _Order) -> None:
         if math.isinf(order.lost_at):
-            # It was never carried out.
+            # No attempt was carried out, or may still be.
             self._restore(subject)
         else:
             order.is_answered = True
@@ -171,9 +173,4 @@
     def record_refused(self, subject: scaling.Subject, now: float) -> None:
         """Record that no servers can be had for a subject."""
         self.refused_until[subject] = now + REFUSAL_SECONDS
-        order = self._orders[subject]
-        if math.isinf(order.lost_at):
-            self._restore(subject)
-        else:
-            # An earlier attempt may still be carried out.
-            order.is_answered = True
+        self._give_up(subject, self._orders[subject])
--- a/src/swiftjunction/duties/_scaled_service.py
+++ b/src/swiftjunction/duties/_scaled_service.py
@@ -103,7 +103,19 @@
         max_orders: int,
         now: float,
     ) -> None:
-        """Add new orders to the book, at most so many."""
+        """Add the orders that are needed now to the book.
+
+        Parameters
+        ----------
+        limits : ServiceScaling
+            The limits of the service.
+        may_decrease : bool
+            Whether all demand for the service is known.
+        max_orders : int
+            Maximum number of orders to add.
+        now : float
+            The time, in seconds on the event loop's clock.
+        """
         decision = scaling.decide(
             scaling.Situation(
                 limits=limits,
@@ -155,7 +167,7 @@
         report.name,
         scaling.Subject(report.data_center, report.is_spot),
         server.accepts_requests(),
-        # Others may leave since a release replaces them.
+        # Servers of other kinds also leave when a release replaces them.
         report.is_spot,
     )
 
@@ -170,7 +182,7 @@
             scaling.SampleWork(
                 progress.sample.sample_id,
                 progress.sample.expected_tokens,
-                # Of a sample that has just begun, it must not be 0.
+                # 0 would mean that the sample waits for a slot.
                 max(now - progress.started_at, 0.001)
                 if progress.engine
                 else 0.0,
--- a/src/swiftjunction/duties/_scaling.py
+++ b/src/swiftjunction/duties/_scaling.py
@@ -21,14 +21,15 @@
 LOG = logging.getLogger(__name__)
 
 ROUND_INTERVAL_SECONDS = 1.0
-# An order needs so much of the lease: the longest call, and the write before.
+# What must remain of the lease to begin with an order: the time for the write
+# of the record and for the call, whose timeout is a second.
 NEEDED_LEASE_SECONDS = 1.2
 # Smallest extension of the lease that shows a renewal.
 RENEWAL_SECONDS = 0.1
 
 
 class ScalingDuty(coordination.Duty):
-    """Decides each second, records what it orders, and orders it.
+    """Orders servers in rounds; records each order before it is sent.
 
     Parameters
     ----------
@@ -45,7 +46,7 @@
     metrics : Metrics
         Counts orders.
     lease_seconds : float
-        Time between the orders of two successive coordinators.
+        Minimum time between the orders of two successive coordinators.
     max_orders : int
         Maximum number of orders in one round.
     """
@@ -113,7 +114,7 @@
             self._services.clear()
 
     def _list_limits(self) -> list[scaling.ServiceScaling]:
-        """Return the limits of the services that are scaled."""
+        """Return the limits that can be kept; log the others."""
         table = self._active_routes.table
         if table is None:
             return []
@@ -126,7 +127,11 @@
                     extra={'service': limits.service},
                 )
             self._problems[limits.service] = problem
-        return [o for o in table.scalings if not self._problems[o.service]]
+        return [
+            limits
+            for limits in table.scalings
+            if not self._problems[limits.service]
+        ]
 
     async def _scale(
         self, limits: scaling.ServiceScaling, lease: leases.Lease
@@ -148,7 +153,7 @@
                 extra={'service': limits.service},
             )
         except Exception:
-            # Batches must go on.
+            # A fault here must not end the other work of the coordinator.
             LOG.exception(
                 'servers could not be ordered',
                 extra={'service': limits.service},
@@ -201,7 +206,10 @@
     async def _record(
         self, service: _scaled_service.ScaledService, fencing_token: int
     ) -> None:
-        """Write the record; it is read again if another writer may have."""
+        """Write the record.
+
+        After a conflict, or without a response, the next round reads it again.
+        """
         version = service.version or 0
         try:
             service.version = await self._archive.write(
@@ -214,9 +222,10 @@
         service.is_recorded = True
 
     def _is_demand_known(self, service: str) -> bool:
-        """Return whether only batches lead to a service.
+        """Return whether only routes of batches lead to a service.
 
-        What callers at other VMs wait for is not known here.
+        The coordinator runs all batches, but does not know which other
+        requests wait at the other VMs.
         """
         table = self._active_routes.table
         return table is not None and not any(
@@ -284,8 +293,8 @@
             book.record_done(subject)
             return 'done'
         book.record_refused(subject, anyio.current_time())
-        # It may also mean that another VM holds the lease: then this one
-        # cannot renew it.
+        # The platform may also refuse the fencing token, because another VM
+        # holds the lease. A renewal shows that this is not so.
         self._min_expiry = _compute_expiry(lease) + RENEWAL_SECONDS
         return 'refused'
 
--- a/src/swiftjunction/scaling/_decision.py
+++ b/src/swiftjunction/scaling/_decision.py
@@ -8,20 +8,24 @@
 from swiftjunction.scaling import _supply
 
 # Largest part of a service's servers that may be spot servers of one data
-# centre: the others take over their work within the reserve of a step.
+# centre. The platform may take all of them at once, and the others must then
+# be able to take over their work.
 MAX_SPOT_FRACTION = 0.25
 # Largest increase in one round, as a part of what there is.
 MAX_INCREASE_FRACTION = 0.5
-# If a larger part is missing without notice, it is the list that is at fault.
+# If a larger part of the servers is missing without notice, the list of
+# servers is taken to be incomplete.
 MAX_MISSING_FRACTION = 0.5
-# Only if at least so many servers more than needed are there, one is given up.
+# A server is given up only if there are at least this many more than needed.
 DECREASE_MARGIN_SERVERS = 2
 DECREASE_INTERVAL_SECONDS = 30.0
-# How long, where the platform took servers away, no more can be had.
+# After the platform took servers away, no more are ordered there for this
+# long.
 TAKEN_SECONDS = 10.0
 # From the end of the boot time until a server must have been listed.
 LISTING_SECONDS = 6.0
-# How long after an order whose servers did not come no more are ordered there.
+# If the servers of an order did not come, no more are ordered there until this
+# long after it.
 ABSENCE_SECONDS = 60.0
 
 
@@ -75,14 +79,15 @@
         self._reasons: dict[_supply.Subject, str] = {}
 
     def decide(self) -> _situation.Decision:
+        """Return the target and the orders that lead to it."""
         situation = self._situation
-        most = situation.limits.max_servers * len(situation.limits.prices)
+        max_total = situation.limits.max_servers * len(situation.limits.prices)
         kept = situation.target
         if not any(map(self._is_shrinking, self.expected)):
-            kept = max(kept, min(situation.supply.settled, most))
+            kept = max(kept, min(situation.supply.settled, max_total))
         if self._is_list_at_fault(kept):
             return _situation.Decision(kept)
-        target = max(kept, min(situation.need.servers, most))
+        target = max(kept, min(situation.need.servers, max_total))
         self._keep_minimum()
         total = sum(self.expected.values())
         is_late = situation.need.servers > total
@@ -127,7 +132,11 @@
         return self._situation.now - order.at < wait_seconds
 
     def _get_base(self, subject: _supply.Subject) -> int:
-        """Return what the platform may take for the number of a subject."""
+        """Return the number of a subject from which an order counts.
+
+        It is the largest that the platform may know, so that an order to add
+        servers takes none away.
+        """
         supply = self._situation.supply
         order = self._find_order(subject)
         number = (
@@ -136,7 +145,7 @@
         return max(number, supply.live.get(subject, 0))
 
     def _is_list_at_fault(self, kept: int) -> bool:
-        """Return whether too many servers are missing without notice."""
+        """Return whether the list lacks too many servers to be trusted."""
         supply = self._situation.supply
         missing = sum(supply.standing.values()) - sum(supply.live.values())
         return missing > kept * MAX_MISSING_FRACTION
@@ -159,7 +168,7 @@
                 self._reasons[subject] = 'too_few'
 
     def _add(self, servers: int, reason: str) -> None:
-        """Add servers where they cost least, at most so many in a round."""
+        """Add servers where they cost least, within the limit of a round."""
         total = sum(self.expected.values())
         limit = max(math.ceil(total * MAX_INCREASE_FRACTION), 1)
         data_centers = sorted(self._situation.limits.prices)
@@ -209,16 +218,18 @@
             or self._is_busy(subject)
             or situation.now < refused_until
             or situation.now - taken_at < TAKEN_SECONDS
-            or self._is_in_vain(subject)
+            or self._is_overdue(subject)
         ):
             return False
         if not subject.is_spot:
             return True
-        most = MAX_SPOT_FRACTION * sum(self.expected.values())
-        return limits.spot_price < 1.0 and self.expected[subject] + 1 <= most
+        max_spot = MAX_SPOT_FRACTION * sum(self.expected.values())
+        return (
+            limits.spot_price < 1.0 and self.expected[subject] + 1 <= max_spot
+        )
 
-    def _is_in_vain(self, subject: _supply.Subject) -> bool:
-        """Return whether servers that were ordered lately did not come."""
+    def _is_overdue(self, subject: _supply.Subject) -> bool:
+        """Return whether servers of a recent order did not come in time."""
         order = self._find_order(subject)
         live = self._situation.supply.live.get(subject, 0)
         return (
--- a/src/swiftjunction/scaling/_demand.py
+++ b/src/swiftjunction/scaling/_demand.py
@@ -16,7 +16,7 @@
 # later one.
 MIN_OBSERVATIONS = 5
 PACE_SMOOTHING_FACTOR = 0.05
-# Below this, the time until a deadline has no meaning as a divisor.
+# Lower bound of the time until a deadline, by which work is divided.
 MIN_TIME_LEFT_SECONDS = 0.5
 
 
@@ -56,10 +56,10 @@
     Attributes
     ----------
     servers : int
-        For open work, and as much as there was a short time ago.
+        The most that was needed in the last `INCREASE_WINDOW_SECONDS`.
     lasting_servers : int or None
-        The most that was needed for a longer time; None until that time has
-        been observed.
+        The most that was needed in the last `DECREASE_WINDOW_SECONDS`; None
+        until that long has been observed.
     waiting, running : int
         The samples that wait for a slot and those that are generated now.
     """
@@ -145,7 +145,7 @@
             self._observed_since = now
         pace = self._pace.seconds_per_token
         slots = 0.0 if pace is None else compute_slots(batches, pace, now)
-        # What runs now has its place in any case.
+        # Samples that run now keep their slots.
         slots = max(slots * (1 + RESERVE_FRACTION), running)
         self._needs.append((now, math.ceil(slots / max(slots_per_server, 1))))
         while self._needs[0][0] < now - DECREASE_WINDOW_SECONDS:
@@ -171,9 +171,9 @@
 ) -> float:
     """Return how many slots finish the batches by their deadlines.
 
-    The work up to each deadline must fit into the time until then, less that
-    of the longest sample that has not begun; but no batch needs more slots
-    than it has samples.
+    The work up to each deadline must fit into the time until then, less half
+    of the longest sample that has not begun; but no more slots are needed than
+    there are samples up to that deadline.
     """
     slots = 0.0
     work_seconds = 0.0
@@ -185,22 +185,31 @@
             )
             for sample in batch.samples
         ]
-        longest_seconds = max(
-            (
-                seconds
-                for sample, seconds in zip(
-                    batch.samples, remaining, strict=True
-                )
-                if not sample.running_seconds
-            ),
-            default=0.0,
-        )
+        longest_seconds = _find_longest_waiting(batch, remaining)
         work_seconds += sum(remaining)
         samples += len(remaining)
-        # A slot that a long sample takes last is busy past the mean by half
-        # of that sample.
+        # A slot whose last sample is a long one is busy longer than the mean of
+        # all slots, by about half of that sample.
         time_left = max(
             batch.deadline - now - longest_seconds / 2, MIN_TIME_LEFT_SECONDS
         )
         slots = max(slots, min(work_seconds / time_left, samples))
     return slots
+
+
+def _find_longest_waiting(batch: BatchWork, remaining: list[float]) -> float:
+    """Return the seconds of the longest sample that has not begun.
+
+    Parameters
+    ----------
+    remaining : list of float
+        The remaining seconds of each sample of the batch.
+    """
+    return max(
+        (
+            seconds
+            for sample, seconds in zip(batch.samples, remaining, strict=True)
+            if not sample.running_seconds
+        ),
+        default=0.0,
+    )
--- a/src/swiftjunction/scaling/_limits.py
+++ b/src/swiftjunction/scaling/_limits.py
@@ -9,14 +9,14 @@
     Attributes
     ----------
     min_servers, max_servers : int
-        The limits of the number of servers in each data center, spot servers
+        The limits of the number of servers in each data centre, spot servers
         included.
     boot_seconds : float
         The time from an order until its servers serve, in seconds.
     spot_price : float
         The price of a spot server, as a fraction of that of another one.
     prices : dict of str to float
-        The relative price of a server in each data center; the service may
+        The relative price of a server in each data centre; the service may
         run in these.
     """
 
--- a/src/swiftjunction/scaling/_record.py
+++ b/src/swiftjunction/scaling/_record.py
@@ -131,9 +131,10 @@
     running, leaving : int
         The servers that are listed as live and as leaving.
     coming : int
-        How many live ones fewer there are than wanted.
+        How many more servers were ordered than run.
     wanted : int
-        The number that was ordered last, or was found there.
+        The number that was ordered last, or that was found there if none was
+        ordered.
     reason : str
         Why it was ordered; empty if it was not.
     is_open : bool
--- a/src/swiftjunction/scaling/_supply.py
+++ b/src/swiftjunction/scaling/_supply.py
@@ -1,4 +1,4 @@
-"""What there is of the servers of a service, by data centre and kind."""
+"""The servers that a service has, by data centre and kind."""
 
 import collections
 import collections.abc
@@ -6,9 +6,11 @@
 
 import msgspec
 
+# A time before all others.
+NEVER = -math.inf
 # For this long, a server that went missing without notice is expected back.
 RETURN_SECONDS = 8.0
-# What was there for this long without a break is taken for intended.
+# The number of servers that was there for this long is taken to be intended.
 SETTLE_SECONDS = 10.0
 # A number that was seen within this time may still be the platform's own
 # number for the subject; an order must not fall below it by mistake.
@@ -172,6 +174,3 @@
         for subject, servers in counts.items()
         if subject.data_center == data_center
     )
-
-
-NEVER = -math.inf
--- a/src/swiftjunction/standins/_duty_api.py
+++ b/src/swiftjunction/standins/_duty_api.py
@@ -27,7 +27,7 @@
     at : float
         On the event loop's clock, in seconds.
     subject : tuple of str
-        The duty, and for orders the service and the data center.
+        The duty, and for orders the service and the data centre.
     """
 
     at: float
@@ -62,7 +62,7 @@
     reports : dict of int to dict
         The accepted usage of each window.
     orders : dict of (str, str, bool) to int
-        The servers ordered for each service and data center, spot servers
+        The servers ordered for each service and data centre, spot servers
         apart.
     refused : list of DutyCall
         The calls with an outdated fencing token.
