--- a/src/swiftjunction/usage/_archive.py
+++ b/src/swiftjunction/usage/_archive.py
@@ -23,7 +23,7 @@
 
 
 class FixedReport(msgspec.Struct, frozen=True):
-    """What is reported of a window, by whomever.
+    """What is reported of a window, whichever coordinator sends it.
 
     Attributes
     ----------
@@ -79,7 +79,10 @@
 
 
 def make_nonce() -> str:
-    """Return a text by which a write differs from every other one."""
+    """Return a text that is unique for each write.
+
+    With it, a write whose response was lost is recognized on the store.
+    """
     return uuid.uuid4().hex[:12]
 
 
--- a/src/swiftjunction/usage/_counter.py
+++ b/src/swiftjunction/usage/_counter.py
@@ -8,13 +8,15 @@
 from swiftjunction.usage import _windows
 
 # After the end of a window, how long the outcome of its requests is awaited
-# before the window counts as told.
+# before its counts are taken to be complete.
 MAX_OUTCOME_SECONDS = 1.0
 # Older windows are forgotten: nobody reports them any longer.
 MAX_WINDOWS = 120
 
+# The message number and the count of a count that was not received.
 NOT_RECEIVED = (-1, -1)
 
+# A window and an organisation.
 Key = tuple[int, str]
 
 
@@ -24,7 +26,7 @@
     Parameters
     ----------
     windows : Windows
-        Tells the window of the present.
+        Tells the current window.
     """
 
     __slots__ = (
@@ -90,7 +92,8 @@
         """Learn that the coordinator has received a numbered message."""
         for entry in entries:
             key = (entry.window, entry.organisation)
-            # A count may fall: an older message says nothing any more.
+            # A count may also decrease, so only the order of the messages
+            # shows which one is newer.
             if key in self._counts and (
                 number > self._received.get(key, NOT_RECEIVED)[0]
             ):
--- a/src/swiftjunction/usage/_duty.py
+++ b/src/swiftjunction/usage/_duty.py
@@ -26,9 +26,10 @@
 STATE_INTERVAL_SECONDS = 1.0
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
-# The platform's clock may run at another rate.
+# This VM's clock may run faster than the platform's by this factor.
 CLOCK_RATE_MARGIN = 1.01
-# Other duties use the rest of the rate.
+# Part of the permitted rate of calls that usage reports use. The rest is for
+# other duties.
 RATE_FRACTION = 0.5
 
 
@@ -50,7 +51,7 @@
     calls_per_second : float
         The rate that the platform accepts of all calls of duties.
     lease_seconds : float
-        The time within which holders must not take turns.
+        Minimum time between the reports of two successive coordinators.
     settle_seconds : float
         For this time after a term began, no report is sent, as the platform
         does not refuse those of the previous holder.
@@ -153,7 +154,8 @@
                 await anyio.sleep_until(may_send_at)
                 await self._send_reports(term, lease)
         finally:
-            # This VM may be the coordinator again before it has been told all.
+            # If this VM becomes the coordinator again, the other VMs may not
+            # tell it again what it knew in this term.
             self._kept_records = term.ledger.list_records()
             if self._term is term:
                 self._term = None
@@ -188,7 +190,8 @@
                 term.build_state(), term.state_version
             )
         except errors.PlatformError:
-            # Another VM may have written it, or a write of this one.
+            # Another VM may have changed the state, or this write may have
+            # been carried out without a response.
             term.ledger.is_changed = True
             term.adopt(await self._archive.load())
             raise
--- a/src/swiftjunction/usage/_exchange.py
+++ b/src/swiftjunction/usage/_exchange.py
@@ -125,6 +125,7 @@
 
     async def tell(self) -> None:
         """Send what the coordinator lacks, once."""
+        # Windows that are too old are forgotten also without a receipt.
         self._counter.forget_fixed(-1)
         self._note_token(self._members.newest_coordinator[1])
         for message in self._build_messages():
@@ -232,7 +233,8 @@
                 self._members.newest_coordinator[0]
             )
             if coordinator is not None and coordinator.address == sender:
-                # The direct way works; receipts by a peer say nothing of it.
+                # Only a receipt that comes from the coordinator itself shows
+                # that messages need no relay.
                 self._unanswered_since = math.inf
 
     def _record_receipt(self, receipt: _messages.UsageReceipt) -> None:
--- a/src/swiftjunction/usage/_summary.py
+++ b/src/swiftjunction/usage/_summary.py
@@ -20,7 +20,7 @@
     fixed_by : str
         The VM that fixed the report; empty if it is open.
     fixed_unix, sent_unix : float
-        In Unix seconds; 0 if it is not.
+        When it was fixed and sent, in Unix seconds; 0 if it was not.
     """
 
     window: int
@@ -49,7 +49,7 @@
 def _summarize_report(
     report: _archive.FixedReport, state: _archive.UsageState
 ) -> WindowSummary:
-    # Of older windows, the state keeps no time.
+    # `state.sent` has only the last windows, so it does not tell this.
     is_pending = (
         report.window in state.unsent or report.window >= state.next_window
     )
--- a/src/swiftjunction/usage/_term.py
+++ b/src/swiftjunction/usage/_term.py
@@ -8,7 +8,8 @@
 from swiftjunction.usage import _windows
 
 # When a window is fixed at the latest, as a fraction of the time until its
-# report is due. The rest is for a silent platform or a change of coordinator.
+# report is due. The rest is for a platform that does not respond or a change
+# of coordinator.
 FIX_FRACTION = 0.6
 # After a term began, how long VMs have to learn of it and to tell again what
 # is not fixed, also of windows that are overdue.
@@ -19,12 +20,12 @@
 KEPT_SENT_WINDOWS = 24
 # A report is deleted so long after the end of its window.
 REPORT_EXPIRY_SECONDS = 300.0
-# After a longer outage, the windows before are not reported.
+# Older windows are not reported, after an outage that lasted longer.
 MAX_OPEN_WINDOWS = 120
 
 
 class UsageTerm:
-    """What the coordinator knows during one term; nothing here waits.
+    """What the coordinator knows during one term; performs no I/O.
 
     Parameters
     ----------
@@ -90,7 +91,7 @@
         self._heard_at[vm] = now
 
     def adopt(self, stored: _archive.StoredUsage) -> None:
-        """Merge what is on the store: of predecessors, or of a rival."""
+        """Merge what predecessors or another coordinator stored."""
         self.state_version = stored.version
         # Without a state, no report is known to be sent.
         state = stored.state or _archive.UsageState(-1)
@@ -108,7 +109,6 @@
         )
         if next_window < 0:
             next_window = self._find_first()
-        # The windows of a long outage are not reported.
         oldest = self._windows.current - MAX_OPEN_WINDOWS
         self.ledger.advance(max(next_window, oldest))
         self.is_loaded = True
@@ -194,7 +194,7 @@
         return self.unsent[min(self.unsent, key=rank)]
 
     def record_sent(self, window: int) -> float:
-        """Learn that a report was sent; return how old its window was."""
+        """Learn that a report was sent; return its window's age in seconds."""
         self.unsent.pop(window, None)
         self.sent[window] = self._windows.read_clock()
         for old in sorted(self.sent)[:-KEPT_SENT_WINDOWS]:
--- a/src/swiftjunction/usage/_windows.py
+++ b/src/swiftjunction/usage/_windows.py
@@ -31,7 +31,7 @@
 
     @property
     def current(self) -> int:
-        """Return the window of the present."""
+        """Return the current window."""
         return math.floor(self._clock() / self._length_seconds)
 
     def compute_age(self, window: int) -> float:
