Clarify confirmations, fair shares and keys

Figurative or elliptic comments are reworded, units and attributes that were missing are added, and the address of a peer that polled this VM had a misleading name.

--- a/src/swiftjunction/coordination/_asking.py
+++ b/src/swiftjunction/coordination/_asking.py
@@ -17,9 +17,9 @@
 OTHERS_SPREAD_FRACTION = 0.25
 # Bounds the calls if the greatest age is very small.
 MIN_INTERVAL_SECONDS = 0.1
-# For how long a VM that took over goes on asking.
+# How long a VM that took over continues to ask after its first answer.
 SUBSTITUTION_FRACTION = 1.25
-# Failed asks are spread by this part of their delay, to both sides.
+# The delay after a failed ask varies by up to this part, in both directions.
 JITTER = 0.5
 
 
--- a/src/swiftjunction/coordination/_confirmer.py
+++ b/src/swiftjunction/coordination/_confirmer.py
@@ -25,7 +25,8 @@
 REQUIRED_CHECK_INTERVAL_SECONDS = 0.1
 # Time of inactivity after which the next ask is a list, in intervals.
 MAX_PAUSE_INTERVALS = 4
-# Checks between two looks at the rank, which takes longer than the others.
+# Checks for which a rank is used before it is found again, which takes longer
+# than the rest of a check.
 CHECKS_PER_RANK = 4
 
 
@@ -130,7 +131,8 @@
             checks += 1
             age_seconds = self._confirmation.compute_age_seconds()
             now = self._confirmation.clock()
-            # At first, the confirmation is yet to come.
+            # Before the first confirmation the age is infinite; until it is
+            # overdue, that is no reason for a warning.
             self._log_age(min(age_seconds, now - started_at))
             feed = self._feed_sync.find(_confirming.CONFIG_PREFIX)
             if feed is not None and schedule.is_due(
@@ -161,7 +163,7 @@
             return
         self._confirmation.record(asked_at)
         if schedule.record_success(asked_at, rank):
-            LOG.info('confirms the configuration, as others seem not to')
+            LOG.info('confirming the configuration, as no other VM seems to')
 
     async def _ask(
         self, feed: _feed.SharedFeed, asked_at: float, interval_seconds: float
--- a/src/swiftjunction/coordination/_confirming.py
+++ b/src/swiftjunction/coordination/_confirming.py
@@ -30,7 +30,7 @@
     Attributes
     ----------
     clock : callable
-        The same.
+        The clock that was given.
     """
 
     __slots__ = (
--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -34,7 +34,8 @@
 HTTP_TIMEOUT_SECONDS = _peer.CALL_TIMEOUT_SECONDS - DATAGRAM_TIMEOUT_SECONDS
 # Replies to older queries are ignored; a status describes the present.
 MAX_REPLY_AGE_ROUNDS = 1
-# Far more than there are rounds in a second.
+# Exceeds the rounds in a second, so that the first number of a process is
+# higher than those of the process before.
 ROUND_NUMBERS_PER_SECOND = 1000
 
 
@@ -94,7 +95,7 @@
         '_rates',
         '_round_number',
         '_router',
-        '_unknown_peer',
+        '_polled_by',
         '_unanswered',
     )
 
@@ -121,14 +122,14 @@
         self._feed_sync = feed_sync
         self._get_status = get_status
         self._confirmation = confirmation
-        # The rounds of an earlier process had lower numbers.
         self._round_number = int(
             leases.read_boot_clock() * ROUND_NUMBERS_PER_SECOND
         )
         # When each of the last rounds began, on the confirmation's clock.
         self._asked_at: dict[int, float] = {}
-        # The address of a peer that polls this VM, which knows no peers yet.
-        self._unknown_peer = ''
+        # While this VM knows no peers, the address of one that polled it; empty
+        # if none has.
+        self._polled_by = ''
         # The peers polled in this round that have not answered, by name.
         self._unanswered: dict[str, _statuses.Member] = {}
 
@@ -137,9 +138,9 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 await self._send_queries()
-                if self._unknown_peer:
-                    tasks.start_soon(self._copy_members, self._unknown_peer)
-                    self._unknown_peer = ''
+                if self._polled_by:
+                    tasks.start_soon(self._copy_members, self._polled_by)
+                    self._polled_by = ''
                 await anyio.sleep(DATAGRAM_TIMEOUT_SECONDS)
                 for member in self._unanswered.values():
                     tasks.start_soon(self._poll_over_http, member)
@@ -175,7 +176,7 @@
         await self._datagrams.send(reply, sender)
 
         if not self._members.list_peers():
-            self._unknown_peer = sender
+            self._polled_by = sender
 
     async def _copy_members(self, address: str) -> None:
         """Learn of all VMs from a peer, as the store does not tell them.
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -87,7 +87,8 @@
         The VM's time of day, in Unix seconds, which may be stepped; 0 if no
         duty needs it.
     median_time : float
-        The median of its time of day and those of the peers that it polls.
+        The median of its time of day and those of the peers that it polls, in
+        Unix seconds; 0 if no duty needs it.
     """
 
     name: str
--- a/src/swiftjunction/organisations/_confirmation.py
+++ b/src/swiftjunction/organisations/_confirmation.py
@@ -2,8 +2,8 @@
 
 import abc
 
-# What remains of the bound after the last check: the store may leave a watch
-# without news for so long before it breaks it off.
+# Subtracted from the bound: the store may send nothing on a watch for this
+# long before it ends the watch.
 MARGIN_SECONDS = 1.0
 # Clocks of two VMs may differ in rate by this fraction.
 MAX_CLOCK_RATE_ERROR = 0.01
--- a/src/swiftjunction/organisations/_keys.py
+++ b/src/swiftjunction/organisations/_keys.py
@@ -34,12 +34,17 @@
     Only digests of the keys are kept, so that no dump or log shows a key. A
     key of several organisations belongs to none of them, as it does not tell
     whose request it is. An organisation whose name no header can carry is
-    left out, as no server could be told whose request it gets.
+    left out, as servers are told the organisation of a request in a header.
 
     Parameters
     ----------
     organisations : iterable of (Organisation, iterable of str)
         The organisations, each with its keys.
+
+    Attributes
+    ----------
+    names : set of str
+        The names of the organisations.
     """
 
     __slots__ = ('_by_digest', 'names')
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -303,7 +303,8 @@
             call.service_call, timeout_seconds=remaining_seconds
         )
         if progress.first_stream is not None:
-            # A server has begun to run it: this only goes on with that.
+            # A server has begun to run the request, so its caller may have the
+            # rest of the stream, even if the key has been removed since.
             service_call = msgspec.structs.replace(service_call, check=None)
         timeout_seconds = _get_event_timeout(call, progress)
         with anyio.move_on_after(timeout_seconds):
--- a/src/swiftjunction/requests/_runs.py
+++ b/src/swiftjunction/requests/_runs.py
@@ -117,7 +117,7 @@
 def track_run(
     listener: RunListener, organisation: str
 ) -> collections.abc.Iterator[RequestRun]:
-    """Track the run of a request, which counts if it ends while sent."""
+    """Track the run of a request; a count left at the end is final."""
     run = RequestRun(listener, organisation)
     try:
         yield run
--- a/src/swiftjunction/routing/_shares.py
+++ b/src/swiftjunction/routing/_shares.py
@@ -1,7 +1,7 @@
 """Fair shares of the flows of a service, while requests have to wait.
 
-The load that this answers is that of one flow, such as an organisation, which
-sends far more than usual: it may use what room the others leave, and no more.
+One flow, such as an organisation, may send far more requests than usual. It
+can then use the capacity that the other flows leave, but not more.
 """
 
 import collections.abc
@@ -17,9 +17,10 @@
 MAX_REPORT_AGE_SECONDS = 2.0
 MAX_REPORTED_FLOWS = 32
 MAX_RETRY_AFTER_SECONDS = 5.0
-# Of the part that each flow would get if all were cut alike.
+# Each flow may use at least this part of what it would get if the demand of
+# all flows were reduced by the same factor.
 MIN_PART_OF_EQUAL_CUT = 0.5
-# With fewer requests lately, chance decides which flow is the largest.
+# With fewer recent requests, chance decides which flow is the largest.
 MIN_REQUESTS = 16.0
 # Halvings of the interval in which the level is searched.
 LEVEL_STEPS = 30
@@ -90,7 +91,7 @@
 
 
 class FairLevel(msgspec.Struct, frozen=True):
-    """How much of each flow's demand the room is for.
+    """How much of each flow's demand is served.
 
     Attributes
     ----------
@@ -184,7 +185,7 @@
     def may_wait(self, flow: str) -> bool:
         """Return whether a request that cannot start now may wait.
 
-        Of a flow above the fair level, only as many may as are within it.
+        Of a flow above the fair level, a random part of the requests may.
         """
         now = self._clock()
         self._waited_at = now
@@ -236,7 +237,7 @@
         requests = sum(self._demand.values()) * TIME_CONSTANT_SECONDS
         self._level = (
             compute_level(self._demand.values(), room)
-            # Without any starts, what room there is is not known.
+            # Without any starts, the room is not known.
             if room and requests >= MIN_REQUESTS
             else FairLevel()
         )
