--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -127,8 +127,8 @@
         )
         # When each of the last rounds began, on the confirmation's clock.
         self._asked_at: dict[int, float] = {}
-        # While this VM knows no peers, the address of one that polled it; empty
-        # if none has.
+        # While this VM knows no peers, the address of one that polled it;
+        # empty if none has.
         self._polled_by = ''
         # The peers polled in this round that have not answered, by name.
         self._unanswered: dict[str, _statuses.Member] = {}
--- a/src/swiftjunction/platform/_duty_api.py
+++ b/src/swiftjunction/platform/_duty_api.py
@@ -70,6 +70,24 @@
         self, lease: leases.Lease, path: str, content: dict[str, object]
     ) -> int:
         """Send one call; return its status, 2xx or 409."""
+        status = await self._post(lease, path, content)
+        if status in UNDONE_STATUSES:
+            raise errors.PlatformUnavailable(
+                f'status {status}', step=path, peer=PEER_NAME
+            )
+        if (
+            status < http.HTTPStatus.MULTIPLE_CHOICES
+            or status == http.HTTPStatus.CONFLICT
+        ):
+            return status
+        raise errors.WriteUncertain(
+            f'status {status}', step=path, peer=PEER_NAME
+        )
+
+    async def _post(
+        self, lease: leases.Lease, path: str, content: dict[str, object]
+    ) -> int:
+        """Send one call; return the status of the response."""
         headers = [
             ('content-type', 'application/json'),
             (_names.DUTY_HOLDER_HEADER, self._holder),
@@ -103,16 +121,4 @@
                 step=path,
                 peer=PEER_NAME,
             ) from error
-        status = response.status_code
-        if status in UNDONE_STATUSES:
-            raise errors.PlatformUnavailable(
-                f'status {status}', step=path, peer=PEER_NAME
-            )
-        if (
-            status < http.HTTPStatus.MULTIPLE_CHOICES
-            or status == http.HTTPStatus.CONFLICT
-        ):
-            return status
-        raise errors.WriteUncertain(
-            f'status {status}', step=path, peer=PEER_NAME
-        )
+        return response.status_code
--- a/src/swiftjunction/scaling/_demand.py
+++ b/src/swiftjunction/scaling/_demand.py
@@ -188,8 +188,8 @@
         longest_seconds = _find_longest_waiting(batch, remaining)
         work_seconds += sum(remaining)
         samples += len(remaining)
-        # A slot whose last sample is a long one is busy longer than the mean of
-        # all slots, by about half of that sample.
+        # A slot whose last sample is a long one is busy longer than the mean
+        # of all slots, by about half of that sample.
         time_left = max(
             batch.deadline - now - longest_seconds / 2, MIN_TIME_LEFT_SECONDS
         )
