--- a/tests/cover/test_batches_kept.py
+++ b/tests/cover/test_batches_kept.py
@@ -155,8 +155,8 @@
         return {snapshot.sample_id: snapshot for snapshot in snapshots}
 
     async def test_a_text_outlives_the_migration_of_its_sample(self, store):
-        # Seen on trouble-3 of erdene-ulb-grown: texts of seconds were begun
-        # again after all VMs were killed, as their samples had just migrated.
+        # A sample that has just migrated has run for a short time only, but
+        # its text would take as long again as all its attempts together.
         def migrate(open_batch):
             open_batch.pending['a'].engine = 'e'
             open_batch.pending['a'].started_at = anyio.current_time()
--- a/tests/cover/test_batches_uneven.py
+++ b/tests/cover/test_batches_uneven.py
@@ -123,9 +123,8 @@
 
 @pytest.mark.anyio
 async def test_few_samples_migrate_that_no_step_waits_for():
-    # Seen on trouble-3 of erdene-ulb-grown: 452 of 2,416 samples migrated, and
-    # 86 of these were among what their step waited for. The target is that
-    # fewer than 150 are cut for any reason.
+    # Each migration costs a connection and a prompt processed again. The
+    # target is that fewer than 150 of 2,416 samples migrate.
     plays = [StepPlay(seed) for seed in range(20)]
     for play in plays:
         play.play()
--- a/tests/cover/test_platform_signals.py
+++ b/tests/cover/test_platform_signals.py
@@ -12,8 +12,8 @@
 async def test_a_vm_that_accepts_connections_ends_in_order_at_sigterm(
     tmp_path, monkeypatch
 ):
-    # Guards against a process that ends by the signal, as its listeners were
-    # open before the task ran that handles signals. Seen in the soak.
+    # A process whose listeners are open counts as running, so a signal must
+    # not terminate it even if the task that handles signals has not begun.
     class Opened(Exception):
         pass
 
--- a/tests/cover/test_routing_shares.py
+++ b/tests/cover/test_routing_shares.py
@@ -173,7 +173,7 @@
     fleet.run(5)
     shares = fleet.measure(20)
     of_all = sum(fleet.served.values()) / sum(fleet.asked.values())
-    # The users' bound: nobody is served under a quarter as often as all.
+    # No organisation is served less than a quarter as often as all together.
     assert min(shares.values()) > 0.25 * of_all
     assert fleet.started > 0.98 * ROOM_PER_SECOND * 20
 
