--- a/src/swiftjunction/organisations/_keys.py
+++ b/src/swiftjunction/organisations/_keys.py
@@ -66,20 +66,28 @@
                 )
                 continue
             self.names.add(organisation.name)
-            for digest in {_compute_digest(key) for key in keys if key}:
-                other = self._by_digest.get(digest)
-                if other is not None and other.name != organisation.name:
-                    ambiguous.add(digest)
-                    LOG.error(
-                        'ignoring a key that several organisations have',
-                        extra={
-                            'organisations': [other.name, organisation.name]
-                        },
-                    )
-                self._by_digest[digest] = organisation
+            ambiguous |= self._add_keys(organisation, keys)
         for digest in ambiguous:
             del self._by_digest[digest]
 
+    def _add_keys(
+        self,
+        organisation: Organisation,
+        keys: collections.abc.Iterable[str],
+    ) -> set[bytes]:
+        """Add keys; return the digests that another organisation had."""
+        ambiguous = set()
+        for digest in {_compute_digest(key) for key in keys if key}:
+            other = self._by_digest.get(digest)
+            if other is not None and other.name != organisation.name:
+                ambiguous.add(digest)
+                LOG.error(
+                    'ignoring a key that several organisations have',
+                    extra={'organisations': [other.name, organisation.name]},
+                )
+            self._by_digest[digest] = organisation
+        return ambiguous
+
     def __len__(self) -> int:
         """Return the number of keys."""
         return len(self._by_digest)
--- a/src/swiftjunction/scaling/_supply.py
+++ b/src/swiftjunction/scaling/_supply.py
@@ -119,16 +119,16 @@
                 self._record_taken(server, now)
         self._record_standing(live, now)
         return Supply(
-            dict(live),
-            self._count_present(live, now),
-            {
+            live=dict(live),
+            present=self._count_present(live, now),
+            standing={
                 subject: max(seen, default=0)
                 for subject, seen in self._standing.items()
             },
-            self._find_settled(live.total(), now),
-            leaving,
-            dict(self._taken_at),
-            now - self._since,
+            settled=self._find_settled(live.total(), now),
+            leaving=leaving,
+            taken_at=dict(self._taken_at),
+            observed_seconds=now - self._since,
         )
 
     def _record_taken(self, server: ServerView, now: float) -> None:
