--- a/src/swiftjunction/organisations/_keys.py
+++ b/src/swiftjunction/organisations/_keys.py
@@ -34,12 +34,17 @@
     Only digests of the keys are kept, so that no dump or log shows a key. A
     key of several organisations belongs to none of them, as it does not tell
     whose request it is. An organisation whose name no header can carry is
-    left out, as no server could be told whose request it gets.
+    left out, as servers are told the organisation of a request in a header.
 
     Parameters
     ----------
     organisations : iterable of (Organisation, iterable of str)
         The organisations, each with its keys.
+
+    Attributes
+    ----------
+    names : set of str
+        The names of the organisations.
     """
 
     __slots__ = ('_by_digest', 'names')
@@ -61,20 +66,28 @@
                 )
                 continue
             self.names.add(organisation.name)
-            for digest in {_compute_digest(key) for key in keys if key}:
-                other = self._by_digest.get(digest)
-                if other is not None and other.name != organisation.name:
-                    ambiguous.add(digest)
-                    LOG.error(
-                        'ignoring a key that several organisations have',
-                        extra={
-                            'organisations': [other.name, organisation.name]
-                        },
-                    )
-                self._by_digest[digest] = organisation
+            ambiguous |= self._add_keys(organisation, keys)
         for digest in ambiguous:
             del self._by_digest[digest]
 
+    def _add_keys(
+        self,
+        organisation: Organisation,
+        keys: collections.abc.Iterable[str],
+    ) -> set[bytes]:
+        """Add keys; return the digests that another organisation had."""
+        ambiguous = set()
+        for digest in {_compute_digest(key) for key in keys if key}:
+            other = self._by_digest.get(digest)
+            if other is not None and other.name != organisation.name:
+                ambiguous.add(digest)
+                LOG.error(
+                    'ignoring a key that several organisations have',
+                    extra={'organisations': [other.name, organisation.name]},
+                )
+            self._by_digest[digest] = organisation
+        return ambiguous
+
     def __len__(self) -> int:
         """Return the number of keys."""
         return len(self._by_digest)
