--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -29,12 +29,12 @@
     host : str
         The host that the caller requested; empty if the service's protocol
         does not use it.
-    organisation : str
-        The organisation of the caller, which the server is told; empty if it
-        is told none.
     check : callable, optional
         Called just before the head is sent, and just before the body is. If
         it raises, the server does not get the whole request.
+    organisation : str
+        The organisation of the caller, which the server is told; empty if it
+        is told none.
     """
 
     request_id: str
@@ -45,8 +45,8 @@
     headers: list[tuple[str, str]]
     timeout_seconds: float
     host: str = ''
-    organisation: str = ''
     check: collections.abc.Callable[[], None] | None = None
+    organisation: str = ''
 
 
 class ServiceResponse(msgspec.Struct, frozen=True):
