Add a review case: a resumed stream ends with a failure's body as its end

A stream that broke off is resumed at a worker that answers 500; its body follows the events, and the stream looks complete (MIXED, ORDER).

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,164 +1,185 @@
-"""Requests taken late in a planned stop are cut off at its end."""
+"""A resumed stream ends as complete with the body of a worker's failure."""
 
 import asyncio
-import signal
+import random
+import re
 import time
 
 import deployment
 import web
 import workers
 
-PLAIN = 'ledger'
-STREAMING = 'notes'
-# grace_s of the settings: SIGKILL comes so long after SIGTERM.
-GRACE_SECONDS = 8.0
-# A requester may keep addresses three times as long as the answer says.
-KEEP_FACTOR = 3
-# Of the rule: what was sent by then after SIGTERM may be cut off.
-EXCUSED_SECONDS = 3.0
-WORK_MS = 3500
-DEADLINE_MS = 6000
-ROUTE_TIMEOUT_MS = 10_000
-SEND_AFTER_SECONDS = (0.5, 1.5, 2.5, 4.6, 4.9, 5.2, 5.5)
-PREFIXES = {'payout': '/pay/', 'stream': '/note/'}
-
-
-class StreamWorker(workers.EngineWorker):
-    """Streams one event each 0.1 s for as long as plain requests take."""
-
-    def __init__(self, *args):
-        super().__init__(
-            *args, model='m0', events=WORK_MS // 100, event_seconds=0.1
-        )
+SERVICE = 'llm'
+PREFIX = '/note/'
+WORKER_COUNT = 5
+EVENTS = 30
+EVENT_SECONDS = 0.05
+# srv_crash of the site file: up to 0.22 of the workers, for 3 to 5 s.
+CRASH_AT_SECONDS = (3.0, 8.0, 13.0, 18.0, 23.0)
+CRASH_SECONDS = 3.5
+PLAY_SECONDS = 28.0
+STREAMS_PER_SECOND = 18
+DEADLINE_MS = 5000
+# Runs that a worker ends with a 500 of its own; srv_grey has 0.4.
+FAILURE_SHARE = 0.3
+FAILURE = b'{"error": "out of memory"}'
+FRAME = re.compile(rb'id: (\d+)\ndata: ([^\n]*)\n\n')
+
+
+class FailingWorker(workers.EngineWorker):
+    """Ends some runs with a 500 of its own, before their first event."""
+
+    def __init__(self, *args, seed, **more):
+        super().__init__(*args, **more)
+        self._rng = random.Random(seed)
+
+    async def _generate(self, request):
+        request_id = request.headers.get('swiftjunction-attempt-id', '')
+        if self._rng.random() >= FAILURE_SHARE:
+            await super()._generate(request)
+            return
+        self.arrivals.append((time.monotonic(), request_id))
+        with self.record_run(request_id) as run:
+            await asyncio.sleep(EVENT_SECONDS)
+            run['outcome'] = 'failed with 500'
+            await request.connection.respond(
+                500,
+                FAILURE,
+                [
+                    ('Content-Type', 'application/json'),
+                    ('Swiftjunction-Attempt-Id', request_id),
+                    (
+                        'Swiftjunction-Response-Signature',
+                        f'signed.{request_id}.failed',
+                    ),
+                ],
+            )
+
+
+def make_worker(case, number, start):
+    return FailingWorker(
+        case.store,
+        case.make_ip(100 + number),
+        f'i-engine-{number}-{start}',
+        SERVICE,
+        deployment.ZONES[number % 3],
+        model='m0',
+        events=EVENTS,
+        event_seconds=EVENT_SECONDS,
+        seed=number + 100 * start,
+    )
 
 
-def make_routes():
-    return [
-        {
-            'name': f'r-{name}',
-            'host': deployment.HOST,
-            'path_prefix': prefix,
-            'kind': kind,
-            'timeout_ms': ROUTE_TIMEOUT_MS,
-            'slo_ms': 4000,
-            'priority': 1,
-            'service': service,
-            'max_attempts': 2,
-        }
-        for name, prefix, kind, service in (
-            ('payout', PREFIXES['payout'], 'unsafe', PLAIN),
-            ('stream', PREFIXES['stream'], 'streaming', STREAMING),
+async def crash_workers(case, began_at):
+    """Let one worker crash at each of the times, and start again."""
+    for start, seconds in enumerate(CRASH_AT_SECONDS, 1):
+        await asyncio.sleep(began_at + seconds - time.monotonic())
+        number = start % WORKER_COUNT
+        crashed = case.workers[number]
+        case.note(
+            f'{crashed.name} crashes with {crashed.running} requests at work'
         )
-    ]
+        await crashed.stop()
+        await asyncio.sleep(CRASH_SECONDS)
+        case.store.remove('servers', crashed.name)
+        again = make_worker(case, number, start)
+        again.server.port = crashed.server.port
+        case.gone.append(crashed)
+        case.workers[number] = await again.start()
+
+
+def check_stream(request_id, answer):
+    """Return what is wrong with an answer that looks complete, or None."""
+    if not answer.complete or answer.status != 200:
+        return None
+    frames = FRAME.findall(answer.body)
+    numbers = [int(number) for number, _ in frames]
+    rest = FRAME.sub(b'', answer.body)
+    data = [text.decode() for _, text in frames]
+    whole = [workers.make_data(request_id, n) for n in range(EVENTS)]
+    if rest or numbers != list(range(EVENTS)) or data != whole:
+        return (
+            f'status 200, ends as complete after {len(numbers)} of {EVENTS} '
+            f'events, and has other bytes: {rest[:60]!r}'
+        )
+    return None
 
 
-async def send(case, vm, kind, number, send_at, stopped_at):
-    """Send one request on a new channel; return its id and its answer."""
-    await asyncio.sleep(max(send_at - time.monotonic(), 0.0))
-    request_id = f'{kind}-{number}'
-    case.note(
-        f'{request_id}: sent to {vm.name} {send_at - stopped_at:.1f} s after '
-        f'the stop began, deadline {DEADLINE_MS} ms'
-    )
+async def send(case, number, broken, outcomes):
+    request_id = f'stream-{number}'
+    vm = case.vms[number % len(case.vms)]
     answer = await web.call(
         vm.get_address('front'),
         'POST',
-        f'{PREFIXES[kind]}{WORK_MS}',
+        f'{PREFIX}{number}',
         [
             ('Host', deployment.HOST),
             ('Swiftjunction-Attempt-Id', request_id),
             ('Swiftjunction-Deadline-Ms', str(DEADLINE_MS)),
+            ('Swiftjunction-Model', 'm0'),
+            ('Swiftjunction-Token-Usage', '540,400'),
         ],
-        b'crew 17',
+        f'note {number}'.encode(),
         timeout=DEADLINE_MS / 1000,
     )
-    case.note(
-        f'{request_id}: {answer.describe()} '
-        f'{time.monotonic() - stopped_at:.2f} s after the stop began'
-    )
-    return request_id, send_at - stopped_at, answer
-
-
-async def stop(case, vm, stopped_at):
-    """Stop a machine as the platform does, and start it again."""
-    case.signal(vm, signal.SIGTERM)
-    while time.monotonic() < stopped_at + GRACE_SECONDS:
-        if vm.process.poll() is not None:
-            break
-        await asyncio.sleep(0.01)
-    else:
-        case.signal(vm, signal.SIGKILL)
-    vm.process.wait()
-    case.note(
-        f'{vm.name} has ended {time.monotonic() - stopped_at:.2f} s after '
-        'SIGTERM'
-    )
-    await asyncio.sleep(0.5)
-    case.start_vm(vm)
+    wrong = check_stream(request_id, answer)
+    runs = [
+        f'{w.name}: {r["outcome"]}'
+        for w in [*case.workers, *case.gone]
+        for r in w.runs
+        if r['id'] == request_id
+    ]
+    outcome = wrong or answer.describe()
+    outcomes[answer.describe()] = outcomes.get(answer.describe(), 0) + 1
+    if len(runs) > 1 or wrong:
+        case.note(f'{request_id} at {vm.name}: {outcome}; runs {runs}')
+    if wrong:
+        broken.append(f'{request_id}: {wrong}; runs {runs}')
 
 
 async def play(case):
-    for n in range(3):
-        for kind, service in (
-            (workers.PlainWorker, PLAIN),
-            (StreamWorker, STREAMING),
-        ):
-            case.workers.append(
-                kind(
-                    case.store,
-                    case.make_ip(100 + len(case.workers)),
-                    f'i-{service}-{n}',
-                    service,
-                    deployment.ZONES[n],
-                )
-            )
+    case.gone = []
+    case.workers += [make_worker(case, n, 0) for n in range(WORKER_COUNT)]
     await case.start(
         3,
         deployment.make_config(
-            1, make_routes(), {PLAIN: {}, STREAMING: {}}
+            1,
+            [
+                {
+                    'name': 'r-note',
+                    'host': deployment.HOST,
+                    'path_prefix': PREFIX,
+                    'kind': 'streaming',
+                    'resumable': True,
+                    'sticky': True,
+                    'timeout_ms': 10000,
+                    'slo_ms': 400,
+                    'priority': 1,
+                    'service': SERVICE,
+                    'max_attempts': 3,
+                }
+            ],
+            {SERVICE: {'engine': {'capacity': 8, 'models': [{'name': 'm0'}]}}},
         ),
     )
-    vm = case.vms[0]
-    resolved = await web.call(
-        vm.get_address('directory'),
-        'GET',
-        f'/resolve?name={deployment.HOST}&region=region-1&zone={vm.zone}',
-    )
-    resolved_at = time.monotonic()
-    case.note(f'resolve: {resolved.body.decode()}')
-    kept_until = resolved_at + KEEP_FACTOR * resolved.json()['ttl_s']
-    if vm.get_address('front') not in resolved.json()['addresses']:
-        raise deployment.NotRun('the machine is not among the addresses')
-    stopped_at = time.monotonic()
-    stopping = None
+    began_at = time.monotonic()
+    crashing = None
     if case.trouble:
-        stopping = asyncio.ensure_future(stop(case, vm, stopped_at))
-    sending = [
-        send(case, vm, kind, number, stopped_at + after, stopped_at)
-        for number, after in enumerate(SEND_AFTER_SECONDS)
-        for kind in PREFIXES
-        # The requester still has the address then.
-        if stopped_at + after < kept_until
-    ]
-    sent = await asyncio.gather(*sending)
-    if stopping is not None:
-        await stopping
-    runs = {r['id']: r for w in case.workers for r in w.runs}
+        crashing = asyncio.ensure_future(crash_workers(case, began_at))
     broken = []
-    for request_id, after, answer in sent:
-        run = runs.get(request_id)
-        case.note(
-            f'{request_id}: at a worker: {run["outcome"] if run else "never"}'
-        )
-        if answer.complete or run is None or after <= EXCUSED_SECONDS:
-            continue
-        if answer.error == 'time is up':
-            # Its deadline, and not the stop, has ended it.
-            continue
-        broken.append(
-            f'{request_id}, sent {after:.1f} s after SIGTERM, was passed on '
-            f'to a worker, and its channel ended: {answer.describe()}'
+    outcomes = {}
+    sending = []
+    number = 0
+    while time.monotonic() < began_at + PLAY_SECONDS:
+        number += 1
+        sending.append(
+            asyncio.ensure_future(send(case, number, broken, outcomes))
         )
+        await asyncio.sleep(1 / STREAMS_PER_SECOND)
+    await asyncio.gather(*sending)
+    if crashing is not None:
+        await crashing
+    case.note(f'{number} streams: {outcomes}')
     return broken
 
 
