--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,7 +85,11 @@
         case,
         'step-1',
         1,
-        [trainer.make_item('step-1', g, n) for g in range(3) for n in range(4)],
+        [
+            trainer.make_item('step-1', g, n)
+            for g in range(3)
+            for n in range(4)
+        ],
     )
     other = trainer.Batch(
         case,
@@ -103,7 +107,9 @@
     for item in step.items:
         seconds = find_idle_seconds(engines, item['id'], due)
         if seconds is not None:
-            case.note(f'{item["id"]}: at no worker for the last {seconds:.2f} s')
+            case.note(
+                f'{item["id"]}: at no worker for the last {seconds:.2f} s'
+            )
         if seconds is not None and seconds >= IDLE_SECONDS:
             broken.append(
                 f'{item["id"]} had been at no worker for {seconds:.2f} s when '
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 EVENT_SECONDS = 0.05
 # srv_crash of the site file: up to 0.22 of the workers, for 3 to 5 s.
 CRASH_AT_SECONDS = (3.0, 8.0, 13.0, 18.0, 23.0)
-CRASH_SECONDS = 3.5
+CRASH_SECONDS = 3.7
 PLAY_SECONDS = 28.0
 STREAMS_PER_SECOND = 18
 DEADLINE_MS = 5000
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -114,9 +114,7 @@
             )
     await case.start(
         3,
-        deployment.make_config(
-            1, make_routes(), {PLAIN: {}, STREAMING: {}}
-        ),
+        deployment.make_config(1, make_routes(), {PLAIN: {}, STREAMING: {}}),
     )
     vm = case.vms[0]
     resolved = await web.call(
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -274,6 +274,8 @@
     """
     deployment = None
     code = EXIT_NOT_RUN
+    # So that the processes are ended also if the script is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     try:
         deployment = Deployment(case)
         broken = asyncio.run(_play_in_time(play, deployment))
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -85,7 +85,9 @@
         if request.method == 'GET' and not name:
             if 'watch' in query:
                 return await self._watch(kind, query)
-            return self._list(kind, urllib.parse.unquote(query.get('after', '')))
+            return self._list(
+                kind, urllib.parse.unquote(query.get('after', ''))
+            )
         found = self.get(kind, name)
         if request.method == 'GET':
             return (200, found) if found else (404, b'')
