--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -258,13 +258,21 @@
     try:
         return await asyncio.wait_for(play(deployment), LIMIT_SECONDS)
     finally:
-        current = asyncio.current_task()
+        await _cancel_rest()
+
+
+async def _cancel_rest():
+    """Cancel all other tasks, also those that this brings about."""
+    current = asyncio.current_task()
+    for _ in range(50):
         rest = [t for t in asyncio.all_tasks() if t is not current]
         for task in rest:
             task.cancel()
         await asyncio.gather(*rest, return_exceptions=True)
         # The transports of the cancelled tasks close in the next round.
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.02)
+        if not rest:
+            return
 
 
 def run(case, play):
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -87,6 +87,12 @@
             return
         await self.serve(request)
 
+    def make_leaving_headers(self):
+        """Return what all answers of a worker that leaves have."""
+        if self.state == 'draining':
+            return [('Server-Leaving', '1')]
+        return []
+
     async def serve(self, request):
         raise NotImplementedError
 
@@ -118,7 +124,9 @@
             await request.connection.respond(400, headers=[NOT_EXECUTED])
             return
         if self.running >= self.capacity:
-            await request.connection.respond(503, headers=[NOT_EXECUTED])
+            await request.connection.respond(
+                503, headers=[NOT_EXECUTED, *self.make_leaving_headers()]
+            )
             return
         work_seconds = int(request.path.rsplit('/', 1)[1]) / 1000
         with self.record_run(request_id) as run:
@@ -133,6 +141,7 @@
                         'Swiftjunction-Response-Signature',
                         f'signed.{request_id}',
                     ),
+                    *self.make_leaving_headers(),
                 ],
             )
 
