--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -204,12 +204,15 @@
         self.note(f'{vm.name} gets {signal.Signals(number).name}')
         vm.process.send_signal(number)
 
-    def close(self):
+    def end_processes(self):
         for vm in self.vms:
             if vm.process is not None:
                 if vm.process.poll() is None:
                     vm.process.kill()
                 vm.process.wait()
+
+    def close(self):
+        self.end_processes()
         self._record.close()
         if os.environ.get('KEEP'):
             print(self.folder)
@@ -258,17 +261,20 @@
     try:
         return await asyncio.wait_for(play(deployment), LIMIT_SECONDS)
     finally:
+        # Otherwise they would go on to connect to the stand-ins.
+        deployment.end_processes()
         await _cancel_rest()
 
 
 async def _cancel_rest():
     """Cancel all other tasks, also those that this brings about."""
     current = asyncio.current_task()
-    for _ in range(50):
+    for _ in range(10):
         rest = [t for t in asyncio.all_tasks() if t is not current]
         for task in rest:
             task.cancel()
-        await asyncio.gather(*rest, return_exceptions=True)
+        if rest:
+            await asyncio.wait(rest, timeout=0.2)
         # The transports of the cancelled tasks close in the next round.
         await asyncio.sleep(0.02)
         if not rest:
