Name the task whose error ends a process, and log how a process ends

Cause of the gap: all background tasks share a task group. An error that ends it leaves a traceback of nested groups on standard error, no line of the structured log, and no metric; nothing tells after a restart how the process before it ended.

Change: each task has a name. A failure is logged with its traceback and the name, and counted by task; the last line of a process says that it ends by an error, and with which code; the first has its pid, run, Python and kind of machine, and peers log the run of a process that was started anew. What a failure ends is unchanged.

--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -97,6 +97,11 @@
             self._registered_at = self._registered_at or self._clock()
             return
         known = self._members.get(member.name)
+        if known is not None and known.run != member.run:
+            LOG.info(
+                'the process of a peer was started anew',
+                extra={'peer': member.name, 'run': member.run},
+            )
         if known is None or known.run != member.run:
             self._failures.pop(member.name, None)
             self._statuses.pop(member.name, None)
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -31,6 +31,7 @@
 from swiftjunction import requests
 from swiftjunction import routes
 from swiftjunction import routing
+from swiftjunction import supervision
 from swiftjunction import telemetry
 from swiftjunction import web
 
@@ -66,6 +67,7 @@
         self._stopping = anyio.Event()
         rng = random.Random()
         self._metrics = telemetry.Metrics()
+        self._supervisor = supervision.Supervisor(self._metrics)
         self._clients = web.PeerClients()
         self._members = coordination.MemberTable(_build_member(settings))
         self._direct = _store.PlatformStore(self._clients, settings.store)
--- a/src/swiftjunction/platform/_edge.py
+++ b/src/swiftjunction/platform/_edge.py
@@ -1,5 +1,6 @@
 """Runs the edge process, which serves callers on a VM."""
 
+import logging
 import pathlib
 import sys
 
@@ -10,6 +11,9 @@
 from swiftjunction.platform import _settings
 from swiftjunction import telemetry
 
+LOG = logging.getLogger(__name__)
+
+EXIT_FAILURE = 1
 EXIT_USAGE = 2
 
 
@@ -30,4 +34,9 @@
             if isinstance(error, errors.SettingsError):
                 print('\n'.join(error.problems), file=sys.stderr)
         code = EXIT_USAGE
+    except* Exception:
+        LOG.exception(
+            'ends by an unexpected error', extra={'code': EXIT_FAILURE}
+        )
+        code = EXIT_FAILURE
     return code
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -1,6 +1,8 @@
 """Runs the edge process, on each VM that serves callers."""
 
 import logging
+import os
+import sys
 
 import anyio
 import anyio.abc
@@ -11,6 +13,7 @@
 from swiftjunction.platform import _inspection
 from swiftjunction.platform import _listening
 from swiftjunction.platform import _signals
+from swiftjunction import supervision
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -75,38 +78,33 @@
             self._router,
             self._clock,
         )
-        LOG.info('started', extra={'front': self._settings.front})
+        LOG.info(
+            'started',
+            extra={
+                'front': self._settings.front,
+                'pid': os.getpid(),
+                'run': self._members.own.run,
+                'python': sys.version.split()[0],
+                'machine': os.uname().machine,
+            },
+        )
         async with anyio.create_task_group() as tasks:
-            for task in (
-                datagrams.run,
-                lambda: self._feeds.follow_routes(self._active_routes),
-                lambda: self._feeds.follow_servers(self._delayed_removal),
-                self._confirmer.run,
-                self._crash_registry.run,
-                self._origins.run,
-                self._usage.run,
-                self._delayed_removal.run,
-                self._directory.loop_lag.run,
-                self._reachability.run,
-                coordination.PeerMonitor(
-                    self._store, self._members, self._feed_sync, poller
-                ).run,
-                self._coordinator.run,
-                self._become_ready,
-                self._settings_reloader.run,
-                lambda: _signals.handle(
-                    signals,
-                    self._settings_reloader.reload,
-                    self._stopping.set,
-                ),
-                self._dump.write_on_signal,
-            ):
-                tasks.start_soon(task)
-            tasks.start_soon(peer_listener.serve, peer_app)
-            tasks.start_soon(self._tunnels.run)
+            for name, task in self._list_tasks(
+                signals, datagrams, poller
+            ).items():
+                tasks.start_soon(self._supervisor.run, name, task)
+            tasks.start_soon(
+                self._supervisor.run,
+                'peer listener',
+                lambda: peer_listener.serve(peer_app),
+            )
             async with anyio.create_task_group() as caller_tasks:
                 caller_tasks.start_soon(
-                    caller_listener.serve, _ingress.IngressApp(self._ingress)
+                    self._supervisor.run,
+                    'caller listener',
+                    lambda: caller_listener.serve(
+                        _ingress.IngressApp(self._ingress)
+                    ),
                 )
                 await self._stopping.wait()
                 await self._drain()
@@ -114,6 +112,41 @@
             tasks.cancel_scope.cancel()
         LOG.info('stopped')
 
+    def _list_tasks(
+        self,
+        signals: _signals.Signals,
+        datagrams: coordination.PeerDatagrams,
+        poller: coordination.PeerPoller,
+    ) -> dict[str, supervision.Task]:
+        """Return the background tasks by their names in logs and metrics."""
+        return {
+            'datagrams': datagrams.run,
+            'routes': lambda: self._feeds.follow_routes(self._active_routes),
+            'servers': lambda: self._feeds.follow_servers(
+                self._delayed_removal
+            ),
+            'confirmation': self._confirmer.run,
+            'crashes': self._crash_registry.run,
+            'origins': self._origins.run,
+            'usage': self._usage.run,
+            'removals': self._delayed_removal.run,
+            'event loop lag': self._directory.loop_lag.run,
+            'reachability': self._reachability.run,
+            'peers': coordination.PeerMonitor(
+                self._store, self._members, self._feed_sync, poller
+            ).run,
+            'coordinator': self._coordinator.run,
+            'readiness': self._become_ready,
+            'settings': self._settings_reloader.run,
+            'signals': lambda: _signals.handle(
+                signals,
+                self._settings_reloader.reload,
+                self._stopping.set,
+            ),
+            'state dump': self._dump.write_on_signal,
+            'tunnels': self._tunnels.run,
+        }
+
     async def _drain(self) -> None:
         """Keep serving while callers may have this VM's address cached."""
         self._state = 'draining'
