Start a background task again that failed, instead of ending the process

Cause: all background tasks of a process, and all loops of the coordinator, shared one task group. An error of any type that one of them did not expect (RecursionError of a decoder, OverflowError of a port, UnicodeEncodeError of a header) ended all others and the process; the process that took over read the same input.

Errors that end a task on purpose (a lost lease, invalid settings) and MemoryError pass; listeners and the handling of signals, which cannot run again, still end the process. A VM whose routes, servers or confirmation fail for a second is not ready and leaves the list of addresses, as it may not learn in time what it must not do. The UDP socket and the socket for tunnels are bound again.

--- a/src/swiftjunction/coordination/_datagrams.py
+++ b/src/swiftjunction/coordination/_datagrams.py
@@ -14,6 +14,8 @@
 import anyio.abc
 import msgspec
 
+from swiftjunction import errors
+
 LOG = logging.getLogger(__name__)
 
 MAX_PORT = 65535
@@ -29,14 +31,25 @@
 
     Parameters
     ----------
-    sock : socket
-        A UDP socket bound to the peer address of this VM.
+    bind : callable
+        Returns a new UDP socket, bound to the peer address of this VM.
     """
 
-    __slots__ = ('_handlers', '_is_open', '_send_lock', '_sock', '_udp')
-
-    def __init__(self, sock: socket.socket) -> None:
-        self._sock = sock
+    __slots__ = (
+        '_bind',
+        '_handlers',
+        '_is_open',
+        '_send_lock',
+        '_sock',
+        '_udp',
+    )
+
+    def __init__(
+        self, bind: collections.abc.Callable[[], socket.socket]
+    ) -> None:
+        self._bind = bind
+        # Bound before any message may be expected; None once it was used.
+        self._sock: socket.socket | None = bind()
         self._udp: anyio.abc.UDPSocket | None = None
         self._is_open = anyio.Event()
         # Several tasks send.
@@ -51,12 +64,37 @@
         self._handlers[kind] = handler
 
     async def run(self) -> None:
-        """Receive messages until cancelled."""
+        """Receive messages until cancelled; may be called again after that.
+
+        Raises
+        ------
+        ConnectionError
+            If the socket was closed, or cannot be bound again.
+        """
         kinds: typing.Any = typing.Union[tuple(self._handlers)]
         decoder = msgspec.msgpack.Decoder(kinds)
-        udp = await anyio.abc.UDPSocket.from_socket(self._sock)
+        sock = self._take_socket()
+        udp = await anyio.abc.UDPSocket.from_socket(sock)
         self._udp = udp
         self._is_open.set()
+        try:
+            await self._receive(udp, decoder)
+        finally:
+            self._is_open = anyio.Event()
+        raise ConnectionError('the socket for datagrams was closed')
+
+    def _take_socket(self) -> socket.socket:
+        sock, self._sock = self._sock, None
+        if sock is not None:
+            return sock
+        try:
+            return self._bind()
+        except errors.SettingsError as error:
+            raise ConnectionError(str(error)) from error
+
+    async def _receive(
+        self, udp: anyio.abc.UDPSocket, decoder: msgspec.msgpack.Decoder
+    ) -> None:
         async with udp:
             async for data, (host, port) in udp:
                 try:
@@ -91,7 +129,11 @@
                 await self._udp.sendto(
                     msgspec.msgpack.encode(message), host, port
                 )
-            except OSError as error:
+            except (
+                OSError,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ) as error:
                 # The same as a lost datagram.
                 LOG.debug('cannot send to %s:%s: %s', host, port, error)
 
--- a/src/swiftjunction/coordination/_duty.py
+++ b/src/swiftjunction/coordination/_duty.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import functools
 import logging
 
 import anyio
@@ -9,6 +10,7 @@
 from swiftjunction import batches
 from swiftjunction.coordination import _coordinator
 from swiftjunction import leases
+from swiftjunction import supervision
 
 LOG = logging.getLogger(__name__)
 
@@ -75,6 +77,8 @@
     order_gap_seconds : float
         Time between the orders of two successive coordinators, if the first
         one has handed its duty over.
+    supervisor : Supervisor
+        Runs the loops again that fail.
     duties : sequence of Duty
         Further work of the coordinator.
 
@@ -91,6 +95,7 @@
         '_order_gap_seconds',
         '_rollout',
         '_runner',
+        '_supervisor',
         '_predecessor_order_seconds',
         'is_running',
     )
@@ -103,9 +108,11 @@
         list_services: collections.abc.Callable[[], set[str]],
         predecessor_order_seconds: float,
         order_gap_seconds: float,
+        supervisor: supervision.Supervisor,
         duties: collections.abc.Sequence[Duty] = (),
     ) -> None:
         self._duties = duties
+        self._supervisor = supervisor
         self._runner = runner
         self._rollout = rollout
         self._events = events
@@ -118,23 +125,31 @@
         self.is_running = True
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._runner.run, lease)
-                tasks.start_soon(
-                    self._rollout.run,
-                    self._list_services,
-                    lease,
-                    self._predecessor_order_seconds,
-                )
-                tasks.start_soon(
-                    self._events.follow_versions,
-                    self._rollout.set_target_version,
-                )
-                tasks.start_soon(self._events.acknowledge_drains)
-                for duty in self._duties:
-                    tasks.start_soon(duty.run, lease)
+                for name, loop in self._list_loops(lease).items():
+                    tasks.start_soon(self._supervisor.run, name, loop)
         finally:
             self.is_running = False
 
+    def _list_loops(self, lease: leases.Lease) -> dict[str, supervision.Task]:
+        """Return the loops by their names in logs and metrics."""
+        return {
+            'batches': functools.partial(self._runner.run, lease),
+            'rollout': functools.partial(
+                self._rollout.run,
+                self._list_services,
+                lease,
+                self._predecessor_order_seconds,
+            ),
+            'versions': functools.partial(
+                self._events.follow_versions, self._rollout.set_target_version
+            ),
+            'drains': self._events.acknowledge_drains,
+            **{
+                type(duty).__name__: functools.partial(duty.run, lease)
+                for duty in self._duties
+            },
+        }
+
     async def stop(self, timeout_seconds: float) -> None:
         await self._runner.stop(timeout_seconds)
 
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -220,7 +220,7 @@
             self._confirmer,
             router,
             self._clock,
-            lambda: self._state,
+            self._read_state,
         )
         self._origins = coordination.SharedOrigins(
             self._members,
@@ -268,6 +268,7 @@
             self._list_batch_services,
             0.0 if settings.checks_fencing else settings.lease_seconds,
             settings.lease_seconds,
+            self._supervisor,
             [
                 *_duty_tasks.build_duties(
                     settings,
@@ -316,7 +317,7 @@
                 self._metrics,
             ),
             self._members,
-            lambda: self._state,
+            self._read_state,
             lambda: bool(self._reachability.list_cut_off()),
             self._crash_registry.is_loaded,
             rng,
@@ -327,6 +328,9 @@
         """Apply the store's address; other settings require a restart."""
         self._direct.address = settings.store
 
+    def _read_state(self) -> str:
+        return self._state
+
     def _is_coordinator(self) -> bool:
         lease = self._coordinator.lease
         return lease is not None and lease.remaining_seconds() > 0
@@ -366,6 +370,7 @@
             'batches': self._runner.summarize,
             'admission': self._admission.summarize,
             'usage': self._usage.summarize,
+            'failing_tasks': self._supervisor.summarize,
             'metrics': self._metrics.summarize,
         }
         if self._clock is not None:
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -62,8 +62,8 @@
     members : MemberTable
         Membership of the VMs.
     get_state : callable
-        Returns the state of the process: ``starting``, ``live`` or
-        ``draining``.
+        Returns the state of the process: ``starting``, ``live``,
+        ``failing`` or ``draining``.
     is_cut_off : callable
         Returns whether this VM reaches no server of some service.
     knows_crashes : callable
--- a/src/swiftjunction/platform/_listening.py
+++ b/src/swiftjunction/platform/_listening.py
@@ -25,5 +25,5 @@
 ) -> coordination.PeerDatagrams:
     """Return the datagrams at the address for peers."""
     return coordination.PeerDatagrams(
-        web.bind_datagram_socket(settings.ip, settings.peer_port)
+        lambda: web.bind_datagram_socket(settings.ip, settings.peer_port)
     )
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -22,6 +22,13 @@
 # responses in progress.
 SHUTDOWN_RESERVE_SECONDS = 1.5
 READY_CHECK_INTERVAL_SECONDS = 0.1
+ROUTES_TASK = 'routes'
+SERVERS_TASK = 'servers'
+CONFIRMATION_TASK = 'confirmation'
+# While one of these fails, this VM may not learn in time which requests it may
+# serve, and by which servers.
+KNOWLEDGE_TASKS = (ROUTES_TASK, SERVERS_TASK, CONFIRMATION_TASK)
+MAX_FAILING_SECONDS = 1.0
 
 
 class EdgeProgram(_components.EdgeComponents):
@@ -89,18 +96,26 @@
             },
         )
         async with anyio.create_task_group() as tasks:
-            for name, task in self._list_tasks(
-                signals, datagrams, poller
-            ).items():
+            for name, task in self._list_tasks(datagrams, poller).items():
                 tasks.start_soon(self._supervisor.run, name, task)
+            # Without these, the process serves nobody, or cannot be stopped.
             tasks.start_soon(
-                self._supervisor.run,
+                self._supervisor.run_essential,
+                'signals',
+                lambda: _signals.handle(
+                    signals,
+                    self._settings_reloader.reload,
+                    self._stopping.set,
+                ),
+            )
+            tasks.start_soon(
+                self._supervisor.run_essential,
                 'peer listener',
                 lambda: peer_listener.serve(peer_app),
             )
             async with anyio.create_task_group() as caller_tasks:
                 caller_tasks.start_soon(
-                    self._supervisor.run,
+                    self._supervisor.run_essential,
                     'caller listener',
                     lambda: caller_listener.serve(
                         _ingress.IngressApp(self._ingress)
@@ -114,18 +129,19 @@
 
     def _list_tasks(
         self,
-        signals: _signals.Signals,
         datagrams: coordination.PeerDatagrams,
         poller: coordination.PeerPoller,
     ) -> dict[str, supervision.Task]:
         """Return the background tasks by their names in logs and metrics."""
         return {
             'datagrams': datagrams.run,
-            'routes': lambda: self._feeds.follow_routes(self._active_routes),
-            'servers': lambda: self._feeds.follow_servers(
+            ROUTES_TASK: lambda: self._feeds.follow_routes(
+                self._active_routes
+            ),
+            SERVERS_TASK: lambda: self._feeds.follow_servers(
                 self._delayed_removal
             ),
-            'confirmation': self._confirmer.run,
+            CONFIRMATION_TASK: self._confirmer.run,
             'crashes': self._crash_registry.run,
             'origins': self._origins.run,
             'usage': self._usage.run,
@@ -138,11 +154,6 @@
             'coordinator': self._coordinator.run,
             'readiness': self._become_ready,
             'settings': self._settings_reloader.run,
-            'signals': lambda: _signals.handle(
-                signals,
-                self._settings_reloader.reload,
-                self._stopping.set,
-            ),
             'state dump': self._dump.write_on_signal,
             'tunnels': self._tunnels.run,
         }
@@ -166,6 +177,17 @@
             self._state = 'live'
             LOG.info('ready')
 
+    def _read_state(self) -> str:
+        """Return the state that callers, peers and the platform see."""
+        is_failing = any(
+            self._supervisor.compute_failing_seconds(name)
+            > MAX_FAILING_SECONDS
+            for name in KNOWLEDGE_TASKS
+        )
+        if is_failing and self._state == 'live':
+            return 'failing'
+        return self._state
+
     def _can_serve(self) -> bool:
         """Return whether this VM has received what requests need."""
         return (
--- a/src/swiftjunction/platform/_tunneling.py
+++ b/src/swiftjunction/platform/_tunneling.py
@@ -64,9 +64,16 @@
             self._server.listen(self._record)
 
     async def run(self) -> None:
-        """Serve tunnels until cancelled."""
-        if self._server is not None:
+        """Serve tunnels until cancelled; may be called again after that."""
+        if self._server is None:
+            self.open()
+        if self._server is None:
+            return
+        try:
             await self._server.run()
+        finally:
+            # Its socket is closed.
+            self._server = None
 
     def _is_server(self, address: str) -> bool:
         return self._directory.find_address(address) is not None
--- a/tests/cover/test_coordination_datagrams.py
+++ b/tests/cover/test_coordination_datagrams.py
@@ -24,7 +24,7 @@
     def __init__(self):
         self.sock = web.bind_datagram_socket('127.0.0.1', 0)
         self.address = '{}:{}'.format(*self.sock.getsockname())
-        self.datagrams = coordination.PeerDatagrams(self.sock)
+        self.datagrams = coordination.PeerDatagrams(lambda: self.sock)
         self.datagrams.listen(Note, self.receive)
         self.received = []
         self.has_received = anyio.Event()
@@ -64,3 +64,38 @@
 @hypothesis.settings(max_examples=20, deadline=None)
 def test_goes_on_after_arbitrary_bytes(datagrams):
     assert anyio.run(send_and_wait, *datagrams)[-1] == 'last'
+
+
+@pytest.mark.anyio
+async def test_receives_again_after_its_socket_was_closed():
+    ports = []
+
+    def bind():
+        sock = web.bind_datagram_socket('127.0.0.1', ports[0] if ports else 0)
+        ports.append(sock.getsockname()[1])
+        return sock
+
+    received = anyio.Event()
+
+    async def receive(note, sender):
+        received.set()
+
+    datagrams = coordination.PeerDatagrams(bind)
+    datagrams.listen(Note, receive)
+
+    async def run_until_closed():
+        with pytest.raises((ConnectionError, anyio.ClosedResourceError)):
+            await datagrams.run()
+
+    with anyio.fail_after(2):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run_until_closed)
+            await datagrams.send(Note('first'), f'127.0.0.1:{ports[0]}')
+            await datagrams._udp.aclose()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(datagrams.run)
+        with anyio.fail_after(2):
+            await datagrams.send(Note('again'), f'127.0.0.1:{ports[0]}')
+            await received.wait()
+        tasks.cancel_scope.cancel()
+    assert ports[0] == ports[1]
--- a/tests/cover/test_coordination_polling.py
+++ b/tests/cover/test_coordination_polling.py
@@ -98,7 +98,7 @@
                 tasks.start_soon(listener.serve, app)
             if self.has_datagrams:
                 datagrams = coordination.PeerDatagrams(
-                    web.bind_datagram_socket('127.0.0.1', self.port)
+                    lambda: web.bind_datagram_socket('127.0.0.1', self.port)
                 )
                 poller = coordination.PeerPoller(
                     datagrams,
@@ -174,7 +174,7 @@
     def make_poller(self, vm):
         sock = web.bind_datagram_socket('127.0.0.1', vm.port)
         return coordination.PeerPoller(
-            coordination.PeerDatagrams(sock),
+            coordination.PeerDatagrams(lambda: sock),
             vm.clients,
             vm.members,
             vm.feed_sync,
