Name the task whose error ends a process of an own deployment

What callers saw: as on the platform, an unexpected error in any background task ends the process, and no structured line names the task.

Change: each task of a daemon runs as an essential one: its failure is logged with a traceback and its name, and counted, before the process ends. They are not started again, as the monitors of servers and the steps in progress are tasks of theirs that would be missing then.

--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -3,9 +3,9 @@
 import abc
 import collections.abc
 import contextlib
+import functools
 import logging
 import random
-import typing
 
 import anyio
 import anyio.abc
@@ -20,15 +20,21 @@
 from swiftjunction import membership
 from swiftjunction import objectstore
 from swiftjunction import settings
+from swiftjunction import supervision
 from swiftjunction import telemetry
 from swiftjunction import web
 from swiftjunction import weights
 
 LOG = logging.getLogger(__name__)
 
-Task = collections.abc.Callable[
-    [], collections.abc.Coroutine[typing.Any, typing.Any, None]
-]
+Task = supervision.Task
+
+
+def _get_name(task: Task) -> str:
+    """Return the name of a task in logs and metrics."""
+    if isinstance(task, functools.partial):
+        return _get_name(task.func)
+    return getattr(task, '__qualname__', type(task).__name__)
 
 
 @contextlib.contextmanager
@@ -93,6 +99,7 @@
         self.directory = backends.Directory(self.table)
         self.version_tracker = weights.VersionTracker(self.table)
         self.metrics = telemetry.Metrics()
+        self.supervisor = supervision.Supervisor(self.metrics)
         self.backend_clients = web.PeerClients()
         self.tls = (
             web.TlsContexts(config.tls) if config.tls is not None else None
@@ -156,13 +163,10 @@
         LOG.info('%s is listening on %s', self.name, self.listener.address)
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.transport.run, self.replicator.handle)
-                tasks.start_soon(self.replicator.run)
-                tasks.start_soon(self.directory.loop_lag.run)
-                if self.tls is not None:
-                    tasks.start_soon(self.tls.run)
-                for task in self.list_tasks():
-                    tasks.start_soon(task)
+                for task in [*self._list_own_tasks(), *self.list_tasks()]:
+                    tasks.start_soon(
+                        self.supervisor.run_essential, _get_name(task), task
+                    )
                 async with anyio.create_task_group() as server_tasks:
                     server_tasks.start_soon(
                         self.listener.serve,
@@ -178,6 +182,16 @@
             await self.close()
         LOG.info('%s has stopped', self.name)
 
+    def _list_own_tasks(self) -> list[Task]:
+        tasks: list[Task] = [
+            functools.partial(self.transport.run, self.replicator.handle),
+            self.replicator.run,
+            self.directory.loop_lag.run,
+        ]
+        if self.tls is not None:
+            tasks.append(self.tls.run)
+        return tasks
+
     async def close(self) -> None:
         """Close the sockets."""
         with anyio.CancelScope(shield=True):
