Accept only requests that end before a stopping VM has to

Cause: a VM that drains served for its grace time less 1.5 s, whatever a request might take, and then waited for all of them until it was killed.

Change: a request is accepted only if its deadline, the earlier of the caller's and the route's, comes before the end of the grace time; others are refused before they are sent, with Retry-After 0, as other VMs can run them at once. What was in flight when the stop began is answered with 504 a quarter of a second before its end.

--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -65,6 +65,7 @@
         self._metrics_port = metrics_port
         self._state = 'starting'
         self._stopping = anyio.Event()
+        self._grace = requests.GracePeriod()
         rng = random.Random()
         self._metrics = telemetry.Metrics()
         self._supervisor = supervision.Supervisor(self._metrics)
@@ -318,6 +319,7 @@
             ),
             self._members,
             self._read_state,
+            self._grace,
             lambda: bool(self._reachability.list_cut_off()),
             self._crash_registry.is_loaded,
             rng,
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -66,6 +66,8 @@
         ``failing`` or ``draining``.
     is_cut_off : callable
         Returns whether this VM reaches no server of some service.
+    grace : GracePeriod
+        Tells which requests this VM may still accept when it is to stop.
     knows_crashes : callable
         Returns whether this VM has received the crashes that requests caused.
     rng : random.Random
@@ -85,6 +87,7 @@
         '_rng',
         '_settings',
         '_get_state',
+        '_grace',
         '_is_cut_off',
         '_knows_crashes',
         '_stream_relay',
@@ -101,6 +104,7 @@
         callers: _keys.CallerIdentification,
         members: coordination.MemberTable,
         get_state: collections.abc.Callable[[], str],
+        grace: requests.GracePeriod,
         is_cut_off: collections.abc.Callable[[], bool],
         knows_crashes: collections.abc.Callable[[], bool],
         rng: random.Random,
@@ -115,6 +119,7 @@
         self._callers = callers
         self._members = members
         self._get_state = get_state
+        self._grace = grace
         self._is_cut_off = is_cut_off
         self._knows_crashes = knows_crashes
         self._rng = rng
@@ -241,9 +246,12 @@
                 step='route',
                 retry_after_seconds=START_RETRY_SECONDS,
             )
-        arrived_at = anyio.current_time()
-        body = await requests.read_body(request)
         remaining_seconds = _caller_http.compute_timeout(request, route)
+        deadline = anyio.current_time() + remaining_seconds
+        self._grace.check(deadline)
+        body = await requests.read_body(request)
+        # The grace period may have begun while the body was read.
+        self._grace.check(deadline)
         idempotent = route.kind is routes.RouteKind.IDEMPOTENT
         settings = configuration.PathSettings(
             service=route.draw_service(self._rng), request_class='live'
@@ -268,7 +276,7 @@
                 organisation=caller.organisation,
                 check=caller.check,
             ),
-            deadline=arrived_at + remaining_seconds,
+            deadline=deadline,
             idempotent=idempotent,
             max_attempts=max(route.max_attempts, 1),
             rank=route.rank if caller.rank is None else caller.rank,
@@ -333,7 +341,7 @@
             # A histogram takes 185 KB, so there is one per service and not
             # one per route.
             self._metrics.measure(call.settings.service or '', 'answer'),
-            anyio.move_on_at(call.deadline),
+            self._grace.limit(call.deadline),
         ):
             return await self._forwarder.forward(call)
         raise errors.RequestTimeout(
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -161,6 +161,7 @@
     async def _drain(self) -> None:
         """Keep serving while callers may have this VM's address cached."""
         self._state = 'draining'
+        self._grace.begin(self._settings.grace_seconds)
         LOG.info('draining')
         drain_until = (
             anyio.current_time()
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -19,6 +19,7 @@
 from swiftjunction.requests._forwarding import ForwardedCall
 from swiftjunction.requests._forwarding import Forwarder
 from swiftjunction.requests._generation import CompletionGenerator
+from swiftjunction.requests._grace import GracePeriod
 from swiftjunction.requests._origins import LocalOrigins
 from swiftjunction.requests._origins import MAX_REQUEST_ID_CHARS
 from swiftjunction.requests._origins import OriginRegistry
@@ -52,6 +53,7 @@
     'ForwardedCall',
     'Forwarder',
     'GenerationCall',
+    'GracePeriod',
     'HistoryListener',
     'LocalOrigins',
     'MAX_REQUEST_ID_CHARS',
