Let a stopping VM go on serving idempotent requests that should end in time

Cause: a request was refused by its deadline, which is ten times what it takes.

Change: a request that the caller may repeat is accepted if twice the aim of its route ends in time; its deadline is the end of the grace time at the latest, so that it is answered then. Others still go by their deadline, as a caller cannot tell after a 504 whether they have run.

--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -34,6 +34,9 @@
 ADDRESS_TTL_SECONDS = 2.0
 # A VM that starts has received what it needs within about this time.
 START_RETRY_SECONDS = 0.3
+# An idempotent request seldom takes longer than so many times what its route
+# aims at.
+OBJECTIVES_PER_REQUEST = 2.0
 # Timeout of each attempt of an idempotent request, as a fraction of the time
 # allowed for the request; the next attempt goes to another server.
 ATTEMPT_TIMEOUT_FRACTION = 0.5
@@ -248,10 +251,10 @@
             )
         remaining_seconds = _caller_http.compute_timeout(request, route)
         deadline = anyio.current_time() + remaining_seconds
-        self._grace.check(deadline)
+        self._grace.check(_estimate_end(route, deadline))
         body = await requests.read_body(request)
         # The grace period may have begun while the body was read.
-        self._grace.check(deadline)
+        self._grace.check(_estimate_end(route, deadline))
         idempotent = route.kind is routes.RouteKind.IDEMPOTENT
         settings = configuration.PathSettings(
             service=route.draw_service(self._rng), request_class='live'
@@ -276,7 +279,7 @@
                 organisation=caller.organisation,
                 check=caller.check,
             ),
-            deadline=deadline,
+            deadline=self._grace.cap(deadline),
             idempotent=idempotent,
             max_attempts=max(route.max_attempts, 1),
             rank=route.rank if caller.rank is None else caller.rank,
@@ -349,6 +352,20 @@
         )
 
 
+def _estimate_end(route: routes.Route, deadline: float) -> float:
+    """Return when a request ends, as a VM that is to stop must assume.
+
+    That is its deadline, unless the caller may repeat the request: the time
+    that the route aims at is then a better estimate.
+    """
+    if route.kind is not routes.RouteKind.IDEMPOTENT:
+        return deadline
+    if not route.objective_seconds:
+        return deadline
+    expected_seconds = route.objective_seconds * OBJECTIVES_PER_REQUEST
+    return min(deadline, anyio.current_time() + expected_seconds)
+
+
 class IngressApp:
     """ASGI application of :class:`Ingress`."""
 
--- a/src/swiftjunction/requests/_grace.py
+++ b/src/swiftjunction/requests/_grace.py
@@ -16,8 +16,9 @@
     """Accepts only requests that end before the process has to.
 
     Before it begins, it accepts all requests. Once it has begun, a request
-    that may last longer is refused before it is sent to a server, and the
-    deadline of those in flight is no later than its end.
+    that may last longer is refused before it is sent to a server, unless it
+    may be repeated and is expected to end in time. The deadline of those in
+    flight is no later than its end.
     """
 
     __slots__ = ('_ends_at', '_scopes')
@@ -38,14 +39,14 @@
         for scope in self._scopes:
             scope.deadline = min(scope.deadline, self._ends_at)
 
-    def check(self, deadline: float) -> None:
+    def check(self, ends_at: float) -> None:
         """Check whether a request can be accepted.
 
         Parameters
         ----------
-        deadline : float
-            When the request ends at the latest, on the event loop's clock in
-            seconds.
+        ends_at : float
+            When the request ends at the latest, or when it is expected to end
+            if its caller may repeat it; on the event loop's clock in seconds.
 
         Raises
         ------
@@ -53,13 +54,17 @@
             If the request may not end before the period does. Another process
             can run it at once.
         """
-        if deadline > self._ends_at:
+        if ends_at > self._ends_at:
             raise errors.NotRun(
                 'this VM is shutting down before the request may end',
                 step='admit',
                 retry_after_seconds=0.0,
             )
 
+    def cap(self, deadline: float) -> float:
+        """Return a deadline that is no later than the end of the period."""
+        return min(deadline, self._ends_at)
+
     @contextlib.contextmanager
     def limit(
         self, deadline: float
@@ -71,7 +76,7 @@
         deadline : float
             On the event loop's clock, in seconds.
         """
-        with anyio.CancelScope(deadline=min(deadline, self._ends_at)) as scope:
+        with anyio.CancelScope(deadline=self.cap(deadline)) as scope:
             self._scopes.add(scope)
             try:
                 yield scope
