Follow the other objects of a list beside one nested deeply

Callers saw the processes of VMs end again and again, or no longer follow the list of backend servers, after another writer had left one deeply nested entry. msgspec raises RecursionError for some 1,000 levels, also in a field that it skips, and each page of the store is decoded as one document; an item without sound metadata made the whole page unreadable, too.

The package decoding decodes what others sent or stored and raises one typed error, ContentBroken. After a RecursionError the store's client replaces the values that are too deep by null, by one linear scan of the page: the object keeps its key and is refused where its kind is decoded. An item that is invalid is logged and left out.

--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -9,6 +9,7 @@
     'BackendError',
     'BackendRefused',
     'BackendUnreachable',
+    'ContentBroken',
     'HistoryLost',
     'KeyRefused',
     'KeyUnknown',
@@ -85,6 +86,10 @@
         self.problems = problems
 
 
+class ContentBroken(SwiftjunctionError):
+    """What another process sent or stored cannot be decoded."""
+
+
 class PlatformError(SwiftjunctionError):
     """A call to the platform failed."""
 
--- a/src/swiftjunction/objectstore/_objects.py
+++ b/src/swiftjunction/objectstore/_objects.py
@@ -11,6 +11,7 @@
 import httpx
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 
 MAX_VALUE_BYTES = 1_000_000
@@ -49,10 +50,10 @@
         If the value is not valid JSON of type `kind`.
     """
     try:
-        return msgspec.json.decode(item.value, type=kind)
-    except (msgspec.MsgspecError, ValueError) as error:
+        return decoding.decode_json(item.value, kind)
+    except errors.ContentBroken as error:
         raise errors.ObjectBroken(
-            f'cannot decode the value of {item.key}: {error}',
+            f'cannot decode the value of {item.key}: {error.message}',
             step='decode',
             peer='object API',
         ) from error
@@ -275,9 +276,9 @@
 
 def _parse_change_set(response: httpx.Response) -> ChangeSet:
     try:
-        wire = msgspec.json.decode(response.content, type=_WireChangeSet)
+        wire = decoding.decode_json(response.content, _WireChangeSet)
         changed = [item.unpack() for item in wire.changed]
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (errors.ContentBroken, ValueError) as error:
         raise errors.PlatformUnavailable(
             f'cannot decode the response: {error}',
             step='list',
--- a/src/swiftjunction/platform/_store.py
+++ b/src/swiftjunction/platform/_store.py
@@ -1,28 +1,36 @@
 """Client of the platform's metadata store."""
 
 import http
+import logging
 import typing
 import urllib.parse
 
 import httpx
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction.platform import _names
 from swiftjunction import web
 
+LOG = logging.getLogger(__name__)
+
 PEER_NAME = 'platform store'
 CALL_TIMEOUT_SECONDS = 0.7
 # Time by which the timeout of a watch exceeds its wait time. A short watch
 # has less, as it is for a recent response.
 WATCH_MARGIN_SECONDS = 2.0
+# Levels of an object's value in the responses to a read, list and watch.
+READ_LEVEL = 2
+LIST_LEVEL = 4
+WATCH_LEVEL = 5
 
 
 class _Metadata(msgspec.Struct):
     name: str = ''
-    revision: int = 0
-    create_revision: int = 0
+    revision: decoding.Count = 0
+    create_revision: decoding.Count = 0
     finalizers: list[str] = []
     deleting: bool = False
 
@@ -35,7 +43,7 @@
 
 class _ListResponse(msgspec.Struct):
     items: list[msgspec.Raw]
-    store_revision: int
+    store_revision: decoding.Count
     more_pages: bool = False
 
 
@@ -46,7 +54,7 @@
 
 class _WatchResponse(msgspec.Struct):
     events: list[_Event]
-    store_revision: int
+    store_revision: decoding.Count
 
 
 class PlatformStore(objectstore.ObjectStore):
@@ -69,7 +77,7 @@
     async def read(self, key: str) -> objectstore.Object:
         body = await self._call('GET', _build_path(key), 'read')
         return _convert_object(
-            _parse_kind(key), _decode_json(body, _StoredObject)
+            _parse_kind(key), _decode_json(body, _StoredObject, READ_LEVEL)
         )
 
     async def list(self, prefix: str) -> objectstore.ChangeSet:
@@ -82,19 +90,25 @@
             if last_name:
                 target += f'?after={urllib.parse.quote(last_name)}'
             page = _decode_json(
-                await self._call('GET', target, 'list'), _ListResponse
+                await self._call('GET', target, 'list'),
+                _ListResponse,
+                LIST_LEVEL,
             )
             # A watch from the revision of the first page returns the objects
             # that change while the next pages are read.
             revision = revision or page.store_revision
-            page_objects = [
-                _decode_json(item, _StoredObject) for item in page.items
-            ]
+            page_objects = _decode_items(kind, page.items)
             objects += [
                 _convert_object(kind, stored) for stored in page_objects
             ]
-            if not page.more_pages or not page_objects:
+            if not page.more_pages or not page.items:
                 return objectstore.ChangeSet(revision, objects, [])
+            if not page_objects:
+                raise errors.PlatformUnavailable(
+                    f'no item of a page of {kind} can be decoded',
+                    step='list',
+                    peer=PEER_NAME,
+                )
             last_name = page_objects[-1].metadata.name
 
     async def watch(
@@ -111,13 +125,14 @@
                 min(WATCH_MARGIN_SECONDS, wait_seconds), CALL_TIMEOUT_SECONDS
             ),
         )
-        response = _decode_json(body, _WatchResponse)
+        response = _decode_json(body, _WatchResponse, WATCH_LEVEL)
         newest: dict[str, objectstore.Object] = {}
         deleted: set[str] = set()
         for event in response.events:
-            obj = _convert_object(
-                kind, _decode_json(event.object, _StoredObject)
-            )
+            stored = _decode_item(kind, event.object)
+            if stored is None:
+                continue
+            obj = _convert_object(kind, stored)
             newest.pop(obj.key, None)
             deleted.discard(obj.key)
             if event.deleted:
@@ -239,13 +254,51 @@
 Schema = typing.TypeVar('Schema')
 
 
-def _decode_json(body: bytes | msgspec.Raw, schema: type[Schema]) -> Schema:
+def _decode_json(
+    body: bytes, schema: type[Schema], value_level: int = READ_LEVEL
+) -> Schema:
+    """Decode a response whose objects have their values at `value_level`.
+
+    A value that is nested too deeply is taken for null, which is valid for
+    no kind, so that it hides neither its key nor the other objects.
+    """
+    try:
+        return decoding.decode_json(body, schema)
+    except errors.ContentBroken as error:
+        if not isinstance(error.__cause__, RecursionError):
+            raise _build_decode_error(error) from error
+    try:
+        return decoding.decode_json(
+            decoding.cut_deep_values(body, value_level), schema
+        )
+    except errors.ContentBroken as error:
+        raise _build_decode_error(error) from error
+
+
+def _build_decode_error(error: errors.ContentBroken) -> errors.PlatformError:
+    return errors.PlatformUnavailable(
+        f'invalid response: {error.message}', step='decode', peer=PEER_NAME
+    )
+
+
+def _decode_items(kind: str, items: list[msgspec.Raw]) -> list[_StoredObject]:
+    """Return the objects of a page, without those that are invalid."""
+    found = (_decode_item(kind, item) for item in items)
+    return [stored for stored in found if stored is not None]
+
+
+def _decode_item(kind: str, item: msgspec.Raw) -> _StoredObject | None:
+    """Return an object of a list or watch; None, and a log line, if invalid.
+
+    It must not hide the others.
+    """
     try:
-        return msgspec.json.decode(body, type=schema)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise errors.PlatformUnavailable(
-            f'invalid response: {error}', step='decode', peer=PEER_NAME
-        ) from error
+        return _decode_json(bytes(item), _StoredObject)
+    except errors.PlatformError as error:
+        LOG.warning(
+            'ignoring an invalid object: %s', error, extra={'kind': kind}
+        )
+        return None
 
 
 def _convert_object(kind: str, stored: _StoredObject) -> objectstore.Object:
