Refuse odd addresses and numbers where an entry comes in

Callers saw samples not run, and the process that coordinates end with OverflowError: connect(): port must be 0-65535, after another writer had left an entry with port 70000 among the backend servers. The decoder took any host and decimal digits of any script; the error came from the client, far from the entry. Large integers would fail as they are sent to peers, and a name outside ASCII as it is written to a header.

One function, web.parse_address, now says what an address is: an IP address and a port of ASCII digits from 1 to 65535. The decoder of backend servers, datagrams, links and tunnels use it. Numbers of entries and of the configuration have bounds that any encoding can carry, and negative times are refused.

--- a/src/swiftjunction/coordination/_datagrams.py
+++ b/src/swiftjunction/coordination/_datagrams.py
@@ -5,7 +5,6 @@
 """
 
 import collections.abc
-import ipaddress
 import logging
 import socket
 import typing
@@ -14,12 +13,12 @@
 import anyio.abc
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
+from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
 
-MAX_PORT = 65535
-
 # Called with a message and the address of its sender as ``ip:port``.
 Handler = collections.abc.Callable[
     [typing.Any, str], collections.abc.Awaitable[None]
@@ -97,18 +96,23 @@
     ) -> None:
         async with udp:
             async for data, (host, port) in udp:
+                sender = web.format_address(host, port)
                 try:
-                    message = decoder.decode(data)
+                    message = decoding.decode(decoder.decode, data)
                     handler = self._handlers[type(message)]
-                    await handler(message, f'{host}:{port}')
-                except (msgspec.MsgspecError, ValueError) as error:
+                    await handler(message, sender)
+                except (errors.ContentBroken, ValueError) as error:
                     # The handler cannot reply to an invalid sender address.
-                    LOG.warning('ignoring an invalid datagram: %s', error)
+                    LOG.warning(
+                        'ignoring an invalid datagram: %s',
+                        error,
+                        extra={'peer': sender},
+                    )
                 except Exception:
                     # Whoever sent it must not end this process.
                     LOG.exception(
                         'cannot handle a datagram',
-                        extra={'peer': f'{host}:{port}'},
+                        extra={'peer': sender},
                     )
 
     async def send(self, message: msgspec.Struct, address: str) -> None:
@@ -121,7 +125,7 @@
         ValueError
             If the address is invalid.
         """
-        host, port = _parse_address(address)
+        host, port = web.parse_address(address)
         await self._is_open.wait()
         assert self._udp is not None
         async with self._send_lock:
@@ -136,22 +140,3 @@
             ) as error:
                 # The same as a lost datagram.
                 LOG.debug('cannot send to %s:%s: %s', host, port, error)
-
-
-def _parse_address(address: str) -> tuple[str, int]:
-    """Return the IP address and the port of ``ip:port``.
-
-    Checked here, as asyncio closes a UDP socket that is told to send to a
-    port out of range.
-
-    Raises
-    ------
-    ValueError
-        If one of them is invalid.
-    """
-    host, _, port = address.rpartition(':')
-    ip = ipaddress.ip_address(host.strip('[]'))
-    number = int(port)
-    if not 0 < number <= MAX_PORT:
-        raise ValueError(f'port {number} is not between 1 and {MAX_PORT}')
-    return str(ip), number
--- a/src/swiftjunction/links/_carrier.py
+++ b/src/swiftjunction/links/_carrier.py
@@ -2,7 +2,6 @@
 
 import abc
 import collections.abc
-import ipaddress
 import logging
 import socket
 
@@ -13,6 +12,7 @@
 from swiftjunction import errors
 from swiftjunction.links import _messages
 from swiftjunction.links import _sockets
+from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
 
@@ -98,7 +98,7 @@
         self._tasks: anyio.abc.TaskGroup | None = None
 
     def post(self, message: _messages.Message, address: str) -> None:
-        if not _is_valid_address(address):
+        if not web.is_address(address):
             # Reply addresses are taken from messages of peers unchecked.
             self.traffic.dropped_messages += 1
             return
@@ -140,9 +140,9 @@
 
     async def _send_datagrams(self, udp: anyio.abc.UDPSocket) -> None:
         async for data, address in self._datagram_receiver:
-            host, _, port = address.rpartition(':')
             try:
-                await udp.sendto(data, host.strip('[]'), int(port))
+                host, port = web.parse_address(address)
+                await udp.sendto(data, host, port)
             except (OSError, ValueError):
                 self.traffic.dropped_messages += 1
 
@@ -151,7 +151,9 @@
     ) -> None:
         async for data, (host, port) in udp:
             try:
-                message = _messages.decode_message(data, f'{host}:{port}')
+                message = _messages.decode_message(
+                    data, web.format_address(host, port)
+                )
             except errors.LinkError as error:
                 LOG.warning('dropped an invalid datagram: %s', error)
                 continue
@@ -193,15 +195,6 @@
                     link.scope.cancel()
 
 
-def _is_valid_address(address: str) -> bool:
-    host, _, port = address.rpartition(':')
-    try:
-        ipaddress.ip_address(host.strip('[]'))
-        return 0 < int(port) < 65536
-    except ValueError:
-        return False
-
-
 class _Link:
     """An open link and the time of its last use."""
 
--- a/src/swiftjunction/platform/_schemas.py
+++ b/src/swiftjunction/platform/_schemas.py
@@ -1,16 +1,19 @@
 """Decodes objects of the kinds that the platform defines."""
 
+import re
 import typing
 
 import msgspec
 
 from swiftjunction import backends
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction import organisations
 from swiftjunction.platform import _names
 from swiftjunction import routes
 from swiftjunction import scaling
+from swiftjunction import web
 
 SERVER_STATES = {'ready': 'live', 'draining': 'leaving'}
 ROUTE_KINDS = {
@@ -24,11 +27,18 @@
 
 # Longer software versions are invalid.
 MAX_SOFTWARE_CHARS = 256
+MAX_WEIGHT = 1e9
+MAX_PRICE = 1e9
+# Servers are named in a header of each request.
+SERVER_NAME_PATTERN = re.compile('[!-~]{1,256}')
+
+_Weight = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
+_Price = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_PRICE)]
 
 
 class _Model(msgspec.Struct):
     name: str
-    version: int
+    version: decoding.Count
 
 
 class _Server(msgspec.Struct):
@@ -38,17 +48,17 @@
     state: str
     # Of its software.
     version: typing.Annotated[str, msgspec.Meta(max_length=MAX_SOFTWARE_CHARS)]
-    capacity: int = 0
+    capacity: decoding.Count = 0
     models: list[_Model] = []
-    born: int = 0
+    born: decoding.Count = 0
     spot: bool = False
     # Remaining time of a server that is to leave.
-    leaves_ms: float = 0.0
+    leaves_ms: decoding.Milliseconds = 0.0
 
 
 class _ServiceShare(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: _Weight = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -59,29 +69,29 @@
     service: str = ''
     # Services of a route that splits its traffic by weight.
     backends: list[_ServiceShare] = []
-    timeout_ms: float = 0.0
-    slo_ms: float = 0.0
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: decoding.Milliseconds = 0.0
+    slo_ms: decoding.Milliseconds = 0.0
+    priority: decoding.Integer = 0
+    max_attempts: decoding.Count = 1
     resumable: bool = False
     single_version: bool = False
-    due_ms: float = 0.0
-    max_age_s: float = 0.0
+    due_ms: decoding.Milliseconds = 0.0
+    max_age_s: decoding.Seconds = 0.0
     public: bool = False
 
 
 class _Organisation(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: decoding.Integer | None = None
 
 
 class _Scaling(msgspec.Struct):
-    min: int = 0
-    max: int = 0
-    boot_time_s: float = 0.0
-    spot_price: float = 1.0
-    zone_prices: dict[str, float] = {}
+    min: decoding.Count = 0
+    max: decoding.Count = 0
+    boot_time_s: decoding.Seconds = 0.0
+    spot_price: _Price = 1.0
+    zone_prices: dict[str, _Price] = {}
 
 
 class _Service(msgspec.Struct):
@@ -90,12 +100,12 @@
 
 
 class _Limits(msgspec.Struct):
-    idle_timeout_ms: float = 75_000.0
-    max_body_bytes: int = 32 * 1024 * 1024
+    idle_timeout_ms: decoding.Milliseconds = 75_000.0
+    max_body_bytes: decoding.Count = 32 * 1024 * 1024
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: decoding.Integer
     routes: list[_Route]
     limits: _Limits = msgspec.field(default_factory=_Limits)
     # Not given if requests carry no keys.
@@ -105,7 +115,7 @@
 
 class _ModelVersion(msgspec.Struct):
     model: str
-    version: int
+    version: decoding.Count
 
 
 Schema = typing.TypeVar('Schema')
@@ -121,19 +131,24 @@
     Raises
     ------
     ObjectBroken
-        If a field is missing or invalid.
+        If a field is missing or invalid, or no header can carry the name.
     """
     server = _decode(obj, _Server)
+    name = obj.key.partition('/')[2]
     state = SERVER_STATES.get(server.state)
-    host, _, port = server.address.rpartition(':')
-    if state is None or not server.service or not host or not port.isdecimal():
+    if (
+        state is None
+        or not server.service
+        or not web.is_address(server.address)
+        or SERVER_NAME_PATTERN.fullmatch(name) is None
+    ):
         raise errors.ObjectBroken(
-            f'{obj.key}: invalid state {server.state!r}, service '
+            f'{ascii(obj.key)}: invalid name, state {server.state!r}, service '
             f'{server.service!r} or address {server.address!r}',
             step='decode',
         )
     return backends.ServerReport(
-        name=obj.key.partition('/')[2],
+        name=name,
         address=server.address,
         service=server.service,
         data_center=server.zone,
--- a/src/swiftjunction/tunnels/_client.py
+++ b/src/swiftjunction/tunnels/_client.py
@@ -35,7 +35,7 @@
         try:
             with anyio.fail_after(timeout):
                 stream, outcome = await self.open(
-                    f'{host}:{port}', socket_options
+                    web.format_address(host, port), socket_options
                 )
         except TimeoutError as error:
             raise httpcore.ConnectTimeout(
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -1,5 +1,7 @@
 """HTTP servers on hypercorn and HTTP clients on httpx."""
 
+from swiftjunction.web._addresses import format_address
+from swiftjunction.web._addresses import is_address
 from swiftjunction.web._addresses import parse_address
 from swiftjunction.web._bodies import SHORT_BODY
 from swiftjunction.web._clients import create_client
@@ -46,7 +48,9 @@
     'create_client',
     'create_client_context',
     'describe_error',
+    'format_address',
     'format_event',
+    'is_address',
     'open_listener',
     'parse_address',
     'read_bearer_token',
