Apply the other objects of a list when the callback for one fails

An unexpected error while one object of a list or watch was applied ended the following of that list with all its objects: the revision did not advance, and each new list met the same object again.

CallbackListener calls the function of each object on its own: an error is logged with the key and a traceback, and the others are applied, also those of a peer's copy.

--- a/src/swiftjunction/objectstore/_following.py
+++ b/src/swiftjunction/objectstore/_following.py
@@ -4,6 +4,7 @@
 import collections.abc
 import logging
 import time
+import typing
 
 import anyio
 
@@ -18,6 +19,8 @@
 INITIAL_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
 
+ValueT = typing.TypeVar('ValueT')
+
 
 class Listener(abc.ABC):
     """Receives the objects under a prefix and their changes."""
@@ -57,6 +60,9 @@
 class CallbackListener(Listener):
     """Calls one function for each object and another for each deletion.
 
+    The unexpected error of a call is logged with the key. It concerns that
+    object alone: the others are applied, and what follows the list goes on.
+
     Parameters
     ----------
     on_change : callable
@@ -87,18 +93,31 @@
 
     def change(self, found: _objects.Object) -> None:
         self._keys.add(found.key)
-        self._on_change(found)
+        _call_isolated(self._on_change, found, found.key)
 
     def remove(self, key: str) -> None:
         self._keys.discard(key)
         if self._on_remove is not None:
-            self._on_remove(key)
+            _call_isolated(self._on_remove, key, key)
 
     def confirm(self, asked_at: float) -> None:
         if self._on_confirm is not None:
             self._on_confirm(asked_at)
 
 
+def _call_isolated(
+    function: collections.abc.Callable[[ValueT], None], value: ValueT, key: str
+) -> None:
+    try:
+        function(value)
+    except MemoryError:
+        raise
+    except Exception:
+        LOG.exception(
+            'cannot apply a change of an object', extra={'object': key}
+        )
+
+
 async def follow(
     store: _objects.ObjectStore,
     prefix: str,
--- a/tests/cover/test_objectstore_following.py
+++ b/tests/cover/test_objectstore_following.py
@@ -3,6 +3,8 @@
 import anyio
 import pytest
 
+from swiftjunction import coordination
+from swiftjunction.coordination import _messages
 from swiftjunction import errors
 from swiftjunction import objectstore
 from tests import conftest
@@ -103,3 +105,64 @@
         assert [at - started_at for at in confirmed] == pytest.approx(
             [0.0, 0.0, 0.2], abs=0.05
         )
+
+
+@pytest.mark.anyio
+class TestFailingCallbacks:
+    """The error of a call for one object concerns no other."""
+
+    async def test_all_other_objects_are_applied(self, caplog):
+        watched = objectstore.ChangeSet(
+            8,
+            [
+                objectstore.Object('k/odd', 6, b'2'),
+                objectstore.Object('k/c', 7, b'1'),
+            ],
+            ['k/odd', 'k/a'],
+        )
+        store = ScriptedWatchStore([watched])
+        for name in ('a', 'odd', 'b'):
+            store._put(f'k/{name}', b'1')
+        applied = []
+
+        def apply(found):
+            if found.key == 'k/odd':
+                raise OverflowError('odd value')
+            applied.append(found.key)
+
+        def remove(key):
+            if key == 'k/odd':
+                raise KeyError(key)
+            applied.append(f'-{key}')
+
+        listener = objectstore.CallbackListener(apply, remove)
+        with anyio.move_on_after(0.4):
+            await objectstore.follow(store, 'k/', listener)
+        assert sorted(applied) == ['-k/a', 'k/a', 'k/b', 'k/c']
+        assert store.list_calls == 1
+        assert 'OverflowError' in caplog.text
+        assert {
+            record.object for record in caplog.records if record.exc_info
+        } == {'k/odd'}
+
+    async def test_the_copy_of_a_feed_advances(self):
+        applied = []
+
+        def apply(found):
+            if found.key == 'k/odd':
+                raise RecursionError
+            applied.append(found.key)
+
+        feed = coordination.SharedFeed(
+            'k/', objectstore.CallbackListener(apply)
+        )
+        objects = [
+            objectstore.Object(f'k/{name}', 3, b'1') for name in ('odd', 'a')
+        ]
+        feed.apply_if_newer(_messages.FeedCopy(3, objects, []))
+        assert (feed.revision, applied) == (3, ['k/a'])
+        changed = [
+            objectstore.Object(f'k/{name}', 4, b'1') for name in ('odd', 'b')
+        ]
+        feed.apply_if_newer(_messages.FeedCopy(4, changed, ['k/a'], 3))
+        assert (feed.revision, applied) == (4, ['k/a', 'k/b'])
