Take a server out of use whose entry becomes invalid

Callers' requests went on to a server whose entry another writer had replaced by an odd one, by the last good report, which nothing would ever update.

The server is now removed like one that is no longer listed, with the same delay, until its entry is valid again. Invalid entries, versions and configurations are logged once a version, and not with each new list.

--- a/src/swiftjunction/objectstore/__init__.py
+++ b/src/swiftjunction/objectstore/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's object store and VM list."""
 
+from swiftjunction.objectstore._broken import BrokenObjects
 from swiftjunction.objectstore._following import CallbackListener
 from swiftjunction.objectstore._following import follow
 from swiftjunction.objectstore._following import Listener
@@ -16,6 +17,7 @@
 from swiftjunction.objectstore._writes import update_or_confirm
 
 __all__ = [
+    'BrokenObjects',
     'CallbackListener',
     'ChangeSet',
     'HttpObjectStore',
--- a/src/swiftjunction/platform/_feeds.py
+++ b/src/swiftjunction/platform/_feeds.py
@@ -47,6 +47,7 @@
     """
 
     __slots__ = (
+        '_broken',
         '_is_coordinator',
         '_direct',
         '_feed_sync',
@@ -61,6 +62,7 @@
         feed_sync: coordination.FeedSync,
         is_coordinator: collections.abc.Callable[[], bool],
     ) -> None:
+        self._broken = objectstore.BrokenObjects()
         self._store = store
         self._feed_sync = feed_sync
         self._is_coordinator = is_coordinator
@@ -76,7 +78,9 @@
             try:
                 active_routes.update(_schemas.decode_routes(obj))
             except errors.ObjectBroken as error:
-                LOG.error('invalid configuration: %s', error)
+                # The former configuration stays in force.
+                if self._broken.add(obj):
+                    LOG.error('invalid configuration: %s', error)
 
         # Changes are rare and must take effect soon: every VM of a small
         # deployment watches the store, and in a large one only the seeds.
@@ -89,14 +93,20 @@
     async def follow_servers(
         self, delayed_removal: backends.DelayedRemoval
     ) -> None:
-        """Report backend servers that are added or removed until cancelled."""
+        """Report backend servers that are added or removed until cancelled.
+
+        An invalid entry names no server to use. One that was known before is
+        removed, as if it were no longer listed, until its entry is valid.
+        """
 
         def apply_object(obj: objectstore.Object) -> None:
             self.has_servers = True
             try:
                 delayed_removal.record_listed(_schemas.decode_server(obj))
             except errors.ObjectBroken as error:
-                LOG.warning('ignoring invalid server object: %s', error)
+                if self._broken.add(obj):
+                    LOG.warning('ignoring invalid server object: %s', error)
+                remove_server(obj.key)
 
         def remove_server(key: str) -> None:
             delayed_removal.record_missing(key.partition('/')[2])
@@ -116,7 +126,8 @@
             try:
                 set_target_version(*_schemas.decode_version(obj))
             except errors.ObjectBroken as error:
-                LOG.error('invalid version object: %s', error)
+                if self._broken.add(obj):
+                    LOG.error('invalid version object: %s', error)
 
         await objectstore.follow(
             self._store,
--- a/tests/cover/test_platform_feeds.py
+++ b/tests/cover/test_platform_feeds.py
@@ -1,8 +1,15 @@
 import anyio
+import msgspec
 import pytest
 
+from swiftjunction import backends
 from swiftjunction import errors
+from swiftjunction import membership
+from swiftjunction import objectstore
 from swiftjunction.platform import _feeds
+from swiftjunction import routes
+from tests import odd_values
+from tests import platform_deployment
 
 
 class RefusingStore:
@@ -41,3 +48,123 @@
     with anyio.fail_after(5):
         await feeds._write_completed_status('retirements/storage-1')
     assert not direct.written
+
+
+class FollowingSync:
+    """Follows the store alone, without peers."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def is_seed(self):
+        return True
+
+    def add(self, prefix, listener):
+        return prefix, listener
+
+    async def run(self, feed, must_watch, coalesce_seconds=0.0):
+        await objectstore.follow(self.store, *feed)
+
+
+SERVER = {
+    'service': 'plain',
+    'address': '127.0.0.1:80',
+    'zone': 'z1',
+    'state': 'ready',
+    'version': 'v1',
+}
+ODD_VALUES = {
+    'nested': {'notes': odd_values.NESTED},
+    'a large number': {'capacity': odd_values.LARGE},
+    'a port out of range': {'address': '127.0.0.1:70000'},
+}
+
+
+class FollowedServers:
+    """The directory of servers that the entries of a store name."""
+
+    def __init__(self, store):
+        self.store = store
+        self.now = 0.0
+        self.directory = backends.Directory(membership.RecordTable())
+        self.removal = backends.DelayedRemoval(
+            self.directory, lambda: False, lambda: self.now
+        )
+        sync = FollowingSync(store)
+        self.feeds = _feeds.PlatformFeeds(store, None, sync, lambda: True)
+
+    def put(self, name, **fields):
+        value = msgspec.json.encode({**SERVER, **fields})
+        self.store._put(f'servers/{name}', value)
+
+    async def run(self):
+        await self.feeds.follow_servers(self.removal)
+
+    async def list_names(self):
+        """Return the servers in use, after all removal delays."""
+        await anyio.sleep(0.1)
+        self.removal.remove_expired()
+        self.now += 10.0
+        self.removal.remove_expired()
+        return sorted(s.name for s in self.directory.select('plain'))
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('odd', ODD_VALUES.values(), ids=ODD_VALUES.keys())
+async def test_a_server_whose_entry_becomes_odd_is_not_used(
+    store, odd, caplog
+):
+    servers = FollowedServers(store)
+    servers.put('a')
+    servers.put('b')
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(servers.run)
+        assert await servers.list_names() == ['a', 'b']
+        servers.put('a', **odd)
+        servers.put('c')
+        assert await servers.list_names() == ['b', 'c']
+        servers.put('a')
+        assert await servers.list_names() == ['a', 'b', 'c']
+        tasks.cancel_scope.cancel()
+    assert caplog.text.count('invalid server object') == 1
+
+
+def test_a_broken_object_is_reported_once_a_version():
+    broken = objectstore.BrokenObjects()
+    versions = [1, 1, 2, 2, 3]
+    objects = [objectstore.Object('k', version, b'') for version in versions]
+    assert [broken.add(found) for found in objects] == [
+        True,
+        False,
+        True,
+        False,
+        True,
+    ]
+
+
+@pytest.mark.anyio
+async def test_the_former_configuration_stays_in_force(store):
+    active_routes = routes.ActiveRoutes()
+    sync = FollowingSync(store)
+    feeds = _feeds.PlatformFeeds(store, None, sync, lambda: True)
+
+    def put(version, **fields):
+        config = {**platform_deployment.make_config(version), **fields}
+        store._put('config/main', msgspec.json.encode(config))
+
+    put(4)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(feeds.follow_routes, active_routes)
+        await anyio.sleep(0.1)
+        for fields in (
+            {'notes': odd_values.NESTED},
+            {'limits': {'idle_timeout_ms': -1}},
+            {'tenants': [{'name': 'o', 'priority': odd_values.LARGE}]},
+        ):
+            put(6, **fields)
+            await anyio.sleep(0.1)
+            assert active_routes.version == 4
+        put(5)
+        await anyio.sleep(0.1)
+        assert active_routes.version == 5
+        tasks.cancel_scope.cancel()
