Bind the sockets of the tests of stream origins as the datagrams do

Eight of these tests failed since with "'socket' object is not callable": datagrams now get a function that binds a socket. What they check is unchanged.

--- a/tests/cover/test_coordination_origins.py
+++ b/tests/cover/test_coordination_origins.py
@@ -52,7 +52,9 @@
 
 class LossyDatagrams(coordination.PeerDatagrams):
     def __init__(self, vm):
-        super().__init__(web.bind_datagram_socket('127.0.0.1', vm.port))
+        super().__init__(
+            lambda: web.bind_datagram_socket('127.0.0.1', vm.port)
+        )
         self.vm = vm
 
     async def send(self, message, address):
