Refuse odd entries of VMs and odd messages of peers with a typed error

A deeply nested message of a peer raised RecursionError past the handlers of the port for peers, of peers' answers and of datagrams. The entry of a VM could name another VM, or an address that no socket takes: the error came at each poll. Numbers of a status could be NaN, or a port out of range.

Messages of peers and of tunnels are decoded by the package decoding, and the entry of a VM by one function, which checks its addresses and its name against its key. An odd entry leaves a known VM as it was: peers poll it, and notice when it is gone. An operator's list of VMs leaves it out. The tests' VMs have IP addresses now, as their entries would be refused.

--- a/src/swiftjunction/backends/_rates.py
+++ b/src/swiftjunction/backends/_rates.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from swiftjunction import decoding
+
 LOG = logging.getLogger(__name__)
 
 UNLIMITED = math.inf
@@ -44,9 +46,9 @@
     """
 
     server: str
-    born_ms: int
-    requests_per_second: float
-    age_seconds: float
+    born_ms: decoding.Count
+    requests_per_second: decoding.NonNegative
+    age_seconds: decoding.NonNegative
 
     @property
     def run(self) -> Run:
--- a/src/swiftjunction/coordination/_app.py
+++ b/src/swiftjunction/coordination/_app.py
@@ -15,6 +15,7 @@
 from swiftjunction.coordination import _permits
 from swiftjunction.coordination import _sharing
 from swiftjunction.coordination import _statuses
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import objectstore
 
@@ -82,7 +83,7 @@
         return starlette.applications.Starlette(
             exception_handlers={
                 errors.PlatformError: _respond_with_error,
-                msgspec.MsgspecError: _respond_with_error,
+                errors.ContentBroken: _respond_with_error,
             },
             routes=[
                 starlette.routing.Route(path, handler, methods=['POST'])
@@ -166,7 +167,7 @@
 
 
 async def _decode(request: Request, kind: type[Message]) -> Message:
-    return msgspec.msgpack.decode(await request.body(), type=kind)
+    return decoding.decode_msgpack(await request.body(), kind)
 
 
 def _respond(content: object, status: int = _peer.OK_STATUS) -> Response:
--- a/src/swiftjunction/coordination/_deployment.py
+++ b/src/swiftjunction/coordination/_deployment.py
@@ -1,6 +1,8 @@
 """Reads the state of a deployment for operators, from outside its VMs."""
 
 import abc
+import collections.abc
+import logging
 
 import msgspec
 
@@ -15,6 +17,8 @@
 from swiftjunction import scaling
 from swiftjunction import web
 
+LOG = logging.getLogger(__name__)
+
 
 class Catalog(abc.ABC):
     """Reads the routes, backend servers and model versions of a deployment."""
@@ -78,10 +82,7 @@
     async def list_vms(self) -> list[VmReport]:
         """Return all registered VMs, sorted by name."""
         found = await self._store.list(_statuses.MEMBER_PREFIX)
-        members = [
-            objectstore.decode_value(item, _statuses.Member)
-            for item in found.changed
-        ]
+        members = _decode_members(found.changed)
         members.sort(key=lambda member: member.name)
         return [await self._poll(member) for member in members]
 
@@ -103,3 +104,16 @@
     async def list_scaled_services(self) -> list[scaling.ServiceRecord]:
         """Return what was last ordered for each service, sorted by name."""
         return await scaling.OrderArchive(self._store).list()
+
+
+def _decode_members(
+    objects: collections.abc.Iterable[objectstore.Object],
+) -> list[_statuses.Member]:
+    """Return the VMs of those entries that are valid; log the others."""
+    members = []
+    for found in objects:
+        try:
+            members.append(_statuses.decode_member(found))
+        except errors.ObjectBroken as error:
+            LOG.warning('ignoring an invalid member entry: %s', error)
+    return members
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -54,6 +54,7 @@
     """
 
     __slots__ = (
+        '_broken',
         '_clock',
         '_newest_coordinator',
         '_failures',
@@ -77,6 +78,7 @@
         self._members: dict[str, _statuses.Member] = {own.name: own}
         # All VMs by rank; computed on demand, empty after a change.
         self._ranking: list[str] = []
+        self._broken = objectstore.BrokenObjects()
         self._statuses: dict[str, _ReceivedStatus] = {}
         self._failures: dict[str, int] = {}
         self._unreachable_since: dict[str, float] = {}
@@ -87,11 +89,16 @@
         self._newest_coordinator = ('', 0)
 
     def apply_entry(self, found: objectstore.Object) -> None:
-        """Add or update a VM from its entry in the object store."""
+        """Add or update a VM from its entry in the object store.
+
+        If the entry is invalid, a VM that is known stays so by its last valid
+        one: peers poll it, so that they notice when it is gone.
+        """
         try:
-            member = objectstore.decode_value(found, _statuses.Member)
+            member = _statuses.decode_member(found)
         except errors.ObjectBroken as error:
-            LOG.warning('ignoring an invalid member entry: %s', error)
+            if self._broken.add(found):
+                LOG.warning('ignoring an invalid member entry: %s', error)
             return
         if member.name == self.own.name:
             self._registered_at = self._registered_at or self._clock()
--- a/src/swiftjunction/coordination/_peer.py
+++ b/src/swiftjunction/coordination/_peer.py
@@ -8,6 +8,7 @@
 from swiftjunction import batches
 from swiftjunction.coordination import _messages
 from swiftjunction.coordination import _statuses
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction import web
@@ -85,12 +86,12 @@
     ) -> Response:
         try:
             if status == OK_STATUS:
-                return msgspec.msgpack.decode(body, type=response_type)
-            failure = msgspec.msgpack.decode(body, type=_messages.Failure)
-        except msgspec.MsgspecError as error:
+                return decoding.decode_msgpack(body, response_type)
+            failure = decoding.decode_msgpack(body, _messages.Failure)
+        except errors.ContentBroken as error:
             raise errors.WriteUncertain(
                 f'invalid response from the peer, HTTP status {status}: '
-                f'{error}',
+                f'{error.message}',
                 step='peer',
                 peer=self._address,
             ) from error
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -1,13 +1,24 @@
 """What VMs tell each other of themselves: their entries and statuses."""
 
 import collections.abc
+import typing
 
 import msgspec
 
 from swiftjunction import backends
+from swiftjunction import decoding
+from swiftjunction import errors
+from swiftjunction import objectstore
 from swiftjunction import routing
+from swiftjunction import web
 
 MEMBER_PREFIX = 'members/'
+MAX_PORT = 65535
+MAX_CORES = 1e6
+
+# 0 for none.
+Port = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
+Cores = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_CORES)]
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -31,7 +42,7 @@
     data_center: str
     region: str
     run: str
-    processor_cores: float = 0.0
+    processor_cores: Cores = 0.0
 
     @property
     def host(self) -> str:
@@ -94,20 +105,20 @@
     name: str
     run: str
     state: str
-    fencing_token: int = 0
-    lease_seconds: float = 0.0
-    lease_version: int = 0
+    fencing_token: decoding.Count = 0
+    lease_seconds: decoding.Number = 0.0
+    lease_version: decoding.Count = 0
     reaches_store: bool = False
-    revisions: dict[str, int] = {}
-    ages: dict[str, float] = {}
+    revisions: dict[str, decoding.Integer] = {}
+    ages: dict[str, decoding.NonNegative] = {}
     coordinator: str = ''
-    coordinator_token: int = 0
+    coordinator_token: decoding.Count = 0
     rates: list[backends.RateStatement] = []
-    watch_ages: dict[str, float] = {}
-    tunnel_port: int = 0
+    watch_ages: dict[str, decoding.NonNegative] = {}
+    tunnel_port: Port = 0
     cut_off: list[str] = []
     configuration_age_seconds: float | None = None
-    configuration_version: int = -1
+    configuration_version: decoding.Integer = -1
     flow_rates: dict[str, list[routing.FlowRate]] = {}
     time_of_day: float = 0.0
     median_time: float = 0.0
@@ -126,3 +137,25 @@
 def encode_member(member: Member) -> bytes:
     """Return the stored value of a VM's entry."""
     return msgspec.json.encode(member)
+
+
+def decode_member(found: objectstore.Object) -> Member:
+    """Return the entry of a VM.
+
+    Raises
+    ------
+    ObjectBroken
+        If a field is missing or invalid, or the entry names another VM.
+    """
+    member = objectstore.decode_value(found, Member)
+    if (
+        found.key != MEMBER_PREFIX + member.name
+        or not web.is_address(member.address)
+        or (member.front and not web.is_address(member.front))
+    ):
+        raise errors.ObjectBroken(
+            f'{found.key}: invalid name {member.name!r} or address '
+            f'{member.address!r}, {member.front!r}',
+            step='decode',
+        )
+    return member
--- a/src/swiftjunction/decoding/__init__.py
+++ b/src/swiftjunction/decoding/__init__.py
@@ -3,6 +3,8 @@
 from swiftjunction.decoding._bounds import Count
 from swiftjunction.decoding._bounds import Integer
 from swiftjunction.decoding._bounds import Milliseconds
+from swiftjunction.decoding._bounds import NonNegative
+from swiftjunction.decoding._bounds import Number
 from swiftjunction.decoding._bounds import Seconds
 from swiftjunction.decoding._messages import decode
 from swiftjunction.decoding._messages import decode_json
@@ -15,6 +17,8 @@
     'Integer',
     'MAX_LEVELS',
     'Milliseconds',
+    'NonNegative',
+    'Number',
     'Seconds',
     'cut_deep_values',
     'decode',
--- a/src/swiftjunction/decoding/_bounds.py
+++ b/src/swiftjunction/decoding/_bounds.py
@@ -1,5 +1,6 @@
 """Types of numbers from outside, with bounds that any encoding can carry."""
 
+import sys
 import typing
 
 import msgspec
@@ -11,5 +12,8 @@
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+# Neither NaN nor negative infinity; both exist in MessagePack.
+Number = typing.Annotated[float, msgspec.Meta(ge=-sys.float_info.max)]
+NonNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
--- a/src/swiftjunction/routing/_shares.py
+++ b/src/swiftjunction/routing/_shares.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from swiftjunction import decoding
+
 # Long enough to know the mix of flows, short enough to follow a surge.
 TIME_CONSTANT_SECONDS = 2.0
 LEVEL_INTERVAL_SECONDS = 0.25
@@ -40,8 +42,8 @@
     """
 
     flow: str
-    asked: float
-    started: float
+    asked: decoding.Seconds
+    started: decoding.Seconds
 
 
 class DecayedCounts:
--- a/src/swiftjunction/tunnels/_client.py
+++ b/src/swiftjunction/tunnels/_client.py
@@ -2,11 +2,18 @@
 
 import anyio
 import httpcore
-import msgspec
 
+from swiftjunction import decoding
+from swiftjunction import errors
 from swiftjunction.tunnels import _messages
 from swiftjunction import web
 
+INVALID_REPLY_ERRORS = (
+    errors.ContentBroken,
+    httpcore.NetworkError,
+    ValueError,
+)
+
 
 class TunnelBackend(httpcore.AsyncNetworkBackend):
     """Opens connections to servers through one peer.
@@ -73,7 +80,7 @@
         except BaseException as error:
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
-            if isinstance(error, (httpcore.NetworkError, ValueError)):
+            if isinstance(error, INVALID_REPLY_ERRORS):
                 raise httpcore.ConnectError(
                     f'the peer opened no tunnel: {error}'
                 ) from error
@@ -92,7 +99,7 @@
     if length > _messages.MAX_MESSAGE_BYTES:
         raise ValueError(f'a message of {length} bytes is too long')
     content = await _read_exactly(stream, length)
-    return msgspec.msgpack.decode(content, type=_messages.TunnelReply).outcome
+    return decoding.decode_msgpack(content, _messages.TunnelReply).outcome
 
 
 async def _read_exactly(
--- a/src/swiftjunction/tunnels/_server.py
+++ b/src/swiftjunction/tunnels/_server.py
@@ -7,8 +7,8 @@
 
 import anyio
 import anyio.abc
-import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction.tunnels import _messages
 from swiftjunction import web
@@ -87,7 +87,7 @@
             except (*BROKEN, anyio.EndOfStream):
                 # A TimeoutError, too, is an OSError.
                 LOG.debug('a tunnel broke before it was open')
-            except (msgspec.MsgspecError, ValueError) as error:
+            except (errors.ContentBroken, ValueError) as error:
                 LOG.warning('ignoring an invalid tunnel request: %s', error)
             except Exception:
                 # One tunnel must not end the others, or the process.
@@ -139,7 +139,7 @@
     if length > _messages.MAX_MESSAGE_BYTES:
         raise ValueError(f'a message of {length} bytes is too long')
     content = await _receive_exactly(peer, length)
-    request = msgspec.msgpack.decode(content, type=_messages.TunnelRequest)
+    request = decoding.decode_msgpack(content, _messages.TunnelRequest)
     return request.address
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures and fakes shared by the tests."""
 
+import hashlib
 import random
 
 import anyio
@@ -17,6 +18,18 @@
 hypothesis.settings.load_profile('deterministic')
 
 
+def make_address(name, port):
+    """Return an address that belongs to a name."""
+    parts = hashlib.blake2b(name.encode(), digest_size=3).digest()
+    return '10.{}.{}.{}:{}'.format(*parts, port)
+
+
+def find_name(address, names):
+    """Return which of some names an address of port 1 belongs to."""
+    [found] = (name for name in names if make_address(name, 1) == address)
+    return found
+
+
 class MemoryStore(objectstore.ObjectStore):
     """In-memory object store that injects the faults a test lists.
 
--- a/tests/cover/test_confirmation_decision.py
+++ b/tests/cover/test_confirmation_decision.py
@@ -17,6 +17,7 @@
 from swiftjunction.coordination import _messages
 from swiftjunction import errors
 from swiftjunction import objectstore
+from tests import conftest
 from tests.cover.test_coordination import make_entry
 from tests.cover.test_coordination import make_member
 from tests.cover.test_coordination import make_status
@@ -228,7 +229,7 @@
     vm.sent.clear()
     advance(vm.poller._send_queries())
     for query, address in vm.sent:
-        peer = world.vms[address.partition(':')[0]]
+        peer = world.vms[conftest.find_name(address, world.vms)]
         world.pending.append(
             lambda pick, query=query: answer(world, vm, peer, query)
         )
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -14,12 +14,15 @@
 from swiftjunction import objectstore
 from tests import conftest
 
+FRONT_A = conftest.make_address('a', 2)
+FRONT_B = conftest.make_address('b', 2)
+
 
 def make_member(name, run='1', processor_cores=1.0):
     return coordination.Member(
         name,
-        f'{name}:1',
-        f'{name}:2',
+        conftest.make_address(name, 1),
+        conftest.make_address(name, 2),
         'dc',
         'region',
         run,
@@ -49,27 +52,27 @@
 
 class TestMemberTable:
     def test_callers_get_only_addresses_of_reachable_live_vms(self, members):
-        assert members.list_caller_addresses('live') == ['a:2']
+        assert members.list_caller_addresses('live') == [FRONT_A]
         members.record_status(make_status('b'))
         members.record_status(make_status('c', state='draining'))
-        assert members.list_caller_addresses('live') == ['a:2', 'b:2']
-        assert members.list_caller_addresses('draining') == ['b:2']
+        assert members.list_caller_addresses('live') == [FRONT_A, FRONT_B]
+        assert members.list_caller_addresses('draining') == [FRONT_B]
 
     def test_one_unanswered_poll_leaves_a_vm_reachable(self, members):
         members.record_status(make_status('b'))
         members.record_failure('b', unsent=False)
-        assert members.list_caller_addresses('live') == ['a:2', 'b:2']
+        assert members.list_caller_addresses('live') == [FRONT_A, FRONT_B]
         members.record_failure('b', unsent=False)
-        assert members.list_caller_addresses('live') == ['a:2']
+        assert members.list_caller_addresses('live') == [FRONT_A]
         members.record_status(make_status('b'))
-        assert members.list_caller_addresses('live') == ['a:2', 'b:2']
+        assert members.list_caller_addresses('live') == [FRONT_A, FRONT_B]
 
     def test_a_refused_connection_makes_a_vm_unreachable_at_once(
         self, members
     ):
         members.record_status(make_status('b'))
         members.record_failure('b', unsent=True)
-        assert members.list_caller_addresses('live') == ['a:2']
+        assert members.list_caller_addresses('live') == [FRONT_A]
 
     def test_the_reachable_vm_with_the_highest_token_is_the_coordinator(
         self, members
--- a/tests/cover/test_coordination_datagrams.py
+++ b/tests/cover/test_coordination_datagrams.py
@@ -60,6 +60,13 @@
     assert 'unexpected' in caplog.text
 
 
+@pytest.mark.anyio
+async def test_goes_on_after_a_nested_datagram(caplog):
+    nested = b'\x82\xa4type\xa4note\xa4text' + b'\x91' * 6_000 + b'\x90'
+    assert await send_and_wait(nested) == ['last']
+    assert 'invalid datagram' in caplog.text
+
+
 @hypothesis.given(st.lists(st.binary(max_size=200), max_size=20))
 @hypothesis.settings(max_examples=20, deadline=None)
 def test_goes_on_after_arbitrary_bytes(datagrams):
--- a/tests/cover/test_coordination_permits.py
+++ b/tests/cover/test_coordination_permits.py
@@ -25,12 +25,14 @@
         self.clock = clock
         self.coordinates = False
         self.members = coordination.MemberTable(
-            coordination.Member(f'vm-{index}', 'h:1', '', 'dc', 'r', 'run'),
+            coordination.Member(
+                f'vm-{index}', '10.0.0.1:1', '', 'dc', 'r', 'run'
+            ),
             clock,
         )
         for other in range(vms):
             entry = coordination.Member(
-                f'vm-{other}', 'h:1', '', 'dc', 'r', 'run'
+                f'vm-{other}', '10.0.0.1:1', '', 'dc', 'r', 'run'
             )
             self.members.apply_entry(
                 objectstore.Object(
--- a/tests/usage_fleet.py
+++ b/tests/usage_fleet.py
@@ -106,7 +106,12 @@
         self.name = name
         self.scope = anyio.CancelScope()
         self.member = coordination.Member(
-            name, f'{name}:1', '', 'dc', 'r', f'run-{next(fleet.numbers)}'
+            name,
+            conftest.make_address(name, 1),
+            '',
+            'dc',
+            'r',
+            f'run-{next(fleet.numbers)}',
         )
         self.members = coordination.MemberTable(
             self.member, anyio.current_time
@@ -235,11 +240,14 @@
         self.coordinator = None
 
     def deliver(self, sender, address, message):
-        receiver = address.partition(':')[0]
+        receiver = conftest.find_name(address, self.vms)
         is_lost = self.rng.random() < self.loss
         if not is_lost and (sender, receiver) not in self.cut:
             self._tasks.start_soon(
-                self._deliver_later, f'{sender}:1', receiver, message
+                self._deliver_later,
+                conftest.make_address(sender, 1),
+                receiver,
+                message,
             )
 
     async def _deliver_later(self, sender, receiver, message):
