Drop log lines that cannot be written, without a report for each

Cause: RateLimitedHandler left an error of a write to logging's handleError, which prints a traceback of some hundred lines on standard error for each line: unbounded, and blocking where standard error is a full pipe. select refuses descriptors above 1023. The dump on SIGUSR1 was written at once: it blocked the event loop on a full pipe, and an error of it ended its task. A process that is started without a standard output gave the number of it to a socket, which then received log lines.

Change: a line that cannot be formatted or written is dropped and counted with the others. Writes poll first, and a dump waits between its parts for 5 s at most. Descriptors that are missing at the start are /dev/null. Warnings, and exceptions in finalizers and threads, are log lines. The loggers of asyncio and hypercorn write to the log already.

--- a/src/swiftjunction/telemetry/_bounded.py
+++ b/src/swiftjunction/telemetry/_bounded.py
@@ -2,14 +2,12 @@
 
 import collections.abc
 import logging
-import os
-import select
 import time
 
+from swiftjunction.telemetry import _descriptors
+
 MAX_BYTES_PER_SECOND = 64 * 1024
 BURST_BYTES = 4 * MAX_BYTES_PER_SECOND
-# A pipe that polls as writable accepts this many bytes without blocking.
-CHUNK_BYTES = 4096
 MIN_LINE_BYTES = 200
 DROPPED_LINES_MESSAGE = 'log lines dropped'
 
@@ -19,8 +17,9 @@
 class RateLimitedHandler(logging.Handler):
     """Writes log lines to a file descriptor under a byte rate limit.
 
-    Lines over the limit, and lines that a full pipe does not accept, are
-    dropped. A warning before the next written line gives their number.
+    Lines over the limit, and lines that a full pipe does not accept or that
+    cannot be formatted or written, are dropped. A warning before the next
+    written line gives their number. Nothing is reported for each of them.
 
     Parameters
     ----------
@@ -64,6 +63,10 @@
         except Exception:
             self.handleError(record)
 
+    def handleError(self, record: logging.LogRecord) -> None:
+        """Count a record that cannot be formatted or written."""
+        self.dropped_count += 1
+
     def _encode(self, record: logging.LogRecord) -> bytes:
         return (self.format(record) + '\n').encode()
 
@@ -110,17 +113,7 @@
 
         Returns False if nothing was written.
         """
-        is_started = False
-        while data:
-            if not self._is_writable():
-                if is_started:
-                    self._remainder = data
-                return is_started
-            written = os.write(self._descriptor, data[:CHUNK_BYTES])
-            data = data[written:]
-            is_started = True
-        return True
-
-    def _is_writable(self) -> bool:
-        _, ready, _ = select.select([], [self._descriptor], [], 0)
-        return bool(ready)
+        written = _descriptors.write_available(self._descriptor, data)
+        if written:
+            self._remainder = data[written:]
+        return bool(written)
--- a/src/swiftjunction/telemetry/_dump.py
+++ b/src/swiftjunction/telemetry/_dump.py
@@ -1,13 +1,22 @@
 """Dumps of the state of a process as JSON."""
 
 import collections.abc
+import logging
 import signal
-import sys
 import typing
 
 import anyio
 import msgspec
 
+from swiftjunction.telemetry import _descriptors
+
+LOG = logging.getLogger(__name__)
+
+STANDARD_ERROR = 2
+# A dump is given up if nobody reads any of it for this long.
+WRITE_TIMEOUT_SECONDS = 5.0
+RETRY_INTERVAL_SECONDS = 0.02
+
 Section = collections.abc.Callable[[], typing.Any]
 
 
@@ -35,9 +44,30 @@
             msgspec.json.encode(state, enc_hook=str), indent=2
         )
 
-    async def write_on_signal(self) -> None:
-        """Write a dump to standard error on each SIGUSR1."""
+    async def write_on_signal(self, descriptor: int = STANDARD_ERROR) -> None:
+        """Write a dump to a descriptor on each SIGUSR1, without blocking."""
         with anyio.open_signal_receiver(signal.SIGUSR1) as signals:
             async for _ in signals:
-                sys.stderr.write(self.render().decode() + '\n')
-                sys.stderr.flush()
+                await self._write(descriptor)
+
+    async def _write(self, descriptor: int) -> None:
+        data = self.render() + b'\n'
+        try:
+            while data:
+                with anyio.fail_after(WRITE_TIMEOUT_SECONDS):
+                    data = await _write_some(descriptor, data)
+        except OSError as error:
+            LOG.warning(
+                'the state dump was not written: %s',
+                error,
+                extra={'unwritten_bytes': len(data)},
+            )
+
+
+async def _write_some(descriptor: int, data: bytes) -> bytes:
+    """Write a part of `data` once that is possible; return the remainder."""
+    while True:
+        written = _descriptors.write_available(descriptor, data)
+        if written:
+            return data[written:]
+        await anyio.sleep(RETRY_INTERVAL_SECONDS)
--- a/src/swiftjunction/telemetry/_logs.py
+++ b/src/swiftjunction/telemetry/_logs.py
@@ -3,10 +3,16 @@
 import contextvars
 import logging
 import sys
+import threading
 
 from pythonjsonlogger.json import JsonFormatter
 
 from swiftjunction.telemetry import _bounded
+from swiftjunction.telemetry import _descriptors
+
+LOG = logging.getLogger(__name__)
+
+STANDARD_OUTPUT = 1
 
 # Libraries that log each connection, which would hide the lines of this
 # service; only their warnings and errors are logged.
@@ -62,6 +68,9 @@
 def configure_logging(process: str, vm: str, level: str = 'INFO') -> None:
     """Log JSON lines to standard output without ever blocking on it.
 
+    What Python itself would write to standard error, where nothing bounds it,
+    is logged as well: warnings, and exceptions in finalizers and threads.
+
     Parameters
     ----------
     process : str
@@ -71,7 +80,8 @@
     level : str
         Lowest level that is logged.
     """
-    handler = _bounded.RateLimitedHandler(sys.stdout.fileno())
+    _descriptors.open_missing_descriptors()
+    handler = _bounded.RateLimitedHandler(STANDARD_OUTPUT)
     handler.addFilter(ContextFilter())
     handler.setFormatter(
         JsonFormatter(
@@ -85,3 +95,18 @@
     root.setLevel(level)
     for name in QUIET_LOGGERS:
         logging.getLogger(name).setLevel(logging.WARNING)
+    logging.captureWarnings(True)
+    sys.unraisablehook = _log_unraisable
+    threading.excepthook = _log_thread_error
+
+
+def _log_unraisable(arguments: 'sys.UnraisableHookArgs') -> None:
+    LOG.error(
+        'an exception was ignored in %r',
+        arguments.object,
+        exc_info=arguments.exc_value,
+    )
+
+
+def _log_thread_error(arguments: threading.ExceptHookArgs) -> None:
+    LOG.error('a thread failed', exc_info=arguments.exc_value)
--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -30,6 +30,15 @@
     return [sys.executable, *arguments]
 
 
+def make_environment(path):
+    """Return the variables of a process with the settings file at `path`."""
+    return {
+        'PATH': os.environ['PATH'],
+        'PYTHONPATH': testbed.MODULE_PATH,
+        'SWIFTJUNCTION_NODE_FILE': str(path),
+    }
+
+
 class ProcessDeployment(platform_deployment.PlatformDeployment):
     """A deployment that runs each VM in its own process."""
 
@@ -42,17 +51,17 @@
 
     def start_vm(self, name):
         path = self.write_settings(name)
+        self.processes[name] = self.start_process(path, name)
+
+    def start_process(self, path, name):
+        """Return a process of a VM with the settings file at `path`."""
         with (self.logs / f'{name}.log').open('wb') as log:
-            self.processes[name] = subprocess.Popen(
+            return subprocess.Popen(
                 read_command('edge'),
                 cwd=ROOT,
                 stdout=log,
                 stderr=subprocess.STDOUT,
-                env={
-                    'PATH': os.environ['PATH'],
-                    'PYTHONPATH': testbed.MODULE_PATH,
-                    'SWIFTJUNCTION_NODE_FILE': str(path),
-                },
+                env=make_environment(path),
             )
 
     def close(self):
