Ignore SIGHUP 10 ms earlier after the start of a process

What callers saw: a process that is told of new settings as it starts ends by SIGHUP, exit code -1.

Cause: the first line that ignores the signal ran 20 to 25 ms after the start. When the event loop ends, it sets the default action of the signals it handled, so that SIGHUP terminated a process that was about to end.

Change: the role runs by path, and the first lines use the built-in _signal. They also ignore SIGUSR1, and let SIGINT end the process without a traceback of an import. After the end of the context that receives signals, their handlers are those from before it. The soak's stand-in for the script does the same.

--- a/soak/edge.py
+++ b/soak/edge.py
@@ -4,14 +4,19 @@
 whose connection it gets.
 """
 
+import _signal
 import json
 import os
 import pathlib
 import runpy
 
+if __name__ == '__main__':
+    # Before the imports that take long, as the edge process does.
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+
 import anyio
 
-EDGE_MODULE = 'swiftjunction.platform'
+EDGE_SCRIPT = 'src/swiftjunction/platform/__main__.py'
 # Path of a file that exists while the VM is cut off from the servers that it
 # names: ``{"addresses": [...], "refuses": true}``.
 CUT_FILE_VARIABLE = 'SWIFTJUNCTION_SOAK_CUT'
@@ -43,4 +48,4 @@
 
 if __name__ == '__main__':
     install_cut(pathlib.Path(os.environ[CUT_FILE_VARIABLE]))
-    runpy.run_module(EDGE_MODULE, run_name='__main__', alter_sys=True)
+    runpy.run_path(EDGE_SCRIPT, run_name='__main__')
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -132,7 +132,7 @@
         """Start the process of the role ``edge`` in ``deploy/system.toml``."""
         deployment = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         _, *arguments = deployment['roles']['edge']['run'].split(' ')
-        arguments[arguments.index(edge.EDGE_MODULE)] = edge.__name__
+        arguments[arguments.index(edge.EDGE_SCRIPT)] = edge.__file__
         self.start_count += 1
         self.ends_expected = False
         with (self._folder / f'{self.name}.log').open('ab') as log:
--- a/src/swiftjunction/platform/__main__.py
+++ b/src/swiftjunction/platform/__main__.py
@@ -1,22 +1,25 @@
-"""Entry point of the edge process."""
+"""Entry point of the edge process, run by path so that it imports little."""
 
-import signal
+# The module signal would import others, which takes 10 ms more.
+import _signal  # type: ignore[import-not-found]
 import sys
 
 
-def ignore_reloads() -> None:
-    """Ignore SIGHUP until the process installs its own handler.
+def replace_default_actions() -> None:
+    """Ignore SIGHUP and SIGUSR1 until the process installs its handlers.
 
-    The default action would terminate the process while it imports its
+    Their default action would terminate the process while it imports its
     modules, which takes half a second. The settings file is read after the
-    imports.
+    imports. SIGINT terminates it without a traceback, as SIGTERM does.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+    _signal.signal(_signal.SIGUSR1, _signal.SIG_IGN)
+    _signal.signal(_signal.SIGINT, _signal.SIG_DFL)
 
 
 def main() -> int:
     """Run the edge process and return its exit code."""
-    ignore_reloads()
+    replace_default_actions()
     from swiftjunction.platform import _edge
 
     return _edge.run_edge()
--- a/src/swiftjunction/platform/_signals.py
+++ b/src/swiftjunction/platform/_signals.py
@@ -9,16 +9,28 @@
 Signals = collections.abc.AsyncIterator[signal.Signals]
 Action = collections.abc.Callable[[], None]
 
+HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
-def receive() -> contextlib.AbstractContextManager[Signals]:
-    """Return a context in which signals are queued, not acted on.
+
+@contextlib.contextmanager
+def receive() -> collections.abc.Iterator[Signals]:
+    """Queue signals within the context, instead of acting on them.
 
     It is entered before the process can be found running: the default action
-    of these signals terminates it.
+    of these signals terminates it. After it, they are handled as before it.
     """
-    return anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    )
+    handlers = {number: signal.getsignal(number) for number in HANDLED}
+    try:
+        with anyio.open_signal_receiver(*HANDLED) as signals:
+            try:
+                yield signals
+            finally:
+                # The event loop restores the default actions at the end.
+                signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED)
 
 
 async def handle(signals: Signals, reload: Action, stop: Action) -> None:
--- a/src/swiftjunction/platform/storage.py
+++ b/src/swiftjunction/platform/storage.py
@@ -3,11 +3,12 @@
 It is run by path rather than as a module, so that it imports little.
 """
 
-import signal
+# The module signal would import others, which takes 10 ms more.
+import _signal  # type: ignore[import-not-found]
 
-STOP_SIGNALS = {signal.SIGTERM, signal.SIGINT}
+STOP_SIGNALS = {_signal.SIGTERM, _signal.SIGINT}
 
 # There are no settings to reload.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
-signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
-signal.sigwait(STOP_SIGNALS)
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+_signal.pthread_sigmask(_signal.SIG_BLOCK, STOP_SIGNALS)
+_signal.sigwait(STOP_SIGNALS)
--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -153,7 +153,7 @@
         'import signal, sys\n'
         'from swiftjunction.platform import __main__\n'
         'assert "swiftjunction.platform._program" not in sys.modules\n'
-        '__main__.ignore_reloads()\n'
+        '__main__.replace_default_actions()\n'
         'signal.raise_signal(signal.SIGHUP)\n'
     )
     result = subprocess.run(
--- a/tests/cover/test_platform_signals.py
+++ b/tests/cover/test_platform_signals.py
@@ -1,12 +1,20 @@
 import os
+import pathlib
+import re
 import signal
+import subprocess
+import sys
+import time
 
 import anyio
 import pytest
 
 from swiftjunction.platform import _signals
+from tests.cover import test_platform_processes
 from tests import platform_deployment
 
+IMPORT_DELAY_SECONDS = 0.05
+
 
 @pytest.mark.anyio
 async def test_a_vm_that_accepts_connections_ends_in_order_at_sigterm(
@@ -52,3 +60,89 @@
                 await stopped.wait()
             tasks.cancel_scope.cancel()
     assert reloads == [1]
+
+
+@pytest.mark.anyio
+async def test_a_reload_after_the_end_is_ignored_as_before_it():
+    before = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    with _signals.receive():
+        pass
+    after = signal.signal(signal.SIGHUP, before)
+    assert after is signal.SIG_IGN
+
+
+LIST_IMPORTS_BEFORE_SIGNALS = """
+import _signal
+import sys
+at_start = set(sys.modules)
+
+
+def print_imports(number, action):
+    print(number, *sorted(set(sys.modules) - at_start))
+    if number == last_number:
+        raise SystemExit
+
+
+last_number = int(sys.argv[2])
+_signal.signal = print_imports
+with open(sys.argv[1]) as script:
+    exec(compile(script.read(), sys.argv[1], 'exec'))
+"""
+SCRIPT_POSITION = -1
+
+
+@pytest.mark.parametrize(
+    ('role', 'last_number'),
+    [('edge', signal.SIGINT), ('storage', signal.SIGHUP)],
+)
+def test_a_role_imports_nothing_before_it_ignores_reloads(role, last_number):
+    # The modules of Python's own start are there in any case.
+    script = test_platform_processes.read_command(role)[SCRIPT_POSITION]
+    result = subprocess.run(
+        [
+            sys.executable,
+            '-S',
+            '-c',
+            LIST_IMPORTS_BEFORE_SIGNALS,
+            script,
+            str(int(last_number)),
+        ],
+        cwd=test_platform_processes.ROOT,
+        env={},
+        capture_output=True,
+        text=True,
+        timeout=test_platform_processes.STOP_TIMEOUT_SECONDS,
+    )
+    assert result.stderr == ''
+    assert str(int(signal.SIGHUP)) in result.stdout.split('\n')
+
+
+def wait_for_ignored_reloads(process):
+    """Wait until a process ignores SIGHUP; return whether it did."""
+    status = pathlib.Path(f'/proc/{process.pid}/status')
+    while process.poll() is None:
+        (line,) = re.findall(r'SigIgn:\s*(\w+)', status.read_text())
+        if int(line, 16) >> (signal.SIGHUP - 1) & 1:
+            return True
+    return False
+
+
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+def test_a_stop_during_startup_ends_the_process_without_a_traceback(
+    tmp_path, number
+):
+    path = tmp_path / 'vm.conf'
+    path.write_text('')
+    process = subprocess.Popen(
+        test_platform_processes.read_command('edge'),
+        cwd=test_platform_processes.ROOT,
+        env=test_platform_processes.make_environment(path),
+        stderr=subprocess.PIPE,
+    )
+    assert wait_for_ignored_reloads(process)
+    time.sleep(IMPORT_DELAY_SECONDS)
+    process.send_signal(number)
+    _, error = process.communicate(
+        timeout=test_platform_processes.STOP_TIMEOUT_SECONDS
+    )
+    assert (process.returncode, error) == (-number, b'')
