--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 	$(BIN)/python -m swiftjunction.demo
 
 check: $(READY)
-	$(BIN)/ruff format --check src tests bench soak
-	$(BIN)/flake8 src tests bench soak
+	$(BIN)/ruff format --check src tests bench soak deploy
+	$(BIN)/flake8 src tests bench soak deploy
 	$(BIN)/mypy src
 
 # The roles of deploy/system.toml as processes, before our own stand-ins.
@@ -34,7 +34,7 @@
 	$(BIN)/python -m pytest tests/cover $(PASS_OVER)
 
 format: $(READY)
-	$(BIN)/ruff format src tests bench soak
+	$(BIN)/ruff format src tests bench soak deploy
 
 sizes: $(READY)
 	$(BIN)/python bench/sizes.py
