Check the settings file, and keep what is valid of it

What callers saw: "the system didn't start, or its processes ended by themselves"; that a settings file was the cause is not shown.

Cause: bytes that are not UTF-8 ended the process with a traceback, at the start and on SIGHUP. nan, inf, negative numbers, ports out of range, digits of other scripts and an ip that is no address were accepted, and led to errors wherever they were used. A file that was missing or written as the process started ended it. A change between the start and the first check of the file was never applied, nor one within the same tick of the file's time.

Change: KeyValueReader checks each value that is read, and only those. Values that no promise depends on (limits, duties, usage reports, the last port) are replaced, with a warning. At the start, an invalid file is read again for 1 s. The reloader compares contents. A process that ends by its settings logs that, and its lines on standard error never block.

A line of test_invalid_settings_are_reported now has the range that the message names; it is compared whole, as before.

--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -58,9 +58,9 @@
     def __init__(
         self, path: pathlib.Path, metrics_port: int = METRICS_PORT
     ) -> None:
-        settings = self._settings = _settings.read_settings(path)
+        settings = self._settings = _settings.wait_for_settings(path)
         self._settings_reloader = _reloading.SettingsReloader(
-            path, self._apply_settings
+            path, settings, self._apply_settings
         )
         self._metrics_port = metrics_port
         self._state = 'starting'
--- a/src/swiftjunction/platform/_reloading.py
+++ b/src/swiftjunction/platform/_reloading.py
@@ -21,40 +21,59 @@
     ----------
     path : Path
         The settings file.
+    settings : EdgeSettings
+        The settings that the process started with.
     apply : callable
         Called with the new settings; applies those that need no restart.
     """
 
-    __slots__ = ('_apply', '_path')
+    __slots__ = ('_apply', '_checked_content', '_path', '_settings')
 
     def __init__(
         self,
         path: pathlib.Path,
+        settings: _settings.EdgeSettings,
         apply: collections.abc.Callable[[_settings.EdgeSettings], None],
     ) -> None:
         self._path = path
+        self._settings = settings
         self._apply = apply
+        self._checked_content: bytes | None = None
 
     async def run(self) -> None:
-        """Poll the modification time of the file until cancelled."""
-        loaded_mtime_ns = self._path.stat().st_mtime_ns
+        """Poll the content of the file until cancelled."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            try:
-                mtime_ns = self._path.stat().st_mtime_ns
-            except OSError as error:
-                LOG.warning('cannot read the settings file: %s', error)
-                continue
-            if mtime_ns != loaded_mtime_ns:
-                loaded_mtime_ns = mtime_ns
-                self.reload()
+            self._check()
 
     def reload(self) -> None:
         """Read the file and apply its settings if they are valid."""
+        settings = self._read()
+        if settings is not None:
+            self._accept(settings)
+
+    def _check(self) -> None:
+        """Apply the settings of the file if they have changed."""
         try:
-            settings = _settings.read_settings(self._path)
+            content = self._path.read_bytes()
+        except OSError as error:
+            LOG.warning('cannot read the settings file: %s', error)
+            return
+        if content == self._checked_content:
+            return
+        self._checked_content = content
+        settings = self._read()
+        if settings is not None and settings != self._settings:
+            self._accept(settings)
+
+    def _read(self) -> _settings.EdgeSettings | None:
+        try:
+            return _settings.read_settings(self._path)
         except errors.SettingsError as error:
             LOG.error('settings not reloaded, keeping the old ones: %s', error)
-            return
+            return None
+
+    def _accept(self, settings: _settings.EdgeSettings) -> None:
+        self._settings = settings
         self._apply(settings)
         LOG.info('settings reloaded', extra={'store': settings.store})
--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -2,12 +2,20 @@
 
 import os
 import pathlib
+import time
 
 import msgspec
 
 from swiftjunction import errors
+from swiftjunction.platform import _key_values
 from swiftjunction.platform import _names
 
+MAX_WAIT_SECONDS = 1.0
+RETRY_INTERVAL_SECONDS = 0.05
+MAX_CORES = 1024.0
+MAX_DUTIES_PER_SECOND = 1e6
+SAFE_DUTIES_PER_SECOND = 1.0
+
 
 class EdgeSettings(msgspec.Struct, frozen=True):
     """Settings of the edge process of a VM.
@@ -109,110 +117,85 @@
 def read_settings(path: pathlib.Path) -> EdgeSettings:
     """Read the settings file.
 
+    Invalid values that no promise depends on are logged and replaced: those
+    of limits, of duties and of usage reports, and the end of the port range.
+
     Raises
     ------
     SettingsError
         If the file cannot be read, or a key is missing or invalid.
     """
-    try:
-        text = path.read_text()
-    except OSError as error:
-        raise errors.SettingsError(
-            [f'{path}: cannot be read: {error.strerror}']
-        ) from error
-    reader = _KeyValueReader(path, text)
+    reader = _key_values.KeyValueReader(path)
     ports = reader.read_ports('port_range')
     settings = EdgeSettings(
         name=reader.read_text('node_name'),
-        ip=reader.read_text('ip'),
+        ip=reader.read_ip('ip'),
         data_center=reader.read_text('zone'),
         region=reader.read_text('region'),
         peer_port=ports[0],
         last_port=ports[1],
-        store=reader.read_text('provider.address'),
-        front=reader.read_text('bind.front', ''),
-        readiness=reader.read_text('bind.readiness', ''),
-        directory=reader.read_text('bind.directory', ''),
+        store=reader.read_address('provider.address'),
+        front=reader.read_address('bind.front', ''),
+        readiness=reader.read_address('bind.readiness', ''),
+        directory=reader.read_address('bind.directory', ''),
         lease_seconds=reader.read_milliseconds('bounds.lease_ms', 3000.0),
         grace_seconds=reader.read_number('bounds.grace_s', 8.0),
         max_address_seconds=reader.read_number('bounds.ttl_max_s', 5.0),
         keep_seconds=reader.read_number('bounds.status_s', 120.0),
         cancel_seconds=reader.read_milliseconds('bounds.cancel_ms', 3000.0),
-        checks_fencing=reader.read_text('bounds.require_fencing', '')
-        == 'true',
-        # The VM gets this share of a core that is so many times as fast.
-        processor_cores=reader.read_number('limits.cpu_share', 1.0)
-        * reader.read_number('limits.cpu_cores', 1.0),
+        checks_fencing=reader.read_flag('bounds.require_fencing'),
+        processor_cores=_read_processor_cores(reader),
         config_apply_seconds=reader.read_milliseconds(
             'bounds.config_apply_ms', 2000.0
         ),
-        strict_revocation=reader.read_text('bounds.strict_revoke', '')
-        == 'true',
+        strict_revocation=reader.read_flag('bounds.strict_revoke'),
         revoke_seconds=reader.read_milliseconds('bounds.revoke_ms', 5000.0),
-        duty_api=reader.read_text('cloud_api.address', ''),
+        duty_api=reader.read_address('cloud_api.address', '', fallback=''),
         duties=reader.read_list('cloud_api.duties'),
-        duties_per_second=reader.read_number('cloud_api.duty_per_s', 50.0),
-        usage_window_seconds=reader.read_number('bounds.window_s', 5.0),
-        usage_late_seconds=reader.read_number('bounds.usage_late_s', 10.0),
+        duties_per_second=reader.read_number(
+            'cloud_api.duty_per_s',
+            50.0,
+            most=MAX_DUTIES_PER_SECOND,
+            fallback=SAFE_DUTIES_PER_SECOND,
+        ),
+        # Without windows, no usage is reported.
+        usage_window_seconds=reader.read_number(
+            'bounds.window_s', 5.0, fallback=0.0
+        ),
+        usage_late_seconds=reader.read_number(
+            'bounds.usage_late_s', 10.0, fallback=10.0
+        ),
     )
     reader.raise_problems()
     return settings
 
 
-class _KeyValueReader:
-    """Reads typed values from ``key=value`` lines and collects problems."""
-
-    def __init__(self, path: pathlib.Path, text: str) -> None:
-        self._path = path
-        self._problems: list[str] = []
-        parts = [line.partition('=') for line in text.splitlines()]
-        self._values = {
-            key.strip(): value.strip()
-            for key, separator, value in parts
-            if separator
-        }
-
-    def read_text(self, key: str, default: str | None = None) -> str:
-        value = self._values.get(key, '') or default
-        if value is None:
-            self._problems.append(f'{self._path}: {key} is missing')
-            return ''
-        return value
-
-    def read_number(self, key: str, default: float) -> float:
-        value = self._values.get(key, '')
-        if not value:
-            return default
+def wait_for_settings(path: pathlib.Path) -> EdgeSettings:
+    """Read the settings file, again for a moment while it is invalid.
+
+    It may be replaced or written as the process starts.
+
+    Raises
+    ------
+    SettingsError
+        If it is still invalid after `MAX_WAIT_SECONDS`.
+    """
+    give_up_at = time.monotonic() + MAX_WAIT_SECONDS
+    while True:
         try:
-            return float(value)
-        except ValueError:
-            self._problems.append(
-                f'{self._path}: {key} = {value!r} must be a number'
-            )
-            return default
-
-    def read_milliseconds(self, key: str, default_ms: float) -> float:
-        """Return a time in milliseconds, converted to seconds."""
-        return self.read_number(key, default_ms) / _names.MS_PER_SECOND
-
-    def read_list(self, key: str) -> tuple[str, ...]:
-        """Return the values that commas separate; none if it is missing."""
-        values = self._values.get(key, '').split(',')
-        return tuple(value.strip() for value in values if value.strip())
-
-    def read_ports(self, key: str) -> tuple[int, int]:
-        """Return the first and the last port of a range; zeros if invalid."""
-        value = self.read_text(key)
-        first, _, last = value.partition(',')
-        if not first.isdecimal():
-            if value:
-                self._problems.append(
-                    f'{self._path}: {key} = {value!r} must be two ports, '
-                    'joined by a comma'
-                )
-            return 0, 0
-        return int(first), int(last) if last.isdecimal() else int(first)
-
-    def raise_problems(self) -> None:
-        if self._problems:
-            raise errors.SettingsError(self._problems)
+            return read_settings(path)
+        except errors.SettingsError:
+            if time.monotonic() >= give_up_at:
+                raise
+        time.sleep(RETRY_INTERVAL_SECONDS)
+
+
+def _read_processor_cores(reader: _key_values.KeyValueReader) -> float:
+    """Return the share that a VM gets of so many cores, which ranks VMs."""
+    share = reader.read_number(
+        'limits.cpu_share', 1.0, most=MAX_CORES, fallback=1.0
+    )
+    cores = reader.read_number(
+        'limits.cpu_cores', 1.0, most=MAX_CORES, fallback=1.0
+    )
+    return share * cores
--- a/src/swiftjunction/telemetry/__init__.py
+++ b/src/swiftjunction/telemetry/__init__.py
@@ -1,6 +1,7 @@
 """Structured logs, metrics and state dumps."""
 
 from swiftjunction.telemetry._bounded import RateLimitedHandler
+from swiftjunction.telemetry._descriptors import report
 from swiftjunction.telemetry._dump import StateDump
 from swiftjunction.telemetry._logs import configure_logging
 from swiftjunction.telemetry._logs import ContextFilter
@@ -19,6 +20,7 @@
     'configure_logging',
     'format_line',
     'parse_lines',
+    'report',
     'select_lines',
     'set_organisation',
     'set_request_context',
--- a/src/swiftjunction/telemetry/_descriptors.py
+++ b/src/swiftjunction/telemetry/_descriptors.py
@@ -1,11 +1,14 @@
 """Writes to file descriptors that never block."""
 
+import collections.abc
+import contextlib
 import os
 import select
 
 # A pipe that polls as writable accepts this many bytes without blocking.
 CHUNK_BYTES = 4096
-STANDARD_DESCRIPTORS = (0, 1, 2)
+STANDARD_ERROR = 2
+STANDARD_DESCRIPTORS = (0, 1, STANDARD_ERROR)
 
 
 def write_available(descriptor: int, data: bytes) -> int:
@@ -38,6 +41,15 @@
     return written
 
 
+def report(lines: collections.abc.Iterable[str]) -> None:
+    """Write lines to standard error, as far as it accepts them."""
+    data = ''.join(f'{line}\n' for line in lines)
+    with contextlib.suppress(OSError):
+        write_available(
+            STANDARD_ERROR, data.encode('utf-8', 'backslashreplace')
+        )
+
+
 def open_missing_descriptors() -> None:
     """Open the standard descriptors that the process was started without.
 
--- a/src/swiftjunction/telemetry/_dump.py
+++ b/src/swiftjunction/telemetry/_dump.py
@@ -12,7 +12,6 @@
 
 LOG = logging.getLogger(__name__)
 
-STANDARD_ERROR = 2
 # A dump is given up if nobody reads any of it for this long.
 WRITE_TIMEOUT_SECONDS = 5.0
 RETRY_INTERVAL_SECONDS = 0.02
@@ -44,7 +43,9 @@
             msgspec.json.encode(state, enc_hook=str), indent=2
         )
 
-    async def write_on_signal(self, descriptor: int = STANDARD_ERROR) -> None:
+    async def write_on_signal(
+        self, descriptor: int = _descriptors.STANDARD_ERROR
+    ) -> None:
         """Write a dump to a descriptor on each SIGUSR1, without blocking."""
         with anyio.open_signal_receiver(signal.SIGUSR1) as signals:
             async for _ in signals:
--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -131,7 +131,9 @@
     lines = result.stderr.decode().splitlines()
     assert result.returncode == 2
     assert f'{path}: zone is missing' in lines
-    assert f"{path}: bounds.grace_s = 'soon' must be a number" in lines
+    assert (
+        f"{path}: bounds.grace_s = 'soon' must be a number from 0 to 31536000"
+    ) in lines
 
 
 def test_a_storage_process_stops_at_sigterm_and_not_at_sighup():
