--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -30,6 +30,15 @@
     return [sys.executable, *arguments]
 
 
+def make_environment(path):
+    """Return the variables of a process with the settings file at `path`."""
+    return {
+        'PATH': os.environ['PATH'],
+        'PYTHONPATH': testbed.MODULE_PATH,
+        'SWIFTJUNCTION_NODE_FILE': str(path),
+    }
+
+
 class ProcessDeployment(platform_deployment.PlatformDeployment):
     """A deployment that runs each VM in its own process."""
 
@@ -42,17 +51,17 @@
 
     def start_vm(self, name):
         path = self.write_settings(name)
+        self.processes[name] = self.start_process(path, name)
+
+    def start_process(self, path, name):
+        """Return a process of a VM with the settings file at `path`."""
         with (self.logs / f'{name}.log').open('wb') as log:
-            self.processes[name] = subprocess.Popen(
+            return subprocess.Popen(
                 read_command('edge'),
                 cwd=ROOT,
                 stdout=log,
                 stderr=subprocess.STDOUT,
-                env={
-                    'PATH': os.environ['PATH'],
-                    'PYTHONPATH': testbed.MODULE_PATH,
-                    'SWIFTJUNCTION_NODE_FILE': str(path),
-                },
+                env=make_environment(path),
             )
 
     def close(self):
@@ -122,7 +131,9 @@
     lines = result.stderr.decode().splitlines()
     assert result.returncode == 2
     assert f'{path}: zone is missing' in lines
-    assert f"{path}: bounds.grace_s = 'soon' must be a number" in lines
+    assert (
+        f"{path}: bounds.grace_s = 'soon' must be a number from 0 to 31536000"
+    ) in lines
 
 
 def test_a_storage_process_stops_at_sigterm_and_not_at_sighup():
@@ -144,7 +155,7 @@
         'import signal, sys\n'
         'from swiftjunction.platform import __main__\n'
         'assert "swiftjunction.platform._program" not in sys.modules\n'
-        '__main__.ignore_reloads()\n'
+        '__main__.replace_default_actions()\n'
         'signal.raise_signal(signal.SIGHUP)\n'
     )
     result = subprocess.run(
