Accept the entry of a server that stays beyond its announced time

What callers saw: nothing yet; the check of entries of servers refused a negative remaining time, which is what a server states once it has stayed longer than it said. It would have been taken out of use.

Change: the remaining time may be negative, and counts as 0 then. The test of odd fields has a number out of bounds in its place, and a test of its own shows that such a server stays in use.

--- a/src/swiftjunction/platform/_schemas.py
+++ b/src/swiftjunction/platform/_schemas.py
@@ -33,6 +33,10 @@
 SERVER_NAME_PATTERN = re.compile('[!-~]{1,256}')
 
 _Weight = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
+_Remaining = typing.Annotated[
+    float,
+    msgspec.Meta(ge=-decoding.MAX_MILLISECONDS, le=decoding.MAX_MILLISECONDS),
+]
 _Price = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_PRICE)]
 
 
@@ -52,8 +56,8 @@
     models: list[_Model] = []
     born: decoding.Count = 0
     spot: bool = False
-    # Remaining time of a server that is to leave.
-    leaves_ms: decoding.Milliseconds = 0.0
+    # Remaining time of a server that is to leave; negative once it is over.
+    leaves_ms: _Remaining = 0.0
 
 
 class _ServiceShare(msgspec.Struct):
@@ -159,7 +163,7 @@
         born_ms=server.born,
         software=server.version,
         is_spot=server.spot,
-        leaves_seconds=server.leaves_ms / _names.MS_PER_SECOND,
+        leaves_seconds=max(server.leaves_ms, 0.0) / _names.MS_PER_SECOND,
     )
 
 
