Do not open a batch that is stored under the id of another

Another writer's copy of a batch under another name was opened under its own id, while the id of its name never was: the coordinator read the results of that batch again and again, without a pause, at the store. An invalid batch also kept operators from listing the others.

A stored batch is decoded by one function, which checks its id against its key. The new test failed before and passes now.

--- a/src/swiftjunction/batches/_archive.py
+++ b/src/swiftjunction/batches/_archive.py
@@ -21,7 +21,7 @@
 
 LOG = logging.getLogger(__name__)
 
-BATCH_PREFIX = 'batches/'
+BATCH_PREFIX = _batch.BATCH_PREFIX
 CHECKPOINT_KEY = 'checkpoints/samples'
 # Compared with the characters of the text; the rest of the object is for JSON
 # escapes and other fields.
@@ -103,7 +103,7 @@
 
     async def _check_owner(self, batch: _batch.Batch) -> None:
         found = await self._store.read(BATCH_PREFIX + batch.batch_id)
-        stored = objectstore.decode_value(found, _batch.Batch)
+        stored = _batch.decode_batch(found)
         if not _batch.is_accessible(stored, batch.organisation):
             raise errors.RequestInvalid(
                 'the id of the batch is in use', step='submit'
@@ -134,7 +134,7 @@
             If there is no such batch for that organisation.
         """
         found = await self._store.read(BATCH_PREFIX + batch_id)
-        batch = objectstore.decode_value(found, _batch.Batch)
+        batch = _batch.decode_batch(found)
         check_access(batch, organisation)
         return await self.resolve_parts(found)
 
@@ -143,7 +143,7 @@
 
         The samples of an ended batch are not read.
         """
-        batch = objectstore.decode_value(found, _batch.Batch)
+        batch = _batch.decode_batch(found)
         if batch.parts and not batch.ended:
             samples: list[_batch.Sample] = []
             for number in range(batch.parts):
@@ -177,7 +177,7 @@
         """
         if known is None:
             found = await self._store.read(BATCH_PREFIX + batch_id)
-            batch = objectstore.decode_value(found, _batch.Batch)
+            batch = _batch.decode_batch(found)
             known = StoredBatch(batch, found.version)
         batch = known.batch
         check_access(batch, organisation)
@@ -236,10 +236,12 @@
     async def list_batches(self) -> list[BatchSummary]:
         """Return all stored batches, sorted by model and step."""
         found = await self._store.list(BATCH_PREFIX)
-        stored_batches = [
-            objectstore.decode_value(stored, _batch.Batch)
-            for stored in found.changed
-        ]
+        stored_batches = []
+        for stored in found.changed:
+            try:
+                stored_batches.append(_batch.decode_batch(stored))
+            except errors.ObjectBroken as error:
+                LOG.warning('ignoring an invalid batch: %s', error)
         return [
             await self._summarize(batch)
             for batch in sorted(
--- a/src/swiftjunction/batches/_batch.py
+++ b/src/swiftjunction/batches/_batch.py
@@ -2,6 +2,12 @@
 
 import msgspec
 
+from swiftjunction import decoding
+from swiftjunction import errors
+from swiftjunction import objectstore
+
+BATCH_PREFIX = 'batches/'
+
 
 class ScoreRequest(msgspec.Struct, frozen=True):
     """The request that scores a finished sample.
@@ -98,7 +104,7 @@
     route: str
     host: str
     service: str
-    total: int
+    total: decoding.Count
     samples: list[Sample] = msgspec.field(name='items')
     model: str = ''
     step: int = 0
@@ -109,7 +115,7 @@
     max_age_seconds: float = 0.0
     max_attempts: int = 1
     ended: bool = False
-    parts: int = 0
+    parts: decoding.Count = 0
     writer: str = ''
     organisation: str = ''
 
@@ -144,3 +150,19 @@
     text: str = ''
     versions: list[int] = []
     score: str = ''
+
+
+def decode_batch(found: objectstore.Object) -> Batch:
+    """Return the stored batch.
+
+    Raises
+    ------
+    ObjectBroken
+        If it is invalid, or is stored under the id of another batch.
+    """
+    batch = objectstore.decode_value(found, Batch)
+    if found.key != BATCH_PREFIX + batch.batch_id:
+        raise errors.ObjectBroken(
+            f'{found.key} holds the batch {batch.batch_id!r}', step='decode'
+        )
+    return batch
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -218,7 +218,7 @@
             Whether there is nothing to open: it has ended, or is broken.
         """
         try:
-            batch = objectstore.decode_value(found, _batch.Batch)
+            batch = _batch.decode_batch(found)
         except errors.ObjectBroken as error:
             LOG.error('stored batch could not be decoded: %s', error)
             return True
--- a/tests/cover/test_batches_runner.py
+++ b/tests/cover/test_batches_runner.py
@@ -3,8 +3,10 @@
 
 from swiftjunction import backends
 from swiftjunction import batches
+from swiftjunction import errors
 from swiftjunction import membership
 from swiftjunction import telemetry
+from tests.cover import test_batches_archive
 from tests.cover import test_batches_planning
 
 
@@ -195,3 +197,19 @@
         page = await access.read_results('b', 0, 0.0)
         assert page.results == []
         assert archive.reads == 0
+
+
+@pytest.mark.anyio
+async def test_a_batch_stored_under_another_id_is_not_opened(store):
+    archive = CountingArchive(store)
+    await archive.create(test_batches_archive.make_batch())
+    store._put('batches/other', store.objects['batches/b'].value)
+    runner = make_runner(store, archive)
+    with pytest.raises(errors.ObjectBroken):
+        await archive.read('other')
+    with anyio.move_on_after(0.5):
+        await runner._open_stored(store.objects['batches/other'])
+    assert not runner.batches
+    assert runner._end_if_ended(store.objects['batches/other'])
+    [summary] = await archive.list_batches()
+    assert summary.batch_id == 'b'
