Decode all outside input by one package, with one typed error

In an own deployment a deeply nested record, engine status, request or message raised RecursionError past each of the many handlers of msgspec's errors, and kept the other records from being applied.

Objects of the store that hold keys, settings and steps are decoded as such, so that a broken one raises ObjectBroken.

--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -3,7 +3,6 @@
 import collections.abc
 import time
 
-import msgspec
 
 from swiftjunction.backends import _lateness
 from swiftjunction.backends import _leaving
@@ -11,6 +10,7 @@
 from swiftjunction.backends import _rates
 from swiftjunction.backends import _report
 from swiftjunction.backends import _server
+from swiftjunction import decoding
 from swiftjunction import links
 from swiftjunction import membership
 
@@ -76,9 +76,7 @@
         table.listen(SERVER_PREFIX, self._apply_record)
 
     def _apply_record(self, record: links.Record) -> None:
-        report = msgspec.msgpack.decode(
-            record.value, type=_report.ServerReport
-        )
+        report = decoding.decode_msgpack(record.value, _report.ServerReport)
         self.update(report)
 
     def update(self, report: _report.ServerReport) -> None:
--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -13,6 +13,7 @@
 from swiftjunction.backends import _orders
 from swiftjunction.backends import _pacing
 from swiftjunction.backends import _server
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import web
 
@@ -339,8 +340,8 @@
 
 def _decode_chunk(data: str, call: EngineCall, peer: str) -> Chunk:
     try:
-        wire = _chunk_decoder.decode(data)
-    except msgspec.MsgspecError as error:
+        wire = decoding.decode(_chunk_decoder.decode, data)
+    except errors.ContentBroken as error:
         raise errors.AnswerBroken(
             f'invalid chunk: {error}', step='generate', peer=peer
         ) from error
--- a/src/swiftjunction/backends/_orders.py
+++ b/src/swiftjunction/backends/_orders.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 
 # An engine sends its status at least this often; one that is silent for the
@@ -70,8 +71,8 @@
 def decode_status(data: str, peer: str) -> EngineStatus:
     """Decode the data of a status event."""
     try:
-        return msgspec.json.decode(data, type=EngineStatus)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_json(data, EngineStatus)
+    except errors.ContentBroken as error:
         raise errors.AnswerBroken(
             f'invalid status event: {error}', step='watch', peer=peer
         ) from error
--- a/src/swiftjunction/client/_caller.py
+++ b/src/swiftjunction/client/_caller.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from swiftjunction.client import _base
+from swiftjunction import decoding
 from swiftjunction import errors
 
 MAX_ATTEMPTS = 4
@@ -106,7 +107,7 @@
                 'seed': seed,
             },
         )
-        decoded = msgspec.json.decode(response.content, type=_WireCompletion)
+        decoded = decoding.decode_json(response.content, _WireCompletion)
         choice = decoded.choices[0]
         return Completion(
             decoded.id,
@@ -204,10 +205,10 @@
                     params={'data_center': self._data_center},
                     timeout=ADDRESS_TIMEOUT_SECONDS,
                 )
-                decoded = msgspec.json.decode(
-                    response.content, type=_WireAddresses
+                decoded = decoding.decode_json(
+                    response.content, _WireAddresses
                 )
-            except (httpx.HTTPError, msgspec.MsgspecError):
+            except (httpx.HTTPError, errors.ContentBroken):
                 continue
             if decoded.addresses:
                 self._addresses = decoded.addresses
--- a/src/swiftjunction/client/_trainer.py
+++ b/src/swiftjunction/client/_trainer.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from swiftjunction.client import _base
+from swiftjunction import decoding
 from swiftjunction import errors
 
 SAMPLES_WAIT_SECONDS = 1.5
@@ -128,7 +129,7 @@
                 if response.headers.get(OUTCOME_HEADER) == 'complete':
                     return
                 break
-            page = msgspec.json.decode(response.content, type=_WireSamplePage)
+            page = decoding.decode_json(response.content, _WireSamplePage)
             if page.start > cursor:
                 # Samples acknowledged before a restart are not sent again.
                 received += page.start - cursor
--- a/src/swiftjunction/commands/_conductor.py
+++ b/src/swiftjunction/commands/_conductor.py
@@ -8,6 +8,7 @@
 import httpx
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import web
 
@@ -90,12 +91,12 @@
                 url,
                 msgspec.json.encode(request_body) if request_body else b'',
             )
-            answer = msgspec.json.decode(response.content)
+            answer: typing.Any = decoding.decode_json(response.content, object)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise errors.SwiftjunctionError(
                 f'request not sent: {error}', step='call', peer=address
             ) from error
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+        except (httpx.HTTPError, errors.ContentBroken) as error:
             raise errors.OutcomeUnknown(
                 f'no valid response: {error}', step='call', peer=address
             ) from error
--- a/src/swiftjunction/configuration/_editor.py
+++ b/src/swiftjunction/configuration/_editor.py
@@ -97,7 +97,7 @@
         if revision == 0:
             return _settings.Subtree(team)
         stored = await self._store.read(make_history_key(team, revision))
-        return msgspec.json.decode(stored.value, type=_settings.Subtree)
+        return objectstore.decode_value(stored, _settings.Subtree)
 
     async def apply(
         self,
--- a/src/swiftjunction/configuration/_keys.py
+++ b/src/swiftjunction/configuration/_keys.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
@@ -75,8 +76,8 @@
 
     def _apply_record(self, record: links.Record) -> None:
         try:
-            found = msgspec.json.decode(record.value, type=TeamKeys)
-        except msgspec.MsgspecError as error:
+            found = decoding.decode_json(record.value, TeamKeys)
+        except errors.ContentBroken as error:
             LOG.error('ignoring invalid key list %s: %s', record.key, error)
             return
         self._teams[found.team] = found.keys
@@ -156,7 +157,7 @@
         except errors.ObjectMissing:
             return TeamKeys(team), 0
         return (
-            msgspec.json.decode(found.value, type=TeamKeys),
+            objectstore.decode_value(found, TeamKeys),
             found.version,
         )
 
--- a/src/swiftjunction/configuration/_tree.py
+++ b/src/swiftjunction/configuration/_tree.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from swiftjunction.configuration import _settings
+from swiftjunction import decoding
+from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
 
@@ -40,8 +42,8 @@
 
     def _apply_record(self, record: links.Record) -> None:
         try:
-            subtree = msgspec.json.decode(record.value, type=_settings.Subtree)
-        except msgspec.MsgspecError as error:
+            subtree = decoding.decode_json(record.value, _settings.Subtree)
+        except errors.ContentBroken as error:
             # Probably written by a later release; the last valid settings of
             # the team stay active.
             LOG.error(
--- a/src/swiftjunction/daemons/_active_revisions.py
+++ b/src/swiftjunction/daemons/_active_revisions.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from swiftjunction import configuration
+from swiftjunction import decoding
+from swiftjunction import errors
 from swiftjunction import membership
 from swiftjunction import web
 
@@ -66,10 +68,10 @@
             response = await self._peers.get(process.address).get(
                 '/in-force', timeout=TIMEOUT_SECONDS
             )
-            found = msgspec.json.decode(
-                response.content, type=dict[str, configuration.ActiveRevision]
+            found = decoding.decode_json(
+                response.content, dict[str, configuration.ActiveRevision]
             )
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+        except (httpx.HTTPError, errors.ContentBroken) as error:
             return DaemonRevision(
                 process.name,
                 process.data_center,
--- a/src/swiftjunction/daemons/_control.py
+++ b/src/swiftjunction/daemons/_control.py
@@ -9,6 +9,7 @@
 
 from swiftjunction import configuration
 from swiftjunction.daemons import _active_revisions
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import web
 from swiftjunction import weights
@@ -135,7 +136,7 @@
                 return await handler(request, operator)
             except errors.KeyRefused as error:
                 return _respond_error('refused', error.message, 403)
-            except msgspec.MsgspecError as error:
+            except errors.ContentBroken as error:
                 return _respond_error('invalid', str(error), 400)
             except errors.SettingsError as error:
                 return _respond_error('invalid', error.message, 400)
@@ -161,7 +162,7 @@
     async def _change_settings(
         self, request: starlette.requests.Request, operator: str
     ) -> starlette.responses.Response:
-        change = msgspec.json.decode(await request.body(), type=ChangeRequest)
+        change = decoding.decode_json(await request.body(), ChangeRequest)
         version = await self._editor.apply(
             request.path_params['team'],
             change.paths,
--- a/src/swiftjunction/daemons/_listing.py
+++ b/src/swiftjunction/daemons/_listing.py
@@ -6,6 +6,7 @@
 import anyio
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
@@ -117,7 +118,7 @@
         }
 
     def _apply_record(self, record: links.Record) -> None:
-        vm = msgspec.msgpack.decode(record.value, type=objectstore.Vm)
+        vm = decoding.decode_msgpack(record.value, objectstore.Vm)
         if vm.state == REMOVED_STATE:
             self._listed.pop(vm.name, None)
         else:
--- a/src/swiftjunction/daemons/_servers.py
+++ b/src/swiftjunction/daemons/_servers.py
@@ -12,6 +12,7 @@
 from swiftjunction import configuration
 from swiftjunction.daemons import _listing
 from swiftjunction.daemons import _loads
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
@@ -100,7 +101,7 @@
                 await anyio.sleep(ASSIGN_INTERVAL_SECONDS)
 
     def _apply_vm(self, record: links.Record) -> None:
-        vm = msgspec.msgpack.decode(record.value, type=objectstore.Vm)
+        vm = decoding.decode_msgpack(record.value, objectstore.Vm)
         if vm.state == _listing.REMOVED_STATE and self._is_gone(vm.name):
             return
         # The list lags and may be older than an earlier one. A server that it
@@ -109,9 +110,7 @@
         self._listed[vm.name] = vm
 
     def _apply_report(self, record: links.Record) -> None:
-        report = msgspec.msgpack.decode(
-            record.value, type=backends.ServerReport
-        )
+        report = decoding.decode_msgpack(record.value, backends.ServerReport)
         listed = self._listed.get(report.name)
         if (
             report.state == 'gone'
@@ -253,6 +252,4 @@
         current = self._table.get(f'{backends.SERVER_PREFIX}{name}')
         if current is None:
             return None
-        return msgspec.msgpack.decode(
-            current.value, type=backends.ServerReport
-        )
+        return decoding.decode_msgpack(current.value, backends.ServerReport)
--- a/src/swiftjunction/decoding/_messages.py
+++ b/src/swiftjunction/decoding/_messages.py
@@ -8,6 +8,7 @@
 from swiftjunction import errors
 
 ValueT = typing.TypeVar('ValueT')
+DataT = typing.TypeVar('DataT', bytes, str)
 
 # msgspec limits the nesting by the interpreter's recursion limit, also in
 # fields that the type does not have.
@@ -48,7 +49,7 @@
 
 
 def decode(
-    decoder: collections.abc.Callable[[bytes], ValueT], data: bytes
+    decoder: collections.abc.Callable[[DataT], ValueT], data: DataT
 ) -> ValueT:
     """Return what the method of a msgspec decoder returns for `data`.
 
--- a/src/swiftjunction/links/_messages.py
+++ b/src/swiftjunction/links/_messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 
 
@@ -112,8 +113,8 @@
         If `data` is not a valid message.
     """
     try:
-        return _decoder.decode(data)
-    except (msgspec.MsgspecError, ValueError) as error:
+        return decoding.decode(_decoder.decode, data)
+    except errors.ContentBroken as error:
         raise errors.LinkError(
             f'invalid message: {error}', step='decode', peer=peer
         ) from error
--- a/src/swiftjunction/membership/_processes.py
+++ b/src/swiftjunction/membership/_processes.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import links
 from swiftjunction.membership import _records
 
@@ -67,7 +68,7 @@
         table.listen(PROCESS_PREFIX, self._apply_record)
 
     def _apply_record(self, record: links.Record) -> None:
-        process = msgspec.msgpack.decode(record.value, type=Process)
+        process = decoding.decode_msgpack(record.value, Process)
         self._processes[process.name] = process
         self.change_count += 1
 
--- a/src/swiftjunction/membership/_records.py
+++ b/src/swiftjunction/membership/_records.py
@@ -5,9 +5,9 @@
 import logging
 import time
 
-import msgspec
 import xxhash
 
+from swiftjunction import errors
 from swiftjunction import links
 
 LOG = logging.getLogger(__name__)
@@ -213,5 +213,5 @@
     # daemons may be able to decode it.
     try:
         listener(record)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (errors.ContentBroken, ValueError) as error:
         LOG.error('cannot apply record %s: %s', record.key, error)
--- a/src/swiftjunction/objectstore/_vms.py
+++ b/src/swiftjunction/objectstore/_vms.py
@@ -3,6 +3,7 @@
 import httpx
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 
 
@@ -53,8 +54,8 @@
         try:
             response = await self._client.get('/vms')
             response.raise_for_status()
-            return msgspec.json.decode(response.content, type=list[Vm])
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            return decoding.decode_json(response.content, list[Vm])
+        except (httpx.HTTPError, errors.ContentBroken) as error:
             raise errors.PlatformUnavailable(
                 f'cannot read the VM list: {error}',
                 step='list',
--- a/src/swiftjunction/placement/_plan.py
+++ b/src/swiftjunction/placement/_plan.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from swiftjunction import decoding
+from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction import membership
 
@@ -57,8 +59,8 @@
 
     def _apply_record(self, record: links.Record) -> None:
         try:
-            self.plan = msgspec.json.decode(record.value, type=Plan)
-        except msgspec.MsgspecError as error:
+            self.plan = decoding.decode_json(record.value, Plan)
+        except errors.ContentBroken as error:
             LOG.error('placement plan not applied: %s', error)
             return
         self.version = record.version
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -11,6 +11,7 @@
 
 from swiftjunction import backends
 from swiftjunction import batches
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction.platform import _events
 from swiftjunction.platform import _names
@@ -221,8 +222,8 @@
                 server,
             )
         try:
-            report = msgspec.json.decode(body, type=_Report)
-        except (msgspec.MsgspecError, ValueError) as error:
+            report = decoding.decode_json(body, _Report)
+        except errors.ContentBroken as error:
             raise _responses.build_response_error(
                 f'invalid report: {error}', server
             ) from error
--- a/src/swiftjunction/requests/_crashes.py
+++ b/src/swiftjunction/requests/_crashes.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import links
 from swiftjunction import membership
 
@@ -153,7 +154,7 @@
     def listen(self, listener: HistoryListener) -> None:
         def apply(record: links.Record) -> None:
             _, fingerprint, process = record.key.split('/', 2)
-            history = msgspec.msgpack.decode(record.value, type=CrashHistory)
+            history = decoding.decode_msgpack(record.value, CrashHistory)
             listener(process, fingerprint, history)
 
         self._table.listen(CRASH_PREFIX, apply)
--- a/src/swiftjunction/requests/_parsing.py
+++ b/src/swiftjunction/requests/_parsing.py
@@ -9,6 +9,7 @@
 import starlette.requests
 
 from swiftjunction import configuration
+from swiftjunction import decoding
 from swiftjunction import errors
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -96,8 +97,8 @@
         If the body is malformed or ``max_tokens`` is out of range.
     """
     try:
-        decoded = msgspec.json.decode(body, type=CompletionRequest)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        decoded = decoding.decode_json(body, CompletionRequest)
+    except errors.ContentBroken as error:
         raise errors.RequestInvalid(
             f'invalid request body: {error}', step='body'
         ) from error
--- a/src/swiftjunction/spool/_client.py
+++ b/src/swiftjunction/spool/_client.py
@@ -1,9 +1,8 @@
 """The client of a spool."""
 
-import msgspec
-
 import anyio
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction.spool import _messages
@@ -64,8 +63,8 @@
                 'no reply within the timeout', step='spool', peer=self.address
             )
         try:
-            reply = _messages.reply_decoder.decode(data)
-        except (msgspec.MsgspecError, ValueError) as error:
+            reply = decoding.decode(_messages.reply_decoder.decode, data)
+        except errors.ContentBroken as error:
             raise errors.LinkError(
                 f'invalid reply: {error}',
                 step='spool',
--- a/src/swiftjunction/spool/_server.py
+++ b/src/swiftjunction/spool/_server.py
@@ -1,7 +1,6 @@
 """The server of a spool."""
 
-import msgspec
-
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import links
 from swiftjunction.spool import _messages
@@ -31,9 +30,9 @@
 
     async def _reply(self, data: bytes) -> bytes:
         try:
-            request = _messages.request_decoder.decode(data)
+            request = decoding.decode(_messages.request_decoder.decode, data)
             reply = self._handle(request)
-        except (errors.LinkError, msgspec.MsgspecError, OSError) as error:
+        except (errors.LinkError, errors.ContentBroken, OSError) as error:
             reply = _messages.Reply(error=str(error))
         return _messages.encoder.encode(reply)
 
--- a/src/swiftjunction/spool/_store.py
+++ b/src/swiftjunction/spool/_store.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction.spool import _messages
 
@@ -146,8 +147,8 @@
             return []
         newest: dict[int, _messages.Payload] = {}
         for body in read_frames(path.read_bytes()):
-            for payload in msgspec.msgpack.decode(
-                body, type=list[_messages.Payload]
+            for payload in decoding.decode_msgpack(
+                body, list[_messages.Payload]
             ):
                 newest[payload.index] = payload
         return list(newest.values())
--- a/src/swiftjunction/steps/_app.py
+++ b/src/swiftjunction/steps/_app.py
@@ -4,12 +4,12 @@
 import math
 
 import httpx
-import msgspec
 import starlette.applications
 import starlette.requests
 import starlette.responses
 import starlette.routing
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import membership
 from swiftjunction.steps import _delivery
@@ -59,10 +59,8 @@
     ) -> starlette.responses.Response:
         """Open a step, or return its status if it is already open."""
         try:
-            spec = msgspec.json.decode(
-                await request.body(), type=_step.StepSpec
-            )
-        except msgspec.MsgspecError as error:
+            spec = decoding.decode_json(await request.body(), _step.StepSpec)
+        except errors.ContentBroken as error:
             return _build_error_response(
                 errors.RequestInvalid(
                     f'invalid step specification: {error}', step='submit'
--- a/src/swiftjunction/steps/_ledger.py
+++ b/src/swiftjunction/steps/_ledger.py
@@ -196,11 +196,16 @@
         data = b''.join(
             [(await self._read_object(key)).value for key in head.parts]
         )
-        step = _step.Step(msgspec.json.decode(data, type=_step.StepSpec))
+        step = _step.Step(
+            objectstore.decode_value(
+                objectstore.Object(stored.key, stored.version, data),
+                _step.StepSpec,
+            )
+        )
         step.expires_at = head.expires_at
         for block_number in range(head.sealed):
             block = await self._read_object(self._block_key(block_number))
-            for index in msgspec.json.decode(block.value, type=list[int]):
+            for index in objectstore.decode_value(block, list[int]):
                 step.commit(index)
         for index in head.tail:
             step.commit(index)
--- a/src/swiftjunction/steps/_payloads.py
+++ b/src/swiftjunction/steps/_payloads.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import membership
 from swiftjunction import spool
@@ -82,9 +83,7 @@
             for client in self._rank_clients(step_id):
                 tasks.start_soon(self._fetch_from, client, step_id, payloads)
         return {
-            payload.index: msgspec.msgpack.decode(
-                payload.data, type=_step.Sample
-            )
+            payload.index: decoding.decode_msgpack(payload.data, _step.Sample)
             for payload in payloads
         }
 
--- a/src/swiftjunction/steps/_production.py
+++ b/src/swiftjunction/steps/_production.py
@@ -13,6 +13,7 @@
 
 from swiftjunction import backends
 from swiftjunction import configuration
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import requests
 from swiftjunction.steps import _queue
@@ -322,10 +323,10 @@
         )
         response = await self._forwarder.forward(call)
         try:
-            score_response = msgspec.json.decode(
-                response.body, type=_ScoreResponse
+            score_response = decoding.decode_json(
+                response.body, _ScoreResponse
             )
-        except msgspec.MsgspecError as error:
+        except errors.ContentBroken as error:
             raise errors.OutcomeUnknown(
                 f'invalid response of the scorer: {error}', step='score'
             ) from error
--- a/src/swiftjunction/telemetry/_stories.py
+++ b/src/swiftjunction/telemetry/_stories.py
@@ -4,7 +4,8 @@
 import itertools
 import typing
 
-import msgspec
+from swiftjunction import decoding
+from swiftjunction import errors
 
 LogLine = dict[str, typing.Any]
 
@@ -30,8 +31,8 @@
         if not brace:
             continue
         try:
-            decoded = msgspec.json.decode(brace + remainder)
-        except msgspec.MsgspecError:
+            decoded = decoding.decode_json(brace + remainder, object)
+        except errors.ContentBroken:
             # The line is truncated, or another program wrote it.
             continue
         if isinstance(decoded, dict) and 'message' in decoded:
--- a/src/swiftjunction/weights/_freshness.py
+++ b/src/swiftjunction/weights/_freshness.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import links
@@ -63,9 +64,7 @@
         table.listen(WEIGHTS_PREFIX, self._apply_record)
 
     def _apply_record(self, record: links.Record) -> None:
-        history = msgspec.json.decode(
-            record.value, type=_versions.VersionHistory
-        )
+        history = decoding.decode_json(record.value, _versions.VersionHistory)
         self._histories[history.model] = history
         known = self._first_seen.get(history.model, {})
         now = self._boot_clock()
--- a/tests/cover/test_fuzz_inputs.py
+++ b/tests/cover/test_fuzz_inputs.py
@@ -12,13 +12,16 @@
 import pytest
 
 from swiftjunction import backends
+from swiftjunction.backends import _orders
 from swiftjunction import configuration
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import links
 from swiftjunction import membership
 from swiftjunction import objectstore
 from swiftjunction import requests
+from swiftjunction.requests import _parsing
 from swiftjunction import settings
 from swiftjunction import spool
 from swiftjunction import steps
@@ -35,8 +38,13 @@
     'crash/',
     'other/',
 )
+NESTED_JSON = b'[' * 6_000 + b']' * 6_000
+NESTED_FIELD = b'{"team":"team","x":' + NESTED_JSON + b'}'
+NESTED_MESSAGE = b'\x91' * 6_000 + b'\x90'
+NESTED_VALUES = [NESTED_JSON, NESTED_FIELD, NESTED_MESSAGE]
 VALUES = st.one_of(
     st.binary(max_size=60),
+    st.sampled_from(NESTED_VALUES),
     st.recursive(
         st.one_of(
             st.none(),
@@ -370,6 +378,34 @@
 @hypothesis.given(VALUES)
 def test_decoding_a_step_succeeds_or_raises_a_typed_error(value):
     try:
-        msgspec.json.decode(value, type=steps.StepSpec)
-    except msgspec.MsgspecError:
+        decoding.decode_json(value, steps.StepSpec)
+    except errors.ContentBroken:
         pass
+
+
+@pytest.mark.parametrize('prefix', PREFIXES)
+@pytest.mark.parametrize('value', NESTED_VALUES)
+def test_a_nested_record_keeps_no_other_from_being_applied(prefix, value):
+    table = build_table()
+    directory = backends.Directory(table)
+    record = links.Record(prefix + 'v1/entry', 2, value)
+    sound = links.Record('server/s1', 3, msgspec.msgpack.encode(REPORT))
+    table.apply([record, sound])
+    assert [server.name for server in directory.select('fit')] == ['s1']
+
+
+@pytest.mark.parametrize('nested', [NESTED_MESSAGE, b'\x95' * 6_000])
+def test_a_nested_message_raises_a_link_error(nested):
+    with pytest.raises(errors.LinkError):
+        links.decode_message(nested)
+
+
+@pytest.mark.parametrize('body', [NESTED_JSON, NESTED_FIELD])
+def test_a_nested_request_is_invalid(body):
+    with pytest.raises(errors.RequestInvalid):
+        _parsing.decode_completion(body)
+
+
+def test_a_nested_status_of_an_engine_breaks_the_answer():
+    with pytest.raises(errors.AnswerBroken):
+        _orders.decode_status(NESTED_JSON.decode(), 'e')
