Acquire a lease whose record is odd after its TTL

No process could take the lease any more once another writer had replaced its record by one that cannot be decoded, or with a TTL of many years: no VM coordinated until an operator wrote the object. One such record also kept operators from listing the other leases.

An invalid record counts as that of an unknown holder, with the TTL of the process that reads it. The former holder loses the lease with its next renewal, as the version has changed; the fencing token is the new version, so that it increases.

Five new cases of tests/cover/test_leases.py failed before and pass now.

--- a/src/swiftjunction/leases/_holders.py
+++ b/src/swiftjunction/leases/_holders.py
@@ -1,10 +1,16 @@
 """Lists all leases, for operators."""
 
+import logging
+
 import msgspec
 
+from swiftjunction import errors
 from swiftjunction.leases import _keeper
+from swiftjunction.leases import _record
 from swiftjunction import objectstore
 
+LOG = logging.getLogger(__name__)
+
 
 class LeaseState(msgspec.Struct, frozen=True):
     """The stored state of one lease.
@@ -32,7 +38,11 @@
     found = await store.list(_keeper.LEASE_PREFIX)
     states = []
     for item in found.changed:
-        record = objectstore.decode_value(item, _keeper.LeaseRecord)
+        try:
+            record = objectstore.decode_value(item, _record.LeaseRecord)
+        except errors.ObjectBroken as error:
+            LOG.warning('ignoring an invalid lease: %s', error)
+            continue
         name = item.key.removeprefix(_keeper.LEASE_PREFIX)
         states.append(
             LeaseState(
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -8,6 +8,7 @@
 
 from swiftjunction import errors
 from swiftjunction.leases import _lease
+from swiftjunction.leases import _record
 from swiftjunction import objectstore
 
 LOG = logging.getLogger(__name__)
@@ -15,35 +16,6 @@
 LEASE_PREFIX = 'leases/'
 
 
-class LeaseRecord(msgspec.Struct):
-    """The stored value of a lease's object.
-
-    Attributes
-    ----------
-    holder : str
-        The name of the holder, or empty after a release.
-    fencing_token : int
-        The fencing token: the version of the object after the write that
-        began the holder's term; 0 in that write itself. Versions are
-        revisions of the whole store, so each new token is higher than all
-        earlier ones, of any lease.
-    nonce : str
-        Unique to each write, so that after a lost response a read shows
-        whether the write took effect.
-    ttl_seconds : float
-        How long the lease is valid after this write.
-    settle_seconds : float
-        For how long after a release the next holder takes no action that
-        must not follow closely on one of the former holder.
-    """
-
-    holder: str
-    fencing_token: int = msgspec.field(name='token')
-    nonce: str
-    ttl_seconds: float
-    settle_seconds: float = 0.0
-
-
 class _PendingWrite(msgspec.Struct, frozen=True):
     """A write whose outcome is not known.
 
@@ -91,6 +63,7 @@
     """
 
     __slots__ = (
+        '_broken',
         '_clock',
         '_holder',
         '_key',
@@ -117,6 +90,7 @@
         reclaims_own_lease: bool = False,
     ) -> None:
         self._store = store
+        self._broken = objectstore.BrokenObjects()
         self._key = f'{LEASE_PREFIX}{name}'
         self._holder = holder
         self._reclaims_own_lease = reclaims_own_lease
@@ -175,7 +149,7 @@
             item = await self._store.read(self._key)
         except errors.ObjectMissing:
             return await self._write(0, 0)
-        record = objectstore.decode_value(item, LeaseRecord)
+        record = self._decode_record(item)
         if not self._is_available(item.version, record):
             raise errors.LeaseLost(
                 f'lease {self.name} is held by {record.holder}', step='take'
@@ -203,7 +177,7 @@
             item = await self._store.read(self._key)
         except errors.ObjectMissing:
             return None
-        record = objectstore.decode_value(item, LeaseRecord)
+        record = self._decode_record(item)
         if not self._is_own(record):
             return None
         return await self._write(0, item.version)
@@ -222,7 +196,7 @@
         fencing_token = self.lease.fencing_token
         self.lease = None
         self._pending_writes.clear()
-        record = LeaseRecord(
+        record = _record.LeaseRecord(
             '', fencing_token, uuid.uuid4().hex, 0.0, settle_seconds
         )
         await self._store.update(
@@ -245,15 +219,20 @@
                 else self._timing.retry_interval_seconds
             )
 
-    def _is_available(self, version: int, record: LeaseRecord) -> bool:
+    def _decode_record(self, item: objectstore.Object) -> _record.LeaseRecord:
+        return _record.decode_record(
+            item, self._timing.ttl_seconds, self._broken
+        )
+
+    def _is_available(self, version: int, record: _record.LeaseRecord) -> bool:
         if not record.holder or self._is_own(record):
             return True
         return self._has_expired(version, record)
 
-    def _is_own(self, record: LeaseRecord) -> bool:
+    def _is_own(self, record: _record.LeaseRecord) -> bool:
         return self._reclaims_own_lease and record.holder == self._holder
 
-    def _has_expired(self, version: int, record: LeaseRecord) -> bool:
+    def _has_expired(self, version: int, record: _record.LeaseRecord) -> bool:
         # A lease held elsewhere has expired once its object has stayed at one
         # version for the whole TTL on this VM's clock. Clocks of different VMs
         # are never compared.
@@ -269,7 +248,7 @@
 
     async def _write(self, fencing_token: int, version: int) -> _lease.Lease:
         started_at = self._clock()
-        record = LeaseRecord(
+        record = _record.LeaseRecord(
             self._holder,
             fencing_token,
             uuid.uuid4().hex,
@@ -330,7 +309,7 @@
             # A pending creation may still take effect; creating the object
             # again shows whether it did.
             return
-        record = objectstore.decode_value(item, LeaseRecord)
+        record = self._decode_record(item)
         write = self._pending_writes.get(record.nonce)
         if write is not None:
             # Even a write that created the object counts as having a
--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -261,3 +261,39 @@
 TestLeaseMachine.settings = hypothesis.settings(
     max_examples=150, stateful_step_count=40
 )
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'5',
+        b'{"notes":' + b'[' * 6_000 + b']' * 6_000 + b'}',
+        b'{"holder":"b","token":1,"nonce":"","ttl_seconds":1e300}',
+        b'{"holder":"b","token":-1,"nonce":"","ttl_seconds":8}',
+    ],
+)
+async def test_a_lease_with_an_odd_record_is_acquired_after_its_ttl(
+    store, clock, value
+):
+    holder, other = (make_keeper(store, clock, name) for name in 'ab')
+    token = (await holder.acquire()).fencing_token
+    store._put('leases/orders/1', value)
+    with pytest.raises(errors.LeaseLost):
+        await holder.acquire()
+    assert holder.lease is None
+    with pytest.raises(errors.LeaseLost):
+        await other.acquire()
+    clock.now += leases.LeaseTiming().ttl_seconds
+    with pytest.raises(errors.LeaseLost):
+        await other.acquire()
+    clock.now += 1
+    assert (await other.acquire()).fencing_token > token
+
+
+@pytest.mark.anyio
+async def test_an_odd_record_hides_no_other_lease(store, clock):
+    await make_keeper(store, clock, 'a').acquire()
+    store._put('leases/odd', b'5')
+    [state] = await leases.list_leases(store)
+    assert state.holder == 'a'
