Replace a VM's own odd object of crashes with the next write

The VM could not decode the object, learnt no version of it, and tried for good, so that other VMs did not hear of the crashes of servers that it saw.

The version is noted before the object is decoded. The new test failed before and passes now.

--- a/src/swiftjunction/coordination/_crashes.py
+++ b/src/swiftjunction/coordination/_crashes.py
@@ -152,8 +152,9 @@
         await anyio.sleep(WRITE_RETRY_SECONDS)
 
     def _apply_own(self, found: objectstore.Object) -> None:
-        stored = objectstore.decode_value(found, _StoredHistories)
+        # If the object is broken, the next write replaces it.
         self._version = found.version
+        stored = objectstore.decode_value(found, _StoredHistories)
         own = self._known[self._members.own.name]
         for fingerprint, history in stored.histories.items():
             # The next write replaces the whole object.
--- a/tests/cover/test_coordination_crashes.py
+++ b/tests/cover/test_coordination_crashes.py
@@ -130,3 +130,11 @@
     writer.crash('s2')
     await run(writer, 1.5)
     assert OWN_KEY in slow_store.objects
+
+
+async def test_a_vm_replaces_its_own_object_that_is_odd(slow_store, clock):
+    slow_store._put(OWN_KEY, b'{"histories": 5}')
+    scene = Scene(slow_store, clock)
+    scene.crash('s1')
+    await run(scene)
+    assert b's1' in slow_store.objects[OWN_KEY].value
