--- a/src/swiftjunction/platform/catalog.py
+++ b/src/swiftjunction/platform/catalog.py
@@ -42,7 +42,14 @@
 
     async def list_versions(self) -> dict[str, int]:
         listed = await self._store.list(f'{_names.VERSIONS_KIND}/')
-        return dict(_schemas.decode_version(item) for item in listed.changed)
+        versions = {}
+        for item in listed.changed:
+            try:
+                model, version = _schemas.decode_version(item)
+                versions[model] = version
+            except errors.ObjectBroken as error:
+                _feeds.LOG.warning('ignoring invalid version: %s', error)
+        return versions
 
 
 def open_store(
--- a/src/swiftjunction/scaling/_record.py
+++ b/src/swiftjunction/scaling/_record.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import logging
 import uuid
 
 import msgspec
@@ -10,6 +11,8 @@
 from swiftjunction import objectstore
 from swiftjunction.scaling import _supply
 
+LOG = logging.getLogger(__name__)
+
 SCALING_PREFIX = 'scaling/'
 
 
@@ -116,10 +119,12 @@
     async def list(self) -> list[ServiceRecord]:
         """Return the records of all services, sorted by service."""
         found = await self._store.list(SCALING_PREFIX)
-        records = [
-            objectstore.decode_value(item, ServiceRecord)
-            for item in found.changed
-        ]
+        records = []
+        for item in found.changed:
+            try:
+                records.append(objectstore.decode_value(item, ServiceRecord))
+            except errors.ObjectBroken as error:
+                LOG.warning('ignoring an invalid record of orders: %s', error)
         return sorted(records, key=lambda record: record.service)
 
 
