Raise a typed error for a request that HTTP cannot carry

Values with a line break were refused by the HTTP library, which was taken for an incomplete answer of a sound server, and tried again at others.

Cause: the HTTP client encoded headers and targets before the request and let the errors of the codecs, of httpx.URL and of the system's name resolution out as they were; LocalProtocolError was an error of the exchange.

Change: web/_sending.py says which names, values, hosts and targets can be sent. The client checks each request, and raises RequestUnsendable (400, not run) before it connects. An address without a host or a valid port is AddressInvalid, which is an unsent request. What the system raises for a host or port that cannot exist is a failed connection; any other unexpected error is logged and is one of the exchange. A claimed idempotency key is released if the request cannot be sent.

--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    'AddressInvalid',
     'AnswerBroken',
     'BackendError',
     'BackendRefused',
@@ -25,6 +26,7 @@
     'RequestError',
     'RequestInvalid',
     'RequestTimeout',
+    'RequestUnsendable',
     'RouteMissing',
     'RevisionConflict',
     'SampleFailed',
@@ -150,6 +152,13 @@
     """
 
 
+class AddressInvalid(BackendUnreachable):
+    """The address of the server is invalid, so that nothing was sent to it.
+
+    Correct what names the address.
+    """
+
+
 class PathAbandoned(BackendUnreachable):
     """The request was not sent, as this VM is cut off from the service.
 
@@ -202,6 +211,13 @@
     outcome = 'not-run'
 
 
+class RequestUnsendable(RequestInvalid):
+    """HTTP cannot carry the request, so that no server ever gets it.
+
+    No server is at fault. Correct the header or path that the message names.
+    """
+
+
 class RouteMissing(RequestInvalid):
     """No route matches the host and path, or the requested item is missing."""
 
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -143,6 +143,8 @@
             If the request may have run.
         PoisonRefused
             If the request was involved in several crashes of servers.
+        RequestUnsendable
+            If no server can get the request.
         """
         self._budget.deposit()
         # Refuses the request here if it must not run at all.
@@ -154,7 +156,7 @@
             return claim.response
         try:
             response = await self._run(call)
-        except errors.NotRun:
+        except (errors.NotRun, errors.RequestUnsendable):
             await claim.release()
             raise
         await claim.store_response(response)
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -20,6 +20,10 @@
 from swiftjunction.web._responses import read_bearer_token
 from swiftjunction.web._responses import respond_error
 from swiftjunction.web._responses import respond_json
+from swiftjunction.web._sending import check_request
+from swiftjunction.web._sending import find_name_problem
+from swiftjunction.web._sending import find_target_problem
+from swiftjunction.web._sending import find_value_problem
 from swiftjunction.web._streams import format_event
 from swiftjunction.web._tls import create_client_context
 from swiftjunction.web._tls import TlsContexts
@@ -43,9 +47,13 @@
     'bind_datagram_socket',
     'bind_socket',
     'bound_events',
+    'check_request',
     'create_client',
     'create_client_context',
     'describe_error',
+    'find_name_problem',
+    'find_target_problem',
+    'find_value_problem',
     'format_event',
     'open_listener',
     'parse_address',
--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -1,13 +1,20 @@
 """HTTP clients for calls to other daemons and to backend servers."""
 
 import collections.abc
+import contextlib
+import logging
 import ssl
 
 import httpcore
 import httpx
 
+from swiftjunction import errors
+from swiftjunction.web import _addresses
+from swiftjunction.web import _sending
 from swiftjunction.web import _transport
 
+LOG = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_SECONDS = 2.0
 # The trace events of httpcore just before the first byte of a request is sent,
 # and just before the first byte of its body. Other tasks may run in between.
@@ -15,7 +22,12 @@
 BODY_START_EVENT = 'http11.send_request_body.started'
 
 # Errors that are raised only before the first byte of a request is sent.
-UNSENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+UNSENT_ERRORS = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    errors.AddressInvalid,
+)
 
 Headers = collections.abc.Sequence[tuple[str, str]]
 
@@ -91,6 +103,41 @@
     return _CheckedBody(content, check)
 
 
+def _parse_address(address: str) -> httpx.URL:
+    """Return the URL of a server; ``AddressInvalid`` if there is none."""
+    try:
+        _addresses.parse_address(address)
+        url = httpx.URL(f'http://{address}')
+        if url.userinfo or url.raw_path != b'/':
+            raise ValueError('there is more than a host and a port')
+        return url
+    except (httpx.InvalidURL, ValueError) as error:
+        raise errors.AddressInvalid(
+            f'invalid address: {error}', step='connect', peer=ascii(address)
+        ) from error
+
+
+@contextlib.contextmanager
+def _translate_errors(
+    request: httpx.Request,
+) -> collections.abc.Iterator[None]:
+    """Raise what the libraries did not expect as an error of the exchange.
+
+    The connection is closed by then, so that nothing else depends on it.
+    """
+    try:
+        yield
+    except (errors.SwiftjunctionError, httpx.HTTPError, httpx.StreamError):
+        raise
+    except Exception as error:
+        LOG.exception(
+            'unexpected error in a request', extra={'server': request.url.host}
+        )
+        raise httpx.TransportError(
+            f'unexpected {type(error).__name__}', request=request
+        ) from error
+
+
 class DirectClient:
     """A lightweight HTTP client for the requests of callers to one server.
 
@@ -104,6 +151,11 @@
         ``ip:port`` of the server.
     backend : AsyncNetworkBackend, optional
         Opens the connections; by default, directly.
+
+    Raises
+    ------
+    AddressInvalid
+        If the address has no host or no valid port.
     """
 
     __slots__ = ('_host', '_transport', '_url')
@@ -113,7 +165,7 @@
         address: str,
         backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
-        self._url = httpx.URL(f'http://{address}')
+        self._url = _parse_address(address)
         self._host = address
         self._transport = _transport.LifoTransport(backend=backend)
 
@@ -151,7 +203,15 @@
             Called just before the first byte of the body is sent, and before
             each further chunk of a long one. If it raises, the server gets no
             more of the body, and the connection is reset.
+
+        Raises
+        ------
+        RequestUnsendable
+            If no server can get this request.
+        httpx.HTTPError
+            If the exchange with the server failed.
         """
+        _sending.check_request(target, host, headers)
         framing_headers = [('host', host or self._host)]
         if content:
             framing_headers.append(('content-length', str(len(content))))
@@ -175,7 +235,8 @@
                 **_make_trace_extension(check, check_body),
             },
         )
-        return await self._transport.handle_async_request(request)
+        with _translate_errors(request):
+            return await self._transport.handle_async_request(request)
 
     async def fetch(
         self,
@@ -226,6 +287,7 @@
         """Return the general-purpose client of the server at ``ip:port``."""
         client = self._clients.get(address)
         if client is None:
+            _parse_address(address)
             scheme = 'http' if self._context is None else 'https'
             client = create_client(
                 f'{scheme}://{address}', context=self._context
--- a/src/swiftjunction/web/_heads.py
+++ b/src/swiftjunction/web/_heads.py
@@ -44,11 +44,15 @@
         local_address: str | None = None,
         socket_options: SocketOptions | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        return HeadBoundStream(
-            await self._backend.connect_tcp(
+        try:
+            stream = await self._backend.connect_tcp(
                 host, port, timeout, local_address, socket_options
             )
-        )
+        except (ExceptionGroup, ValueError, OverflowError) as error:
+            # What the system and its name resolution raise for a host or a
+            # port that cannot exist. httpcore passes these errors on.
+            raise httpcore.ConnectError(str(error)) from error
+        return HeadBoundStream(stream)
 
     async def sleep(self, seconds: float) -> None:
         await self._backend.sleep(seconds)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -131,7 +131,7 @@
 
     def __init__(self, handler):
         self._client = create_mock_client(handler)
-        self._direct = web.DirectClient('test')
+        self._direct = web.DirectClient('test:80')
         self._direct._transport = httpx.MockTransport(handler)
 
     def get(self, address):
