Fail a stored sample alone that cannot be sent, and isolate samples and batches

What callers saw: the process that coordinates ended as it started a stored item with an id, header or path, or a scorer, that cannot be sent; no item of other batches was at a server. A batch whose length hint was inf or nan was stored with null for it, and each read and end of it was answered 504.

Cause: the tasks of samples, batches and writes ran in the task group of the runner, so that an unexpected error of one ended all; a sample that cannot be sent was tried again at once. The stored hint had no null.

Change: the tasks of an attempt, of opening a batch and of a write run isolated by the supervisor. A sample for which the client raises RequestUnsendable is logged once and set aside: no server can answer 422 or 500 to it, so it stays pending, with its body, and is listed as abandoned at the maximum age of its batch. A stored hint of null, or out of range, counts as none.

--- a/src/swiftjunction/batches/__init__.py
+++ b/src/swiftjunction/batches/__init__.py
@@ -11,6 +11,7 @@
 from swiftjunction.batches._archive import StoredBatch
 from swiftjunction.batches._assignment import EngineAllocator
 from swiftjunction.batches._batch import Batch
+from swiftjunction.batches._batch import MAX_TOKENS
 from swiftjunction.batches._batch import Result
 from swiftjunction.batches._batch import Sample
 from swiftjunction.batches._batch import ScoreRequest
@@ -55,6 +56,7 @@
     'EngineSelector',
     'EngineState',
     'FailoverAccess',
+    'MAX_TOKENS',
     'OpenBatch',
     'ProgressCache',
     'ProgressSnapshot',
--- a/src/swiftjunction/batches/_batch.py
+++ b/src/swiftjunction/batches/_batch.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+# Far beyond the context of any model; sums of such numbers are exact.
+MAX_TOKENS = 1_000_000_000
+
 
 class ScoreRequest(msgspec.Struct, frozen=True):
     """The request that scores a finished sample.
@@ -37,7 +40,8 @@
         Upper bound of the tokens in prompt and text together.
     expected_tokens : float
         Expected length of the text in tokens: the trainer's estimate, or the
-        upper bound if it gave none.
+        upper bound if it gave none. Earlier builds stored any estimate, and
+        null for an infinite one; use `estimate_tokens`.
     scorer : ScoreRequest
         Scores the sample once its text is complete; None for no score.
     """
@@ -48,9 +52,17 @@
     body: bytes
     group: str = ''
     tokens: int = 0
-    expected_tokens: float = 0.0
+    expected_tokens: float | None = 0.0
     scorer: ScoreRequest | None = None
 
+    def estimate_tokens(self) -> float:
+        """Return the expected length of the text in tokens."""
+        if self.expected_tokens is None or not (
+            0 <= self.expected_tokens <= MAX_TOKENS
+        ):
+            return float(self.tokens)
+        return self.expected_tokens
+
 
 class Batch(msgspec.Struct, frozen=True):
     """A batch as it is stored.
--- a/src/swiftjunction/batches/_dispatch.py
+++ b/src/swiftjunction/batches/_dispatch.py
@@ -37,7 +37,7 @@
         self.engine = engine
         self.slot = contextlib.ExitStack()
         self.slot.enter_context(
-            engine.reserve_slot(progress.sample.expected_tokens)
+            engine.reserve_slot(progress.sample.estimate_tokens())
         )
         if engine.server.is_rate_limited() and not progress.complete:
             engine.awaiting_permit = progress.sample.sample_id
@@ -84,6 +84,8 @@
         engines: dict[str, list[_engines.EngineState]] = {}
         unavailable: set[tuple[str, str, int]] = set()
         for open_batch, progress in _planning.prioritize_samples(batches):
+            if progress.not_before > now:
+                continue
             batch = open_batch.batch
             requirement = (batch.service, batch.model, batch.min_version)
             if requirement in unavailable:
--- a/src/swiftjunction/batches/_engine_client.py
+++ b/src/swiftjunction/batches/_engine_client.py
@@ -91,6 +91,8 @@
             If the sample ran and failed.
         AnswerBroken
             If the stream ended before its last event.
+        RequestUnsendable
+            If no engine can get this sample.
         """
 
     @abc.abstractmethod
--- a/src/swiftjunction/batches/_migration.py
+++ b/src/swiftjunction/batches/_migration.py
@@ -92,7 +92,7 @@
             for progress in on_engines
             if can_migrate(progress, now, long_tokens)
         ]
-    found.sort(key=lambda item: -item[1].sample.expected_tokens)
+    found.sort(key=lambda item: -item[1].sample.estimate_tokens())
     return found
 
 
@@ -104,7 +104,7 @@
     """
     count = max(int(open_batch.batch.total * LONGEST_SHARE), 1)
     lengths = sorted(
-        (p.sample.expected_tokens for p in open_batch.pending.values()),
+        (p.sample.estimate_tokens() for p in open_batch.pending.values()),
         reverse=True,
     )
     return lengths[count - 1] if count <= len(lengths) else 0.0
@@ -122,7 +122,7 @@
     """
     min_seconds = (
         MIN_ATTEMPT_SECONDS
-        if progress.sample.expected_tokens >= long_tokens
+        if progress.sample.estimate_tokens() >= long_tokens
         else MIN_SHORT_ATTEMPT_SECONDS
     )
     return (
--- a/src/swiftjunction/batches/_open.py
+++ b/src/swiftjunction/batches/_open.py
@@ -78,6 +78,10 @@
         in seconds; 0 before the first attempt.
     ended_at : float
         When its last attempt ended, on the same clock; 0 before that.
+    not_before : float
+        When the next attempt may start, on the same clock; 0 for at once.
+    error_count : int
+        Number of attempts in a row that ended with an unexpected error.
     text_began_at : float
         When this process got the first event of the text so far, on the same
         clock; 0 without one, and if the text was restored.
@@ -88,11 +92,13 @@
         'complete',
         'ended_at',
         'engine',
+        'error_count',
         'events',
         'failures',
         'sample',
         'last_number',
         'migrations',
+        'not_before',
         'running',
         'software',
         'started_at',
@@ -114,6 +120,8 @@
         self.cancel_scope = anyio.CancelScope()
         self.started_at = 0.0
         self.ended_at = 0.0
+        self.not_before = 0.0
+        self.error_count = 0
         self.text_began_at = 0.0
 
     def reset(self) -> None:
@@ -247,7 +255,8 @@
     def can_give_up(self, now: float) -> bool:
         """Return whether the batch is old enough to give up samples.
 
-        Nothing calls this: samples are given up only for failures.
+        Other samples than those that cannot be sent are given up only for
+        failures.
         """
         max_age_seconds = self.batch.max_age_seconds
         return (
--- a/src/swiftjunction/batches/_planning.py
+++ b/src/swiftjunction/batches/_planning.py
@@ -177,7 +177,7 @@
     for progress in open_batch.pending.values():
         groups.setdefault(progress.sample.group, []).append(progress)
     for group in groups.values():
-        group.sort(key=lambda p: -p.sample.expected_tokens)
+        group.sort(key=lambda p: -p.sample.estimate_tokens())
     wanted = (
         open_batch.batch.wanted_groups - open_batch.count_complete_groups()
     )
@@ -190,7 +190,7 @@
             not any(p.started_at for p in group),
             group[0].sample.group in optional,
             group[0].sample.group not in open_batch.resubmitted_groups,
-            -group[0].sample.expected_tokens,
+            -group[0].sample.estimate_tokens(),
         ),
     )
 
@@ -206,7 +206,7 @@
     """
     by_length = sorted(
         (name for name in groups if name not in resubmitted_groups),
-        key=lambda name: groups[name][0].sample.expected_tokens,
+        key=lambda name: groups[name][0].sample.estimate_tokens(),
     )
     needed = max(wanted - (len(groups) - len(by_length)), 0)
     return set(by_length[needed:])
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -18,6 +18,7 @@
 from swiftjunction.batches import _engines
 from swiftjunction.batches import _kept
 from swiftjunction.batches import _open
+from swiftjunction.batches import _opening
 from swiftjunction.batches import _recent_names
 from swiftjunction.batches import _retention
 from swiftjunction.batches import _sampling
@@ -26,13 +27,13 @@
 from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import objectstore
+from swiftjunction import supervision
 from swiftjunction import telemetry
 
 LOG = logging.getLogger(__name__)
 
 DISPATCH_INTERVAL_SECONDS = 0.1
 MIGRATION_INTERVAL_SECONDS = 0.25
-READ_RETRY_SECONDS = 0.5
 # For this long after this process became the coordinator, its predecessor may
 # still write results, which this process does not have in memory.
 HANDOVER_SECONDS = 6.0
@@ -65,6 +66,8 @@
     outages : OutageDetector
         Asked whether the object store is unavailable when a confirmation is
         late.
+    supervisor : Supervisor, optional
+        Runs the tasks of single items; by default, one of its own.
 
     Attributes
     ----------
@@ -82,6 +85,7 @@
         '_dispatcher',
         '_ended',
         '_lease',
+        '_opener',
         '_outages',
         '_retention',
         '_seen_groups',
@@ -106,7 +110,9 @@
         keep_seconds: float,
         confirmation: _confirmation.EndConfirmation,
         outages: _confirmation.OutageDetector,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        supervisor = supervisor or supervision.Supervisor(metrics)
         self._store = store
         self._archive = archive
         self._allocator = allocator
@@ -122,12 +128,15 @@
         self._stopping = False
         self._wake = anyio.Event()
         self._attempt_runner = _attempts.AttemptRunner(
-            sample_runner, metrics, self.wake
+            sample_runner, metrics, supervisor, self.wake
         )
         self.batches: dict[str, _open.OpenBatch] = {}
         self._lease: leases.Lease | None = None
         self._writer = _writing.ResultWriter(
-            archive, self.batches, self._is_lease_valid
+            archive, self.batches, self._is_lease_valid, supervisor
+        )
+        self._opener = _opening.BatchOpener(
+            supervisor, archive, self.open, self.batches, self._ended
         )
         self._checkpoints = _checkpoints.CheckpointManager(
             archive, self.batches
@@ -169,7 +178,7 @@
         def handle_change(found: objectstore.Object) -> None:
             # Ends take effect here, before the confirmation that covers them.
             if not self._end_if_ended(found):
-                tasks.start_soon(self._open_stored, found)
+                tasks.start_soon(self._opener.open, found)
 
         await objectstore.follow(
             self._store,
@@ -226,21 +235,6 @@
             self.end(found.key.removeprefix(_archive.BATCH_PREFIX))
         return batch.ended
 
-    async def _open_stored(self, found: objectstore.Object) -> None:
-        """Open a batch that is new or was listed again."""
-        batch_id = found.key.removeprefix(_archive.BATCH_PREFIX)
-        while batch_id not in self.batches:
-            try:
-                await self.open(await self._archive.resolve_parts(found))
-            except errors.ObjectBroken as error:
-                LOG.error('stored batch could not be decoded: %s', error)
-                return
-            except errors.PlatformError as error:
-                LOG.warning(
-                    'batch %s could not be read, retrying: %s', batch_id, error
-                )
-                await anyio.sleep(READ_RETRY_SECONDS)
-
     async def open(self, stored: _archive.StoredBatch) -> _open.OpenBatch:
         """Begin to run a batch, or continue it after its stored results."""
         batch = stored.batch
@@ -274,7 +268,7 @@
         )
         self._allocator.record_demand(
             batch.model,
-            sum(sample.expected_tokens for sample in batch.samples),
+            sum(sample.estimate_tokens() for sample in batch.samples),
         )
         LOG.info(
             'batch opened',
--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -68,6 +68,8 @@
         ------
         SampleRefused
             If the engine reports that it can never run this sample.
+        RequestUnsendable
+            If no engine can get this sample.
         """
         batch = open_batch.batch
         if not progress.can_resume(batch):
@@ -88,6 +90,9 @@
             outcome = 'stale'
             LOG.info('sample starts over: %s', error)
             progress.reset()
+        except errors.RequestUnsendable:
+            outcome = 'unsendable'
+            raise
         except errors.NotRun as error:
             outcome = 'not_sent'
             LOG.info('sample not sent: %s', error)
@@ -223,6 +228,8 @@
             If the scorer failed as often as its route allows.
         BatchEnded
             If the batch ended before there was a score.
+        RequestUnsendable
+            If no scorer can get its request.
         """
         sample = progress.sample
         score = ''
--- a/src/swiftjunction/batches/_scoring.py
+++ b/src/swiftjunction/batches/_scoring.py
@@ -13,6 +13,7 @@
 from swiftjunction import errors
 from swiftjunction import requests
 from swiftjunction import routes
+from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
 
@@ -57,6 +58,8 @@
         BatchEnded
             If the score is no longer needed. Unlike elsewhere, the scorer may
             have run the request.
+        RequestUnsendable
+            If no scorer can get the request.
         """
 
 
@@ -90,13 +93,16 @@
         request: _batch.ScoreRequest,
         check_may_send: collections.abc.Callable[[], None],
     ) -> str:
+        # Before the search for a route, which a request that cannot be sent
+        # may never have.
+        web.check_request(request.path, request.host, [])
         failures = 0
         while True:
             try:
                 check_may_send()
                 route = self._find_route(request)
                 response = await self._call(request, route, check_may_send)
-            except errors.BatchEnded:
+            except (errors.BatchEnded, errors.RequestUnsendable):
                 raise
             except errors.RequestError as error:
                 LOG.info(
--- a/src/swiftjunction/batches/_writing.py
+++ b/src/swiftjunction/batches/_writing.py
@@ -1,6 +1,7 @@
 """Writes results to the object store, from which on readers see them."""
 
 import collections.abc
+import functools
 import logging
 
 import anyio
@@ -9,6 +10,7 @@
 from swiftjunction.batches import _archive
 from swiftjunction.batches import _open
 from swiftjunction import errors
+from swiftjunction import supervision
 
 LOG = logging.getLogger(__name__)
 
@@ -57,6 +59,8 @@
         Returns whether no other process can be the coordinator. A successor
         may have read a batch already, and would not have what is written
         after that in memory.
+    supervisor : Supervisor
+        Runs each write.
 
     Attributes
     ----------
@@ -64,14 +68,22 @@
         Whether to write the results of open batches without delay.
     """
 
-    __slots__ = ('_archive', '_batches', '_may_write', 'flushing')
+    __slots__ = (
+        '_archive',
+        '_batches',
+        '_may_write',
+        '_supervisor',
+        'flushing',
+    )
 
     def __init__(
         self,
         archive: _archive.BatchArchive,
         open_batches: dict[str, _open.OpenBatch],
         may_write: collections.abc.Callable[[], bool],
+        supervisor: supervision.Supervisor,
     ) -> None:
+        self._supervisor = supervisor
         self._archive = archive
         self._batches = open_batches
         self._may_write = may_write
@@ -108,7 +120,7 @@
                     or self._must_flush(open_batch)
                 ):
                     open_batch.writing = True
-                    tasks.start_soon(self._write_results, open_batch)
+                    tasks.start_soon(self._write_isolated, open_batch)
 
     def _must_flush(self, open_batch: _open.OpenBatch) -> bool:
         return (
@@ -117,6 +129,14 @@
             and not open_batch.writing
         )
 
+    async def _write_isolated(self, open_batch: _open.OpenBatch) -> None:
+        """Write results; after an unexpected error, another write is due."""
+        await self._supervisor.run_isolated(
+            'write results',
+            functools.partial(self._write_results, open_batch),
+            batch=open_batch.batch.batch_id,
+        )
+
     async def _write_results(self, open_batch: _open.OpenBatch) -> None:
         batch_id = open_batch.batch.batch_id
         block = list(open_batch.unwritten)
--- a/src/swiftjunction/duties/_scaled_service.py
+++ b/src/swiftjunction/duties/_scaled_service.py
@@ -181,7 +181,7 @@
         [
             scaling.SampleWork(
                 progress.sample.sample_id,
-                progress.sample.expected_tokens,
+                progress.sample.estimate_tokens(),
                 # 0 would mean that the sample waits for a slot.
                 max(now - progress.started_at, 0.001)
                 if progress.engine
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -186,6 +186,7 @@
             coordination.OutageProbe(
                 self._direct, self._clients, self._members, rng
             ),
+            self._supervisor,
         )
         self._control_loops = self._build_control_loops(
             batches.VersionRollout(
