Refuse a batch submission with a field that cannot be sent or stored

What callers saw: 202 for items that then never ran: ids and header values outside Latin-1 or with a line break, paths outside ASCII or without a leading slash, length hints of inf, nan or 1e300. Deeply nested JSON, and tokens beyond the range of a float, were an internal error.

Cause: any text of a submission was accepted; it was read as HTTP only as the item was sent.

Whole numbers are bounded, nested JSON is an invalid submission, and connection-level headers are not passed on, as for live requests. A hint that is no number at all is ignored as before.

--- a/src/swiftjunction/platform/_batches.py
+++ b/src/swiftjunction/platform/_batches.py
@@ -2,16 +2,34 @@
 
 import base64
 import binascii
+import typing
 
 import msgspec
 
 from swiftjunction import batches
 from swiftjunction import errors
+from swiftjunction.platform import _item_checks
 from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
 from swiftjunction import routes
 
 
+# The store holds whole numbers of 64 bits.
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Tokens = typing.Annotated[int, msgspec.Meta(ge=0, le=batches.MAX_TOKENS)]
+# Those between this process and the next one alone.
+_HOP_BY_HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'upgrade',
+    }
+)
+
+
 class _ScoreRequest(msgspec.Struct):
     id: str
     host: str
@@ -24,7 +42,7 @@
     path: str
     headers: dict[str, str] = {}
     body: str = ''
-    tokens: int = 0
+    tokens: _Tokens = 0
     group: str = ''
     scorer: _ScoreRequest | None = None
 
@@ -32,9 +50,9 @@
 class _Submission(msgspec.Struct):
     items: list[_Item]
     model: str = ''
-    step: int = 0
-    min_version: int = 0
-    target_groups: int = 0
+    step: _Count = 0
+    min_version: _Count = 0
+    target_groups: _Count = 0
 
 
 class _SampleResult(msgspec.Struct):
@@ -74,7 +92,7 @@
     """
     try:
         submission = msgspec.json.decode(body, type=_Submission)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise errors.RequestInvalid(
             f'invalid batch submission: {error}', step='submit'
         ) from error
@@ -90,8 +108,8 @@
         service=service,
         total=len(submission.items),
         samples=[
-            _convert_item(item, caller.removed_headers)
-            for item in submission.items
+            _convert_item(position, item, caller.removed_headers)
+            for position, item in enumerate(submission.items)
         ],
         model=submission.model,
         step=submission.step,
@@ -105,9 +123,23 @@
     )
 
 
+def _check_item(position: int, item: _Item) -> None:
+    """Raise ``RequestInvalid`` if a field of an item cannot be sent."""
+    check = _item_checks.ItemCheck(position, item.id)
+    check.check_id('id', item.id)
+    check.check_target('path', item.path)
+    check.check_headers(item.headers)
+    check.check_hint(item.headers)
+    if item.scorer is not None:
+        check.check_id('scorer.id', item.scorer.id)
+        check.check_value('scorer.host', item.scorer.host)
+        check.check_target('scorer.path', item.scorer.path)
+
+
 def _convert_item(
-    item: _Item, removed_headers: frozenset[str]
+    position: int, item: _Item, removed_headers: frozenset[str]
 ) -> batches.Sample:
+    _check_item(position, item)
     headers = {name.lower(): value for name, value in item.headers.items()}
     score_request = None
     if item.scorer is not None:
@@ -124,6 +156,7 @@
             (name, value)
             for name, value in item.headers.items()
             if name.lower() not in removed_headers
+            and name.lower() not in _HOP_BY_HOP_HEADERS
         ],
         body=_decode_body(item.body, item.id),
         group=item.group or item.id,
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -157,6 +157,16 @@
         (item,) = self.decode(submission).samples
         assert item.expected_tokens == 100.0
 
+    def test_connection_level_headers_are_not_passed_on(self):
+        submission = platform_deployment.make_batch(1, 1)
+        submission['items'][0]['headers'] = {
+            'Connection': 'close',
+            'X-Note': 'a',
+            'Upgrade': 'h2c',
+        }
+        (item,) = self.decode(submission).samples
+        assert item.headers == [('X-Note', 'a')]
+
     @pytest.mark.parametrize(
         ('change', 'field'),
         [
