Do not believe an engine that leaves out an event or sends one twice

What callers saw: a text in which an event was missing or stood twice was listed as completed.

Cause: the numbers of events were recorded, and never compared.

What cannot be told from the numbers is a first event 0 that is left out before 1, and a last event. The engine stand-in has the faults skip and repeat.

--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -21,6 +21,8 @@
 # An attempt fails if its first event, or a later one, takes longer than this.
 FIRST_EVENT_TIMEOUT_SECONDS = 4.0
 NEXT_EVENT_TIMEOUT_SECONDS = 1.5
+# The number of the first event of a text: engines count from either.
+FIRST_EVENT_NUMBERS = (0, 1)
 
 
 class SampleRunner:
@@ -166,6 +168,7 @@
                 event = await self._read_event(events, engine, timeout_seconds)
                 if event is None:
                     return
+                _check_number(progress, event, engine)
                 engine.record_version(batch.model, event.version)
                 _check_version(batch, progress, event)
                 _check_length(length, progress, event, engine)
@@ -246,6 +249,26 @@
         )
 
 
+def _check_number(
+    progress: _open.SampleProgress,
+    event: backends.StreamEvent,
+    engine: _engines.EngineState,
+) -> None:
+    """Raise ``AnswerBroken`` if an event does not follow the text so far.
+
+    The next attempt resumes after the last event that did.
+    """
+    expected = (
+        (progress.last_number + 1,) if progress.events else FIRST_EVENT_NUMBERS
+    )
+    if event.number not in expected:
+        raise errors.AnswerBroken(
+            f'event {event.number} came after event {progress.last_number}',
+            step='generate',
+            peer=engine.server.name,
+        )
+
+
 def _check_version(
     batch: _batch.Batch,
     progress: _open.SampleProgress,
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -135,6 +135,8 @@
         ``silent``: samples that are executed without a response.
         ``cut``: streams that break off in the middle of an event.
         ``stall``: streams that hang after half of the events.
+        ``skip``, ``repeat``: streams that leave out the event in the middle,
+        or send it twice.
         ``lost_orders``: orders that are applied without a response.
         ``late_orders``: orders that are applied after a delay, without a
         response.
@@ -188,6 +190,8 @@
             'silent',
             'cut',
             'stall',
+            'skip',
+            'repeat',
             'lost_orders',
             'late_orders',
             'leaving',
@@ -329,7 +333,13 @@
                     raise ConnectionAbortedError
                 if number == EVENT_COUNT // 2 and self.faults.consume('stall'):
                     await anyio.sleep(UNANSWERED_SECONDS)
+                if number == EVENT_COUNT // 2 and self.faults.consume('skip'):
+                    continue
                 yield event.encode()
+                if number == EVENT_COUNT // 2 and self.faults.consume(
+                    'repeat'
+                ):
+                    yield event.encode()
         finally:
             self._running_count -= 1
 
--- a/tests/cover/test_batches_sampling.py
+++ b/tests/cover/test_batches_sampling.py
@@ -40,7 +40,9 @@
         self.open_batch = test_batches_planning.make_open_batch(
             [test_batches_planning.make_sample('i', 'g')]
         )
-        self.engine = test_batches_planning.EnginePool().get_engine('e0')
+        pool = test_batches_planning.EnginePool()
+        pool.update_server('e0', software='v1')
+        self.engine = pool.get_engine('e0')
 
     async def generate(self):
         progress = self.open_batch.pending['i']
@@ -85,3 +87,58 @@
     assert client.after_number == -1
     assert progress.events == ['text']
     assert progress.software == scene.engine.server.software
+
+
+class NumberedClient(ScriptedClient):
+    """Sends events with the given numbers; the stream then ends."""
+
+    def __init__(self, numbers):
+        super().__init__()
+        self._numbers = numbers
+
+    async def generate(
+        self, server, host, sample, after_number, check, organisation
+    ):
+        self.after_number = after_number
+        for number in self._numbers:
+            yield backends.StreamEvent(number, f'text {number}', 1, b'')
+
+
+@pytest.mark.parametrize(
+    ('known', 'numbers', 'kept'),
+    [
+        ([], [0, 1, 3], [0, 1]),
+        ([], [0, 1, 1, 2], [0, 1]),
+        ([], [0, 1, 0], [0, 1]),
+        ([], [2, 3], []),
+        ([], [-1, 0], []),
+        ([0, 1], [1, 2], [0, 1]),
+        ([0, 1], [3], [0, 1]),
+        ([0, 1], [0, 1, 2], [0, 1]),
+    ],
+)
+async def test_a_text_with_a_missing_or_repeated_event_is_not_complete(
+    caplog, known, numbers, kept
+):
+    scene = Scene(NumberedClient(numbers), caplog)
+    progress = scene.open_batch.pending['i']
+    if known:
+        progress.events = [f'text {number}' for number in known]
+        progress.last_number = known[-1]
+        progress.software = scene.engine.server.software
+    await scene.generate()
+    assert not progress.complete
+    assert progress.events == [f'text {number}' for number in kept]
+    assert progress.last_number == (kept[-1] if kept else -1)
+    last_event = progress.last_number
+    assert scene.list_outcomes() == [('i', 'AnswerBroken', last_event)]
+
+
+@pytest.mark.parametrize('numbers', [[0, 1, 2], [1, 2, 3]])
+async def test_a_text_whose_events_follow_each_other_is_complete(
+    caplog, numbers
+):
+    scene = Scene(NumberedClient(numbers), caplog)
+    await scene.generate()
+    assert scene.open_batch.pending['i'].complete
+    assert scene.list_outcomes() == [('i', 'whole', numbers[-1])]
