--- a/src/swiftjunction/batches/_sampling.py
+++ b/src/swiftjunction/batches/_sampling.py
@@ -21,6 +21,8 @@
 # An attempt fails if its first event, or a later one, takes longer than this.
 FIRST_EVENT_TIMEOUT_SECONDS = 4.0
 NEXT_EVENT_TIMEOUT_SECONDS = 1.5
+# The number of the first event of a text: engines count from either.
+FIRST_EVENT_NUMBERS = (0, 1)
 
 
 class SampleRunner:
@@ -68,6 +70,8 @@
         ------
         SampleRefused
             If the engine reports that it can never run this sample.
+        RequestUnsendable
+            If no engine can get this sample.
         """
         batch = open_batch.batch
         if not progress.can_resume(batch):
@@ -88,6 +92,9 @@
             outcome = 'stale'
             LOG.info('sample starts over: %s', error)
             progress.reset()
+        except errors.RequestUnsendable:
+            outcome = 'unsendable'
+            raise
         except errors.NotRun as error:
             outcome = 'not_sent'
             LOG.info('sample not sent: %s', error)
@@ -161,6 +168,7 @@
                 event = await self._read_event(events, engine, timeout_seconds)
                 if event is None:
                     return
+                _check_number(progress, event, engine)
                 engine.record_version(batch.model, event.version)
                 _check_version(batch, progress, event)
                 _check_length(length, progress, event, engine)
@@ -223,6 +231,8 @@
             If the scorer failed as often as its route allows.
         BatchEnded
             If the batch ended before there was a score.
+        RequestUnsendable
+            If no scorer can get its request.
         """
         sample = progress.sample
         score = ''
@@ -239,6 +249,26 @@
         )
 
 
+def _check_number(
+    progress: _open.SampleProgress,
+    event: backends.StreamEvent,
+    engine: _engines.EngineState,
+) -> None:
+    """Raise ``AnswerBroken`` if an event does not follow the text so far.
+
+    The next attempt resumes after the last event that did.
+    """
+    expected = (
+        (progress.last_number + 1,) if progress.events else FIRST_EVENT_NUMBERS
+    )
+    if event.number not in expected:
+        raise errors.AnswerBroken(
+            f'event {event.number} came after event {progress.last_number}',
+            step='generate',
+            peer=engine.server.name,
+        )
+
+
 def _check_version(
     batch: _batch.Batch,
     progress: _open.SampleProgress,
