Wait for an address that the process before still has

What callers saw: "the system didn't start"; that this was the cause is not shown.

Cause: an address in use ended the process at once with exit code 2, and again at each start, for as long as the former process was still there. The port for metrics, which two VMs of one host share, did the same, though no request needs it.

Change: before its signals are queued, a process waits for its addresses for up to MAX_ADDRESS_WAIT_SECONDS (5 s); SIGTERM then ends it at once. Without the port for metrics it serves, and opens that port once it can. Two equal addresses of a VM are bound once.

--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    'AddressInUse',
     'AnswerBroken',
     'BackendError',
     'BackendRefused',
@@ -86,6 +87,10 @@
         self.problems = problems
 
 
+class AddressInUse(SettingsError):
+    """Another process listens on an address; stop it, or name another one."""
+
+
 class ContentBroken(SwiftjunctionError):
     """What another process sent or stored cannot be decoded."""
 
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -49,15 +49,20 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then resign, drain and stop."""
+        await _listening.wait_for_addresses(self._settings)
         # Before anything can connect to this VM and find it running.
         with _signals.receive() as signals:
             await self._serve(signals)
 
     async def _serve(self, signals: _signals.Signals) -> None:
         caller_listener = _listening.open_listener(self._settings)
+        metrics_port = _listening.MetricsPort(
+            self._settings.ip, self._metrics_port
+        )
+        metrics_sockets = metrics_port.open()
         peer_listener = web.HttpListener(
             web.bind_socket(self._settings.ip, self._settings.peer_port),
-            web.bind_socket(self._settings.ip, self._metrics_port),
+            *metrics_sockets,
         )
         peer_app = coordination.PeerApp(
             self._status_source.build,
@@ -98,6 +103,12 @@
         async with anyio.create_task_group() as tasks:
             for name, task in self._list_tasks(datagrams, poller).items():
                 tasks.start_soon(self._supervisor.run, name, task)
+            if not metrics_sockets:
+                tasks.start_soon(
+                    self._supervisor.run,
+                    'metrics',
+                    lambda: metrics_port.serve_later(peer_app),
+                )
             # Without these, the process serves nobody, or cannot be stopped.
             tasks.start_soon(
                 self._supervisor.run_essential,
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -15,6 +15,7 @@
 from swiftjunction.web._heads import SocketOptions
 from swiftjunction.web._listeners import bind_datagram_socket
 from swiftjunction.web._listeners import bind_socket
+from swiftjunction.web._listeners import check_address
 from swiftjunction.web._listeners import HttpListener
 from swiftjunction.web._listeners import open_listener
 from swiftjunction.web._responses import describe_error
@@ -44,6 +45,7 @@
     'UNSENT_ERRORS',
     'bind_datagram_socket',
     'bind_socket',
+    'check_address',
     'bound_events',
     'create_client',
     'create_client_context',
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -1,6 +1,7 @@
 """HTTP listeners that serve ASGI applications with hypercorn."""
 
 import asyncio
+import errno
 import logging
 import socket
 import ssl
@@ -142,21 +143,26 @@
 
     Raises
     ------
+    AddressInUse
+        If another process listens on the address.
     SettingsError
-        If the address cannot be bound, for example because it is in use.
+        If the address cannot be bound for another reason.
     """
     return HttpListener(bind_socket(ip, port))
 
 
 def bind_socket(ip: str, port: int) -> socket.socket:
     """Return a listening socket; fails as :func:`open_listener` does."""
-    bound_socket = _create_socket(ip, socket.SOCK_STREAM)
-    bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    _bind(bound_socket, ip, port)
+    bound_socket = _bind_stream_socket(ip, port)
     bound_socket.listen(BACKLOG_CONNECTIONS)
     return bound_socket
 
 
+def check_address(ip: str, port: int) -> None:
+    """Fail as :func:`open_listener` does, but do not listen."""
+    _bind_stream_socket(ip, port).close()
+
+
 def bind_datagram_socket(ip: str, port: int) -> socket.socket:
     """Return a bound UDP socket; fails as :func:`open_listener` does."""
     bound_socket = _create_socket(ip, socket.SOCK_DGRAM)
@@ -164,6 +170,13 @@
     return bound_socket
 
 
+def _bind_stream_socket(ip: str, port: int) -> socket.socket:
+    bound_socket = _create_socket(ip, socket.SOCK_STREAM)
+    bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _bind(bound_socket, ip, port)
+    return bound_socket
+
+
 def _create_socket(ip: str, kind: socket.SocketKind) -> socket.socket:
     family = socket.AF_INET6 if ':' in ip else socket.AF_INET
     created = socket.socket(family, kind)
@@ -176,6 +189,7 @@
         unbound_socket.bind((ip, port))
     except OSError as error:
         unbound_socket.close()
-        raise errors.SettingsError(
-            [f'cannot listen on {ip}:{port}: {error.strerror}']
-        ) from error
+        problems = [f'cannot listen on {ip}:{port}: {error.strerror}']
+        if error.errno == errno.EADDRINUSE:
+            raise errors.AddressInUse(problems) from error
+        raise errors.SettingsError(problems) from error
