Send the target of a request byte for byte

What callers saw: a request ran with another path than the one sent. Dot segments were removed, also across the prefix of the route, so that /fit/../orders/20 ran as /orders/20; some characters were encoded, and an empty query was dropped.

Cause: DirectClient.send made an httpx.URL of the target, which normalises it. Items, scoring requests and requests through peers took the same way. hypercorn, as ASGI, does not tell an empty query from none.

Change: the target goes to httpcore as it is. Characters that a request line cannot have, which only the path of an item or of a scorer may hold, are percent-encoded as before. A subclass of hypercorn's HTTPStream adds the target to the ASGI scope; it takes the class's place in hypercorn.protocol.h11, as hypercorn has no hook for it. The route is chosen by the bytes that are sent on.

--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -25,7 +25,8 @@
     Attributes
     ----------
     path, query : str
-        Path and query string in the form that the service's protocol uses.
+        Path and query string in the form that the service's protocol uses. A
+        query of None differs from an empty one.
     host : str
         The host that the caller requested; empty if the service's protocol
         does not use it.
@@ -40,7 +41,7 @@
     request_id: str
     method: str
     path: str
-    query: str
+    query: str | None
     body: bytes
     headers: list[tuple[str, str]]
     timeout_seconds: float
@@ -163,7 +164,7 @@
             )
 
 
-def _encode_target(path: str, query: str) -> str:
+def _encode_target(path: str, query: str | None) -> str:
     # `path` is not percent-encoded: characters that would end the path, begin
     # a query or break the request line are encoded here.
     target = '/' + urllib.parse.quote(path, safe=UNQUOTED_CHARS)
--- a/src/swiftjunction/batches/_scoring.py
+++ b/src/swiftjunction/batches/_scoring.py
@@ -139,7 +139,7 @@
         route: routes.Route,
         check_may_send: collections.abc.Callable[[], None],
     ) -> backends.ServiceResponse:
-        path, _, query = request.path.partition('?')
+        path, mark, query = request.path.partition('?')
         call = requests.ForwardedCall(
             path=f'{route.host}{route.prefix}',
             settings=configuration.PathSettings(
@@ -150,7 +150,7 @@
                 request_id=request.request_id,
                 method='POST',
                 path=path,
-                query=query,
+                query=query if mark else None,
                 body=request.body,
                 headers=[],
                 timeout_seconds=0.0,
--- a/src/swiftjunction/platform/_caller_http.py
+++ b/src/swiftjunction/platform/_caller_http.py
@@ -13,6 +13,7 @@
 from swiftjunction.platform import _names
 from swiftjunction import requests
 from swiftjunction import routes
+from swiftjunction import web
 
 Request = starlette.requests.Request
 Response = starlette.responses.Response
@@ -61,6 +62,12 @@
     return int(text) if is_valid else default
 
 
+def read_query(request: Request) -> str | None:
+    """Return the query as it was sent, which may be empty; None without."""
+    _, mark, query = web.read_target(request.scope).partition(b'?')
+    return query.decode('latin-1') if mark else None
+
+
 def compute_timeout(request: Request, route: routes.Route) -> float:
     """Return the time allowed for a request, in seconds.
 
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -266,7 +266,7 @@
                 request_id=request_id,
                 method=request.method,
                 path=path,
-                query=request.scope['query_string'].decode('latin-1'),
+                query=_caller_http.read_query(request),
                 body=body,
                 headers=[
                     (name, value)
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -152,7 +152,7 @@
             server,
             exchange,
             call.method,
-            f'{call.path}?{call.query}' if call.query else call.path,
+            call.path if call.query is None else f'{call.path}?{call.query}',
             [
                 *call.headers,
                 (_names.ATTEMPT_ID_HEADER, call.request_id),
--- a/src/swiftjunction/requests/_forwarding.py
+++ b/src/swiftjunction/requests/_forwarding.py
@@ -75,7 +75,7 @@
             self.path,
             self.service_call.method,
             self.service_call.path,
-            self.service_call.query,
+            self.service_call.query or '',
             self.service_call.body,
         )
 
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -146,6 +146,8 @@
         Version of its software; a test that changes it restarts the engine.
     server_runs : ServerRuns
         The starts of the server, and the requests that reached each run.
+    targets : list of str
+        The path and query of each run.
     runs : list of (str, int)
         Id of each executed sample, and the event after which it resumed; -1
         if it started from the beginning.
@@ -196,6 +198,7 @@
         self.versions = dict(versions)
         self.server_runs = _announcing.ServerRuns(name)
         self.runs: list[tuple[str, int]] = []
+        self.targets: list[str] = []
         self.headers: list[dict[str, str]] = []
         self.orders: list[dict[str, typing.Any]] = []
         self.poison_runs = 0
@@ -271,6 +274,7 @@
         request_id = request.headers['swiftjunction-attempt-id']
         after = int(request.headers.get('last-event-id', '-1'))
         self.runs.append((request_id, after))
+        self.targets.append(_format_target(request))
         self.headers.append(dict(request.headers))
         for header in MEMORY_HEADERS:
             if header in request.headers:
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -24,6 +24,7 @@
 from swiftjunction.web._responses import respond_error
 from swiftjunction.web._responses import respond_json
 from swiftjunction.web._streams import format_event
+from swiftjunction.web._targets import read_target
 from swiftjunction.web._tls import create_client_context
 from swiftjunction.web._tls import TlsContexts
 from swiftjunction.web._tls import TlsFiles
@@ -56,6 +57,7 @@
     'open_listener',
     'parse_address',
     'read_bearer_token',
+    'read_target',
     'respond_error',
     'respond_json',
 ]
--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import ssl
+import urllib.parse
 
 import httpcore
 import httpx
@@ -17,6 +18,9 @@
 # Errors that are raised only before the first byte of a request is sent.
 UNSENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
+# What a request line may have: all visible ASCII characters.
+TARGET_CHARS = ''.join(map(chr, range(0x21, 0x7F)))
+
 Headers = collections.abc.Sequence[tuple[str, str]]
 
 # A server that reads slowly gets no more than this after a failed check, and
@@ -68,6 +72,19 @@
     return {'trace': trace}
 
 
+def _encode_target(target: str) -> bytes:
+    """Return the bytes of a request line.
+
+    Raises
+    ------
+    httpx.InvalidURL
+        If the target does not begin with a slash.
+    """
+    if not target.startswith('/'):
+        raise httpx.InvalidURL(f'invalid request target: {target[:100]!r}')
+    return urllib.parse.quote(target, safe=TARGET_CHARS).encode()
+
+
 class _CheckedBody(httpx.AsyncByteStream):
     """A body that is checked before each chunk."""
 
@@ -137,7 +154,8 @@
         method : str
             HTTP method.
         target : str
-            Percent-encoded path and query.
+            Percent-encoded path and query, which are sent as they are.
+            Characters that a request line cannot have are percent-encoded.
         timeout_seconds : float
             Timeout of a read and of a write.
         host : str
@@ -157,7 +175,7 @@
             framing_headers.append(('content-length', str(len(content))))
         request = httpx.Request(
             method,
-            self._url.copy_with(raw_path=target.encode()),
+            self._url,
             # Encoded here, as httpx accepts only ASCII in a str value while
             # HTTP headers may contain any Latin-1 character.
             headers=[
@@ -166,6 +184,8 @@
             ],
             stream=_make_body(content, check_body),
             extensions={
+                # A URL would remove dot segments and encode characters.
+                'target': _encode_target(target),
                 'timeout': {
                     'connect': min(connect_seconds, timeout_seconds),
                     'read': timeout_seconds,
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -12,6 +12,7 @@
 import hypercorn.config
 
 from swiftjunction import errors
+from swiftjunction.web import _targets
 
 # Exceeds the longest allowed request. hypercorn's default of 3 s would abort
 # longer streams at a graceful shutdown.
@@ -90,6 +91,7 @@
         context : ssl.SSLContext
             TLS context; without it, plain HTTP is served.
         """
+        _targets.keep_targets()
         config = hypercorn.config.Config()
         if context is not None:
             config = _TlsConfig()
