--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -15,6 +15,7 @@
 from swiftjunction.web._heads import SocketOptions
 from swiftjunction.web._listeners import bind_datagram_socket
 from swiftjunction.web._listeners import bind_socket
+from swiftjunction.web._listeners import check_address
 from swiftjunction.web._listeners import HttpListener
 from swiftjunction.web._listeners import open_listener
 from swiftjunction.web._responses import describe_error
@@ -27,6 +28,7 @@
 from swiftjunction.web._sending import find_target_problem
 from swiftjunction.web._sending import find_value_problem
 from swiftjunction.web._streams import format_event
+from swiftjunction.web._targets import read_target
 from swiftjunction.web._tls import create_client_context
 from swiftjunction.web._tls import TlsContexts
 from swiftjunction.web._tls import TlsFiles
@@ -48,6 +50,7 @@
     'UNSENT_ERRORS',
     'bind_datagram_socket',
     'bind_socket',
+    'check_address',
     'bound_events',
     'check_request',
     'create_client',
@@ -62,6 +65,7 @@
     'open_listener',
     'parse_address',
     'read_bearer_token',
+    'read_target',
     'respond_error',
     'respond_json',
 ]
--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import ssl
+import urllib.parse
 
 import httpcore
 import httpx
@@ -29,6 +30,9 @@
     errors.AddressInvalid,
 )
 
+# What a request line may have: all visible ASCII characters.
+TARGET_CHARS = ''.join(map(chr, range(0x21, 0x7F)))
+
 Headers = collections.abc.Sequence[tuple[str, str]]
 
 # A server that reads slowly gets no more than this after a failed check, and
@@ -80,6 +84,19 @@
     return {'trace': trace}
 
 
+def _encode_target(target: str) -> bytes:
+    """Return the bytes of a request line.
+
+    Raises
+    ------
+    httpx.InvalidURL
+        If the target does not begin with a slash.
+    """
+    if not target.startswith('/'):
+        raise httpx.InvalidURL(f'invalid request target: {target[:100]!r}')
+    return urllib.parse.quote(target, safe=TARGET_CHARS).encode()
+
+
 class _CheckedBody(httpx.AsyncByteStream):
     """A body that is checked before each chunk."""
 
@@ -189,7 +206,8 @@
         method : str
             HTTP method.
         target : str
-            Percent-encoded path and query.
+            Percent-encoded path and query, which are sent as they are.
+            Characters that a request line cannot have are percent-encoded.
         timeout_seconds : float
             Timeout of a read and of a write.
         host : str
@@ -217,7 +235,7 @@
             framing_headers.append(('content-length', str(len(content))))
         request = httpx.Request(
             method,
-            self._url.copy_with(raw_path=target.encode()),
+            self._url,
             # Encoded here, as httpx accepts only ASCII in a str value while
             # HTTP headers may contain any Latin-1 character.
             headers=[
@@ -226,6 +244,8 @@
             ],
             stream=_make_body(content, check_body),
             extensions={
+                # A URL would remove dot segments and encode characters.
+                'target': _encode_target(target),
                 'timeout': {
                     'connect': min(connect_seconds, timeout_seconds),
                     'read': timeout_seconds,
