Continue a broken stream only with the rest of it

Cause: the relay looked at the status of the first server only. The body of any answer that was no event stream followed the events, as one event without a number; an event stream without events ended the stream as complete; events that were repeated were left out and gaps were passed on, so that a server that began again from the first event was joined to another run. Before the first event, the head of a server that broke off came with the body of the next.

Change: what a server sends is a part of the stream (`StreamPart`), which is checked against what the caller has: the same status, an event stream without an encoding, the event after the last one first and no gap after that, and at least one event. Else another server is tried while attempts and time are left, and then the response ends without its end. A failure that a server reports counts as run and not against its health; an invalid answer does. The caller gets the head of the server that sent the first part of the body. The response is closed though no event was read of it: a generator that was never read does not run its cleanup, and the server went on for nothing. A caller that resumes a stream itself gets its server's failure with its own head, and no success other than an event stream that goes on.

`test_a_stream_that_breaks_is_resumed_elsewhere_and_so_are_others` was wrong: its second server answered `Last-Event-Id` 0 with event 0 again, and passed as repeats were left out. It answers with the rest now; what is checked is the same.

--- a/src/swiftjunction/backends/_streams.py
+++ b/src/swiftjunction/backends/_streams.py
@@ -19,7 +19,8 @@
     Attributes
     ----------
     number : int
-        The number of the event in the stream; numbers increase.
+        The number of the event in the stream; numbers increase, by one in a
+        stream that is resumed.
     data : str
         The text of the event.
     version : int
@@ -56,13 +57,25 @@
     Attributes
     ----------
     events : async generator of StreamEvent
-        The reader must close it. A response that is not an event stream is
-        yielded as a single event with the number ``NO_EVENT``.
+        A response that is not an event stream is yielded as a single event
+        with the number ``NO_EVENT``.
+    has_events : bool
+        Whether it is a success whose body is an event stream.
+    close : callable
+        Closes the response, also if no event was read.
     """
 
     status: int
     headers: list[tuple[str, str]]
     events: collections.abc.AsyncGenerator[StreamEvent, None]
+    has_events: bool
+    close: collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
+    async def aclose(self) -> None:
+        """Close the events and the response; the reader must call it."""
+        await self.events.aclose()
+        # An async generator that was never read does not run its own cleanup.
+        await self.close()
 
 
 class StreamTransport(abc.ABC):
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -173,6 +173,13 @@
     """The response ended early or is invalid; the request may have run."""
 
 
+class StreamNotContinued(BackendError):
+    """A server has answered, but not with the rest of the stream.
+
+    The request may have run. The answer is complete, so that the server works.
+    """
+
+
 class RequestError(SwiftjunctionError):
     """A request ended without a complete response.
 
--- a/src/swiftjunction/platform/_events.py
+++ b/src/swiftjunction/platform/_events.py
@@ -82,7 +82,7 @@
                 name, _, value = line.partition(':')
                 value = value.removeprefix(' ')
                 if name == 'id':
-                    number = int(value)
+                    number = _parse_number(value)
                 elif name == 'data':
                     data.append(value)
                 elif name == _names.WEIGHT_VERSIONS_HEADER:
@@ -100,6 +100,13 @@
         )
 
 
+def _parse_number(value: str) -> int:
+    number = int(value)
+    if number < 0:
+        raise ValueError(f'the number {number} is negative')
+    return number
+
+
 def insert_version(
     event: backends.StreamEvent, known_version: int
 ) -> backends.StreamEvent:
--- a/src/swiftjunction/platform/_responses.py
+++ b/src/swiftjunction/platform/_responses.py
@@ -13,6 +13,7 @@
 # Statuses that mean the request was not run, if the response confirms it with
 # the not-executed header.
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
+EVENT_STREAM_TYPE = 'text/event-stream'
 # Any other value of the leaving header announces that the server leaves: to
 # avoid a server that stays costs capacity, and to use one that leaves costs
 # requests.
@@ -174,9 +175,12 @@
 
 
 def is_event_stream(response: httpx.Response) -> bool:
-    """Return whether the body is an event stream."""
-    return response.headers.get('content-type', '').startswith(
-        'text/event-stream'
+    """Return whether the response is a success that brings events."""
+    media_type = response.headers.get('content-type', '').partition(';')[0]
+    return (
+        response.is_success
+        and media_type.strip().lower() == EVENT_STREAM_TYPE
+        and 'content-encoding' not in response.headers
     )
 
 
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -119,6 +119,8 @@
             response.status_code,
             response.headers.multi_items(),
             self._relay_events(response, server, position.version),
+            _responses.is_event_stream(response),
+            response.aclose,
         )
 
     async def _relay_events(
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -21,6 +21,7 @@
 from swiftjunction.requests import _origins
 from swiftjunction.requests import _resuming
 from swiftjunction.requests import _runs
+from swiftjunction.requests import _stream_part
 from swiftjunction.requests import _stream_progress
 from swiftjunction.requests import _suspects
 from swiftjunction import routing
@@ -38,7 +39,8 @@
     Attributes
     ----------
     status, headers
-        From the first server, also if another server resumes the stream.
+        From the first server that sent any of the body, also if another server
+        resumes the stream.
     first : StreamEvent or None
         The first event; None if the stream has no events.
     rest : async generator of StreamEvent
@@ -219,27 +221,30 @@
         progress: _stream_progress.StreamProgress,
         server: backends.BackendServer,
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
-        """Yield the events that were not relayed yet."""
+        """Yield the events that follow those relayed before."""
         latency_timer = server.start_latency_timer()
         try:
             stream = await self._open_stream(call, server, progress)
-            if progress.first_stream is None:
-                progress.first_stream = stream
-            async with contextlib.aclosing(stream.events) as events:
+            progress.was_opened = True
+            part = _stream_part.StreamPart(progress, stream, server)
+            async with contextlib.aclosing(stream):
+                part.check_head()
                 while True:
                     event = await self._read_event(
-                        call, server, events, progress
+                        call, server, stream.events, progress
                     )
                     latency_timer.stop()
                     if event is None:
                         break
                     self._count_run(call, progress)
-                    if progress.is_new(event):
-                        await self._resumer.record(
-                            call, progress, server, event
-                        )
-                        progress.record_event(event, server)
-                        yield event
+                    part.check_event(event)
+                    await self._resumer.record(call, progress, server, event)
+                    part.record_event(event)
+                    yield event
+                part.check_end()
+        except errors.StreamNotContinued:
+            server.record_success()
+            raise
         except (errors.BackendUnreachable, errors.AnswerBroken):
             server.record_failure()
             raise
@@ -302,7 +307,7 @@
         service_call = msgspec.structs.replace(
             call.service_call, timeout_seconds=remaining_seconds
         )
-        if progress.first_stream is not None:
+        if progress.was_opened:
             # A server has begun to run the request, so its caller may have the
             # rest of the stream, even if the key has been removed since.
             service_call = msgspec.structs.replace(service_call, check=None)
@@ -332,7 +337,9 @@
         error: errors.BackendError,
     ) -> None:
         progress.last_error = error
-        progress.may_have_run |= isinstance(error, errors.AnswerBroken)
+        progress.may_have_run |= isinstance(
+            error, (errors.AnswerBroken, errors.StreamNotContinued)
+        )
         LOG.info(
             'stream attempt failed: %s',
             error,
--- /dev/null
+++ b/src/swiftjunction/requests/_stream_part.py
@@ -0,0 +1,112 @@
+"""The part of a relayed stream that comes from one server.
+
+What a server answers follows what the caller has only if it is the rest of the
+same stream: a success that brings events, of which the first is the one after
+the last relayed event.
+"""
+
+import http
+
+from swiftjunction import backends
+from swiftjunction import errors
+from swiftjunction.requests import _stream_progress
+
+
+class StreamPart:
+    """The part that one server sends, checked before it is relayed.
+
+    Parameters
+    ----------
+    progress : StreamProgress
+        The state of the stream, of which this part is the next.
+    stream : ServiceStream
+        What the server answers.
+    """
+
+    __slots__ = ('_is_empty', '_progress', '_resumes', '_server', '_stream')
+
+    def __init__(
+        self,
+        progress: _stream_progress.StreamProgress,
+        stream: backends.ServiceStream,
+        server: backends.BackendServer,
+    ) -> None:
+        self._progress = progress
+        self._stream = stream
+        self._server = server
+        self._resumes = progress.has_events()
+        self._is_empty = True
+
+    def check_head(self) -> None:
+        """Check that the answer may follow what the caller has.
+
+        Raises
+        ------
+        StreamNotContinued
+            If the caller has a part of the stream, and the answer brings none.
+            A caller that resumes a stream itself may have the failure of its
+            server, as that comes with its own head.
+        """
+        stream = self._stream
+        first = self._progress.first_stream
+        if first is not None:
+            continues = stream.has_events and stream.status == first.status
+        elif self._resumes:
+            continues = stream.has_events or not _is_success(stream.status)
+        else:
+            continues = True
+        if not continues:
+            raise self._build_error(
+                f'status {stream.status} without the rest of the stream'
+            )
+
+    def check_event(self, event: backends.StreamEvent) -> None:
+        """Check that an event may follow the last one that was relayed.
+
+        Raises
+        ------
+        AnswerBroken
+            If it repeats an event or goes back, or if it skips one after a
+            server has taken up the stream.
+        """
+        if event.number == backends.NO_EVENT:
+            return
+        last_number = self._progress.position.number
+        follows = (
+            event.number == last_number + 1
+            if self._resumes
+            else event.number > last_number
+        )
+        if not follows:
+            raise errors.AnswerBroken(
+                f'event {event.number} after event {last_number}',
+                step='stream',
+                peer=self._server.name,
+            )
+
+    def record_event(self, event: backends.StreamEvent) -> None:
+        """Record an event that is relayed now."""
+        self._is_empty = False
+        self._progress.record_event(event, self._stream, self._server)
+
+    def check_end(self) -> None:
+        """Check that the whole stream may end as complete with this part.
+
+        Raises
+        ------
+        StreamNotContinued
+            If an earlier part broke off, and this one has no events.
+        """
+        if self._progress.first_stream is None:
+            self._progress.first_stream = self._stream
+        elif self._is_empty:
+            raise self._build_error('the rest of the stream has no events')
+
+    def _build_error(self, message: str) -> errors.StreamNotContinued:
+        return errors.StreamNotContinued(
+            message, step='resume', peer=self._server.name
+        )
+
+
+def _is_success(status: int) -> bool:
+    return http.HTTPStatus.OK <= status < http.HTTPStatus.MULTIPLE_CHOICES
--- a/src/swiftjunction/requests/_stream_progress.py
+++ b/src/swiftjunction/requests/_stream_progress.py
@@ -30,7 +30,10 @@
     is_counted : bool
         Whether the request has been counted as one that began to run.
     first_stream : ServiceStream or None
-        The stream of the first server that opened one.
+        The stream of the first server that sent any of its body, whose head
+        the caller has; None while the caller has nothing.
+    was_opened : bool
+        Whether any server has begun to answer.
     excluded : set of str
         Names of the servers that were tried.
     may_have_run : bool
@@ -50,6 +53,7 @@
         'position',
         'resumable',
         'software',
+        'was_opened',
     )
 
     def __init__(
@@ -66,24 +70,23 @@
         self.is_counted = False
         self.is_recorded = False
         self.first_stream: backends.ServiceStream | None = None
+        self.was_opened = False
         self.excluded: set[str] = set()
         self.may_have_run = False
         self.last_error: errors.BackendError | None = None
 
     def record_event(
-        self, event: backends.StreamEvent, server: backends.BackendServer
+        self,
+        event: backends.StreamEvent,
+        stream: backends.ServiceStream,
+        server: backends.BackendServer,
     ) -> None:
         """Record an event that is relayed now."""
+        if self.first_stream is None:
+            self.first_stream = stream
         self.position = backends.StreamPosition(event.number, event.version)
         self.software = server.software
 
     def has_events(self) -> bool:
         """Return whether the caller has any events."""
         return self.position.number > backends.NO_EVENT
-
-    def is_new(self, event: backends.StreamEvent) -> bool:
-        """Return whether an event was not relayed yet."""
-        return (
-            event.number == backends.NO_EVENT
-            or event.number > self.position.number
-        )
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -25,6 +25,7 @@
 METHODS = ['GET', 'POST', 'PUT', 'DELETE']
 # Bytes of a body that crashes a server with the fault ``poison``.
 POISON_MARKER = b'POISON'
+FAILURE_BODY = b'{"error": "out of memory"}'
 # Headers that name another engine whose memory a request reads or fills.
 MEMORY_HEADERS = ('kv-fetch', 'kv-from', 'swiftjunction-kv-backup')
 
@@ -131,6 +132,7 @@
         body makes the engine crash.
         ``shed``: samples that are refused with 503 and not executed.
         ``fail``: samples that fail with 500.
+        ``fail_resumed``: the same, of those that go on after an event.
         ``never``: samples that fail with 422.
         ``silent``: samples that are executed without a response.
         ``cut``: streams that break off in the middle of an event.
@@ -184,6 +186,7 @@
             'poison',
             'shed',
             'fail',
+            'fail_resumed',
             'never',
             'silent',
             'cut',
@@ -281,9 +284,11 @@
             await _crash(self.faults)
         if self.faults.consume('silent'):
             await anyio.sleep(UNANSWERED_SECONDS)
-        if self.faults.consume('fail'):
+        if self._consume_failure(after):
             return Response(
-                status_code=500, headers=_make_signature_headers(request_id)
+                FAILURE_BODY,
+                status_code=500,
+                headers=_make_signature_headers(request_id),
             )
         if self.faults.consume('never'):
             return Response(
@@ -300,6 +305,11 @@
             },
         )
 
+    def _consume_failure(self, after: int) -> bool:
+        return self.faults.consume('fail') or (
+            after >= 0 and self.faults.consume('fail_resumed')
+        )
+
     async def _iter_events(
         self, request_id: str, after: int, model: str, header_version: int
     ) -> collections.abc.AsyncGenerator[bytes, None]:
--- a/tests/cover/test_platform_leaving.py
+++ b/tests/cover/test_platform_leaving.py
@@ -27,6 +27,7 @@
 NOT_EXECUTED = ('swiftjunction-not-executed', '1')
 EVENTS = b'id: 0\ndata: a\n\nid: 1\ndata: b\n\n'
 STREAM = {'type': 'text/event-stream', 'body': EVENTS}
+REST = {**STREAM, 'body': EVENTS[15:]}
 BROKEN_STREAM = {**STREAM, 'body': EVENTS[:20], 'breaks': True}
 MAX_REFUSAL_SECONDS = 0.3
 
@@ -432,7 +433,7 @@
 async def test_a_stream_that_breaks_is_resumed_elsewhere_and_so_are_others():
     vm = Vm('a')
     vm.servers.add('a', LEAVING, **BROKEN_STREAM)
-    vm.servers.add('b', **STREAM)
+    vm.servers.add('b', **REST)
     stream = await vm.relay.open(vm.make_call('s'), True)
     vm.list_server('b')
     assert [event.data async for event in stream.rest] == ['b']
--- a/tests/cover/test_platform_streams.py
+++ b/tests/cover/test_platform_streams.py
@@ -7,6 +7,7 @@
 from swiftjunction import standins
 from tests import platform_deployment
 
+MODEL = platform_deployment.MODEL
 LAST_EVENT_ID = standins.make_platform_text('r1').count('\n')
 
 
@@ -155,6 +156,43 @@
                 await read_lines(deployment, '/streams/a')
         assert list_resume_positions(deployment) == [-1, 2]
 
+    async def test_a_failure_of_the_next_engine_is_not_joined(
+        self, deployment
+    ):
+        async with deployment.run():
+            faults = share_engine_faults(deployment)
+            faults.set('cut', 1)
+            faults.set('fail_resumed', 1)
+            async with open_stream(deployment, '/streams/a') as response:
+                received = b''
+                with pytest.raises(httpx.RemoteProtocolError):
+                    async for data in response.aiter_raw():
+                        received += data
+        assert list_ids(received.decode().splitlines()) == [0, 1, 2]
+        assert b'error' not in received
+        assert list_resume_positions(deployment) == [-1, 2]
+
+    async def test_a_third_engine_goes_on_after_a_failure_of_the_second(
+        self, tmp_path
+    ):
+        config = platform_deployment.make_config()
+        for route in config['routes']:
+            route['max_attempts'] = 3
+        deployment = platform_deployment.PlatformDeployment(
+            tmp_path, config=config
+        )
+        engines = deployment.engines
+        engines['e3'] = standins.PlatformEngineStandin('e3', {MODEL: 1})
+        async with deployment.run():
+            faults = engines['e1'].faults
+            engines['e2'].faults = engines['e3'].faults = faults
+            faults.set('cut', 1)
+            faults.set('fail_resumed', 1)
+            response, lines = await read_lines(deployment, '/streams/a')
+        assert response.status_code == 200
+        assert list_ids(lines) == list(range(LAST_EVENT_ID + 1))
+        assert list_resume_positions(deployment) == [-1, 2, 2]
+
     async def test_a_stalled_stream_ends_at_its_deadline(self, deployment):
         async with deployment.run():
             set_faults(deployment, 'stall', 1)
