Take no answer about a stream's origin to a call before a restart

Callers could have a stream joined from two software versions: a VM numbered its questions from 1 after each start, so that a peer which had stood still and answered a question of the former process answered another one of the new process, with the origin of another stream.

Cause and evidence: found by reading; the test delivers such an answer, and the origin of the other stream was taken. It was not seen in a deployment.

Change: the first number is drawn at random.

--- a/src/swiftjunction/coordination/_origins.py
+++ b/src/swiftjunction/coordination/_origins.py
@@ -8,6 +8,7 @@
 import bisect
 import collections.abc
 import logging
+import random
 
 import anyio
 import msgspec
@@ -32,6 +33,8 @@
 # Time to wait for answers, for each time that peers are asked.
 QUERY_TIMEOUTS_SECONDS = (0.1, 0.15)
 MAX_LIFETIME_SECONDS = 3600.0
+# Leaves room to count on.
+CALL_NUMBER_BITS = 48
 
 
 class OriginRecord(msgspec.Struct, frozen=True, tag='origin-record'):
@@ -135,7 +138,8 @@
         self._table = requests.OriginTable()
         self._ring = _Ring(frozenset())
         self._datagrams: _datagrams.PeerDatagrams | None = None
-        self._call_number = 0
+        # Of no call before a restart, to which a peer may answer only now.
+        self._call_number = random.getrandbits(CALL_NUMBER_BITS)
         self._calls: dict[int, _Call] = {}
 
     def connect(self, datagrams: _datagrams.PeerDatagrams) -> None:
--- a/tests/cover/test_coordination_origins.py
+++ b/tests/cover/test_coordination_origins.py
@@ -7,6 +7,7 @@
 import pytest
 
 from swiftjunction import coordination
+from swiftjunction.coordination import _origins
 from swiftjunction import requests
 from swiftjunction import standins
 from swiftjunction import web
@@ -133,6 +134,29 @@
             assert await vms[0].origins.find('unknown') is None
 
 
+async def test_an_answer_to_a_vm_before_it_restarted_is_not_taken():
+    silent = Vm('silent')
+    before, after = Vm('a'), Vm('a')
+    numbers = []
+    for vm, request_id in ((before, 'former'), (after, 'new')):
+        async with run_vms(vm, members=[silent]):
+            async with anyio.create_task_group() as tasks:
+                found = []
+
+                async def find(vm=vm, request_id=request_id, found=found):
+                    found.append(await vm.origins.find(request_id))
+
+                tasks.start_soon(find)
+                await anyio.sleep(0.02)
+                numbers += vm.origins._calls
+                # A peer that stood still answers the first call only now.
+                await after.origins._handle_answer(
+                    _origins.OriginAnswer(numbers[0], ORIGIN), silent.address
+                )
+    assert len(numbers) == 2
+    assert found == [None]
+
+
 async def test_a_peer_with_a_broken_address_is_no_obstacle():
     a, b, broken = Vm('a'), Vm('b'), Vm('broken')
     broken.member = msgspec.structs.replace(broken.member, address='nowhere')
