Go on with a stream only at the run of a server that is listed

What callers could see: a VM that was cut off from the store and its peers took up streams at servers that had meanwhile started again under their names with another software version, and joined the two (ORDER). Streams that began there on such a server, and broke, went on at a server of the listed version.

Cause: the version of a server is that of its entry, and a VM did not know how old its entries were. Where a stream began was known truthfully, or not at all.

Change: before a stream goes on at a server, the VM asks it for its report, and does not send the stream if the report names another start than the entry does. Where it had none, the server at which a stream begins is asked as well, and a stream of unknown version is neither recorded nor taken up.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -42,6 +42,9 @@
 from swiftjunction.backends._streams import StreamEvent
 from swiftjunction.backends._streams import StreamPosition
 from swiftjunction.backends._streams import StreamTransport
+from swiftjunction.backends._verifier import ListTrust
+from swiftjunction.backends._verifier import RunVerifier
+from swiftjunction.backends._verifier import StartVerifier
 
 __all__ = [
     'BackendServer',
@@ -52,6 +55,7 @@
     'EngineClient',
     'EngineStatus',
     'Exchange',
+    'ListTrust',
     'LoopLag',
     'NO_EVENT',
     'NoPeerPaths',
@@ -64,6 +68,7 @@
     'PermitBuckets',
     'PermitSource',
     'RateStatement',
+    'RunVerifier',
     'SAMPLE_LATENCY_TOLERANCE',
     'SERVER_PREFIX',
     'STATUS_INTERVAL_SECONDS',
@@ -76,6 +81,7 @@
     'ServiceResponse',
     'ServiceStream',
     'ServiceTransport',
+    'StartVerifier',
     'StreamEvent',
     'StreamPosition',
     'StreamTransport',
--- a/src/swiftjunction/batches/_engine_client.py
+++ b/src/swiftjunction/batches/_engine_client.py
@@ -20,11 +20,14 @@
         Whether it is executing an order.
     orders : int
         Number of orders that it has accepted since its start.
+    born_ms : int
+        When it started, in Unix milliseconds; 0 if it does not say.
     """
 
     versions: dict[str, int]
     busy: bool
     orders: int
+    born_ms: int = 0
 
 
 class VersionOrder(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -227,6 +227,13 @@
             self._members,
             coordination.OriginArchive(self._store, self._members),
         )
+
+        async def read_start(server: backends.BackendServer) -> int:
+            return (await workers.read_report(server)).born_ms
+
+        verifier = backends.StartVerifier(
+            read_start, self._feeds.is_server_list_current
+        )
         self._admission = requests.AdmissionController(MAX_IN_FLIGHT)
         self._ingress = self._build_ingress(
             make_forwarder(),
@@ -237,7 +244,7 @@
                 requests.RetryBudget(),
                 suspects,
                 self._directory,
-                self._origins,
+                requests.StreamResumer(self._origins, verifier),
                 self._usage.runs,
             ),
             rng,
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -38,6 +38,7 @@
     busy: bool = False
     # Number of orders that the engine has accepted.
     sequence: int = 0
+    born: int = 0
 
 
 class WorkerClient(
@@ -232,6 +233,7 @@
             {model.name: model.version for model in report.models},
             report.busy,
             report.sequence,
+            report.born,
         )
 
     async def send_order(
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -31,6 +31,7 @@
 from swiftjunction.requests._parsing import read_body
 from swiftjunction.requests._relaying import RelayedStream
 from swiftjunction.requests._relaying import StreamRelay
+from swiftjunction.requests._resuming import StreamResumer
 from swiftjunction.requests._runs import NoRunListener
 from swiftjunction.requests._runs import RequestRun
 from swiftjunction.requests._runs import RunListener
@@ -72,6 +73,7 @@
     'Segment',
     'StreamOrigin',
     'StreamRelay',
+    'StreamResumer',
     'SuspectTracker',
     'build_app',
     'build_segments',
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -70,7 +70,7 @@
         Tracks the requests that may crash servers.
     directory : Directory, optional
         Tells which servers have ended.
-    origins : OriginRegistry, optional
+    resumer : StreamResumer, optional
         Knows where streams began; by default, those of this relay only.
     runs : RunListener, optional
         Counts the requests of organisations that began to run.
@@ -94,12 +94,12 @@
         budget: _budget.RetryBudget,
         suspects: _suspects.SuspectTracker,
         directory: backends.Directory | None = None,
-        origins: _origins.OriginRegistry | None = None,
+        resumer: _resuming.StreamResumer | None = None,
         runs: _runs.RunListener | None = None,
     ) -> None:
         self._runs = runs or _runs.NoRunListener()
-        self._resumer = _resuming.StreamResumer(
-            origins or _origins.LocalOrigins()
+        self._resumer = resumer or _resuming.StreamResumer(
+            _origins.LocalOrigins()
         )
         self._observer = _evidence.CrashObserver(services, suspects, directory)
         self._router = router
@@ -222,6 +222,7 @@
         server: backends.BackendServer,
     ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
         """Yield the events that follow those relayed before."""
+        await self._resumer.check_server(progress, server)
         latency_timer = server.start_latency_timer()
         try:
             stream = await self._open_stream(call, server, progress)
--- a/src/swiftjunction/requests/_resuming.py
+++ b/src/swiftjunction/requests/_resuming.py
@@ -21,12 +21,19 @@
     ----------
     origins : OriginRegistry
         Knows where streams began.
+    verifier : RunVerifier, optional
+        Tells whether servers run what is listed; by default, they do.
     """
 
-    __slots__ = ('_origins',)
+    __slots__ = ('_origins', '_verifier')
 
-    def __init__(self, origins: _origins.OriginRegistry) -> None:
+    def __init__(
+        self,
+        origins: _origins.OriginRegistry,
+        verifier: backends.RunVerifier | None = None,
+    ) -> None:
         self._origins = origins
+        self._verifier = verifier or backends.ListTrust()
 
     async def resume(
         self,
@@ -67,6 +74,27 @@
         )
         return msgspec.structs.replace(call, settings=settings), progress
 
+    async def check_server(
+        self,
+        progress: _stream_progress.StreamProgress,
+        server: backends.BackendServer,
+    ) -> None:
+        """Check that a server runs the software that wrote the stream.
+
+        Raises
+        ------
+        BackendRefused
+            If it may have started again with other software.
+        """
+        if progress.software is not None and not (
+            await self._verifier.may_continue(server)
+        ):
+            raise errors.BackendRefused(
+                'the server may run other software than is listed',
+                step='resume',
+                peer=server.name,
+            )
+
     async def record(
         self,
         call: _forwarding.ForwardedCall,
@@ -77,7 +105,8 @@
         """Record where a stream began, before its first event is relayed.
 
         That of a stream that is resumed is recorded again, so that it
-        outlives the VMs that had it.
+        outlives the VMs that had it. A stream of unknown software is not
+        recorded, and nobody goes on with it.
         """
         if (
             progress.is_recorded
@@ -86,6 +115,11 @@
         ):
             return
         progress.is_recorded = True
+        if progress.software is None and not (
+            await self._verifier.may_begin(server)
+        ):
+            progress.software = backends.UNKNOWN_SOFTWARE
+            return
         remaining_seconds = max(call.deadline - anyio.current_time(), 0.0)
         await self._origins.record(
             progress.first_request_id,
--- a/src/swiftjunction/requests/_stream_progress.py
+++ b/src/swiftjunction/requests/_stream_progress.py
@@ -85,7 +85,8 @@
         if self.first_stream is None:
             self.first_stream = stream
         self.position = backends.StreamPosition(event.number, event.version)
-        self.software = server.software
+        if self.software is None:
+            self.software = server.software
 
     def has_events(self) -> bool:
         """Return whether the caller has any events."""
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -232,6 +232,7 @@
                 ],
                 'busy': self._is_busy(),
                 'sequence': len(self.orders),
+                'born': self.server_runs.count,
             }
         )
 
--- a/tests/cover/test_platform_versions.py
+++ b/tests/cover/test_platform_versions.py
@@ -116,7 +116,7 @@
         """
         self.attempts += 1
         port = self.deployment.ports[vm]['front']
-        url = f'http://{self.deployment.vm_ip}:{port}'
+        url = f'http://{self.deployment.get_ip(vm)}:{port}'
         async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
             async with client.stream(
                 'POST',
@@ -356,6 +356,7 @@
             for name in ('e1', 'e2'):
                 engine = deployment.engines[name]
                 engine.software = 'v3'
+                engine.server_runs.count = 2
                 deployment.register_server(name, engine, born=2)
             await anyio.sleep(LISTING_SECONDS)
             for stream in streams:
--- a/tests/cover/test_requests_taking_up.py
+++ b/tests/cover/test_requests_taking_up.py
@@ -167,7 +167,7 @@
                     requests.RecordCrashRegistry(membership.RecordTable()),
                     'vm',
                 ),
-                origins=self.origins,
+                resumer=requests.StreamResumer(self.origins),
             )
 
     async def read(self, **options):
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -192,6 +192,10 @@
             yield self
             tasks.cancel_scope.cancel()
 
+    def get_ip(self, name):
+        """Return the address of a VM."""
+        return self.vm_ip
+
     def start_server(self, name, server):
         """Serve a stand-in and register it in the store."""
         listener = web.open_listener('127.0.0.1', 0)
@@ -230,12 +234,12 @@
         path = self._folder / f'{name}.conf'
         lines = [
             f'node_name={name}',
-            f'ip={self.vm_ip}',
+            f'ip={self.get_ip(name)}',
             'zone=dc-1',
             'region=r-1',
-            f'bind.front={self.vm_ip}:{ports["front"]}',
-            f'bind.readiness={self.vm_ip}:{ports["readiness"]}',
-            f'bind.directory={self.vm_ip}:{ports["directory"]}',
+            f'bind.front={self.get_ip(name)}:{ports["front"]}',
+            f'bind.readiness={self.get_ip(name)}:{ports["readiness"]}',
+            f'bind.directory={self.get_ip(name)}:{ports["directory"]}',
             f'port_range={ports["peer"]},{ports["peer"] + 1}',
             f'provider.address={self.store_address}',
             'bounds.grace_s=3',
@@ -268,7 +272,7 @@
     async def send_request(self, name, method, path, port='front', **options):
         """Send one request to a VM on a new connection."""
         headers = {'host': HOST, **options.pop('headers', {})}
-        url = f'http://{self.vm_ip}:{self.ports[name][port]}{path}'
+        url = f'http://{self.get_ip(name)}:{self.ports[name][port]}{path}'
         async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
             return await client.request(
                 method, url, headers=headers, **options
