--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -39,6 +39,7 @@
     busy: bool = False
     # Number of orders that the engine has accepted.
     sequence: int = 0
+    born: int = 0
 
 
 class WorkerClient(
@@ -120,6 +121,8 @@
             response.status_code,
             response.headers.multi_items(),
             self._relay_events(response, server, position.version),
+            _responses.is_event_stream(response),
+            response.aclose,
         )
 
     async def _relay_events(
@@ -231,6 +234,7 @@
             {model.name: model.version for model in report.models},
             report.busy,
             report.sequence,
+            report.born,
         )
 
     async def send_order(
