--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -5,6 +5,7 @@
 from swiftjunction.coordination._app import PeerApp
 from swiftjunction.coordination._clock import SharedClock
 from swiftjunction.coordination._confirmer import ConfigurationConfirmer
+from swiftjunction.coordination._confirming import confirm_servers
 from swiftjunction.coordination._confirming import FeedConfirmation
 from swiftjunction.coordination._coordinator import Coordinator
 from swiftjunction.coordination._coordinator import CoordinatorTask
@@ -29,6 +30,7 @@
 from swiftjunction.coordination._permits import PermitCall
 from swiftjunction.coordination._permits import SharedPermits
 from swiftjunction.coordination._polling import PeerPoller
+from swiftjunction.coordination._refreshing import FeedRefresher
 from swiftjunction.coordination._relaying import FailoverStore
 from swiftjunction.coordination._sharing import FeedSync
 from swiftjunction.coordination._statuses import Member
@@ -51,6 +53,7 @@
     'EngineFitness',
     'FailoverStore',
     'FeedConfirmation',
+    'FeedRefresher',
     'FeedSync',
     'MEMBER_PREFIX',
     'Member',
@@ -73,5 +76,6 @@
     'StoreCrashRegistry',
     'TunnelPaths',
     'VmReport',
+    'confirm_servers',
     'list_store_relays',
 ]
--- a/src/swiftjunction/coordination/_confirming.py
+++ b/src/swiftjunction/coordination/_confirming.py
@@ -12,8 +12,19 @@
 from swiftjunction import organisations
 
 CONFIG_PREFIX = 'config/'
+SERVERS_PREFIX = 'servers/'
 MS_PER_SECOND = 1000
 
+AgeReader = collections.abc.Callable[[_statuses.MemberStatus], float | None]
+
+
+def _read_configuration_age(status: _statuses.MemberStatus) -> float | None:
+    return status.configuration_age_seconds
+
+
+def _read_servers_age(status: _statuses.MemberStatus) -> float | None:
+    return status.servers_age_seconds
+
 
 class FeedConfirmation(organisations.TableConfirmation):
     """The time up to which this VM has all changes of a feed.
@@ -26,19 +37,24 @@
         The prefix of the feed.
     clock : callable
         Returns seconds; also counts the time for which the VM is suspended.
+    read_age : callable
+        Returns the age that the status of a peer states for the feed.
 
     Attributes
     ----------
     clock : callable
         The clock that was given.
+    prefix : str
+        The prefix of the feed.
     """
 
     __slots__ = (
         '_confirmed_at',
         '_feed_sync',
         '_pending',
-        '_prefix',
+        '_read_age',
         'clock',
+        'prefix',
     )
 
     def __init__(
@@ -46,9 +62,11 @@
         feed_sync: _sharing.FeedSync,
         prefix: str = CONFIG_PREFIX,
         clock: collections.abc.Callable[[], float] = leases.read_boot_clock,
+        read_age: AgeReader = _read_configuration_age,
     ) -> None:
         self._feed_sync = feed_sync
-        self._prefix = prefix
+        self._read_age = read_age
+        self.prefix = prefix
         self.clock = clock
         self._confirmed_at = -math.inf
         # A peer's revision of the feed, newer than that of this VM, and the
@@ -78,11 +96,11 @@
             Just before the peer was asked, in seconds on `clock`; None if
             that is not known, and the answer confirms nothing.
         """
-        age_seconds = status.configuration_age_seconds
+        age_seconds = self._read_age(status)
         # Also leaves out an age that is not a number.
         if asked_at is None or age_seconds is None or not age_seconds >= 0:
             return
-        revision = status.revisions.get(self._prefix, -1)
+        revision = status.revisions.get(self.prefix, -1)
         if revision < 0:
             return
         confirmed_at = asked_at - age_seconds
@@ -93,7 +111,7 @@
 
     def compute_age_seconds(self) -> float:
         self._settle_pending()
-        feed = self._feed_sync.find(self._prefix)
+        feed = self._feed_sync.find(self.prefix)
         if feed is not None:
             self.record(feed.answered_at)
         return self.clock() - self._confirmed_at
@@ -117,5 +135,15 @@
             self.record(confirmed_at)
 
     def _find_revision(self) -> int:
-        feed = self._feed_sync.find(self._prefix)
+        feed = self._feed_sync.find(self.prefix)
         return -1 if feed is None else feed.revision
+
+
+def confirm_servers(
+    feed_sync: _sharing.FeedSync,
+    clock: collections.abc.Callable[[], float] = leases.read_boot_clock,
+) -> FeedConfirmation:
+    """Return the confirmation of the list of backend servers."""
+    return FeedConfirmation(
+        feed_sync, SERVERS_PREFIX, clock, _read_servers_age
+    )
--- a/src/swiftjunction/coordination/_feed.py
+++ b/src/swiftjunction/coordination/_feed.py
@@ -38,6 +38,11 @@
     complete_at : float
         Up to when a response of the store shows that the copy has all changes;
         monotonic time in seconds.
+    is_waiting : bool
+        Whether a request of this VM for the objects is under way.
+    requested_at : float
+        Just before the last request for the objects; in seconds on
+        `boot_clock`.
     answered_at : float
         Just before the last request that the store has answered; in seconds
         on `boot_clock`. The copy has all changes up to then.
@@ -50,11 +55,12 @@
         '_min_since',
         '_newer_known',
         '_objects',
-        '_requested_at',
         'answered_at',
         'complete_at',
+        'is_waiting',
         'is_watched',
         'prefix',
+        'requested_at',
         'revision',
         'watched_at',
     )
@@ -68,7 +74,8 @@
         ] = leases.read_boot_clock,
     ) -> None:
         self._boot_clock = boot_clock
-        self._requested_at = -math.inf
+        self.is_waiting = False
+        self.requested_at = -math.inf
         self.answered_at = -math.inf
         self.prefix = prefix
         self.revision = -1
@@ -134,13 +141,16 @@
 
     def mark_stale(self) -> None:
         self.is_watched = False
+        self.is_waiting = False
 
     def note_request(self) -> None:
-        self._requested_at = self._boot_clock()
+        self.requested_at = self._boot_clock()
+        self.is_waiting = True
 
     def confirm(self, asked_at: float) -> None:
         self.complete_at = max(self.complete_at, asked_at)
-        self.answered_at = max(self.answered_at, self._requested_at)
+        self.answered_at = max(self.answered_at, self.requested_at)
+        self.is_waiting = False
 
     def copy_since(self, since: int) -> _messages.FeedCopy:
         """Return what a peer needs that has all changes up to `since`.
--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -81,6 +81,9 @@
         Receives the load of organisations at peers.
     clock : SharedClock, optional
         Receives the times that peers state.
+    server_list : FeedConfirmation, optional
+        Receives the ages of the lists of servers that peers state; on the
+        same clock as `confirmation`.
     """
 
     __slots__ = (
@@ -96,6 +99,7 @@
         '_round_number',
         '_router',
         '_polled_by',
+        '_server_list',
         '_unanswered',
     )
 
@@ -110,7 +114,9 @@
         confirmation: _confirming.FeedConfirmation | None = None,
         router: routing.Router | None = None,
         clock: _clock.SharedClock | None = None,
+        server_list: _confirming.FeedConfirmation | None = None,
     ) -> None:
+        self._server_list = server_list
         self._router = router
         self._clock = clock
         self._rates = rates
@@ -228,6 +234,8 @@
         self._feed_sync.record_status(status)
         if self._confirmation is not None:
             self._confirmation.record_status(status, asked_at)
+        if self._server_list is not None:
+            self._server_list.record_status(status, asked_at)
         if self._router is not None and status.flow_rates:
             self._router.record_flow_rates(status.name, status.flow_rates)
         if self._clock is not None:
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -91,6 +91,9 @@
     configuration_age_seconds : float or None
         For how long its copy of the configuration may lack changes, on a
         clock that counts time suspended; None if that is not known.
+    servers_age_seconds : float or None
+        For how long its list of backend servers may lack changes, on a clock
+        that counts time suspended; None if that is not known.
     flow_rates : dict of str to list of FlowRate
         For each service whose requests had to wait lately, the load of
         organisations at the VM.
@@ -122,6 +125,7 @@
     flow_rates: dict[str, list[routing.FlowRate]] = {}
     time_of_day: float = 0.0
     median_time: float = 0.0
+    servers_age_seconds: float | None = None
 
 
 class Tunnel(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/objectstore/_following.py
+++ b/src/swiftjunction/objectstore/_following.py
@@ -171,6 +171,7 @@
                 extra={'prefix': prefix},
             )
             revision = -1
+            listener.mark_stale()
         except errors.PlatformError as error:
             # The store may drop its history while the watch is interrupted,
             # and a watch from an older revision might not report that.
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -3,7 +3,6 @@
 import pathlib
 import random
 import time
-import uuid
 
 import anyio
 import anyio.abc
@@ -70,7 +69,9 @@
         self._metrics = telemetry.Metrics()
         self._supervisor = supervision.Supervisor(self._metrics)
         self._clients = web.PeerClients()
-        self._members = coordination.MemberTable(_build_member(settings))
+        self._members = coordination.MemberTable(
+            _status.build_member(settings)
+        )
         self._direct = _store.PlatformStore(self._clients, settings.store)
         self._store = coordination.FailoverStore(
             self._direct,
@@ -99,6 +100,16 @@
             self._store.reaches_directly,
             rng,
         )
+        self._server_list = coordination.confirm_servers(self._feed_sync)
+        self._refresher = coordination.FeedRefresher(
+            self._direct,
+            self._feed_sync,
+            self._members,
+            self._server_list,
+            settings.drain_seconds,
+            self._store.reaches_directly,
+            rng,
+        )
         self._clock = (
             coordination.SharedClock()
             if _names.USAGE_DUTY in settings.duties
@@ -219,6 +230,7 @@
             self._reachability,
             self._active_routes,
             self._confirmer,
+            self._server_list,
             router,
             self._clock,
             self._read_state,
@@ -253,6 +265,9 @@
         self._metrics.add_gauge(
             'configuration_age_seconds', lambda: self._confirmer.age_seconds
         )
+        self._metrics.add_gauge(
+            'server_list_age_seconds', self._server_list.compute_age_seconds
+        )
         _inspection.observe_servers(
             self._metrics, self._directory, self._reachability, suspects
         )
@@ -378,16 +393,3 @@
         if self._clock is not None:
             sources['clock'] = self._clock.summarize
         return _inspection.build_dump(sources)
-
-
-def _build_member(settings: _settings.EdgeSettings) -> coordination.Member:
-    """Return the entry of this VM, for this run of the process."""
-    return coordination.Member(
-        settings.name,
-        f'{settings.ip}:{settings.peer_port}',
-        settings.front,
-        settings.data_center,
-        settings.region,
-        uuid.uuid4().hex,
-        settings.processor_cores,
-    )
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -25,9 +25,15 @@
 ROUTES_TASK = 'routes'
 SERVERS_TASK = 'servers'
 CONFIRMATION_TASK = 'confirmation'
+REFRESHING_TASK = 'server list'
 # While one of these fails, this VM may not learn in time which requests it may
 # serve, and by which servers.
-KNOWLEDGE_TASKS = (ROUTES_TASK, SERVERS_TASK, CONFIRMATION_TASK)
+KNOWLEDGE_TASKS = (
+    ROUTES_TASK,
+    SERVERS_TASK,
+    CONFIRMATION_TASK,
+    REFRESHING_TASK,
+)
 MAX_FAILING_SECONDS = 1.0
 
 
@@ -84,6 +90,7 @@
             self._confirmation,
             self._router,
             self._clock,
+            self._server_list,
         )
         LOG.info(
             'started',
@@ -142,6 +149,7 @@
                 self._delayed_removal
             ),
             CONFIRMATION_TASK: self._confirmer.run,
+            REFRESHING_TASK: self._refresher.run,
             'crashes': self._crash_registry.run,
             'origins': self._origins.run,
             'usage': self._usage.run,
--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -38,6 +38,9 @@
         seconds.
     grace_seconds : float
         Time from SIGTERM to SIGKILL, in seconds.
+    drain_seconds : float
+        Time from the acknowledgement that a backend server is leaving until
+        no request may reach it, in seconds.
     max_address_seconds : float
         Longest time for which callers may cache addresses, in seconds.
     keep_seconds : float
@@ -83,6 +86,7 @@
     directory: str = ''
     lease_seconds: float = 3.0
     grace_seconds: float = 8.0
+    drain_seconds: float = 2.0
     max_address_seconds: float = 5.0
     keep_seconds: float = 120.0
     cancel_seconds: float = 3.0
@@ -140,6 +144,7 @@
         directory=reader.read_address('bind.directory', ''),
         lease_seconds=reader.read_milliseconds('bounds.lease_ms', 3000.0),
         grace_seconds=reader.read_number('bounds.grace_s', 8.0),
+        drain_seconds=reader.read_milliseconds('bounds.drain_ms', 2000.0),
         max_address_seconds=reader.read_number('bounds.ttl_max_s', 5.0),
         keep_seconds=reader.read_number('bounds.status_s', 120.0),
         cancel_seconds=reader.read_milliseconds('bounds.cancel_ms', 3000.0),
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -1,9 +1,11 @@
 """The status with which this VM answers the polls of its peers."""
 
 import collections.abc
+import uuid
 
 from swiftjunction import backends
 from swiftjunction import coordination
+from swiftjunction.platform import _settings
 from swiftjunction.platform import _tunneling
 from swiftjunction import routes
 from swiftjunction import routing
@@ -32,6 +34,8 @@
         The configuration in effect.
     confirmer : ConfigurationConfirmer
         Tells for how long the configuration may lack changes.
+    server_list : FeedConfirmation
+        Tells for how long the list of servers may lack changes.
     router : Router
         Tells the load of organisations whose requests had to wait.
     clock : SharedClock or None
@@ -52,6 +56,7 @@
         '_peer_tunnels',
         '_reachability',
         '_router',
+        '_server_list',
         '_store',
     )
 
@@ -66,6 +71,7 @@
         reachability: backends.Reachability,
         active_routes: routes.ActiveRoutes,
         confirmer: coordination.ConfigurationConfirmer,
+        server_list: coordination.FeedConfirmation,
         router: routing.Router,
         clock: coordination.SharedClock | None,
         get_state: collections.abc.Callable[[], str],
@@ -80,6 +86,7 @@
         self._active_routes = active_routes
         self._router = router
         self._confirmer = confirmer
+        self._server_list = server_list
         self._clock = clock
         self._get_state = get_state
 
@@ -114,4 +121,18 @@
             configuration_age_seconds=self._confirmer.state_age(),
             time_of_day=times[0],
             median_time=times[1],
+            servers_age_seconds=self._server_list.state_age(),
         )
+
+
+def build_member(settings: _settings.EdgeSettings) -> coordination.Member:
+    """Return the entry of this VM, for this run of the process."""
+    return coordination.Member(
+        settings.name,
+        f'{settings.ip}:{settings.peer_port}',
+        settings.front,
+        settings.data_center,
+        settings.region,
+        uuid.uuid4().hex,
+        settings.processor_cores,
+    )
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -220,6 +220,10 @@
             ]
         self.store.put('servers', name, {**server_object, **changes})
 
+    def get_ip(self, name):
+        """Return the address of a VM."""
+        return self.vm_ip
+
     def write_settings(self, name):
         """Write the settings file of a VM, as the platform does."""
         names = ('front', 'readiness', 'directory')
@@ -228,14 +232,15 @@
         ports['peer'] = reserve_peer_port()
         self.ports[name] = ports
         path = self._folder / f'{name}.conf'
+        ip = self.get_ip(name)
         lines = [
             f'node_name={name}',
-            f'ip={self.vm_ip}',
+            f'ip={ip}',
             'zone=dc-1',
             'region=r-1',
-            f'bind.front={self.vm_ip}:{ports["front"]}',
-            f'bind.readiness={self.vm_ip}:{ports["readiness"]}',
-            f'bind.directory={self.vm_ip}:{ports["directory"]}',
+            f'bind.front={ip}:{ports["front"]}',
+            f'bind.readiness={ip}:{ports["readiness"]}',
+            f'bind.directory={ip}:{ports["directory"]}',
             f'port_range={ports["peer"]},{ports["peer"] + 1}',
             f'provider.address={self.store_address}',
             'bounds.grace_s=3',
@@ -268,7 +273,7 @@
     async def send_request(self, name, method, path, port='front', **options):
         """Send one request to a VM on a new connection."""
         headers = {'host': HOST, **options.pop('headers', {})}
-        url = f'http://{self.vm_ip}:{self.ports[name][port]}{path}'
+        url = f'http://{self.get_ip(name)}:{self.ports[name][port]}{path}'
         async with httpx.AsyncClient(trust_env=False, timeout=5) as client:
             return await client.request(
                 method, url, headers=headers, **options
