Keep the feeds of a task that runs again, and leave the duty while it fails

Cause: the task that follows servers made a new feed each time, which did not know what the former one had delivered, so that a server that was removed meanwhile stayed in use for ever. A VM that is to stop, and whose coordinator had just failed, neither released its lease nor refrained from acquiring it again; its batches started samples again. An error in the last checkpoint ended the process without its drain.

Change: both feeds are made once. A VM that is to stop does not reclaim the lease, and releases it also while its task waits to run again; whether batches are stopped belongs to the lease. Leaving the duty is isolated.

Result: tests of each fail without the change, but for one of a deployment in which a server is removed while the task fails, which passes on both.

--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -153,9 +153,10 @@
             no results are written, as another process may run the batches.
             Without one, no other process ever does.
         """
+        if lease is not self._lease:
+            self._stopping = False
         self._lease = lease
         self._started_at = anyio.current_time()
-        self._stopping = False
         self.batches.clear()
         self._confirmation.reset()
         self._start_condition.reset()
--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -161,9 +161,10 @@
         """Coordinate whenever no other VM does, until cancelled."""
         # A restarted coordinator continues at once, while its peers would
         # have to wait until its lease expires.
-        lease = await self._attempt(self._keeper.reclaim)
-        if lease is not None:
-            await self._coordinate(lease)
+        if not self._stopping:
+            lease = await self._attempt(self._keeper.reclaim)
+            if lease is not None:
+                await self._coordinate(lease)
         while not self._stopping:
             self._keeper.record_version(self._members.find_lease_version())
             if not self._members.has_converged():
@@ -188,10 +189,10 @@
     async def resign(self) -> None:
         """Stop the task, release the lease and do not acquire it again."""
         self._stopping = True
-        if self._lease is None:
-            return
-        await self._task.stop(STOP_TIMEOUT_SECONDS)
-        self._coordinate_scope.cancel()
+        if self._lease is not None:
+            await self._task.stop(STOP_TIMEOUT_SECONDS)
+            self._coordinate_scope.cancel()
+        # The lease may also be held while the task waits to run again.
         try:
             with anyio.move_on_after(self._timing.renew_timeout_seconds):
                 await self._keeper.release()
--- a/src/swiftjunction/platform/_feeds.py
+++ b/src/swiftjunction/platform/_feeds.py
@@ -54,6 +54,8 @@
         '_is_coordinator',
         '_direct',
         '_feed_sync',
+        '_routes_feed',
+        '_servers_feed',
         '_store',
         'has_servers',
     )
@@ -70,6 +72,9 @@
         self._feed_sync = feed_sync
         self._is_coordinator = is_coordinator
         self._direct = direct
+        # Kept when a task runs again: they know which objects to remove.
+        self._routes_feed: coordination.SharedFeed | None = None
+        self._servers_feed: coordination.SharedFeed | None = None
         self.has_servers = False
 
     async def follow_routes(self, active_routes: routes.ActiveRoutes) -> None:
@@ -87,11 +92,12 @@
 
         # Changes are rare and must take effect soon: every VM of a small
         # deployment watches the store, and in a large one only the seeds.
-        feed = self._feed_sync.add(
-            f'{_names.CONFIG_KIND}/',
-            objectstore.CallbackListener(apply_object),
-        )
-        await self._feed_sync.run(feed, self._feed_sync.is_seed)
+        if self._routes_feed is None:
+            self._routes_feed = self._feed_sync.add(
+                f'{_names.CONFIG_KIND}/',
+                objectstore.CallbackListener(apply_object),
+            )
+        await self._feed_sync.run(self._routes_feed, self._feed_sync.is_seed)
 
     async def follow_servers(
         self, delayed_removal: backends.DelayedRemoval
@@ -114,12 +120,13 @@
         def remove_server(key: str) -> None:
             delayed_removal.record_missing(key.partition('/')[2])
 
-        feed = self._feed_sync.add(
-            f'{_names.SERVERS_KIND}/',
-            objectstore.CallbackListener(apply_object, remove_server),
-        )
+        if self._servers_feed is None:
+            self._servers_feed = self._feed_sync.add(
+                f'{_names.SERVERS_KIND}/',
+                objectstore.CallbackListener(apply_object, remove_server),
+            )
         await self._feed_sync.run(
-            feed, self._is_coordinator, SERVERS_COALESCE_SECONDS
+            self._servers_feed, self._is_coordinator, SERVERS_COALESCE_SECONDS
         )
 
     def is_server_list_current(self) -> bool:
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -187,7 +187,7 @@
             + self._settings.grace_seconds
             - SHUTDOWN_RESERVE_SECONDS
         )
-        await self._coordinator.resign()
+        await self._supervisor.run_isolated('resign', self._coordinator.resign)
         await anyio.sleep_until(drain_until)
 
     async def _become_ready(self) -> None:
--- a/tests/cover/test_coordination.py
+++ b/tests/cover/test_coordination.py
@@ -319,6 +319,26 @@
         )
         return coordination.Coordinator(keeper, timing, members, IdleTask())
 
+    async def test_a_failed_coordinator_that_is_to_stop_leaves_the_lease(
+        self, store
+    ):
+        timing = leases.LeaseTiming()
+        coordinator = self.make_coordinator(store, timing)
+
+        class FailingTask(IdleTask):
+            async def run(self, lease):
+                raise ValueError('odd batch')
+
+        coordinator._task = FailingTask()
+        await coordinator._keeper.acquire()
+        with pytest.raises(ExceptionGroup):
+            await coordinator.run()
+        await coordinator.resign()
+        with anyio.fail_after(2):
+            await coordinator.run()
+        record = msgspec.json.decode((await store.read('leases/l')).value)
+        assert record['holder'] == ''
+
     async def test_a_lease_of_another_holder_is_not_reclaimed(self, store):
         def make_keeper(holder):
             return leases.LeaseKeeper(
--- a/tests/cover/test_platform_failing_tasks.py
+++ b/tests/cover/test_platform_failing_tasks.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from swiftjunction import coordination
 from swiftjunction.platform import _program
 from swiftjunction.supervision import _supervisor
 from tests import platform_deployment
@@ -87,3 +88,49 @@
         results = await deployment.wait_for_results('vm-1', 'b1', 4)
     assert response.status_code == 200
     assert {result['state'] for result in results} == {'completed'}
+
+
+async def test_a_server_removed_while_servers_cannot_be_followed_is_not_used(
+    deployment, monkeypatch
+):
+    follows = coordination.FeedSync._watch
+    failing = []
+
+    async def watch(self, feed, *arguments):
+        if feed.prefix != 'servers/':
+            return await follows(self, feed, *arguments)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follows, self, feed, *arguments)
+            while not failing:
+                await anyio.sleep(0.02)
+            raise OverflowError('port must be 0-65535')
+
+    monkeypatch.setattr(coordination.FeedSync, '_watch', watch)
+    async with deployment.run():
+        directory = deployment.programs['vm-1']._directory
+        assert directory.get('p1') is not None
+        failing.append(True)
+        await anyio.sleep(0.1)
+        deployment.store.remove('servers', 'p1')
+        await anyio.sleep(0.1)
+        failing.clear()
+        with anyio.fail_after(5):
+            while directory.get('p1') is not None:
+                await anyio.sleep(0.05)
+        assert directory.get('p2') is not None
+
+
+async def test_an_error_while_the_duty_is_left_does_not_end_the_drain(
+    deployment, monkeypatch
+):
+    async def fail(self):
+        raise ValueError('odd checkpoint')
+
+    monkeypatch.setattr(coordination.Coordinator, 'resign', fail)
+    async with deployment.run():
+        deployment.programs['vm-1']._stopping.set()
+        await anyio.sleep(0.3)
+        response = await deployment.send_request(
+            'vm-1', 'POST', '/plain/a', **REQUEST
+        )
+    assert response.status_code == 200
--- a/tests/cover/test_platform_feeds.py
+++ b/tests/cover/test_platform_feeds.py
@@ -168,3 +168,47 @@
         await anyio.sleep(0.1)
         assert active_routes.version == 5
         tasks.cancel_scope.cancel()
+
+
+class FailingFeedSync:
+    """Delivers a list on each run, and fails after the first one."""
+
+    def __init__(self, *lists):
+        self.lists = list(lists)
+
+    def add(self, prefix, listener):
+        return listener
+
+    async def run(self, listener, *arguments):
+        listener.replace(self.lists.pop(0))
+        if self.lists:
+            raise OverflowError('port must be 0-65535')
+
+
+class RecordedRemovals:
+    def __init__(self):
+        self.missing = []
+
+    def record_listed(self, report):
+        pass
+
+    def record_missing(self, name):
+        self.missing.append(name)
+
+
+@pytest.mark.anyio
+async def test_a_server_removed_between_two_runs_of_the_task_is_missing():
+    server = objectstore.Object(
+        'servers/s1',
+        1,
+        b'{"service":"plain","address":"127.0.0.1:1","zone":"z",'
+        b'"state":"ready","version":"v1"}',
+    )
+    feeds = _feeds.PlatformFeeds(
+        None, None, FailingFeedSync([server], []), lambda: False
+    )
+    removals = RecordedRemovals()
+    with pytest.raises(OverflowError):
+        await feeds.follow_servers(removals)
+    await feeds.follow_servers(removals)
+    assert removals.missing == ['s1']
--- a/tests/cover/test_platform_stopping.py
+++ b/tests/cover/test_platform_stopping.py
@@ -73,6 +73,19 @@
     assert list_run(deployment) == ['short']
 
 
+async def test_an_idempotent_request_without_an_aim_goes_by_its_deadline(
+    deployment,
+):
+    del deployment._config['routes'][0]['slo_ms']
+    async with deployment.run():
+        deployment.programs['vm-1']._stopping.set()
+        await anyio.sleep(LATE_SECONDS)
+        refused = await send(deployment, '/plain/a', 'long', 2500)
+        served = await send(deployment, '/plain/a', 'short', 800)
+    assert refused.status_code == 503
+    assert served.status_code == 200
+
+
 async def test_a_request_in_flight_is_answered_before_the_process_ends(
     deployment,
 ):
