--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -123,8 +123,10 @@
 def _parse_address(address: str) -> httpx.URL:
     """Return the URL of a server; ``AddressInvalid`` if there is none."""
     try:
-        _addresses.parse_address(address)
         url = httpx.URL(f'http://{address}')
+        port = int(address.rpartition(':')[2])
+        if not url.host or not 0 < port <= _addresses.MAX_PORT:
+            raise ValueError('there is no host or no valid port')
         if url.userinfo or url.raw_path != b'/':
             raise ValueError('there is more than a host and a port')
         return url
