Let bodies up to the configured limit pass, and bound them in total

What callers saw: a body of more than 4 MiB was refused with 400, whatever limits.max_body_bytes says.

Cause: read_body has a constant limit of 4 MiB. Nothing bounded the bodies of all requests together, nor the time that a body may take, and a body without a check of keys was copied whole into the buffer of the connection to the server.

Change: BodyReader counts bodies as they are received, until their request ends: 413 above the configured limit (or 64 MiB), 503 above 80 MiB in total, of which bodies of more than 1 MiB take 64 at most, and 503 if a body is not complete by the deadline. The rest of a refused body is read and dropped for a second, so that the response is not lost. Bodies are sent in chunks of 64 KiB. An own deployment keeps its 4 MiB and 400.

--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -11,6 +11,7 @@
     'BackendError',
     'BackendRefused',
     'BackendUnreachable',
+    'BodyTooLarge',
     'ContentBroken',
     'HistoryLost',
     'KeyRefused',
@@ -235,6 +236,12 @@
     """
 
 
+class BodyTooLarge(RequestInvalid):
+    """The body of the request is larger than the configuration allows."""
+
+    status = 413
+
+
 class RouteMissing(RequestInvalid):
     """No route matches the host and path, or the requested item is missing."""
 
--- a/src/swiftjunction/platform/_batch_calls.py
+++ b/src/swiftjunction/platform/_batch_calls.py
@@ -1,19 +1,21 @@
 """Calls of trainers: submission, results, sample bodies and the end."""
 
+import contextlib
 import http
 import logging
 import random
 
+import anyio
 import starlette.requests
 import starlette.responses
 
 from swiftjunction import batches
 from swiftjunction import errors
 from swiftjunction.platform import _batches
+from swiftjunction.platform import _caller_bodies
 from swiftjunction.platform import _caller_http
 from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
-from swiftjunction import requests
 from swiftjunction import routes
 from swiftjunction import telemetry
 
@@ -23,6 +25,8 @@
 Response = starlette.responses.Response
 
 MAX_RESULTS_WAIT_SECONDS = 1.0
+# How long the body of a submission may take.
+SUBMISSION_SECONDS = 30.0
 
 
 class BatchCalls:
@@ -36,22 +40,33 @@
         Stores accepted batches.
     access : BatchAccess
         Reads the results of batches and ends batches.
+    bodies : CallerBodies
+        Reads the bodies of requests.
     rng : random.Random
         Selects the service of a split route.
     metrics : Metrics
         Latency histograms.
     """
 
-    __slots__ = ('_access', '_active_routes', '_archive', '_metrics', '_rng')
+    __slots__ = (
+        '_access',
+        '_active_routes',
+        '_archive',
+        '_bodies',
+        '_metrics',
+        '_rng',
+    )
 
     def __init__(
         self,
         active_routes: routes.ActiveRoutes,
         archive: batches.BatchArchive,
         access: batches.BatchAccess,
+        bodies: _caller_bodies.CallerBodies,
         rng: random.Random,
         metrics: telemetry.Metrics,
     ) -> None:
+        self._bodies = bodies
         self._active_routes = active_routes
         self._archive = archive
         self._access = access
@@ -86,7 +101,18 @@
         caller: _keys.Caller,
     ) -> Response:
         """Store a batch; respond with 202 once it is stored."""
-        body = await requests.read_body(request)
+        with contextlib.ExitStack() as stack:
+            deadline = anyio.current_time() + SUBMISSION_SECONDS
+            body = await self._bodies.read(request, deadline, stack)
+            return await self._accept(body, request_id, route, caller)
+
+    async def _accept(
+        self,
+        body: bytes,
+        request_id: str,
+        route: routes.Route,
+        caller: _keys.Caller,
+    ) -> Response:
         service = route.draw_service(self._rng)
         batch = _batches.decode_submission(
             body, request_id, route, service, caller
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -13,6 +13,7 @@
 from swiftjunction import membership
 from swiftjunction import organisations
 from swiftjunction.platform import _batch_calls
+from swiftjunction.platform import _caller_bodies
 from swiftjunction.platform import _duty_tasks
 from swiftjunction.platform import _election
 from swiftjunction.platform import _feeds
@@ -313,6 +314,7 @@
         stream_relay: requests.StreamRelay,
         rng: random.Random,
     ) -> _ingress.Ingress:
+        bodies = _caller_bodies.CallerBodies(self._active_routes)
         batch_calls = _batch_calls.BatchCalls(
             self._active_routes,
             self._archive,
@@ -324,6 +326,7 @@
                     self._archive,
                 )
             ),
+            bodies,
             rng,
             self._metrics,
         )
@@ -334,6 +337,7 @@
             stream_relay,
             self._admission,
             batch_calls,
+            bodies,
             _keys.CallerIdentification(
                 self._settings,
                 self._active_routes,
--- a/src/swiftjunction/platform/_ingress.py
+++ b/src/swiftjunction/platform/_ingress.py
@@ -13,10 +13,11 @@
 import starlette.types
 
 from swiftjunction import backends
-from swiftjunction import configuration
 from swiftjunction import coordination
 from swiftjunction import errors
 from swiftjunction.platform import _batch_calls
+from swiftjunction.platform import _caller_bodies
+from swiftjunction.platform import _caller_calls
 from swiftjunction.platform import _caller_http
 from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
@@ -37,10 +38,6 @@
 # An idempotent request seldom takes longer than so many times what its route
 # aims at.
 OBJECTIVES_PER_REQUEST = 2.0
-# Timeout of each attempt of an idempotent request, as a fraction of the time
-# allowed for the request; the next attempt goes to another server.
-ATTEMPT_TIMEOUT_FRACTION = 0.5
-MIN_ATTEMPT_TIMEOUT_SECONDS = 0.4
 
 
 class Ingress:
@@ -60,6 +57,8 @@
         Limits the requests in flight.
     batch_calls : BatchCalls
         Handles the calls of trainers.
+    bodies : CallerBodies
+        Reads the bodies of requests.
     callers : CallerIdentification
         Finds out which organisation sent a request.
     members : MemberTable
@@ -83,6 +82,7 @@
         '_active_routes',
         '_admission',
         '_batch_calls',
+        '_bodies',
         '_callers',
         '_forwarder',
         '_members',
@@ -104,6 +104,7 @@
         stream_relay: requests.StreamRelay,
         admission: requests.AdmissionController,
         batch_calls: _batch_calls.BatchCalls,
+        bodies: _caller_bodies.CallerBodies,
         callers: _keys.CallerIdentification,
         members: coordination.MemberTable,
         get_state: collections.abc.Callable[[], str],
@@ -119,6 +120,7 @@
         self._stream_relay = stream_relay
         self._admission = admission
         self._batch_calls = batch_calls
+        self._bodies = bodies
         self._callers = callers
         self._members = members
         self._get_state = get_state
@@ -252,74 +254,52 @@
         remaining_seconds = _caller_http.compute_timeout(request, route)
         deadline = anyio.current_time() + remaining_seconds
         self._grace.check(_estimate_end(route, deadline))
-        body = await requests.read_body(request)
-        # The grace period may have begun while the body was read.
-        self._grace.check(_estimate_end(route, deadline))
-        idempotent = route.kind is routes.RouteKind.IDEMPOTENT
-        settings = configuration.PathSettings(
-            service=route.draw_service(self._rng), request_class='live'
-        )
-        call = requests.ForwardedCall(
-            path=f'{route.host}{route.prefix}',
-            settings=settings,
-            service_call=backends.ServiceCall(
-                request_id=request_id,
-                method=request.method,
-                path=path,
-                query=_caller_http.read_query(request),
-                body=body,
-                headers=[
-                    (name, value)
-                    for name, value in request.headers.items()
-                    if name not in _caller_http.UNFORWARDED_HEADERS
-                    and name not in caller.removed_headers
-                ],
-                timeout_seconds=0.0,
-                host=route.host,
-                organisation=caller.organisation,
-                check=caller.check,
-            ),
-            deadline=self._grace.cap(deadline),
-            idempotent=idempotent,
-            max_attempts=max(route.max_attempts, 1),
-            rank=route.rank if caller.rank is None else caller.rank,
-            attempt_seconds=max(
-                remaining_seconds * ATTEMPT_TIMEOUT_FRACTION,
-                MIN_ATTEMPT_TIMEOUT_SECONDS,
-            ),
-        )
+        with contextlib.ExitStack() as stack:
+            body = await self._bodies.read(request, deadline, stack)
+            # The grace period may have begun while the body was read.
+            self._grace.check(_estimate_end(route, deadline))
+            call = _caller_calls.build_call(
+                request,
+                path,
+                request_id,
+                route,
+                caller,
+                body,
+                route.draw_service(self._rng),
+                self._grace.cap(deadline),
+                remaining_seconds,
+            )
 
-        async def process() -> Response:
-            if route.kind is routes.RouteKind.STREAM:
-                return await self._stream(request, call, route)
-            return _caller_http.build_relayed_response(await self._run(call))
+            async def process() -> Response:
+                if route.kind is routes.RouteKind.STREAM:
+                    return await self._stream(request, call, route, stack)
+                response = await self._run(call)
+                return _caller_http.build_relayed_response(response)
 
-        return await requests.run_while_connected(request, process)
+            return await requests.run_while_connected(request, process)
 
     async def _stream(
         self,
         request: Request,
         call: requests.ForwardedCall,
         route: routes.Route,
+        stack: contextlib.ExitStack,
     ) -> Response:
-        with contextlib.ExitStack() as stack:
-            stack.enter_context(
-                self._admission.admit(call.path, call.settings)
-            )
-            stack.enter_context(
-                self._metrics.measure(call.settings.service or '', 'stream')
+        stack.enter_context(self._admission.admit(call.path, call.settings))
+        stack.enter_context(
+            self._metrics.measure(call.settings.service or '', 'stream')
+        )
+        try:
+            stream = await self._stream_relay.open(
+                call,
+                route.resumable,
+                _caller_http.parse_resume_point(request, route),
             )
-            try:
-                stream = await self._stream_relay.open(
-                    call,
-                    route.resumable,
-                    _caller_http.parse_resume_point(request, route),
-                )
-            except errors.StreamNotResumable:
-                self._metrics.count('streams', outcome='not_resumable')
-                raise
-            # The request counts as in flight until its stream ends.
-            stream_stack = stack.pop_all()
+        except errors.StreamNotResumable:
+            self._metrics.count('streams', outcome='not_resumable')
+            raise
+        # The request counts as in flight until its stream ends.
+        stream_stack = stack.pop_all()
 
         def end_stream(outcome: str) -> None:
             stream_stack.close()
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -8,6 +8,7 @@
 from swiftjunction.requests._admission import AdmissionController
 from swiftjunction.requests._app import build_app
 from swiftjunction.requests._app import EntryApp
+from swiftjunction.requests._bodies import BodyReader
 from swiftjunction.requests._budget import RetryBudget
 from swiftjunction.requests._call import GenerationCall
 from swiftjunction.requests._claims import ClaimStore
@@ -28,7 +29,6 @@
 from swiftjunction.requests._origins import StreamOrigin
 from swiftjunction.requests._overload import OVERLOAD_CHECK_INTERVAL_SECONDS
 from swiftjunction.requests._overload import OverloadDetector
-from swiftjunction.requests._parsing import read_body
 from swiftjunction.requests._relaying import RelayedStream
 from swiftjunction.requests._relaying import StreamRelay
 from swiftjunction.requests._resuming import StreamResumer
@@ -44,6 +44,7 @@
 
 __all__ = [
     'AdmissionController',
+    'BodyReader',
     'ClaimStore',
     'CompletionGenerator',
     'CrashHistory',
@@ -78,6 +79,5 @@
     'build_app',
     'build_segments',
     'make_fingerprint',
-    'read_body',
     'run_while_connected',
 ]
--- a/src/swiftjunction/routes/_table.py
+++ b/src/swiftjunction/routes/_table.py
@@ -19,8 +19,7 @@
 class ConnectionLimits(msgspec.Struct, frozen=True):
     """Limits of a configuration on the connections of callers.
 
-    They are decoded, but not enforced: the listener and the request parser
-    have limits of their own.
+    That on idle time is decoded, but not enforced: the listener has its own.
 
     Attributes
     ----------
--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -97,27 +97,33 @@
     return urllib.parse.quote(target, safe=TARGET_CHARS).encode()
 
 
-class _CheckedBody(httpx.AsyncByteStream):
-    """A body that is checked before each chunk."""
+class _ChunkedBody(httpx.AsyncByteStream):
+    """A body that is checked before each chunk.
+
+    A chunk is copied only once the server has read most of those before it.
+    """
 
     def __init__(
-        self, content: bytes, check: collections.abc.Callable[[], None]
+        self,
+        content: bytes,
+        check: collections.abc.Callable[[], None] | None,
     ) -> None:
         self._content = content
         self._check = check
 
     async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         for start in range(0, len(self._content), BODY_CHUNK_BYTES):
-            self._check()
+            if self._check is not None:
+                self._check()
             yield self._content[start : start + BODY_CHUNK_BYTES]
 
 
 def _make_body(
     content: bytes, check: collections.abc.Callable[[], None] | None
 ) -> httpx.AsyncByteStream:
-    if check is None or len(content) <= BODY_CHUNK_BYTES:
+    if len(content) <= BODY_CHUNK_BYTES:
         return httpx.ByteStream(content)
-    return _CheckedBody(content, check)
+    return _ChunkedBody(content, check)
 
 
 def _parse_address(address: str) -> httpx.URL:
