--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 import ssl
-import urllib.parse
 
 import httpcore
 import httpx
@@ -30,9 +29,6 @@
     errors.AddressInvalid,
 )
 
-# What a request line may have: all visible ASCII characters.
-TARGET_CHARS = ''.join(map(chr, range(0x21, 0x7F)))
-
 Headers = collections.abc.Sequence[tuple[str, str]]
 
 # A server that reads slowly gets no more than this after a failed check, and
@@ -84,19 +80,6 @@
     return {'trace': trace}
 
 
-def _encode_target(target: str) -> bytes:
-    """Return the bytes of a request line.
-
-    Raises
-    ------
-    httpx.InvalidURL
-        If the target does not begin with a slash.
-    """
-    if not target.startswith('/'):
-        raise httpx.InvalidURL(f'invalid request target: {target[:100]!r}')
-    return urllib.parse.quote(target, safe=TARGET_CHARS).encode()
-
-
 class _ChunkedBody(httpx.AsyncByteStream):
     """A body that is checked before each chunk.
 
@@ -213,7 +196,6 @@
             HTTP method.
         target : str
             Percent-encoded path and query, which are sent as they are.
-            Characters that a request line cannot have are percent-encoded.
         timeout_seconds : float
             Timeout of a read and of a write.
         host : str
@@ -251,7 +233,7 @@
             stream=_make_body(content, check_body),
             extensions={
                 # A URL would remove dot segments and encode characters.
-                'target': _encode_target(target),
+                'target': target.encode(),
                 'timeout': {
                     'connect': min(connect_seconds, timeout_seconds),
                     'read': timeout_seconds,
