--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -4,7 +4,6 @@
 import contextlib
 import logging
 import ssl
-import urllib.parse
 
 import httpcore
 import httpx
@@ -30,9 +29,6 @@
     errors.AddressInvalid,
 )
 
-# What a request line may have: all visible ASCII characters.
-TARGET_CHARS = ''.join(map(chr, range(0x21, 0x7F)))
-
 Headers = collections.abc.Sequence[tuple[str, str]]
 
 # A server that reads slowly gets no more than this after a failed check, and
@@ -84,40 +80,33 @@
     return {'trace': trace}
 
 
-def _encode_target(target: str) -> bytes:
-    """Return the bytes of a request line.
+class _ChunkedBody(httpx.AsyncByteStream):
+    """A body that is checked before each chunk.
 
-    Raises
-    ------
-    httpx.InvalidURL
-        If the target does not begin with a slash.
+    A chunk is copied only once the server has read most of those before it.
     """
-    if not target.startswith('/'):
-        raise httpx.InvalidURL(f'invalid request target: {target[:100]!r}')
-    return urllib.parse.quote(target, safe=TARGET_CHARS).encode()
-
-
-class _CheckedBody(httpx.AsyncByteStream):
-    """A body that is checked before each chunk."""
 
     def __init__(
-        self, content: bytes, check: collections.abc.Callable[[], None]
+        self,
+        content: bytes,
+        check: collections.abc.Callable[[], None] | None,
     ) -> None:
         self._content = content
         self._check = check
 
     async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         for start in range(0, len(self._content), BODY_CHUNK_BYTES):
-            self._check()
+            if self._check is not None:
+                self._check()
             yield self._content[start : start + BODY_CHUNK_BYTES]
 
 
 def _make_body(
     content: bytes, check: collections.abc.Callable[[], None] | None
 ) -> httpx.AsyncByteStream:
-    if check is None or len(content) <= BODY_CHUNK_BYTES:
+    if len(content) <= BODY_CHUNK_BYTES:
         return httpx.ByteStream(content)
-    return _CheckedBody(content, check)
+    return _ChunkedBody(content, check)
 
 
 def _parse_address(address: str) -> httpx.URL:
@@ -209,7 +198,6 @@
             HTTP method.
         target : str
             Percent-encoded path and query, which are sent as they are.
-            Characters that a request line cannot have are percent-encoded.
         timeout_seconds : float
             Timeout of a read and of a write.
         host : str
@@ -247,7 +235,7 @@
             stream=_make_body(content, check_body),
             extensions={
                 # A URL would remove dot segments and encode characters.
-                'target': _encode_target(target),
+                'target': target.encode(),
                 'timeout': {
                     'connect': min(connect_seconds, timeout_seconds),
                     'read': timeout_seconds,
