Judge by the age of the list of servers whether it is current

Where a server does not say when it started, and where a stream begins, the list was taken for current if a watch of it had not failed in the last 2.5 s, by a clock on which a suspended VM seemed to be watching. Its age is known since, also to a VM that was suspended, and is asked now: at most `drain_ms`.

Result: test_platform_out_of_step.py, and the tests of streams, of versions and of the verifier pass (62). No test failed before; it is the same rule on a fact that is better known.

--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -21,6 +21,7 @@
 from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
 from swiftjunction.platform import _reloading
+from swiftjunction.platform import _server_starts
 from swiftjunction.platform import _settings
 from swiftjunction.platform import _status
 from swiftjunction.platform import _store
@@ -240,12 +241,8 @@
             self._members,
             coordination.OriginArchive(self._store, self._members),
         )
-
-        async def read_start(server: backends.BackendServer) -> int:
-            return (await workers.read_report(server)).born_ms
-
-        verifier = backends.StartVerifier(
-            read_start, self._feeds.is_server_list_current
+        verifier = _server_starts.build_verifier(
+            workers, self._server_list, settings.drain_seconds
         )
         self._admission = requests.AdmissionController(MAX_IN_FLIGHT)
         self._ingress = self._build_ingress(
--- a/src/swiftjunction/platform/_feeds.py
+++ b/src/swiftjunction/platform/_feeds.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import logging
-import math
 
 import anyio
 import msgspec
@@ -22,8 +21,6 @@
 # Leaving servers are still noticed in time, although DelayedRemoval adds a
 # delay of its own.
 SERVERS_COALESCE_SECONDS = 0.3
-# A VM whose watch failed watches anew, or copies from peers, within this time.
-MAX_LIST_AGE_SECONDS = 2.5
 CONFIG_KEY = f'{_names.CONFIG_KIND}/main'
 COMPLETED_STATUS = msgspec.json.encode({'state': 'completed'})
 STATUS_RETRY_INTERVAL_SECONDS = 0.5
@@ -129,12 +126,6 @@
             self._servers_feed, self._is_coordinator, SERVERS_COALESCE_SECONDS
         )
 
-    def is_server_list_current(self) -> bool:
-        """Return whether changes of the servers arrive, as far as is known."""
-        ages = self._feed_sync.list_watch_ages()
-        age_seconds = ages.get(f'{_names.SERVERS_KIND}/', math.inf)
-        return age_seconds <= MAX_LIST_AGE_SECONDS
-
     async def follow_versions(
         self, set_target_version: collections.abc.Callable[[str, int], None]
     ) -> None:
