Send odd entries, batches, paths, headers and peer messages in the soak

The soak leaves odd entries in each kind of the store that VMs follow, submits batches with fields that cannot be sent, sends requests and peer messages of arbitrary and deeply nested bytes, and cuts streams while all other engines answer with errors. It checks that no process ends but those that the run ends.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,6 +11,7 @@
 
 from soak import checks
 from soak import faults
+from soak import inputs
 from soak import keys
 from soak import load
 from soak import testbed
@@ -102,11 +103,15 @@
         deployment, invariants, random.Random(seed + 1), ring
     )
     injector = faults.FaultInjector(deployment, invariants, rng)
+    odd_input = inputs.OddInput(
+        deployment, invariants, random.Random(seed + 3), ring
+    )
     try:
         async with anyio.create_task_group() as tasks:
             await deployment.start(tasks)
             await _wait_until_served(workload)
-            await _inject_faults(workload, injector, seconds)
+            tasks.start_soon(odd_input.watch_processes)
+            await _inject_faults(workload, injector, odd_input, seconds)
             await _check_recovery(workload, invariants)
             await _stop_vms(deployment, invariants)
             tasks.cancel_scope.cancel()
@@ -167,7 +172,10 @@
 
 
 async def _inject_faults(
-    workload: load.Workload, injector: faults.FaultInjector, seconds: float
+    workload: load.Workload,
+    injector: faults.FaultInjector,
+    odd_input: inputs.OddInput,
+    seconds: float,
 ) -> None:
     async with anyio.create_task_group() as tasks:
         for number in range(CALLER_COUNT):
@@ -175,6 +183,7 @@
         tasks.start_soon(workload.run_trainer)
         tasks.start_soon(workload.run_operator)
         tasks.start_soon(workload.run_crasher)
+        tasks.start_soon(odd_input.run)
         for _ in range(STREAM_CALLER_COUNT):
             tasks.start_soon(workload.stream_caller.run)
         await injector.run(seconds)
