Ignore usage reports of distant windows and of other keys

Change: a report counts only under the key of its window, and windows further ahead than the longest outage are ignored, as those in messages of VMs are.

Result: two tests that failed before.

--- a/src/swiftjunction/usage/_archive.py
+++ b/src/swiftjunction/usage/_archive.py
@@ -124,7 +124,7 @@
                     version = found.version
                     state = objectstore.decode_value(found, UsageState)
                 elif found.key.startswith(REPORT_PREFIX):
-                    report = objectstore.decode_value(found, FixedReport)
+                    report = _decode_report(found)
                     reports[report.window] = report
                     versions[report.window] = found.version
             except errors.ObjectBroken as error:
@@ -178,8 +178,18 @@
             return report, version
         except errors.RevisionConflict:
             found = await self._store.read(key)
-        return objectstore.decode_value(found, FixedReport), found.version
+        return _decode_report(found), found.version
 
     async def delete(self, window: int, version: int) -> None:
         """Delete the report of a window."""
         await self._store.delete(make_report_key(window), version)
+
+
+def _decode_report(found: objectstore.Object) -> FixedReport:
+    """Return a fixed report; ``ObjectBroken`` if its key names another."""
+    report = objectstore.decode_value(found, FixedReport)
+    if found.key != make_report_key(report.window):
+        raise errors.ObjectBroken(
+            f'{found.key}: names window {report.window}', step='decode'
+        )
+    return report
--- a/src/swiftjunction/usage/_term.py
+++ b/src/swiftjunction/usage/_term.py
@@ -1,12 +1,15 @@
 """One term of the coordinator: which windows are fixed, and what is sent."""
 
 import collections.abc
+import logging
 
 from swiftjunction import coordination
 from swiftjunction.usage import _archive
 from swiftjunction.usage import _ledger
 from swiftjunction.usage import _windows
 
+LOG = logging.getLogger(__name__)
+
 # When a window is fixed at the latest, as a fraction of the time until its
 # report is due. The rest is for a platform that does not respond or a change
 # of coordinator.
@@ -97,15 +100,23 @@
         state = stored.state or _archive.UsageState(-1)
         self.ledger.merge(state.records)
         self.sent = {**state.sent, **self.sent}
-        for window, report in stored.reports.items():
+        latest = self._windows.current + MAX_OPEN_WINDOWS
+        reports = {
+            window: report
+            for window, report in stored.reports.items()
+            if window <= latest
+        }
+        if len(reports) < len(stored.reports):
+            LOG.warning('ignoring usage reports of distant windows')
+        for window, report in reports.items():
             is_pending = window in state.unsent or window >= state.next_window
             if is_pending and window not in self.sent:
                 self.unsent.setdefault(window, report)
         self._report_versions.update(stored.report_versions)
         next_window = max(
             self.ledger.next_window,
-            state.next_window,
-            *(window + 1 for window in stored.reports),
+            min(state.next_window, latest + 1),
+            *(window + 1 for window in reports),
         )
         if next_window < 0:
             next_window = self._find_first()
--- a/tests/cover/test_usage_reports.py
+++ b/tests/cover/test_usage_reports.py
@@ -321,3 +321,20 @@
     assert len(fleet.api.reports) == 81
     with pytest.raises(errors.ObjectMissing):
         await fleet.store.read('usage/report-000000000001000')
+
+
+@pytest.mark.parametrize(
+    ('key', 'window'),
+    [
+        ('usage/report-000000000000', 10**12),
+        ('usage/report-1000000000000', 10**12),
+    ],
+)
+async def test_an_odd_object_of_usage_does_not_end_the_reports(key, window):
+    fleet = usage_fleet.UsageFleet(['a', 'b'])
+    value = b'{"window":%d,"next_window":%d,"counts":{}}' % (window, window)
+    await fleet.store.create(key, value)
+    async with fleet.run():
+        fleet.vms['b'].count()
+        await fleet.sleep_until_age(0, 3)
+    assert fleet.get_report(0) == {'org': 1}
