--- a/src/swiftjunction/platform/_store.py
+++ b/src/swiftjunction/platform/_store.py
@@ -85,6 +85,7 @@
         objects: list[objectstore.Object] = []
         revision = 0
         last_name = ''
+        asked_names = {last_name}
         while True:
             target = _build_path(kind)
             if last_name:
@@ -109,7 +110,15 @@
                     step='list',
                     peer=PEER_NAME,
                 )
+            # A page repeats if its last name is missing or was asked for.
+            if page_objects[-1].metadata.name in asked_names:
+                raise errors.PlatformUnavailable(
+                    f'the pages of {kind} do not advance',
+                    step='list',
+                    peer=PEER_NAME,
+                )
             last_name = page_objects[-1].metadata.name
+            asked_names.add(last_name)
 
     async def watch(
         self, prefix: str, revision: int, wait_seconds: float
--- a/tests/cover/test_platform_store_items.py
+++ b/tests/cover/test_platform_store_items.py
@@ -128,3 +128,14 @@
 async def test_a_page_that_cannot_be_read_raises_a_platform_error(body):
     with pytest.raises(errors.PlatformUnavailable):
         await make_store(body).list('servers/')
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('name', ['""', '"a"'])
+async def test_a_list_whose_pages_do_not_advance_ends(name):
+    page = (
+        b'{"items":[{"metadata":{"name":%s,"revision":3},"spec":1}],'
+        b'"more_pages":true,"store_revision":3}' % name.encode()
+    )
+    with pytest.raises(errors.PlatformUnavailable):
+        await make_store(page, page).list('servers/')
