Close the connections to backend servers that are gone

What callers saw: nothing yet; a connection that was kept to a server that had been removed stayed open until the next use of its address, which may belong to another server by then.

Cause: the clients of servers are kept by address, and nothing told them that a server was gone.

Change: the directory tells of each server that is removed, that starts anew or that has another address; its idle connections are closed then, and those in use after their requests.

--- a/src/swiftjunction/backends/__init__.py
+++ b/src/swiftjunction/backends/__init__.py
@@ -1,6 +1,7 @@
 """State of the backend servers, and the clients that call them."""
 
 from swiftjunction.backends._bodies import read_body
+from swiftjunction.backends._connections import ConnectionCleaner
 from swiftjunction.backends._directory import Directory
 from swiftjunction.backends._directory import SERVER_PREFIX
 from swiftjunction.backends._engine import Chunk
@@ -49,6 +50,7 @@
 __all__ = [
     'BackendServer',
     'Chunk',
+    'ConnectionCleaner',
     'DelayedRemoval',
     'Directory',
     'EngineCall',
--- a/src/swiftjunction/backends/_directory.py
+++ b/src/swiftjunction/backends/_directory.py
@@ -47,6 +47,7 @@
         '_by_service',
         '_clock',
         '_end_listeners',
+        '_gone_listeners',
         '_listeners',
         '_servers',
         'latency_tolerance',
@@ -67,6 +68,7 @@
         self.latency_tolerance = _limit.LIVE_LATENCY_TOLERANCE
         self._listeners: list[Listener] = []
         self._end_listeners: list[EndListener] = []
+        self._gone_listeners: list[EndListener] = []
         self._servers: dict[str, _server.BackendServer] = {}
         self._by_service: dict[str, dict[str, _server.BackendServer]] = {}
         # Requests that wait for the server need not wait any longer.
@@ -94,7 +96,10 @@
                 # What waits for the former run must not reach this one.
                 server.mark_leaving()
                 self._notify_end(server)
+                self._notify_gone(server)
             server = self._add(report)
+        elif server.report.address != report.address:
+            self._notify_gone(server)
         server.update_report(report)
         self._by_service.setdefault(report.service, {})[report.name] = server
         self._notify(report.service)
@@ -109,6 +114,7 @@
             server.listed = False
             self.leaving_servers.update_unlisted(server.report)
             self._by_service[server.report.service].pop(name, None)
+            self._notify_gone(server)
 
     def _add(self, report: _report.ServerReport) -> _server.BackendServer:
         server = _server.BackendServer(
@@ -143,6 +149,18 @@
         """
         self._end_listeners.append(listener)
 
+    def listen_gone(self, listener: EndListener) -> None:
+        """Call `listener` with the last report on a server that is gone.
+
+        This is each one that is removed, that has started anew, or that has
+        another address now.
+        """
+        self._gone_listeners.append(listener)
+
+    def _notify_gone(self, server: _server.BackendServer) -> None:
+        for listener in self._gone_listeners:
+            listener(server.report)
+
     def _notify_end(self, server: _server.BackendServer) -> None:
         for listener in self._end_listeners:
             listener(server.report)
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -118,6 +118,9 @@
             else None
         )
         self._directory = backends.Directory(membership.RecordTable())
+        self._connection_cleaner = backends.ConnectionCleaner(
+            self._directory, self._clients
+        )
         self._delayed_removal = backends.DelayedRemoval(
             self._directory,
             self._is_store_unreachable,
@@ -260,19 +263,12 @@
             ),
             rng,
         )
-        self._metrics.add_gauge(
-            'ended_batches_age_seconds',
-            lambda: (
-                end_confirmation.age_seconds
-                if self._control_loops.is_running
-                else 0.0
-            ),
-        )
-        self._metrics.add_gauge(
-            'configuration_age_seconds', lambda: self._confirmer.age_seconds
-        )
-        self._metrics.add_gauge(
-            'server_list_age_seconds', self._server_list.compute_age_seconds
+        _inspection.observe_ages(
+            self._metrics,
+            end_confirmation,
+            self._control_loops,
+            self._confirmer,
+            self._server_list,
         )
         _inspection.observe_servers(
             self._metrics, self._directory, self._reachability, suspects
--- a/src/swiftjunction/platform/_inspection.py
+++ b/src/swiftjunction/platform/_inspection.py
@@ -7,6 +7,8 @@
 import starlette.responses
 
 from swiftjunction import backends
+from swiftjunction import batches
+from swiftjunction import coordination
 from swiftjunction import requests
 from swiftjunction import telemetry
 
@@ -63,6 +65,28 @@
     return dump
 
 
+def observe_ages(
+    metrics: telemetry.Metrics,
+    end_confirmation: batches.EndConfirmation,
+    control_loops: coordination.ControlLoops,
+    confirmer: coordination.ConfigurationConfirmer,
+    server_list: coordination.FeedConfirmation,
+) -> None:
+    """Add the ages of what this VM knows to its metrics, in seconds."""
+    metrics.add_gauge(
+        'ended_batches_age_seconds',
+        lambda: (
+            end_confirmation.age_seconds if control_loops.is_running else 0.0
+        ),
+    )
+    metrics.add_gauge(
+        'configuration_age_seconds', lambda: confirmer.age_seconds
+    )
+    metrics.add_gauge(
+        'server_list_age_seconds', server_list.compute_age_seconds
+    )
+
+
 def observe_servers(
     metrics: telemetry.Metrics,
     directory: backends.Directory,
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -165,6 +165,7 @@
             'origins': self._origins.run,
             'usage': self._usage.run,
             'removals': self._delayed_removal.run,
+            'connections': self._connection_cleaner.run,
             'event loop lag': self._directory.loop_lag.run,
             'reachability': self._reachability.run,
             'peers': coordination.PeerMonitor(
--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -271,6 +271,10 @@
             await response.aclose()
         return response.status_code, body
 
+    async def retire(self) -> None:
+        """Close the idle connections, and the others after their requests."""
+        await self._transport.retire()
+
     async def close(self) -> None:
         """Close the idle connections."""
         await self._transport.aclose()
@@ -315,6 +319,15 @@
             client = self._direct_clients[address] = DirectClient(address)
         return client
 
+    async def retire(self, address: str) -> None:
+        """Close the connections of the lightweight client of an address.
+
+        The next use of the address opens new ones.
+        """
+        client = self._direct_clients.pop(address, None)
+        if client is not None:
+            await client.retire()
+
     async def close(self) -> None:
         """Close all connections."""
         for client in self._clients.values():
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -64,7 +64,7 @@
         Opens the connections; by default, directly.
     """
 
-    __slots__ = ('_backend', '_context', '_idle', '_in_use')
+    __slots__ = ('_backend', '_context', '_idle', '_in_use', '_is_retired')
 
     def __init__(
         self,
@@ -75,6 +75,7 @@
         self._backend = backend
         self._idle: list[_Connection] = []
         self._in_use = 0
+        self._is_retired = False
 
     async def handle_async_request(
         self, request: httpx.Request
@@ -128,13 +129,19 @@
         """Make the connection of a closed response available again."""
         self._in_use -= 1
         if (
-            len(self._idle) < MAX_IDLE_CONNECTIONS
+            not self._is_retired
+            and len(self._idle) < MAX_IDLE_CONNECTIONS
             and not connection.has_surplus()
         ):
             self._idle.append(connection)
         else:
             await connection.aclose()
 
+    async def retire(self) -> None:
+        """Close the idle connections, and the others after their requests."""
+        self._is_retired = True
+        await self.aclose()
+
     async def aclose(self) -> None:
         """Close the idle connections."""
         while self._idle:
