Go on with version orders beside an engine with an unexpected error

Engines kept an old weight version: an error other than a BackendError in the update of one engine ended the loop of version orders, which cancelled those to the other engines and left engines marked as loading for 4 s.

Each update runs isolated. After an unexpected error that engine is asked again after 0.5 s, doubled up to 30 s, and takes the place of no other meanwhile.

Both cases of the new test failed before, and pass now: three engines of five get their orders while two fail.

--- a/src/swiftjunction/batches/_engines.py
+++ b/src/swiftjunction/batches/_engines.py
@@ -31,6 +31,9 @@
         Number of orders that it has accepted; -1 if unknown.
     expected_tokens : float
         Sum of the expected tokens of the samples that it generates.
+    update_delay_seconds : float
+        How long its last update of a weight version was put off after an
+        unexpected error; 0 if it had none.
     awaiting_permit : str
         The sample that waits for a permit, as the engine named a limit; empty
         if none does. Another one is sent when this one has got it.
@@ -46,6 +49,7 @@
         'expected_tokens',
         'orders',
         'server',
+        'update_delay_seconds',
     )
 
     def __init__(self, server: backends.BackendServer, clock: Clock) -> None:
@@ -53,6 +57,7 @@
         self.orders = -1
         self.expected_tokens = 0.0
         self.awaiting_permit = ''
+        self.update_delay_seconds = 0.0
         self._clock = clock
         self._backoff_seconds = 0.0
         self._backoff_ends_at = 0.0
--- a/src/swiftjunction/batches/_rollout.py
+++ b/src/swiftjunction/batches/_rollout.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc
+import functools
 import logging
 import math
 
@@ -19,6 +20,7 @@
 from swiftjunction.batches import _engines
 from swiftjunction import errors
 from swiftjunction import leases
+from swiftjunction import supervision
 from swiftjunction import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -34,6 +36,9 @@
 # Shortest time in which an engine loads a version; earlier reports show no
 # change.
 MIN_LOAD_SECONDS = 0.8
+# Pause after an unexpected error, doubled with each consecutive one.
+MIN_ERROR_DELAY_SECONDS = 0.5
+MAX_ERROR_DELAY_SECONDS = 30.0
 
 
 def select_engines(
@@ -81,6 +86,8 @@
     needs_idle_engine : callable
         Returns whether running samples of a model have to end before another
         version is loaded.
+    supervisor : Supervisor, optional
+        Runs the update of each engine; by default, one of its own.
 
     Attributes
     ----------
@@ -98,6 +105,7 @@
         '_holder',
         '_metrics',
         '_needs_idle_engine',
+        '_supervisor',
         '_updating',
         'last_order_at',
         'target_versions',
@@ -111,6 +119,7 @@
         holder: str,
         metrics: telemetry.Metrics,
         needs_idle_engine: collections.abc.Callable[[str], bool],
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
         self._engines = engines
         self._client = client
@@ -118,6 +127,7 @@
         self._holder = holder
         self._metrics = metrics
         self._needs_idle_engine = needs_idle_engine
+        self._supervisor = supervisor or supervision.Supervisor(metrics)
         self._updating: set[str] = set()
         self.target_versions: dict[str, int] = {}
         self.last_order_at = -math.inf
@@ -182,22 +192,49 @@
         remaining = get_max_loads(len(engines)) - self.count_loads(engines)
         allocation = self._allocator.allocate(engines, served_versions)
         for model, group in allocation.items():
-            chosen = select_engines(
-                group, model, served_versions[model], remaining
-            )
-            for engine in chosen:
-                if engine.server.name in self._updating:
-                    continue
+            # One that waits after an error takes the place of no other.
+            idle = [e for e in group if e.server.name not in self._updating]
+            for engine in select_engines(
+                idle, model, served_versions[model], remaining
+            ):
                 remaining -= 1
                 self._updating.add(engine.server.name)
                 tasks.start_soon(
-                    self._update_engine,
+                    self._update_isolated,
                     engine,
                     model,
                     served_versions[model],
                     lease,
                 )
 
+    async def _update_isolated(
+        self,
+        engine: _engines.EngineState,
+        model: str,
+        target: int,
+        lease: leases.Lease,
+    ) -> None:
+        """Update one engine; an unexpected error only delays its next one."""
+        try:
+            if await self._supervisor.run_isolated(
+                'version update',
+                functools.partial(
+                    self._update_engine, engine, model, target, lease
+                ),
+                server=engine.server.name,
+                version=target,
+            ):
+                engine.update_delay_seconds = 0.0
+                return
+            engine.clear_loading(model)
+            engine.update_delay_seconds = min(
+                max(2 * engine.update_delay_seconds, MIN_ERROR_DELAY_SECONDS),
+                MAX_ERROR_DELAY_SECONDS,
+            )
+            await anyio.sleep(engine.update_delay_seconds)
+        finally:
+            self._updating.discard(engine.server.name)
+
     async def _update_engine(
         self,
         engine: _engines.EngineState,
@@ -228,8 +265,6 @@
             )
             await anyio.sleep(REPORT_INTERVAL_SECONDS)
             engine.clear_loading(model)
-        finally:
-            self._updating.discard(engine.server.name)
 
     async def _read_report(
         self, engine: _engines.EngineState, model: str
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -207,6 +207,7 @@
                 settings.name,
                 self._metrics,
                 self._runner.needs_single_version,
+                self._supervisor,
             )
         )
         self._coordinator = _election.build_coordinator(
--- a/src/swiftjunction/supervision/_supervisor.py
+++ b/src/swiftjunction/supervision/_supervisor.py
@@ -104,7 +104,7 @@
 
     async def run_isolated(
         self, name: str, task: Task, **context: object
-    ) -> None:
+    ) -> bool:
         """Run a task once that concerns a single item.
 
         An unexpected error is logged and ends this task alone.
@@ -117,9 +117,15 @@
             The task.
         context : object
             Fields of the log line that tell the item.
+
+        Returns
+        -------
+        bool
+            Whether the task ended without an unexpected error.
         """
         try:
             await task()
+            return True
         except Exception as error:
             if _is_passed(error):
                 raise
@@ -127,6 +133,7 @@
             LOG.exception(
                 'the task of one item failed', extra={'task': name, **context}
             )
+            return False
 
     def compute_failing_seconds(self, name: str) -> float:
         """Return for how long a task has failed again and again; 0 if not."""
--- a/tests/cover/test_batches_rollout.py
+++ b/tests/cover/test_batches_rollout.py
@@ -52,8 +52,33 @@
         return False
 
 
-async def run_rollout(client, lease, seconds=0.6):
-    pool = test_batches_planning.EnginePool()
+class OddEngineClient(FakeEngineClient):
+    """The call ``odd_call`` of each odd engine raises an unexpected error."""
+
+    def __init__(self, odd_call, odd_engines=('e0', 'e1')):
+        super().__init__()
+        self.odd_call = odd_call
+        self.odd_engines = odd_engines
+        self.odd_calls = 0
+
+    def fail_if_odd(self, server, call):
+        if call == self.odd_call and server.name in self.odd_engines:
+            self.odd_calls += 1
+            raise RecursionError('too deep')
+
+    async def read_report(self, server):
+        self.fail_if_odd(server, 'report')
+        versions = {name: version for name, version in self.orders}
+        version = versions.get(server.name, 1)
+        return batches.EngineReport({'m': version}, busy=False, orders=0)
+
+    async def send_order(self, server, order, check):
+        self.fail_if_odd(server, 'order')
+        return await super().send_order(server, order, check)
+
+
+async def run_rollout(client, lease, seconds=0.6, engine_count=3):
+    pool = test_batches_planning.EnginePool(engine_count)
     rollout = batches.VersionRollout(
         pool.registry,
         client,
@@ -99,3 +124,21 @@
         await run_rollout(client, lease, seconds=1.5)
         assert client.orders
         assert lease.expirations == 0
+
+
+@pytest.mark.anyio
+class TestUnexpectedErrors:
+    @pytest.mark.parametrize('odd_call', ['report', 'order'])
+    async def test_errors_of_two_engines_stop_no_orders_of_the_others(
+        self, odd_call, caplog
+    ):
+        client = OddEngineClient(odd_call)
+        await run_rollout(
+            client, ExpiringLease(expirations=0), 3.0, engine_count=5
+        )
+        assert {name for name, _ in client.orders} == {'e2', 'e3', 'e4'}
+        # Of each engine after 0.1, 0.6 and 1.6 s; the next one after 3.6 s.
+        assert client.odd_calls <= 2 * 3
+        records = [r for r in caplog.records if r.exc_info]
+        assert len(records) == client.odd_calls
+        assert {r.server for r in records} == {'e0', 'e1'}
