Find out who holds the lease after a refused fencing token

One engine that answered orders with 412, or the duty API with 409, ended the whole term of the coordinator, which took the lease again under the same fencing token and was refused again: each term read all batches again and cancelled all samples.

After a refusal nothing is sent under the lease until a renewal, which is made at once, has shown that no other VM holds it. An engine that refused then gets no order under that token again. If another VM holds the lease, the renewal ends the term.

--- a/src/swiftjunction/batches/_engines.py
+++ b/src/swiftjunction/batches/_engines.py
@@ -31,6 +31,8 @@
         Number of orders that it has accepted; -1 if unknown.
     expected_tokens : float
         Sum of the expected tokens of the samples that it generates.
+    refused_token : int
+        The highest fencing token that it has refused as too low; -1 if none.
     update_delay_seconds : float
         How long its last update of a weight version was put off after an
         unexpected error; 0 if it had none.
@@ -48,6 +50,7 @@
         'awaiting_permit',
         'expected_tokens',
         'orders',
+        'refused_token',
         'server',
         'update_delay_seconds',
     )
@@ -57,6 +60,7 @@
         self.orders = -1
         self.expected_tokens = 0.0
         self.awaiting_permit = ''
+        self.refused_token = -1
         self.update_delay_seconds = 0.0
         self._clock = clock
         self._backoff_seconds = 0.0
--- a/src/swiftjunction/batches/_rollout.py
+++ b/src/swiftjunction/batches/_rollout.py
@@ -166,7 +166,8 @@
         Raises
         ------
         LeaseLost
-            If an engine has seen a higher fencing token.
+            If another holder of the lease is known. The refusal of one engine
+            does not show that.
         """
         async with anyio.create_task_group() as tasks:
             while True:
@@ -193,7 +194,12 @@
         allocation = self._allocator.allocate(engines, served_versions)
         for model, group in allocation.items():
             # One that waits after an error takes the place of no other.
-            idle = [e for e in group if e.server.name not in self._updating]
+            idle = [
+                engine
+                for engine in group
+                if engine.server.name not in self._updating
+                and engine.refused_token < lease.fencing_token
+            ]
             for engine in select_engines(
                 idle, model, served_versions[model], remaining
             ):
@@ -330,6 +336,22 @@
                 extra={'server': error.peer},
             )
             return False
+        except errors.LeaseLost as error:
+            if not error.peer:
+                raise
+            # The renewal shows who holds the lease. If this VM does, the
+            # engine is at fault, and gets no order under this token again.
+            engine.refused_token = lease.fencing_token
+            lease.record_refusal()
+            LOG.warning(
+                'engine refused the fencing token: %s',
+                error,
+                extra={
+                    'server': error.peer,
+                    'fencing_token': lease.fencing_token,
+                },
+            )
+            return False
         if not already_loaded:
             engine.orders += 1
         LOG.info(
--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -13,6 +13,7 @@
 from swiftjunction.coordination import _fitness
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _statuses
+from swiftjunction.coordination import _terms
 from swiftjunction import errors
 from swiftjunction import leases
 
@@ -105,6 +106,7 @@
         '_stopping',
         '_successor',
         '_task',
+        '_terms',
         '_timing',
         '_vacant_since',
     )
@@ -131,6 +133,7 @@
         self._task = task
         self._lease: leases.Lease | None = None
         self._coordinate_scope = anyio.CancelScope()
+        self._terms = _terms.TermPacer()
         self._stopping = False
 
     def connect(self, datagrams: _datagrams.PeerDatagrams) -> None:
@@ -360,16 +363,23 @@
     async def _renew(self, lease: leases.Lease) -> None:
         """Renew the lease until it is lost."""
         renewed = True
+        asked_at = lease.read_clock()
         while True:
-            await anyio.sleep(
+            await _terms.wait_to_renew(
+                lease,
                 self._timing.renew_interval_seconds
                 if renewed
-                else self._timing.retry_interval_seconds
+                else self._timing.retry_interval_seconds,
+                asked_at,
             )
             renewed = False
+            asked_at = lease.read_clock()
+            begin_term = self._terms.may_begin(lease)
             with anyio.move_on_after(self._timing.renew_timeout_seconds):
                 try:
-                    if await self._keeper.acquire() is not lease:
+                    if await self._keeper.acquire(begin_term) is not lease:
+                        if begin_term:
+                            self._terms.record_begin()
                         LOG.warning(
                             "acquired the coordinator's lease again with a "
                             'new fencing token'
--- a/src/swiftjunction/coordination/_duty.py
+++ b/src/swiftjunction/coordination/_duty.py
@@ -9,6 +9,7 @@
 
 from swiftjunction import batches
 from swiftjunction.coordination import _coordinator
+from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import supervision
 
@@ -145,7 +146,9 @@
             ),
             'drains': self._events.acknowledge_drains,
             **{
-                type(duty).__name__: functools.partial(duty.run, lease)
+                type(duty).__name__: functools.partial(
+                    _run_until_refused, duty, lease
+                )
                 for duty in self._duties
             },
         }
@@ -156,3 +159,41 @@
     def compute_settle_seconds(self) -> float:
         waited_seconds = anyio.current_time() - self._rollout.last_order_at
         return max(self._order_gap_seconds - waited_seconds, 0.0)
+
+
+async def _run_until_refused(duty: Duty, lease: leases.Lease) -> None:
+    """Run a duty until its fencing token is refused.
+
+    It then waits for a term with a higher one; the other loops go on.
+    """
+    try:
+        await duty.run(lease)
+    except* errors.LeaseLost as group:
+        refusal = _find_refusal(group)
+        if refusal is None:
+            raise
+        LOG.warning(
+            'a duty waits for a higher fencing token: %s',
+            refusal,
+            extra={
+                'duty': type(duty).__name__,
+                'fencing_token': lease.fencing_token,
+            },
+        )
+        lease.record_refusal()
+        lease.needs_new_term = True
+
+
+def _find_refusal(
+    group: BaseExceptionGroup[BaseException],
+) -> errors.LeaseLost | None:
+    """Return the error of a peer that refused the token, if all are such."""
+    found: errors.LeaseLost | None = None
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found = _find_refusal(error)
+        else:
+            found = error if isinstance(error, errors.LeaseLost) else None
+        if found is None or not found.peer:
+            return None
+    return found
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -144,7 +144,11 @@
 
 
 class LeaseLost(SwiftjunctionError):
-    """The lease is not held, or expires too soon to act under it."""
+    """The lease is not held, or expires too soon to act under it.
+
+    If `peer` is given, that peer has refused the fencing token; only the
+    lease's object shows whether another process holds the lease.
+    """
 
 
 class LinkError(SwiftjunctionError):
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -131,9 +131,15 @@
         """
         self.record_version((await self._store.read(self._key)).version)
 
-    async def acquire(self) -> _lease.Lease:
+    async def acquire(self, begin_term: bool = False) -> _lease.Lease:
         """Acquire the lease if it is free, or renew it if it is held here.
 
+        Parameters
+        ----------
+        begin_term : bool
+            Whether to acquire a lease that is held here anew, with a higher
+            fencing token.
+
         Raises
         ------
         LeaseLost
@@ -144,7 +150,8 @@
         if self._pending_writes:
             await self._resolve_pending_writes()
         if self.lease is not None:
-            return await self._write(self.lease.fencing_token, self._version)
+            fencing_token = 0 if begin_term else self.lease.fencing_token
+            return await self._write(fencing_token, self._version)
         try:
             item = await self._store.read(self._key)
         except errors.ObjectMissing:
@@ -359,7 +366,7 @@
             self.lease is not None
             and self.lease.fencing_token == fencing_token
         ):
-            self.lease.extend(deadline)
+            self.lease.extend(deadline, started_at)
         else:
             self.lease = _lease.Lease(
                 self.name,
--- a/src/swiftjunction/leases/_lease.py
+++ b/src/swiftjunction/leases/_lease.py
@@ -1,6 +1,7 @@
 """A lease as seen by its holder."""
 
 import collections.abc
+import math
 import time
 
 import msgspec
@@ -77,6 +78,12 @@
     settle_seconds : float
         For how long after this term began the previous holder wants no action
         that must not follow closely on one of its own.
+
+    Attributes
+    ----------
+    needs_new_term : bool
+        Whether work that needs the lease cannot go on under this fencing
+        token, as its receiver has refused it.
     """
 
     __slots__ = (
@@ -85,9 +92,11 @@
         '_deadline',
         '_has_predecessor',
         '_margin_seconds',
+        '_refused_at',
         '_settle_seconds',
         'name',
         'fencing_token',
+        'needs_new_term',
     )
 
     def __init__(
@@ -108,6 +117,8 @@
         self._has_predecessor = has_predecessor
         self._margin_seconds = margin_seconds
         self._settle_seconds = settle_seconds
+        self._refused_at = -math.inf
+        self.needs_new_term = False
 
     def remaining_seconds(self) -> float:
         """Return for how long the holder may still act under the lease."""
@@ -116,6 +127,8 @@
     def check(self, needed_seconds: float = 0.0) -> None:
         """Raise ``LeaseLost`` unless `needed_seconds` remain.
 
+        Also raised after a refusal, until a renewal shows who holds the lease.
+
         Must be called immediately before the action, without awaiting
         anything in between.
         """
@@ -124,6 +137,33 @@
                 f'lease {self.name} has expired or expires too soon',
                 step='check',
             )
+        if self.is_doubted():
+            raise errors.LeaseLost(
+                f'the fencing token of lease {self.name} has been refused; '
+                'the next renewal shows who holds it',
+                step='check',
+            )
+
+    def record_refusal(self) -> None:
+        """Record that a receiver has refused the fencing token as too low.
+
+        It may be at fault, or another process may hold the lease.
+        """
+        self._refused_at = self._clock()
+
+    def is_doubted(self, since: float = -math.inf) -> bool:
+        """Return whether no renewal has begun since the last refusal.
+
+        Parameters
+        ----------
+        since : float
+            Earlier refusals do not count, in seconds on the lease's clock.
+        """
+        return self._refused_at > since and not math.isinf(self._refused_at)
+
+    def read_clock(self) -> float:
+        """Return the time on the lease's clock, in seconds."""
+        return self._clock()
 
     def check_predecessor_done(self, longest_action_seconds: float) -> None:
         """Raise ``LeaseLost`` while actions of the previous term may run.
@@ -148,6 +188,17 @@
                 step='wait out',
             )
 
-    def extend(self, deadline: float) -> None:
-        """Extend the deadline after a renewal; it never moves back."""
+    def extend(self, deadline: float, started_at: float = -math.inf) -> None:
+        """Extend the deadline after a renewal; it never moves back.
+
+        Parameters
+        ----------
+        deadline : float
+            When the lease expires, in seconds on the clock.
+        started_at : float, optional
+            When the renewal was sent. It shows that earlier refusals were not
+            due to another holder.
+        """
         self._deadline = max(self._deadline, deadline)
+        if started_at >= self._refused_at:
+            self._refused_at = -math.inf
