Keep an unexpected error of one round from ending all batches

An unexpected error while samples were assigned or migrated, the checkpoint was read or written, or ended batches were deleted ended the loop of batches; each start of it reads all batches again and cancels all samples.

Each round runs isolated. Checkpoints and deletions are tried again at growing intervals, one failing deletion does not keep others back, and without a checkpoint the samples start over.

The five new cases of tests/cover/test_batches_isolation.py failed before and pass now. The new test of a single deletion could not run before, as it passes a supervisor; it passes now. Two fixtures pass the new argument.

--- a/src/swiftjunction/batches/_checkpoints.py
+++ b/src/swiftjunction/batches/_checkpoints.py
@@ -9,6 +9,7 @@
 from swiftjunction.batches import _kept
 from swiftjunction.batches import _open
 from swiftjunction import errors
+from swiftjunction import supervision
 
 LOG = logging.getLogger(__name__)
 
@@ -30,6 +31,8 @@
         Reads and writes the checkpoint.
     open_batches : dict of str to OpenBatch
         The batches in memory, by id.
+    supervisor : Supervisor
+        Logs and counts unexpected errors.
 
     Attributes
     ----------
@@ -37,19 +40,29 @@
         Snapshots from the checkpoint and from batches that have ended.
     """
 
-    __slots__ = ('_archive', '_batches', 'cache')
+    __slots__ = ('_archive', '_batches', '_supervisor', 'cache')
 
     def __init__(
         self,
         archive: _archive.BatchArchive,
         open_batches: dict[str, _open.OpenBatch],
+        supervisor: supervision.Supervisor,
     ) -> None:
+        self._supervisor = supervisor
         self._archive = archive
         self._batches = open_batches
         self.cache = _kept.ProgressCache()
 
     async def restore(self) -> None:
-        """Load the checkpoint of the previous coordinator into the cache."""
+        """Load the checkpoint of the previous coordinator into the cache.
+
+        If it cannot be loaded, the samples start over.
+        """
+        await self._supervisor.run_isolated(
+            'restore checkpoint', self._restore
+        )
+
+    async def _restore(self) -> None:
         try:
             self.cache.add(await self._archive.read_checkpoint())
         except errors.ObjectMissing:
@@ -61,9 +74,12 @@
 
     async def run(self) -> None:
         """Write checkpoints until cancelled."""
-        while True:
-            await anyio.sleep(CHECKPOINT_INTERVAL_SECONDS)
-            await self.write(self._select_texts(anyio.current_time()))
+        await self._supervisor.run_rounds(
+            'write checkpoint', self._write_texts, CHECKPOINT_INTERVAL_SECONDS
+        )
+
+    async def _write_texts(self) -> None:
+        await self.write(self._select_texts(anyio.current_time()))
 
     def _select_texts(
         self, now: float
--- a/src/swiftjunction/batches/_dispatch.py
+++ b/src/swiftjunction/batches/_dispatch.py
@@ -104,6 +104,14 @@
                 continue
             yield SampleAttempt(open_batch, progress, engine)
 
+    def check_batch(self, open_batch: _open.OpenBatch) -> None:
+        """Plan a batch by itself without effect; raises what that raises."""
+        now = anyio.current_time()
+        engines = self._engines.list_engines(open_batch.batch.service)
+        for waiting in _planning.prioritize_samples([open_batch]):
+            self._selector.select(waiting, engines, now)
+        list(_migration.select_migrations([open_batch], engines, now))
+
     def migrate_from_slow_engines(
         self, batches: collections.abc.Collection[_open.OpenBatch]
     ) -> None:
--- a/src/swiftjunction/batches/_retention.py
+++ b/src/swiftjunction/batches/_retention.py
@@ -6,12 +6,15 @@
 
 from swiftjunction.batches import _archive
 from swiftjunction import errors
+from swiftjunction import supervision
 
 LOG = logging.getLogger(__name__)
 
 EXPIRY_CHECK_INTERVAL_SECONDS = 5.0
 # Allows for late readers, and for callers whose clocks differ from this VM's.
 DELETION_MARGIN_SECONDS = 30.0
+# Time until a deletion with an unexpected error is tried again.
+ERROR_DELAY_SECONDS = 60.0
 
 
 class Retention:
@@ -28,13 +31,19 @@
     keep_seconds : float
         Minimum time for which results stay readable after the submission of a
         batch.
+    supervisor : Supervisor
+        Logs and counts unexpected errors.
     """
 
-    __slots__ = ('_archive', '_first_seen_at', '_keep_seconds')
+    __slots__ = ('_archive', '_first_seen_at', '_keep_seconds', '_supervisor')
 
     def __init__(
-        self, archive: _archive.BatchArchive, keep_seconds: float
+        self,
+        archive: _archive.BatchArchive,
+        keep_seconds: float,
+        supervisor: supervision.Supervisor,
     ) -> None:
+        self._supervisor = supervisor
         self._archive = archive
         self._keep_seconds = keep_seconds
         self._first_seen_at: dict[str, float] = {}
@@ -56,9 +65,11 @@
 
     async def run(self) -> None:
         """Delete expired batches until cancelled."""
-        while True:
-            await anyio.sleep(EXPIRY_CHECK_INTERVAL_SECONDS)
-            await self.delete_expired(anyio.current_time())
+        await self._supervisor.run_rounds(
+            'delete expired batches',
+            lambda: self.delete_expired(anyio.current_time()),
+            EXPIRY_CHECK_INTERVAL_SECONDS,
+        )
 
     async def delete_expired(self, now: float) -> None:
         """Delete the ended batches that have expired at `now`.
@@ -73,7 +84,10 @@
         ]
         for batch_id in expired:
             try:
-                await self._archive.delete(batch_id)
+                if not await self._delete(batch_id):
+                    self._first_seen_at[batch_id] = (
+                        cutoff + ERROR_DELAY_SECONDS
+                    )
             except errors.PlatformError as error:
                 LOG.info(
                     'batch could not be deleted, will retry: %s',
@@ -81,5 +95,24 @@
                     extra={'batch': batch_id},
                 )
                 return
-            LOG.info('expired batch deleted', extra={'batch': batch_id})
-            self.forget(batch_id)
+
+    async def _delete(self, batch_id: str) -> bool:
+        """Delete a batch; return False after an unexpected error."""
+        platform_error: errors.PlatformError | None = None
+
+        async def delete() -> None:
+            nonlocal platform_error
+            try:
+                await self._archive.delete(batch_id)
+            except errors.PlatformError as error:
+                platform_error = error
+
+        if not await self._supervisor.run_isolated(
+            'delete batch', delete, batch=batch_id
+        ):
+            return False
+        if platform_error is not None:
+            raise platform_error
+        LOG.info('expired batch deleted', extra={'batch': batch_id})
+        self.forget(batch_id)
+        return True
--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -21,6 +21,7 @@
 from swiftjunction.batches import _opening
 from swiftjunction.batches import _recent_names
 from swiftjunction.batches import _retention
+from swiftjunction.batches import _rounds
 from swiftjunction.batches import _sampling
 from swiftjunction.batches import _starting
 from swiftjunction.batches import _writing
@@ -88,6 +89,7 @@
         '_opener',
         '_outages',
         '_retention',
+        '_rounds',
         '_seen_groups',
         '_start_condition',
         '_started_at',
@@ -122,6 +124,7 @@
             loop_lag, confirmation
         )
         self._dispatcher = _dispatch.Dispatcher(engines)
+        self._rounds = _rounds.Rounds(supervisor, self._dispatcher)
         self._seen_groups = _recent_names.RecentNames()
         self._ended = _recent_names.RecentNames()
         self._started_at = -math.inf
@@ -139,9 +142,11 @@
             supervisor, archive, self.open, self.batches, self._ended
         )
         self._checkpoints = _checkpoints.CheckpointManager(
-            archive, self.batches
+            archive, self.batches, supervisor
+        )
+        self._retention = _retention.Retention(
+            archive, keep_seconds, supervisor
         )
-        self._retention = _retention.Retention(archive, keep_seconds)
 
     async def run(self, lease: leases.Lease | None = None) -> None:
         """Run batches until cancelled.
@@ -159,6 +164,7 @@
         self.batches.clear()
         self._confirmation.reset()
         self._start_condition.reset()
+        self._rounds.reset()
         self._writer.flushing = False
         await self._checkpoints.restore()
         async with anyio.create_task_group() as tasks:
@@ -367,12 +373,15 @@
         return [b for b in self.batches.values() if not b.ended]
 
     async def _dispatch_samples(self, tasks: anyio.abc.TaskGroup) -> None:
+        def start_attempts(open_batches: list[_open.OpenBatch]) -> None:
+            for attempt in self._dispatcher.reserve_attempts(open_batches):
+                tasks.start_soon(self._attempt_runner.run, attempt)
+
         while True:
             if self._start_condition.may_start() and not self._stopping:
-                for attempt in self._dispatcher.reserve_attempts(
-                    self._list_open()
-                ):
-                    tasks.start_soon(self._attempt_runner.run, attempt)
+                await self._rounds.run(
+                    'dispatch samples', start_attempts, self._list_open()
+                )
             with anyio.move_on_after(DISPATCH_INTERVAL_SECONDS):
                 await self._wake.wait()
             self._wake = anyio.Event()
@@ -382,4 +391,8 @@
             await anyio.sleep(MIGRATION_INTERVAL_SECONDS)
             if not self._start_condition.may_start():
                 continue
-            self._dispatcher.migrate_from_slow_engines(self._list_open())
+            await self._rounds.run(
+                'migrate samples',
+                self._dispatcher.migrate_from_slow_engines,
+                self._list_open(),
+            )
--- a/src/swiftjunction/supervision/_supervisor.py
+++ b/src/swiftjunction/supervision/_supervisor.py
@@ -16,6 +16,8 @@
 MAX_DELAY_SECONDS = 2.0
 # A task that has run for this long works again.
 STABLE_SECONDS = 5.0
+# Rounds that fail again and again are this much further apart.
+MAX_INTERVAL_FACTOR = 32
 
 # Errors that end a task on purpose, and those after which no task of the
 # process can be trusted.
@@ -135,6 +137,31 @@
             )
             return False
 
+    async def run_rounds(
+        self, name: str, task: Task, interval_seconds: float
+    ) -> None:
+        """Run a task again and again, until cancelled.
+
+        After an unexpected error the interval is doubled, up to
+        ``MAX_INTERVAL_FACTOR`` times.
+
+        Parameters
+        ----------
+        name : str
+            Name of the task in logs and metrics.
+        task : callable
+            One round.
+        interval_seconds : float
+            Time before each round.
+        """
+        factor = 1
+        while True:
+            await anyio.sleep(factor * interval_seconds)
+            if await self.run_isolated(name, task):
+                factor = 1
+            else:
+                factor = min(2 * factor, MAX_INTERVAL_FACTOR)
+
     def compute_failing_seconds(self, name: str) -> float:
         """Return for how long a task has failed again and again; 0 if not."""
         now = self._clock()
--- a/tests/cover/test_batches_isolation.py
+++ b/tests/cover/test_batches_isolation.py
@@ -7,6 +7,10 @@
 import pytest
 
 from swiftjunction import batches
+from swiftjunction.batches import _checkpoints
+from swiftjunction.batches import _migration
+from swiftjunction.batches import _planning
+from swiftjunction.batches import _retention
 from swiftjunction import errors
 from tests.cover import test_batches_planning
 from tests.cover import test_batches_runner
@@ -166,3 +170,94 @@
                 await anyio.sleep(0.05)
         assert await list_results('odd') == {'a': True}
     assert len(find_records(caplog, 'the task of one item failed')) == 1
+
+
+@pytest.mark.parametrize(
+    'call', ['reserve_attempts', 'migrate_from_slow_engines']
+)
+async def test_a_batch_whose_planning_fails_is_set_aside(
+    store, caplog, monkeypatch, call
+):
+    def fail_for_odd(function):
+        def plan(open_batch, *args):
+            if open_batch.batch.batch_id == 'odd':
+                raise RecursionError('too deep')
+            return function(open_batch, *args)
+
+        return plan
+
+    if call == 'reserve_attempts':
+        module, name = _planning, 'prioritize_groups'
+        monkeypatch.setattr(module, name, fail_for_odd(getattr(module, name)))
+    else:
+
+        def select_migrations(open_batches, *args):
+            if any(b.batch.batch_id == 'odd' for b in open_batches):
+                raise RecursionError('too deep')
+            return ()
+
+        monkeypatch.setattr(_migration, 'select_migrations', select_migrations)
+    async with run_batches(
+        batches.BatchArchive(store),
+        FailingSampleRunner(RecursionError('too deep')),
+        store,
+        make_batch('odd', ['a']),
+        make_batch('b', ['c']),
+    ) as list_results:
+        await anyio.sleep(RUN_SECONDS)
+        assert await list_results('b') == {'c': True}
+    records = find_records(caplog, 'the task of one item failed')
+    # At once and after 0.5 s, each time for the round and for the batch.
+    assert 2 <= len(records) <= 4
+    assert {getattr(r, 'batch', None) for r in records} == {None, 'odd'}
+
+
+@pytest.mark.parametrize('method', ['read_checkpoint', 'write_checkpoint'])
+async def test_an_unexpected_error_of_checkpoints_ends_no_batch(
+    store, caplog, monkeypatch, method
+):
+    async def fail(*args):
+        raise RecursionError('too deep')
+
+    archive = batches.BatchArchive(store)
+    monkeypatch.setattr(batches.BatchArchive, method, fail)
+    monkeypatch.setattr(_checkpoints, 'CHECKPOINT_INTERVAL_SECONDS', 0.01)
+    monkeypatch.setattr(
+        _checkpoints._kept, 'take_snapshot', lambda progress: progress
+    )
+    monkeypatch.setattr(
+        _checkpoints.CheckpointManager,
+        '_select_texts',
+        lambda self, now: iter([object()]),
+    )
+    async with run_batches(
+        archive,
+        FailingSampleRunner(RecursionError('too deep')),
+        store,
+        make_batch('b', ['c']),
+    ) as list_results:
+        await anyio.sleep(RUN_SECONDS)
+        assert await list_results('b') == {'c': True}
+    records = find_records(caplog, 'the task of one item failed')
+    # The intervals grow from 0.01 to 0.32 s.
+    assert 1 <= len(records) <= 10
+
+
+async def test_an_unexpected_error_of_a_deletion_ends_no_batch(
+    store, caplog, monkeypatch
+):
+    async def fail(self, now):
+        raise RecursionError('too deep')
+
+    monkeypatch.setattr(_retention, 'EXPIRY_CHECK_INTERVAL_SECONDS', 0.01)
+    monkeypatch.setattr(_retention.Retention, 'delete_expired', fail)
+    async with run_batches(
+        batches.BatchArchive(store),
+        FailingSampleRunner(RecursionError('too deep')),
+        store,
+        make_batch('b', ['c']),
+    ) as list_results:
+        await anyio.sleep(RUN_SECONDS)
+        assert await list_results('b') == {'c': True}
+    records = find_records(caplog, 'the task of one item failed')
+    assert 1 <= len(records) <= 10
--- a/tests/cover/test_batches_kept.py
+++ b/tests/cover/test_batches_kept.py
@@ -3,6 +3,8 @@
 
 from swiftjunction import batches
 from swiftjunction.batches import _checkpoints
+from swiftjunction import supervision
+from swiftjunction import telemetry
 
 
 def make_batch(samples, **fields):
@@ -145,7 +147,9 @@
             progress.text_began_at = anyio.current_time() - 9.0
         prepare(open_batch)
         manager = _checkpoints.CheckpointManager(
-            batches.BatchArchive(store), {'b': open_batch}
+            batches.BatchArchive(store),
+            {'b': open_batch},
+            supervision.Supervisor(telemetry.Metrics()),
         )
         with anyio.move_on_after(
             _checkpoints.CHECKPOINT_INTERVAL_SECONDS + 0.1
--- a/tests/cover/test_batches_retention.py
+++ b/tests/cover/test_batches_retention.py
@@ -1,6 +1,8 @@
 import pytest
 
 from swiftjunction import batches
+from swiftjunction import supervision
+from swiftjunction import telemetry
 from tests.cover.test_batches_archive import make_batch
 from tests.cover.test_batches_archive import make_result
 
@@ -14,7 +16,11 @@
 
 @pytest.fixture
 def retention(archive):
-    return batches.Retention(archive, KEEP_SECONDS)
+    return batches.Retention(
+        archive,
+        KEEP_SECONDS,
+        supervision.Supervisor(telemetry.Metrics()),
+    )
 
 
 @pytest.fixture
@@ -55,6 +61,33 @@
         await retention.delete_expired(now=10.0 + 2 * KEEP_SECONDS)
         assert not store.objects
 
+    async def test_an_unexpected_error_delays_one_deletion_alone(
+        self, store, archive, retention, monkeypatch
+    ):
+        calls = []
+        delete = archive.delete
+
+        async def delete_but_odd(batch_id):
+            calls.append(batch_id)
+            if batch_id == 'odd':
+                raise RecursionError('too deep')
+            await delete(batch_id)
+
+        monkeypatch.setattr(
+            batches.BatchArchive,
+            'delete',
+            lambda self, batch_id: delete_but_odd(batch_id),
+        )
+        retention.record_ended('odd', first_seen_at=10.0)
+        retention.record_ended('b', first_seen_at=10.0)
+        now = 10.0 + 2 * KEEP_SECONDS
+        await retention.delete_expired(now)
+        assert 'batches/b' not in store.objects
+        await retention.delete_expired(now + 59.0)
+        assert calls == ['odd', 'b']
+        await retention.delete_expired(now + 61.0)
+        assert calls == ['odd', 'b', 'odd']
+
     async def test_forgotten_batch_is_not_deleted(self, store, retention):
         retention.record_ended('b', first_seen_at=10.0)
         retention.forget('b')
