Keep the process at SIGUSR1 while it stops and after a failed dump

Callers saw their connections cut: a VM that got SIGUSR1 while it was stopping, or a second one after a section of the dump had failed, ended with exit code -10.

Cause: the task of the dump received the signal itself, and asyncio restores the default action, which ends the process, when a receiver closes. SIGUSR1 is now received as SIGTERM, SIGINT and SIGHUP are, for the whole life of the process, and wakes the task. A section that fails is dumped as its error, and the others as they are.

Evidence: without the change the process that ran the new case of test_platform_signals was ended by the signal, and the new tests in test_telemetry_logs failed; now both files pass.

--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -124,6 +124,7 @@
                     signals,
                     self._settings_reloader.reload,
                     self._stopping.set,
+                    self._dump.request,
                 ),
             )
             tasks.start_soon(
@@ -173,7 +174,7 @@
             'coordinator': self._coordinator.run,
             'readiness': self._become_ready,
             'settings': self._settings_reloader.run,
-            'state dump': self._dump.write_on_signal,
+            'state dump': self._dump.write_on_request,
             'tunnels': self._tunnels.run,
         }
 
--- a/src/swiftjunction/platform/_signals.py
+++ b/src/swiftjunction/platform/_signals.py
@@ -1,4 +1,4 @@
-"""Signals by which the platform stops and reloads a process."""
+"""Signals to stop and reload a process, and to have it dump its state."""
 
 import collections.abc
 import contextlib
@@ -9,7 +9,7 @@
 Signals = collections.abc.AsyncIterator[signal.Signals]
 Action = collections.abc.Callable[[], None]
 
-HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
 
 
 @contextlib.contextmanager
@@ -33,10 +33,14 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED)
 
 
-async def handle(signals: Signals, reload: Action, stop: Action) -> None:
-    """Act on signals until cancelled."""
+async def handle(
+    signals: Signals, reload: Action, stop: Action, dump: Action
+) -> None:
+    """Act on signals until cancelled; the actions must not fail."""
     async for signal_number in signals:
         if signal_number == signal.SIGHUP:
             reload()
+        elif signal_number == signal.SIGUSR1:
+            dump()
         else:
             stop()
--- a/src/swiftjunction/telemetry/_dump.py
+++ b/src/swiftjunction/telemetry/_dump.py
@@ -27,21 +27,36 @@
     is called only when a dump is rendered.
     """
 
-    __slots__ = ('_sections',)
+    __slots__ = ('_requested', '_sections')
 
     def __init__(self) -> None:
         self._sections: dict[str, Section] = {}
+        self._requested = anyio.Event()
 
     def add(self, name: str, section: Section) -> None:
         """Add a function that returns the section `name` of the dump."""
         self._sections[name] = section
 
     def render(self) -> bytes:
-        """Return the state as JSON."""
-        state = {name: section() for name, section in self._sections.items()}
-        return msgspec.json.format(
-            msgspec.json.encode(state, enc_hook=str), indent=2
-        )
+        """Return the state as JSON; of a section that fails, the error."""
+        state = {
+            name: _render_section(name, section)
+            for name, section in self._sections.items()
+        }
+        return msgspec.json.format(msgspec.json.encode(state), indent=2)
+
+    def request(self) -> None:
+        """Have :meth:`write_on_request` write a dump."""
+        self._requested.set()
+
+    async def write_on_request(
+        self, descriptor: int = _descriptors.STANDARD_ERROR
+    ) -> None:
+        """Write a dump to a descriptor on each request, without blocking."""
+        while True:
+            await self._requested.wait()
+            self._requested = anyio.Event()
+            await self._write(descriptor)
 
     async def write_on_signal(
         self, descriptor: int = _descriptors.STANDARD_ERROR
@@ -65,6 +80,16 @@
             )
 
 
+def _render_section(name: str, section: Section) -> msgspec.Raw:
+    try:
+        return msgspec.Raw(msgspec.json.encode(section(), enc_hook=str))
+    except MemoryError:
+        raise
+    except Exception as error:
+        LOG.exception('cannot dump a section', extra={'section': name})
+        return msgspec.Raw(msgspec.json.encode({'error': repr(error)}))
+
+
 async def _write_some(descriptor: int, data: bytes) -> bytes:
     """Write a part of `data` once that is possible; return the remainder."""
     while True:
--- a/tests/cover/test_platform_signals.py
+++ b/tests/cover/test_platform_signals.py
@@ -10,6 +10,7 @@
 import pytest
 
 from swiftjunction.platform import _signals
+from swiftjunction import telemetry
 from tests.cover import test_platform_processes
 from tests import platform_deployment
 
@@ -46,8 +47,10 @@
 async def test_a_signal_before_its_handler_runs_is_not_lost():
     stopped = anyio.Event()
     reloads = []
+    dumps = []
     with _signals.receive() as signals:
         os.kill(os.getpid(), signal.SIGHUP)
+        os.kill(os.getpid(), signal.SIGUSR1)
         os.kill(os.getpid(), signal.SIGTERM)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
@@ -55,11 +58,12 @@
                 signals,
                 lambda: reloads.append(1),
                 stopped.set,
+                lambda: dumps.append(1),
             )
             with anyio.fail_after(5):
                 await stopped.wait()
             tasks.cancel_scope.cancel()
-    assert reloads == [1]
+    assert (reloads, dumps) == ([1], [1])
 
 
 @pytest.mark.anyio
@@ -71,6 +75,31 @@
     assert after is signal.SIG_IGN
 
 
+@pytest.mark.anyio
+async def test_a_dump_signal_after_the_tasks_have_ended_ends_nothing():
+    before = signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    dump = telemetry.StateDump()
+    try:
+        with _signals.receive() as signals:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    _signals.handle,
+                    signals,
+                    lambda: None,
+                    lambda: None,
+                    dump.request,
+                )
+                tasks.start_soon(dump.write_on_request)
+                await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+            during = signal.getsignal(signal.SIGUSR1)
+        after = signal.getsignal(signal.SIGUSR1)
+    finally:
+        signal.signal(signal.SIGUSR1, before)
+    assert during not in (signal.SIG_DFL, signal.SIG_IGN)
+    assert after is signal.SIG_IGN
+
+
 LIST_IMPORTS_BEFORE_SIGNALS = """
 import _signal
 import sys
--- a/tests/cover/test_telemetry_logs.py
+++ b/tests/cover/test_telemetry_logs.py
@@ -245,3 +245,33 @@
         text=True,
     )
     assert (result.returncode, result.stderr) == (0, '')
+
+
+def test_a_section_that_fails_does_not_hide_the_others():
+    def fail():
+        raise RuntimeError('odd')
+
+    dump = telemetry.StateDump()
+    dump.add('odd', fail)
+    dump.add('unencodable', lambda: {b'\xff': 1, ('a',): object()})
+    dump.add('good', lambda: {'value': 1})
+    state = json.loads(dump.render())
+    assert state['good'] == {'value': 1}
+    assert state['odd'] == {'error': "RuntimeError('odd')"}
+
+
+@pytest.mark.anyio
+async def test_a_second_dump_is_written_after_a_failed_one(tmp_path):
+    def fail():
+        raise RuntimeError('odd')
+
+    dump = telemetry.StateDump()
+    dump.add('odd', fail)
+    with (tmp_path / 'dump').open('wb') as file:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(dump.write_on_request, file.fileno())
+            for _ in range(2):
+                dump.request()
+                await anyio.sleep(0.05)
+            tasks.cancel_scope.cancel()
+    assert (tmp_path / 'dump').read_text().count('RuntimeError') == 2
