Apply settings in their own task, and again after an error

Callers' connections were cut when SIGHUP met an unexpected error in reading or applying the settings: the task that handles signals ran the reload, and its error ends the process. An error in the poll of the file was survived, but the content counted as checked, so that it was not applied before the next change.

SIGHUP now only wakes the task of the settings, which is started again after an error. The request and the content count as done once the settings were applied.

Evidence: both cases of the new test of an unexpected error failed with the former module and pass now; test_platform_settings and test_platform_signals pass.

--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -122,7 +122,7 @@
                 'signals',
                 lambda: _signals.handle(
                     signals,
-                    self._settings_reloader.reload,
+                    self._settings_reloader.request,
                     self._stopping.set,
                     self._dump.request,
                 ),
--- a/src/swiftjunction/platform/_reloading.py
+++ b/src/swiftjunction/platform/_reloading.py
@@ -27,7 +27,13 @@
         Called with the new settings; applies those that need no restart.
     """
 
-    __slots__ = ('_apply', '_checked_content', '_path', '_settings')
+    __slots__ = (
+        '_apply',
+        '_checked_content',
+        '_path',
+        '_requested',
+        '_settings',
+    )
 
     def __init__(
         self,
@@ -39,18 +45,31 @@
         self._settings = settings
         self._apply = apply
         self._checked_content: bytes | None = None
+        self._requested = anyio.Event()
 
     async def run(self) -> None:
-        """Poll the content of the file until cancelled."""
+        """Poll the content of the file until cancelled.
+
+        May be called again after an error: what was not applied is read anew.
+        """
         while True:
-            await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            self._check()
+            with anyio.move_on_after(CHECK_INTERVAL_SECONDS):
+                await self._requested.wait()
+            if self._requested.is_set():
+                self._reload()
+            else:
+                self._check()
+
+    def request(self) -> None:
+        """Have :meth:`run` read and apply the file, changed or not."""
+        self._requested.set()
 
-    def reload(self) -> None:
-        """Read the file and apply its settings if they are valid."""
+    def _reload(self) -> None:
         settings = self._read()
         if settings is not None:
             self._accept(settings)
+        # Still set after an error, so that it is done again.
+        self._requested = anyio.Event()
 
     def _check(self) -> None:
         """Apply the settings of the file if they have changed."""
@@ -61,10 +80,10 @@
             return
         if content == self._checked_content:
             return
-        self._checked_content = content
         settings = self._read()
         if settings is not None and settings != self._settings:
             self._accept(settings)
+        self._checked_content = content
 
     def _read(self) -> _settings.EdgeSettings | None:
         try:
@@ -74,6 +93,6 @@
             return None
 
     def _accept(self, settings: _settings.EdgeSettings) -> None:
-        self._settings = settings
         self._apply(settings)
+        self._settings = settings
         LOG.info('settings reloaded', extra={'store': settings.store})
--- a/tests/cover/test_platform_settings.py
+++ b/tests/cover/test_platform_settings.py
@@ -13,6 +13,8 @@
 from swiftjunction import errors
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
+from swiftjunction import supervision
+from swiftjunction import telemetry
 from tests.cover import test_platform_processes
 
 LINES = [
@@ -224,7 +226,8 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(reloader.run)
         await anyio.sleep(0.05)
-        reloader.reload()
+        reloader.request()
+        await anyio.sleep(0.05)
         assert applied == []
         path.write_bytes(VALID.replace(b'.9:80', b'.8:80'))
         await anyio.sleep(0.1)
@@ -252,6 +255,64 @@
     assert applied == ['127.0.0.8:80']
 
 
+class FailingApplication:
+    """Applies settings, but fails the first time."""
+
+    def __init__(self):
+        self.applied = []
+        self.failures = 0
+
+    def __call__(self, settings):
+        if not self.failures:
+            self.failures += 1
+            raise RuntimeError('odd')
+        self.applied.append(settings.store)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('is_requested', [False, True])
+async def test_settings_are_applied_after_an_unexpected_error(
+    tmp_path, monkeypatch, is_requested
+):
+    monkeypatch.setattr(_reloading, 'CHECK_INTERVAL_SECONDS', 0.01)
+    path = write(tmp_path, VALID)
+    application = FailingApplication()
+    reloader = _reloading.SettingsReloader(
+        path, _settings.read_settings(path), application
+    )
+    path.write_bytes(VALID.replace(b'.9:80', b'.8:80'))
+    supervisor = supervision.Supervisor(telemetry.Metrics())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(supervisor.run, 'settings', reloader.run)
+        if is_requested:
+            reloader.request()
+        await anyio.sleep(0.3)
+        tasks.cancel_scope.cancel()
+    assert application.failures == 1
+    assert application.applied == ['127.0.0.8:80']
+
+
+@pytest.mark.anyio
+async def test_a_requested_reload_applies_the_same_settings_again(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(_reloading, 'CHECK_INTERVAL_SECONDS', 10)
+    path = write(tmp_path, VALID)
+    applied = []
+    reloader = _reloading.SettingsReloader(
+        path,
+        _settings.read_settings(path),
+        lambda settings: applied.append(settings.store),
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(reloader.run)
+        await anyio.sleep(0.01)
+        reloader.request()
+        await anyio.sleep(0.05)
+        tasks.cancel_scope.cancel()
+    assert applied == ['127.0.0.9:80']
+
+
 @pytest.mark.parametrize(
     'content', [b'\xff\xfe', VALID + b'ip=x\0\n', VALID + b'ip=\xff\n']
 )
