Keep crashes and origins to be written after a failed write

Callers could get a request that crashes servers past its limit, or lose a stream's origin: after an unexpected error in a write of this VM's crashes or origins, or a cancellation of it, nothing was written before the next change.

Cause: the event that calls for a write was replaced before the write. It is now set again unless the write ended well.

Evidence: the three new tests failed before; test_coordination_crashes and test_coordination_origin_archive pass.

--- a/src/swiftjunction/coordination/_crashes.py
+++ b/src/swiftjunction/coordination/_crashes.py
@@ -113,8 +113,17 @@
             while True:
                 await self._changed.wait()
                 await anyio.sleep(COALESCE_SECONDS)
-                self._changed = anyio.Event()
-                await self._write()
+                await self._write_changes()
+
+    async def _write_changes(self) -> None:
+        # Changes during the write call for another one.
+        self._changed = anyio.Event()
+        try:
+            await self._write()
+        except BaseException:
+            # Written when the task runs again.
+            self._changed.set()
+            raise
 
     async def _write(self) -> None:
         key = CRASHES_PREFIX + self._members.own.name
--- a/src/swiftjunction/coordination/_stored_origins.py
+++ b/src/swiftjunction/coordination/_stored_origins.py
@@ -127,8 +127,17 @@
             while True:
                 await self._changed.wait()
                 await anyio.sleep(self._compute_interval())
-                self._changed = anyio.Event()
-                await self._write()
+                await self._write_changes()
+
+    async def _write_changes(self) -> None:
+        # Changes during the write call for another one.
+        self._changed = anyio.Event()
+        try:
+            await self._write()
+        except BaseException:
+            # Written when the task runs again.
+            self._changed.set()
+            raise
 
     def _compute_interval(self) -> float:
         vm_count = len(self._members.list_peers()) + 1
--- a/tests/cover/test_coordination_crashes.py
+++ b/tests/cover/test_coordination_crashes.py
@@ -4,6 +4,8 @@
 from swiftjunction import coordination
 from swiftjunction import objectstore
 from swiftjunction import requests
+from swiftjunction import supervision
+from swiftjunction import telemetry
 from tests import conftest
 
 pytestmark = pytest.mark.anyio
@@ -138,3 +140,40 @@
     scene.crash('s1')
     await run(scene)
     assert b's1' in slow_store.objects[OWN_KEY].value
+
+
+async def test_crashes_are_written_after_an_unexpected_error(
+    slow_store, clock, monkeypatch
+):
+    create = slow_store.create
+    failures = []
+
+    async def fail_once(key, value):
+        if not failures:
+            failures.append(key)
+            raise RuntimeError('odd')
+        return await create(key, value)
+
+    monkeypatch.setattr(slow_store, 'create', fail_once)
+    scene = Scene(slow_store, clock)
+    scene.crash('s1')
+    supervisor = supervision.Supervisor(telemetry.Metrics())
+    with anyio.move_on_after(1.0):
+        await supervisor.run('crashes', scene.registry.run)
+    assert failures == [OWN_KEY]
+    assert OWN_KEY in slow_store.objects
+
+
+async def test_crashes_are_written_after_a_cancelled_write(
+    slow_store, clock, monkeypatch
+):
+    async def hang(key, value):
+        await anyio.sleep_forever()
+
+    scene = Scene(slow_store, clock)
+    scene.crash('s1')
+    with monkeypatch.context() as patch:
+        patch.setattr(slow_store, 'create', hang)
+        await run(scene, 0.3)
+    await run(scene, 0.5)
+    assert OWN_KEY in slow_store.objects
--- a/tests/cover/test_coordination_origin_archive.py
+++ b/tests/cover/test_coordination_origin_archive.py
@@ -6,6 +6,8 @@
 from swiftjunction import coordination
 from swiftjunction.coordination import _stored_origins
 from swiftjunction import requests
+from swiftjunction import supervision
+from swiftjunction import telemetry
 from tests import conftest
 
 pytestmark = pytest.mark.anyio
@@ -118,3 +120,25 @@
     await Scene(store, clock).archive.delete_expired()
     listed = await store.list('origins/')
     assert [found.key for found in listed.changed] == ['origins/live']
+
+
+async def test_origins_are_written_after_an_unexpected_error(clock):
+    class FailingStore(conftest.MemoryStore):
+        failures = 0
+
+        async def create(self, key, value):
+            if not self.failures:
+                self.failures += 1
+                raise RuntimeError('odd')
+            return await super().create(key, value)
+
+    store = FailingStore()
+    scene = Scene(store, clock)
+    scene.archive.add('r1', ORIGIN, 60.0)
+    supervisor = supervision.Supervisor(telemetry.Metrics())
+    with anyio.move_on_after(2 * WRITE_SECONDS + 0.5):
+        await supervisor.run(
+            'origins', lambda: scene.archive.run(scene.restore)
+        )
+    assert store.failures == 1
+    assert OWN_KEY in store.objects
