Tell peers no watch of a feed that has failed

Callers could be served by an old configuration for longer: a VM whose watch had ended with an unexpected error told its peers that it watched the feed, so that those which copy from it did not watch the store themselves.

Cause: the state was set back only after a watch that ended in order. It is now set back in any case, as that of a watch that failed is.

Evidence: the new test failed before and passes now, as do test_server_lists and test_confirmation_decision. Five tests of test_coordination_outages fail with and without this change, as their peer has no IP address.

--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -232,20 +232,23 @@
         LOG.info(
             'started watching the object store', extra={'prefix': feed.prefix}
         )
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                objectstore.follow,
-                self._store,
-                feed.prefix,
-                feed,
-                coalesce_seconds,
-                objectstore.WATCH_SECONDS,
-                self._clock,
-            )
-            while must_watch() or self._should_watch(feed.prefix):
-                await anyio.sleep(WATCH_CHECK_INTERVAL_SECONDS)
-            tasks.cancel_scope.cancel()
-        feed.is_watched = False
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    objectstore.follow,
+                    self._store,
+                    feed.prefix,
+                    feed,
+                    coalesce_seconds,
+                    objectstore.WATCH_SECONDS,
+                    self._clock,
+                )
+                while must_watch() or self._should_watch(feed.prefix):
+                    await anyio.sleep(WATCH_CHECK_INTERVAL_SECONDS)
+                tasks.cancel_scope.cancel()
+        finally:
+            # Also of a request that was never answered.
+            feed.mark_stale()
         LOG.info(
             'stopped watching the object store', extra={'prefix': feed.prefix}
         )
--- a/tests/cover/test_coordination_outages.py
+++ b/tests/cover/test_coordination_outages.py
@@ -143,3 +143,25 @@
         ages = sync.list_ages()
         tasks.cancel_scope.cancel()
     assert ages['servers/'] > 2.5
+
+
+async def test_a_feed_whose_watch_failed_is_not_watched():
+    class FailingStore(conftest.MemoryStore):
+        async def watch(self, prefix, revision, wait_seconds):
+            watched.append(feed.is_watched)
+            raise RuntimeError('odd')
+
+    watched = []
+    members = coordination.MemberTable(
+        coordination.Member('vm', '10.0.0.1:1', '', 'dc', 'r', 'run')
+    )
+    sync = coordination.FeedSync(FailingStore(), None, members)
+    feed = sync.add(
+        'servers/', objectstore.CallbackListener(lambda found: None)
+    )
+    with pytest.raises(ExceptionGroup), anyio.fail_after(2):
+        await sync.run(feed, lambda: True)
+    assert watched == [True]
+    assert not feed.is_watched
+    await anyio.sleep(0.05)
+    assert sync.list_watch_ages().get('servers/', 1.0) >= 0.05
