--- a/tests/cover/test_batches_runner.py
+++ b/tests/cover/test_batches_runner.py
@@ -208,7 +208,7 @@
     with pytest.raises(errors.ObjectBroken):
         await archive.read('other')
     with anyio.move_on_after(0.5):
-        await runner._open_stored(store.objects['batches/other'])
+        await runner._opener.open(store.objects['batches/other'])
     assert not runner.batches
     assert runner._end_if_ended(store.objects['batches/other'])
     [summary] = await archive.list_batches()
