End a batch first, and confirm no change that was not applied

Samples of an ended batch went on where an unexpected error kept its end from taking effect: it was logged, and the next response of the store confirmed that all ends were known.

The batch ends and its samples are cancelled before anything else. A listener of single objects tries a change that failed again before each confirmation, without another line in the log, and confirms nothing while it fails; the others are applied, and the revision advances.

--- a/src/swiftjunction/batches/_runner.py
+++ b/src/swiftjunction/batches/_runner.py
@@ -68,7 +68,7 @@
         Asked whether the object store is unavailable when a confirmation is
         late.
     supervisor : Supervisor, optional
-        Runs the tasks of single items; by default, one of its own.
+        Runs single items and rounds; by default, one of its own.
 
     Attributes
     ----------
@@ -339,17 +339,20 @@
         """Stop running a batch that has ended in the object store."""
         self._ended.add(batch_id)
         open_batch = self.batches.get(batch_id)
+        was_running = open_batch is not None and not open_batch.ended
+        if open_batch and was_running:
+            # First of all: no later error lets its samples go on.
+            open_batch.end()
+            open_batch.written_at = anyio.current_time()
         self._retention.record_ended(
             batch_id,
             open_batch.first_seen_at if open_batch else anyio.current_time(),
         )
-        if open_batch is None or open_batch.ended:
+        if not open_batch or not was_running:
             return
         self._checkpoints.cache.add(
             _kept.snapshot_incomplete_groups(open_batch)
         )
-        open_batch.end()
-        open_batch.written_at = anyio.current_time()
         LOG.info(
             'batch ended',
             extra={
@@ -388,12 +391,9 @@
             self._wake = anyio.Event()
 
     async def _migrate_from_slow_engines(self) -> None:
+        migrate = self._dispatcher.migrate_from_slow_engines
         while True:
             await anyio.sleep(MIGRATION_INTERVAL_SECONDS)
             if not self._start_condition.may_start():
                 continue
-            await self._rounds.run(
-                'migrate samples',
-                self._dispatcher.migrate_from_slow_engines,
-                self._list_open(),
-            )
+            await self._rounds.run('migration', migrate, self._list_open())
--- a/src/swiftjunction/objectstore/_following.py
+++ b/src/swiftjunction/objectstore/_following.py
@@ -4,7 +4,6 @@
 import collections.abc
 import logging
 import time
-import typing
 
 import anyio
 
@@ -19,8 +18,6 @@
 INITIAL_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
 
-ValueT = typing.TypeVar('ValueT')
-
 
 class Listener(abc.ABC):
     """Receives the objects under a prefix and their changes."""
@@ -62,6 +59,9 @@
 
     The unexpected error of a call is logged with the key. It concerns that
     object alone: the others are applied, and what follows the list goes on.
+    Each confirmation tries the call again first, without a line in the log,
+    and is withheld while it fails: a change that is not applied must not count
+    as delivered.
 
     Parameters
     ----------
@@ -83,6 +83,8 @@
         self._on_remove = on_remove
         self._on_confirm = on_confirm
         self._keys: set[str] = set()
+        # What could not be applied, by key; None for a removal.
+        self._failed: dict[str, _objects.Object | None] = {}
 
     def replace(self, objects: list[_objects.Object]) -> None:
         listed = {found.key for found in objects}
@@ -93,29 +95,38 @@
 
     def change(self, found: _objects.Object) -> None:
         self._keys.add(found.key)
-        _call_isolated(self._on_change, found, found.key)
+        self._apply(found.key, found)
 
     def remove(self, key: str) -> None:
         self._keys.discard(key)
-        if self._on_remove is not None:
-            _call_isolated(self._on_remove, key, key)
+        self._apply(key, None)
 
     def confirm(self, asked_at: float) -> None:
-        if self._on_confirm is not None:
+        if self._on_confirm is None:
+            return
+        for key, found in list(self._failed.items()):
+            self._apply(key, found, is_retry=True)
+        if not self._failed:
             self._on_confirm(asked_at)
 
-
-def _call_isolated(
-    function: collections.abc.Callable[[ValueT], None], value: ValueT, key: str
-) -> None:
-    try:
-        function(value)
-    except MemoryError:
-        raise
-    except Exception:
-        LOG.exception(
-            'cannot apply a change of an object', extra={'object': key}
-        )
+    def _apply(
+        self, key: str, found: _objects.Object | None, is_retry: bool = False
+    ) -> None:
+        """Call the function for a change, or for a removal if it is None."""
+        try:
+            if found is not None:
+                self._on_change(found)
+            elif self._on_remove is not None:
+                self._on_remove(key)
+            self._failed.pop(key, None)
+        except MemoryError:
+            raise
+        except Exception:
+            self._failed[key] = found
+            if not is_retry:
+                LOG.exception(
+                    'cannot apply a change of an object', extra={'object': key}
+                )
 
 
 async def follow(
--- a/tests/cover/test_batches_isolation.py
+++ b/tests/cover/test_batches_isolation.py
@@ -261,3 +261,25 @@
         assert await list_results('b') == {'c': True}
     records = find_records(caplog, 'the task of one item failed')
     assert 1 <= len(records) <= 10
+
+
+async def test_an_error_as_a_batch_ends_does_not_let_its_samples_go_on(
+    store, monkeypatch
+):
+    def fail(open_batch):
+        raise RecursionError('too deep')
+
+    monkeypatch.setattr(_checkpoints._kept, 'snapshot_incomplete_groups', fail)
+    archive = batches.BatchArchive(store)
+    runner = test_batches_runner.make_runner(store, archive)
+    await archive.create(make_batch('b', ['a']))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(runner.run)
+        with anyio.fail_after(2):
+            while not runner.batches:
+                await anyio.sleep(0.02)
+        open_batch = runner.batches['b']
+        await archive.end('b')
+        await anyio.sleep(0.5)
+        assert open_batch.ended
+        tasks.cancel_scope.cancel()
--- a/tests/cover/test_objectstore_following.py
+++ b/tests/cover/test_objectstore_following.py
@@ -166,3 +166,31 @@
         ]
         feed.apply_if_newer(_messages.FeedCopy(4, changed, ['k/a'], 3))
         assert (feed.revision, applied) == (4, ['k/a', 'k/b'])
+
+    async def test_nothing_is_confirmed_while_a_change_is_not_applied(
+        self, caplog
+    ):
+        failures = 3
+        confirmed = []
+
+        def apply(found):
+            nonlocal failures
+            if found.key == 'k/odd' and failures:
+                failures -= 1
+                raise RecursionError('too deep')
+
+        def confirm(asked_at):
+            confirmed.append(failures)
+
+        store = ScriptedWatchStore(
+            [objectstore.ChangeSet(1, [], []) for _ in range(3)]
+        )
+        for name in ('a', 'odd'):
+            store._put(f'k/{name}', b'1')
+        listener = objectstore.CallbackListener(apply, on_confirm=confirm)
+        with anyio.move_on_after(0.4):
+            await objectstore.follow(store, 'k/', listener)
+        # The list and the first watch confirm nothing; the others do.
+        assert confirmed == [0, 0]
+        assert store.list_calls == 1
+        assert len([r for r in caplog.records if r.exc_info]) == 1
