Bound the weight versions in responses of servers

A header of thousands of digits raised a ValueError that no caller handles, and numbers over 63 bits were passed on, which not every encoding can carry.

The header and the events share one parser with bounds; a number outside of them, also a negative version of an event, is a broken answer of that server. A header that is no number still means that the version is unknown.

--- a/src/swiftjunction/decoding/__init__.py
+++ b/src/swiftjunction/decoding/__init__.py
@@ -2,6 +2,7 @@
 
 from swiftjunction.decoding._bounds import Count
 from swiftjunction.decoding._bounds import Integer
+from swiftjunction.decoding._bounds import MAX_INTEGER
 from swiftjunction.decoding._bounds import MAX_MILLISECONDS
 from swiftjunction.decoding._bounds import Milliseconds
 from swiftjunction.decoding._bounds import NonNegative
@@ -16,6 +17,7 @@
 __all__ = [
     'Count',
     'Integer',
+    'MAX_INTEGER',
     'MAX_LEVELS',
     'MAX_MILLISECONDS',
     'Milliseconds',
--- a/src/swiftjunction/platform/_events.py
+++ b/src/swiftjunction/platform/_events.py
@@ -5,11 +5,13 @@
 import msgspec
 
 from swiftjunction import backends
+from swiftjunction import decoding
 from swiftjunction import errors
 from swiftjunction.platform import _names
 from swiftjunction import web
 
 EVENT_SEPARATOR = b'\n\n'
+MAX_NUMBER_CHARS = 32
 
 
 class EventParser:
@@ -82,11 +84,11 @@
                 name, _, value = line.partition(':')
                 value = value.removeprefix(' ')
                 if name == 'id':
-                    number = _parse_number(value)
+                    number = parse_number(value)
                 elif name == 'data':
                     data.append(value)
                 elif name == _names.WEIGHT_VERSIONS_HEADER:
-                    self._version = int(value)
+                    self._version = parse_number(value)
         except ValueError as error:
             raise errors.AnswerBroken(
                 f'invalid event: {error}',
@@ -100,10 +102,19 @@
         )
 
 
-def _parse_number(value: str) -> int:
+def parse_number(value: str) -> int:
+    """Return the number of an event, or a weight version.
+
+    Raises
+    ------
+    ValueError
+        If it is no number, negative or out of range.
+    """
+    if len(value) > MAX_NUMBER_CHARS:
+        raise ValueError(f'a number has {len(value)} characters')
     number = int(value)
-    if number < 0:
-        raise ValueError(f'the number {number} is negative')
+    if not 0 <= number <= decoding.MAX_INTEGER:
+        raise ValueError(f'the number {number} is out of range')
     return number
 
 
--- a/src/swiftjunction/platform/_responses.py
+++ b/src/swiftjunction/platform/_responses.py
@@ -8,6 +8,7 @@
 
 from swiftjunction import backends
 from swiftjunction import errors
+from swiftjunction.platform import _events
 from swiftjunction.platform import _names
 
 # Statuses that mean the request was not run, if the response confirms it with
@@ -202,10 +203,25 @@
     raise error_type(message, step='generate', peer=server.name)
 
 
-def parse_weight_version(response: httpx.Response) -> int:
-    """Return the weight version at the start of a stream; 0 if unknown."""
+def parse_weight_version(
+    response: httpx.Response, server: backends.BackendServer
+) -> int:
+    """Return the weight version at the start of a stream; 0 if unknown.
+
+    Raises
+    ------
+    AnswerBroken
+        If the number is out of range.
+    """
     text = response.headers.get(_names.WEIGHT_VERSIONS_HEADER, '')
-    return int(text) if text.isdecimal() else 0
+    if not text.isdecimal():
+        return 0
+    try:
+        return _events.parse_number(text)
+    except ValueError as error:
+        raise build_response_error(
+            f'invalid weight version: {error}', server
+        ) from error
 
 
 async def read_chunks(
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -388,7 +388,7 @@
 ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
     """Yield the events of a stream; ``AnswerBroken`` if it ends early."""
     parser = _events.EventParser(
-        _responses.parse_weight_version(response), server.name
+        _responses.parse_weight_version(response, server), server.name
     )
     async for data in _responses.read_chunks(response, server):
         exchange.record_contact()
