Give the exchange of the servers' stand-ins a module of its own

Refusals, crashes and the headers of responses, which plain servers and engines have in common, are in a module of their own; nothing changes in what they do.

--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -12,19 +12,18 @@
 
 from swiftjunction.standins import _announcing
 from swiftjunction.standins import _faults
+from swiftjunction.standins import _server_exchange
 from swiftjunction.standins import _software
 from swiftjunction import web
 
 Request = starlette.requests.Request
 Response = starlette.responses.Response
 
-UNANSWERED_SECONDS = 60.0
 EVENT_COUNT = 6
 EVENT_INTERVAL_SECONDS = 0.005
 VERSION_LOAD_SECONDS = 0.05
 METHODS = ['GET', 'POST', 'PUT', 'DELETE']
-# Bytes of a body that crashes a server with the fault ``poison``.
-POISON_MARKER = b'POISON'
+POISON_MARKER = _server_exchange.POISON_MARKER
 FAILURE_BODY = b'{"error": "out of memory"}'
 # Headers that name another engine whose memory a request reads or fills.
 MEMORY_HEADERS = ('kv-fetch', 'kv-from', 'swiftjunction-kv-backup')
@@ -94,19 +93,21 @@
         )
 
     async def _serve(self, request: Request) -> Response:
-        refusal = _check_request(request, self.name, self.faults)
+        refusal = _server_exchange.check_request(
+            request, self.name, self.faults
+        )
         if refusal is not None:
             return refusal
         request_id = request.headers.get('swiftjunction-attempt-id', '')
-        self.runs.append((request_id, _format_target(request)))
+        self.runs.append((request_id, _server_exchange.format_target(request)))
         self.headers.append(dict(request.headers))
-        if await _is_poisoned(request, self.faults):
+        if await _server_exchange.is_poisoned(request, self.faults):
             self.poison_runs += 1
-            await _crash(self.faults)
+            await _server_exchange.crash(self.faults)
         if self.faults.consume('silent'):
-            await anyio.sleep(UNANSWERED_SECONDS)
+            await anyio.sleep(_server_exchange.UNANSWERED_SECONDS)
         fails = self.faults.consume('fail')
-        headers = _make_signature_headers(request_id)
+        headers = _server_exchange.make_signature_headers(request_id)
         if self.faults.consume('unsigned'):
             del headers['swiftjunction-response-signature']
         if self.faults.consume('foreign'):
@@ -251,10 +252,10 @@
         if self.faults.consume('late_orders'):
             await anyio.sleep(2 * VERSION_LOAD_SECONDS)
             self._apply_order(order)
-            await anyio.sleep(UNANSWERED_SECONDS)
+            await anyio.sleep(_server_exchange.UNANSWERED_SECONDS)
         status = self._apply_order(order)
         if self.faults.consume('lost_orders'):
-            await anyio.sleep(UNANSWERED_SECONDS)
+            await anyio.sleep(_server_exchange.UNANSWERED_SECONDS)
         return Response(status_code=status)
 
     def _apply_order(self, order: dict[str, typing.Any]) -> int:
@@ -274,34 +275,37 @@
         return 202
 
     async def _generate(self, request: Request) -> Response:
-        refusal = _check_request(request, self.name, self.faults)
+        refusal = _server_exchange.check_request(
+            request, self.name, self.faults
+        )
         if refusal is not None:
             return refusal
         if self._is_busy():
-            return _make_refusal()
+            return _server_exchange.make_refusal()
         request_id = request.headers['swiftjunction-attempt-id']
         after = int(request.headers.get('last-event-id', '-1'))
         self.runs.append((request_id, after))
-        self.targets.append(_format_target(request))
+        self.targets.append(_server_exchange.format_target(request))
         self.headers.append(dict(request.headers))
         for header in MEMORY_HEADERS:
             if header in request.headers:
                 source = request.headers[header]
                 self.memory_sources.append((request_id, source))
-        if await _is_poisoned(request, self.faults):
+        if await _server_exchange.is_poisoned(request, self.faults):
             self.poison_runs += 1
-            await _crash(self.faults)
+            await _server_exchange.crash(self.faults)
         if self.faults.consume('silent'):
-            await anyio.sleep(UNANSWERED_SECONDS)
+            await anyio.sleep(_server_exchange.UNANSWERED_SECONDS)
         if self._consume_failure(after):
             return Response(
                 FAILURE_BODY,
                 status_code=500,
-                headers=_make_signature_headers(request_id),
+                headers=_server_exchange.make_signature_headers(request_id),
             )
         if self.faults.consume('never'):
             return Response(
-                status_code=422, headers=_make_signature_headers(request_id)
+                status_code=422,
+                headers=_server_exchange.make_signature_headers(request_id),
             )
         model = request.headers['swiftjunction-model']
         version = self.versions[model]
@@ -309,7 +313,7 @@
             self._iter_events(request_id, after, model, version),
             media_type='text/event-stream',
             headers={
-                **_make_signature_headers(request_id),
+                **_server_exchange.make_signature_headers(request_id),
                 'swiftjunction-weight-versions': str(version),
             },
         )
@@ -347,7 +351,7 @@
                     yield event[:8].encode()
                     raise ConnectionAbortedError
                 if number == EVENT_COUNT // 2 and self.faults.consume('stall'):
-                    await anyio.sleep(UNANSWERED_SECONDS)
+                    await anyio.sleep(_server_exchange.UNANSWERED_SECONDS)
                 if number == EVENT_COUNT // 2 and self.faults.consume('skip'):
                     continue
                 yield event.encode()
@@ -367,44 +371,3 @@
         _software.make_event_data(item_id, number, software)
         for number in range(EVENT_COUNT)
     )
-
-
-def _check_request(
-    request: Request, name: str, faults: _faults.FaultSwitches
-) -> Response | None:
-    expected = request.headers.get('swiftjunction-expect-instance', name)
-    if expected != name:
-        return Response(
-            status_code=421, headers={'swiftjunction-instance-id': name}
-        )
-    return _make_refusal() if faults.consume('shed') else None
-
-
-async def _is_poisoned(
-    request: Request, faults: _faults.FaultSwitches
-) -> bool:
-    return faults.get('poison') > 0 and POISON_MARKER in await request.body()
-
-
-async def _crash(faults: _faults.FaultSwitches) -> None:
-    faults.set('crashed', faults.get('poison'))
-    await anyio.sleep(UNANSWERED_SECONDS)
-
-
-def _make_refusal() -> Response:
-    return Response(
-        status_code=503, headers={'swiftjunction-not-executed': '1'}
-    )
-
-
-def _make_signature_headers(request_id: str) -> dict[str, str]:
-    return {
-        'swiftjunction-attempt-id': request_id,
-        'swiftjunction-response-signature': f'signed.{request_id}',
-    }
-
-
-def _format_target(request: Request) -> str:
-    path = request.scope['raw_path'].decode()
-    query = request.scope['query_string'].decode()
-    return f'{path}?{query}' if query else path
