Refuse settings that nothing can use, and read addresses alike

Callers could get no answer from VMs whose settings were accepted: with ip=::1 the VM's own entry was no valid address and it never converged; a port such as 08080 or with a blank did not match that of the requests, so that readiness and address lookups were answered as callers' requests; bounds of 0 cannot be kept.

Cause: the settings were read by another parser than the one for peers' addresses. They are now read by web.parse_address and kept in the form of web.format_address, and the three bounds are at least 1 ms.

--- a/src/swiftjunction/platform/_key_values.py
+++ b/src/swiftjunction/platform/_key_values.py
@@ -1,12 +1,12 @@
 """Reads checked values from the ``key=value`` lines of a settings file."""
 
-import ipaddress
 import logging
 import math
 import pathlib
 
 from swiftjunction import errors
 from swiftjunction.platform import _names
+from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
 
@@ -76,10 +76,11 @@
         key: str,
         default: float,
         *,
+        least: float = 0.0,
         most: float = MAX_SECONDS,
         fallback: float | None = None,
     ) -> float:
-        """Return a number that is not negative.
+        """Return a number between two others.
 
         Parameters
         ----------
@@ -87,8 +88,8 @@
             Name of the value.
         default : float
             What is returned if the value is missing.
-        most : float
-            The largest valid value.
+        least, most : float
+            The smallest and the largest valid value.
         fallback : float
             What is returned if the value is invalid.
         """
@@ -96,19 +97,23 @@
         if not value:
             return default
         number = _parse_number(value)
-        if number is not None and 0 <= number <= most:
+        if number is not None and least <= number <= most:
             return number
-        requirement = f'must be a number from 0 to {most:.10g}'
+        requirement = f'must be a number from {least:g} to {most:.10g}'
         if fallback is None:
             self._report(key, value, requirement)
             return default
         self._replace(key, value, requirement, f'{fallback:g}')
         return fallback
 
-    def read_milliseconds(self, key: str, default_ms: float) -> float:
+    def read_milliseconds(
+        self, key: str, default_ms: float, *, least_ms: float = 0.0
+    ) -> float:
         """Return a time in milliseconds, converted to seconds."""
         most_ms = MAX_SECONDS * _names.MS_PER_SECOND
-        number = self.read_number(key, default_ms, most=most_ms)
+        number = self.read_number(
+            key, default_ms, least=least_ms, most=most_ms
+        )
         return number / _names.MS_PER_SECOND
 
     def read_list(self, key: str) -> tuple[str, ...]:
@@ -117,11 +122,16 @@
         return tuple(value.strip() for value in values if value.strip())
 
     def read_ip(self, key: str) -> str:
-        """Return an IP address."""
+        """Return an IP address in its normal form."""
         value = self.read_text(key)
-        if value and not _is_ip(value):
+        if not value:
+            return value
+        try:
+            ip, _ = web.parse_address(web.format_address(value, MAX_PORT))
+        except ValueError:
             self._report(key, value, 'must be an IP address')
-        return value
+            return value
+        return ip
 
     def read_address(
         self,
@@ -130,13 +140,12 @@
         *,
         fallback: str | None = None,
     ) -> str:
-        """Return an ``ip:port``."""
+        """Return an ``ip:port`` in its normal form."""
         value = self._values.get(key, '')
         if not value:
             return self.read_text(key, default)
-        ip, _, port = value.rpartition(':')
-        if _is_ip(ip) and _parse_port(port) is not None:
-            return value
+        if web.is_address(value):
+            return web.format_address(*web.parse_address(value))
         requirement = (
             f'must be an IP address and a port from 1 to {MAX_PORT}, '
             'joined by a colon'
@@ -210,11 +219,3 @@
         return None
     port = int(digits)
     return port if 1 <= port <= MAX_PORT else None
-
-
-def _is_ip(text: str) -> bool:
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return True
--- a/src/swiftjunction/platform/_listening.py
+++ b/src/swiftjunction/platform/_listening.py
@@ -118,5 +118,4 @@
 ) -> collections.abc.Iterator[tuple[str, int]]:
     addresses = [settings.front, settings.readiness, settings.directory]
     for address in dict.fromkeys(filter(None, addresses)):
-        ip, _, port = address.rpartition(':')
-        yield ip, int(port)
+        yield web.parse_address(address)
--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -15,6 +15,8 @@
 MAX_CORES = 1024.0
 MAX_DUTIES_PER_SECOND = 1e6
 SAFE_DUTIES_PER_SECOND = 1.0
+# Of the bounds that nothing can keep if they are 0.
+MIN_BOUND_MS = 1.0
 
 
 class EdgeSettings(msgspec.Struct, frozen=True):
@@ -142,19 +144,25 @@
         front=reader.read_address('bind.front', ''),
         readiness=reader.read_address('bind.readiness', ''),
         directory=reader.read_address('bind.directory', ''),
-        lease_seconds=reader.read_milliseconds('bounds.lease_ms', 3000.0),
+        lease_seconds=reader.read_milliseconds(
+            'bounds.lease_ms', 3000.0, least_ms=MIN_BOUND_MS
+        ),
         grace_seconds=reader.read_number('bounds.grace_s', 8.0),
         drain_seconds=reader.read_milliseconds('bounds.drain_ms', 2000.0),
         max_address_seconds=reader.read_number('bounds.ttl_max_s', 5.0),
         keep_seconds=reader.read_number('bounds.status_s', 120.0),
-        cancel_seconds=reader.read_milliseconds('bounds.cancel_ms', 3000.0),
+        cancel_seconds=reader.read_milliseconds(
+            'bounds.cancel_ms', 3000.0, least_ms=MIN_BOUND_MS
+        ),
         checks_fencing=reader.read_flag('bounds.require_fencing'),
         processor_cores=_read_processor_cores(reader),
         config_apply_seconds=reader.read_milliseconds(
             'bounds.config_apply_ms', 2000.0
         ),
         strict_revocation=reader.read_flag('bounds.strict_revoke'),
-        revoke_seconds=reader.read_milliseconds('bounds.revoke_ms', 5000.0),
+        revoke_seconds=reader.read_milliseconds(
+            'bounds.revoke_ms', 5000.0, least_ms=MIN_BOUND_MS
+        ),
         duty_api=reader.read_address('cloud_api.address', '', fallback=''),
         duties=reader.read_list('cloud_api.duties'),
         duties_per_second=reader.read_number(
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -9,6 +9,7 @@
 from swiftjunction.platform import _tunneling
 from swiftjunction import routes
 from swiftjunction import routing
+from swiftjunction import web
 
 
 class StatusSource:
@@ -129,7 +130,7 @@
     """Return the entry of this VM, for this run of the process."""
     return coordination.Member(
         settings.name,
-        f'{settings.ip}:{settings.peer_port}',
+        web.format_address(settings.ip, settings.peer_port),
         settings.front,
         settings.data_center,
         settings.region,
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -12,6 +12,7 @@
 import hypercorn.config
 
 from swiftjunction import errors
+from swiftjunction.web import _addresses
 from swiftjunction.web import _targets
 
 # Exceeds the longest allowed request. hypercorn's default of 3 s would abort
@@ -74,7 +75,7 @@
         self._shutdown_requested = anyio.Event()
         self._stopped = anyio.Event()
         host, port = sockets[0].getsockname()[:2]
-        self.address = f'{host}:{port}'
+        self.address = _addresses.format_address(host, port)
 
     async def serve(
         self, app: typing.Any, context: ssl.SSLContext | None = None
--- a/tests/cover/test_platform_settings.py
+++ b/tests/cover/test_platform_settings.py
@@ -13,8 +13,10 @@
 from swiftjunction import errors
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _settings
+from swiftjunction.platform import _status
 from swiftjunction import supervision
 from swiftjunction import telemetry
+from swiftjunction import web
 from tests.cover import test_platform_processes
 
 LINES = [
@@ -61,6 +63,9 @@
     '127.0.0.1.5:80',
     'host.example:80',
     '127.0.0.1 :80',
+    '127.0.0.1: 80',
+    '::1:5000',
+    '[::1%lo]:5000',
 ]
 
 
@@ -143,6 +148,33 @@
     assert any(f'ip = {value!r} must' in problem for problem in problems)
 
 
+@pytest.mark.parametrize(
+    ('value', 'normal'),
+    [('127.0.0.1:08080', '127.0.0.1:8080'), ('[0::1]:5000', '[::1]:5000')],
+)
+@pytest.mark.parametrize(
+    ('key', 'name'),
+    [('bind.readiness', 'readiness'), ('provider.address', 'store')],
+)
+def test_an_address_is_read_in_its_normal_form(
+    tmp_path, key, name, value, normal
+):
+    assert getattr(read(tmp_path, f'{key}={value}'), name) == normal
+
+
+@pytest.mark.parametrize('value', ['::1', '0::1', '127.0.0.1'])
+def test_peers_accept_the_address_of_any_ip(tmp_path, value):
+    member = _status.build_member(read(tmp_path, f'ip={value}'))
+    assert web.is_address(member.address)
+
+
+@pytest.mark.parametrize('key', ['lease_ms', 'cancel_ms', 'revoke_ms'])
+@pytest.mark.parametrize('value', ['0', '0.5', '-0'])
+def test_a_bound_that_nothing_can_keep_is_reported(tmp_path, key, value):
+    (problem,) = find_problems(tmp_path, f'bounds.{key}={value}')
+    assert 'must be a number from 1 to ' in problem
+
+
 @pytest.mark.parametrize('key', ['node_name', 'zone', 'region'])
 @pytest.mark.parametrize('value', [b'a\0b', b'a\xff', b'a\x1bb'])
 def test_a_name_of_odd_bytes_is_reported(tmp_path, key, value):
