Replace the built package by renames

Callers could lose a VM that started during a build: its imports failed, as the package, or the dependencies, were deleted and copied in place, and a build that failed half-way left neither the former package nor a new one.

Both are now complete and compiled in a draft before they replace the former ones by two renames, between which the folder is missing. The stamp is away meanwhile, so that a build interrupted there is done anew.

Evidence: the new test of a copy that fails failed in both cases before; test_deploy_build and test_deploy pass.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -18,8 +18,12 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 FOLDER = 'target/deps'
-# Becomes FOLDER once all dependencies are in it.
+# Becomes FOLDER once the dependencies and the package are in it.
 DRAFT_FOLDER = 'target/deps.draft'
+# Becomes the package in FOLDER once it is complete.
+DRAFT_PACKAGE = 'target/package.draft'
+# What a draft replaces, until it is deleted.
+FORMER_FOLDER = 'target/former'
 STAMP_FILE = 'stamp.json'
 CONSTRAINTS_FILE = 'constraints.txt'
 PROJECT_FILE = 'pyproject.toml'
@@ -56,15 +60,14 @@
 
 
 def install_dependencies(root: pathlib.Path, stamp: str) -> None:
-    """Install the dependencies into a new folder that replaces the old one.
+    """Install dependencies and package into a folder that replaces the old.
 
     Raises
     ------
     CalledProcessError
-        If pip fails; the folder then has no stamp, or its former one.
+        If pip fails; the folder then stays as it was.
     """
     draft = root / DRAFT_FOLDER
-    folder = root / FOLDER
     shutil.rmtree(draft, ignore_errors=True)
     subprocess.run(
         [
@@ -77,18 +80,25 @@
         check=True,
         cwd=root,
     )
+    copy_package(root, draft / PACKAGE)
     (draft / STAMP_FILE).write_text(stamp)
-    (folder / STAMP_FILE).unlink(missing_ok=True)
-    if folder.exists():
-        shutil.rmtree(folder)
-    draft.rename(folder)
+    replace_folder(root, root / FOLDER, draft)
+
+
+def install_package(root: pathlib.Path, stamp: str) -> None:
+    """Replace the package by a new copy, between two states that are valid."""
+    draft = root / DRAFT_PACKAGE
+    shutil.rmtree(draft, ignore_errors=True)
+    copy_package(root, draft)
+    stamp_file = root / FOLDER / STAMP_FILE
+    # Without it, a build that was interrupted here is done anew.
+    stamp_file.unlink()
+    replace_folder(root, root / FOLDER / PACKAGE, draft)
+    stamp_file.write_text(stamp)
 
 
-def install_package(root: pathlib.Path) -> None:
+def copy_package(root: pathlib.Path, folder: pathlib.Path) -> None:
     """Copy the package and compile it, as roles may not write there."""
-    folder = root / FOLDER / PACKAGE
-    if folder.exists():
-        shutil.rmtree(folder)
     shutil.copytree(
         root / 'src' / PACKAGE,
         folder,
@@ -96,21 +106,34 @@
     )
     compileall.compile_dir(
         folder,
+        ddir=str(root / FOLDER / PACKAGE),
         quiet=1,
-        # Stays valid if the folder is copied, which changes file times.
+        # Stays valid if the folder is moved or copied.
         invalidation_mode=py_compile.PycInvalidationMode.CHECKED_HASH,
     )
 
 
+def replace_folder(
+    root: pathlib.Path, folder: pathlib.Path, draft: pathlib.Path
+) -> None:
+    """Replace a folder by its draft; it is missing between two renames."""
+    former = root / FORMER_FOLDER
+    shutil.rmtree(former, ignore_errors=True)
+    if folder.exists():
+        folder.rename(former)
+    draft.rename(folder)
+    shutil.rmtree(former, ignore_errors=True)
+
+
 def build(root: pathlib.Path) -> None:
     """Make ``target/deps`` complete for this Python and kind of machine."""
     stamp = compute_stamp(root)
     if is_current(root / FOLDER, stamp):
         print('the dependencies are current')
+        install_package(root, stamp)
     else:
         print('installing the dependencies')
         install_dependencies(root, stamp)
-    install_package(root)
 
 
 if __name__ == '__main__':
--- a/tests/cover/test_deploy_build.py
+++ b/tests/cover/test_deploy_build.py
@@ -186,3 +186,30 @@
         stamp.write_bytes(content)
     assert checkout.build() == 0
     assert checkout.count_installations() == 2
+
+
+@pytest.mark.parametrize('constraints', ['first==1.0\n', 'first==1.1\n'])
+def test_a_build_whose_copy_fails_leaves_the_former_package(
+    checkout, constraints
+):
+    checkout.build()
+    (checkout.deps / 'former.py').touch()
+    (checkout.root / 'constraints.txt').write_text(constraints)
+    package = checkout.root / 'src/swiftjunction'
+    (package / '__init__.py').write_text('CHANGED = 1\n')
+    broken = package / 'broken.py'
+    broken.symlink_to('missing')
+    assert checkout.build() != 0
+    assert checkout.is_complete()
+    copied = checkout.deps / 'swiftjunction/__init__.py'
+    assert copied.read_text() == ''
+    assert (checkout.deps / 'former.py').exists()
+    broken.unlink()
+    assert checkout.build() == 0
+    assert copied.read_text() == 'CHANGED = 1\n'
+
+
+def test_a_build_leaves_no_drafts(checkout):
+    checkout.build()
+    checkout.build()
+    assert [path.name for path in checkout.deps.parent.iterdir()] == ['deps']
