Keep the polls of peers and checks of services from each other

Callers could be refused or sent to servers that had stopped: one unexpected error in the poll of one peer over HTTP, or in the check of one service, ended those of all others for a time.

Each is now a task of its own for the supervisor, which logs and counts its error. A service whose check failed is checked again after the usual pause.

--- a/src/swiftjunction/backends/_reachability.py
+++ b/src/swiftjunction/backends/_reachability.py
@@ -15,6 +15,8 @@
 
 from swiftjunction.backends import _exchange
 from swiftjunction.backends import _server
+from swiftjunction import supervision
+from swiftjunction import telemetry
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -84,6 +86,8 @@
         whether the server accepts a connection.
     clock : callable
         Returns monotonic time in seconds.
+    supervisor : Supervisor, optional
+        Keeps the unexpected error of a check from those of other services.
     """
 
     __slots__ = (
@@ -95,6 +99,7 @@
         '_rng',
         '_select_servers',
         '_services',
+        '_supervisor',
         '_suspected',
         '_wake',
     )
@@ -105,7 +110,11 @@
         rng: random.Random | None = None,
         connect: Connect | None = None,
         clock: collections.abc.Callable[[], float] = time.monotonic,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or supervision.Supervisor(
+            telemetry.Metrics()
+        )
         self._select_servers = select_servers
         self._rng = rng or random.Random()
         self._connect = connect or can_connect
@@ -175,7 +184,7 @@
                 for service in self._select_suspects():
                     state = self._services.setdefault(service, _Service())
                     if self._is_check_due(state):
-                        tasks.start_soon(self._check, service, state)
+                        tasks.start_soon(self._check_isolated, service, state)
                 await anyio.sleep(TICK_SECONDS)
 
     def _is_check_due(self, state: _Service) -> bool:
@@ -196,6 +205,15 @@
                 suspects.add(exchange.service)
         return suspects
 
+    async def _check_isolated(self, service: str, state: _Service) -> None:
+        # For a check that fails.
+        self._schedule(state, CHECK_PAUSE_SECONDS)
+        await self._supervisor.run_isolated(
+            'check of a service',
+            lambda: self._check(service, state),
+            service=service,
+        )
+
     async def _check(self, service: str, state: _Service) -> None:
         began = self._clock()
         servers = [
--- a/src/swiftjunction/coordination/_polling.py
+++ b/src/swiftjunction/coordination/_polling.py
@@ -23,6 +23,8 @@
 from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import routing
+from swiftjunction import supervision
+from swiftjunction import telemetry
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -84,6 +86,8 @@
     server_list : FeedConfirmation, optional
         Receives the ages of the lists of servers that peers state; on the
         same clock as `confirmation`.
+    supervisor : Supervisor, optional
+        Keeps the unexpected error of a peer's poll from the others.
     """
 
     __slots__ = (
@@ -100,6 +104,7 @@
         '_router',
         '_polled_by',
         '_server_list',
+        '_supervisor',
         '_unanswered',
     )
 
@@ -115,7 +120,11 @@
         router: routing.Router | None = None,
         clock: _clock.SharedClock | None = None,
         server_list: _confirming.FeedConfirmation | None = None,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or supervision.Supervisor(
+            telemetry.Metrics()
+        )
         self._server_list = server_list
         self._router = router
         self._clock = clock
@@ -145,11 +154,13 @@
             while True:
                 await self._send_queries()
                 if self._polled_by:
-                    tasks.start_soon(self._copy_members, self._polled_by)
+                    tasks.start_soon(
+                        self._copy_members_isolated, self._polled_by
+                    )
                     self._polled_by = ''
                 await anyio.sleep(DATAGRAM_TIMEOUT_SECONDS)
                 for member in self._unanswered.values():
-                    tasks.start_soon(self._poll_over_http, member)
+                    tasks.start_soon(self._poll_isolated, member)
                 await anyio.sleep(
                     POLL_INTERVAL_SECONDS - DATAGRAM_TIMEOUT_SECONDS
                 )
@@ -208,6 +219,18 @@
                 reply.status, self._asked_at.get(reply.round_number)
             )
 
+    async def _copy_members_isolated(self, address: str) -> None:
+        await self._supervisor.run_isolated(
+            'copy of members',
+            lambda: self._copy_members(address),
+            peer=address,
+        )
+
+    async def _poll_isolated(self, member: _statuses.Member) -> None:
+        await self._supervisor.run_isolated(
+            'poll', lambda: self._poll_over_http(member), peer=member.name
+        )
+
     async def _poll_over_http(self, member: _statuses.Member) -> None:
         client = _peer.PeerClient(self._peers, member.address)
         asked_at = self._read_clock()
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -126,7 +126,9 @@
             self._is_store_unreachable,
             time.monotonic,
         )
-        self._reachability = backends.Reachability(self._directory.select, rng)
+        self._reachability = backends.Reachability(
+            self._directory.select, rng, supervisor=self._supervisor
+        )
         workers = _workers.WorkerClient(
             self._clients,
             backends.ServerPaths(
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -96,6 +96,7 @@
             self._router,
             self._clock,
             self._server_list,
+            self._supervisor,
         )
         LOG.info(
             'started',
--- a/tests/cover/test_backends_reachability.py
+++ b/tests/cover/test_backends_reachability.py
@@ -169,3 +169,26 @@
 async def test_an_invalid_address_of_a_server_ends_no_check(address):
     # Another writer may have stored the entry of the server.
     assert not await _reachability.can_connect(address, 0.3)
+
+
+async def test_an_unexpected_error_of_a_check_does_not_end_the_others():
+    scene = Scene()
+    scene.accepting.clear()
+    select = scene.reachability._select_servers
+    failures = []
+
+    def fail_for_another(service):
+        if service == 'odd':
+            failures.append(service)
+            raise RuntimeError('odd')
+        return select(service)
+
+    scene.reachability._select_servers = fail_for_another
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(scene.reachability.run)
+        scene.reachability.suspect('odd')
+        await anyio.sleep(0.1)
+        scene.reachability.suspect(SERVICE)
+        await scene.wait_until_cut_off()
+        tasks.cancel_scope.cancel()
+    assert failures == ['odd']
--- a/tests/cover/test_coordination_polling.py
+++ b/tests/cover/test_coordination_polling.py
@@ -225,3 +225,20 @@
         await wait_until(lambda: a.router.told)
     assert a.router.told == {'b': b.router.own}
     assert b.router.told == {}
+
+
+async def test_an_odd_answer_of_a_peer_does_not_end_the_polls(monkeypatch):
+    fetch_status = _polling._peer.fetch_status
+    failures = []
+
+    async def fail_once(client, timeout_seconds):
+        if not failures:
+            failures.append(client)
+            raise RuntimeError('odd')
+        return await fetch_status(client, timeout_seconds)
+
+    monkeypatch.setattr(_polling._peer, 'fetch_status', fail_once)
+    a, b = Vm('a'), Vm('b', has_datagrams=False)
+    async with run_vms(a, b):
+        await wait_until(lambda: a.reaches(b))
+    assert len(failures) == 1
