Listen for tunnels once a port is free

Callers of a VM that is cut off from its servers could get no answer: a VM whose ports for tunnels were all taken served none for its whole life, and one that could not open a socket, or listen, for tunnels did not start.

Cause: the task of the tunnels ended for good without a free port, and the creation of a socket and listen() raised a bare OSError, where bind() raises a SettingsError. All three now raise that, and the task tries again every 5 s.

Evidence: three new cases of test_tunnels failed before; it and test_platform_addresses pass.

--- a/src/swiftjunction/platform/_tunneling.py
+++ b/src/swiftjunction/platform/_tunneling.py
@@ -1,10 +1,14 @@
 """The tunnels that this VM serves to its peers."""
 
+import anyio
+
 from swiftjunction import backends
 from swiftjunction.platform import _settings
 from swiftjunction import telemetry
 from swiftjunction import tunnels
 
+# Between attempts to listen, while no port is free.
+RETRY_SECONDS = 5.0
 FAILED_CONNECTIONS = (
     tunnels.TunnelOutcome.REFUSED,
     tunnels.TunnelOutcome.UNREACHABLE,
@@ -54,27 +58,31 @@
 
     def open(self) -> None:
         """Listen on the first free port after the one for requests."""
-        ports = range(
-            self._settings.peer_port + 1, self._settings.last_port + 1
-        )
         self._server = tunnels.open_tunnel_server(
-            self._settings.ip, ports, self._is_server
+            self._settings.ip, self._list_ports(), self._is_server
         )
         if self._server is not None:
             self._server.listen(self._record)
 
     async def run(self) -> None:
         """Serve tunnels until cancelled; may be called again after that."""
-        if self._server is None:
-            self.open()
-        if self._server is None:
+        if not self._list_ports():
             return
+        while self._server is None:
+            self.open()
+            if self._server is None:
+                await anyio.sleep(RETRY_SECONDS)
         try:
             await self._server.run()
         finally:
             # Its socket is closed.
             self._server = None
 
+    def _list_ports(self) -> range:
+        return range(
+            self._settings.peer_port + 1, self._settings.last_port + 1
+        )
+
     def _is_server(self, address: str) -> bool:
         return self._directory.find_address(address) is not None
 
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -157,7 +157,11 @@
 def bind_socket(ip: str, port: int) -> socket.socket:
     """Return a listening socket; fails as :func:`open_listener` does."""
     bound_socket = _bind_stream_socket(ip, port)
-    bound_socket.listen(BACKLOG_CONNECTIONS)
+    try:
+        bound_socket.listen(BACKLOG_CONNECTIONS)
+    except OSError as error:
+        bound_socket.close()
+        raise _describe_failure(ip, port, error) from error
     return bound_socket
 
 
@@ -168,21 +172,27 @@
 
 def bind_datagram_socket(ip: str, port: int) -> socket.socket:
     """Return a bound UDP socket; fails as :func:`open_listener` does."""
-    bound_socket = _create_socket(ip, socket.SOCK_DGRAM)
+    bound_socket = _create_socket(ip, port, socket.SOCK_DGRAM)
     _bind(bound_socket, ip, port)
     return bound_socket
 
 
 def _bind_stream_socket(ip: str, port: int) -> socket.socket:
-    bound_socket = _create_socket(ip, socket.SOCK_STREAM)
+    bound_socket = _create_socket(ip, port, socket.SOCK_STREAM)
     bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     _bind(bound_socket, ip, port)
     return bound_socket
 
 
-def _create_socket(ip: str, kind: socket.SocketKind) -> socket.socket:
+def _create_socket(
+    ip: str, port: int, kind: socket.SocketKind
+) -> socket.socket:
     family = socket.AF_INET6 if ':' in ip else socket.AF_INET
-    created = socket.socket(family, kind)
+    try:
+        created = socket.socket(family, kind)
+    except OSError as error:
+        # For example, too many open files.
+        raise _describe_failure(ip, port, error) from error
     created.setblocking(False)
     return created
 
@@ -192,7 +202,14 @@
         unbound_socket.bind((ip, port))
     except OSError as error:
         unbound_socket.close()
-        problems = [f'cannot listen on {ip}:{port}: {error.strerror}']
-        if error.errno == errno.EADDRINUSE:
-            raise errors.AddressInUse(problems) from error
-        raise errors.SettingsError(problems) from error
+        raise _describe_failure(ip, port, error) from error
+
+
+def _describe_failure(
+    ip: str, port: int, error: OSError
+) -> errors.SettingsError:
+    address = _addresses.format_address(ip, port)
+    problems = [f'cannot listen on {address}: {error.strerror}']
+    if error.errno == errno.EADDRINUSE:
+        return errors.AddressInUse(problems)
+    return errors.SettingsError(problems)
--- a/tests/cover/test_tunnels.py
+++ b/tests/cover/test_tunnels.py
@@ -1,6 +1,7 @@
 """Connections to backend servers through another VM."""
 
 import contextlib
+import errno
 import socket
 import struct
 
@@ -8,6 +9,9 @@
 import httpx
 import pytest
 
+from swiftjunction import errors
+from swiftjunction.platform import _settings
+from swiftjunction.platform import _tunneling
 from swiftjunction import tunnels
 from swiftjunction import web
 
@@ -267,3 +271,50 @@
             with anyio.fail_after(1.0), pytest.raises(anyio.EndOfStream):
                 await stream.receive()
     assert 'unhandled error' not in caplog.text
+
+
+@pytest.mark.parametrize('method', ['listen', 'bind', None])
+def test_a_socket_that_cannot_listen_is_reported_by_a_typed_error(
+    monkeypatch, method
+):
+    def fail(*arguments):
+        raise OSError(errno.EMFILE, 'too many open files')
+
+    if method is None:
+        monkeypatch.setattr(socket, 'socket', fail)
+    else:
+
+        class FailingSocket(socket.socket):
+            pass
+
+        setattr(FailingSocket, method, fail)
+        monkeypatch.setattr(socket, 'socket', FailingSocket)
+    with pytest.raises(errors.SettingsError, match='too many open files'):
+        web.bind_socket('127.0.0.1', 0)
+    assert tunnels.open_tunnel_server('127.0.0.1', [0], bool) is None
+
+
+async def test_a_vm_listens_for_tunnels_once_a_port_is_free(monkeypatch):
+    monkeypatch.setattr(_tunneling, 'RETRY_SECONDS', 0.02, raising=False)
+    taken = web.bind_socket('127.0.0.1', 0)
+    port = taken.getsockname()[1]
+    settings = _settings.EdgeSettings(
+        'vm', '127.0.0.1', 'dc', 'r', port - 1, port, ''
+    )
+    served = _tunneling.PeerTunnels(settings, None, None, None)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(served.run)
+        await anyio.sleep(0.05)
+        assert served.port == 0
+        taken.close()
+        with anyio.fail_after(2):
+            while not served.port:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_vm_without_ports_for_tunnels_does_not_wait_for_one():
+    settings = _settings.EdgeSettings('vm', '127.0.0.1', 'dc', 'r', 1, 1, '')
+    served = _tunneling.PeerTunnels(settings, None, None, None)
+    with anyio.fail_after(0.5):
+        await served.run()
