--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -155,6 +155,10 @@
         """
         return self._lease
 
+    def holds_lease(self) -> bool:
+        """Return whether this VM coordinates under a valid lease."""
+        return self._lease is not None and self._lease.remaining_seconds() > 0
+
     @property
     def lease_version(self) -> int:
         """Return the version of the lease's object, or 0 without the lease."""
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -357,8 +357,7 @@
         return self._state
 
     def _is_coordinator(self) -> bool:
-        lease = self._coordinator.lease
-        return lease is not None and lease.remaining_seconds() > 0
+        return self._coordinator.holds_lease()
 
     def _must_confirm_keys(self) -> bool:
         table = self._active_routes.table
@@ -377,9 +376,9 @@
         return table.list_services(routes.RouteKind.BATCH)
 
     def _find_runner(self) -> batches.BatchAccess | None:
-        if not self._control_loops.is_running:
-            return None
-        return batches.RunnerAccess(self._runner, self._archive)
+        if self._control_loops.is_running:
+            return batches.RunnerAccess(self._runner, self._archive)
+        return None
 
     def _build_dump(self) -> telemetry.StateDump:
         sources = {
@@ -398,6 +397,4 @@
             'failing_tasks': self._supervisor.summarize,
             'metrics': self._metrics.summarize,
         }
-        if self._clock is not None:
-            sources['clock'] = self._clock.summarize
-        return _inspection.build_dump(sources)
+        return _inspection.build_dump(sources, self._clock)
--- a/src/swiftjunction/platform/_inspection.py
+++ b/src/swiftjunction/platform/_inspection.py
@@ -57,9 +57,15 @@
     sources: collections.abc.Mapping[
         str, collections.abc.Callable[[], object]
     ],
+    clock: coordination.SharedClock | None,
 ) -> telemetry.StateDump:
-    """Return a dump of the state that each source returns, by its name."""
+    """Return a dump of the state that each source returns, by its name.
+
+    It has that of the clock that VMs share, if there is one.
+    """
     dump = telemetry.StateDump()
+    if clock is not None:
+        dump.add('clock', clock.summarize)
     for name, source in sources.items():
         dump.add(name, source)
     return dump
