Count a task as failing only after it has failed again

What callers saw: nothing yet; a VM whose routes, servers or confirmation had failed once was not ready from 1 to 5 s after that, though the task ran again after a tenth of a second.

Change: a single failure does not count. Result: a new test that failed before; the test of a task that runs long enough has two failures now, so that it still shows that the time ends the count.

--- a/src/swiftjunction/supervision/_supervisor.py
+++ b/src/swiftjunction/supervision/_supervisor.py
@@ -163,10 +163,15 @@
                 factor = min(2 * factor, MAX_INTERVAL_FACTOR)
 
     def compute_failing_seconds(self, name: str) -> float:
-        """Return for how long a task has failed again and again; 0 if not."""
+        """Return for how long a task has failed again and again.
+
+        It is 0 for a task that runs, also after a single failure.
+        """
         now = self._clock()
         if not self._is_failing(name, now):
             return 0.0
+        if self._last_failure[name] == self._failing_since[name]:
+            return 0.0
         return now - self._failing_since[name]
 
     def summarize(self) -> dict[str, float]:
