Let the soak's links record ids of arbitrary bytes

Cause: the proxy of a link decodes the ids of requests as UTF-8; odd requests have ids of arbitrary bytes. Change: it reads them as Latin-1, as headers are.

--- a/soak/links.py
+++ b/soak/links.py
@@ -137,7 +137,7 @@
     def _record_arrivals(self, data: bytes) -> None:
         now = anyio.current_time()
         self.arrivals += [
-            (request_id.decode(), now)
+            (request_id.decode('latin-1'), now)
             for request_id in REQUEST_ID_PATTERN.findall(data)
         ]
 
