Give the reason for importing _signal without a figure

The comment at the first lines of both roles named 10 ms, which is a figure of one machine. No code is changed.

--- a/src/swiftjunction/platform/__main__.py
+++ b/src/swiftjunction/platform/__main__.py
@@ -1,6 +1,6 @@
 """Entry point of the edge process, run by path so that it imports little."""
 
-# The module signal would import others, which takes 10 ms more.
+# The module signal would import others first.
 import _signal  # type: ignore[import-not-found]
 import sys
 
--- a/src/swiftjunction/platform/storage.py
+++ b/src/swiftjunction/platform/storage.py
@@ -3,7 +3,7 @@
 It is run by path rather than as a module, so that it imports little.
 """
 
-# The module signal would import others, which takes 10 ms more.
+# The module signal would import others first.
 import _signal  # type: ignore[import-not-found]
 
 STOP_SIGNALS = {_signal.SIGTERM, _signal.SIGINT}
