Put the pending write of crashes and origins in one module

The registry of crashes and the archive of origins held the same code, which requests a write again when it ends with an unexpected error or is cancelled. It is now `PendingWrite` in a module of its own, whose doc comment says what such an error leaves behind: the store may or may not hold the new value, what was to be written stays in memory, and the write stays requested until the task runs again. Callers see no change of behaviour.

--- a/src/swiftjunction/coordination/_crashes.py
+++ b/src/swiftjunction/coordination/_crashes.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from swiftjunction.coordination import _members
+from swiftjunction.coordination import _pending_write
 from swiftjunction.coordination import _sharing
 from swiftjunction import errors
 from swiftjunction import objectstore
@@ -54,13 +55,13 @@
     """
 
     __slots__ = (
-        '_changed',
         '_clock',
         '_feed',
         '_feed_sync',
         '_known',
         '_listeners',
         '_members',
+        '_pending',
         '_store',
         '_version',
         '_written_at',
@@ -82,7 +83,7 @@
         self._written_at: dict[str, float] = {}
         # The version of this VM's object; 0 before it is known to exist.
         self._version = 0
-        self._changed = anyio.Event()
+        self._pending = _pending_write.PendingWrite()
         self._feed = feed_sync.add(
             CRASHES_PREFIX,
             objectstore.CallbackListener(self._apply_object, self._remove),
@@ -103,7 +104,7 @@
             own.pop(fingerprint, None)
         else:
             own[fingerprint] = history
-        self._changed.set()
+        self._pending.request()
 
     async def run(self) -> None:
         """Write this VM's histories and follow those of others."""
@@ -111,19 +112,9 @@
             tasks.start_soon(self._feed_sync.run, self._feed, lambda: False)
             tasks.start_soon(self._run_cleanup)
             while True:
-                await self._changed.wait()
+                await self._pending.wait()
                 await anyio.sleep(COALESCE_SECONDS)
-                await self._write_changes()
-
-    async def _write_changes(self) -> None:
-        # Changes during the write call for another one.
-        self._changed = anyio.Event()
-        try:
-            await self._write()
-        except BaseException:
-            # Written when the task runs again.
-            self._changed.set()
-            raise
+                await self._pending.perform(self._write)
 
     async def _write(self) -> None:
         key = CRASHES_PREFIX + self._members.own.name
--- a/src/swiftjunction/coordination/_stored_origins.py
+++ b/src/swiftjunction/coordination/_stored_origins.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from swiftjunction.coordination import _members
+from swiftjunction.coordination import _pending_write
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction import requests
@@ -65,10 +66,10 @@
     """
 
     __slots__ = (
-        '_changed',
         '_clock',
         '_members',
         '_origins',
+        '_pending',
         '_store',
         '_version',
         'is_loaded',
@@ -87,7 +88,7 @@
         self._origins: dict[str, StoredOrigin] = {}
         # The version of this VM's object; 0 before it is known to exist.
         self._version = 0
-        self._changed = anyio.Event()
+        self._pending = _pending_write.PendingWrite()
         self.is_loaded = False
 
     def add(
@@ -103,7 +104,7 @@
         )
         while len(self._origins) > MAX_STORED_ORIGINS:
             del self._origins[next(iter(self._origins))]
-        self._changed.set()
+        self._pending.request()
 
     async def run(
         self,
@@ -125,19 +126,9 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_cleanup)
             while True:
-                await self._changed.wait()
+                await self._pending.wait()
                 await anyio.sleep(self._compute_interval())
-                await self._write_changes()
-
-    async def _write_changes(self) -> None:
-        # Changes during the write call for another one.
-        self._changed = anyio.Event()
-        try:
-            await self._write()
-        except BaseException:
-            # Written when the task runs again.
-            self._changed.set()
-            raise
+                await self._pending.perform(self._write)
 
     def _compute_interval(self) -> float:
         vm_count = len(self._members.list_peers()) + 1
@@ -202,7 +193,7 @@
             LOG.info('cannot write the origins of streams: %s', error)
             await anyio.sleep(RETRY_SECONDS)
             await self._find_version()
-            self._changed.set()
+            self._pending.request()
 
     async def _find_version(self) -> None:
         """Find out the object's version, after a write that failed."""
