Keep an error in the allocation of engines to its service

While the engines of one service could not be allocated to models because of an unexpected error, engines of no service got version orders: the error ended the task group of the rollout, which cancelled the orders in progress and started again every 0.1 to 2 s, to fail at the same service.

The new test has an allocator that raises RecursionError for one of two services. Before, that error came out of the rollout (an exception group, no order sent); now the other service's engines get theirs, and the service that fails is tried after 0.1 and 0.6 s, each time with a line that names it.

`supervision.IsolatedItems` runs the recurrent task of each of several items: an unexpected error is logged with the item and its traceback, and delays that item alone, for 0.5 s, doubled up to 30 s. A lost lease still ends the rollout.

--- a/src/swiftjunction/batches/_rollout.py
+++ b/src/swiftjunction/batches/_rollout.py
@@ -87,7 +87,8 @@
         Returns whether running samples of a model have to end before another
         version is loaded.
     supervisor : Supervisor, optional
-        Runs the update of each engine; by default, one of its own.
+        Runs the allocation over each service and the update of each engine;
+        by default, one of its own.
 
     Attributes
     ----------
@@ -99,6 +100,7 @@
     """
 
     __slots__ = (
+        '_allocations',
         '_allocator',
         '_client',
         '_engines',
@@ -128,6 +130,9 @@
         self._metrics = metrics
         self._needs_idle_engine = needs_idle_engine
         self._supervisor = supervisor or supervision.Supervisor(metrics)
+        self._allocations = supervision.IsolatedItems(
+            self._supervisor, 'engine allocation'
+        )
         self._updating: set[str] = set()
         self.target_versions: dict[str, int] = {}
         self.last_order_at = -math.inf
@@ -179,9 +184,15 @@
                     LOG.debug('no version orders are sent now: %s', error)
                     continue
                 for service in list_services():
-                    self._start_loads(tasks, service, lease)
+                    await self._allocations.run(
+                        service,
+                        functools.partial(
+                            self._start_loads, tasks, service, lease
+                        ),
+                        service=service,
+                    )
 
-    def _start_loads(
+    async def _start_loads(
         self, tasks: anyio.abc.TaskGroup, service: str, lease: leases.Lease
     ) -> None:
         engines = self._engines.list_engines(service)
--- a/tests/cover/test_batches_rollout.py
+++ b/tests/cover/test_batches_rollout.py
@@ -1,6 +1,7 @@
 import anyio
 import pytest
 
+from swiftjunction import backends
 from swiftjunction import batches
 from swiftjunction import errors
 from swiftjunction import telemetry
@@ -77,19 +78,27 @@
         return await super().send_order(server, order, check)
 
 
-async def run_rollout(client, lease, seconds=0.6, engine_count=3):
+async def run_rollout(
+    client, lease, seconds=0.6, engine_count=3, allocator=None, odd_service=''
+):
     pool = test_batches_planning.EnginePool(engine_count)
+    services = ['s']
+    if odd_service:
+        services.insert(0, odd_service)
+        pool.directory.update(
+            backends.ServerReport('odd-1', 'odd-1:1', odd_service, 'dc')
+        )
     rollout = batches.VersionRollout(
         pool.registry,
         client,
-        batches.EngineAllocator(),
+        allocator or batches.EngineAllocator(),
         'vm-1',
         telemetry.Metrics(),
         lambda model: False,
     )
     rollout.set_target_version('m', 2)
     with anyio.move_on_after(seconds):
-        await rollout.run(lambda: {'s'}, lease, 0.0)
+        await rollout.run(lambda: services, lease, 0.0)
 
 
 @pytest.mark.anyio
@@ -142,3 +151,29 @@
         records = [r for r in caplog.records if r.exc_info]
         assert len(records) == client.odd_calls
         assert {r.server for r in records} == {'e0', 'e1'}
+
+    async def test_an_error_in_the_allocation_of_a_service_stops_no_other(
+        self, caplog
+    ):
+        class OddAllocator(batches.EngineAllocator):
+            odd_calls = 0
+
+            def allocate(self, engines, target_versions):
+                if any(e.server.report.service == 'odd' for e in engines):
+                    OddAllocator.odd_calls += 1
+                    raise RecursionError('too deep')
+                return super().allocate(engines, target_versions)
+
+        client = FakeEngineClient()
+        await run_rollout(
+            client,
+            ExpiringLease(expirations=0),
+            1.4,
+            allocator=OddAllocator(),
+            odd_service='odd',
+        )
+        assert {name for name, _ in client.orders} >= {'e0', 'e1'}
+        # After 0.1 and 0.6 s; the next one is due after 1.6 s.
+        assert OddAllocator.odd_calls == 2
+        records = [r for r in caplog.records if r.exc_info]
+        assert [r.service for r in records] == ['odd', 'odd']
