Keep an error in one member entry from the polls of peers

A VM whose own entry could not be written, or that could not delete the entry of another VM, because of an unexpected error stopped polling its peers and following the list of VMs: registration, reconciliation, the feed and the polls were one task group, which was cancelled and started again after 0.1 to 2 s. An expired entry that failed also kept those after it in the list, in each round.

Registration is now a supervised task of its own, the reconciliation runs in rounds that are further apart after each error, and each deletion is isolated and delayed by `supervision.IsolatedItems`, with the VM named in the log.

--- a/src/swiftjunction/coordination/_watching.py
+++ b/src/swiftjunction/coordination/_watching.py
@@ -1,5 +1,6 @@
 """Registers this VM and deletes the entries of VMs that are gone."""
 
+import functools
 import logging
 
 import anyio
@@ -10,6 +11,8 @@
 from swiftjunction.coordination import _statuses
 from swiftjunction import errors
 from swiftjunction import objectstore
+from swiftjunction import supervision
+from swiftjunction import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -31,9 +34,20 @@
         Keeps the copy of the VMs' entries up to date.
     poller : PeerPoller
         Polls the peers for their statuses.
+    supervisor : Supervisor, optional
+        Keeps an unexpected error of the registration, or of the deletion of
+        one entry, from the other tasks.
     """
 
-    __slots__ = ('_feed', '_feed_sync', '_members', '_poller', '_store')
+    __slots__ = (
+        '_deletions',
+        '_feed',
+        '_feed_sync',
+        '_members',
+        '_poller',
+        '_store',
+        '_supervisor',
+    )
 
     def __init__(
         self,
@@ -41,7 +55,14 @@
         members: _members.MemberTable,
         feed_sync: _sharing.FeedSync,
         poller: _polling.PeerPoller,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or supervision.Supervisor(
+            telemetry.Metrics()
+        )
+        self._deletions = supervision.IsolatedItems(
+            self._supervisor, 'deletion of a member entry'
+        )
         self._store = store
         self._members = members
         self._feed_sync = feed_sync
@@ -56,14 +77,21 @@
     async def run(self) -> None:
         """Register this VM and poll peers until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._register)
+            tasks.start_soon(
+                self._supervisor.run, 'registration', self._register
+            )
             tasks.start_soon(
                 self._feed_sync.run,
                 self._feed,
                 lambda: False,
                 MEMBERS_COALESCE_SECONDS,
             )
-            tasks.start_soon(self._run_reconciliation)
+            tasks.start_soon(
+                self._supervisor.run_rounds,
+                'reconciliation',
+                self.reconcile,
+                RECONCILE_INTERVAL_SECONDS,
+            )
             tasks.start_soon(self._poller.run)
 
     async def _register(self) -> None:
@@ -77,33 +105,29 @@
                 LOG.info('cannot register this VM yet: %s', error)
                 await anyio.sleep(REGISTER_RETRY_SECONDS)
 
-    async def _run_reconciliation(self) -> None:
-        while True:
-            await anyio.sleep(RECONCILE_INTERVAL_SECONDS)
-            await self.reconcile()
-
     async def reconcile(self) -> None:
         """Delete expired entries, and register this VM again if needed."""
         if not self._members.is_registered():
-            await self._register()
+            await self._supervisor.run_isolated('registration', self._register)
         for name in self._members.list_expired():
-            key = _statuses.MEMBER_PREFIX + name
-            try:
-                found = await self._store.read(key)
-                await self._store.delete(key, found.version)
-            except errors.ObjectMissing:
-                LOG.debug('%s is already deleted', key)
-            except errors.PlatformError as error:
-                LOG.info(
-                    'cannot delete a member entry: %s',
-                    error,
-                    extra={'peer': name},
-                )
-                continue
+            await self._deletions.run(
+                name, functools.partial(self._delete_expired, name), peer=name
+            )
+
+    async def _delete_expired(self, name: str) -> None:
+        key = _statuses.MEMBER_PREFIX + name
+        try:
+            found = await self._store.read(key)
+            await self._store.delete(key, found.version)
+        except errors.ObjectMissing:
+            LOG.debug('%s is already deleted', key)
+        except errors.PlatformError as error:
             LOG.info(
-                'expired entry of a peer is deleted', extra={'peer': name}
+                'cannot delete a member entry: %s', error, extra={'peer': name}
             )
-            self._members.remove_entry(key)
+            return
+        LOG.info('expired entry of a peer is deleted', extra={'peer': name})
+        self._members.remove_entry(key)
 
 
 async def _write_entry(
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -171,7 +171,11 @@
             'event loop lag': self._directory.loop_lag.run,
             'reachability': self._reachability.run,
             'peers': coordination.PeerMonitor(
-                self._store, self._members, self._feed_sync, poller
+                self._store,
+                self._members,
+                self._feed_sync,
+                poller,
+                self._supervisor,
             ).run,
             'coordinator': self._coordinator.run,
             'readiness': self._become_ready,
