Check a stated fencing token against the lease in the store

Whoever sent a VM a status or a datagram with a wrong, very high fencing token (coordinator_token 2^63-1) stopped every coordinator within 0.1 s, on all VMs, until all processes had started again; batches got no results, and counts of usage were not acknowledged.

Cause: the highest token that was ever stated counted as that of the newest coordinator, spread through all statuses, and ended each term.

Change: a stated token is a hint. Counts of usage are told again once the token is lower.

--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/_coordinator.py
@@ -13,6 +13,7 @@
 from swiftjunction.coordination import _fitness
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _statuses
+from swiftjunction.coordination import _successors
 from swiftjunction.coordination import _terms
 from swiftjunction import errors
 from swiftjunction import leases
@@ -105,6 +106,7 @@
         '_members',
         '_stopping',
         '_successor',
+        '_successors',
         '_task',
         '_terms',
         '_timing',
@@ -130,6 +132,7 @@
         self._keeper = keeper
         self._timing = timing
         self._members = members
+        self._successors = _successors.SuccessorCheck(members)
         self._task = task
         self._lease: leases.Lease | None = None
         self._coordinate_scope = anyio.CancelScope()
@@ -348,22 +351,9 @@
             self._coordinate_scope.cancel()
 
     async def _stop_once_replaced(self, lease: leases.Lease) -> None:
-        """Stop coordinating once a peer knows of a newer coordinator.
-
-        A VM that cannot reach the store, or is slow, learns so from its peers
-        much earlier than from a renewal.
-        """
-        while True:
-            await anyio.sleep(SUCCESSOR_CHECK_INTERVAL_SECONDS)
-            name, fencing_token = self._members.newest_coordinator
-            if fencing_token > lease.fencing_token:
-                LOG.warning(
-                    "lost the coordinator's lease: %s holds it now",
-                    name,
-                    extra={'fencing_token': fencing_token},
-                )
-                self._coordinate_scope.cancel()
-                return
+        """Stop coordinating once a peer knows of a newer coordinator."""
+        await self._successors.wait_until_replaced(lease)
+        self._coordinate_scope.cancel()
 
     async def _renew(self, lease: leases.Lease) -> None:
         """Renew the lease until it is lost."""
@@ -396,3 +386,5 @@
                     return
                 except errors.PlatformError as error:
                     LOG.info("cannot renew the coordinator's lease: %s", error)
+            if not renewed:
+                self._successors.record_failure(asked_at)
--- a/src/swiftjunction/coordination/_members.py
+++ b/src/swiftjunction/coordination/_members.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from swiftjunction.coordination import _claims
 from swiftjunction.coordination import _statuses
 from swiftjunction.coordination import _view
 from swiftjunction import errors
@@ -51,12 +52,16 @@
         Returns monotonic time in seconds.
     rng : random.Random
         Chooses the peers that are polled in a large deployment.
+
+    Attributes
+    ----------
+    claims : CoordinatorClaims
+        What this VM and its peers state of the coordinator.
     """
 
     __slots__ = (
         '_broken',
         '_clock',
-        '_newest_coordinator',
         '_failures',
         '_members',
         '_ranking',
@@ -64,6 +69,7 @@
         '_statuses',
         '_unreachable_since',
         '_poll_selector',
+        'claims',
         'own',
     )
 
@@ -86,7 +92,7 @@
             own.name, rng or random.Random()
         )
         self._registered_at: float | None = None
-        self._newest_coordinator = ('', 0)
+        self.claims = _claims.CoordinatorClaims(clock)
 
     def apply_entry(self, found: objectstore.Object) -> None:
         """Add or update a VM from its entry in the object store.
@@ -112,6 +118,7 @@
         if known is None or known.run != member.run:
             self._failures.pop(member.name, None)
             self._statuses.pop(member.name, None)
+            self.claims.withdraw(member.name)
         self._members[member.name] = member
         if known is None or known.processor_cores != member.processor_cores:
             self._ranking.clear()
@@ -123,6 +130,7 @@
             self._registered_at = None
         elif name in self._members:
             del self._members[name]
+            self.claims.withdraw(name)
             self._unreachable_since.pop(name, None)
             self._statuses.pop(name, None)
             self._failures.pop(name, None)
@@ -170,7 +178,7 @@
             name for name in self._failures if self.is_unreachable(name)
         }
         selected = self._poll_selector.select(
-            self._rank_members(), unreachable, self._newest_coordinator[0]
+            self._rank_members(), unreachable, self.newest_coordinator[0]
         )
         return [self._members[n] for n in selected if n in self._members]
 
@@ -180,23 +188,25 @@
             LOG.info('peer is reachable again', extra={'peer': status.name})
         self._statuses[status.name] = _ReceivedStatus(status, self._clock())
         self._unreachable_since.pop(status.name, None)
-        self.record_coordinator(status.coordinator, status.coordinator_token)
-        self.record_coordinator(status.name, status.fencing_token)
+        if not status.fencing_token or status.lease_seconds <= 0:
+            self.claims.withdraw(status.name)
+        self.claims.record(
+            status.name, status.fencing_token, status.lease_seconds
+        )
+        self.claims.record(
+            status.coordinator,
+            status.coordinator_token,
+            status.coordinator_lease_seconds,
+        )
 
     def record_coordinator(self, name: str, fencing_token: int) -> None:
-        """Record the coordinator, unless a higher fencing token is known."""
-        if fencing_token > self._newest_coordinator[1]:
-            self._newest_coordinator = (name, fencing_token)
+        """Record who coordinates, without knowing whether it still does."""
+        self.claims.record(name, fencing_token)
 
     @property
     def newest_coordinator(self) -> tuple[str, int]:
-        """Return the name and fencing token of the newest coordinator.
-
-        It is the one with the highest fencing token of which this VM has
-        learned, and may since be unreachable or have lost its lease. The name
-        is empty, and the token 0, if there is none.
-        """
-        return self._newest_coordinator
+        """Return the name and token of the newest coordinator claimed."""
+        return self.claims.newest
 
     def record_failure(self, name: str, unsent: bool) -> None:
         """Record that a peer did not answer a poll.
@@ -371,7 +381,7 @@
 
     def summarize(self) -> dict[str, object]:
         """Return the members and their statuses, for the state dump."""
-        name, fencing_token = self._newest_coordinator
+        name, fencing_token = self.newest_coordinator
         return {
             'rank': self.find_rank(),
             'coordinator': name,
--- a/src/swiftjunction/coordination/_statuses.py
+++ b/src/swiftjunction/coordination/_statuses.py
@@ -76,6 +76,8 @@
         is.
     coordinator_token : int
         That fencing token, or 0 if none is known.
+    coordinator_lease_seconds : float
+        How long that VM's lease is still valid, in seconds; 0 if not known.
     rates : list of RateStatement
         The request limits of servers that the VM knows.
     watch_ages : dict of str to float
@@ -126,6 +128,7 @@
     time_of_day: float = 0.0
     median_time: float = 0.0
     servers_age_seconds: float | None = None
+    coordinator_lease_seconds: decoding.Number = 0.0
 
 
 class Tunnel(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/leases/_lease.py
+++ b/src/swiftjunction/leases/_lease.py
@@ -139,15 +139,16 @@
             )
         if self.is_doubted():
             raise errors.LeaseLost(
-                f'the fencing token of lease {self.name} has been refused; '
-                'the next renewal shows who holds it',
+                f'lease {self.name} is in doubt; the next renewal shows who '
+                'holds it',
                 step='check',
             )
 
     def record_refusal(self) -> None:
         """Record that a receiver has refused the fencing token as too low.
 
-        It may be at fault, or another process may hold the lease.
+        Or a peer has stated a higher one. It may be at fault, or another
+        process may hold the lease.
         """
         self._refused_at = self._clock()
 
--- a/src/swiftjunction/platform/_status.py
+++ b/src/swiftjunction/platform/_status.py
@@ -95,8 +95,12 @@
         """Return the status now."""
         lease = self._coordinator.lease
         own = self._members.own
-        if lease is not None:
-            self._members.record_coordinator(own.name, lease.fencing_token)
+        if lease is None:
+            self._members.claims.withdraw(own.name)
+        else:
+            self._members.claims.record(
+                own.name, lease.fencing_token, lease.remaining_seconds()
+            )
         times = (0.0, 0.0)
         if self._clock is not None:
             times = self._clock.state_times()
@@ -123,6 +127,9 @@
             time_of_day=times[0],
             median_time=times[1],
             servers_age_seconds=self._server_list.state_age(),
+            coordinator_lease_seconds=(
+                self._members.claims.compute_remaining_seconds()
+            ),
         )
 
 
--- a/src/swiftjunction/usage/_exchange.py
+++ b/src/swiftjunction/usage/_exchange.py
@@ -139,8 +139,11 @@
                 await self._send(message)
 
     def _note_token(self, token: int) -> None:
-        """Learn of a coordinator; a newer one has been told nothing."""
-        if token > self._token:
+        """Learn of a coordinator; another one has been told nothing.
+
+        The token is also lower if the one before turns out to be wrong.
+        """
+        if token != self._token:
             self._token = token
             self._told_through = -1
             self._counter.forget_received()
@@ -238,8 +241,7 @@
                 self._unanswered_since = math.inf
 
     def _record_receipt(self, receipt: _messages.UsageReceipt) -> None:
-        self._note_token(receipt.fencing_token)
-        if receipt.fencing_token < self._token:
+        if receipt.fencing_token != self._token:
             return
         message = self._awaited.pop(receipt.number, None)
         if message is not None and message.fencing_token == self._token:
--- a/tests/cover/test_usage_reports.py
+++ b/tests/cover/test_usage_reports.py
@@ -4,6 +4,7 @@
 import pytest
 
 from swiftjunction import errors
+from tests.cover.test_coordination import make_status
 from tests import usage_fleet
 
 pytestmark = pytest.mark.anyio
@@ -338,3 +339,20 @@
         fleet.vms['b'].count()
         await fleet.sleep_until_age(0, 3)
     assert fleet.get_report(0) == {'org': 1}
+
+
+async def test_counts_are_told_after_a_wrong_fencing_token_was_heard():
+    fleet = usage_fleet.UsageFleet(['a', 'b'])
+    async with fleet.run():
+        vm = fleet.vms['b']
+        vm.members.record_coordinator('x', 2**63 - 1)
+        vm.count()
+        await anyio.sleep(1)
+        assert vm.counter.list_untold()
+        vm.members.record_status(
+            make_status('a', fencing_token=fleet.token, lease_seconds=2.0)
+        )
+        await anyio.sleep(1)
+        assert not vm.counter.list_untold()
+        await fleet.sleep_until_age(0, 2)
+    assert fleet.get_report(0) == {'org': 1}
