Open no file for TLS keys to send plain requests

A VM whose environment named a file in SSLKEYLOGFILE that cannot be written started and never became ready: each call to the store, to peers and to servers ended with an unexpected FileNotFoundError. Every connection, also of plain HTTP, gets the shared TLS context, and ssl.create_default_context opens that file.

--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -47,9 +47,13 @@
 def load_ssl_context() -> ssl.SSLContext:
     """Return the shared TLS context of connections that were given none.
 
-    Loading its CA certificates takes 30 ms of CPU time.
+    Loading its CA certificates takes 30 ms of CPU time. It is needed for plain
+    HTTP too, so it opens no file for keys, as `ssl.create_default_context`
+    does if the environment names one: the file may not be writable.
     """
-    return ssl.create_default_context()
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.load_default_certs()
+    return context
 
 
 class LifoTransport(httpx.AsyncBaseTransport):
