--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -49,6 +49,9 @@
         The listening sockets.
     keep_alive_seconds : float
         Idle time after which a connection is closed.
+    graceful_seconds : float
+        How long :meth:`close` waits for connections to end; then they are
+        aborted.
 
     Attributes
     ----------
@@ -58,6 +61,7 @@
     """
 
     __slots__ = (
+        '_graceful_seconds',
         '_keep_alive_seconds',
         '_shutdown_requested',
         '_sockets',
@@ -69,8 +73,10 @@
         self,
         *sockets: socket.socket,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
+        graceful_seconds: float = GRACEFUL_TIMEOUT_SECONDS,
     ) -> None:
         self._sockets = sockets
+        self._graceful_seconds = graceful_seconds
         self._keep_alive_seconds = keep_alive_seconds
         self._shutdown_requested = anyio.Event()
         self._stopped = anyio.Event()
@@ -98,7 +104,7 @@
             config = _TlsConfig()
             config.context = context
         config.bind = [f'fd://{item.detach()}' for item in self._sockets]
-        config.graceful_timeout = GRACEFUL_TIMEOUT_SECONDS
+        config.graceful_timeout = self._graceful_seconds
         config.keep_alive_timeout = self._keep_alive_seconds
         config.backlog = BACKLOG_CONNECTIONS
         config.accesslog = None
