Test that a store whose revision goes back is listed again

This test fails: after a response that states a higher revision than those that follow, as of a store that was restored from a copy or of one odd response, a VM watches from the higher one for good. It gets no more changes and confirms that none is missing. As processes beside the stand-in, a new configuration was not applied within 6 s after the store's revision went back, though the responses stated the lower one; it fails with 1 list instead of 2. Whether a lower revision may also come from a replica that lags has to be decided first, as a list of such a one would bring back older objects. CommitConfirmer keeps the higher revision in the same way.

--- a/tests/cover/test_objectstore_following.py
+++ b/tests/cover/test_objectstore_following.py
@@ -194,3 +194,18 @@
         assert confirmed == [0, 0]
         assert store.list_calls == 1
         assert len([r for r in caplog.records if r.exc_info]) == 1
+
+
+@pytest.mark.anyio
+async def test_a_revision_that_goes_back_leads_to_a_new_list():
+    # All later changes were missed and confirmed, until the store's revision
+    # was as high again.
+    store = ScriptedWatchStore(
+        [
+            objectstore.ChangeSet(2**62, [], []),
+            objectstore.ChangeSet(5, [], []),
+        ]
+    )
+    store._put('k/a', b'1')
+    await follow(store)
+    assert store.list_calls == 2
