Pass headers of servers on byte for byte

The test has a service with such a header and failed before with 502 instead of 200. The client of servers now decodes all headers as Latin-1, so that each byte stays as it was; the test passes, as do those of the contract and of streams.

--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -376,6 +376,8 @@
                     server, exchange, request_id, send
                 )
         exchange.record_contact()
+        # Otherwise UTF-8, in which the headers cannot be sent to callers.
+        response.headers.encoding = 'iso-8859-1'
         _responses.record_leaving(response, server, request_id, source)
         _responses.record_rate_limit(response, server, request_id, sent_at)
         return response
