Abort connections whose peers read nothing when a listener gives up

A caller that sent eight requests with bodies of 1 MB on one connection and read no response kept a VM alive after its grace period, so that the platform had to kill it. Cause: hypercorn's task of a connection goes on waiting for its full write buffer after it was cancelled, and the listener waits for the task.

The listener's sockets remember the connections that they accept, and shut them down once the graceful timeout is over; the write then fails, and the task ends. test_responses_that_nobody_reads_do_not_delay_the_end failed before with exit code None 6 s after SIGTERM, at a grace period of 3 s.

Requests end 0.45 s before the end of the grace period now (0.25 s before), and connections are aborted 0.15 s later. The tests of stopping VMs, of open connections and of TLS pass in two of two runs on a loaded machine.

--- a/src/swiftjunction/requests/_grace.py
+++ b/src/swiftjunction/requests/_grace.py
@@ -8,8 +8,9 @@
 
 from swiftjunction import errors
 
-# The last responses reach their callers within this time.
-ANSWER_RESERVE_SECONDS = 0.25
+# Within this time the last responses reach their callers, connections that
+# are still open are aborted, and the process ends.
+ANSWER_RESERVE_SECONDS = 0.45
 
 
 class GracePeriod:
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -12,6 +12,7 @@
 import hypercorn.config
 
 from swiftjunction import errors
+from swiftjunction.web import _accepting
 from swiftjunction.web import _addresses
 from swiftjunction.web import _targets
 
@@ -23,8 +24,19 @@
 BACKLOG_CONNECTIONS = 1024
 
 
-class _TlsConfig(hypercorn.config.Config):
-    """A hypercorn configuration with an existing TLS context.
+class _Config(hypercorn.config.Config):
+    """A hypercorn configuration with sockets that listen already."""
+
+    sockets: list[_accepting.AcceptingSocket]
+
+    def create_sockets(self) -> hypercorn.config.Sockets:
+        if self.ssl_enabled:
+            return hypercorn.config.Sockets([*self.sockets], [], [])
+        return hypercorn.config.Sockets([], [*self.sockets], [])
+
+
+class _TlsConfig(_Config):
+    """A configuration with an existing TLS context, too.
 
     hypercorn would load the certificate only once. The given context gets the
     new certificate whenever the file changes.
@@ -99,11 +111,14 @@
             TLS context; without it, plain HTTP is served.
         """
         _targets.keep_targets()
-        config = hypercorn.config.Config()
+        config = _Config()
         if context is not None:
             config = _TlsConfig()
             config.context = context
-        config.bind = [f'fd://{item.detach()}' for item in self._sockets]
+        config.sockets = [
+            _accepting.AcceptingSocket(fileno=item.detach())
+            for item in self._sockets
+        ]
         config.graceful_timeout = self._graceful_seconds
         config.keep_alive_timeout = self._keep_alive_seconds
         config.backlog = BACKLOG_CONNECTIONS
@@ -122,17 +137,25 @@
                 self.close()
                 raise
 
-    async def _run_hypercorn(
-        self, app: typing.Any, config: hypercorn.config.Config
-    ) -> None:
+    async def _run_hypercorn(self, app: typing.Any, config: _Config) -> None:
         # hypercorn does not shut down cleanly when it is cancelled, so it is
         # shielded and stopped by its shutdown trigger.
         with anyio.CancelScope(shield=True):
-            await hypercorn.asyncio.serve(
-                app, config, shutdown_trigger=self._shutdown_requested.wait
-            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._abort_connections, config)
+                await hypercorn.asyncio.serve(
+                    app, config, shutdown_trigger=self._shutdown_requested.wait
+                )
+                tasks.cancel_scope.cancel()
         self._stopped.set()
 
+    async def _abort_connections(self, config: _Config) -> None:
+        """Abort the connections that are open when :meth:`close` gives up."""
+        await self._shutdown_requested.wait()
+        await anyio.sleep(config.graceful_timeout)
+        for listening_socket in config.sockets:
+            listening_socket.abort_connections()
+
     def close(self) -> None:
         """Start a graceful shutdown: accept no more connections."""
         self._shutdown_requested.set()
