Begin streams until some are at engines that joined

Cause: chance, not the list. A server that joined starts slowly and counts as several times fuller, so that of two idle servers that are drawn the older one is chosen. With two old and two new engines a stream begins at a new one only if both new ones are drawn, one time in six, until latencies differ.

Change: streams begin until 24 have, and two at least at each version (one was enough before), up to 120, which is too few once in a hundred million times.

--- a/tests/cover/test_platform_out_of_step.py
+++ b/tests/cover/test_platform_out_of_step.py
@@ -1,5 +1,6 @@
 """Streams that are taken up at a VM that stood still or was cut off."""
 
+import collections
 import contextlib
 import contextvars
 import signal
@@ -20,14 +21,21 @@
 
 VMS = test_platform_versions.VMS
 OUT_OF_STEP = 'vm-3'
+IN_TOUCH = ('vm-1', 'vm-2')
 # VMs that start have heard of each other within this time.
 MEMBERS_SECONDS = 1.5
-LISTING_SECONDS = test_platform_versions.LISTING_SECONDS
+# Streams are taken up so long after a change, or later if the VMs in touch
+# with the store do not know it by then.
+CHANGED_SECONDS = 1.5
 # A VM knows within this time that it is cut off from the list of servers.
 KNOWN_STALE_SECONDS = 3.0
 # Requests that arrive at a VM that stands still wait for it.
 ARRIVAL_SECONDS = 0.2
 STREAM_COUNT = 24
+# With one stream in six at engines that joined, fewer than MIN_STREAM_COUNT of
+# so many are there once in a hundred million times.
+MAX_STREAM_COUNT = 120
+MIN_STREAM_COUNT = 2
 
 
 class Release(platform_deployment.PlatformDeployment):
@@ -53,15 +61,45 @@
             engine.server_runs.count = 2
             self.register_server(name, engine, born=2)
 
-    def make_streams(self, prefix='s'):
+    def make_streams(self, count=STREAM_COUNT):
         return [
-            test_platform_versions.Stream(self, f'{prefix}{number}')
-            for number in range(STREAM_COUNT)
+            test_platform_versions.Stream(self, f's{number}')
+            for number in range(count)
         ]
 
     async def begin(self, streams):
         for number, stream in enumerate(streams):
-            assert await stream.run(VMS[number % 2], 2) == 200
+            await self._begin_one(number, stream)
+
+    async def _begin_one(self, number, stream):
+        assert await stream.run(VMS[number % 2], 2) == 200
+
+    async def begin_at_each(self, *versions):
+        """Return streams of which several have begun at each version.
+
+        An engine that joined gets less than the others at first: of two idle
+        ones that are drawn, the one that joined is not chosen.
+        """
+        begun = []
+        for number, stream in enumerate(self.make_streams(MAX_STREAM_COUNT)):
+            await self._begin_one(number, stream)
+            begun.append(stream)
+            counts = collections.Counter(
+                version for s in begun for version in s.software
+            )
+            if len(begun) >= STREAM_COUNT and all(
+                counts[version] >= MIN_STREAM_COUNT for version in versions
+            ):
+                break
+        assert set(counts) == set(versions)
+        assert min(counts.values()) >= MIN_STREAM_COUNT
+        return begun
+
+    async def wait_for_change(self, **software):
+        """Wait until the VMs in touch with the store know these engines."""
+        changed_at = anyio.current_time()
+        await test_platform_versions.wait_for_engines(self, software, IN_TOUCH)
+        await anyio.sleep_until(changed_at + CHANGED_SECONDS)
 
     async def take_up(self, streams):
         """Return the outcome of each stream at the VM out of step."""
@@ -205,10 +243,10 @@
         await anyio.sleep(MEMBERS_SECONDS)
         with deployment.suspend(OUT_OF_STEP):
             deployment.start_engines('v2', 'e3', 'e4')
-            await anyio.sleep(LISTING_SECONDS)
-            streams = deployment.make_streams()
-            await deployment.begin(streams)
-            assert {'v1', 'v2'} == set.union(*(s.software for s in streams))
+            await deployment.wait_for_change(
+                e1='v1', e2='v1', e3='v2', e4='v2'
+            )
+            streams = await deployment.begin_at_each('v1', 'v2')
             for name in leaving:
                 deployment.store.remove('servers', name)
             outcomes = {}
@@ -234,7 +272,9 @@
         outcomes = {}
         with deployment.suspend(OUT_OF_STEP):
             deployment.restart_engines('v3', 'e1', 'e2')
-            await anyio.sleep(LISTING_SECONDS)
+            await deployment.wait_for_change(
+                e1='v3', e2='v3', e3='v2', e4='v2'
+            )
             async with anyio.create_task_group() as tasks:
 
                 async def take_up():
@@ -257,7 +297,10 @@
         await cuttable.begin(streams)
         cuttable.cut()
         cuttable.restart_engines('v3', 'e1', 'e2')
-        await anyio.sleep(LISTING_SECONDS)
+        await cuttable.wait_for_change(e1='v3', e2='v3', e3='v2', e4='v2')
+        assert await test_platform_versions.list_engines(
+            cuttable, OUT_OF_STEP
+        ) == {'e1': 'v1', 'e2': 'v1', 'e3': 'v2', 'e4': 'v2'}
         outcomes = await cuttable.take_up(streams)
     check(outcomes)
     for stream, outcome in outcomes.items():
@@ -271,10 +314,11 @@
         await anyio.sleep(MEMBERS_SECONDS)
         cuttable.cut()
         cuttable.start_engines('v2', 'e3', 'e4')
-        await anyio.sleep(LISTING_SECONDS)
-        streams = cuttable.make_streams()
-        await cuttable.begin(streams)
-        assert {'v1', 'v2'} == set.union(*(s.software for s in streams))
+        await cuttable.wait_for_change(e1='v1', e2='v1', e3='v2', e4='v2')
+        assert await test_platform_versions.list_engines(
+            cuttable, OUT_OF_STEP
+        ) == {'e1': 'v1', 'e2': 'v1'}
+        streams = await cuttable.begin_at_each('v1', 'v2')
         outcomes = await cuttable.take_up(streams)
     check(outcomes)
     assert set(outcomes.values()) == {503}
