Keep an error in a copy from one peer from the watch of the store

An unexpected error while a VM copied objects from one peer ended the watch of the same feed, since both were one task group. The task started again, met the same peer with the newest copy, and failed again; for routes and servers the VM would then be in the state `failing` (by reading; not played).

Each copy is isolated now by peer and prefix with `IsolatedItems`, and a peer that is delayed after an error is left out, so that the next newest is asked.

--- a/src/swiftjunction/coordination/_sharing.py
+++ b/src/swiftjunction/coordination/_sharing.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import functools
 import logging
 import math
 import time
@@ -21,6 +22,8 @@
 from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import objectstore
+from swiftjunction import supervision
+from swiftjunction import telemetry
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -57,11 +60,15 @@
         `members`.
     boot_clock : callable
         Returns seconds; also counts the time for which the VM is suspended.
+    supervisor : Supervisor, optional
+        Keeps an unexpected error in a copy from one peer from the watch of
+        the store, and from copies from the others.
     """
 
     __slots__ = (
         '_boot_clock',
         '_clock',
+        '_copies',
         '_feeds',
         '_members',
         '_peers',
@@ -77,7 +84,12 @@
         boot_clock: collections.abc.Callable[
             [], float
         ] = leases.read_boot_clock,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        self._copies = supervision.IsolatedItems(
+            supervisor or supervision.Supervisor(telemetry.Metrics()),
+            'copy of objects',
+        )
         self._boot_clock = boot_clock
         self._store = store
         self._peers = peers
@@ -267,20 +279,38 @@
 
     async def _copy_newer(self, feed: _feed.SharedFeed) -> None:
         while True:
-            newest = max(
-                self._members.list_statuses(),
-                key=lambda status: status.revisions.get(feed.prefix, -1),
-                default=None,
-            )
+            newest = self._find_newest(feed)
             if (
                 newest is None
                 or newest.revisions.get(feed.prefix, -1) <= feed.revision
             ):
                 await feed.wait_for_newer()
                 continue
-            await self._copy_from(feed, newest.name)
+            await self._copies.run(
+                _name_copy(feed, newest.name),
+                functools.partial(self._copy_from, feed, newest.name),
+                peer=newest.name,
+                prefix=feed.prefix,
+            )
             await anyio.sleep(COPY_INTERVAL_SECONDS)
 
+    def _find_newest(
+        self, feed: _feed.SharedFeed
+    ) -> _statuses.MemberStatus | None:
+        """Return the status of the peer with the newest copy.
+
+        Peers from which a copy failed unexpectedly are left out for a while.
+        """
+        return max(
+            (
+                status
+                for status in self._members.list_statuses()
+                if not self._copies.is_delayed(_name_copy(feed, status.name))
+            ),
+            key=lambda status: status.revisions.get(feed.prefix, -1),
+            default=None,
+        )
+
     async def _copy_from(self, feed: _feed.SharedFeed, name: str) -> None:
         member = self._members.find(name)
         if member is not None:
@@ -309,3 +339,7 @@
             )
             return
         feed.apply_if_newer(copy)
+
+
+def _name_copy(feed: _feed.SharedFeed, peer: str) -> str:
+    return f'{feed.prefix} {peer}'
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -82,7 +82,10 @@
             ),
         )
         self._feed_sync = coordination.FeedSync(
-            self._store, self._clients, self._members
+            self._store,
+            self._clients,
+            self._members,
+            supervisor=self._supervisor,
         )
         self._feeds = _feeds.PlatformFeeds(
             self._store,
--- a/src/swiftjunction/supervision/_items.py
+++ b/src/swiftjunction/supervision/_items.py
@@ -45,13 +45,17 @@
         context : object
             Fields of the log line that tell the item.
         """
-        if self._due_at.get(item, 0.0) > anyio.current_time():
+        if self.is_delayed(item):
             return
         if await self._supervisor.run_isolated(self._name, task, **context):
             self._forget(item)
         else:
             self._delay(item)
 
+    def is_delayed(self, item: str) -> bool:
+        """Return whether an item is delayed after an unexpected error."""
+        return self._due_at.get(item, 0.0) > anyio.current_time()
+
     def _delay(self, item: str) -> None:
         now = anyio.current_time()
         self._forget_unused(now)
