Test reports of a VM whose name is not Latin-1

This test fails: the settings accept each printable node_name, and the client of the API for duties sends it in a header, which must be Latin-1. Each call raises RequestUnsendable, which no duty handles. In a run of a process named Iasi (with a comma below the s), with usage reports and scaling, a background task failed and was started again every 3 s, and no call reached the API in 6 s. Batches and requests went on, and without duties such a name works. What the API expects for such a name is not stated, so this is not fixed here.

--- a/tests/cover/test_platform_duty_api.py
+++ b/tests/cover/test_platform_duty_api.py
@@ -107,3 +107,12 @@
         other = duties.UsageReport(7, {'first': 4})
         await api.report_usage(make_lease(5), other)
     assert len(standin.faulty_calls) == 2
+
+
+@pytest.mark.anyio
+async def test_a_vm_whose_name_is_not_ascii_reports():
+    # Each call failed the task of the coordinator.
+    async with run_api() as (standin, api):
+        api._holder = 'Ia\u0219i'
+        await api.report_usage(make_lease(), REPORT)
+    assert standin.reports == {7: {'first': 3}}
