Keep an unexpected error of one store probe from all running samples

While a VM finds out whether the store is away for others too, it asks three peers at the same time. An unexpected error in one of these calls (by injection: RecursionError while a peer's answer is read) left the probe as an exception group, passed through the confirmation of ended batches, and ended the task group of the batches with all samples that were running.

Each call is isolated now: the error is logged with its traceback, and counts as no answer, which never shows an outage.

--- a/src/swiftjunction/coordination/_outages.py
+++ b/src/swiftjunction/coordination/_outages.py
@@ -1,5 +1,6 @@
 """Finds out whether the object store is unavailable to other VMs as well."""
 
+import functools
 import random
 
 import anyio
@@ -9,6 +10,8 @@
 from swiftjunction.coordination import _peer
 from swiftjunction import errors
 from swiftjunction import objectstore
+from swiftjunction import supervision
+from swiftjunction import telemetry
 from swiftjunction import web
 
 # Number of peers that are asked. The store may reject the calls of some VMs
@@ -33,9 +36,11 @@
         Holds the peers and their statuses.
     rng : random.Random
         Chooses the peers.
+    supervisor : Supervisor, optional
+        Logs an unexpected error of one call, which then counts as unanswered.
     """
 
-    __slots__ = ('_direct', '_members', '_peers', '_rng')
+    __slots__ = ('_direct', '_members', '_peers', '_rng', '_supervisor')
 
     def __init__(
         self,
@@ -43,7 +48,11 @@
         peers: web.PeerClients,
         members: _members.MemberTable,
         rng: random.Random,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or supervision.Supervisor(
+            telemetry.Metrics()
+        )
         self._direct = direct
         self._peers = peers
         self._members = members
@@ -63,7 +72,11 @@
         with anyio.move_on_after(PROBE_TIMEOUT_SECONDS):
             async with anyio.create_task_group() as tasks:
                 for store in (self._direct, *stores):
-                    tasks.start_soon(ask, store)
+                    tasks.start_soon(
+                        self._supervisor.run_isolated,
+                        'store probe',
+                        functools.partial(ask, store),
+                    )
         if True in answers:
             return False
         # One answer is that of the direct call.
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -205,7 +205,11 @@
             settings.keep_seconds,
             end_confirmation,
             coordination.OutageProbe(
-                self._direct, self._clients, self._members, rng
+                self._direct,
+                self._clients,
+                self._members,
+                rng,
+                self._supervisor,
             ),
             self._supervisor,
         )
--- a/tests/cover/test_coordination_outages.py
+++ b/tests/cover/test_coordination_outages.py
@@ -7,6 +7,7 @@
 
 from swiftjunction import coordination
 from swiftjunction.coordination import _messages
+from swiftjunction.coordination import _peer
 from swiftjunction.coordination import _sharing
 from swiftjunction.coordination import _statuses
 from swiftjunction import errors
@@ -79,6 +80,23 @@
     assert not await is_store_unavailable(refuse_connection, reached=False)
 
 
+async def test_an_unexpected_error_of_one_call_does_not_end_the_others(
+    monkeypatch, caplog
+):
+    read = _peer.PeerStore.read
+    failed = []
+
+    async def read_or_fail(store, key):
+        if not failed:
+            failed.append(store)
+            raise RecursionError('nested too deeply')
+        return await read(store, key)
+
+    monkeypatch.setattr(_peer.PeerStore, 'read', read_or_fail)
+    assert not await is_store_unavailable(answer('ObjectMissing'))
+    assert len([r for r in caplog.records if r.exc_info]) == 1
+
+
 async def test_a_vm_without_peers_relies_on_its_own_call():
     assert await is_store_unavailable(refuse_connection, peers=0)
 
