Keep an unexpected error of one successor probe from the coordinator's term

A coordinator that reaches no engine asks peers for one that does. An unexpected error in one of these probes (by injection: RecursionError) left the search as an exception group and ended the coordinator's task, so that it found nobody to hand its duty to. Such a peer counts as one that reaches no engine now, and the error is logged with the peer's name.

--- a/src/swiftjunction/coordination/_fitness.py
+++ b/src/swiftjunction/coordination/_fitness.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import functools
 
 import anyio
 
@@ -9,6 +10,8 @@
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _peer_paths
 from swiftjunction.coordination import _statuses
+from swiftjunction import supervision
+from swiftjunction import telemetry
 from swiftjunction import tunnels
 
 # Peers, and servers of each service, that are asked for a successor. Other
@@ -63,6 +66,9 @@
         Tells which services this VM reaches.
     members : MemberTable
         The peers, in the order in which they may coordinate.
+    supervisor : Supervisor, optional
+        Logs an unexpected error while one peer is asked, which then counts as
+        one that reaches no engine.
     """
 
     __slots__ = (
@@ -70,6 +76,7 @@
         '_list_services',
         '_members',
         '_reachability',
+        '_supervisor',
     )
 
     def __init__(
@@ -78,7 +85,11 @@
         directory: backends.Directory,
         reachability: backends.Reachability,
         members: _members.MemberTable,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or supervision.Supervisor(
+            telemetry.Metrics()
+        )
         self._list_services = list_services
         self._directory = directory
         self._reachability = reachability
@@ -116,14 +127,31 @@
         async with anyio.create_task_group() as tasks:
             for tunnel in asked:
                 for servers in engines.values():
-                    tasks.start_soon(_check_peer, tunnel, servers, unreached)
+                    tasks.start_soon(
+                        self._check_peer, tunnel, servers, unreached
+                    )
         for tunnel in asked:
             if tunnel.member.name not in unreached:
                 return tunnel.member
         return None
 
+    async def _check_peer(
+        self,
+        tunnel: _statuses.Tunnel,
+        servers: list[backends.BackendServer],
+        unreached: set[str],
+    ) -> None:
+        """Add a peer to `unreached` unless it connects to a server."""
+        name = tunnel.member.name
+        if not await self._supervisor.run_isolated(
+            'successor probe',
+            functools.partial(_probe_peer, tunnel, servers, unreached),
+            peer=name,
+        ):
+            unreached.add(name)
+
 
-async def _check_peer(
+async def _probe_peer(
     tunnel: _statuses.Tunnel,
     servers: list[backends.BackendServer],
     unreached: set[str],
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -234,6 +234,7 @@
                 self._directory,
                 self._reachability,
                 self._members,
+                self._supervisor,
             ),
         )
         self._status_source = _status.StatusSource(
