Name the type of an error that has no text

Operators found lines such as 'no response: ' in the log, which say nothing of the cause: nine messages chose between an exception and the name of its type, and an exception is always true. errors.describe chooses by the text.

--- a/src/swiftjunction/backends/_http.py
+++ b/src/swiftjunction/backends/_http.py
@@ -21,13 +21,13 @@
         yield
     except web.UNSENT_ERRORS as error:
         raise errors.BackendUnreachable(
-            f'cannot connect: {error or type(error).__name__}',
+            f'cannot connect: {errors.describe(error)}',
             step=step,
             peer=peer,
         ) from error
     except (httpx.HTTPError, httpx.StreamError) as error:
         raise errors.AnswerBroken(
-            f'no complete response: {error or type(error).__name__}',
+            f'no complete response: {errors.describe(error)}',
             step=step,
             peer=peer,
         ) from error
--- a/src/swiftjunction/coordination/_peer.py
+++ b/src/swiftjunction/coordination/_peer.py
@@ -69,13 +69,13 @@
             )
         except web.UNSENT_ERRORS as error:
             raise errors.PeerUnreachable(
-                f'cannot connect to the peer: {error or type(error).__name__}',
+                f'cannot connect to the peer: {errors.describe(error)}',
                 step='peer',
                 peer=self._address,
             ) from error
         except (httpx.HTTPError, httpx.StreamError) as error:
             raise errors.WriteUncertain(
-                f'no response from the peer: {error or type(error).__name__}',
+                f'no response from the peer: {errors.describe(error)}',
                 step='peer',
                 peer=self._address,
             ) from error
--- a/src/swiftjunction/daemons/_servers.py
+++ b/src/swiftjunction/daemons/_servers.py
@@ -198,7 +198,7 @@
                 AttributeError,
             ) as error:
                 raise errors.AnswerBroken(
-                    f'health check failed: {error or type(error).__name__}',
+                    f'health check failed: {errors.describe(error)}',
                     step='watch',
                     peer=vm.name,
                 ) from error
--- a/src/swiftjunction/errors.py
+++ b/src/swiftjunction/errors.py
@@ -45,9 +45,15 @@
     'SwiftjunctionError',
     'WeightsSwapped',
     'WriteUncertain',
+    'describe',
 ]
 
 
+def describe(error: BaseException) -> str:
+    """Return the text of an exception, or the name of its type without one."""
+    return str(error) or type(error).__name__
+
+
 class SwiftjunctionError(Exception):
     """Base class of all errors that this project raises.
 
--- a/src/swiftjunction/platform/_duty_api.py
+++ b/src/swiftjunction/platform/_duty_api.py
@@ -111,13 +111,13 @@
             await response.aclose()
         except web.UNSENT_ERRORS as error:
             raise errors.PlatformUnavailable(
-                f'connection failed: {error or type(error).__name__}',
+                f'connection failed: {errors.describe(error)}',
                 step=path,
                 peer=PEER_NAME,
             ) from error
         except (httpx.HTTPError, httpx.StreamError) as error:
             raise errors.WriteUncertain(
-                f'no response: {error or type(error).__name__}',
+                f'no response: {errors.describe(error)}',
                 step=path,
                 peer=PEER_NAME,
             ) from error
--- a/src/swiftjunction/platform/_store.py
+++ b/src/swiftjunction/platform/_store.py
@@ -203,13 +203,13 @@
             )
         except web.UNSENT_ERRORS as error:
             raise errors.PlatformUnavailable(
-                f'connection failed: {error or type(error).__name__}',
+                f'connection failed: {errors.describe(error)}',
                 step=step,
                 peer=PEER_NAME,
             ) from error
         except (httpx.HTTPError, httpx.StreamError) as error:
             raise _build_lost_response_error(
-                method, f'no response: {error or type(error).__name__}', step
+                method, f'no response: {errors.describe(error)}', step
             ) from error
         if status < http.HTTPStatus.MULTIPLE_CHOICES:
             return body
