Keep one failing drain acknowledgement from the others

Platforms saw no drain of a storage VM acknowledged while the write for one of them failed unexpectedly: all writes ran in one group of tasks, so that the error cancelled the others and ended the following of the retirements, until the supervisor started the duty again.

The new test has three retirements; the write of one raises RecursionError once. It failed before: acknowledge_drains ended with an ExceptionGroup of that error and nothing was written.

Each acknowledgement now runs isolated and is tried again after 0.5 s, doubled up to 30 s. A lost lease and MemoryError still end the duty (a second test, which passed before too).

--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -92,6 +92,7 @@
             self._direct,
             self._feed_sync,
             lambda: self._coordinator.lease is not None,
+            self._supervisor,
         )
         self._active_routes = routes.ActiveRoutes()
         self._confirmation = coordination.FeedConfirmation(self._feed_sync)
--- a/src/swiftjunction/platform/_feeds.py
+++ b/src/swiftjunction/platform/_feeds.py
@@ -1,6 +1,7 @@
 """Feeds from the platform's store: routes, servers, versions, retirements."""
 
 import collections.abc
+import functools
 import logging
 
 import anyio
@@ -14,6 +15,8 @@
 from swiftjunction.platform import _schemas
 from swiftjunction.platform import _store
 from swiftjunction import routes
+from swiftjunction import supervision
+from swiftjunction import telemetry
 
 LOG = logging.getLogger(__name__)
 
@@ -24,6 +27,9 @@
 CONFIG_KEY = f'{_names.CONFIG_KIND}/main'
 COMPLETED_STATUS = msgspec.json.encode({'state': 'completed'})
 STATUS_RETRY_INTERVAL_SECONDS = 0.5
+# Pause after an unexpected error, doubled with each consecutive one.
+MIN_ERROR_DELAY_SECONDS = 0.5
+MAX_ERROR_DELAY_SECONDS = 30.0
 
 
 class PlatformFeeds(coordination.DeploymentEvents):
@@ -39,6 +45,8 @@
         Keeps the feeds current, from the store or from peers.
     is_coordinator : callable
         Returns whether this VM is the coordinator.
+    supervisor : Supervisor, optional
+        Keeps the unexpected error of one acknowledgement from the others.
 
     Attributes
     ----------
@@ -54,6 +62,7 @@
         '_routes_feed',
         '_servers_feed',
         '_store',
+        '_supervisor',
         'has_servers',
     )
 
@@ -63,7 +72,11 @@
         direct: _store.PlatformStore,
         feed_sync: coordination.FeedSync,
         is_coordinator: collections.abc.Callable[[], bool],
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or supervision.Supervisor(
+            telemetry.Metrics()
+        )
         self._broken = objectstore.BrokenObjects()
         self._store = store
         self._feed_sync = feed_sync
@@ -149,7 +162,7 @@
             def apply_object(obj: objectstore.Object) -> None:
                 if obj.key not in handled_keys:
                     handled_keys.add(obj.key)
-                    tasks.start_soon(self._write_completed_status, obj.key)
+                    tasks.start_soon(self._acknowledge, obj.key)
 
             await objectstore.follow(
                 self._store,
@@ -159,6 +172,17 @@
                 ),
             )
 
+    async def _acknowledge(self, key: str) -> None:
+        """Write one status; an unexpected error delays this one alone."""
+        delay_seconds = MIN_ERROR_DELAY_SECONDS
+        while not await self._supervisor.run_isolated(
+            'drain acknowledgement',
+            functools.partial(self._write_completed_status, key),
+            object=key,
+        ):
+            await anyio.sleep(delay_seconds)
+            delay_seconds = min(2 * delay_seconds, MAX_ERROR_DELAY_SECONDS)
+
     async def _write_completed_status(self, key: str) -> None:
         while True:
             try:
--- a/tests/cover/test_platform_feeds.py
+++ b/tests/cover/test_platform_feeds.py
@@ -50,6 +50,55 @@
     assert not direct.written
 
 
+class FailingForOne(RefusingStore):
+    """Fails on the first `failures` writes of one retirement."""
+
+    def __init__(self, key, failures, error):
+        super().__init__(refusals=0)
+        self.key = key
+        self.failures = failures
+        self.error = error
+
+    async def write_status(self, key, status, version):
+        if key == self.key and self.failures:
+            self.failures -= 1
+            raise self.error
+        # The others take longer than the one that fails.
+        await anyio.sleep(0.05)
+        await super().write_status(key, status, version)
+
+
+@pytest.mark.anyio
+async def test_an_unexpected_error_of_one_drain_does_not_end_the_others(store):
+    keys = [f'retirements/storage-{index}' for index in range(3)]
+    for key in keys:
+        await store.create(key, b'{}')
+    direct = FailingForOne(keys[0], 1, RecursionError())
+    feeds = _feeds.PlatformFeeds(store, direct, None, lambda: True)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(feeds.acknowledge_drains)
+        with anyio.fail_after(5):
+            while len(direct.written) < 3:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert [key for key, _ in direct.written] == [*keys[1:], keys[0]]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'error', [errors.LeaseLost('lost', step='test'), MemoryError()]
+)
+async def test_a_drain_without_lease_or_memory_ends_the_duty(store, error):
+    await store.create('retirements/storage-1', b'{}')
+    direct = FailingForOne('retirements/storage-1', 1, error)
+    feeds = _feeds.PlatformFeeds(store, direct, None, lambda: True)
+    with (
+        anyio.fail_after(5),
+        pytest.RaisesGroup(type(error), flatten_subgroups=True),
+    ):
+        await feeds.acknowledge_drains()
+
+
 class FollowingSync:
     """Follows the store alone, without peers."""
 
