Keep one failing usage report from the work on other windows

Customers of usage saw no window saved, fixed or reported for as long as the report of one window failed unexpectedly: the sending ran in the group of tasks that also saves and fixes, so that the error ended the term of the duty, and it began again with the same window.

The new test has the reports of the first window raise RecursionError five times. It failed before: the term ended with an ExceptionGroup of that error at the first report, and no window was reported.

Each report is now sent isolated. A refused fencing token and MemoryError still end the term. In the test the second window is reported within 2 s of its end, and the first one once it works.

--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -163,6 +163,7 @@
             self._metrics,
             rng,
             (time.time if self._clock is None else self._clock.read_seconds),
+            self._supervisor,
         )
         claims = requests.ClaimStore(self._store, settings.name)
         self._crash_registry = coordination.StoreCrashRegistry(
--- a/src/swiftjunction/platform/_usage_reports.py
+++ b/src/swiftjunction/platform/_usage_reports.py
@@ -9,6 +9,7 @@
 from swiftjunction.platform import _names
 from swiftjunction.platform import _settings
 from swiftjunction import requests
+from swiftjunction import supervision
 from swiftjunction import telemetry
 from swiftjunction import usage
 from swiftjunction import web
@@ -37,6 +38,8 @@
         Chooses peers that pass messages on.
     clock : callable
         Returns the true time in Unix seconds.
+    supervisor : Supervisor
+        Keeps the unexpected error of one report from the other work.
 
     Attributes
     ----------
@@ -57,6 +60,7 @@
         metrics: telemetry.Metrics,
         rng: random.Random,
         clock: usage.Clock,
+        supervisor: supervision.Supervisor,
     ) -> None:
         self.runs: requests.RunListener = requests.NoRunListener()
         self.duties: list[coordination.Duty] = []
@@ -82,6 +86,7 @@
             settings.duties_per_second,
             settings.lease_seconds,
             0.0 if settings.checks_fencing else settings.lease_seconds,
+            supervisor,
         )
         self._counter = usage.UsageCounter(windows)
         self._exchange = usage.UsageExchange(
--- a/src/swiftjunction/usage/_duty.py
+++ b/src/swiftjunction/usage/_duty.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import functools
 import logging
 import math
 
@@ -12,6 +13,7 @@
 from swiftjunction import duties
 from swiftjunction import errors
 from swiftjunction import leases
+from swiftjunction import supervision
 from swiftjunction import telemetry
 from swiftjunction.usage import _archive
 from swiftjunction.usage import _exchange
@@ -55,6 +57,8 @@
     settle_seconds : float
         For this time after a term began, no report is sent, as the platform
         does not refuse those of the previous holder.
+    supervisor : Supervisor, optional
+        Keeps the unexpected error of one report from the other work.
     """
 
     __slots__ = (
@@ -66,6 +70,7 @@
         '_members',
         '_metrics',
         '_pause_seconds',
+        '_sendings',
         '_settle_seconds',
         '_term',
         '_windows',
@@ -81,7 +86,11 @@
         calls_per_second: float,
         lease_seconds: float,
         settle_seconds: float,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        self._sendings = supervision.IsolatedItems(
+            supervisor or supervision.Supervisor(metrics), 'usage report'
+        )
         self._api = api
         self._archive = archive
         self._windows = windows
@@ -236,17 +245,25 @@
     ) -> None:
         pause_seconds = RETRY_SECONDS
         while True:
-            report = term.find_sendable()
+            report = term.find_sendable(self._is_delayed)
             if report is None or not self._may_call(lease):
                 await anyio.sleep(TICK_SECONDS)
                 continue
-            if await self._send(term, lease, report):
+            await self._sendings.run(
+                str(report.window),
+                functools.partial(self._send, term, lease, report),
+                window=report.window,
+            )
+            if report.window not in term.unsent:
                 pause_seconds = RETRY_SECONDS
                 await anyio.sleep(self._pause_seconds)
             else:
                 await anyio.sleep(max(pause_seconds, self._pause_seconds))
                 pause_seconds = min(2 * pause_seconds, MAX_RETRY_SECONDS)
 
+    def _is_delayed(self, window: int) -> bool:
+        return self._sendings.is_delayed(str(window))
+
     def _may_call(self, lease: leases.Lease) -> bool:
         try:
             lease.check()
@@ -261,8 +278,8 @@
         term: _term.UsageTerm,
         lease: leases.Lease,
         report: _archive.FixedReport,
-    ) -> bool:
-        """Send a report once; return whether the platform has taken it."""
+    ) -> None:
+        """Send a report once; record it if the platform has taken it."""
         self._last_call_at = anyio.current_time()
         try:
             await self._api.report_usage(
@@ -273,7 +290,7 @@
                 # The platform has seen a successor.
                 raise
             LOG.debug('no usage report is sent now: %s', error)
-            return False
+            return
         except errors.PlatformError as error:
             self._metrics.count('usage_reports', outcome='failed')
             LOG.info(
@@ -281,9 +298,8 @@
                 error,
                 extra={'window': report.window},
             )
-            return False
+            return
         self._record_sent(term, lease, report)
-        return True
 
     def _record_sent(
         self,
--- a/src/swiftjunction/usage/_term.py
+++ b/src/swiftjunction/usage/_term.py
@@ -190,19 +190,23 @@
             self.unsent[report.window] = report
         self.ledger.advance(report.window + 1)
 
-    def find_sendable(self) -> _archive.FixedReport | None:
+    def find_sendable(
+        self, is_delayed: collections.abc.Callable[[int], bool]
+    ) -> _archive.FixedReport | None:
         """Return the report to send next.
 
-        The oldest of those that can still be in time, then the others.
+        The oldest of those that can still be in time, then the others; none
+        whose window is delayed.
         """
-        if not self.unsent:
+        windows = [w for w in self.unsent if not is_delayed(w)]
+        if not windows:
             return None
         late_seconds = self._windows.late_seconds
 
         def rank(window: int) -> tuple[bool, int]:
             return (self._windows.compute_age(window) > late_seconds, window)
 
-        return self.unsent[min(self.unsent, key=rank)]
+        return self.unsent[min(windows, key=rank)]
 
     def record_sent(self, window: int) -> float:
         """Learn that a report was sent; return its window's age in seconds."""
--- a/tests/cover/test_usage_reports.py
+++ b/tests/cover/test_usage_reports.py
@@ -356,3 +356,41 @@
         assert not vm.counter.list_untold()
         await fleet.sleep_until_age(0, 2)
     assert fleet.get_report(0) == {'org': 1}
+
+
+class FailingForOne(usage_fleet.FakeApi):
+    """Fails on the first `failures` reports of one window."""
+
+    def __init__(self, window, failures, error):
+        super().__init__()
+        self.window = window
+        self.failures = failures
+        self.error = error
+
+    async def report_usage(self, lease, report):
+        if report.window == self.window and self.failures:
+            self.failures -= 1
+            raise self.error
+        await super().report_usage(lease, report)
+
+
+async def test_an_unexpected_error_of_one_window_does_not_end_the_others():
+    fleet = usage_fleet.UsageFleet(['a', 'b'])
+    fleet.api = FailingForOne(1000, 5, RecursionError())
+    async with fleet.run():
+        fleet.vms['b'].count()
+        await fleet.sleep_until_age(1, 2)
+        # The first window still fails.
+        assert fleet.get_report(0) is None
+        assert fleet.get_report(1) == {}
+        await fleet.sleep_until_age(3, 2)
+    assert fleet.get_report(0) == {'org': 1}
+    assert fleet.get_delay(1) < 2
+
+
+async def test_a_report_without_memory_ends_the_term():
+    fleet = usage_fleet.UsageFleet(['a'])
+    fleet.api = FailingForOne(1000, 1, MemoryError())
+    with pytest.RaisesGroup(MemoryError, flatten_subgroups=True):
+        async with fleet.run():
+            await fleet.sleep_until_age(0, 3)
