Keep one failing order of servers from the orders beside it

Operators saw no server ordered in a data centre when the order for another one of the same service failed unexpectedly: all orders of a round run in one group of tasks, so that the error cancelled them while the platform carried them out. The failed one counted as never sent after 10 s and was ordered anew, though it may have been carried out. A MemoryError was logged and the duty went on.

Three new tests failed before: the second order was sent twice in place of once; the failing one was sent 12 s after its first attempt, above the bound of 11; and the duty did not raise MemoryError.

Each order now runs isolated, and counts as unanswered after an unexpected error.

--- a/src/swiftjunction/duties/_scaling.py
+++ b/src/swiftjunction/duties/_scaling.py
@@ -1,6 +1,7 @@
 """Orders the servers of services, under the coordinator's lease."""
 
 import collections.abc
+import functools
 import logging
 import math
 
@@ -16,6 +17,7 @@
 from swiftjunction import leases
 from swiftjunction import routes
 from swiftjunction import scaling
+from swiftjunction import supervision
 from swiftjunction import telemetry
 
 LOG = logging.getLogger(__name__)
@@ -49,6 +51,9 @@
         Minimum time between the orders of two successive coordinators.
     max_orders : int
         Maximum number of orders in one round.
+    supervisor : Supervisor, optional
+        Keeps the unexpected error of one service, or of one order, from the
+        others.
     """
 
     __slots__ = (
@@ -62,7 +67,9 @@
         '_metrics',
         '_min_expiry',
         '_problems',
+        '_rounds',
         '_services',
+        '_supervisor',
     )
 
     def __init__(
@@ -77,7 +84,12 @@
         metrics: telemetry.Metrics,
         lease_seconds: float,
         max_orders: int,
+        supervisor: supervision.Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or supervision.Supervisor(metrics)
+        self._rounds = supervision.IsolatedItems(
+            self._supervisor, 'scaling of a service'
+        )
         self._api = api
         self._archive = archive
         self._active_routes = active_routes
@@ -108,7 +120,11 @@
             while True:
                 await anyio.sleep(ROUND_INTERVAL_SECONDS)
                 for limits in self._list_limits():
-                    await self._scale(limits, lease)
+                    await self._rounds.run(
+                        limits.service,
+                        functools.partial(self._scale, limits, lease),
+                        service=limits.service,
+                    )
         finally:
             # What this process knows is out of date in its next term.
             self._services.clear()
@@ -136,7 +152,7 @@
     async def _scale(
         self, limits: scaling.ServiceScaling, lease: leases.Lease
     ) -> None:
-        """Run one round for a service; a failure ends only the round."""
+        """Run one round for a service."""
         try:
             service = await self._load(limits.service)
             service.observe(
@@ -152,12 +168,6 @@
                 error,
                 extra={'service': limits.service},
             )
-        except Exception:
-            # A fault here must not end the other work of the coordinator.
-            LOG.exception(
-                'servers could not be ordered',
-                extra={'service': limits.service},
-            )
 
     async def _load(self, name: str) -> _scaled_service.ScaledService:
         """Return what is known of a service, read from the store if needed."""
@@ -201,7 +211,9 @@
             await self._record(service, lease.fencing_token)
         async with anyio.create_task_group() as tasks:
             for placement in service.book.list_due(now)[: self._max_orders]:
-                tasks.start_soon(self._send, service, placement, lease)
+                tasks.start_soon(
+                    self._send_isolated, service, placement, lease
+                )
 
     async def _record(
         self, service: _scaled_service.ScaledService, fencing_token: int
@@ -234,6 +246,21 @@
             if kind is not routes.RouteKind.BATCH
         )
 
+    async def _send_isolated(
+        self,
+        service: _scaled_service.ScaledService,
+        placement: scaling.Placement,
+        lease: leases.Lease,
+    ) -> None:
+        """Send an order; after an unexpected error it is sent again later."""
+        await self._supervisor.run_isolated(
+            'order of servers',
+            functools.partial(self._send, service, placement, lease),
+            service=service.name,
+            data_center=placement.subject.data_center,
+            spot=placement.subject.is_spot,
+        )
+
     async def _send(
         self,
         service: _scaled_service.ScaledService,
@@ -289,6 +316,12 @@
         except errors.WriteUncertain:
             book.record_lost(subject, anyio.current_time())
             return 'unanswered'
+        except errors.LeaseLost:
+            raise
+        except Exception:
+            # The platform may carry it out.
+            book.record_lost(subject, anyio.current_time())
+            raise
         if is_done:
             book.record_done(subject)
             return 'done'
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -304,6 +304,7 @@
                     self._directory,
                     self._runner,
                     self._metrics,
+                    self._supervisor,
                 ),
                 *self._usage.duties,
             ],
--- a/src/swiftjunction/platform/_duty_tasks.py
+++ b/src/swiftjunction/platform/_duty_tasks.py
@@ -10,6 +10,7 @@
 from swiftjunction.platform import _settings
 from swiftjunction import routes
 from swiftjunction import scaling
+from swiftjunction import supervision
 from swiftjunction import telemetry
 from swiftjunction import web
 
@@ -34,6 +35,7 @@
     directory: backends.Directory,
     runner: batches.BatchRunner,
     metrics: telemetry.Metrics,
+    supervisor: supervision.Supervisor,
 ) -> list[coordination.Duty]:
     """Return the duties that the platform asks for."""
     api = build_duty_api(settings, peers)
@@ -51,6 +53,7 @@
                 metrics,
                 settings.lease_seconds,
                 max(int(settings.duties_per_second * ORDER_FRACTION), 1),
+                supervisor,
             )
         )
     return wanted
--- a/tests/cover/test_scaling_duty.py
+++ b/tests/cover/test_scaling_duty.py
@@ -37,6 +37,8 @@
     def __init__(self):
         self.orders = []
         self.outcomes = []
+        self.done = []
+        self.seconds = 0.0
 
     async def report_usage(self, lease, report):
         raise NotImplementedError
@@ -48,7 +50,11 @@
         if outcome is errors.WriteUncertain:
             await anyio.sleep(1)
         if isinstance(outcome, bool):
+            await anyio.sleep(self.seconds)
+            self.done.append((order.data_center, order.is_spot, order.servers))
             return outcome
+        if not issubclass(outcome, errors.SwiftjunctionError):
+            raise outcome
         raise outcome('scripted', step='test')
 
     def list_subjects(self):
@@ -198,6 +204,48 @@
         first, third = world.api.orders[0][0], world.api.orders[2][0]
         assert third - first >= 0.9
 
+    async def test_an_unexpected_error_of_one_order_does_not_end_the_others(
+        self, store
+    ):
+        world = World(store)
+        world.api.outcomes = [RecursionError]
+        world.api.seconds = 0.1
+        async with world.run(world.make_lease()):
+            await anyio.sleep(20)
+            world.take_spot_servers()
+            await anyio.sleep(5)
+        first, second = world.api.list_subjects()[:2]
+        assert first[0] != second[0]
+        assert second in world.api.done
+        assert world.api.list_subjects().count(second) == 1
+        # The first one is sent again, unchanged.
+        assert first in world.api.done
+
+    async def test_an_order_with_an_unexpected_error_may_be_carried_out(
+        self, store
+    ):
+        world = World(store)
+        world.api.outcomes = [RecursionError] * 100
+        async with world.run(world.make_lease()):
+            await anyio.sleep(20)
+            world.take_spot_servers()
+            await anyio.sleep(20)
+        # Nothing is ordered anew for it while it may be open.
+        first_at = {}
+        for at, order, _ in world.api.orders:
+            key = order.data_center, order.is_spot
+            assert at - first_at.setdefault(key, at) <= 11
+        assert len(world.api.orders) >= 5
+
+    async def test_orders_without_memory_end_the_duty(self, store):
+        world = World(store)
+        world.api.outcomes = [MemoryError]
+        with pytest.RaisesGroup(MemoryError, flatten_subgroups=True):
+            async with world.run(world.make_lease()):
+                await anyio.sleep(20)
+                world.take_spot_servers()
+                await anyio.sleep(5)
+
     async def test_nothing_is_sent_under_a_lease_that_is_not_renewed(
         self, store
     ):
