--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -92,6 +92,7 @@
             self._direct,
             self._feed_sync,
             lambda: self._coordinator.lease is not None,
+            self._supervisor,
         )
         self._active_routes = routes.ActiveRoutes()
         self._confirmation = coordination.FeedConfirmation(self._feed_sync)
@@ -162,6 +163,7 @@
             self._metrics,
             rng,
             (time.time if self._clock is None else self._clock.read_seconds),
+            self._supervisor,
         )
         claims = requests.ClaimStore(self._store, settings.name)
         self._crash_registry = coordination.StoreCrashRegistry(
@@ -307,6 +309,7 @@
                     self._directory,
                     self._runner,
                     self._metrics,
+                    self._supervisor,
                 ),
                 *self._usage.duties,
             ],
