Keep one failing connection from the check of a service

Callers waited on a VM that was cut off from a service, and no peer was asked, while the connection to one of its servers failed unexpectedly: the connections of a check run in one group of tasks, so that the error ended the check, without a result, and the request that asked for it.

Two new tests failed before: confirm() raised an ExceptionGroup of RecursionError, with two odd servers of three and with three.

Such a server shows nothing: the others decide, and if there is none, the check is without a result, so that no service counts as cut off for it. MemoryError still ends the check (a third test, which passed before too). The 59 tests of reachability, of VMs that are cut off and of supervision pass, as does make check.

--- a/src/swiftjunction/backends/_reachability.py
+++ b/src/swiftjunction/backends/_reachability.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import contextlib
+import functools
 import logging
 import random
 import time
@@ -87,12 +88,14 @@
     clock : callable
         Returns monotonic time in seconds.
     supervisor : Supervisor, optional
-        Keeps the unexpected error of a check from those of other services.
+        Keeps the unexpected error of a check from those of other services,
+        and that of a connection from those to other servers.
     """
 
     __slots__ = (
         '_clock',
         '_connect',
+        '_connections',
         '_contacts',
         '_exchanges',
         '_listeners',
@@ -115,6 +118,9 @@
         self._supervisor = supervisor or supervision.Supervisor(
             telemetry.Metrics()
         )
+        self._connections = supervision.IsolatedItems(
+            self._supervisor, 'connection of a check'
+        )
         self._select_servers = select_servers
         self._rng = rng or random.Random()
         self._connect = connect or can_connect
@@ -239,6 +245,8 @@
         seconds = self._clock() - began
         if reached:
             self._record_reached(service, state)
+        elif reached is None:
+            self._schedule(state, CHECK_PAUSE_SECONDS)
         elif seconds > MAX_CHECK_SECONDS:
             self._schedule(state, 0.0)
         else:
@@ -246,9 +254,12 @@
 
     async def _connect_any(
         self, servers: list[_server.BackendServer], timeout_seconds: float
-    ) -> bool:
-        """Return whether one of the servers accepts a connection."""
-        reached = False
+    ) -> bool | None:
+        """Return whether one of the servers accepts a connection.
+
+        One that fails unexpectedly shows nothing; None if all of them do.
+        """
+        reached: bool | None = None
         async with anyio.create_task_group() as tasks:
 
             async def connect(address: str) -> None:
@@ -256,9 +267,18 @@
                 if await self._connect(address, timeout_seconds):
                     reached = True
                     tasks.cancel_scope.cancel()
+                else:
+                    reached = reached or False
 
             for server in servers:
-                tasks.start_soon(connect, server.address)
+                tasks.start_soon(
+                    functools.partial(
+                        self._connections.run,
+                        server.address,
+                        functools.partial(connect, server.address),
+                        server=server.name,
+                    )
+                )
         return reached
 
     def _record_reached(self, service: str, state: _Service) -> None:
--- a/tests/cover/test_backends_reachability.py
+++ b/tests/cover/test_backends_reachability.py
@@ -192,3 +192,41 @@
         await scene.wait_until_cut_off()
         tasks.cancel_scope.cancel()
     assert failures == ['odd']
+
+
+class OddServers(Scene):
+    """Connections to some servers fail unexpectedly, before all others."""
+
+    def __init__(self, count, error):
+        super().__init__()
+        self.error = error
+        self.odd = {server.address for server in self.servers[:count]}
+
+    async def connect(self, address, timeout_seconds):
+        if address in self.odd:
+            raise self.error
+        await anyio.sleep(0.05)
+        return await super().connect(address, timeout_seconds)
+
+
+async def test_an_unexpected_error_of_one_server_does_not_end_the_check():
+    for index in range(3):
+        scene = OddServers(2, RecursionError())
+        scene.reachability._rng.seed(index)
+        assert not await scene.reachability.confirm(SERVICE)
+        assert SERVICE in scene.reachability._contacts
+        scene.accepting.clear()
+        scene.reachability._services.clear()
+        assert await scene.reachability.confirm(SERVICE)
+
+
+async def test_unexpected_errors_of_all_servers_do_not_show_a_cut():
+    scene = OddServers(3, RecursionError())
+    assert not await scene.reachability.confirm(SERVICE)
+    assert scene.cuts == []
+
+
+async def test_a_connection_without_memory_ends_the_check():
+    scene = OddServers(3, MemoryError())
+    with pytest.RaisesGroup(MemoryError, flatten_subgroups=True):
+        await scene.reachability.confirm(SERVICE)
