--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -102,7 +102,7 @@
             self._members,
             self._confirmation,
             organisations.compute_max_age_seconds(settings.revoke_seconds),
-            self._must_confirm_keys,
+            self._active_routes.has_keys,
             self._store.reaches_directly,
             rng,
         )
@@ -116,11 +116,8 @@
             self._store.reaches_directly,
             rng,
         )
-        self._clock = (
-            coordination.SharedClock()
-            if _names.USAGE_DUTY in settings.duties
-            else None
-        )
+        reports_usage = _names.USAGE_DUTY in settings.duties
+        self._clock = coordination.SharedClock() if reports_usage else None
         self._directory = backends.Directory(membership.RecordTable())
         self._connection_cleaner = backends.ConnectionCleaner(
             self._directory, self._clients
@@ -232,7 +229,7 @@
             self._members,
             self._control_loops,
             coordination.EngineFitness(
-                self._list_batch_services,
+                self._active_routes.list_batch_services,
                 self._directory,
                 self._reachability,
                 self._members,
@@ -296,7 +293,7 @@
             self._runner,
             rollout,
             self._feeds,
-            self._list_batch_services,
+            self._active_routes.list_batch_services,
             0.0 if settings.checks_fencing else settings.lease_seconds,
             settings.lease_seconds,
             self._supervisor,
@@ -370,26 +367,16 @@
     def _is_coordinator(self) -> bool:
         return self._coordinator.holds_lease()
 
-    def _must_confirm_keys(self) -> bool:
-        table = self._active_routes.table
-        return table is not None and table.keys is not None
-
     def _is_store_unreachable(self) -> bool:
         """Return whether neither this VM nor a peer reaches the store."""
         return not (
             self._store.reaches_directly() or self._members.list_relays()
         )
 
-    def _list_batch_services(self) -> set[str]:
-        table = self._active_routes.table
-        if table is None:
-            return set()
-        return table.list_services(routes.RouteKind.BATCH)
-
     def _find_runner(self) -> batches.BatchAccess | None:
-        if self._control_loops.is_running:
-            return batches.RunnerAccess(self._runner, self._archive)
-        return None
+        if not self._control_loops.is_running:
+            return None
+        return batches.RunnerAccess(self._runner, self._archive)
 
     def _build_dump(self) -> telemetry.StateDump:
         sources = {
--- a/src/swiftjunction/routes/_table.py
+++ b/src/swiftjunction/routes/_table.py
@@ -143,6 +143,16 @@
         """Return the active version, or -1 before the first one."""
         return -1 if self.table is None else self.table.version
 
+    def has_keys(self) -> bool:
+        """Return whether the active table asks callers for keys."""
+        return self.table is not None and self.table.keys is not None
+
+    def list_batch_services(self) -> set[str]:
+        """Return the services that run batches; none before a table."""
+        if self.table is None:
+            return set()
+        return self.table.list_services(_route.RouteKind.BATCH)
+
     def update(self, table: RouteTable) -> bool:
         """Replace the table if `table` is newer, and return whether it is."""
         if table.version <= self.version:
