Hold an address in tests until the VM has found it in use

The test released the address 1.5 s after it started the process, and the process reached it later: the log begins with 'started' and has no such line.

The address is held now until the log says that it is in use, 10 s at most, and 1 s longer. The checks are the same.

--- a/tests/cover/test_platform_addresses.py
+++ b/tests/cover/test_platform_addresses.py
@@ -15,7 +15,10 @@
 from swiftjunction.platform import _listening
 from tests.cover import test_platform_processes
 
-HOLD_SECONDS = 1.5
+# An address is held so long after the VM has found it in use.
+HOLD_SECONDS = 1.0
+MAX_START_SECONDS = 10.0
+FOUND_IN_USE = ('waiting for an address', 'no metrics until')
 
 
 def hold(ip, port, kind=socket.SOCK_STREAM):
@@ -40,13 +43,22 @@
         ports = {'metrics': _components.METRICS_PORT, **self.ports[name]}
         port = ports[self._port_name]
         self.held.enter_context(hold(self.vm_ip, port, self._kind))
-        self._tasks.start_soon(self._release)
+        self._tasks.start_soon(self._release, self._folder / f'{name}.log')
         return super().start_process(path, name)
 
-    async def _release(self):
+    async def _release(self, log_path):
+        with anyio.fail_after(MAX_START_SECONDS):
+            while not self._is_found_in_use(log_path):
+                await anyio.sleep(0.02)
         await anyio.sleep(HOLD_SECONDS)
         self.held.close()
 
+    def _is_found_in_use(self, log_path):
+        if not log_path.exists():
+            return False
+        log = log_path.read_text()
+        return any(message in log for message in FOUND_IN_USE)
+
 
 @pytest.mark.anyio
 @pytest.mark.parametrize(
