--- a/tests/cover/test_objectstore_following.py
+++ b/tests/cover/test_objectstore_following.py
@@ -198,8 +198,6 @@
 
 @pytest.mark.anyio
 async def test_a_revision_that_goes_back_leads_to_a_new_list():
-    # All later changes were missed and confirmed, until the store's revision
-    # was as high again.
     store = ScriptedWatchStore(
         [
             objectstore.ChangeSet(2**62, [], []),
--- a/tests/cover/test_platform_duty_api.py
+++ b/tests/cover/test_platform_duty_api.py
@@ -111,7 +111,6 @@
 
 @pytest.mark.anyio
 async def test_a_vm_whose_name_is_not_ascii_reports():
-    # Each call failed the task of the coordinator.
     async with run_api() as (standin, api):
         api._holder = 'Ia\u0219i'
         await api.report_usage(make_lease(), REPORT)
--- a/tests/cover/test_platform_open_connections.py
+++ b/tests/cover/test_platform_open_connections.py
@@ -50,7 +50,6 @@
 
 @pytest.mark.anyio
 async def test_an_idle_http_2_connection_does_not_delay_the_end(tmp_path):
-    # The process went on until it was killed.
     code, seconds = await stop_with_connection(tmp_path, [HTTP_2_PREFACE])
     assert code == 0
     assert seconds < GRACE_SECONDS
@@ -58,7 +57,6 @@
 
 @pytest.mark.anyio
 async def test_responses_that_nobody_reads_do_not_delay_the_end(tmp_path):
-    # The process went on until it was killed.
     data = [
         part for number in range(8) for part in (UNREAD_REQUEST % number, BODY)
     ]
--- a/tests/cover/test_platform_response_headers.py
+++ b/tests/cover/test_platform_response_headers.py
@@ -31,7 +31,6 @@
 async def test_a_header_that_is_not_latin_1_is_passed_on_byte_for_byte(
     tmp_path,
 ):
-    # Each response with such a header became a 500.
     deployment = platform_deployment.PlatformDeployment(tmp_path)
     deployment.plain = {'p1': PlacedService('p1')}
     async with deployment.run():
--- a/tests/cover/test_web_environment.py
+++ b/tests/cover/test_web_environment.py
@@ -44,6 +44,5 @@
 
 
 def test_a_file_for_tls_keys_that_cannot_be_written_stops_no_request(tmp_path):
-    # No request was sent, so that no VM became ready.
     path = tmp_path / 'missing' / 'keys'
     assert run_script(SEND_A_REQUEST, SSLKEYLOGFILE=str(path)) == 'refused\n'
