Relay event streams byte for byte

Callers saw a response of status 200 that ended as complete without parts of its server's body: without the events that have no id (a last data: [DONE] or event: end; a stream of such events alone had an empty body), without comments, and none of a stream whose lines end with CRLF, which became a 502 at its end.

Cause: the parser of the platform's streams returned only blocks with a number, and knew LF LF as their only end; the relay sends on what the parser returns. No other layer leaves bytes out: a stream of numbered events with LF arrived whole before.

Change: web.BlockSplitter cuts a stream into blocks without changing a byte; all of them are relayed as they arrive. Events without a number cannot be resumed after. Comments are relayed, but are no progress: the first event, pauses and stalls go by events. Samples read numbered events only, so that an end mark or a comment is no text; CRLF is read as LF.

--- a/src/swiftjunction/backends/_streams.py
+++ b/src/swiftjunction/backends/_streams.py
@@ -8,31 +8,35 @@
 from swiftjunction.backends import _server
 from swiftjunction.backends import _service
 
-# As a position: before the first event. As the number of an event: the event
-# holds a complete response that is not an event stream.
+# As a position: before the first numbered event. As the number of an event: it
+# has none, or holds a complete response that is not an event stream.
 NO_EVENT = -1
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
-    """An event of a stream.
+    """An event of a stream, or another block of it.
 
     Attributes
     ----------
     number : int
-        The number of the event in the stream; numbers increase, by one in a
-        stream that is resumed.
+        The number of the event in the stream, or ``NO_EVENT``; numbers
+        increase, by one in a stream that is resumed.
     data : str
         The text of the event.
     version : int
         The weight version that generated it; 0 if not known.
     frame : bytes
         The event as received, including the blank line that ends it.
+    is_event : bool
+        False for a block that the reader of the stream gets no event for, such
+        as a comment that keeps the connection open.
     """
 
     number: int
     data: str
     version: int = 0
     frame: bytes = b''
+    is_event: bool = True
 
 
 class StreamPosition(msgspec.Struct, frozen=True):
--- a/src/swiftjunction/platform/_events.py
+++ b/src/swiftjunction/platform/_events.py
@@ -10,15 +10,18 @@
 from swiftjunction.platform import _names
 from swiftjunction import web
 
-EVENT_SEPARATOR = b'\n\n'
 MAX_NUMBER_CHARS = 32
+# A block with any of them is an event; other blocks hold comments or the
+# reconnection time.
+EVENT_FIELDS = frozenset({'data', 'event', 'id'})
 
 
 class EventParser:
     """Incremental parser of an event stream.
 
-    An event is complete once its terminating empty line has arrived; a
-    connection may fail in the middle of an event.
+    The frames of what it yields, joined, are the bytes of the stream. An event
+    is complete once its terminating empty line has arrived; a connection may
+    fail in the middle of an event.
 
     Parameters
     ----------
@@ -28,17 +31,17 @@
         Name of the server that sends the stream.
     """
 
-    __slots__ = ('_buffer', '_peer', '_version')
+    __slots__ = ('_blocks', '_peer', '_version')
 
     def __init__(self, version: int, peer: str) -> None:
-        self._buffer = bytearray()
+        self._blocks = web.BlockSplitter()
         self._version = version
         self._peer = peer
 
     def feed(
         self, data: bytes
     ) -> collections.abc.Iterator[backends.StreamEvent]:
-        """Yield the events that `data` completes.
+        """Yield the events, and the other blocks, that `data` completes.
 
         Raises
         ------
@@ -46,61 +49,55 @@
             If an event is invalid, or over ``web.MAX_EVENT_BYTES`` without its
             end.
         """
-        # A separator may begin with the last byte received before.
-        search_from = max(len(self._buffer) - 1, 0)
-        self._buffer += data
-        begin = 0
-        while True:
-            end = self._buffer.find(EVENT_SEPARATOR, search_from)
-            if end < 0:
-                break
-            text = bytes(self._buffer[begin:end])
-            begin = search_from = end + len(EVENT_SEPARATOR)
-            event = self._parse(text)
-            if event is not None:
-                yield event
-        del self._buffer[:begin]
-        if len(self._buffer) > web.MAX_EVENT_BYTES:
-            raise errors.AnswerBroken(
-                f'event exceeds {web.MAX_EVENT_BYTES} bytes',
-                step='generate',
-                peer=self._peer,
-            )
-
-    def check_complete(self) -> None:
-        """Raise ``AnswerBroken`` if the stream ended inside an event."""
-        if self._buffer.strip():
-            raise errors.AnswerBroken(
-                'the stream ended inside an event',
-                step='generate',
-                peer=self._peer,
-            )
-
-    def _parse(self, text: bytes) -> backends.StreamEvent | None:
-        number: int | None = None
+        try:
+            for block in self._blocks.feed(data):
+                yield self._parse(block)
+        except errors.ContentBroken as error:
+            raise self._build_error(error.message) from error
+
+    def finish(self) -> collections.abc.Iterator[backends.StreamEvent]:
+        """Yield what follows the last block of a stream that has ended.
+
+        Comments and blank lines need no blank line after them.
+
+        Raises
+        ------
+        AnswerBroken
+            If the stream ended inside an event.
+        """
+        rest = self._blocks.get_rest()
+        if not rest:
+            return
+        if not all(_is_comment(line) for line in rest.splitlines()):
+            raise self._build_error('the stream ended inside an event')
+        yield self._parse(rest)
+
+    def _parse(self, block: bytes) -> backends.StreamEvent:
+        number = backends.NO_EVENT
         data: list[str] = []
+        is_event = False
         try:
-            for line in text.decode().split('\n'):
-                name, _, value = line.partition(':')
-                value = value.removeprefix(' ')
-                if name == 'id':
-                    number = parse_number(value)
-                elif name == 'data':
+            for name, value in web.iter_fields(block):
+                is_event |= name in EVENT_FIELDS
+                if name == 'data':
                     data.append(value)
+                elif name == 'id' and value:
+                    number = parse_number(value)
                 elif name == _names.WEIGHT_VERSIONS_HEADER:
                     self._version = parse_number(value)
         except ValueError as error:
-            raise errors.AnswerBroken(
-                f'invalid event: {error}',
-                step='generate',
-                peer=self._peer,
-            ) from error
-        if number is None:
-            return None
+            raise self._build_error(f'invalid event: {error}') from error
         return backends.StreamEvent(
-            number, '\n'.join(data), self._version, text + EVENT_SEPARATOR
+            number, '\n'.join(data), self._version, block, is_event
         )
 
+    def _build_error(self, message: str) -> errors.AnswerBroken:
+        return errors.AnswerBroken(message, step='generate', peer=self._peer)
+
+
+def _is_comment(line: bytes) -> bool:
+    return not line or line.startswith(b':')
+
 
 def parse_number(value: str) -> int:
     """Return the number of an event, or a weight version.
@@ -127,11 +124,17 @@
     headers, which are not forwarded to the reader of the stream.
     """
     line = f'{_names.WEIGHT_VERSIONS_HEADER}:'.encode()
+    begin = web.find_first_line(event.frame)
     if (
         not known_version
         or event.version in (0, known_version)
-        or event.frame.startswith(line)
+        or event.frame.startswith(line, begin)
     ):
         return event
-    frame = line + str(event.version).encode() + b'\n' + event.frame
+    frame = b'%s%s%d\n%s' % (
+        event.frame[:begin],
+        line,
+        event.version,
+        event.frame[begin:],
+    )
     return msgspec.structs.replace(event, frame=frame)
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/_workers.py
@@ -139,8 +139,11 @@
             with self._paths.reachability.track(server) as exchange:
                 exchange.is_sent = True
                 async for event in _read_events(response, server, exchange):
-                    yield _events.insert_version(event, known_version)
-                    known_version = event.version
+                    if event.is_event and known_version:
+                        event = _events.insert_version(event, known_version)
+                        # From now on, the server states each change itself.
+                        known_version = 0
+                    yield event
         finally:
             await response.aclose()
 
@@ -209,7 +212,8 @@
                 _responses.check_executed(response, server)
                 _responses.check_sample_status(response, server)
                 async for event in _read_events(response, server, exchange):
-                    yield event
+                    if event.number != backends.NO_EVENT:
+                        yield event
             finally:
                 await response.aclose()
 
@@ -388,7 +392,7 @@
     server: backends.BackendServer,
     exchange: backends.Exchange,
 ) -> collections.abc.AsyncGenerator[backends.StreamEvent, None]:
-    """Yield the events of a stream; ``AnswerBroken`` if it ends early."""
+    """Yield the blocks of a stream; ``AnswerBroken`` if it ends early."""
     parser = _events.EventParser(
         _responses.parse_weight_version(response, server), server.name
     )
@@ -396,4 +400,5 @@
         exchange.record_contact()
         for event in parser.feed(data):
             yield event
-    parser.check_complete()
+    for event in parser.finish():
+        yield event
--- a/src/swiftjunction/requests/_relaying.py
+++ b/src/swiftjunction/requests/_relaying.py
@@ -1,9 +1,10 @@
 """Relaying of event streams from backend servers to callers.
 
-Events are relayed as they arrive. A resumable stream that breaks or stalls is
-resumed on another server after the last relayed event, so that the caller sees
-one stream without a gap. Any other stream is retried on another server only
-while no server may have run the request.
+Each block of a stream is relayed as it arrives, byte for byte. A resumable
+stream that breaks or stalls is resumed on another server after the last
+numbered event, so that the caller sees one stream without a gap. Any other
+stream is retried on another server only while no server may have run the
+request.
 """
 
 import collections.abc
@@ -23,18 +24,15 @@
 from swiftjunction.requests import _runs
 from swiftjunction.requests import _stream_part
 from swiftjunction.requests import _stream_progress
+from swiftjunction.requests import _stream_reading
 from swiftjunction.requests import _suspects
 from swiftjunction import routing
 
 LOG = logging.getLogger(__name__)
 
-# Callers abandon a stream after two seconds without an event, so another
-# server must have resumed it by then.
-EVENT_TIMEOUT_SECONDS = 1.2
-
 
 class RelayedStream(msgspec.Struct, frozen=True):
-    """An open stream, with its first event if it has one.
+    """An open stream, with its first block if it has one.
 
     Attributes
     ----------
@@ -42,9 +40,9 @@
         From the first server that sent any of the body, also if another server
         resumes the stream.
     first : StreamEvent or None
-        The first event; None if the stream has no events.
+        The first event or other block; None if the stream has none.
     rest : async generator of StreamEvent
-        The other events. The reader must close it.
+        All that follows. The reader must close it.
     """
 
     status: int
@@ -113,7 +111,7 @@
         resumable: bool,
         resume: _origins.ResumePoint | None = None,
     ) -> RelayedStream:
-        """Open a stream and wait for its first event.
+        """Open a stream and wait for its first event or other block.
 
         Parameters
         ----------
@@ -230,18 +228,22 @@
             part = _stream_part.StreamPart(progress, stream, server)
             async with contextlib.aclosing(stream):
                 part.check_head()
-                while True:
-                    event = await self._read_event(
-                        call, server, stream.events, progress
-                    )
-                    latency_timer.stop()
-                    if event is None:
-                        break
-                    self._count_run(call, progress)
-                    part.check_event(event)
-                    await self._resumer.record(call, progress, server, event)
-                    part.record_event(event)
-                    yield event
+                blocks = _stream_reading.read_blocks(
+                    call, server, stream, progress
+                )
+                async with contextlib.aclosing(blocks):
+                    async for block in blocks:
+                        if block.is_event:
+                            latency_timer.stop()
+                            self._count_run(call, progress)
+                        event = part.accept(block)
+                        if event is None:
+                            continue
+                        await self._resumer.record(
+                            call, progress, server, event
+                        )
+                        part.record_event(event)
+                        yield event
                 part.check_end()
         except errors.StreamNotContinued:
             server.record_success()
@@ -304,7 +306,7 @@
         server: backends.BackendServer,
         progress: _stream_progress.StreamProgress,
     ) -> backends.ServiceStream:
-        remaining_seconds = _get_remaining_seconds(call)
+        remaining_seconds = _stream_reading.get_remaining_seconds(call)
         service_call = msgspec.structs.replace(
             call.service_call, timeout_seconds=remaining_seconds
         )
@@ -312,24 +314,14 @@
             # A server has begun to run the request, so its caller may have the
             # rest of the stream, even if the key has been removed since.
             service_call = msgspec.structs.replace(service_call, check=None)
-        timeout_seconds = _get_event_timeout(call, progress)
+        timeout_seconds = _stream_reading.get_event_timeout(call, progress)
         with anyio.move_on_after(timeout_seconds):
             return await self._streams.open_stream(
                 server, service_call, progress.position
             )
-        raise _build_timeout_error(call, server, timeout_seconds)
-
-    async def _read_event(
-        self,
-        call: _forwarding.ForwardedCall,
-        server: backends.BackendServer,
-        events: collections.abc.AsyncGenerator[backends.StreamEvent, None],
-        progress: _stream_progress.StreamProgress,
-    ) -> backends.StreamEvent | None:
-        timeout_seconds = _get_event_timeout(call, progress)
-        with anyio.move_on_after(timeout_seconds):
-            return await anext(events, None)
-        raise _build_timeout_error(call, server, timeout_seconds)
+        raise _stream_reading.build_timeout_error(
+            call, server, timeout_seconds
+        )
 
     def _record_failure(
         self,
@@ -352,42 +344,6 @@
         )
 
 
-def _get_remaining_seconds(call: _forwarding.ForwardedCall) -> float:
-    return max(call.deadline - anyio.current_time(), 0.0)
-
-
-def _get_event_timeout(
-    call: _forwarding.ForwardedCall, progress: _stream_progress.StreamProgress
-) -> float:
-    """Return how long to wait for the next event, in seconds.
-
-    A stream that no other server may resume can wait until the deadline, as
-    ending it early would only fail the request.
-    """
-    remaining_seconds = _get_remaining_seconds(call)
-    if progress.resumable:
-        return min(remaining_seconds, EVENT_TIMEOUT_SECONDS)
-    return remaining_seconds
-
-
-def _build_timeout_error(
-    call: _forwarding.ForwardedCall,
-    server: backends.BackendServer,
-    timeout_seconds: float,
-) -> errors.SwiftjunctionError:
-    if not _get_remaining_seconds(call):
-        return errors.RequestTimeout(
-            'the stream did not end before the deadline of the request',
-            step='stream',
-            peer=server.name,
-        )
-    return errors.AnswerBroken(
-        f'no event within {timeout_seconds:.3f} s',
-        step='stream',
-        peer=server.name,
-    )
-
-
 def _build_request_error(
     progress: _stream_progress.StreamProgress,
 ) -> errors.RequestError:
--- a/src/swiftjunction/requests/_stream_part.py
+++ b/src/swiftjunction/requests/_stream_part.py
@@ -1,15 +1,20 @@
 """The part of a relayed stream that comes from one server.
 
 What a server answers follows what the caller has only if it is the rest of the
-same stream: a success that brings events, of which the first is the one after
-the last relayed event.
+same stream: a success that brings events, of which the first numbered one
+follows the last that was relayed. Events without a number that the caller has
+after that one must be repeated first, and are not relayed again.
 """
 
 import http
 
+import msgspec
+
 from swiftjunction import backends
 from swiftjunction import errors
+from swiftjunction.requests import _stream_place
 from swiftjunction.requests import _stream_progress
+from swiftjunction import web
 
 
 class StreamPart:
@@ -23,7 +28,14 @@
         What the server answers.
     """
 
-    __slots__ = ('_is_empty', '_progress', '_resumes', '_server', '_stream')
+    __slots__ = (
+        '_is_empty',
+        '_progress',
+        '_repeated',
+        '_resumes',
+        '_server',
+        '_stream',
+    )
 
     def __init__(
         self,
@@ -35,6 +47,7 @@
         self._stream = stream
         self._server = server
         self._resumes = progress.has_events()
+        self._repeated = _stream_place.RepeatedEvents(progress.place)
         self._is_empty = True
 
     def check_head(self) -> None:
@@ -60,17 +73,47 @@
                 f'status {stream.status} without the rest of the stream'
             )
 
-    def check_event(self, event: backends.StreamEvent) -> None:
-        """Check that an event may follow the last one that was relayed.
+    def accept(
+        self, event: backends.StreamEvent
+    ) -> backends.StreamEvent | None:
+        """Return what the caller gets of an event, or of another block.
+
+        Returns
+        -------
+        StreamEvent or None
+            None if the caller has it already.
 
         Raises
         ------
         AnswerBroken
-            If it repeats an event or goes back, or if it skips one after a
-            server has taken up the stream.
+            If it repeats a numbered event or goes back, or if it skips one
+            after a server has taken up the stream.
+        StreamNotContinued
+            If the events without a number differ from those that the caller
+            has.
         """
-        if event.number == backends.NO_EVENT:
-            return
+        if self._is_repeated(event):
+            return None
+        if event.number != backends.NO_EVENT:
+            self._check_number(event)
+        if self._progress.first_stream is None:
+            return event
+        # Valid at the very beginning only.
+        return msgspec.structs.replace(
+            event, frame=event.frame.removeprefix(web.BYTE_ORDER_MARK)
+        )
+
+    def _is_repeated(self, event: backends.StreamEvent) -> bool:
+        if not event.is_event or not self._repeated.are_missing():
+            return False
+        self._is_empty = False
+        if event.number != backends.NO_EVENT or not self._repeated.add(event):
+            raise self._build_error(
+                'the events without a number are not those sent before'
+            )
+        return True
+
+    def _check_number(self, event: backends.StreamEvent) -> None:
         last_number = self._progress.position.number
         follows = (
             event.number == last_number + 1
@@ -85,8 +128,9 @@
             )
 
     def record_event(self, event: backends.StreamEvent) -> None:
-        """Record an event that is relayed now."""
-        self._is_empty = False
+        """Record an event, or another block, that is relayed now."""
+        if event.is_event:
+            self._is_empty = False
         self._progress.record_event(event, self._stream, self._server)
 
     def check_end(self) -> None:
@@ -95,12 +139,15 @@
         Raises
         ------
         StreamNotContinued
-            If an earlier part broke off, and this one has no events.
+            If an earlier part broke off, and this one has no events, or not
+            those that the caller has already.
         """
         if self._progress.first_stream is None:
             self._progress.first_stream = self._stream
         elif self._is_empty:
             raise self._build_error('the rest of the stream has no events')
+        if self._repeated.are_missing():
+            raise self._build_error('the stream ends before what was relayed')
 
     def _build_error(self, message: str) -> errors.StreamNotContinued:
         return errors.StreamNotContinued(
--- a/src/swiftjunction/requests/_stream_progress.py
+++ b/src/swiftjunction/requests/_stream_progress.py
@@ -2,6 +2,7 @@
 
 from swiftjunction import backends
 from swiftjunction import errors
+from swiftjunction.requests import _stream_place
 
 
 class StreamProgress:
@@ -21,7 +22,9 @@
     Attributes
     ----------
     position : StreamPosition
-        The last event that was relayed.
+        The last numbered event that was relayed.
+    place : PlaceDigest
+        The events without a number that were relayed after it.
     software : str or None
         The software version of the servers that wrote the events, and of each
         server that may go on; None before the first event.
@@ -50,6 +53,7 @@
         'is_recorded',
         'last_error',
         'may_have_run',
+        'place',
         'position',
         'resumable',
         'software',
@@ -64,6 +68,7 @@
         software: str | None = None,
     ) -> None:
         self.position = position
+        self.place = _stream_place.PlaceDigest()
         self.resumable = resumable
         self.first_request_id = first_request_id
         self.software = software
@@ -81,13 +86,21 @@
         stream: backends.ServiceStream,
         server: backends.BackendServer,
     ) -> None:
-        """Record an event that is relayed now."""
+        """Record an event, or another block, that is relayed now."""
         if self.first_stream is None:
             self.first_stream = stream
-        self.position = backends.StreamPosition(event.number, event.version)
+        if not event.is_event:
+            return
+        number = event.number
+        if number == backends.NO_EVENT:
+            self.place.add(event)
+            number = self.position.number
+        else:
+            self.place = _stream_place.PlaceDigest()
+        self.position = backends.StreamPosition(number, event.version)
         if self.software is None:
             self.software = server.software
 
     def has_events(self) -> bool:
-        """Return whether the caller has any events."""
+        """Return whether the caller has any numbered events."""
         return self.position.number > backends.NO_EVENT
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -9,6 +9,10 @@
 from swiftjunction.web._clients import PeerClients
 from swiftjunction.web._clients import REQUEST_START_EVENT
 from swiftjunction.web._clients import UNSENT_ERRORS
+from swiftjunction.web._event_blocks import BlockSplitter
+from swiftjunction.web._event_blocks import BYTE_ORDER_MARK
+from swiftjunction.web._event_blocks import find_first_line
+from swiftjunction.web._event_blocks import iter_fields
 from swiftjunction.web._event_streams import bound_events
 from swiftjunction.web._event_streams import MAX_EVENT_BYTES
 from swiftjunction.web._heads import RESET_LINGER
@@ -35,6 +39,8 @@
 from swiftjunction.web._transport import SOCKET_OPTIONS
 
 __all__ = [
+    'BYTE_ORDER_MARK',
+    'BlockSplitter',
     'DirectClient',
     'EXCEPTION_HANDLERS',
     'HttpListener',
@@ -56,12 +62,14 @@
     'create_client',
     'create_client_context',
     'describe_error',
+    'find_first_line',
     'find_name_problem',
     'find_target_problem',
     'find_value_problem',
     'format_address',
     'format_event',
     'is_address',
+    'iter_fields',
     'open_listener',
     'parse_address',
     'read_bearer_token',
