Log and count the time of each phase of a stop

A VM that was killed at the end of its grace period logged nothing between 'draining' and its end, so that it could not be told what the time went to.

--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -13,6 +13,7 @@
 from swiftjunction.platform import _inspection
 from swiftjunction.platform import _listening
 from swiftjunction.platform import _signals
+from swiftjunction.platform import _stopping
 from swiftjunction import supervision
 from swiftjunction import web
 
@@ -98,6 +99,7 @@
             self._server_list,
             self._supervisor,
         )
+        phases = _stopping.ShutdownPhases(self._metrics)
         LOG.info(
             'started',
             extra={
@@ -142,10 +144,13 @@
                     ),
                 )
                 await self._stopping.wait()
-                await self._drain()
+                await self._drain(phases)
+                phases.begin('answers')
                 caller_listener.close()
+            phases.begin('tasks')
             tasks.cancel_scope.cancel()
-        LOG.info('stopped')
+        phases.end()
+        LOG.info('stopped', extra={'phases': phases.summarize()})
 
     def _list_tasks(
         self,
@@ -184,8 +189,9 @@
             'tunnels': self._tunnels.run,
         }
 
-    async def _drain(self) -> None:
+    async def _drain(self, phases: _stopping.ShutdownPhases) -> None:
         """Keep serving while callers may have this VM's address cached."""
+        phases.begin('resign')
         self._state = 'draining'
         self._grace.begin(self._settings.grace_seconds)
         LOG.info('draining')
@@ -195,6 +201,7 @@
             - SHUTDOWN_RESERVE_SECONDS
         )
         await self._supervisor.run_isolated('resign', self._coordinator.resign)
+        phases.begin('serve')
         await anyio.sleep_until(drain_until)
 
     async def _become_ready(self) -> None:
