Let the reserve of a stop grow with the lag of the event loop

The time that a stopping VM leaves for its last answers was 0.45 s, whatever the processor lets it do: on a late event loop, an answer that ends then reaches its caller after the process has been killed.

Change: requests end earlier by four times the average lag of the event loop, as an answer waits for it about so often, by an eighth of the period and by 1 s at most. It is set again every 0.1 s, and the listener closes 1.05 s before that. Without lag nothing changes.

Tests: the decision without a network (bounds, both directions).

--- a/src/swiftjunction/platform/_listening.py
+++ b/src/swiftjunction/platform/_listening.py
@@ -16,8 +16,8 @@
 
 # Longer than callers keep an idle connection open.
 KEEP_ALIVE_TIMEOUT_SECONDS = 75.0
-# Requests in progress end 0.15 s earlier (requests.GracePeriod), which leaves
-# time for their responses. Connections that are still open then are idle, or
+# Requests in progress end 0.15 s earlier (requests.GracePeriod), so that their
+# responses are sent before. Connections that are still open then are idle, or
 # their callers do not read: they would keep the process until it is killed.
 GRACEFUL_TIMEOUT_SECONDS = 1.2
 # The process before this one may still have the addresses as it ends.
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -19,9 +19,7 @@
 
 LOG = logging.getLogger(__name__)
 
-# Part of the grace period that remains, after the listener has closed, for
-# responses in progress.
-SHUTDOWN_RESERVE_SECONDS = 1.5
+GRACE_CHECK_INTERVAL_SECONDS = 0.1
 READY_CHECK_INTERVAL_SECONDS = 0.1
 ROUTES_TASK = 'routes'
 SERVERS_TASK = 'servers'
@@ -193,16 +191,18 @@
         """Keep serving while callers may have this VM's address cached."""
         phases.begin('resign')
         self._state = 'draining'
-        self._grace.begin(self._settings.grace_seconds)
-        LOG.info('draining')
-        drain_until = (
-            anyio.current_time()
-            + self._settings.grace_seconds
-            - SHUTDOWN_RESERVE_SECONDS
+        loop_lag = self._directory.loop_lag
+        self._grace.begin(
+            self._settings.grace_seconds, loop_lag.average_seconds
         )
+        LOG.info('draining')
         await self._supervisor.run_isolated('resign', self._coordinator.resign)
         phases.begin('serve')
-        await anyio.sleep_until(drain_until)
+        while remaining_seconds := self._grace.compute_remaining():
+            await anyio.sleep(
+                min(remaining_seconds, GRACE_CHECK_INTERVAL_SECONDS)
+            )
+            self._grace.update(loop_lag.average_seconds)
 
     async def _become_ready(self) -> None:
         while not self._can_serve():
--- a/src/swiftjunction/requests/__init__.py
+++ b/src/swiftjunction/requests/__init__.py
@@ -20,6 +20,7 @@
 from swiftjunction.requests._forwarding import ForwardedCall
 from swiftjunction.requests._forwarding import Forwarder
 from swiftjunction.requests._generation import CompletionGenerator
+from swiftjunction.requests._grace import compute_reserve
 from swiftjunction.requests._grace import GracePeriod
 from swiftjunction.requests._origins import LocalOrigins
 from swiftjunction.requests._origins import MAX_REQUEST_ID_CHARS
@@ -59,8 +60,8 @@
     'HistoryListener',
     'LocalOrigins',
     'MAX_REQUEST_ID_CHARS',
-    'OVERLOAD_CHECK_INTERVAL_SECONDS',
     'NoRunListener',
+    'OVERLOAD_CHECK_INTERVAL_SECONDS',
     'OriginRegistry',
     'OriginTable',
     'OverloadDetector',
@@ -78,6 +79,7 @@
     'SuspectTracker',
     'build_app',
     'build_segments',
+    'compute_reserve',
     'make_fingerprint',
     'run_while_connected',
 ]
--- a/src/swiftjunction/requests/_grace.py
+++ b/src/swiftjunction/requests/_grace.py
@@ -11,6 +11,36 @@
 # Within this time the last responses reach their callers, connections that
 # are still open are aborted, and the process ends.
 ANSWER_RESERVE_SECONDS = 0.45
+# A response waits about so often for the event loop until its caller has it.
+LOOP_PASSES_PER_ANSWER = 4
+# More would cost requests that can be served, also of a VM that stops often.
+MAX_LAG_RESERVE_SECONDS = 1.0
+MAX_LAG_RESERVE_SHARE = 0.125
+# No connection is accepted for so long before requests have to end.
+CLOSING_SECONDS = 1.05
+
+
+def compute_reserve(loop_lag_seconds: float, period_seconds: float) -> float:
+    """Return how long before the end of the period requests have to end.
+
+    Parameters
+    ----------
+    loop_lag_seconds : float
+        The average lag of the event loop.
+    period_seconds : float
+        Length of the whole period.
+
+    Returns
+    -------
+    float
+        Time in seconds, between `ANSWER_RESERVE_SECONDS` and that and
+        `MAX_LAG_RESERVE_SECONDS` together.
+    """
+    return ANSWER_RESERVE_SECONDS + min(
+        loop_lag_seconds * LOOP_PASSES_PER_ANSWER,
+        period_seconds * MAX_LAG_RESERVE_SHARE,
+        MAX_LAG_RESERVE_SECONDS,
+    )
 
 
 class GracePeriod:
@@ -22,24 +52,40 @@
     flight is no later than its end.
     """
 
-    __slots__ = ('_ends_at', '_scopes')
+    __slots__ = ('_ends_at', '_killed_at', '_scopes', '_seconds')
 
     def __init__(self) -> None:
         self._ends_at = math.inf
+        self._killed_at = math.inf
+        self._seconds = math.inf
         self._scopes: set[anyio.CancelScope] = set()
 
-    def begin(self, seconds: float) -> None:
+    def begin(self, seconds: float, loop_lag_seconds: float = 0.0) -> None:
         """Begin the period.
 
         Parameters
         ----------
         seconds : float
             Time until the process is killed, in seconds.
+        loop_lag_seconds : float
+            The average lag of the event loop.
         """
-        self._ends_at = anyio.current_time() + seconds - ANSWER_RESERVE_SECONDS
+        self._seconds = seconds
+        self._killed_at = anyio.current_time() + seconds
+        self.update(loop_lag_seconds)
+
+    def update(self, loop_lag_seconds: float) -> None:
+        """Set the end of requests by the lag of the event loop."""
+        reserve_seconds = compute_reserve(loop_lag_seconds, self._seconds)
+        self._ends_at = self._killed_at - reserve_seconds
         for scope in self._scopes:
             scope.deadline = min(scope.deadline, self._ends_at)
 
+    def compute_remaining(self) -> float:
+        """Return for how long connections are accepted, in seconds."""
+        closes_at = self._ends_at - CLOSING_SECONDS
+        return max(closes_at - anyio.current_time(), 0.0)
+
     def check(self, ends_at: float) -> None:
         """Check whether a request can be accepted.
 
--- a/tests/cover/test_platform_stopping.py
+++ b/tests/cover/test_platform_stopping.py
@@ -142,3 +142,39 @@
                 grace.begin(0.3)
                 await anyio.sleep_forever()
         assert scope.cancelled_caught
+
+    async def test_the_end_moves_with_the_lag_of_the_event_loop(self):
+        grace = requests.GracePeriod()
+        grace.begin(8.0)
+        late = anyio.current_time() + 7.4
+        grace.check(late)
+        grace.update(0.05)
+        with pytest.raises(errors.NotRun):
+            grace.check(late)
+        grace.update(0.0)
+        grace.check(late)
+
+    @pytest.mark.parametrize(
+        ('lag_seconds', 'period_seconds', 'reserve_seconds'),
+        [
+            (0.0, 8.0, 0.45),
+            (0.1, 8.0, 0.85),
+            (60.0, 8.0, 1.45),
+            (60.0, 4.0, 0.95),
+            (60.0, 0.0, 0.45),
+        ],
+    )
+    def test_the_reserve_is_bounded(
+        self, lag_seconds, period_seconds, reserve_seconds
+    ):
+        reserve = requests.compute_reserve(lag_seconds, period_seconds)
+        assert reserve == pytest.approx(reserve_seconds)
+
+    async def test_connections_are_accepted_until_the_last_answers(self):
+        grace = requests.GracePeriod()
+        grace.begin(8.0)
+        assert grace.compute_remaining() == pytest.approx(6.5, abs=0.1)
+        grace.update(0.1)
+        assert grace.compute_remaining() == pytest.approx(6.1, abs=0.1)
+        grace.begin(1.0)
+        assert grace.compute_remaining() == 0.0
