--- a/bench/stops.py
+++ b/bench/stops.py
@@ -1,8 +1,8 @@
 """Measures how a VM stops under callers that keep their connections.
 
-The VMs and the stand-ins are started as the soak does. One VM gets SIGTERM; the
-time until its process ends, its exit code, and the requests that ended without
-an answer are reported:
+The VMs and the stand-ins are started as the soak does. One VM gets SIGTERM;
+the time until its process ends, its exit code, and the requests that ended
+without an answer are reported:
 
     PYTHONPATH=. python -m bench.stops --callers 40 --cores 1
 """
--- a/src/swiftjunction/platform/__main__.py
+++ b/src/swiftjunction/platform/__main__.py
@@ -2,7 +2,6 @@
 
 # The module signal would import others first.
 import _signal  # type: ignore[import-not-found]
-import os
 import sys
 
 
@@ -33,6 +32,8 @@
     could be killed. Nothing else is left to do: connections are closed, and
     the process keeps no files.
     """
+    import os
+
     sys.stdout.flush()
     sys.stderr.flush()
     os._exit(code)
