Log from which sources a process was built

Nothing told which code a process ran: it starts what lies in target/, which an earlier build may have left there.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,7 +1,9 @@
 """Builds ``target/deps``: the dependencies and the package itself.
 
 The dependencies are installed again if the folder was made for another
-Python, kind of machine or list of dependencies, or not completely.
+Python, kind of machine or list of dependencies, or not completely. With
+``--sources``, nothing is built, and the digest of the sources is printed,
+which each process logs as it starts.
 """
 
 import compileall
@@ -25,9 +27,12 @@
 # What a draft replaces, until it is deleted.
 FORMER_FOLDER = 'target/former'
 STAMP_FILE = 'stamp.json'
+# In the package: says which sources it was built from.
+ORIGIN_FILE = 'build.json'
 CONSTRAINTS_FILE = 'constraints.txt'
 PROJECT_FILE = 'pyproject.toml'
 PACKAGE = 'swiftjunction'
+DIGEST_CHARS = 16
 
 
 def read_dependencies(root: pathlib.Path) -> list[str]:
@@ -97,6 +102,31 @@
     stamp_file.write_text(stamp)
 
 
+def compute_digest(root: pathlib.Path) -> str:
+    """Return a digest of the names and contents of the package's sources."""
+    sources = root / 'src' / PACKAGE
+    digest = hashlib.sha256()
+    for path in sorted(sources.rglob('*.py')):
+        name = path.relative_to(sources).as_posix()
+        digest.update(f'{name} {path.stat().st_size}\n'.encode())
+        digest.update(path.read_bytes())
+    return digest.hexdigest()[:DIGEST_CHARS]
+
+
+def find_commit(root: pathlib.Path) -> str:
+    """Return the commit that is checked out; empty if that is not known."""
+    try:
+        return subprocess.run(
+            ['git', 'rev-parse', 'HEAD'],
+            cwd=root,
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout.strip()
+    except (OSError, subprocess.CalledProcessError):
+        return ''
+
+
 def copy_package(root: pathlib.Path, folder: pathlib.Path) -> None:
     """Copy the package and compile it, as roles may not write there."""
     shutil.copytree(
@@ -104,6 +134,9 @@
         folder,
         ignore=shutil.ignore_patterns('__pycache__'),
     )
+    origin = {'commit': find_commit(root), 'sources': compute_digest(root)}
+    (folder / ORIGIN_FILE).write_text(json.dumps(origin))
+    print('built', json.dumps(origin))
     compileall.compile_dir(
         folder,
         ddir=str(root / FOLDER / PACKAGE),
@@ -137,6 +170,9 @@
 
 
 if __name__ == '__main__':
+    if sys.argv[1:] == ['--sources']:
+        print(compute_digest(ROOT))
+        sys.exit()
     try:
         build(ROOT)
     except subprocess.CalledProcessError as error:
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -6,8 +6,10 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from swiftjunction import coordination
+from swiftjunction.platform import _builds
 from swiftjunction.platform import _components
 from swiftjunction.platform import _ingress
 from swiftjunction.platform import _inspection
@@ -106,6 +108,7 @@
                 'run': self._members.own.run,
                 'python': sys.version.split()[0],
                 'machine': os.uname().machine,
+                'build': msgspec.to_builtins(_builds.read_origin()),
             },
         )
         async with anyio.create_task_group() as tasks:
--- a/tests/cover/test_deploy_build.py
+++ b/tests/cover/test_deploy_build.py
@@ -1,5 +1,6 @@
 """The build command of ``deploy/system.toml``, with a stand-in for pip."""
 
+import json
 import os
 import pathlib
 import shutil
@@ -9,6 +10,8 @@
 
 import pytest
 
+from swiftjunction.platform import _builds
+
 ROOT = pathlib.Path(__file__).parents[2]
 BUILD_TIMEOUT_SECONDS = 60
 # Installs two modules, or ends in between.
@@ -116,6 +119,36 @@
     assert not (copied / 'new.py').exists()
 
 
+def test_a_build_says_from_which_sources_it_was_made(checkout):
+    def read_digest():
+        text = (checkout.deps / 'swiftjunction/build.json').read_text()
+        return json.loads(text)['sources']
+
+    def print_digest():
+        command = [sys.executable, 'deploy/build.py', '--sources']
+        return subprocess.check_output(
+            command, cwd=checkout.root, text=True
+        ).strip()
+
+    checkout.build()
+    first = read_digest()
+    assert first == print_digest()
+    (checkout.root / 'src/swiftjunction/__init__.py').write_text('X = 1\n')
+    # The build was not repeated, so that the former package still runs.
+    assert read_digest() == first != print_digest()
+    checkout.build()
+    assert read_digest() == print_digest()
+
+
+def test_a_package_without_a_build_file_names_no_sources(tmp_path):
+    path = tmp_path / 'build.json'
+    assert _builds.read_origin(path) == _builds.BuildOrigin()
+    path.write_text('{"commit": "c", "sources": "s"}')
+    assert _builds.read_origin(path) == _builds.BuildOrigin('c', 's')
+    path.write_text('[')
+    assert _builds.read_origin(path) == _builds.BuildOrigin()
+
+
 @pytest.mark.parametrize(
     'variables',
     [
