Send streams in several forms in the soak and the demo

The stand-ins sent numbered events with LF only, so that neither the soak nor the demo could show that other parts of a stream are left out.

Change: engines of the soak and of the demo send a share of their streams with CRLF or CR, with comments before the events, and with an end mark that has no number; the form goes by the id of the request, so that all engines agree. The soak compares the whole body, without comments and lines of weight versions, which depend on the engines that sent the parts.

As processes, 36 streams on both kinds of route and 16 texts of a batch are whole (test_platform_processes.py).

--- a/soak/load.py
+++ b/soak/load.py
@@ -130,15 +130,16 @@
         request_id = outcome.request_id
         if outcome.kind == 'streams':
             data = standins.list_event_data(response.text.splitlines())
-            text = '\n'.join(data)
-            expected = checks.make_expected_text(request_id, data)
+            software = standins.find_software(data[:1])
+            expected = standins.make_platform_stream(request_id, *software)
+            body = standins.remove_additions(response.content)
         else:
-            expected, text = request_id, response.text
+            expected, body = request_id.encode(), response.content
         signature = response.headers.get('swiftjunction-response-signature')
         self._invariants.check(
             'a response is complete and belongs to its request',
-            (text, signature) == (expected, f'signed.{request_id}'),
-            (outcome.vm, request_id, text, signature),
+            (body, signature) == (expected, f'signed.{request_id}'),
+            (outcome.vm, request_id, body, signature),
         )
 
     def _make_id(self, prefix: str) -> str:
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -265,6 +265,8 @@
             )
             for name, software in ENGINE_SOFTWARE.items()
         }
+        for engine in self.engines.values():
+            engine.varies_streams = True
         self.servers: dict[
             str,
             standins.PlatformServiceStandin | standins.PlatformEngineStandin,
--- a/src/swiftjunction/demo/_fleet.py
+++ b/src/swiftjunction/demo/_fleet.py
@@ -218,6 +218,7 @@
                 weights,
                 checks_fencing=self.options.checks_fencing,
             )
+            engine.varies_streams = True
             self.engines[name] = engine
             self.spawn(f'{name} batch', engine.run)
             self._register_server(name, engine, self.options.model, number)
--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -12,6 +12,7 @@
 from swiftjunction.standins._hosting import serve
 from swiftjunction.standins._hosting import Standin
 from swiftjunction.standins._objects import ObjectStoreStandin
+from swiftjunction.standins._platform_servers import make_platform_stream
 from swiftjunction.standins._platform_servers import make_platform_text
 from swiftjunction.standins._platform_servers import PlatformEngineStandin
 from swiftjunction.standins._platform_servers import PlatformServiceStandin
@@ -28,6 +29,7 @@
 from swiftjunction.standins._software import DEFAULT_SOFTWARE
 from swiftjunction.standins._software import find_software
 from swiftjunction.standins._software import list_event_data
+from swiftjunction.standins._stream_forms import remove_additions
 from swiftjunction.standins._texts import count_tokens
 from swiftjunction.standins._texts import make_completion_text
 from swiftjunction.standins._trainer import TrainerStandin
@@ -63,9 +65,11 @@
     'find_software',
     'list_event_data',
     'make_completion_text',
+    'make_platform_stream',
     'make_platform_text',
     'read_schedule',
     'read_standin_settings',
+    'remove_additions',
     'reserve_ports',
     'run_schedule',
     'serve',
--- a/src/swiftjunction/standins/_engine.py
+++ b/src/swiftjunction/standins/_engine.py
@@ -59,6 +59,11 @@
     checks_fencing : bool
         Whether it refuses orders with an outdated fencing token.
 
+    Attributes
+    ----------
+    varies_streams : bool
+        Send streams in several forms: with comments, CRLF or CR.
+
     Faults
     ------
     crashed : seconds for which connections are refused; requests, cached
@@ -111,6 +116,7 @@
         *,
         checks_fencing: bool = True,
     ) -> None:
+        self.varies_streams = False
         self.name = name
         self.model = model
         self.weight_version = 0
--- a/src/swiftjunction/standins/_engine_app.py
+++ b/src/swiftjunction/standins/_engine_app.py
@@ -12,6 +12,7 @@
 from swiftjunction import backends
 from swiftjunction.standins import _engine
 from swiftjunction.standins import _generations
+from swiftjunction.standins import _stream_forms
 from swiftjunction.standins import _texts
 from swiftjunction import web
 
@@ -178,8 +179,12 @@
     def _make_stream_response(
         self, generation: _generations.Generation, offset: int
     ) -> starlette.responses.Response:
+        events = self._iter_chunk_events(generation, offset)
+        if self._engine.varies_streams:
+            form = _stream_forms.choose_form(generation.request_id)
+            events = form.apply(events)
         return starlette.responses.StreamingResponse(
-            self._iter_chunk_events(generation, offset),
+            events,
             media_type='text/event-stream',
             headers=self._make_headers(),
         )
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -14,6 +14,7 @@
 from swiftjunction.standins import _faults
 from swiftjunction.standins import _server_exchange
 from swiftjunction.standins import _software
+from swiftjunction.standins import _stream_forms
 from swiftjunction import web
 
 Request = starlette.requests.Request
@@ -149,6 +150,8 @@
         Active version of each model.
     software : str
         Version of its software; a test that changes it restarts the engine.
+    varies_streams : bool
+        Send streams in several forms: with comments, end marks, CRLF or CR.
     server_runs : ServerRuns
         The starts of the server, and the requests that reached each run.
     targets : list of str
@@ -183,6 +186,7 @@
     ) -> None:
         self.name = name
         self.software = software
+        self.varies_streams = False
         self.memory_sources: list[tuple[str, str]] = []
         self.generated: dict[str, set[tuple[int, int]]] = {}
         self._event_interval_seconds = event_interval_seconds
@@ -327,6 +331,11 @@
         self, request_id: str, after: int, model: str, header_version: int
     ) -> collections.abc.AsyncGenerator[bytes, None]:
         known_version = header_version
+        form = (
+            _stream_forms.choose_form(request_id)
+            if self.varies_streams
+            else _stream_forms.StreamForm()
+        )
         generated = self.generated.setdefault(request_id, set())
         self._running_count += 1
         self.max_concurrent_samples = max(
@@ -347,18 +356,22 @@
                         f'swiftjunction-weight-versions:{known_version}\n'
                         f'{event}'
                     )
+                if form.comment:
+                    yield form.encode(form.comment)
                 if number == EVENT_COUNT // 2 and self.faults.consume('cut'):
-                    yield event[:8].encode()
+                    yield form.encode(event)[:8]
                     raise ConnectionAbortedError
                 if number == EVENT_COUNT // 2 and self.faults.consume('stall'):
                     await anyio.sleep(_server_exchange.UNANSWERED_SECONDS)
                 if number == EVENT_COUNT // 2 and self.faults.consume('skip'):
                     continue
-                yield event.encode()
+                yield form.encode(event)
                 if number == EVENT_COUNT // 2 and self.faults.consume(
                     'repeat'
                 ):
-                    yield event.encode()
+                    yield form.encode(event)
+            if form.end_mark:
+                yield form.encode(form.end_mark)
         finally:
             self._running_count -= 1
 
@@ -371,3 +384,20 @@
         _software.make_event_data(item_id, number, software)
         for number in range(EVENT_COUNT)
     )
+
+
+def make_platform_stream(
+    request_id: str, software: str = _software.DEFAULT_SOFTWARE
+) -> bytes:
+    """Return the body that an engine that varies its streams sends.
+
+    It has no comments and no lines of weight versions, which
+    `remove_additions` removes from what callers get.
+    """
+    form = _stream_forms.choose_form(request_id)
+    events = (
+        f'id: {number}\n'
+        f'data: {_software.make_event_data(request_id, number, software)}\n\n'
+        for number in range(EVENT_COUNT)
+    )
+    return form.encode(''.join(events) + form.end_mark)
--- a/src/swiftjunction/standins/_software.py
+++ b/src/swiftjunction/standins/_software.py
@@ -7,6 +7,9 @@
 import collections.abc
 
 DEFAULT_SOFTWARE = 'v1'
+DATA_PREFIX = 'data: '
+# The data that some engines send after the last event.
+END_DATA = '[DONE]'
 
 
 def make_event_data(text_id: str, number: int, software: str) -> str:
@@ -15,12 +18,13 @@
 
 
 def list_event_data(lines: collections.abc.Iterable[str]) -> list[str]:
-    """Return the data of the events in the lines of an event stream."""
-    return [
-        line.removeprefix('data: ')
+    """Return the data of the numbered events in the lines of a stream."""
+    data = [
+        line.removeprefix(DATA_PREFIX)
         for line in lines
-        if line.startswith('data: ')
+        if line.startswith(DATA_PREFIX)
     ]
+    return [item for item in data if item != END_DATA]
 
 
 def find_software(data: collections.abc.Iterable[str]) -> set[str]:
--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -195,3 +195,41 @@
     assert test_platform_versions.find_mixed(results) == []
     assert all(stream.is_complete() for stream in streams)
     assert [s.data for s in streams if len(s.software) != 1] == []
+
+
+@pytest.mark.anyio
+async def test_streams_of_any_form_arrive_whole(tmp_path):
+    deployment = ProcessDeployment(tmp_path)
+    for engine in deployment.engines.values():
+        engine.varies_streams = True
+    try:
+        async with deployment.run():
+            bodies = {}
+            for number in range(36):
+                request_id = f'r{number}'
+                path = ('/streams', '/streams-once')[number % 2]
+                response = await deployment.send_request(
+                    'vm-1',
+                    'POST',
+                    f'{path}/a',
+                    headers={
+                        'swiftjunction-attempt-id': request_id,
+                        'swiftjunction-model': platform_deployment.MODEL,
+                    },
+                )
+                bodies[request_id] = response.content
+            await deployment.submit(
+                'vm-1', 'b1', platform_deployment.make_batch(groups=8)
+            )
+            results = await deployment.wait_for_results('vm-1', 'b1', 16)
+            await deployment.stop_vm('vm-1')
+    finally:
+        deployment.close()
+    for request_id, body in bodies.items():
+        expected = standins.make_platform_stream(request_id)
+        assert standins.remove_additions(body) == expected
+    joined = b''.join(bodies.values())
+    for part in (b': ping\n', b': ping\r\n', b'[DONE]', b'event: end\r'):
+        assert part in joined
+    for result in results:
+        assert result['text'] == standins.make_platform_text(result['id'])
