Part the platform's and the coordination's modules by their job

coordination/ had 33 modules and platform/ 37 in one folder. Now platform/servers/ sends requests to backend servers, platform/callers/ answers callers and trainers, coordination/leadership/ holds the coordinator's lease and coordination/records/ what VMs learn and store for all; each behind a public package with what the rest uses. The reports of engines have a module of their own, as _workers.py had more than 400 lines.

Files were moved and imports changed; no statement of a function changed but the place of the report's decoding.

--- a/src/swiftjunction/coordination/__init__.py
+++ b/src/swiftjunction/coordination/__init__.py
@@ -7,21 +7,12 @@
 from swiftjunction.coordination._confirmer import ConfigurationConfirmer
 from swiftjunction.coordination._confirming import confirm_servers
 from swiftjunction.coordination._confirming import FeedConfirmation
-from swiftjunction.coordination._coordinator import Coordinator
-from swiftjunction.coordination._coordinator import CoordinatorTask
-from swiftjunction.coordination._crashes import StoreCrashRegistry
 from swiftjunction.coordination._datagrams import PeerDatagrams
 from swiftjunction.coordination._deployment import Catalog
 from swiftjunction.coordination._deployment import DeploymentReader
 from swiftjunction.coordination._deployment import VmReport
-from swiftjunction.coordination._duty import ControlLoops
-from swiftjunction.coordination._duty import DeploymentEvents
-from swiftjunction.coordination._duty import Duty
 from swiftjunction.coordination._feed import SharedFeed
-from swiftjunction.coordination._fitness import DutyFitness
-from swiftjunction.coordination._fitness import EngineFitness
 from swiftjunction.coordination._members import MemberTable
-from swiftjunction.coordination._origins import SharedOrigins
 from swiftjunction.coordination._outages import OutageProbe
 from swiftjunction.coordination._peer import PeerBatchAccess
 from swiftjunction.coordination._peer import PeerClient
@@ -36,8 +27,17 @@
 from swiftjunction.coordination._statuses import Member
 from swiftjunction.coordination._statuses import MEMBER_PREFIX
 from swiftjunction.coordination._statuses import MemberStatus
-from swiftjunction.coordination._stored_origins import OriginArchive
 from swiftjunction.coordination._watching import PeerMonitor
+from swiftjunction.coordination.leadership import ControlLoops
+from swiftjunction.coordination.leadership import Coordinator
+from swiftjunction.coordination.leadership import CoordinatorTask
+from swiftjunction.coordination.leadership import DeploymentEvents
+from swiftjunction.coordination.leadership import Duty
+from swiftjunction.coordination.leadership import DutyFitness
+from swiftjunction.coordination.leadership import EngineFitness
+from swiftjunction.coordination.records import OriginArchive
+from swiftjunction.coordination.records import SharedOrigins
+from swiftjunction.coordination.records import StoreCrashRegistry
 
 __all__ = [
     'Catalog',
--- a/src/swiftjunction/coordination/_coordinator.py
+++ b/src/swiftjunction/coordination/leadership/_coordinator.py
@@ -10,11 +10,11 @@
 import msgspec
 
 from swiftjunction.coordination import _datagrams
-from swiftjunction.coordination import _fitness
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _statuses
-from swiftjunction.coordination import _successors
-from swiftjunction.coordination import _terms
+from swiftjunction.coordination.leadership import _fitness
+from swiftjunction.coordination.leadership import _successors
+from swiftjunction.coordination.leadership import _terms
 from swiftjunction import errors
 from swiftjunction import leases
 
--- a/src/swiftjunction/coordination/_duty.py
+++ b/src/swiftjunction/coordination/leadership/_duty.py
@@ -8,7 +8,7 @@
 import anyio
 
 from swiftjunction import batches
-from swiftjunction.coordination import _coordinator
+from swiftjunction.coordination.leadership import _coordinator
 from swiftjunction import errors
 from swiftjunction import leases
 from swiftjunction import supervision
--- a/src/swiftjunction/coordination/_origins.py
+++ b/src/swiftjunction/coordination/records/_origins.py
@@ -17,7 +17,7 @@
 from swiftjunction.coordination import _datagrams
 from swiftjunction.coordination import _members
 from swiftjunction.coordination import _statuses
-from swiftjunction.coordination import _stored_origins
+from swiftjunction.coordination.records import _stored_origins
 from swiftjunction import requests
 
 LOG = logging.getLogger(__name__)
--- a/src/swiftjunction/coordination/_stored_origins.py
+++ b/src/swiftjunction/coordination/records/_stored_origins.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from swiftjunction.coordination import _members
-from swiftjunction.coordination import _pending_write
+from swiftjunction.coordination.records import _pending_write
 from swiftjunction import errors
 from swiftjunction import objectstore
 from swiftjunction import requests
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -12,14 +12,10 @@
 from swiftjunction import coordination
 from swiftjunction import membership
 from swiftjunction import organisations
-from swiftjunction.platform import _batch_calls
-from swiftjunction.platform import _caller_bodies
 from swiftjunction.platform import _duty_tasks
 from swiftjunction.platform import _election
 from swiftjunction.platform import _feeds
-from swiftjunction.platform import _ingress
 from swiftjunction.platform import _inspection
-from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
 from swiftjunction.platform import _reloading
 from swiftjunction.platform import _server_starts
@@ -28,7 +24,8 @@
 from swiftjunction.platform import _store
 from swiftjunction.platform import _tunneling
 from swiftjunction.platform import _usage_reports
-from swiftjunction.platform import _workers
+from swiftjunction.platform import callers
+from swiftjunction.platform import servers
 from swiftjunction import requests
 from swiftjunction import routes
 from swiftjunction import routing
@@ -130,7 +127,7 @@
         self._reachability = backends.Reachability(
             self._directory.select, rng, supervisor=self._supervisor
         )
-        workers = _workers.WorkerClient(
+        workers = servers.WorkerClient(
             self._clients,
             backends.ServerPaths(
                 self._clients,
@@ -317,9 +314,9 @@
         forwarder: requests.Forwarder,
         stream_relay: requests.StreamRelay,
         rng: random.Random,
-    ) -> _ingress.Ingress:
-        bodies = _caller_bodies.CallerBodies(self._active_routes)
-        batch_calls = _batch_calls.BatchCalls(
+    ) -> callers.Ingress:
+        bodies = callers.CallerBodies(self._active_routes)
+        batch_calls = callers.BatchCalls(
             self._active_routes,
             self._archive,
             batches.FailoverAccess(
@@ -334,7 +331,7 @@
             rng,
             self._metrics,
         )
-        return _ingress.Ingress(
+        return callers.Ingress(
             self._settings,
             self._active_routes,
             forwarder,
@@ -342,7 +339,7 @@
             self._admission,
             batch_calls,
             bodies,
-            _keys.CallerIdentification(
+            callers.CallerIdentification(
                 self._settings,
                 self._active_routes,
                 self._confirmation,
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -11,11 +11,11 @@
 from swiftjunction import coordination
 from swiftjunction.platform import _builds
 from swiftjunction.platform import _components
-from swiftjunction.platform import _ingress
 from swiftjunction.platform import _inspection
 from swiftjunction.platform import _listening
 from swiftjunction.platform import _signals
 from swiftjunction.platform import _stopping
+from swiftjunction.platform import callers
 from swiftjunction import supervision
 from swiftjunction import web
 
@@ -141,7 +141,7 @@
                     self._supervisor.run_essential,
                     'caller listener',
                     lambda: caller_listener.serve(
-                        _ingress.IngressApp(self._ingress)
+                        callers.IngressApp(self._ingress)
                     ),
                 )
                 await self._stopping.wait()
--- a/src/swiftjunction/platform/_batch_calls.py
+++ b/src/swiftjunction/platform/callers/_batch_calls.py
@@ -11,11 +11,11 @@
 
 from swiftjunction import batches
 from swiftjunction import errors
-from swiftjunction.platform import _batches
-from swiftjunction.platform import _caller_bodies
-from swiftjunction.platform import _caller_http
-from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
+from swiftjunction.platform.callers import _batches
+from swiftjunction.platform.callers import _caller_bodies
+from swiftjunction.platform.callers import _caller_http
+from swiftjunction.platform.callers import _keys
 from swiftjunction import routes
 from swiftjunction import telemetry
 
--- a/src/swiftjunction/platform/_batches.py
+++ b/src/swiftjunction/platform/callers/_batches.py
@@ -9,9 +9,9 @@
 from swiftjunction import batches
 from swiftjunction import decoding
 from swiftjunction import errors
-from swiftjunction.platform import _item_checks
-from swiftjunction.platform import _keys
 from swiftjunction.platform import _names
+from swiftjunction.platform.callers import _item_checks
+from swiftjunction.platform.callers import _keys
 from swiftjunction import routes
 
 
--- a/src/swiftjunction/platform/_caller_calls.py
+++ b/src/swiftjunction/platform/callers/_caller_calls.py
@@ -4,8 +4,8 @@
 
 from swiftjunction import backends
 from swiftjunction import configuration
-from swiftjunction.platform import _caller_http
-from swiftjunction.platform import _keys
+from swiftjunction.platform.callers import _caller_http
+from swiftjunction.platform.callers import _keys
 from swiftjunction import requests
 from swiftjunction import routes
 
--- a/src/swiftjunction/platform/_responses.py
+++ b/src/swiftjunction/platform/servers/_responses.py
@@ -8,8 +8,8 @@
 
 from swiftjunction import backends
 from swiftjunction import errors
-from swiftjunction.platform import _events
 from swiftjunction.platform import _names
+from swiftjunction.platform.servers import _events
 
 # Statuses that mean the request was not run, if the response confirms it with
 # the not-executed header.
--- a/src/swiftjunction/platform/_workers.py
+++ b/src/swiftjunction/platform/servers/_workers.py
@@ -11,12 +11,12 @@
 
 from swiftjunction import backends
 from swiftjunction import batches
-from swiftjunction import decoding
 from swiftjunction import errors
-from swiftjunction.platform import _events
 from swiftjunction.platform import _names
-from swiftjunction.platform import _request_headers
-from swiftjunction.platform import _responses
+from swiftjunction.platform.servers import _events
+from swiftjunction.platform.servers import _reports
+from swiftjunction.platform.servers import _request_headers
+from swiftjunction.platform.servers import _responses
 from swiftjunction import web
 
 LOG = logging.getLogger(__name__)
@@ -29,19 +29,6 @@
 STREAM_TIMEOUT_SECONDS = 30.0
 
 
-class _Model(msgspec.Struct):
-    name: str
-    version: int
-
-
-class _Report(msgspec.Struct):
-    models: list[_Model] = []
-    busy: bool = False
-    # Number of orders that the engine has accepted.
-    sequence: int = 0
-    born: int = 0
-
-
 class WorkerClient(
     backends.ServiceTransport,
     backends.StreamTransport,
@@ -228,18 +215,7 @@
                 f'the server answered the report request with status {status}',
                 server,
             )
-        try:
-            report = decoding.decode_json(body, _Report)
-        except errors.ContentBroken as error:
-            raise _responses.build_response_error(
-                f'invalid report: {error}', server
-            ) from error
-        return batches.EngineReport(
-            {model.name: model.version for model in report.models},
-            report.busy,
-            report.sequence,
-            report.born,
-        )
+        return _reports.parse_report(body, server)
 
     async def send_order(
         self,
--- a/tests/cover/test_backends_rates.py
+++ b/tests/cover/test_backends_rates.py
@@ -6,7 +6,7 @@
 
 from swiftjunction import backends
 from swiftjunction import membership
-from swiftjunction.platform import _responses
+from swiftjunction.platform.servers import _responses
 
 RUN = ('s', 1)
 
--- a/tests/cover/test_coordination_origin_archive.py
+++ b/tests/cover/test_coordination_origin_archive.py
@@ -4,7 +4,7 @@
 import pytest
 
 from swiftjunction import coordination
-from swiftjunction.coordination import _stored_origins
+from swiftjunction.coordination.records import _stored_origins
 from swiftjunction import requests
 from swiftjunction import supervision
 from swiftjunction import telemetry
--- a/tests/cover/test_coordination_origins.py
+++ b/tests/cover/test_coordination_origins.py
@@ -7,7 +7,7 @@
 import pytest
 
 from swiftjunction import coordination
-from swiftjunction.coordination import _origins
+from swiftjunction.coordination.records import _origins
 from swiftjunction import requests
 from swiftjunction import standins
 from swiftjunction import web
--- a/tests/cover/test_coordination_pending_write.py
+++ b/tests/cover/test_coordination_pending_write.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from swiftjunction.coordination import _pending_write
+from swiftjunction.coordination.records import _pending_write
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/cover/test_endless_events.py
+++ b/tests/cover/test_endless_events.py
@@ -8,8 +8,8 @@
 from swiftjunction import backends
 from swiftjunction import batches
 from swiftjunction import errors
-from swiftjunction.platform import _events
-from swiftjunction.platform import _workers
+from swiftjunction.platform.servers import _events
+from swiftjunction.platform.servers import _workers
 from swiftjunction import web
 from tests import endless_server
 
--- a/tests/cover/test_endless_memory.py
+++ b/tests/cover/test_endless_memory.py
@@ -8,7 +8,7 @@
 
 from swiftjunction import backends
 from swiftjunction import errors
-from swiftjunction.platform import _workers
+from swiftjunction.platform.servers import _workers
 from swiftjunction import web
 from tests import endless_server
 
--- a/tests/cover/test_endless_retries.py
+++ b/tests/cover/test_endless_retries.py
@@ -6,7 +6,7 @@
 from swiftjunction import backends
 from swiftjunction import configuration
 from swiftjunction import membership
-from swiftjunction.platform import _workers
+from swiftjunction.platform.servers import _workers
 from swiftjunction import requests
 from swiftjunction import web
 from tests.cover import test_requests_forwarding
--- a/tests/cover/test_endless_samples.py
+++ b/tests/cover/test_endless_samples.py
@@ -7,7 +7,7 @@
 
 from swiftjunction import batches
 from swiftjunction.batches import _engines
-from swiftjunction.platform import _workers
+from swiftjunction.platform.servers import _workers
 from swiftjunction import telemetry
 from swiftjunction import web
 from tests.cover import test_batches_planning
--- a/tests/cover/test_event_streams_whole.py
+++ b/tests/cover/test_event_streams_whole.py
@@ -6,7 +6,7 @@
 import pytest
 
 from swiftjunction import errors
-from swiftjunction.platform import _events
+from swiftjunction.platform.servers import _events
 from tests import scripted_relay
 from tests import scripted_server
 
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -8,11 +8,11 @@
 
 from swiftjunction import errors
 from swiftjunction import objectstore
-from swiftjunction.platform import _batches
-from swiftjunction.platform import _events
 from swiftjunction.platform import _schemas
 from swiftjunction.platform import _settings
 from swiftjunction.platform import _store
+from swiftjunction.platform.callers import _batches
+from swiftjunction.platform.servers import _events
 from swiftjunction import routes
 from swiftjunction import standins
 from swiftjunction import web
--- a/tests/cover/test_platform_isolated.py
+++ b/tests/cover/test_platform_isolated.py
@@ -9,7 +9,7 @@
 from swiftjunction import configuration
 from swiftjunction import errors
 from swiftjunction import membership
-from swiftjunction.platform import _workers
+from swiftjunction.platform.servers import _workers
 from swiftjunction import requests
 from swiftjunction import routing
 from swiftjunction import web
--- a/tests/cover/test_platform_leaving.py
+++ b/tests/cover/test_platform_leaving.py
@@ -12,7 +12,7 @@
 from swiftjunction import configuration
 from swiftjunction import errors
 from swiftjunction import membership
-from swiftjunction.platform import _workers
+from swiftjunction.platform.servers import _workers
 from swiftjunction import requests
 from swiftjunction import routes
 from swiftjunction import routing
--- a/tests/cover/test_platform_odd_samples.py
+++ b/tests/cover/test_platform_odd_samples.py
@@ -7,8 +7,8 @@
 import pytest
 
 from swiftjunction import objectstore
-from swiftjunction.platform import _batches
 from swiftjunction.platform import _schemas
+from swiftjunction.platform.callers import _batches
 from tests.cover import test_platform_processes
 from tests import platform_deployment
 
--- a/tests/cover/test_platform_sending.py
+++ b/tests/cover/test_platform_sending.py
@@ -10,7 +10,7 @@
 from swiftjunction import backends
 from swiftjunction import batches
 from swiftjunction import errors
-from swiftjunction.platform import _workers
+from swiftjunction.platform.servers import _workers
 from swiftjunction import web
 
 pytestmark = pytest.mark.anyio
--- a/tests/cover/test_platform_weight_versions.py
+++ b/tests/cover/test_platform_weight_versions.py
@@ -6,8 +6,8 @@
 from swiftjunction import backends
 from swiftjunction import errors
 from swiftjunction import membership
-from swiftjunction.platform import _events
-from swiftjunction.platform import _responses
+from swiftjunction.platform.servers import _events
+from swiftjunction.platform.servers import _responses
 
 NAME = 'swiftjunction-weight-versions'
 BROKEN = ['9' * 5000, '9' * 20, '9' * 25]
