Read the streams of an own deployment's engines with the same blocks

A completion began without its first part, and was complete: an engine that begins its stream with a byte order mark, as the standard allows, had its first event ignored, as the reader took the mark for a part of the field's name.

Cause: two parsers, one for the platform's streams and a library for the others.

Other forms (CRLF, CR, comments, other fields, any split) were whole before, and are.

--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -6,7 +6,6 @@
 
 import anyio
 import httpx
-import httpx_sse
 import msgspec
 
 from swiftjunction.backends import _http
@@ -17,6 +16,7 @@
 from swiftjunction import errors
 from swiftjunction import web
 
+EVENT_STREAM_TYPE = 'text/event-stream'
 CANCEL_TIMEOUT_SECONDS = 2.0
 # The renewal interval, the renewal timeout and this must together be shorter
 # than a lease.
@@ -172,7 +172,6 @@
         try:
             _check_response(response, server, step)
             bounded = web.bound_events(response, call.timeout_seconds)
-            source = httpx_sse.EventSource(response)
             with (
                 self._pacing.count_stream(),
                 _http.translate_errors(step, peer),
@@ -180,7 +179,7 @@
                 started_at = read_at = anyio.current_time()
                 # Chunks that repeat known tokens are no progress.
                 end = 0
-                events = source.aiter_sse()
+                events = web.read_events(response)
                 async for event in events:
                     if event.data == '[DONE]':
                         break
@@ -283,23 +282,24 @@
     ) -> collections.abc.AsyncIterator[_orders.EngineStatus]:
         """Yield the status of the engine now and after each change."""
         with _http.translate_errors('watch', address):
-            async with httpx_sse.aconnect_sse(
-                self._peers.get(address),
+            async with self._peers.get(address).stream(
                 'GET',
                 '/events',
+                headers={'accept': EVENT_STREAM_TYPE},
                 timeout=_orders.STATUS_TIMEOUT_SECONDS,
-            ) as source:
+            ) as response:
+                _check_event_stream(response, 'watch', address)
                 bounded = web.bound_events(
-                    source.response, _orders.STATUS_TIMEOUT_SECONDS
+                    response, _orders.STATUS_TIMEOUT_SECONDS
                 )
-                async for event in source.aiter_sse():
+                async for event in web.read_events(response):
                     bounded.record_event()
-                    if event.event == 'status':
+                    if event.name == 'status':
                         yield _orders.decode_status(event.data, address)
 
 
 async def _read_to_end(
-    events: collections.abc.AsyncIterator[httpx_sse.ServerSentEvent],
+    events: collections.abc.AsyncIterator[web.ServerEvent],
 ) -> None:
     """Read the rest of the stream, so that the connection can be reused.
 
@@ -329,12 +329,18 @@
             step=step,
             peer=server.name,
         )
+    _check_event_stream(response, step, server.name)
+
+
+def _check_event_stream(
+    response: httpx.Response, step: str, peer: str
+) -> None:
     content_type = response.headers.get('content-type', '')
-    if not content_type.startswith('text/event-stream'):
+    if not content_type.startswith(EVENT_STREAM_TYPE):
         raise errors.AnswerBroken(
             f'content type is {content_type!r} instead of an event stream',
             step=step,
-            peer=server.name,
+            peer=peer,
         )
 
 
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -13,6 +13,8 @@
 from swiftjunction.web._event_blocks import BYTE_ORDER_MARK
 from swiftjunction.web._event_blocks import find_first_line
 from swiftjunction.web._event_blocks import iter_fields
+from swiftjunction.web._event_reading import read_events
+from swiftjunction.web._event_reading import ServerEvent
 from swiftjunction.web._event_streams import bound_events
 from swiftjunction.web._event_streams import MAX_EVENT_BYTES
 from swiftjunction.web._heads import RESET_LINGER
@@ -50,6 +52,7 @@
     'RESET_LINGER',
     'SHORT_BODY',
     'SOCKET_OPTIONS',
+    'ServerEvent',
     'SocketOptions',
     'TlsContexts',
     'TlsFiles',
@@ -73,6 +76,7 @@
     'open_listener',
     'parse_address',
     'read_bearer_token',
+    'read_events',
     'read_target',
     'respond_error',
     'respond_json',
