Answer streams and trainers' calls before a stopping VM ends

Callers of a VM that stops saw their connection closed without an answer at the end of its grace period: streams whose server had not sent an event yet, and calls of trainers that were still waiting.

Cause: the end of the grace period limited plain requests only. A stream was bound by its own deadline, a trainer's call by nothing; the listener aborts what is open when it gives up.

Change: what has no response by the end of the period gets 504, whatever it is. A stream that has begun still ends visibly incomplete.

Tests: of a deployment, a stream and a trainer's call in flight as the stop begins. Both failed before (no response within the grace period); the plain request passed, and does. The test that read 504 for the plain request alone checks the same for each.

--- a/src/swiftjunction/platform/callers/_ingress.py
+++ b/src/swiftjunction/platform/callers/_ingress.py
@@ -4,6 +4,7 @@
 import contextlib
 import http
 import logging
+import math
 import random
 import time
 
@@ -169,7 +170,7 @@
         request_id = request.headers.get(_names.ATTEMPT_ID_HEADER, '')
         telemetry.set_request_context(request_id, '')
         try:
-            response = await self._dispatch(request, path, request_id)
+            response = await self._dispatch_in_time(request, path, request_id)
             outcome = 'answered'
             self._log_response(path, request_id, response, started_at)
         except errors.RequestError as error:
@@ -205,6 +206,22 @@
             },
         )
 
+    async def _dispatch_in_time(
+        self, request: Request, path: str, request_id: str
+    ) -> Response:
+        """Return a response before a process that is to stop has to end.
+
+        Raises
+        ------
+        RequestTimeout
+            If there is none by then; the request may have run.
+        """
+        with self._grace.limit(math.inf):
+            return await self._dispatch(request, path, request_id)
+        raise errors.RequestTimeout(
+            'this VM stops before there is a response', step='call'
+        )
+
     async def _dispatch(
         self, request: Request, path: str, request_id: str
     ) -> Response:
--- a/tests/cover/test_platform_stopping.py
+++ b/tests/cover/test_platform_stopping.py
@@ -101,18 +101,21 @@
     assert served.status_code == 200
 
 
+@pytest.mark.parametrize('path', ['/once/a', '/streams-once/a'])
 async def test_a_request_in_flight_is_answered_before_the_process_ends(
-    ending_deployment,
+    ending_deployment, path
 ):
+    servers = [
+        *ending_deployment.plain.values(),
+        *ending_deployment.engines.values(),
+    ]
     async with ending_deployment.run():
-        for server in ending_deployment.plain.values():
-            server.faults.set('silent', 1)
+        for server in servers:
+            server.faults.set('silent', 9)
         responses = []
 
         async def send_long():
-            responses.append(
-                await send(ending_deployment, '/once/a', 'long', 4900)
-            )
+            responses.append(await send(ending_deployment, path, 'long', 4900))
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(send_long)
@@ -124,6 +127,35 @@
     assert responses[0].status_code == 504
 
 
+async def test_a_call_of_a_trainer_is_answered_before_the_process_ends(
+    ending_deployment, monkeypatch
+):
+    responses = []
+
+    async def access(*_):
+        await anyio.sleep_forever()
+
+    async with ending_deployment.run():
+        program = ending_deployment.programs['vm-1']
+        monkeypatch.setattr(
+            type(program._ingress._batch_calls), 'access', access
+        )
+
+        async def read_batch():
+            responses.append(
+                await ending_deployment.send_request('vm-1', 'GET', '/lots/b1')
+            )
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read_batch)
+            await anyio.sleep(0.2)
+            program._stopping.set()
+            with anyio.fail_after(SHORT_GRACE_SECONDS):
+                while not responses:
+                    await anyio.sleep(0.02)
+    assert responses[0].status_code == 504
+
+
 class TestGracePeriod:
     async def test_accepts_everything_before_it_begins(self):
         requests.GracePeriod().check(anyio.current_time() + 3600)
