--- a/tests/cover/test_platform_odd_samples.py
+++ b/tests/cover/test_platform_odd_samples.py
@@ -86,6 +86,7 @@
 async def test_a_stored_sample_that_cannot_be_sent_fails_alone(
     tmp_path, fields
 ):
+    # It must not end the process that runs batches, nor hold up other steps.
     deployment = test_platform_processes.ProcessDeployment(tmp_path)
     try:
         await check_stored_batch(
--- a/tests/cover/test_platform_stopping.py
+++ b/tests/cover/test_platform_stopping.py
@@ -59,6 +59,7 @@
 async def test_a_request_that_may_outlast_the_stop_is_refused(
     deployment, path
 ):
+    # Passed on, it would be cut off at the end of the grace period.
     async with deployment.run():
         deployment.programs['vm-1']._stopping.set()
         await anyio.sleep(LATE_SECONDS)
--- a/tests/cover/test_platform_submissions.py
+++ b/tests/cover/test_platform_submissions.py
@@ -55,6 +55,7 @@
 
 @pytest.mark.anyio
 async def test_samples_that_cannot_be_submitted_are_refused(tmp_path):
+    # Accepted, they would be items that no server can get.
     deployment = platform_deployment.PlatformDeployment(tmp_path)
     submissions = {
         **{name: change_item(**item) for name, item in ODD_ITEMS.items()},
--- a/tests/cover/test_requests_taking_up.py
+++ b/tests/cover/test_requests_taking_up.py
@@ -118,6 +118,7 @@
     async def test_the_next_server_goes_on_after_an_answer_without_the_rest(
         self, name
     ):
+        # The body of a failure must not follow the events as their end.
         answer = {**ANSWERS, **REFUSALS}[name]
         scene = Scene(BREAKS_OFF, answer, GOES_ON)
         await scene.read()
