--- a/src/swiftjunction/standins/__init__.py
+++ b/src/swiftjunction/standins/__init__.py
@@ -12,12 +12,12 @@
 from swiftjunction.standins._hosting import serve
 from swiftjunction.standins._hosting import Standin
 from swiftjunction.standins._objects import ObjectStoreStandin
-from swiftjunction.standins._platform_servers import make_platform_stream
-from swiftjunction.standins._platform_servers import make_platform_text
 from swiftjunction.standins._platform_servers import PlatformEngineStandin
 from swiftjunction.standins._platform_servers import PlatformServiceStandin
 from swiftjunction.standins._platform_servers import POISON_MARKER
 from swiftjunction.standins._platform_store import PlatformStoreStandin
+from swiftjunction.standins._platform_texts import make_platform_stream
+from swiftjunction.standins._platform_texts import make_platform_text
 from swiftjunction.standins._ports import reserve_ports
 from swiftjunction.standins._schedule import FaultEvent
 from swiftjunction.standins._schedule import FaultSchedule
--- a/src/swiftjunction/standins/_platform_servers.py
+++ b/src/swiftjunction/standins/_platform_servers.py
@@ -12,6 +12,7 @@
 
 from swiftjunction.standins import _announcing
 from swiftjunction.standins import _faults
+from swiftjunction.standins import _platform_texts
 from swiftjunction.standins import _server_exchange
 from swiftjunction.standins import _software
 from swiftjunction.standins import _stream_forms
@@ -20,7 +21,6 @@
 Request = starlette.requests.Request
 Response = starlette.responses.Response
 
-EVENT_COUNT = 6
 EVENT_INTERVAL_SECONDS = 0.005
 VERSION_LOAD_SECONDS = 0.05
 METHODS = ['GET', 'POST', 'PUT', 'DELETE']
@@ -342,7 +342,7 @@
             self.max_concurrent_samples, self._running_count
         )
         try:
-            for number in range(after + 1, EVENT_COUNT):
+            for number in range(after + 1, _platform_texts.EVENT_COUNT):
                 await anyio.sleep(self._event_interval_seconds)
                 data = _software.make_event_data(
                     request_id, number, self.software
@@ -358,46 +358,29 @@
                     )
                 if form.comment:
                     yield form.encode(form.comment)
-                if number == EVENT_COUNT // 2 and self.faults.consume('cut'):
+                if (
+                    number == _platform_texts.EVENT_COUNT // 2
+                    and self.faults.consume('cut')
+                ):
                     yield form.encode(event)[:8]
                     raise ConnectionAbortedError
-                if number == EVENT_COUNT // 2 and self.faults.consume('stall'):
+                if (
+                    number == _platform_texts.EVENT_COUNT // 2
+                    and self.faults.consume('stall')
+                ):
                     await anyio.sleep(_server_exchange.UNANSWERED_SECONDS)
-                if number == EVENT_COUNT // 2 and self.faults.consume('skip'):
+                if (
+                    number == _platform_texts.EVENT_COUNT // 2
+                    and self.faults.consume('skip')
+                ):
                     continue
                 yield form.encode(event)
-                if number == EVENT_COUNT // 2 and self.faults.consume(
-                    'repeat'
+                if (
+                    number == _platform_texts.EVENT_COUNT // 2
+                    and self.faults.consume('repeat')
                 ):
                     yield form.encode(event)
             if form.end_mark:
                 yield form.encode(form.end_mark)
         finally:
             self._running_count -= 1
-
-
-def make_platform_text(
-    item_id: str, software: str = _software.DEFAULT_SOFTWARE
-) -> str:
-    """Return the complete text that :class:`PlatformEngineStandin` streams."""
-    return '\n'.join(
-        _software.make_event_data(item_id, number, software)
-        for number in range(EVENT_COUNT)
-    )
-
-
-def make_platform_stream(
-    request_id: str, software: str = _software.DEFAULT_SOFTWARE
-) -> bytes:
-    """Return the body that an engine that varies its streams sends.
-
-    It has no comments and no lines of weight versions, which
-    `remove_additions` removes from what callers get.
-    """
-    form = _stream_forms.choose_form(request_id)
-    events = (
-        f'id: {number}\n'
-        f'data: {_software.make_event_data(request_id, number, software)}\n\n'
-        for number in range(EVENT_COUNT)
-    )
-    return form.encode(''.join(events) + form.end_mark)
