Remove a byte order mark only where a server's part begins

Since a block within a stream that begins with the bytes of a byte order mark lost them on its way to the caller, and was read as if it had none. The mark has a meaning at the beginning of a stream only.

Cause: the mark was removed from each block after the first relayed one, and each event was copied for it.

--- a/src/swiftjunction/platform/servers/_events.py
+++ b/src/swiftjunction/platform/servers/_events.py
@@ -31,10 +31,12 @@
         Name of the server that sends the stream.
     """
 
-    __slots__ = ('_blocks', '_peer', '_version')
+    __slots__ = ('_blocks', '_mark', '_peer', '_version')
 
     def __init__(self, version: int, peer: str) -> None:
         self._blocks = web.BlockSplitter()
+        # Valid at the beginning of the stream only.
+        self._mark = web.BYTE_ORDER_MARK
         self._version = version
         self._peer = peer
 
@@ -76,8 +78,10 @@
         number = backends.NO_EVENT
         data: list[str] = []
         is_event = False
+        text = block.removeprefix(self._mark)
+        self._mark = b''
         try:
-            for name, value in web.iter_fields(block):
+            for name, value in web.iter_fields(text):
                 is_event |= name in EVENT_FIELDS
                 if name == 'data':
                     data.append(value)
--- a/src/swiftjunction/requests/_stream_part.py
+++ b/src/swiftjunction/requests/_stream_part.py
@@ -30,6 +30,7 @@
 
     __slots__ = (
         '_is_empty',
+        '_mark',
         '_progress',
         '_repeated',
         '_resumes',
@@ -49,6 +50,9 @@
         self._resumes = progress.has_events()
         self._repeated = _stream_place.RepeatedEvents(progress.place)
         self._is_empty = True
+        # Valid at the beginning of the response only.
+        follows = progress.first_stream is not None
+        self._mark = web.BYTE_ORDER_MARK if follows else b''
 
     def check_head(self) -> None:
         """Check that the answer may follow what the caller has.
@@ -96,12 +100,7 @@
             return None
         if event.number != backends.NO_EVENT:
             self._check_number(event)
-        if self._progress.first_stream is None:
-            return event
-        # Valid at the very beginning only.
-        return msgspec.structs.replace(
-            event, frame=event.frame.removeprefix(web.BYTE_ORDER_MARK)
-        )
+        return self._remove_mark(event)
 
     def _is_repeated(self, event: backends.StreamEvent) -> bool:
         if not event.is_event or not self._repeated.are_missing():
@@ -113,6 +112,17 @@
             )
         return True
 
+    def _remove_mark(
+        self, event: backends.StreamEvent
+    ) -> backends.StreamEvent:
+        """Return the first block without a byte order mark, others as is."""
+        mark, self._mark = self._mark, b''
+        if not mark or not event.frame.startswith(mark):
+            return event
+        return msgspec.structs.replace(
+            event, frame=event.frame.removeprefix(mark)
+        )
+
     def _check_number(self, event: backends.StreamEvent) -> None:
         last_number = self._progress.position.number
         follows = (
--- a/src/swiftjunction/web/_event_blocks.py
+++ b/src/swiftjunction/web/_event_blocks.py
@@ -74,12 +74,14 @@
 ) -> collections.abc.Iterator[tuple[str, str]]:
     """Yield the names and values of a block's fields, without comments.
 
+    The byte order mark of a stream has to be removed before.
+
     Raises
     ------
     UnicodeDecodeError
         If the block is not UTF-8.
     """
-    text = block.removeprefix(BYTE_ORDER_MARK).decode()
+    text = block.decode()
     # splitlines() would split at other characters, too.
     if '\r' in text:
         text = text.replace('\r\n', '\n').replace('\r', '\n')
--- a/src/swiftjunction/web/_event_reading.py
+++ b/src/swiftjunction/web/_event_reading.py
@@ -38,10 +38,13 @@
         If an event is too long, or is not UTF-8.
     """
     splitter = _event_blocks.BlockSplitter()
+    # Valid at the beginning of the stream only.
+    mark = _event_blocks.BYTE_ORDER_MARK
     try:
         async for data in response.aiter_bytes():
             for block in splitter.feed(data):
-                event = _parse(block)
+                event = _parse(block.removeprefix(mark))
+                mark = b''
                 if event is not None:
                     yield event
     except (errors.ContentBroken, UnicodeDecodeError) as error:
--- a/tests/cover/test_event_streams_whole.py
+++ b/tests/cover/test_event_streams_whole.py
@@ -28,6 +28,7 @@
     'cr': NUMBERED.replace(b'\n', b'\r'),
     'mixed': b'id: 0\rdata: a\n\r\nid: 1\r\ndata: b\r\rdata: c\n\n',
     'byte_order_mark': BYTE_ORDER_MARK + NUMBERED,
+    'mark_within': NUMBERED + BYTE_ORDER_MARK + b'data: c\n\n',
     'other_fields': b'retry: 100\n\nevent: x\nid: 0\nretry: 5\ndata: a\n\n',
     'several_lines': b'id: 0\ndata: a\ndata\ndata:b\ndata:  c\n\n',
     'no_space': b'id:0\ndata:a\n\n',
@@ -150,6 +151,12 @@
         assert scene.error is None
         assert scene.body == BYTE_ORDER_MARK + self.FIRST + self.SECOND
 
+    async def test_a_mark_within_the_rest_stays(self):
+        rest = self.SECOND + BYTE_ORDER_MARK + self.DONE + self.DONE
+        scene = await self.read(self.FIRST, rest)
+        assert scene.error is None
+        assert scene.body == self.FIRST + rest
+
     async def test_comments_may_precede_the_first_event(self):
         comment = b': ping\n\n'
         scene = await self.read(comment, comment + self.FIRST)
