Say in the field's words what some constants and steps are for

Comments of the grace period, the end of the process and the splitting of streams told how long something had taken, or left open what a number counts. Comments and one doc comment only; the tests of these modules and make check pass.

--- a/src/swiftjunction/platform/__main__.py
+++ b/src/swiftjunction/platform/__main__.py
@@ -28,9 +28,9 @@
 def end_process(code: int) -> None:
     """End the process with an exit code, without freeing its memory.
 
-    To free what a busy process holds takes it up to a second, in which it
-    could be killed. Nothing else is left to do: connections are closed, and
-    the process keeps no files.
+    Freeing it takes long on a busy VM, where the process could be killed
+    meanwhile. Nothing else is left to do: connections are closed, and the
+    process keeps no files.
     """
     import os
 
--- a/src/swiftjunction/requests/_grace.py
+++ b/src/swiftjunction/requests/_grace.py
@@ -11,12 +11,12 @@
 # Within this time the last responses reach their callers, connections that
 # are still open are aborted, and the process ends.
 ANSWER_RESERVE_SECONDS = 0.45
-# A response waits about so often for the event loop until its caller has it.
+# How often a response waits for the event loop before its caller has it.
 LOOP_PASSES_PER_ANSWER = 4
-# More would cost requests that can be served, also of a VM that stops often.
+# A longer reserve would refuse requests that can still be served.
 MAX_LAG_RESERVE_SECONDS = 1.0
 MAX_LAG_RESERVE_SHARE = 0.125
-# No connection is accepted for so long before requests have to end.
+# The listener closes this long before requests have to end.
 CLOSING_SECONDS = 1.05
 
 
--- a/src/swiftjunction/requests/_stream_place.py
+++ b/src/swiftjunction/requests/_stream_place.py
@@ -29,7 +29,7 @@
     def add(self, event: backends.StreamEvent) -> None:
         """Add the next event."""
         self.count += 1
-        # The length keeps two events apart from one with the same bytes.
+        # Without the lengths, one event could equal two shorter ones.
         self._hash.update(b'%d:' % len(event.frame))
         self._hash.update(event.frame)
 
--- a/src/swiftjunction/web/_event_blocks.py
+++ b/src/swiftjunction/web/_event_blocks.py
@@ -49,7 +49,7 @@
             yield b'\n'
         self._ended_with_cr = False
         while match := BLOCK_END.search(self._buffer, search_from):
-            # Otherwise the buffer cannot be resized below.
+            # A match keeps the buffer from being resized below.
             end = search_from = match.end()
             del match
             block = bytes(self._buffer[begin:end])
