--- a/tests/cover/test_platform_processes.py
+++ b/tests/cover/test_platform_processes.py
@@ -42,10 +42,10 @@
 class ProcessDeployment(platform_deployment.PlatformDeployment):
     """A deployment that runs each VM in its own process."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, **options):
         # The metrics port is fixed, so each run has addresses of its own.
         network, self._reservation = runs.reserve_network(os.getpid())
-        super().__init__(folder, f'127.{network}.0.1')
+        super().__init__(folder, f'127.{network}.0.1', **options)
         self.processes = {}
         self.logs = folder
 
