Run nothing more of a connection that is lost

Callers that had sent requests ahead and left without reading the answers made a process grow to 946 MB, most of it after they had gone, and their requests went on at the servers (16 connections, answers of 2 MB; 244 to 372 requests began over a second after the last caller was gone).

The cause: hypercorn worked off what it had read ahead one by one although each write failed. asyncio raises the same exception for each failed write, so that its traceback kept the frames of all these requests, and with them their answers: in a run, 16 exceptions held 44,028 frames and 580 MB of answers, while the buffers of the transports were empty.

Now a connection on which a write fails is lost: its request is told so, the rest of what was read is dropped, and nothing is written any more, so that the exception is raised once.

--- /dev/null
+++ b/src/swiftjunction/web/_connections.py
@@ -0,0 +1,40 @@
+"""The connections of clients to a listener."""
+
+import hypercorn.asyncio.run
+import hypercorn.asyncio.tcp_server
+import hypercorn.events
+import hypercorn.protocol
+
+from swiftjunction.web import _http1
+
+
+class ClientConnection(hypercorn.asyncio.tcp_server.TCPServer):
+    """Serves one connection, and nothing more of it once it is lost."""
+
+    _is_lost = False
+
+    async def protocol_send(self, event: hypercorn.events.Event) -> None:
+        """Write bytes, close the connection or note whether it is idle."""
+        if not isinstance(event, hypercorn.events.RawData):
+            await super().protocol_send(event)
+            return
+        async with self.send_lock:
+            if self._is_lost:
+                return
+            try:
+                self.writer.write(event.data)
+                await self.writer.drain()
+            except (ConnectionError, RuntimeError):
+                # asyncio raises the same exception for each later write, so
+                # that its traceback would hold the frames of all of them.
+                self._is_lost = True
+                await self.protocol.handle(hypercorn.events.Closed())
+
+
+def replace_connections() -> None:
+    """Have hypercorn serve connections with the classes of this package."""
+    # mypy takes an assignment to a class for a redefinition.
+    hypercorn.asyncio.run.TCPServer = ClientConnection  # type: ignore[misc]
+    hypercorn.protocol.H11Protocol = (  # type: ignore[misc]
+        _http1.Http1Protocol
+    )
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -14,6 +14,7 @@
 from swiftjunction import errors
 from swiftjunction.web import _accepting
 from swiftjunction.web import _addresses
+from swiftjunction.web import _connections
 from swiftjunction.web import _targets
 
 # Exceeds the longest allowed request. hypercorn's default of 3 s would abort
@@ -111,6 +112,7 @@
             TLS context; without it, plain HTTP is served.
         """
         _targets.keep_targets()
+        _connections.replace_connections()
         config = _Config()
         if context is not None:
             config = _TlsConfig()
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -3,14 +3,19 @@
 import contextlib
 import itertools
 import pathlib
+import socket
 
 import anyio
+import anyio.abc
 import h2.config
 import h2.connection
+import starlette.responses
 
+from swiftjunction import standins
 from tests import platform_deployment
 
 BYTES_PER_KB = 1024
+SMALL_BUFFER_BYTES = 4096
 # What a closed connection raises in a client.
 CLOSED_ERRORS = (
     anyio.BrokenResourceError,
@@ -61,6 +66,20 @@
             await anyio.sleep_forever()
 
 
+async def send_ahead_at_once(address, path, body, count):
+    """Do the same with a small receive buffer and one write."""
+    with contextlib.suppress(*CLOSED_ERRORS):
+        async with await anyio.connect_tcp(*address) as stream:
+            raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+            )
+            await stream.send(
+                b''.join(make_request(path, body) for _ in range(count))
+            )
+            await anyio.sleep_forever()
+
+
 async def send_ahead_http_2(address, path, body, count):
     """Do the same over HTTP/2, never extending the window of any answer."""
     with contextlib.suppress(*CLOSED_ERRORS):
@@ -123,3 +142,29 @@
         await anyio.sleep(seconds)
         yield
         tasks.cancel_scope.cancel()
+
+
+def make_large_servers(answer_bytes):
+    """Return plain servers that answer each request with so many bytes."""
+    return {name: LargeServer(name, answer_bytes) for name in ('p1', 'p2')}
+
+
+class LargeServer(standins.PlatformServiceStandin):
+    """Answers each request with a body of a fixed size."""
+
+    def __init__(self, name, answer_bytes):
+        super().__init__(name)
+        self._body = b'x' * answer_bytes
+
+    async def _serve(self, request):
+        response = await super()._serve(request)
+        headers = dict(response.headers)
+        del headers['content-length']
+        return starlette.responses.Response(
+            self._body, response.status_code, headers
+        )
+
+
+def count_runs(deployment):
+    """Return how many requests the plain servers have begun."""
+    return sum(len(server.runs) for server in deployment.plain.values())
