Serve HTTP/1.1 only

A client could begin 100 requests at once on each connection by HTTP/2, without TLS and without being asked, and leave all answers unread: 4 connections with 90 requests of 250 KB made a VM of 128 MB grow to 237 MB. The pages of the users and docs/ speak of HTTP/1.1 alone, and nothing of ours sends anything else; hypercorn also took h2c upgrades and WebSocket handshakes, which no application here serves.

A connection that begins HTTP/2 now gets 505 and is closed; no request of it has been read. A request with an upgrade is served over HTTP/1.1, as RFC 9110 lets a server do. The protocol creates its requests itself, so that hypercorn's class of them need not be replaced any more.

--- a/src/swiftjunction/web/_connections.py
+++ b/src/swiftjunction/web/_connections.py
@@ -1,9 +1,10 @@
 """The connections of clients to a listener."""
 
+import typing
+
 import hypercorn.asyncio.run
 import hypercorn.asyncio.tcp_server
 import hypercorn.events
-import hypercorn.protocol
 
 from swiftjunction.web import _http1
 
@@ -35,6 +36,11 @@
     """Have hypercorn serve connections with the classes of this package."""
     # mypy takes an assignment to a class for a redefinition.
     hypercorn.asyncio.run.TCPServer = ClientConnection  # type: ignore[misc]
-    hypercorn.protocol.H11Protocol = (  # type: ignore[misc]
-        _http1.Http1Protocol
-    )
+    tcp_server: typing.Any = hypercorn.asyncio.tcp_server
+    tcp_server.ProtocolWrapper = _make_protocol
+
+
+def _make_protocol(*arguments: typing.Any) -> _http1.Http1Protocol:
+    """Return the protocol of a connection, whatever TLS agreed on."""
+    *shared_arguments, _ = arguments
+    return _http1.Http1Protocol(*shared_arguments)
--- a/src/swiftjunction/web/_http1.py
+++ b/src/swiftjunction/web/_http1.py
@@ -2,15 +2,22 @@
 
 Requests that a client sends ahead are started one after the other, each once
 the response before it is written. None is started once the connection is lost.
+
+HTTP/2 is refused, as one connection could begin many requests at once, and
+upgrades are ignored: a client that asks for one gets a response over HTTP/1.1.
 """
 
+import http
+
 import h11
 import hypercorn.events
 import hypercorn.protocol.events
 import hypercorn.protocol.h11
-import hypercorn.protocol.http_stream
+
+from swiftjunction.web import _targets
 
 STREAM_ID = hypercorn.protocol.h11.STREAM_ID
+VERSIONS = frozenset({b'1.0', b'1.1'})
 
 
 class Http1Protocol(hypercorn.protocol.h11.H11Protocol):
@@ -44,7 +51,7 @@
             try:
                 event = self.connection.next_event()
             except h11.RemoteProtocolError as error:
-                await self._refuse(error)
+                await self._refuse(error.error_status_hint)
                 return
             if event is h11.PAUSED:
                 await self.can_read.clear()
@@ -55,8 +62,10 @@
     async def _handle_event(self, event: object) -> bool:
         """Handle an event of the parser; return whether more may follow."""
         if isinstance(event, h11.Request):
+            if event.http_version not in VERSIONS:
+                await self._refuse(http.HTTPStatus.HTTP_VERSION_NOT_SUPPORTED)
+                return False
             await self.send(hypercorn.events.Updated(idle=False))
-            await self._check_protocol(event)
             await self._create_stream(event)
             return True
         if self.stream is None:
@@ -75,8 +84,33 @@
             return True
         return False
 
-    async def _refuse(self, error: h11.RemoteProtocolError) -> None:
-        """Answer bytes that are no request, and close the connection."""
+    async def _create_stream(self, request: h11.Request) -> None:
+        """Start a request, also one that asks for an upgrade."""
+        self.stream = _targets.TargetStream(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.ssl,
+            self.client,
+            self.server,
+            self.stream_send,
+            STREAM_ID,
+        )
+        await self.stream.handle(
+            hypercorn.protocol.events.Request(
+                stream_id=STREAM_ID,
+                headers=list(request.headers),
+                http_version=request.http_version.decode(),
+                method=request.method.decode('ascii').upper(),
+                raw_path=request.target,
+                state=self.connection_state,
+            )
+        )
+        self.keep_alive_requests += 1
+
+    async def _refuse(self, status: int) -> None:
+        """Answer what is no request, and close the connection."""
         if self.connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            await self._send_error_response(error.error_status_hint)
+            await self._send_error_response(status)
         await self.send(hypercorn.events.Closed())
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -15,7 +15,6 @@
 from swiftjunction.web import _accepting
 from swiftjunction.web import _addresses
 from swiftjunction.web import _connections
-from swiftjunction.web import _targets
 
 # Exceeds the longest allowed request. hypercorn's default of 3 s would abort
 # longer streams at a graceful shutdown.
@@ -111,7 +110,6 @@
         context : ssl.SSLContext
             TLS context; without it, plain HTTP is served.
         """
-        _targets.keep_targets()
         _connections.replace_connections()
         config = _Config()
         if context is not None:
--- a/src/swiftjunction/web/_targets.py
+++ b/src/swiftjunction/web/_targets.py
@@ -8,7 +8,6 @@
 import typing
 
 import hypercorn.protocol.events
-import hypercorn.protocol.h11
 import hypercorn.protocol.http_stream
 import starlette.types
 
@@ -27,12 +26,7 @@
     return scope['raw_path'] + (b'?' + query if query else b'')
 
 
-def keep_targets() -> None:
-    """Have hypercorn report the targets of requests over HTTP/1.1."""
-    hypercorn.protocol.h11.HTTPStream = _TargetStream  # type: ignore[misc]
-
-
-class _TargetStream(hypercorn.protocol.http_stream.HTTPStream):
+class TargetStream(hypercorn.protocol.http_stream.HTTPStream):
     """A request whose application also gets its target."""
 
     async def handle(self, event: hypercorn.protocol.events.Event) -> None:
