Bound what callers make a VM hold by its memory

Callers could make a VM hold more than its memory: 32 connections that leave answers of 2 MB unread took 137 MB of the 128 that the settings state, 40 bodies without their last byte 130 MB. Nothing went by limits.memory_mb; bodies had a fixed total of 80 MiB, answers and requests read ahead had none, and a write to a caller that does not read had no end.

One budget now counts bodies, answers until they are written, and what is read ahead, for all connections of a VM together: 5/8 of what its memory leaves beside 96 MiB of its own. When there is no room, the connection that has made no progress for the longest time, and a second at least, ends first, then those with requests ahead; else a request is refused with 503 before it is sent to a server. A caller that leaves while requests wait is noticed. max_header_bytes and header_timeout_ms of the configuration are in force.

--- a/src/swiftjunction/backends/_bodies.py
+++ b/src/swiftjunction/backends/_bodies.py
@@ -9,6 +9,7 @@
 
 from swiftjunction.backends import _http
 from swiftjunction import errors
+from swiftjunction import web
 
 # The usual response has a few KB. As many bodies of this size as there are
 # requests may be read at once.
@@ -123,4 +124,18 @@
     with _memory.open(peer) as body, _http.translate_errors('read', peer):
         async for chunk in response.aiter_raw():
             body.append(chunk)
-        return body.complete()
+        content = body.complete()
+    _hold_for_client(len(content), peer)
+    return content
+
+
+def _hold_for_client(size: int, peer: str) -> None:
+    """Count a response as held until the client has it."""
+    account = web.get_account()
+    if account is None or account.open_hold().try_grow(size):
+        return
+    raise errors.AnswerBroken(
+        'clients make this process hold too many responses',
+        step='read',
+        peer=peer,
+    )
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -6,6 +6,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from swiftjunction import backends
 from swiftjunction import batches
@@ -35,6 +36,8 @@
 
 MAX_IN_FLIGHT = 1000
 METRICS_PORT = 9464
+# A head that was sent in time may arrive later.
+HEAD_SECONDS_FACTOR = 2.0
 
 
 class EdgeComponents:
@@ -256,6 +259,17 @@
             workers, self._server_list, settings.drain_seconds
         )
         self._admission = requests.AdmissionController(MAX_IN_FLIGHT)
+        limits = web.compute_client_limits(
+            settings.memory_bytes, settings.descriptors
+        )
+        self._caller_policy = web.ClientPolicy(
+            limits, read_head_limits=self._read_head_limits
+        )
+        self._peer_policy = web.ClientPolicy(
+            msgspec.structs.replace(
+                limits, connections=limits.peer_connections
+            )
+        )
         self._ingress = self._build_ingress(
             make_forwarder(),
             requests.StreamRelay(
@@ -315,7 +329,9 @@
         stream_relay: requests.StreamRelay,
         rng: random.Random,
     ) -> callers.Ingress:
-        bodies = callers.CallerBodies(self._active_routes)
+        bodies = callers.CallerBodies(
+            self._active_routes, self._caller_policy.budget
+        )
         batch_calls = callers.BatchCalls(
             self._active_routes,
             self._archive,
@@ -358,6 +374,17 @@
         """Apply the store's address; other settings require a restart."""
         self._direct.address = settings.store
 
+    def _read_head_limits(self) -> web.HeadLimits:
+        """Return the limits on heads that the configuration sets."""
+        table = self._active_routes.table
+        default = web.HeadLimits()
+        if table is None:
+            return default
+        return web.HeadLimits(
+            table.limits.max_head_bytes or default.max_bytes,
+            table.limits.head_seconds * HEAD_SECONDS_FACTOR or default.seconds,
+        )
+
     def _read_state(self) -> str:
         return self._state
 
@@ -388,6 +415,7 @@
             'suspects': self._suspects.summarize,
             'batches': self._runner.summarize,
             'admission': self._admission.summarize,
+            'callers': self._caller_policy.summarize,
             'usage': self._usage.summarize,
             'failing_tasks': self._supervisor.summarize,
             'metrics': self._metrics.summarize,
--- a/src/swiftjunction/platform/_listening.py
+++ b/src/swiftjunction/platform/_listening.py
@@ -51,12 +51,15 @@
         await anyio.sleep(ADDRESS_RETRY_SECONDS)
 
 
-def open_listener(settings: _settings.EdgeSettings) -> web.HttpListener:
+def open_listener(
+    settings: _settings.EdgeSettings, policy: web.ClientPolicy
+) -> web.HttpListener:
     """Return a listener at all addresses that callers or the platform use."""
     return web.HttpListener(
         *(web.bind_socket(*item) for item in _list_caller_addresses(settings)),
         keep_alive_seconds=KEEP_ALIVE_TIMEOUT_SECONDS,
         graceful_seconds=GRACEFUL_TIMEOUT_SECONDS,
+        policy=policy,
     )
 
 
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -62,7 +62,9 @@
             await self._serve(signals)
 
     async def _serve(self, signals: _signals.Signals) -> None:
-        caller_listener = _listening.open_listener(self._settings)
+        caller_listener = _listening.open_listener(
+            self._settings, self._caller_policy
+        )
         metrics_port = _listening.MetricsPort(
             self._settings.ip, self._metrics_port
         )
@@ -70,6 +72,7 @@
         peer_listener = web.HttpListener(
             web.bind_socket(self._settings.ip, self._settings.peer_port),
             *metrics_sockets,
+            policy=self._peer_policy,
         )
         peer_app = coordination.PeerApp(
             self._status_source.build,
--- a/src/swiftjunction/platform/_schemas.py
+++ b/src/swiftjunction/platform/_schemas.py
@@ -106,6 +106,8 @@
 class _Limits(msgspec.Struct):
     idle_timeout_ms: decoding.Milliseconds = 75_000.0
     max_body_bytes: decoding.Count = 32 * 1024 * 1024
+    max_header_bytes: decoding.Count = 16 * 1024
+    header_timeout_ms: decoding.Milliseconds = 15_000.0
 
 
 class _Config(msgspec.Struct):
@@ -179,6 +181,8 @@
     limits = routes.ConnectionLimits(
         config.limits.idle_timeout_ms / _names.MS_PER_SECOND,
         config.limits.max_body_bytes,
+        config.limits.max_header_bytes,
+        config.limits.header_timeout_ms / _names.MS_PER_SECOND,
     )
     return routes.RouteTable(
         config.version,
--- a/src/swiftjunction/platform/_settings.py
+++ b/src/swiftjunction/platform/_settings.py
@@ -9,12 +9,15 @@
 from swiftjunction import errors
 from swiftjunction.platform import _key_values
 from swiftjunction.platform import _names
+from swiftjunction import web
 
 MAX_WAIT_SECONDS = 1.0
 RETRY_INTERVAL_SECONDS = 0.05
 MAX_CORES = 1024.0
 MAX_DUTIES_PER_SECOND = 1e6
 SAFE_DUTIES_PER_SECOND = 1.0
+MAX_MEMORY_MIB = 1024.0 * 1024.0
+MAX_DESCRIPTORS = 10_000_000.0
 # Of the bounds that nothing can keep if they are 0.
 MIN_BOUND_MS = 1.0
 
@@ -55,6 +58,10 @@
         Whether engines refuse orders with old fencing tokens.
     processor_cores : float
         Processor time that this VM provides, in cores.
+    memory_bytes : int
+        Memory that this process may use.
+    descriptors : int
+        Descriptors that this process may have open.
     config_apply_seconds : float
         Time from the acknowledgement of a configuration until it is in
         effect, in seconds.
@@ -94,6 +101,8 @@
     cancel_seconds: float = 3.0
     checks_fencing: bool = False
     processor_cores: float = 1.0
+    memory_bytes: int = web.DEFAULT_MEMORY_BYTES
+    descriptors: int = web.DEFAULT_DESCRIPTORS
     config_apply_seconds: float = 2.0
     strict_revocation: bool = False
     revoke_seconds: float = 5.0
@@ -156,6 +165,15 @@
         ),
         checks_fencing=reader.read_flag('bounds.require_fencing'),
         processor_cores=_read_processor_cores(reader),
+        memory_bytes=_read_memory(reader),
+        descriptors=int(
+            _read_limit(
+                reader,
+                'limits.max_fds',
+                web.DEFAULT_DESCRIPTORS,
+                MAX_DESCRIPTORS,
+            )
+        ),
         config_apply_seconds=reader.read_milliseconds(
             'bounds.config_apply_ms', 2000.0
         ),
@@ -212,3 +230,18 @@
         'limits.cpu_cores', 1.0, most=MAX_CORES, fallback=1.0
     )
     return share * cores
+
+
+def _read_memory(reader: _key_values.KeyValueReader) -> int:
+    """Return the memory of a process, in bytes."""
+    default_mib = web.DEFAULT_MEMORY_BYTES / web.BYTES_PER_MIB
+    mib = _read_limit(reader, 'limits.memory_mb', default_mib, MAX_MEMORY_MIB)
+    return int(mib * web.BYTES_PER_MIB)
+
+
+def _read_limit(
+    reader: _key_values.KeyValueReader, key: str, default: float, most: float
+) -> float:
+    """Return a limit of the machine; the default also if it is 0."""
+    value = reader.read_number(key, default, most=most, fallback=default)
+    return value or default
--- a/src/swiftjunction/platform/callers/_caller_bodies.py
+++ b/src/swiftjunction/platform/callers/_caller_bodies.py
@@ -4,8 +4,14 @@
 
 import starlette.requests
 
+from swiftjunction import errors
 from swiftjunction import requests
 from swiftjunction import routes
+from swiftjunction import web
+
+
+# The usual response has a few KB.
+MIN_ROOM_BYTES = 64 * 1024
 
 
 class CallerBodies:
@@ -15,13 +21,18 @@
     ----------
     active_routes : ActiveRoutes
         Has the limit.
+    budget : MemoryBudget
+        Bounds what is held for all callers.
     """
 
-    __slots__ = ('_active_routes', '_reader')
+    __slots__ = ('_active_routes', '_budget', '_reader')
 
-    def __init__(self, active_routes: routes.ActiveRoutes) -> None:
+    def __init__(
+        self, active_routes: routes.ActiveRoutes, budget: web.MemoryBudget
+    ) -> None:
         self._active_routes = active_routes
-        self._reader = requests.BodyReader()
+        self._budget = budget
+        self._reader = requests.BodyReader(budget)
 
     async def read(
         self,
@@ -41,3 +52,11 @@
         return await self._reader.read(
             request, limits.max_body_bytes, deadline, stack
         )
+
+    def check_room(self) -> None:
+        """Raise ``NotRun`` if a response could not be held."""
+        if not self._budget.has_room(MIN_ROOM_BYTES):
+            raise errors.NotRun(
+                'callers make this VM hold too many bodies and responses',
+                step='memory',
+            )
--- a/src/swiftjunction/platform/callers/_ingress.py
+++ b/src/swiftjunction/platform/callers/_ingress.py
@@ -273,6 +273,7 @@
         self._grace.check(_estimate_end(route, deadline))
         with contextlib.ExitStack() as stack:
             body = await self._bodies.read(request, deadline, stack)
+            self._bodies.check_room()
             # The grace period may have begun while the body was read.
             self._grace.check(_estimate_end(route, deadline))
             call = _caller_calls.build_call(
--- a/src/swiftjunction/requests/_bodies.py
+++ b/src/swiftjunction/requests/_bodies.py
@@ -7,11 +7,11 @@
 import starlette.requests
 
 from swiftjunction import errors
+from swiftjunction import web
 
-# What all bodies in progress take together. Small ones have a part of it for
-# themselves, so that large ones never keep them out.
-MAX_TOTAL_BYTES = 80 * 1024 * 1024
-MAX_LARGE_TOTAL_BYTES = 64 * 1024 * 1024
+# Small bodies have a part of the budget for themselves, so that large ones
+# never keep them out.
+LARGE_SHARE = 0.8
 LARGE_BODY_BYTES = 1024 * 1024
 # The rest of a refused body is read for this long, as a connection that is
 # closed before may lose the response.
@@ -19,12 +19,19 @@
 
 
 class BodyReader:
-    """Reads the bodies of requests within limits on each and on all."""
+    """Reads the bodies of requests within limits on each and on all.
 
-    __slots__ = ('_held_bytes',)
+    Parameters
+    ----------
+    budget : MemoryBudget
+        Bounds what is held for all clients, for requests that did not come
+        over a connection with an account.
+    """
 
-    def __init__(self) -> None:
-        self._held_bytes = 0
+    __slots__ = ('_budget',)
+
+    def __init__(self, budget: web.MemoryBudget) -> None:
+        self._budget = budget
 
     async def read(
         self,
@@ -40,12 +47,15 @@
         Raises
         ------
         BodyTooLarge
-            If it has more than `max_bytes` or `MAX_LARGE_TOTAL_BYTES`.
+            If it has more than `max_bytes`, or more than large bodies may
+            have together.
         NotRun
             If all bodies in progress are too large in total, or the body is
             not complete before the deadline.
         """
-        body = _Body(self, min(max_bytes, MAX_LARGE_TOTAL_BYTES))
+        account = web.get_account() or self._budget.open_account()
+        largest = int(account.budget.limit_bytes * LARGE_SHARE)
+        body = _Body(account.open_hold(), min(max_bytes, largest))
         stack.callback(body.release)
         chunks = request.stream()
         try:
@@ -60,35 +70,13 @@
             raise
         raise errors.NotRun('the body is not complete in time', step='body')
 
-    def hold(self, size: int, total_bytes: int) -> None:
-        """Count bytes that belong to a body of `total_bytes` so far.
-
-        Raises
-        ------
-        NotRun
-            If all bodies in progress are too large in total.
-        """
-        is_large = total_bytes > LARGE_BODY_BYTES
-        limit = MAX_LARGE_TOTAL_BYTES if is_large else MAX_TOTAL_BYTES
-        if self._held_bytes + size > limit:
-            raise errors.NotRun(
-                'the bodies of all requests are too large in total',
-                step='body',
-            )
-        self._held_bytes += size
-
-    def release(self, size: int) -> None:
-        """Count bytes no longer."""
-        self._held_bytes -= size
-
 
 class _Body:
     """The parts of a body that have been received."""
 
-    def __init__(self, reader: BodyReader, max_bytes: int) -> None:
-        self._reader = reader
+    def __init__(self, hold: web.MemoryHold, max_bytes: int) -> None:
+        self._hold = hold
         self._max_bytes = max_bytes
-        self._size = 0
         self._parts: list[bytes] = []
 
     def check_length(self, length: str) -> None:
@@ -98,19 +86,34 @@
             self._check_size(int(length))
 
     def append(self, part: bytes) -> None:
-        self._check_size(self._size + len(part))
-        self._reader.hold(len(part), self._size + len(part))
-        self._size += len(part)
+        """Add a part.
+
+        Raises
+        ------
+        BodyTooLarge
+            If the body has too many bytes.
+        NotRun
+            If all bodies in progress have.
+        """
+        size = self._hold.size + len(part)
+        self._check_size(size)
+        share = LARGE_SHARE if size > LARGE_BODY_BYTES else 1.0
+        if not self._hold.try_grow(len(part), share):
+            raise errors.NotRun(
+                'the bodies of all requests are too large in total',
+                step='body',
+            )
         self._parts.append(part)
 
     def join(self) -> bytes:
+        """Return the whole body, and keep no part of it."""
         parts, self._parts = self._parts, []
         return b''.join(parts)
 
     def release(self) -> None:
-        size, self._size = self._size, 0
+        """Keep nothing of the body."""
         self._parts.clear()
-        self._reader.release(size)
+        self._hold.release()
 
     def _check_size(self, size: int) -> None:
         if size > self._max_bytes:
--- a/src/swiftjunction/routes/_table.py
+++ b/src/swiftjunction/routes/_table.py
@@ -27,10 +27,16 @@
         The maximum idle time between two requests, in seconds.
     max_body_bytes : int
         The maximum size of the body of one request, in bytes.
+    max_head_bytes : int
+        The maximum size of the head of one request, in bytes.
+    head_seconds : float
+        How long the head of a request may take, in seconds.
     """
 
     idle_seconds: float = 75.0
     max_body_bytes: int = 32 * 1024 * 1024
+    max_head_bytes: int = 16 * 1024
+    head_seconds: float = 15.0
 
 
 class RouteTable:
@@ -43,7 +49,7 @@
     routes : list of Route
         The routes of all hosts.
     limits : ConnectionLimits
-        The limits that the configuration sets; not enforced.
+        The limits that the configuration sets.
     keys : KeyTable, optional
         The keys of organisations; None if requests carry no keys.
     scalings : list of ServiceScaling
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -4,6 +4,13 @@
 from swiftjunction.web._addresses import is_address
 from swiftjunction.web._addresses import parse_address
 from swiftjunction.web._bodies import SHORT_BODY
+from swiftjunction.web._client_limits import BYTES_PER_MIB
+from swiftjunction.web._client_limits import ClientLimits
+from swiftjunction.web._client_limits import compute_client_limits
+from swiftjunction.web._client_limits import DEFAULT_DESCRIPTORS
+from swiftjunction.web._client_limits import DEFAULT_MEMORY_BYTES
+from swiftjunction.web._client_policy import ClientPolicy
+from swiftjunction.web._client_policy import HeadLimits
 from swiftjunction.web._clients import create_client
 from swiftjunction.web._clients import DirectClient
 from swiftjunction.web._clients import PeerClients
@@ -24,6 +31,10 @@
 from swiftjunction.web._listeners import check_address
 from swiftjunction.web._listeners import HttpListener
 from swiftjunction.web._listeners import open_listener
+from swiftjunction.web._memory import get_account
+from swiftjunction.web._memory import MemoryAccount
+from swiftjunction.web._memory import MemoryBudget
+from swiftjunction.web._memory import MemoryHold
 from swiftjunction.web._responses import describe_error
 from swiftjunction.web._responses import EXCEPTION_HANDLERS
 from swiftjunction.web._responses import read_bearer_token
@@ -41,12 +52,21 @@
 from swiftjunction.web._transport import SOCKET_OPTIONS
 
 __all__ = [
+    'BYTES_PER_MIB',
     'BYTE_ORDER_MARK',
     'BlockSplitter',
+    'ClientLimits',
+    'ClientPolicy',
+    'DEFAULT_DESCRIPTORS',
+    'DEFAULT_MEMORY_BYTES',
     'DirectClient',
     'EXCEPTION_HANDLERS',
+    'HeadLimits',
     'HttpListener',
     'MAX_EVENT_BYTES',
+    'MemoryAccount',
+    'MemoryBudget',
+    'MemoryHold',
     'PeerClients',
     'REQUEST_START_EVENT',
     'RESET_LINGER',
@@ -62,6 +82,7 @@
     'check_address',
     'bound_events',
     'check_request',
+    'compute_client_limits',
     'create_client',
     'create_client_context',
     'describe_error',
@@ -71,6 +92,7 @@
     'find_value_problem',
     'format_address',
     'format_event',
+    'get_account',
     'is_address',
     'iter_fields',
     'open_listener',
--- a/src/swiftjunction/web/_http1.py
+++ b/src/swiftjunction/web/_http1.py
@@ -7,6 +7,7 @@
 upgrades are ignored: a client that asks for one gets a response over HTTP/1.1.
 """
 
+import dataclasses
 import http
 
 import h11
@@ -20,6 +21,13 @@
 VERSIONS = frozenset({b'1.0', b'1.1'})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadAhead(hypercorn.events.Event):
+    """There are requests that wait for a response, or none any more."""
+
+    is_ahead: bool
+
+
 class Http1Protocol(hypercorn.protocol.h11.H11Protocol):
     """Reads requests and writes responses until the connection is lost."""
 
@@ -35,6 +43,11 @@
         elif not self._is_closed:
             await super().handle(event)
 
+    def has_partial_head(self) -> bool:
+        """Return whether the client has sent a part of a head."""
+        is_idle = self.connection.their_state is h11.IDLE
+        return is_idle and bool(self.connection.trailing_data[0])
+
     async def stream_send(
         self, event: hypercorn.protocol.events.Event
     ) -> None:
@@ -55,7 +68,9 @@
                 return
             if event is h11.PAUSED:
                 await self.can_read.clear()
+                await self.send(ReadAhead(True))
                 await self.can_read.wait()
+                await self.send(ReadAhead(False))
             elif not await self._handle_event(event):
                 return
 
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -14,6 +14,7 @@
 from swiftjunction import errors
 from swiftjunction.web import _accepting
 from swiftjunction.web import _addresses
+from swiftjunction.web import _client_policy
 from swiftjunction.web import _connections
 
 # Exceeds the longest allowed request. hypercorn's default of 3 s would abort
@@ -28,6 +29,12 @@
     """A hypercorn configuration with sockets that listen already."""
 
     sockets: list[_accepting.AcceptingSocket]
+    policy: _client_policy.ClientPolicy
+
+    @property
+    def h11_max_incomplete_size(self) -> int:  # type: ignore[override]
+        """Return the limit on heads for a connection that begins now."""
+        return self.policy.read_head_limits().max_bytes
 
     def create_sockets(self) -> hypercorn.config.Sockets:
         if self.ssl_enabled:
@@ -64,6 +71,8 @@
     graceful_seconds : float
         How long :meth:`close` waits for connections to end; then they are
         aborted.
+    policy : ClientPolicy, optional
+        The limits on clients. The first socket is the one for requests.
 
     Attributes
     ----------
@@ -75,6 +84,7 @@
     __slots__ = (
         '_graceful_seconds',
         '_keep_alive_seconds',
+        '_policy',
         '_shutdown_requested',
         '_sockets',
         '_stopped',
@@ -86,7 +96,9 @@
         *sockets: socket.socket,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
         graceful_seconds: float = GRACEFUL_TIMEOUT_SECONDS,
+        policy: _client_policy.ClientPolicy | None = None,
     ) -> None:
+        self._policy = policy or _client_policy.ClientPolicy()
         self._sockets = sockets
         self._graceful_seconds = graceful_seconds
         self._keep_alive_seconds = keep_alive_seconds
@@ -115,6 +127,7 @@
         if context is not None:
             config = _TlsConfig()
             config.context = context
+        config.policy = self._policy
         config.sockets = [
             _accepting.AcceptingSocket(fileno=item.detach())
             for item in self._sockets
@@ -130,8 +143,10 @@
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_hypercorn, app, config)
+            tasks.start_soon(self._policy.sweep)
             try:
                 await self._stopped.wait()
+                tasks.cancel_scope.cancel()
             except anyio.get_cancelled_exc_class():
                 config.graceful_timeout = ABORT_TIMEOUT_SECONDS
                 self.close()
--- /dev/null
+++ b/tests/cover/test_crowds_held.py
@@ -0,0 +1,69 @@
+"""Clients that make a VM hold what it has received, or open connections."""
+
+import contextlib
+import functools
+
+import anyio
+import pytest
+
+from tests.cover import test_crowds_unread
+from tests import crowds
+
+pytestmark = pytest.mark.anyio
+
+ANSWER_BYTES = 2 * 1024 * 1024
+BODY_BYTES = 4_000_000
+
+
+async def hold_open(address, data):
+    """Send bytes on a connection and keep it open."""
+    with contextlib.suppress(*crowds.CLOSED_ERRORS, OSError):
+        async with await anyio.connect_tcp(*address) as stream:
+            if data:
+                await stream.send(data)
+            await anyio.sleep_forever()
+
+
+async def run_crowd(folder, client, connections, deployment=None):
+    """Run clients; check the VM and an ordinary request beside them."""
+    deployment = deployment or test_crowds_unread.make_deployment(folder)
+    try:
+        async with deployment.run():
+            process = deployment.processes['vm-1']
+            address = (deployment.vm_ip, deployment.ports['vm-1']['front'])
+            send = functools.partial(client, address)
+            async with crowds.run(
+                [send] * connections, test_crowds_unread.CROWD_SECONDS
+            ):
+                lives = process.poll() is None
+                descriptors = crowds.count_descriptors(process.pid)
+                is_answered = await test_crowds_unread.send_ordinary_request(
+                    deployment
+                )
+                peak_bytes = crowds.read_peak_bytes(process.pid)
+                is_ready = await deployment.send_request(
+                    'vm-1', 'GET', '/ready', port='readiness'
+                )
+    finally:
+        deployment.close()
+    assert lives
+    assert peak_bytes <= test_crowds_unread.MEMORY_MB * 1024 * 1024
+    assert descriptors <= test_crowds_unread.MAX_DESCRIPTORS
+    assert is_answered
+    assert is_ready.status_code == 200
+
+
+async def test_large_answers_that_are_left_unread(tmp_path):
+    deployment = test_crowds_unread.make_deployment(tmp_path)
+    deployment.plain = crowds.make_large_servers(ANSWER_BYTES)
+
+    async def send(address):
+        await crowds.send_ahead_at_once(address, '/plain/a', b'', 2000)
+
+    await run_crowd(tmp_path, send, 32, deployment)
+
+
+@pytest.mark.parametrize('path', ['/plain/a', '/samples/new'])
+async def test_bodies_without_their_last_byte(tmp_path, path):
+    data = crowds.make_request(path, bytes(BODY_BYTES))[:-1]
+    await run_crowd(tmp_path, functools.partial(hold_open, data=data), 40)
--- a/tests/cover/test_platform_bodies.py
+++ b/tests/cover/test_platform_bodies.py
@@ -13,6 +13,7 @@
 from swiftjunction import errors
 from swiftjunction import requests
 from swiftjunction.requests import _bodies
+from swiftjunction import web
 from tests.cover import test_platform_processes
 from tests import platform_deployment
 
@@ -187,15 +188,15 @@
 
 
 @pytest.fixture
-def small_totals(monkeypatch):
-    monkeypatch.setattr(_bodies, 'MAX_TOTAL_BYTES', 80)
-    monkeypatch.setattr(_bodies, 'MAX_LARGE_TOTAL_BYTES', 64)
+def small_reader(monkeypatch):
+    """Return a reader of 80 bytes in total, 64 of them for large bodies."""
     monkeypatch.setattr(_bodies, 'LARGE_BODY_BYTES', 10)
+    return requests.BodyReader(web.MemoryBudget(80))
 
 
 @pytest.mark.anyio
-async def test_bodies_that_are_too_large_in_total_are_refused(small_totals):
-    reader = requests.BodyReader()
+async def test_bodies_that_are_too_large_in_total_are_refused(small_reader):
+    reader = small_reader
 
     async def upload(size, stack):
         upload = Upload()
@@ -220,8 +221,8 @@
 
 
 @pytest.mark.anyio
-async def test_a_body_that_does_not_come_holds_nothing_for_ever(small_totals):
-    reader = requests.BodyReader()
+async def test_a_body_that_does_not_come_holds_nothing_for_ever(small_reader):
+    reader = small_reader
     upload = Upload()
     upload.pass_on(60)
     with contextlib.ExitStack() as stack:
@@ -240,7 +241,12 @@
     upload = Upload({'content-length': '101'})
     with contextlib.ExitStack() as stack:
         with pytest.raises(errors.BodyTooLarge):
-            await read(requests.BodyReader(), upload, stack, max_bytes=100)
+            await read(
+                requests.BodyReader(web.MemoryBudget(1000)),
+                upload,
+                stack,
+                max_bytes=100,
+            )
 
 
 def read_peak_bytes(process):
