Bound the connections of callers and keep descriptors back

A listener now has a limit for each address: half of the descriptors beside those for files for the address for requests, an eighth for other VMs, a small part for each other address, and of the memory for callers what a quarter of it bears. At the limit, connections that wait for a request make room, those that never sent one first; without any, the new one is closed unread. Should a process still be without a descriptor, it refuses connections with one that it keeps for this, instead of trying 1,024 times at each wake-up.

--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -1,6 +1,7 @@
 """HTTP listeners that serve ASGI applications with hypercorn."""
 
 import asyncio
+import collections.abc
 import errno
 import logging
 import socket
@@ -128,10 +129,7 @@
             config = _TlsConfig()
             config.context = context
         config.policy = self._policy
-        config.sockets = [
-            _accepting.AcceptingSocket(fileno=item.detach())
-            for item in self._sockets
-        ]
+        config.sockets = list(self._make_accepting())
         config.graceful_timeout = self._graceful_seconds
         config.keep_alive_timeout = self._keep_alive_seconds
         config.backlog = BACKLOG_CONNECTIONS
@@ -152,6 +150,18 @@
                 self.close()
                 raise
 
+    def _make_accepting(
+        self,
+    ) -> collections.abc.Iterator[_accepting.AcceptingSocket]:
+        limits = self._policy.limits
+        max_connections = limits.connections
+        for item in self._sockets:
+            port = item.getsockname()[1]
+            yield _accepting.AcceptingSocket(
+                item, self._policy.get_table(port), max_connections
+            )
+            max_connections = limits.side_connections
+
     async def _run_hypercorn(self, app: typing.Any, config: _Config) -> None:
         # hypercorn does not shut down cleanly when it is cancelled, so it is
         # shielded and stopped by its shutdown trigger.
--- a/tests/cover/test_crowds_held.py
+++ b/tests/cover/test_crowds_held.py
@@ -13,6 +13,8 @@
 
 ANSWER_BYTES = 2 * 1024 * 1024
 BODY_BYTES = 4_000_000
+PARTIAL_HEAD = b'GET /plain/a HTTP/1.1\r\nx-a: '
+PARTIAL_HEAD_BYTES = 16_000
 
 
 async def hold_open(address, data):
@@ -63,7 +65,23 @@
     await run_crowd(tmp_path, send, 32, deployment)
 
 
+async def test_small_requests_that_are_sent_ahead(tmp_path):
+    async def send(address):
+        await crowds.send_ahead_at_once(address, '/plain/a', b'', 10_000)
+
+    await run_crowd(tmp_path, send, 350)
+
+
 @pytest.mark.parametrize('path', ['/plain/a', '/samples/new'])
 async def test_bodies_without_their_last_byte(tmp_path, path):
     data = crowds.make_request(path, bytes(BODY_BYTES))[:-1]
     await run_crowd(tmp_path, functools.partial(hold_open, data=data), 40)
+
+
+async def test_connections_without_a_byte(tmp_path):
+    await run_crowd(tmp_path, functools.partial(hold_open, data=b''), 1000)
+
+
+async def test_heads_without_an_end(tmp_path):
+    data = PARTIAL_HEAD + b'y' * PARTIAL_HEAD_BYTES
+    await run_crowd(tmp_path, functools.partial(hold_open, data=data), 1000)
