Bound what clients make the processes of an own deployment hold

Entries, rollout processes and conductors read whole bodies without a total: 60 connections that each send 4 MB without the last byte made each of the three grow to 285 to 287 MB, and 1,000 connections without a byte left 1,012 descriptors open.

Each of them has the same limits now, by two new settings of a VM, vm.memory_mb and vm.max_descriptors. Where the application does not count the bodies that it reads, the connection does: without room, a body that is not complete is refused with 503, which is true, as no handler runs before its body is complete, and the connection closed. The port for other VMs of the platform's VMs has a budget of its own with that count.

--- a/src/swiftjunction/daemons/_daemon.py
+++ b/src/swiftjunction/daemons/_daemon.py
@@ -85,7 +85,15 @@
         self.kind = kind
         self.rng = random.Random(f'{seed} {config.vm.name} {kind}')
         with _add_setting_to_errors(f'{kind}.port', port):
-            self.listener = web.open_listener(config.vm.ip, port)
+            self.client_policy = web.ClientPolicy(
+                web.compute_client_limits(
+                    config.vm.memory_mb * web.BYTES_PER_MIB,
+                    config.vm.max_descriptors,
+                )
+            )
+            self.listener = web.open_listener(
+                config.vm.ip, port, self.client_policy
+            )
         with _add_setting_to_errors(f'{kind}.link_port', link_port):
             self.transport = links.PeerTransport(
                 config.format_link_address(link_port)
@@ -135,6 +143,7 @@
         self.dump.add('configuration', self.tree.list_versions)
         self.dump.add('servers', self.directory.summarize)
         self.dump.add('latencies', self.metrics.summarize)
+        self.dump.add('clients', self.client_policy.summarize)
         self.dump.add('relays', self.replicator.list_relay_peers)
         self.dump.add('links', self.transport.count_dropped)
         self.dump.add('traffic', lambda: self.transport.traffic)
--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -263,11 +263,15 @@
             settings.memory_bytes, settings.descriptors
         )
         self._caller_policy = web.ClientPolicy(
-            limits, read_head_limits=self._read_head_limits
+            limits,
+            read_head_limits=self._read_head_limits,
+            counts_bodies=False,
         )
         self._peer_policy = web.ClientPolicy(
             msgspec.structs.replace(
-                limits, connections=limits.peer_connections
+                limits,
+                connections=limits.peer_connections,
+                held_bytes=limits.peer_held_bytes,
             )
         )
         self._ingress = self._build_ingress(
--- a/src/swiftjunction/settings/_model.py
+++ b/src/swiftjunction/settings/_model.py
@@ -16,12 +16,19 @@
 
 
 class VmSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """Identity and location of the VM that the processes run on."""
+    """Identity, location and limits of the VM that the processes run on.
+
+    The limits are those of each process.
+    """
 
     name: Name
     ip: typing.Annotated[str, msgspec.Meta(pattern=r'^[0-9a-f.:]+$')]
     data_center: Name
     region: Name
+    memory_mb: typing.Annotated[int, msgspec.Meta(ge=64, le=1_048_576)] = 1024
+    max_descriptors: typing.Annotated[
+        int, msgspec.Meta(ge=64, le=10_000_000)
+    ] = web.DEFAULT_DESCRIPTORS
 
 
 class PlatformSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/src/swiftjunction/web/_client_limits.py
+++ b/src/swiftjunction/web/_client_limits.py
@@ -15,6 +15,8 @@
 # Of the memory for clients: bodies, responses and what is read ahead. A body
 # is copied once as it is put together, hence not more.
 HELD_SHARE = 0.625
+# Of the own memory. The longest message of another VM has some MB.
+PEER_HELD_SHARE = 0.25
 # Of the memory for clients: the tasks, parsers and buffers of connections.
 CONNECTION_SHARE = 0.25
 # A connection with an incomplete head.
@@ -36,6 +38,8 @@
     held_bytes : int
         Bodies of requests, responses that are not yet written, and requests
         that are sent ahead.
+    peer_held_bytes : int
+        The same, of requests from other VMs.
     connections : int
         Open connections to the address for requests.
     side_connections : int
@@ -45,6 +49,7 @@
     """
 
     held_bytes: int
+    peer_held_bytes: int
     connections: int
     side_connections: int
     peer_connections: int
@@ -66,10 +71,12 @@
     client_bytes = max(
         memory_bytes - OWN_MEMORY_BYTES, memory_bytes * MIN_CLIENT_SHARE
     )
+    own_bytes = memory_bytes - client_bytes
     sockets = max(_count_descriptors(descriptors) - FILE_DESCRIPTORS, 0)
     by_memory = int(client_bytes * CONNECTION_SHARE / CONNECTION_BYTES)
     return ClientLimits(
         held_bytes=int(client_bytes * HELD_SHARE),
+        peer_held_bytes=int(own_bytes * PEER_HELD_SHARE),
         connections=_limit(sockets * CLIENT_DESCRIPTOR_SHARE, by_memory),
         side_connections=_limit(sockets * SIDE_DESCRIPTOR_SHARE, by_memory),
         peer_connections=_limit(sockets * PEER_DESCRIPTOR_SHARE, by_memory),
--- a/src/swiftjunction/web/_client_policy.py
+++ b/src/swiftjunction/web/_client_policy.py
@@ -38,6 +38,9 @@
         Counts what is held; by default, for these addresses alone.
     read_head_limits : callable, optional
         Returns the limits on heads in effect.
+    counts_bodies : bool
+        Whether connections hold the bodies that they read. Without, the
+        application does, as it reads them.
 
     Attributes
     ----------
@@ -47,7 +50,13 @@
         Counts what is held.
     """
 
-    __slots__ = ('_tables', 'budget', 'limits', 'read_head_limits')
+    __slots__ = (
+        '_tables',
+        'budget',
+        'counts_bodies',
+        'limits',
+        'read_head_limits',
+    )
 
     def __init__(
         self,
@@ -56,7 +65,9 @@
         read_head_limits: collections.abc.Callable[[], HeadLimits] = (
             HeadLimits
         ),
+        counts_bodies: bool = True,
     ) -> None:
+        self.counts_bodies = counts_bodies
         self.limits = limits or _client_limits.compute_client_limits()
         self.budget = budget or _memory.MemoryBudget(self.limits.held_bytes)
         self.budget.add_relief(self._end_stalled)
--- a/src/swiftjunction/web/_http1.py
+++ b/src/swiftjunction/web/_http1.py
@@ -9,12 +9,14 @@
 
 import dataclasses
 import http
+import typing
 
 import h11
 import hypercorn.events
 import hypercorn.protocol.events
 import hypercorn.protocol.h11
 
+from swiftjunction.web import _memory
 from swiftjunction.web import _targets
 
 STREAM_ID = hypercorn.protocol.h11.STREAM_ID
@@ -32,6 +34,8 @@
     """Reads requests and writes responses until the connection is lost."""
 
     _is_closed = False
+    # The body of the request that is read; None if nothing counts it here.
+    _body_hold: _memory.MemoryHold | None = None
 
     async def handle(self, event: hypercorn.events.Event) -> None:
         """Handle received bytes, or the loss of the connection."""
@@ -81,11 +85,15 @@
                 await self._refuse(http.HTTPStatus.HTTP_VERSION_NOT_SUPPORTED)
                 return False
             await self.send(hypercorn.events.Updated(idle=False))
+            self._open_body()
             await self._create_stream(event)
             return True
         if self.stream is None:
             return False
-        if isinstance(event, (h11.Data, hypercorn.protocol.events.Data)):
+        if isinstance(event, h11.Data):
+            if not self._hold_body(len(event.data)):
+                await self._refuse(http.HTTPStatus.SERVICE_UNAVAILABLE)
+                return False
             await self.stream.handle(
                 hypercorn.protocol.events.Body(
                     stream_id=STREAM_ID, data=event.data
@@ -124,8 +132,23 @@
         )
         self.keep_alive_requests += 1
 
+    def _hold_body(self, size: int) -> bool:
+        """Hold a part of a body; return whether there is room."""
+        return self._body_hold is None or self._body_hold.try_grow(size)
+
+    def _open_body(self) -> None:
+        """Count the body of a new request, if nothing else does."""
+        # hypercorn's configuration is that of `HttpListener`.
+        config: typing.Any = self.config
+        account = _memory.get_account()
+        if account is not None and config.policy.counts_bodies:
+            self._body_hold = account.open_hold()
+
     async def _refuse(self, status: int) -> None:
-        """Answer what is no request, and close the connection."""
+        """Answer what is no complete request, and close the connection."""
+        # The application stops, and whatever it still sends is dropped.
+        await self._close_stream()
         if self.connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await self._send_error_response(status)
+        self._is_closed = True
         await self.send(hypercorn.events.Closed())
--- a/src/swiftjunction/web/_listeners.py
+++ b/src/swiftjunction/web/_listeners.py
@@ -195,9 +195,16 @@
         loop.default_exception_handler(context)
 
 
-def open_listener(ip: str, port: int) -> HttpListener:
+def open_listener(
+    ip: str, port: int, policy: _client_policy.ClientPolicy | None = None
+) -> HttpListener:
     """Return a listener on a newly bound socket.
 
+    Parameters
+    ----------
+    policy : ClientPolicy, optional
+        The limits on clients.
+
     Raises
     ------
     AddressInUse
@@ -205,7 +212,7 @@
     SettingsError
         If the address cannot be bound for another reason.
     """
-    return HttpListener(bind_socket(ip, port))
+    return HttpListener(bind_socket(ip, port), policy=policy)
 
 
 def bind_socket(ip: str, port: int) -> socket.socket:
