--- a/tests/cover/test_platform_signals.py
+++ b/tests/cover/test_platform_signals.py
@@ -26,7 +26,7 @@
     class Opened(Exception):
         pass
 
-    def check_and_stop(settings):
+    def check_and_stop(settings, policy):
         assert signal.getsignal(signal.SIGTERM) is not signal.SIG_DFL
         raise Opened
 
--- a/tests/cover/test_platform_targets.py
+++ b/tests/cover/test_platform_targets.py
@@ -143,7 +143,10 @@
 
 @pytest.mark.anyio
 async def test_a_target_that_no_request_line_may_have_is_refused(tmp_path):
-    async with run_deployment(tmp_path) as (deployment, server):
+    config = platform_deployment.make_config()
+    # More than the longest target, which would be refused with its head.
+    config['limits']['max_header_bytes'] = 65_536
+    async with run_deployment(tmp_path, config) as (deployment, server):
         statuses = [
             await send(deployment, 'odd', target) for target in REFUSED_TARGETS
         ]
