Let clients that misbehave take part in the soak

The VMs have 160 MB and 600 descriptors in their settings. Checked are the peak memory of each process, and that an ordinary request is answered by each VM while the crowds go on.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from soak import checks
+from soak import crowds
 from soak import faults
 from soak import inputs
 from soak import keys
@@ -96,7 +97,7 @@
         vms,
         network,
         rng,
-        keys.SETTINGS if organised else (),
+        (*crowds.SETTINGS, *(keys.SETTINGS if organised else ())),
         ring.rotate if organised else None,
     )
     workload = load.Workload(
@@ -106,13 +107,20 @@
     odd_input = inputs.OddInput(
         deployment, invariants, random.Random(seed + 3), ring
     )
+    crowd = crowds.Crowds(
+        deployment, invariants, random.Random(seed + 4), ring
+    )
     try:
         async with anyio.create_task_group() as tasks:
             await deployment.start(tasks)
             await _wait_until_served(workload)
             tasks.start_soon(odd_input.watch_processes)
-            await _inject_faults(workload, injector, odd_input, seconds)
-            await _check_recovery(workload, invariants)
+            async with anyio.create_task_group() as crowd_tasks:
+                crowd_tasks.start_soon(crowd.run)
+                await _inject_faults(workload, injector, odd_input, seconds)
+                await crowd.check_answers()
+                await _check_recovery(workload, invariants)
+                crowd_tasks.cancel_scope.cancel()
             await _stop_vms(deployment, invariants)
             tasks.cancel_scope.cancel()
     finally:
