--- a/src/swiftjunction/platform/_components.py
+++ b/src/swiftjunction/platform/_components.py
@@ -6,13 +6,13 @@
 
 import anyio
 import anyio.abc
-import msgspec
 
 from swiftjunction import backends
 from swiftjunction import batches
 from swiftjunction import coordination
 from swiftjunction import membership
 from swiftjunction import organisations
+from swiftjunction.platform import _client_policies
 from swiftjunction.platform import _duty_tasks
 from swiftjunction.platform import _election
 from swiftjunction.platform import _feeds
@@ -36,8 +36,6 @@
 
 MAX_IN_FLIGHT = 1000
 METRICS_PORT = 9464
-# A head that was sent in time may arrive later.
-HEAD_SECONDS_FACTOR = 2.0
 
 
 class EdgeComponents:
@@ -95,6 +93,9 @@
             self._supervisor,
         )
         self._active_routes = routes.ActiveRoutes()
+        self._client_policies = _client_policies.ClientPolicies(
+            settings, self._active_routes
+        )
         self._confirmation = coordination.FeedConfirmation(self._feed_sync)
         self._confirmer = coordination.ConfigurationConfirmer(
             self._direct,
@@ -138,15 +139,8 @@
                 coordination.TunnelPaths(self._members, rng),
             ),
         )
-        limits = web.compute_client_limits(
-            settings.memory_bytes, settings.descriptors
-        )
         self._tunnels = _tunneling.PeerTunnels(
-            settings,
-            self._directory,
-            self._reachability,
-            self._metrics,
-            limits.tunnels,
+            settings, self._directory, self._reachability, self._metrics
         )
         self._permits = coordination.SharedPermits(
             self._directory.rates,
@@ -266,18 +260,6 @@
             workers, self._server_list, settings.drain_seconds
         )
         self._admission = requests.AdmissionController(MAX_IN_FLIGHT)
-        self._caller_policy = web.ClientPolicy(
-            limits,
-            read_head_limits=self._read_head_limits,
-            counts_bodies=False,
-        )
-        self._peer_policy = web.ClientPolicy(
-            msgspec.structs.replace(
-                limits,
-                connections=limits.peer_connections,
-                held_bytes=limits.peer_held_bytes,
-            )
-        )
         self._ingress = self._build_ingress(
             make_forwarder(),
             requests.StreamRelay(
@@ -338,7 +320,7 @@
         rng: random.Random,
     ) -> callers.Ingress:
         bodies = callers.CallerBodies(
-            self._active_routes, self._caller_policy.budget
+            self._active_routes, self._client_policies.callers.budget
         )
         batch_calls = callers.BatchCalls(
             self._active_routes,
@@ -382,17 +364,6 @@
         """Apply the store's address; other settings require a restart."""
         self._direct.address = settings.store
 
-    def _read_head_limits(self) -> web.HeadLimits:
-        """Return the limits on heads that the configuration sets."""
-        table = self._active_routes.table
-        default = web.HeadLimits()
-        if table is None:
-            return default
-        return web.HeadLimits(
-            table.limits.max_head_bytes or default.max_bytes,
-            table.limits.head_seconds * HEAD_SECONDS_FACTOR or default.seconds,
-        )
-
     def _read_state(self) -> str:
         return self._state
 
@@ -423,7 +394,7 @@
             'suspects': self._suspects.summarize,
             'batches': self._runner.summarize,
             'admission': self._admission.summarize,
-            'callers': self._caller_policy.summarize,
+            'callers': self._client_policies.callers.summarize,
             'usage': self._usage.summarize,
             'failing_tasks': self._supervisor.summarize,
             'metrics': self._metrics.summarize,
--- a/src/swiftjunction/platform/_program.py
+++ b/src/swiftjunction/platform/_program.py
@@ -63,7 +63,7 @@
 
     async def _serve(self, signals: _signals.Signals) -> None:
         caller_listener = _listening.open_listener(
-            self._settings, self._caller_policy
+            self._settings, self._client_policies.callers
         )
         metrics_port = _listening.MetricsPort(
             self._settings.ip, self._metrics_port
@@ -72,7 +72,7 @@
         peer_listener = web.HttpListener(
             web.bind_socket(self._settings.ip, self._settings.peer_port),
             *metrics_sockets,
-            policy=self._peer_policy,
+            policy=self._client_policies.peers,
         )
         peer_app = coordination.PeerApp(
             self._status_source.build,
--- a/src/swiftjunction/platform/_tunneling.py
+++ b/src/swiftjunction/platform/_tunneling.py
@@ -6,6 +6,7 @@
 from swiftjunction.platform import _settings
 from swiftjunction import telemetry
 from swiftjunction import tunnels
+from swiftjunction import web
 
 # Between attempts to listen, while no port is free.
 RETRY_SECONDS = 5.0
@@ -28,8 +29,6 @@
         Checks a service after a connection for a peer has failed.
     metrics : Metrics
         Counts tunnels by outcome.
-    max_tunnels : int, optional
-        How many may be open at once.
     """
 
     __slots__ = (
@@ -47,9 +46,10 @@
         directory: backends.Directory,
         reachability: backends.Reachability,
         metrics: telemetry.Metrics,
-        max_tunnels: int | None = None,
     ) -> None:
-        self._max_tunnels = max_tunnels
+        self._max_tunnels = web.compute_client_limits(
+            settings.memory_bytes, settings.descriptors
+        ).tunnels
         self._settings = settings
         self._directory = directory
         self._reachability = reachability
--- a/src/swiftjunction/web/_connection_table.py
+++ b/src/swiftjunction/web/_connection_table.py
@@ -128,7 +128,9 @@
         self._kept.pop(connection, None)
 
     def _end(self, connection: Connection, reason: str) -> None:
-        LOG.info('connection of a client ended', extra={'reason': reason})
+        # A flood of new connections would be one of log lines.
+        level = logging.DEBUG if reason == 'evicted' else logging.INFO
+        LOG.log(level, 'client connection ended', extra={'reason': reason})
         self._ended[reason] += 1
         self.remove(connection)
         connection.lose()
--- a/tests/cover/test_platform_bodies.py
+++ b/tests/cover/test_platform_bodies.py
@@ -3,7 +3,6 @@
 import contextlib
 import hashlib
 import http
-import pathlib
 import re
 
 import anyio
@@ -15,6 +14,7 @@
 from swiftjunction.requests import _bodies
 from swiftjunction import web
 from tests.cover import test_platform_processes
+from tests import crowds
 from tests import platform_deployment
 
 MIB = 1024 * 1024
@@ -249,12 +249,6 @@
             )
 
 
-def read_peak_bytes(process):
-    status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
-    (kilobytes,) = re.findall(r'VmHWM:\s*(\d+) kB', status)
-    return int(kilobytes) * 1024
-
-
 @pytest.mark.anyio
 async def test_many_large_bodies_at_once_stay_within_the_memory(tmp_path):
     deployment = test_platform_processes.ProcessDeployment(tmp_path)
@@ -270,7 +264,9 @@
             async with anyio.create_task_group() as uploads:
                 for number in range(UPLOAD_COUNT):
                     uploads.start_soon(upload, number)
-            peak_bytes = read_peak_bytes(deployment.processes['vm-1'])
+            peak_bytes = crowds.read_peak_bytes(
+                deployment.processes['vm-1'].pid
+            )
             code = await deployment.stop_vm('vm-1')
     finally:
         deployment.close()
