Start nothing more on a connection that is being closed

A graceful shutdown hung while a client had requests ahead: its connection was not used again, hypercorn closed it, and the task that reads went on to wait until a response is written, which none followed. The connection is ended first now, so that the reading task finds it so.

--- a/src/swiftjunction/web/_connections.py
+++ b/src/swiftjunction/web/_connections.py
@@ -88,15 +88,11 @@
             return self._received_at
         return None
 
-    def abort(self) -> None:
-        """Close the connection at once, and release what it holds."""
+    def lose(self) -> None:
+        """Abort the connection and stop its request."""
         self._is_lost = True
         self._account.close()
         self.writer.transport.abort()
-
-    def lose(self) -> None:
-        """Abort the connection and stop its request."""
-        self.abort()
         # Its own tasks may wait for one another.
         self._ending = self.loop.create_task(
             self.protocol.handle(hypercorn.events.Closed())
@@ -111,6 +107,8 @@
         else:
             if isinstance(event, hypercorn.events.Updated):
                 self._update_idle(event.idle)
+            elif isinstance(event, hypercorn.events.Closed):
+                self.protocol.end()
             await super().protocol_send(event)
 
     def _update_idle(self, is_idle: bool) -> None:
--- a/src/swiftjunction/web/_http1.py
+++ b/src/swiftjunction/web/_http1.py
@@ -47,6 +47,10 @@
         elif not self._is_closed:
             await super().handle(event)
 
+    def end(self) -> None:
+        """Start nothing more, as the connection is closed."""
+        self._is_closed = True
+
     def has_partial_head(self) -> bool:
         """Return whether the client has sent a part of a head."""
         is_idle = self.connection.their_state is h11.IDLE
@@ -150,5 +154,4 @@
         await self._close_stream()
         if self.connection.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             await self._send_error_response(status)
-        self._is_closed = True
         await self.send(hypercorn.events.Closed())
--- a/tests/cover/test_client_connections.py
+++ b/tests/cover/test_client_connections.py
@@ -251,3 +251,48 @@
         await wait_until(lambda: policy.budget.held_bytes == 0)
     assert held_bytes == _connections.READ_AHEAD_BYTES
     assert len(responder.paths) < 10
+
+
+async def test_requests_ahead_of_a_closed_connection_hold_nothing():
+    policy = web.ClientPolicy()
+
+    async def close(scope, receive, send):
+        if scope['type'] == 'http':
+            headers = [(b'connection', b'close')]
+            await send(
+                {
+                    'type': 'http.response.start',
+                    'status': 200,
+                    'headers': headers,
+                }
+            )
+            await send({'type': 'http.response.body', 'body': b''})
+
+    async with listen(close, policy) as address:
+        async with await anyio.connect_tcp(*address) as stream:
+            await stream.send(make_requests(3))
+            response, is_closed = await read_all(stream, 5.0)
+        table = policy.get_table(address[1])
+        await wait_until(lambda: table.summarize()['open'] == 0)
+    assert response.count(b'HTTP/1.1 200 ') == 1
+    assert is_closed
+    assert policy.budget.held_bytes == 0
+
+
+async def test_requests_ahead_do_not_delay_a_graceful_shutdown():
+    responder = Responder()
+    listener = web.open_listener('127.0.0.1', 0)
+    address = web.parse_address(listener.address)
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, responder)
+            async with await anyio.connect_tcp(*address) as stream:
+                await stream.send(make_requests(3))
+                await wait_until(lambda: responder.paths)
+                listener.close()
+                await anyio.sleep(0.1)
+                responder.may_answer.set()
+                response, is_closed = await read_all(stream, 5.0)
+    assert response.count(b'HTTP/1.1 200 ') == 1
+    assert is_closed
+    assert responder.paths == [b'/0']
