--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -149,10 +149,12 @@
         self._stop()
 
     async def _start(self):
-        await self.store.start(port=find_free_range('127.0.0.1', 1))
+        # An address of its own: nobody takes the port while the store is down.
+        ip = f'127.77.{self._octet}.250'
+        await self.store.start(ip, find_free_range(ip, 1))
         self.store.put('config', 'main', make_config())
         for worker in [*self.plain, *self.engines]:
-            await worker.start()
+            await worker.start(ip)
             self.store.put('servers', worker.name, worker.entry())
         for number, name in enumerate(self.vms, 1):
             self._start_vm(name, f'127.77.{self._octet}.{number}')
@@ -377,7 +379,7 @@
     record(f'with the disruption: {trouble}')
     try:
         code = asyncio.run(_run_limited(case, record, trouble))
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, OSError, asyncio.CancelledError) as error:
         record(f'could not run: {type(error).__name__} {error}')
         code = CANNOT_RUN
     record({HELD: 'rule held', BROKEN: 'RULE BROKEN', CANNOT_RUN: 'not run'}[code])
@@ -385,5 +387,9 @@
 
 
 async def _run_limited(case, record, trouble):
+    # So that a script that is stopped ends what it started.
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     async with asyncio.timeout(110):
         return await case(record, trouble)
