--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -23,6 +23,8 @@
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 DEADLINE_SECONDS = 12.0
 READY_SECONDS = 30.0
+MEMORY_MB = 300
+RESTART_SECONDS = 0.5
 
 
 class CannotRun(Exception):
@@ -125,15 +127,20 @@
 class Deployment:
     """Edge processes, a store, workers and the platform's operator."""
 
-    def __init__(self, record, vms, plain, engines):
+    def __init__(self, record, vms, plain, engines, config=None):
         self.record = record
         self.vms = list(vms)
         self.store = store_module.Store(record)
         self.plain = plain
         self.engines = engines
+        self._config = config or make_config()
         self.fronts = {}
+        # Time, name and memory of each process that the platform ended.
+        self.ends = []
+        self.peak_mb = {}
         self._ready = {}
         self._processes = {}
+        self._settings = {}
         self._folder = tempfile.TemporaryDirectory()
         self._octet = 2 + os.getpid() % 250
 
@@ -152,7 +159,7 @@
         # An address of its own: nobody takes the port while the store is down.
         ip = f'127.77.{self._octet}.250'
         await self.store.start(ip, find_free_range(ip, 1))
-        self.store.put('config', 'main', make_config())
+        self.store.put('config', 'main', self._config)
         for worker in [*self.plain, *self.engines]:
             await worker.start(ip)
             self.store.put('servers', worker.name, worker.entry())
@@ -162,6 +169,11 @@
             await self._wait_until_ready(name)
 
     def _start_vm(self, name, ip):
+        settings = self._write_settings(name, ip)
+        self._settings[name] = settings
+        self.start_process(name)
+
+    def _write_settings(self, name, ip):
         ports = [find_free_port(ip) for _ in range(4)]
         peer = find_free_range(ip, 16)
         front, readiness, directory, control = ports
@@ -188,7 +200,7 @@
                     'counts_as_loss=false',
                     'limits.cpu_share=0.537',
                     'limits.cpu_cores=2',
-                    'limits.memory_mb=300',
+                    f'limits.memory_mb={MEMORY_MB}',
                     'limits.max_fds=4100',
                     'discovery=platform',
                     'entry=registry',
@@ -215,8 +227,12 @@
                 ]
             )
         )
+        return settings
+
+    def start_process(self, name):
+        """Start the process of a VM, also after its end."""
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
-        log = (pathlib.Path(self._folder.name) / f'{name}.log').open('wb')
+        log = (pathlib.Path(self._folder.name) / f'{name}.log').open('ab')
         self._processes[name] = subprocess.Popen(
             deploy['roles']['edge']['run'].split(),
             cwd=ROOT,
@@ -229,7 +245,7 @@
                     if key in os.environ
                 },
                 'PYTHONPATH': str(ROOT / 'target/deps'),
-                'SWIFTJUNCTION_NODE_FILE': str(settings),
+                'SWIFTJUNCTION_NODE_FILE': str(self._settings[name]),
             },
         )
         log.close()
@@ -253,6 +269,28 @@
         path = pathlib.Path(self._folder.name) / f'{name}.log'
         return path.read_text(errors='replace')
 
+    async def enforce_memory(self):
+        """Kill a process above ``MEMORY_MB``, and start it again, for ever.
+
+        DEPLOY.md: "A process that uses more than `memory_mb` is killed", and
+        "A process that exits or is killed is restarted after a short delay".
+        """
+        while True:
+            await asyncio.sleep(0.02)
+            for name, process in list(self._processes.items()):
+                used_mb = read_memory_mb(process.pid)
+                self.peak_mb[name] = max(self.peak_mb.get(name, 0), used_mb)
+                if used_mb <= MEMORY_MB and process.poll() is None:
+                    continue
+                process.kill()
+                process.wait()
+                self.ends.append((time.time(), name, used_mb))
+                self.record(f'{name} has {used_mb} MB, is killed and restarted')
+                asyncio.get_running_loop().call_later(
+                    RESTART_SECONDS, self.start_process, name
+                )
+                self._processes.pop(name)
+
     def kill(self, name):
         """Kill a process of this deployment."""
         self._processes[name].send_signal(signal.SIGKILL)
@@ -351,6 +389,18 @@
         return status
 
 
+def read_memory_mb(pid):
+    """Return the resident memory of a process in MB; 0 if it has ended."""
+    try:
+        lines = pathlib.Path(f'/proc/{pid}/status').read_text().splitlines()
+    except OSError:
+        return 0
+    for line in lines:
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1]) // 1024
+    return 0
+
+
 def find_free_port(ip):
     """Return a port that is free now."""
     with socket.socket() as probe:
