Log what becomes of a write whose response was lost

The log of the VM had one line on it, 'request failed: connection failed (step read)', which did not tell these apart: the write never left the VM; it was refused; or its response was lost and something else failed after that.

Now the lost response, each failed attempt to read back, and the end without a result have a line each.

--- a/src/swiftjunction/batches/_archive.py
+++ b/src/swiftjunction/batches/_archive.py
@@ -331,6 +331,7 @@
         except errors.RevisionConflict:
             return False
         except errors.WriteUncertain as uncertain:
+            LOG.warning('outcome of the write of %s is unknown', key)
             try:
                 found = await self._store.read(key)
             except errors.ObjectMissing:
--- a/src/swiftjunction/objectstore/_writes.py
+++ b/src/swiftjunction/objectstore/_writes.py
@@ -62,15 +62,18 @@
 ) -> int:
     try:
         return await write()
-    except errors.WriteUncertain:
-        pass
+    except errors.WriteUncertain as error:
+        LOG.info(
+            'no response to the write of %s; reading back: %s', key, error
+        )
     delay_seconds = READ_BACK_INITIAL_DELAY_SECONDS
     for _ in range(READ_BACK_ATTEMPTS):
         await anyio.sleep(delay_seconds)
         delay_seconds *= 2
         try:
             found = await _read_or_none(store, key)
-        except errors.PlatformUnavailable:
+        except errors.PlatformUnavailable as error:
+            LOG.info('cannot read back %s: %s', key, error)
             continue
         if found is not None and found.value == value:
             return found.version
