Answer 504 to a submission that may be stored and cannot be read back

The cause: the store goes down as it has stored the batch, so that its response is lost. After six attempts to read back, create_or_confirm ends with WriteUncertain. BatchArchive._create reads once more, and expected ObjectMissing as the only error of that. While the store is down it raises PlatformUnavailable, 'nothing was changed', which replaced WriteUncertain and became a 503. The log shows it: the lost response, six failed reads, and 1 ms after the end without a result the 503 of a read.

Now any failure of a read after an uncertain write leaves it uncertain, in _create and in create_or_confirm and update_or_confirm. The same for a batch that is found stored and whose owner cannot be read: that it is stored is certain then.

--- a/src/swiftjunction/batches/_archive.py
+++ b/src/swiftjunction/batches/_archive.py
@@ -102,7 +102,15 @@
                 await self._check_owner(batch)
 
     async def _check_owner(self, batch: _batch.Batch) -> None:
-        found = await self._store.read(BATCH_PREFIX + batch.batch_id)
+        try:
+            found = await self._store.read(BATCH_PREFIX + batch.batch_id)
+        except errors.PlatformUnavailable as error:
+            # Not passed on, as it means that nothing is stored.
+            raise errors.WriteUncertain(
+                f'the owner of the stored batch is unknown: {error.message}',
+                step='submit',
+                peer=error.peer,
+            ) from error
         stored = _batch.decode_batch(found)
         if not _batch.is_accessible(stored, batch.organisation):
             raise errors.RequestInvalid(
@@ -331,10 +339,14 @@
         except errors.RevisionConflict:
             return False
         except errors.WriteUncertain as uncertain:
-            LOG.warning('outcome of the write of %s is unknown', key)
             try:
                 found = await self._store.read(key)
-            except errors.ObjectMissing:
+            except errors.PlatformError as error:
+                # A missing object may still be created, and a read that fails
+                # says nothing about the write.
+                LOG.warning(
+                    'outcome of the write of %s is unknown: %s', key, error
+                )
                 raise uncertain from None
             return found.value == value
         return True
--- a/src/swiftjunction/objectstore/_writes.py
+++ b/src/swiftjunction/objectstore/_writes.py
@@ -72,7 +72,7 @@
         delay_seconds *= 2
         try:
             found = await _read_or_none(store, key)
-        except errors.PlatformUnavailable as error:
+        except errors.PlatformError as error:
             LOG.info('cannot read back %s: %s', key, error)
             continue
         if found is not None and found.value == value:
--- a/tests/cover/test_batches_archive.py
+++ b/tests/cover/test_batches_archive.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 
 from swiftjunction import batches
@@ -56,6 +57,35 @@
             await archive.create(make_batch())
         assert not store.objects
 
+    # Guards against answering 503, which promises that nothing runs, to a
+    # submission that the store has: no read after the lost write succeeds.
+    @pytest.mark.parametrize('fault', ['lose', 'drop', 'delay'])
+    async def test_lost_create_that_cannot_be_read_back_is_uncertain(
+        self, store, archive, fault
+    ):
+        store.faults = [fault, *['refuse'] * 100]
+        with pytest.raises(errors.WriteUncertain):
+            await archive.create(make_batch())
+
+    # Guards against the same where a part of the batch is written first.
+    async def test_lost_part_that_cannot_be_read_back_is_uncertain(
+        self, store, archive
+    ):
+        store.faults = ['lose', *['refuse'] * 100]
+        with pytest.raises(errors.WriteUncertain):
+            await archive.create(make_batch(count=40, body=b'y' * 60_000))
+
+    # Guards against the same where the batch is already stored, and whose it
+    # is cannot be read.
+    async def test_stored_batch_of_unknown_owner_is_uncertain(
+        self, store, archive
+    ):
+        batch = msgspec.structs.replace(make_batch(), organisation='team')
+        await archive.create(batch)
+        store.faults = ['ok', *['refuse'] * 100]
+        with pytest.raises(errors.WriteUncertain):
+            await archive.create(batch)
+
     async def test_large_batch_is_stored_in_parts(self, store, archive):
         batch = make_batch(count=40, body=b'y' * 60_000)
         await archive.create(batch)
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -6,6 +6,9 @@
 from swiftjunction import standins
 from tests import platform_deployment
 
+# A VM that cannot read back what it wrote answers after some seconds.
+SUBMISSION_SECONDS = 15
+
 
 @pytest.fixture
 def deployment(tmp_path):
@@ -559,6 +562,35 @@
         assert accepted.status_code == 202
         assert len(results) == 4
 
+    # Guards against answering 503, which promises that nothing runs, as the
+    # store goes down once it has stored the batch: its samples run later.
+    async def test_a_stored_batch_is_not_refused_as_the_store_goes_down(
+        self, deployment
+    ):
+        store = deployment.store
+        statuses = []
+
+        async def submit():
+            response = await deployment.submit(
+                'vm-1',
+                'b1',
+                platform_deployment.make_batch(),
+                timeout=SUBMISSION_SECONDS,
+            )
+            statuses.append(response.status_code)
+
+        async with deployment.run():
+            store.faults.set('lost', 1)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(submit)
+                while not store.list_names('batches'):
+                    await anyio.sleep(0.01)
+                store.faults.set('down', 1)
+            store.faults.set('down', 0)
+            results = await deployment.wait_for_results('vm-1', 'b1', 4)
+        assert len(results) == 4
+        assert statuses == [504]
+
     async def test_another_vm_takes_over_from_a_killed_coordinator(
         self, deployment
     ):
--- a/tests/platform_deployment.py
+++ b/tests/platform_deployment.py
@@ -291,7 +291,7 @@
                         return
                 await anyio.sleep(0.05)
 
-    async def submit(self, name, batch_id, batch):
+    async def submit(self, name, batch_id, batch, **options):
         """Submit a batch to a VM."""
         return await self.send_request(
             name,
@@ -299,6 +299,7 @@
             '/samples/new',
             content=json.dumps(batch).encode(),
             headers={'swiftjunction-attempt-id': batch_id},
+            **options,
         )
 
     async def read_results(self, name, batch_id, after=0):
