Answer 504 to an end of a batch that one VM may have carried out

A trainer's end of a batch got 503, which promises that nothing was done, though the batch had ended.

Now an end that any of them may have carried out stays uncertain, so that it gets 504. Reads keep the last error: they are safe to repeat, and 503 says when.

--- a/src/swiftjunction/batches/_access.py
+++ b/src/swiftjunction/batches/_access.py
@@ -226,14 +226,22 @@
     async def end(
         self, batch_id: str, organisation: str | None = None
     ) -> None:
-        await self._try_each(lambda access: access.end(batch_id, organisation))
+        await self._try_each(
+            lambda access: access.end(batch_id, organisation), is_write=True
+        )
 
     async def _try_each(
         self,
         call: collections.abc.Callable[
             [BatchAccess], collections.abc.Awaitable[ReturnType]
         ],
+        is_write: bool = False,
     ) -> ReturnType:
+        """Return the result of the first access that succeeds.
+
+        Without one, this raises the last error. A write that one access may
+        have carried out stays uncertain, whatever the others raise.
+        """
         last_error: errors.PlatformError = errors.PlatformUnavailable(
             'no way to access the batch is available', step='find batch'
         )
@@ -244,7 +252,10 @@
                 raise
             except errors.PlatformError as error:
                 LOG.info('batch access failed: %s', error)
-                last_error = error
+                if not is_write or isinstance(
+                    last_error, errors.PlatformUnavailable
+                ):
+                    last_error = error
         try:
             raise last_error
         finally:
--- a/tests/cover/test_platform_path.py
+++ b/tests/cover/test_platform_path.py
@@ -591,6 +591,37 @@
         assert len(results) == 4
         assert statuses == [504]
 
+    # Guards against answering 503, which promises that nothing was done, to
+    # an end that the coordinator has stored as the store goes down.
+    async def test_a_stored_end_is_not_refused_as_the_store_goes_down(
+        self, deployment
+    ):
+        store = deployment.store
+        statuses = []
+
+        async def end(vm):
+            response = await deployment.send_request(
+                vm, 'DELETE', '/lots/b1', timeout=SUBMISSION_SECONDS
+            )
+            statuses.append(response.status_code)
+
+        async with deployment.run(('vm-1', 'vm-2')):
+            # The other VM finds the coordinator meanwhile.
+            await anyio.sleep(1.0)
+            await deployment.submit(
+                'vm-1', 'b1', platform_deployment.make_batch()
+            )
+            await deployment.wait_for_results('vm-1', 'b1', 4)
+            lease = store.get('leases', 'coordinator')
+            name = lease['spec']['holder'].partition('@')[0]
+            store.faults.set('lost', 1)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(end, 'vm-2' if name == 'vm-1' else 'vm-1')
+                while not store.get('batches', 'b1')['spec']['ended']:
+                    await anyio.sleep(0.01)
+                store.faults.set('down', 1)
+        assert statuses == [504]
+
     async def test_another_vm_takes_over_from_a_killed_coordinator(
         self, deployment
     ):
