Keep a write uncertain whose outcome cannot be read, in editor and lease

- An operator's change whose write got no response was reported as refused (or as missing) if the subtree or a revision could not be decoded or found when it was read back: only PlatformUnavailable was expected of that read.
It is uncertain now.
- LeaseKeeper raised the error of the read in place of WriteUncertain.
Its callers treat both alike, and the write stays pending in both cases, so that nothing changes for them but the error that is logged.

Looked at without a finding: orders of servers (an order that got no response stays open, whatever the next attempt says), version orders (guarded by the expected count), usage reports, claims of idempotency keys, the ledger of steps, relays, registration.

Both tests failed before and pass now.

--- a/src/swiftjunction/configuration/_editor.py
+++ b/src/swiftjunction/configuration/_editor.py
@@ -178,7 +178,11 @@
             except _WriteConflict:
                 # An earlier attempt may have applied the change: read again.
                 continue
-            except errors.PlatformUnavailable:
+            except errors.RevisionConflict:
+                # The objects show that the change was not applied.
+                raise
+            except errors.PlatformError:
+                # A read that fails says nothing about an earlier write.
                 if uncertain_error is None:
                     raise
         raise uncertain_error or errors.PlatformUnavailable(
--- a/src/swiftjunction/leases/_keeper.py
+++ b/src/swiftjunction/leases/_keeper.py
@@ -272,8 +272,12 @@
                 new_version = await self._store.update(
                     self._key, value, version
                 )
-        except errors.WriteUncertain:
-            await self._resolve_pending_writes()
+        except errors.WriteUncertain as uncertain:
+            try:
+                await self._resolve_pending_writes()
+            except errors.PlatformError as error:
+                LOG.info('cannot read back lease %s: %s', self.name, error)
+                raise uncertain from None
             if self.lease is None or record.nonce in self._pending_writes:
                 raise
             return self.lease
--- a/tests/cover/test_configuration_editor.py
+++ b/tests/cover/test_configuration_editor.py
@@ -115,6 +115,26 @@
     anyio.run(run)
 
 
+# Guards against reporting a change as refused that may have been applied, as
+# the subtree cannot be decoded when it is read back.
+@pytest.mark.anyio
+async def test_a_lost_change_that_cannot_be_read_back_is_uncertain(store):
+    editor = configuration.Editor(store)
+    version, revision = await read_current(editor)
+    store.faults = ['ok', 'lose']
+    read = store.read
+
+    async def read_broken(key):
+        if key in store.objects:
+            raise errors.ObjectBroken('invalid', step='test')
+        return await read(key)
+
+    store.read = read_broken
+    with pytest.raises(errors.WriteUncertain):
+        await apply_change(editor, 'mine', version, revision)
+    assert 'config/fit' in store.objects
+
+
 @pytest.mark.anyio
 async def test_a_change_is_applied_after_an_outdated_read(store):
     editor = configuration.Editor(store)
--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -87,6 +87,18 @@
         assert lease.fencing_token == token
         assert lease.remaining_seconds() == pytest.approx(7)
 
+    # Guards against a lost renewal that is reported as not carried out.
+    async def test_a_lost_renewal_that_cannot_be_read_back_is_uncertain(
+        self, store, clock
+    ):
+        keeper = make_keeper(store, clock, 'a')
+        lease = await keeper.acquire()
+        store.faults = ['lose', 'refuse']
+        with pytest.raises(errors.WriteUncertain):
+            await keeper.acquire()
+        store.faults = []
+        assert await keeper.acquire() is lease
+
     async def test_a_renewal_that_hangs_times_out_and_is_read_back(
         self, store, clock
     ):
