Log when a connection has carried a request of the same id before

The logs had two responses to the scoring request, 8 s apart, each with 200, and did not tell these apart: a score kept from the step before; an answer of the server that is wrong; or an answer to the call before, which has the same id.

A connection now knows the ids of the requests sent on it, and the line 'the connection has carried a request with this id before' tells when that can be.

--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -138,6 +138,7 @@
                 ('x-timeout-seconds', f'{call.timeout_seconds:.3f}'),
             ],
             timeout_seconds=call.timeout_seconds,
+            request_id=call.request_id,
         )
         async for chunk in self._read_chunks(server, call, request):
             yield chunk
@@ -153,6 +154,7 @@
             'GET',
             f'/v1/completions/{call.request_id}?offset={offset}',
             timeout_seconds=call.timeout_seconds,
+            request_id=call.request_id,
         )
         async for chunk in self._read_chunks(server, call, request):
             yield chunk
--- a/src/swiftjunction/backends/_service.py
+++ b/src/swiftjunction/backends/_service.py
@@ -125,6 +125,7 @@
                 timeout_seconds=call.timeout_seconds,
                 check=call.check,
                 check_body=call.check,
+                request_id=call.request_id,
             )
             _http.update_from_headers(response, server, call.request_id, step)
             try:
--- a/src/swiftjunction/platform/servers/_workers.py
+++ b/src/swiftjunction/platform/servers/_workers.py
@@ -345,6 +345,7 @@
                 connect_seconds=CONNECT_TIMEOUT_SECONDS,
                 check=check_before_send,
                 check_body=check,
+                request_id=request_id,
             )
 
         sent_at = server.read_rate_clock()
--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -189,6 +189,7 @@
         connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
         check: collections.abc.Callable[[], None] | None = None,
         check_body: collections.abc.Callable[[], None] | None = None,
+        request_id: str = '',
     ) -> httpx.Response:
         """Send a request and return the response, which must be closed.
 
@@ -211,6 +212,8 @@
             Called just before the first byte of the body is sent, and before
             each further chunk of a long one. If it raises, the server gets no
             more of the body, and the connection is reset.
+        request_id : str
+            The id by which the response is recognized; empty if by none.
 
         Raises
         ------
@@ -242,6 +245,7 @@
                     'write': timeout_seconds,
                     'pool': timeout_seconds,
                 },
+                _transport.REQUEST_ID_EXTENSION: request_id,
                 **_make_trace_extension(check, check_body),
             },
         )
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -6,8 +6,10 @@
 each connection is a transport of its own, and idle ones are kept on a stack.
 """
 
+import array
 import collections.abc
 import functools
+import logging
 import math
 import socket
 import ssl
@@ -20,6 +22,8 @@
 from swiftjunction.web import _bodies
 from swiftjunction.web import _heads
 
+LOG = logging.getLogger(__name__)
+
 MAX_CONNECTIONS_PER_SERVER = 1024
 MAX_IDLE_CONNECTIONS = 64
 IDLE_EXPIRY_SECONDS = 60.0
@@ -43,6 +47,12 @@
 )
 
 
+# The key of the request extension that holds the id of the request, if the
+# server repeats it in its response.
+REQUEST_ID_EXTENSION = 'request_id'
+SIGNED_64_BIT_INTEGERS = 'q'
+
+
 @functools.cache
 def load_ssl_context() -> ssl.SSLContext:
     """Return the shared TLS context of connections that were given none.
@@ -99,6 +109,7 @@
                 'all connections to the server are in use', request=request
             )
         connection = self._idle.pop() if self._idle else self._connect()
+        self._record_id(connection, request)
         self._in_use += 1
         try:
             response = await self._send(connection, request)
@@ -126,6 +137,22 @@
             f'no complete head within {head_seconds:.3f} s', request=request
         )
 
+    def _record_id(
+        self, connection: '_Connection', request: httpx.Request
+    ) -> None:
+        request_id = request.extensions.get(REQUEST_ID_EXTENSION, '')
+        if not request_id:
+            return
+        if connection.has_carried(request_id):
+            LOG.info(
+                'the connection has carried a request with this id before',
+                extra={
+                    'request_id': request_id,
+                    'server': request.url.netloc.decode(),
+                },
+            )
+        connection.record_id(request_id)
+
     def _connect(self) -> '_Connection':
         return _Connection(self._context or load_ssl_context(), self._backend)
 
@@ -169,6 +196,16 @@
             socket_options=SOCKET_OPTIONS,
             network_backend=_heads.HeadBoundBackend(backend),
         )
+        # Hashes of the ids of its requests. Two ids may have the same hash.
+        self._id_hashes = array.array(SIGNED_64_BIT_INTEGERS)
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id was sent on it."""
+        return hash(request_id) in self._id_hashes
+
+    def record_id(self, request_id: str) -> None:
+        """Record that a request with this id is sent on it."""
+        self._id_hashes.append(hash(request_id))
 
     def has_surplus(self) -> bool:
         """Return whether bytes were received after the last response.
