Send no request id twice on one connection

The cause: a group that was not complete comes again in a later step, with the same ids of its items and scoring requests. The scoring request went out on the kept connection that had carried it before, and the server sent a second copy of its earlier answer there, late. An answer is recognized by its id alone, which is that of both.

Now a connection knows the ids that it has carried, and a request whose id is among them takes another one. That holds for everything that is sent with an id: live requests that are retried, streams that are resumed, samples, scoring requests, and generations of an own deployment.

In test_repeated_answers.py a server on a raw socket repeats its answers as in the case. Five tests failed before: live calls, streams, samples and scores got the answer before theirs, and a copied 500 counted as a second failure of the scorer. One more guards against a copied 500 of a sample and passed before, as a failed sample's connection is closed. The seventh is of the bound.

--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -6,7 +6,6 @@
 each connection is a transport of its own, and idle ones are kept on a stack.
 """
 
-import array
 import collections.abc
 import functools
 import logging
@@ -18,6 +17,7 @@
 import anyio
 import httpcore
 import httpx
+import xxhash
 
 from swiftjunction.web import _bodies
 from swiftjunction.web import _heads
@@ -26,6 +26,8 @@
 
 MAX_CONNECTIONS_PER_SERVER = 1024
 MAX_IDLE_CONNECTIONS = 64
+# Bounds what a connection keeps of the ids of its requests, 8 bytes each.
+MAX_IDS_PER_CONNECTION = 512
 IDLE_EXPIRY_SECONDS = 60.0
 # TCP detects a dead connection, for example behind a network partition, after
 # about three seconds.
@@ -50,7 +52,7 @@
 # The key of the request extension that holds the id of the request, if the
 # server repeats it in its response.
 REQUEST_ID_EXTENSION = 'request_id'
-SIGNED_64_BIT_INTEGERS = 'q'
+DIGEST_BYTES = 8
 
 
 @functools.cache
@@ -66,9 +68,18 @@
     return context
 
 
+def _digest_id(request_id: str) -> bytes:
+    return xxhash.xxh3_64_digest(request_id.encode())
+
+
 class LifoTransport(httpx.AsyncBaseTransport):
     """An HTTP transport that reuses the most recently used connection.
 
+    A server may send a response twice, the second time on a connection that
+    is in use again. Where the request in progress has the same id as the one
+    before, nothing tells the two responses apart. So no connection carries
+    the same id twice.
+
     Parameters
     ----------
     context : ssl.SSLContext
@@ -108,8 +119,9 @@
             raise httpx.PoolTimeout(
                 'all connections to the server are in use', request=request
             )
-        connection = self._idle.pop() if self._idle else self._connect()
-        self._record_id(connection, request)
+        request_id = request.extensions.get(REQUEST_ID_EXTENSION, '')
+        connection = self._take_idle(request_id) or self._connect()
+        connection.record_id(request_id)
         self._in_use += 1
         try:
             response = await self._send(connection, request)
@@ -137,21 +149,16 @@
             f'no complete head within {head_seconds:.3f} s', request=request
         )
 
-    def _record_id(
-        self, connection: '_Connection', request: httpx.Request
-    ) -> None:
-        request_id = request.extensions.get(REQUEST_ID_EXTENSION, '')
-        if not request_id:
-            return
-        if connection.has_carried(request_id):
+    def _take_idle(self, request_id: str) -> '_Connection | None':
+        """Return the last used connection that has not carried the id."""
+        for index in reversed(range(len(self._idle))):
+            if not self._idle[index].has_carried(request_id):
+                return self._idle.pop(index)
             LOG.info(
-                'the connection has carried a request with this id before',
-                extra={
-                    'request_id': request_id,
-                    'server': request.url.netloc.decode(),
-                },
+                'not reusing a connection that has carried this request id',
+                extra={'request_id': request_id},
             )
-        connection.record_id(request_id)
+        return None
 
     def _connect(self) -> '_Connection':
         return _Connection(self._context or load_ssl_context(), self._backend)
@@ -162,6 +169,7 @@
         if (
             not self._is_retired
             and len(self._idle) < MAX_IDLE_CONNECTIONS
+            and connection.may_carry_more()
             and not connection.has_surplus()
         ):
             self._idle.append(connection)
@@ -196,16 +204,22 @@
             socket_options=SOCKET_OPTIONS,
             network_backend=_heads.HeadBoundBackend(backend),
         )
-        # Hashes of the ids of its requests. Two ids may have the same hash.
-        self._id_hashes = array.array(SIGNED_64_BIT_INTEGERS)
+        # Of the ids of its requests, one after the other. A digest that is
+        # found by chance only leads to the use of another connection.
+        self._id_digests = bytearray()
 
     def has_carried(self, request_id: str) -> bool:
         """Return whether a request with this id was sent on it."""
-        return hash(request_id) in self._id_hashes
+        return bool(request_id) and _digest_id(request_id) in self._id_digests
 
     def record_id(self, request_id: str) -> None:
-        """Record that a request with this id is sent on it."""
-        self._id_hashes.append(hash(request_id))
+        """Record that a request with this id, if it has one, is sent on it."""
+        if request_id:
+            self._id_digests += _digest_id(request_id)
+
+    def may_carry_more(self) -> bool:
+        """Return whether it may carry another request with an id."""
+        return len(self._id_digests) < MAX_IDS_PER_CONNECTION * DIGEST_BYTES
 
     def has_surplus(self) -> bool:
         """Return whether bytes were received after the last response.
