Bound the answers of servers that call themselves event streams

The cause: bound_body left every body of the type text/event-stream unbounded, as the readers of streams bound events themselves. But the readers of health checks, orders, cancellations, lists of the store and messages of other VMs read the whole body, and the server alone says which type it has.

Now a body is unbounded only if the request was sent as one for a stream: generations, watches of engines, streams of callers and samples.

--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -139,6 +139,7 @@
             ],
             timeout_seconds=call.timeout_seconds,
             request_id=call.request_id,
+            is_stream=True,
         )
         async for chunk in self._read_chunks(server, call, request):
             yield chunk
@@ -155,6 +156,7 @@
             f'/v1/completions/{call.request_id}?offset={offset}',
             timeout_seconds=call.timeout_seconds,
             request_id=call.request_id,
+            is_stream=True,
         )
         async for chunk in self._read_chunks(server, call, request):
             yield chunk
@@ -289,6 +291,7 @@
                 '/events',
                 headers={'accept': EVENT_STREAM_TYPE},
                 timeout=_orders.STATUS_TIMEOUT_SECONDS,
+                extensions=web.UNBOUNDED_STREAM,
             ) as response:
                 _check_event_stream(response, 'watch', address)
                 bounded = web.bound_events(
--- a/src/swiftjunction/platform/servers/_workers.py
+++ b/src/swiftjunction/platform/servers/_workers.py
@@ -96,6 +96,7 @@
                 STREAM_TIMEOUT_SECONDS,
                 'stream',
                 exchange,
+                is_stream=True,
             )
         try:
             _responses.check_request_id(response, server, call.request_id)
@@ -141,6 +142,7 @@
         timeout_seconds: float,
         source: str,
         exchange: backends.Exchange,
+        is_stream: bool = False,
     ) -> httpx.Response:
         return await self._send(
             server,
@@ -159,6 +161,7 @@
             check=call.check,
             request_id=call.request_id,
             source=source,
+            is_stream=is_stream,
         )
 
     async def is_crashed(self, server: backends.BackendServer) -> bool:
@@ -193,6 +196,7 @@
                 check=check,
                 request_id=sample.sample_id,
                 source='sample',
+                is_stream=True,
             )
             try:
                 _responses.check_request_id(response, server, sample.sample_id)
@@ -311,6 +315,7 @@
         request_id: str = '',
         source: str = '',
         deadline: float = math.inf,
+        is_stream: bool = False,
     ) -> httpx.Response:
         """Send a request that any other server instance must refuse.
 
@@ -346,6 +351,7 @@
                 check=check_before_send,
                 check_body=check,
                 request_id=request_id,
+                is_stream=is_stream,
             )
 
         sent_at = server.read_rate_clock()
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -4,6 +4,7 @@
 from swiftjunction.web._addresses import is_address
 from swiftjunction.web._addresses import parse_address
 from swiftjunction.web._bodies import SHORT_BODY
+from swiftjunction.web._bodies import UNBOUNDED_STREAM
 from swiftjunction.web._client_limits import BYTES_PER_MIB
 from swiftjunction.web._client_limits import ClientLimits
 from swiftjunction.web._client_limits import compute_client_limits
@@ -76,6 +77,7 @@
     'SocketOptions',
     'TlsContexts',
     'TlsFiles',
+    'UNBOUNDED_STREAM',
     'UNSENT_ERRORS',
     'bind_datagram_socket',
     'bind_socket',
--- a/src/swiftjunction/web/_bodies.py
+++ b/src/swiftjunction/web/_bodies.py
@@ -17,6 +17,10 @@
 # For responses with a short body or none: health, orders, cancellations.
 MAX_SHORT_BODY_BYTES = 64 * 1024
 SHORT_BODY = {MAX_BODY_EXTENSION: MAX_SHORT_BODY_BYTES}
+# For event streams, whose readers bound their events and the time between
+# them.
+UNBOUNDED_STREAM = {MAX_BODY_EXTENSION: math.inf}
+EVENT_STREAM_TYPE = 'text/event-stream'
 
 
 def bound_body(
@@ -24,8 +28,8 @@
 ) -> collections.abc.AsyncIterator[bytes]:
     """Return an iterator over `body` that fails if it is too long or slow.
 
-    An event stream is not bounded, as it has no fixed length. Its reader
-    bounds its events and the time between them.
+    Only an event stream is not bounded, and only if the request was sent with
+    `UNBOUNDED_STREAM`: it has no fixed length.
 
     Raises
     ------
@@ -35,15 +39,19 @@
         While iterating, if the body takes too long in total.
     """
     content_type = response.headers.get('content-type', '')
-    if content_type.startswith('text/event-stream'):
-        return aiter(body)
-    return _iterate(body, response.request)
+    max_bytes = response.request.extensions.get(
+        MAX_BODY_EXTENSION, MAX_BODY_BYTES
+    )
+    if max_bytes == math.inf:
+        if content_type.startswith(EVENT_STREAM_TYPE):
+            return aiter(body)
+        max_bytes = MAX_BODY_BYTES
+    return _iterate(body, response.request, max_bytes)
 
 
 async def _iterate(
-    body: httpx.AsyncByteStream, request: httpx.Request
+    body: httpx.AsyncByteStream, request: httpx.Request, max_bytes: float
 ) -> collections.abc.AsyncIterator[bytes]:
-    max_bytes = request.extensions.get(MAX_BODY_EXTENSION, MAX_BODY_BYTES)
     read_seconds = request.extensions['timeout']['read']
     # The read timeout starts again with each byte.
     max_seconds = (
--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -10,6 +10,7 @@
 
 from swiftjunction import errors
 from swiftjunction.web import _addresses
+from swiftjunction.web import _bodies
 from swiftjunction.web import _sending
 from swiftjunction.web import _transport
 
@@ -190,6 +191,7 @@
         check: collections.abc.Callable[[], None] | None = None,
         check_body: collections.abc.Callable[[], None] | None = None,
         request_id: str = '',
+        is_stream: bool = False,
     ) -> httpx.Response:
         """Send a request and return the response, which must be closed.
 
@@ -214,6 +216,8 @@
             more of the body, and the connection is reset.
         request_id : str
             The id by which the response is recognized; empty if by none.
+        is_stream : bool
+            Whether an event stream is expected, of any length.
 
         Raises
         ------
@@ -246,6 +250,7 @@
                     'pool': timeout_seconds,
                 },
                 _transport.REQUEST_ID_EXTENSION: request_id,
+                **(_bodies.UNBOUNDED_STREAM if is_stream else {}),
                 **_make_trace_extension(check, check_body),
             },
         )
