Refuse compressed answers in an own deployment

A conductor grew to 373 MB within 5 s before eight faulty servers that answered health checks and watches with gzip, and to 758 MB where the answers called themselves event streams as well.

The cause: bounds on bodies and events count the bytes that are received, while httpx decodes them after that: 64 KB of gzip become 64 MB in one piece.

Now the general-purpose client asks for no encoding and refuses an answer with one before its body is read, and events are read as they are received.

[packed] and [packed_stream] of test_endless_own.py failed before and pass now.

--- a/src/swiftjunction/web/_clients.py
+++ b/src/swiftjunction/web/_clients.py
@@ -17,6 +17,7 @@
 LOG = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_SECONDS = 2.0
+UNENCODED = 'identity'
 # The trace events of httpcore just before the first byte of a request is sent,
 # and just before the first byte of its body. Other tasks may run in between.
 REQUEST_START_EVENT = 'http11.send_request_headers.started'
@@ -44,6 +45,9 @@
 ) -> httpx.AsyncClient:
     """Return a client that keeps idle connections open for reuse.
 
+    It refuses encoded responses, as bounds on bodies go by the bytes that are
+    received: 64 KB of gzip can become 64 MB.
+
     Parameters
     ----------
     base_url : str
@@ -61,9 +65,20 @@
         ),
         transport=_transport.LifoTransport(context),
         trust_env=False,
+        headers={'accept-encoding': UNENCODED},
+        event_hooks={'response': [_refuse_encoded]},
     )
 
 
+async def _refuse_encoded(response: httpx.Response) -> None:
+    encoding = response.headers.get('content-encoding', UNENCODED)
+    if encoding.strip().lower() != UNENCODED:
+        raise httpx.DecodingError(
+            f'unexpected content encoding {encoding!r}',
+            request=response.request,
+        )
+
+
 def _make_trace_extension(
     check: collections.abc.Callable[[], None] | None,
     check_body: collections.abc.Callable[[], None] | None,
--- a/src/swiftjunction/web/_event_reading.py
+++ b/src/swiftjunction/web/_event_reading.py
@@ -41,7 +41,8 @@
     # Valid at the beginning of the stream only.
     mark = _event_blocks.BYTE_ORDER_MARK
     try:
-        async for data in response.aiter_bytes():
+        # Not decoded, as a small chunk could become a large one.
+        async for data in response.aiter_raw():
             for block in splitter.feed(data):
                 event = _parse(block.removeprefix(mark))
                 mark = b''
--- a/tests/cover/test_endless_own.py
+++ b/tests/cover/test_endless_own.py
@@ -120,7 +120,13 @@
 
 
 # Health checks and watches of engines get them.
-DAEMON_ANSWERS = ('header_lines', 'no_length', 'event_line')
+DAEMON_ANSWERS = (
+    'header_lines',
+    'no_length',
+    'packed',
+    'packed_stream',
+    'event_line',
+)
 
 
 @pytest.mark.parametrize('answer', DAEMON_ANSWERS)
