Let other work go on between the small parts of an answer

The cause: all that one read of a connection brings is handled without waiting for anything, and 64 KB can be 11,000 chunks or 32,000 blocks of a stream. With many such answers each turn of the event loop lasts seconds.

Now a run of such steps is interrupted after 128, and however many runs are interrupted at a time, one goes on in each turn of the loop. Chunks are counted from one read of the connection to the next, events from one chunk to the next, so that answers of the usual kind are never interrupted. Until the head of an answer is complete, 4 KB are read at a time, for the sake of informational heads.

--- a/src/swiftjunction/platform/servers/_workers.py
+++ b/src/swiftjunction/platform/servers/_workers.py
@@ -381,7 +381,9 @@
     )
     async for data in _responses.read_chunks(response, server):
         exchange.record_contact()
+        steps = web.StepCounter()
         for event in parser.feed(data):
+            await steps.record()
             yield event
     for event in parser.finish():
         yield event
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -45,6 +45,7 @@
 from swiftjunction.web._sending import find_name_problem
 from swiftjunction.web._sending import find_target_problem
 from swiftjunction.web._sending import find_value_problem
+from swiftjunction.web._steps import StepCounter
 from swiftjunction.web._streams import format_event
 from swiftjunction.web._targets import read_target
 from swiftjunction.web._tls import create_client_context
@@ -72,6 +73,7 @@
     'REQUEST_START_EVENT',
     'RESET_LINGER',
     'SHORT_BODY',
+    'StepCounter',
     'SOCKET_OPTIONS',
     'ServerEvent',
     'SocketOptions',
--- a/src/swiftjunction/web/_bodies.py
+++ b/src/swiftjunction/web/_bodies.py
@@ -6,6 +6,9 @@
 
 import httpx
 
+from swiftjunction.web import _heads
+from swiftjunction.web import _steps
+
 # The longest lists come from peers in one piece, and have several MB.
 MAX_BODY_BYTES = 32 * 1024 * 1024
 # A body of a few MB on a slow link takes this long. A longer read timeout
@@ -44,13 +47,31 @@
     )
     if max_bytes == math.inf:
         if content_type.startswith(EVENT_STREAM_TYPE):
-            return aiter(body)
+            return _take_turns(body, response)
         max_bytes = MAX_BODY_BYTES
-    return _iterate(body, response.request, max_bytes)
+    chunks = _take_turns(body, response)
+    return _iterate(chunks, response.request, max_bytes)
+
+
+async def _take_turns(
+    body: httpx.AsyncByteStream, response: httpx.Response
+) -> collections.abc.AsyncIterator[bytes]:
+    """Yield the chunks of `body`, with turns of the event loop in between.
+
+    Of one read there are thousands if they have a byte each.
+    """
+    network_stream = response.extensions['network_stream']
+    assert isinstance(network_stream, _heads.HeadBoundStream)
+    steps = _steps.StepCounter()
+    async for chunk in body:
+        await steps.record(network_stream.reads)
+        yield chunk
 
 
 async def _iterate(
-    body: httpx.AsyncByteStream, request: httpx.Request, max_bytes: float
+    body: collections.abc.AsyncIterator[bytes],
+    request: httpx.Request,
+    max_bytes: float,
 ) -> collections.abc.AsyncIterator[bytes]:
     read_seconds = request.extensions['timeout']['read']
     # The read timeout starts again with each byte.
--- a/src/swiftjunction/web/_event_reading.py
+++ b/src/swiftjunction/web/_event_reading.py
@@ -7,6 +7,7 @@
 
 from swiftjunction import errors
 from swiftjunction.web import _event_blocks
+from swiftjunction.web import _steps
 
 
 class ServerEvent(msgspec.Struct, frozen=True):
@@ -43,7 +44,9 @@
     try:
         # Not decoded, as a small chunk could become a large one.
         async for data in response.aiter_raw():
+            steps = _steps.StepCounter()
             for block in splitter.feed(data):
+                await steps.record()
                 event = _parse(block.removeprefix(mark))
                 mark = b''
                 if event is not None:
--- a/src/swiftjunction/web/_heads.py
+++ b/src/swiftjunction/web/_heads.py
@@ -16,6 +16,9 @@
 # A valid head has some KB, with an informational one or two before it. h11
 # itself cuts off a single head at 100 KB.
 MAX_HEAD_BYTES = 128 * 1024
+# What is read at once before the head is complete: informational heads are
+# handled one after the other without waiting for anything.
+HEAD_READ_BYTES = 4 * 1024
 # Lingering for no time makes the system reset a connection as it is closed.
 RESET_LINGER = struct.pack('ii', 1, 0)
 
@@ -68,10 +71,16 @@
     ----------
     stream : AsyncNetworkStream
         The connection itself.
+
+    Attributes
+    ----------
+    reads : int
+        Number of reads so far.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
+        self.reads = 0
         self._awaits_head = True
         self._head_bytes = 0
         self._in_exchange = False
@@ -87,10 +96,13 @@
     async def read(
         self, max_bytes: int, timeout: float | None = None
     ) -> bytes:
-        if self._awaits_head and self._head_bytes > MAX_HEAD_BYTES:
-            raise httpcore.RemoteProtocolError(
-                f'response head exceeds {MAX_HEAD_BYTES} bytes'
-            )
+        if self._awaits_head:
+            if self._head_bytes > MAX_HEAD_BYTES:
+                raise httpcore.RemoteProtocolError(
+                    f'response head exceeds {MAX_HEAD_BYTES} bytes'
+                )
+            max_bytes = min(max_bytes, HEAD_READ_BYTES)
+        self.reads += 1
         data = await self._stream.read(max_bytes, timeout)
         self._head_bytes += len(data)
         return data
--- a/tests/cover/test_endless_processes.py
+++ b/tests/cover/test_endless_processes.py
@@ -88,6 +88,14 @@
         CHUNKED + STREAM + b'Content-Encoding: gzip\r\n\r\n',
         lambda: chunk(itertools.repeat(PACKED)),
     ),
+    'blank_lines': (
+        CHUNKED + STREAM + b'\r\n',
+        lambda: chunk(itertools.repeat(b'\n' * 65536)),
+    ),
+    'small_stream_chunks': (
+        CHUNKED + STREAM + b'\r\n',
+        repeat(b'1\r\n\n\r\n' * 8192),
+    ),
     'event_line': (CHUNKED + STREAM + b'\r\n', repeat(CHUNK)),
     'comments': (
         CHUNKED + STREAM + b'\r\n',
@@ -295,7 +303,11 @@
     'header_lines',
     'half_a_head',
     'no_length',
+    'small_chunks',
     'packed',
+    'small_stream_chunks',
+    'blank_lines',
+    'comments',
     'event_line',
     'events',
     'after_the_end',
