--- a/src/swiftjunction/links/_sockets.py
+++ b/src/swiftjunction/links/_sockets.py
@@ -30,6 +30,17 @@
         raise
 
 
+def _listen(listener: pynng.Socket, address: str) -> None:
+    """Listen on ``ip:port``; ``SettingsError``, and closed, if that fails."""
+    try:
+        listener.listen(f'tcp://{address}')
+    except pynng.NNGException as error:
+        listener.close()
+        raise errors.SettingsError(
+            [f'cannot listen on {address}: {error}']
+        ) from error
+
+
 class Inbox:
     """Receives messages from any number of peers.
 
@@ -44,13 +55,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self._socket = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
-        try:
-            self._socket.listen(f'tcp://{address}')
-        except pynng.NNGException as error:
-            self._socket.close()
-            raise errors.SettingsError(
-                [f'cannot listen on {address}: {error}']
-            ) from error
+        _listen(self._socket, address)
 
     async def receive_sized(self) -> tuple[_messages.Message, int]:
         """Wait for the next valid message.
@@ -178,13 +183,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
-        try:
-            self._socket.listen(f'tcp://{address}')
-        except pynng.NNGException as error:
-            self._socket.close()
-            raise errors.SettingsError(
-                [f'cannot listen on {address}: {error}']
-            ) from error
+        _listen(self._socket, address)
 
     async def run(
         self,
