Give a request to a backend server a type of its own

WorkerClient._send had taken fourteen arguments, which three callers passed on by position and name. They are one struct now, in a module of its own. No change of behaviour; the tests of sending, streams, limits, leaving servers, repeated answers and answers without end pass.

--- a/src/swiftjunction/platform/servers/_workers.py
+++ b/src/swiftjunction/platform/servers/_workers.py
@@ -3,7 +3,6 @@
 import collections.abc
 import http
 import logging
-import math
 
 import anyio
 import httpx
@@ -14,6 +13,7 @@
 from swiftjunction import errors
 from swiftjunction.platform import _names
 from swiftjunction.platform.servers import _events
+from swiftjunction.platform.servers import _outgoing
 from swiftjunction.platform.servers import _reports
 from swiftjunction.platform.servers import _request_headers
 from swiftjunction.platform.servers import _responses
@@ -144,25 +144,25 @@
         exchange: backends.Exchange,
         is_stream: bool = False,
     ) -> httpx.Response:
-        return await self._send(
-            server,
-            exchange,
+        headers = [
+            *call.headers,
+            (_names.ATTEMPT_ID_HEADER, call.request_id),
+            *_request_headers.make_organisation_headers(call.organisation),
+        ]
+        outgoing = _outgoing.OutgoingRequest(
             call.method,
             call.path if call.query is None else f'{call.path}?{call.query}',
-            [
-                *call.headers,
-                (_names.ATTEMPT_ID_HEADER, call.request_id),
-                *_request_headers.make_organisation_headers(call.organisation),
-            ],
+            headers,
             call.body,
             timeout_seconds,
-            call.host,
+            source,
+            host=call.host,
             deadline=anyio.current_time() + call.timeout_seconds,
             check=call.check,
             request_id=call.request_id,
-            source=source,
             is_stream=is_stream,
         )
+        return await self._send(server, exchange, outgoing)
 
     async def is_crashed(self, server: backends.BackendServer) -> bool:
         return await self._paths.is_crashed(server)
@@ -183,21 +183,20 @@
         ]
         if after_number >= 0:
             headers.append((_names.LAST_EVENT_ID_HEADER, str(after_number)))
+        outgoing = _outgoing.OutgoingRequest(
+            'POST',
+            sample.request_path,
+            headers,
+            sample.body,
+            STREAM_TIMEOUT_SECONDS,
+            'sample',
+            host=host,
+            check=check,
+            request_id=sample.sample_id,
+            is_stream=True,
+        )
         with self._paths.reachability.track(server) as exchange:
-            response = await self._send(
-                server,
-                exchange,
-                'POST',
-                sample.request_path,
-                headers,
-                sample.body,
-                STREAM_TIMEOUT_SECONDS,
-                host,
-                check=check,
-                request_id=sample.sample_id,
-                source='sample',
-                is_stream=True,
-            )
+            response = await self._send(server, exchange, outgoing)
             try:
                 _responses.check_request_id(response, server, sample.sample_id)
                 _responses.check_executed(response, server)
@@ -274,22 +273,21 @@
         content: bytes = b'',
         check: collections.abc.Callable[[], None] | None = None,
     ) -> tuple[int, bytes]:
-        headers = [('content-type', 'application/json')] if content else []
+        outgoing = _outgoing.OutgoingRequest(
+            method,
+            path,
+            [('content-type', 'application/json')] if content else [],
+            content,
+            CONTROL_TIMEOUT_SECONDS,
+            path.removeprefix('/'),
+            check=check,
+        )
         with (
             anyio.move_on_after(CONTROL_TIMEOUT_SECONDS),
             self._paths.reachability.track(server) as exchange,
         ):
             response = await self._send(
-                server,
-                exchange,
-                method,
-                path,
-                headers,
-                content,
-                CONTROL_TIMEOUT_SECONDS,
-                peers=self._control_peers,
-                check=check,
-                source=path.removeprefix('/'),
+                server, exchange, outgoing, self._control_peers
             )
             try:
                 body = await backends.read_body(response, server.name)
@@ -304,22 +302,18 @@
         self,
         server: backends.BackendServer,
         exchange: backends.Exchange,
-        method: str,
-        target: str,
-        headers: list[tuple[str, str]],
-        content: bytes,
-        timeout_seconds: float,
-        host: str = '',
+        outgoing: _outgoing.OutgoingRequest,
         peers: web.PeerClients | None = None,
-        check: collections.abc.Callable[[], None] | None = None,
-        request_id: str = '',
-        source: str = '',
-        deadline: float = math.inf,
-        is_stream: bool = False,
     ) -> httpx.Response:
         """Send a request that any other server instance must refuse.
 
         Every response that a server sends is received here.
+
+        Parameters
+        ----------
+        peers : PeerClients, optional
+            Whose connections to use, directly; by default, those on the path
+            that is chosen for the request.
         """
 
         def check_before_send() -> None:
@@ -331,27 +325,27 @@
                     step='send',
                     peer=server.name,
                 )
-            if check is not None:
-                check()
+            if outgoing.check is not None:
+                outgoing.check()
             exchange.begin_sending(server.name)
 
         async def send(client: web.DirectClient) -> httpx.Response:
             return await client.send(
-                method,
-                target,
+                outgoing.method,
+                outgoing.target,
                 headers=[
-                    *headers,
-                    *_request_headers.make_deadline_headers(deadline),
+                    *outgoing.headers,
+                    *_request_headers.make_deadline_headers(outgoing.deadline),
                     (_names.EXPECT_INSTANCE_HEADER, server.name),
                 ],
-                content=content,
-                timeout_seconds=timeout_seconds,
-                host=host,
+                content=outgoing.content,
+                timeout_seconds=outgoing.timeout_seconds,
+                host=outgoing.host,
                 connect_seconds=CONNECT_TIMEOUT_SECONDS,
                 check=check_before_send,
-                check_body=check,
-                request_id=request_id,
-                is_stream=is_stream,
+                check_body=outgoing.check,
+                request_id=outgoing.request_id,
+                is_stream=outgoing.is_stream,
             )
 
         sent_at = server.read_rate_clock()
@@ -360,13 +354,17 @@
                 response = await self._paths.send_directly(server, peers, send)
             else:
                 response = await self._paths.send(
-                    server, exchange, request_id, send
+                    server, exchange, outgoing.request_id, send
                 )
         exchange.record_contact()
         # Otherwise UTF-8, in which the headers cannot be sent to callers.
         response.headers.encoding = 'iso-8859-1'
-        _responses.record_leaving(response, server, request_id, source)
-        _responses.record_rate_limit(response, server, request_id, sent_at)
+        _responses.record_leaving(
+            response, server, outgoing.request_id, outgoing.source
+        )
+        _responses.record_rate_limit(
+            response, server, outgoing.request_id, sent_at
+        )
         return response
 
 
