Say in the field's words what the new comments and names mean

Cause: read as a newcomer would, comments gave measured times as the reason of a bound, did not say what the lock between runs of steps is for, and a name did not say what it is the size of. The type of event streams was defined three times.

Change: comments and names, one definition of the type in the web package, the order of __all__, and one needless line of a test.

--- a/src/swiftjunction/backends/_engine.py
+++ b/src/swiftjunction/backends/_engine.py
@@ -16,7 +16,6 @@
 from swiftjunction import errors
 from swiftjunction import web
 
-EVENT_STREAM_TYPE = 'text/event-stream'
 CANCEL_TIMEOUT_SECONDS = 2.0
 # The renewal interval, the renewal timeout and this must together be shorter
 # than a lease.
@@ -289,7 +288,7 @@
             async with self._peers.get(address).stream(
                 'GET',
                 '/events',
-                headers={'accept': EVENT_STREAM_TYPE},
+                headers={'accept': web.EVENT_STREAM_TYPE},
                 timeout=_orders.STATUS_TIMEOUT_SECONDS,
                 extensions=web.UNBOUNDED_STREAM,
             ) as response:
@@ -341,7 +340,7 @@
     response: httpx.Response, step: str, peer: str
 ) -> None:
     content_type = response.headers.get('content-type', '')
-    if not content_type.startswith(EVENT_STREAM_TYPE):
+    if not content_type.startswith(web.EVENT_STREAM_TYPE):
         raise errors.AnswerBroken(
             f'content type is {content_type!r} instead of an event stream',
             step=step,
--- a/src/swiftjunction/batches/_archive.py
+++ b/src/swiftjunction/batches/_archive.py
@@ -105,7 +105,7 @@
         try:
             found = await self._store.read(BATCH_PREFIX + batch.batch_id)
         except errors.PlatformUnavailable as error:
-            # Not passed on, as it means that nothing is stored.
+            # The batch is stored, which PlatformUnavailable would deny.
             raise errors.WriteUncertain(
                 f'the owner of the stored batch is unknown: {error.message}',
                 step='submit',
--- a/src/swiftjunction/links/_sockets.py
+++ b/src/swiftjunction/links/_sockets.py
@@ -31,7 +31,13 @@
 
 
 def _listen(listener: pynng.Socket, address: str) -> None:
-    """Listen on ``ip:port``; ``SettingsError``, and closed, if that fails."""
+    """Listen on ``ip:port``.
+
+    Raises
+    ------
+    SettingsError
+        If that fails; the socket is closed then.
+    """
     try:
         listener.listen(f'tcp://{address}')
     except pynng.NNGException as error:
--- a/src/swiftjunction/platform/servers/_responses.py
+++ b/src/swiftjunction/platform/servers/_responses.py
@@ -10,11 +10,11 @@
 from swiftjunction import errors
 from swiftjunction.platform import _names
 from swiftjunction.platform.servers import _events
+from swiftjunction import web
 
 # Statuses that mean the request was not run, if the response confirms it with
 # the not-executed header.
 REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
-EVENT_STREAM_TYPE = 'text/event-stream'
 # Any other value of the leaving header announces that the server leaves: to
 # avoid a server that stays costs capacity, and to use one that leaves costs
 # requests.
@@ -180,7 +180,7 @@
     media_type = response.headers.get('content-type', '').partition(';')[0]
     return (
         response.is_success
-        and media_type.strip().lower() == EVENT_STREAM_TYPE
+        and media_type.strip().lower() == web.EVENT_STREAM_TYPE
         and 'content-encoding' not in response.headers
     )
 
--- a/src/swiftjunction/web/__init__.py
+++ b/src/swiftjunction/web/__init__.py
@@ -3,6 +3,7 @@
 from swiftjunction.web._addresses import format_address
 from swiftjunction.web._addresses import is_address
 from swiftjunction.web._addresses import parse_address
+from swiftjunction.web._bodies import EVENT_STREAM_TYPE
 from swiftjunction.web._bodies import SHORT_BODY
 from swiftjunction.web._bodies import UNBOUNDED_STREAM
 from swiftjunction.web._client_limits import BYTES_PER_MIB
@@ -62,6 +63,7 @@
     'DEFAULT_DESCRIPTORS',
     'DEFAULT_MEMORY_BYTES',
     'DirectClient',
+    'EVENT_STREAM_TYPE',
     'EXCEPTION_HANDLERS',
     'HeadLimits',
     'HttpListener',
@@ -73,10 +75,10 @@
     'REQUEST_START_EVENT',
     'RESET_LINGER',
     'SHORT_BODY',
-    'StepCounter',
     'SOCKET_OPTIONS',
     'ServerEvent',
     'SocketOptions',
+    'StepCounter',
     'TlsContexts',
     'TlsFiles',
     'UNBOUNDED_STREAM',
--- a/src/swiftjunction/web/_bodies.py
+++ b/src/swiftjunction/web/_bodies.py
@@ -20,8 +20,7 @@
 # For responses with a short body or none: health, orders, cancellations.
 MAX_SHORT_BODY_BYTES = 64 * 1024
 SHORT_BODY = {MAX_BODY_EXTENSION: MAX_SHORT_BODY_BYTES}
-# For event streams, whose readers bound their events and the time between
-# them.
+# For event streams. Their readers bound each event and the time between two.
 UNBOUNDED_STREAM = {MAX_BODY_EXTENSION: math.inf}
 EVENT_STREAM_TYPE = 'text/event-stream'
 
@@ -58,7 +57,7 @@
 ) -> collections.abc.AsyncIterator[bytes]:
     """Yield the chunks of `body`, with turns of the event loop in between.
 
-    Of one read there are thousands if they have a byte each.
+    A single read yields thousands of chunks if they have one byte each.
     """
     network_stream = response.extensions['network_stream']
     assert isinstance(network_stream, _heads.HeadBoundStream)
--- a/src/swiftjunction/web/_heads.py
+++ b/src/swiftjunction/web/_heads.py
@@ -16,8 +16,8 @@
 # A valid head has some KB, with an informational one or two before it. h11
 # itself cuts off a single head at 100 KB.
 MAX_HEAD_BYTES = 128 * 1024
-# What is read at once before the head is complete: informational heads are
-# handled one after the other without waiting for anything.
+# Limits one read before the head is complete, as all informational heads in it
+# are parsed in one turn of the event loop.
 HEAD_READ_BYTES = 4 * 1024
 # Lingering for no time makes the system reset a connection as it is closed.
 RESET_LINGER = struct.pack('ii', 1, 0)
--- a/src/swiftjunction/web/_steps.py
+++ b/src/swiftjunction/web/_steps.py
@@ -8,9 +8,11 @@
 import anyio
 import anyio.lowlevel
 
-# Of some 10 us each, and 50 us for an event that is relayed to a caller.
+# Few enough for a short turn, and enough that the turns cost little.
 STEPS_PER_TURN = 128
 
+# Its holder waits for a turn of the event loop. The others queue, so that the
+# length of a turn does not grow with the number of runs.
 _turns = anyio.Lock()
 
 
--- a/src/swiftjunction/web/_transport.py
+++ b/src/swiftjunction/web/_transport.py
@@ -26,7 +26,7 @@
 
 MAX_CONNECTIONS_PER_SERVER = 1024
 MAX_IDLE_CONNECTIONS = 64
-# Bounds what a connection keeps of the ids of its requests, 8 bytes each.
+# Bounds what a connection remembers of the ids of its requests.
 MAX_IDS_PER_CONNECTION = 512
 IDLE_EXPIRY_SECONDS = 60.0
 # TCP detects a dead connection, for example behind a network partition, after
@@ -47,12 +47,10 @@
     ),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
-
-
 # The key of the request extension that holds the id of the request, if the
 # server repeats it in its response.
 REQUEST_ID_EXTENSION = 'request_id'
-DIGEST_BYTES = 8
+ID_DIGEST_BYTES = 8
 
 
 @functools.cache
@@ -204,8 +202,7 @@
             socket_options=SOCKET_OPTIONS,
             network_backend=_heads.HeadBoundBackend(backend),
         )
-        # Of the ids of its requests, one after the other. A digest that is
-        # found by chance only leads to the use of another connection.
+        # Concatenated. A false match is harmless: another connection is used.
         self._id_digests = bytearray()
 
     def has_carried(self, request_id: str) -> bool:
@@ -219,7 +216,7 @@
 
     def may_carry_more(self) -> bool:
         """Return whether it may carry another request with an id."""
-        return len(self._id_digests) < MAX_IDS_PER_CONNECTION * DIGEST_BYTES
+        return len(self._id_digests) < MAX_IDS_PER_CONNECTION * ID_DIGEST_BYTES
 
     def has_surplus(self) -> bool:
         """Return whether bytes were received after the last response.
--- a/tests/cover/test_endless_processes.py
+++ b/tests/cover/test_endless_processes.py
@@ -4,7 +4,6 @@
 memory, and the requests of other callers ended with it.
 """
 
-import base64
 import contextlib
 import gzip
 import itertools
@@ -294,11 +293,10 @@
     for item in batch['items']:
         item['path'] = path
         item['scorer']['path'] = scorer
-        item['body'] = base64.b64encode(b'prompt').decode()
     return batch
 
 
-# One of each kind; the others are like them.
+# Those that run in CI; any of `ANSWERS` may be added for a longer run.
 VM_ANSWERS = (
     'header_lines',
     'half_a_head',
